--- /dev/null
+++ b/cmd/weldctl/show.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/goccy/go-yaml"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/resourceapi"
+)
+
+type getCommand struct {
+	Kind   string `arg:"" help:"Kind, such as model or machine."`
+	Name   string `arg:"" optional:"" help:"Name; all if left out."`
+	Output string `short:"o" enum:"table,yaml,json" default:"table" help:"table, yaml or json."`
+}
+
+type watchCommand struct {
+	Kind  string `arg:"" optional:"" help:"Kind; all if left out."`
+	After string `help:"Version to begin after; the present one if left out."`
+}
+
+type deleteCommand struct {
+	Kind    string `arg:"" help:"Kind."`
+	Name    string `arg:"" help:"Name."`
+	Version string `name:"resource-version" help:"Delete only this version."`
+}
+
+type drainCommand struct {
+	Machine string `arg:"" help:"Machine."`
+	Undo    bool   `help:"Let the machine work again."`
+}
+
+type statusCommand struct {
+	Output string `short:"o" enum:"table,json" default:"table" help:"table or json."`
+}
+
+func (c *getCommand) Run(current *session) error {
+	var resources []v1.Resource
+	var whole any
+	if c.Name != "" {
+		resource, err := current.client.Get(current.ctx, c.Kind, c.Name)
+		if err != nil {
+			return err
+		}
+		resources, whole = []v1.Resource{*resource}, resource
+	} else {
+		list, err := current.client.List(current.ctx, c.Kind)
+		if err != nil {
+			return err
+		}
+		resources, whole = list.Items, list
+	}
+	switch c.Output {
+	case "json":
+		return printJSON(whole)
+	case "yaml":
+		return printYAML(whole)
+	}
+	return printTable(resources)
+}
+
+func printJSON(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return fault.Internal.Wrap(err, "encoding")
+	}
+	return nil
+}
+
+func printYAML(value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return fault.Internal.Wrap(err, "encoding")
+	}
+	text, err := yaml.JSONToYAML(encoded)
+	if err != nil {
+		return fault.Internal.Wrap(err, "encoding")
+	}
+	fmt.Print(string(text))
+	return nil
+}
+
+func printTable(resources []v1.Resource) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "NAME\tVERSION\tGENERATION\tSUMMARY")
+	for _, resource := range resources {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\n", resource.Metadata.Name, resource.Metadata.ResourceVersion,
+			resource.Metadata.Generation, summaryOf(resource))
+	}
+	if err := table.Flush(); err != nil {
+		return fault.Internal.Wrap(err, "writing a table")
+	}
+	return nil
+}
+
+// summaryOf says in a few words what matters most of a resource.
+func summaryOf(resource v1.Resource) string {
+	spec, err := v1.DecodeSpec(resource.Kind, resource.Spec)
+	if err != nil {
+		return ""
+	}
+	switch typed := spec.(type) {
+	case *v1.ModelSpec:
+		return fmt.Sprintf("serves %s, %d to %d replicas", typed.DefaultVersion, typed.MinReplicas, typed.MaxReplicas)
+	case *v1.ModelVersionSpec:
+		return fmt.Sprintf("%s, %.1f GiB on %d accelerators", typed.Checkpoint, float64(typed.WeightBytes)/(1<<30), typed.Accelerators)
+	case *v1.AdapterSpec:
+		return "on " + typed.Model
+	case *v1.ServiceSpec:
+		return fmt.Sprintf("%d models, priority %d", len(typed.Models), typed.Priority)
+	case *v1.LimitSpec:
+		return fmt.Sprintf("%s: %.1f/s, %d at once", typed.Service, typed.RequestsPerSecond, typed.Concurrent)
+	case *v1.MachineSpec:
+		var status v1.MachineStatus
+		_ = json.Unmarshal(resource.Status, &status)
+		return fmt.Sprintf("%s %s %s", typed.Zone, status.Phase, status.Reason)
+	case *v1.ReplicaSpec:
+		return fmt.Sprintf("%s %s on %s", typed.Version, typed.Phase, typed.Machine)
+	}
+	return ""
+}
+
+func (c *watchCommand) Run(current *session) error {
+	if c.After == "" {
+		list, err := current.client.List(current.ctx, string(v1.KindLimit))
+		if err != nil {
+			return err
+		}
+		c.After = list.ResourceVersion
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	return current.client.Watch(current.ctx, c.Kind, c.After, func(event resourceapi.WatchEvent) error {
+		if err := encoder.Encode(event); err != nil {
+			return fault.Internal.Wrap(err, "writing an event")
+		}
+		return nil
+	})
+}
+
+func (c *deleteCommand) Run(current *session) error {
+	if err := current.client.Delete(current.ctx, c.Kind, c.Name, c.Version, newKey()); err != nil {
+		return err
+	}
+	fmt.Printf("%s/%s deleted\n", c.Kind, c.Name)
+	return nil
+}
+
+// Run sets the machine's desired state, conditionally, and again if another
+// operator was faster.
+func (c *drainCommand) Run(current *session) error {
+	for {
+		resource, err := current.client.Get(current.ctx, string(v1.KindMachine), c.Machine)
+		if err != nil {
+			return err
+		}
+		spec, err := v1.DecodeSpec(v1.KindMachine, resource.Spec)
+		if err != nil {
+			return err
+		}
+		machine, isMachine := spec.(*v1.MachineSpec)
+		if !isMachine {
+			return fault.Internal.New("%s is not a machine", c.Machine)
+		}
+		machine.Drain = !c.Undo
+		if resource.Spec, err = json.Marshal(machine); err != nil {
+			return fault.Internal.Wrap(err, "encoding a machine")
+		}
+		resource.Status = nil
+		_, err = current.client.Put(current.ctx, resource, newKey())
+		if fault.Is(err, fault.Conflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Printf("Machine/%s drain=%t\n", c.Machine, machine.Drain)
+		return nil
+	}
+}
+
+func (c *statusCommand) Run(current *session) error {
+	status, err := current.client.Status(current.ctx)
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(status)
+	}
+	fmt.Printf("leader %s, term %d, version %s, voters %v, learners %v\n",
+		status.Leader, status.Term, status.ResourceVersion, status.Voters, status.Learners)
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "NODE\tZONE\tLIVE\tIN FORCE\tREPORT AGE")
+	for _, node := range status.Nodes {
+		fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d ms\n", node.Name, node.Zone, node.Live, node.ResourceVersion, node.ReportAgeMillis)
+	}
+	if err := table.Flush(); err != nil {
+		return fault.Internal.Wrap(err, "writing a table")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/weldline/main.go
@@ -0,0 +1,93 @@
+// Command weldline is a node of a weldline cluster.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/weldline/weldline/internal/buildinfo"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/node"
+	"github.com/weldline/weldline/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+type commandLine struct {
+	Serve   serveCommand   `cmd:"" help:"Run the roles that the settings name."`
+	Config  configCommand  `cmd:"" help:"Work on settings files."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type serveCommand struct {
+	Config string `required:"" type:"path" help:"Settings file."`
+}
+
+type configCommand struct {
+	Check checkCommand `cmd:"" help:"Check a settings file."`
+}
+
+type checkCommand struct {
+	File string `arg:"" type:"path" help:"Settings file."`
+}
+
+type versionCommand struct{}
+
+func (c *serveCommand) Run() error {
+	configuration, err := settings.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	logger := newLogger(configuration)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	process, err := node.New(configuration, logger)
+	if err != nil {
+		return err
+	}
+	return process.Run(ctx)
+}
+
+func newLogger(configuration *settings.Settings) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(configuration.LogLevel)) // Validated with the settings.
+	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With("node", configuration.Node)
+}
+
+func (c *checkCommand) Run() error {
+	if _, err := settings.Load(c.File); err != nil {
+		return err
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+func (c *versionCommand) Run() error {
+	fmt.Println(buildinfo.Version())
+	return nil
+}
+
+func main() {
+	var line commandLine
+	parsed := kong.Parse(&line, kong.Name("weldline"), kong.Description("A node of a weldline cluster."))
+	err := parsed.Run()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "weldline: "+fault.Message(err))
+	if fault.Is(err, fault.Invalid) {
+		os.Exit(exitInvalid)
+	}
+	os.Exit(exitFailure)
+}
--- /dev/null
+++ b/internal/control/backend.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const leaderPollDelay = 20 * time.Millisecond
+
+// ChangesAfter implements feed.Backend from this node's copy of the state.
+func (n *Node) ChangesAfter(revision uint64) feed.Changes {
+	n.stateMutex.RLock()
+	defer n.stateMutex.RUnlock()
+	current := n.member.State.Revision()
+	events, err := n.member.State.EventsAfter(revision)
+	if err == nil {
+		return feed.Changes{Events: events, Revision: current}
+	}
+	changes := feed.Changes{Revision: current, Reset: true}
+	for _, object := range n.member.State.List("") {
+		changes.Events = append(changes.Events, &wirepb.WatchEvent{Object: object})
+	}
+	return changes
+}
+
+// Changed implements feed.Backend.
+func (n *Node) Changed() <-chan struct{} {
+	return n.changed.Wait()
+}
+
+// Digest implements feed.Backend.
+func (n *Node) Digest() *wirepb.ClusterDigest {
+	return n.digest.Load()
+}
+
+// DigestChanged implements feed.Backend.
+func (n *Node) DigestChanged() <-chan struct{} {
+	return n.digestChanged.Wait()
+}
+
+// Report implements feed.Backend: the leader keeps the report, a follower
+// passes it on.
+func (n *Node) Report(report *wirepb.NodeReport) {
+	n.takeReports([]*wirepb.NodeReport{report})
+	status := n.status.Load()
+	if link := n.peers.links[status.Leader]; link != nil {
+		batch := &wirepb.NodeReportBatch{Reports: []*wirepb.NodeReport{report}}
+		_ = link.send(&wirepb.Envelope{Body: &wirepb.Envelope_NodeReportBatch{NodeReportBatch: batch}})
+	}
+}
+
+func (n *Node) takeReports(reports []*wirepb.NodeReport) {
+	urgent := false
+	for _, report := range reports {
+		urgent = n.reports.take(report) || urgent
+	}
+	if urgent {
+		n.wakeLeader()
+	}
+}
+
+func (n *Node) wakeLeader() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// takeDigest keeps the newest digest. Order is by term, then sequence, so a
+// deposed leader's late digest changes nothing.
+func (n *Node) takeDigest(digest *wirepb.ClusterDigest) {
+	held := n.digest.Load()
+	if held != nil && (digest.GetTerm() < held.GetTerm() ||
+		digest.GetTerm() == held.GetTerm() && digest.GetSequence() <= held.GetSequence()) {
+		return
+	}
+	n.digest.Store(digest)
+	n.digestChanged.Notify()
+}
+
+// Propose implements feed.Backend: it carries a command to the leader,
+// wherever it is.
+func (n *Node) Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
+	for {
+		status := n.status.Load()
+		if status.Leader == status.ID {
+			return n.proposeLocally(ctx, command)
+		}
+		if link := n.peers.links[status.Leader]; link != nil {
+			return n.forward(ctx, link, command)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fault.Unavailable.New("there is no leader")
+		case <-time.After(leaderPollDelay):
+		}
+	}
+}
+
+func (n *Node) proposeLocally(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
+	entry := &proposal{command: command, reply: make(chan proposalReply, 1)}
+	select {
+	case n.proposals <- entry:
+	case <-ctx.Done():
+		return nil, fault.Unavailable.New("the leader is overloaded")
+	}
+	select {
+	case reply := <-entry.reply:
+		return reply.result, reply.err
+	case <-ctx.Done():
+		return nil, fault.Deadline.New("the command was not committed in time; it may be later")
+	}
+}
+
+func (n *Node) forward(ctx context.Context, link *peerLink, command *wirepb.Command) (*wirepb.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	answer, err := link.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Proposal{Proposal: command}})
+	if err != nil {
+		return nil, err
+	}
+	result := answer.GetProposalResult()
+	if result.GetCode() == wirepb.ResultCode_RESULT_CODE_UNAVAILABLE && result.GetWrite() == nil {
+		return nil, fault.Unavailable.New("%s", result.GetMessage())
+	}
+	return result, nil
+}
+
+// Barrier waits until this node has applied everything that was committed
+// when it was called, so that a read after it is not stale.
+func (n *Node) Barrier(ctx context.Context) error {
+	for {
+		status, err := n.Status(ctx)
+		if err == nil {
+			return n.waitForRevision(ctx, status.GetRevision())
+		}
+		select {
+		case <-ctx.Done():
+			return fault.Unavailable.New("there is no leader to confirm a read")
+		case <-time.After(leaderPollDelay):
+		}
+	}
+}
+
+func (n *Node) waitForRevision(ctx context.Context, revision uint64) error {
+	for {
+		changed := n.Changed()
+		if n.Revision() >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.Unavailable.New("this node is behind revision %d", revision)
+		}
+	}
+}
+
+// Status returns the leader's view of the cluster.
+func (n *Node) Status(ctx context.Context) (*wirepb.StatusReply, error) {
+	status := n.status.Load()
+	if status.Leader == status.ID {
+		return n.localStatus()
+	}
+	link := n.peers.links[status.Leader]
+	if link == nil {
+		return nil, fault.Unavailable.New("there is no leader")
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Control.ElectionTimeout)
+	defer cancel()
+	answer, err := link.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	if err != nil {
+		return nil, err
+	}
+	reply := answer.GetStatusReply()
+	if reply.GetLeader() == "" {
+		return nil, fault.Unavailable.New("the leader holds no lease")
+	}
+	return reply, nil
+}
+
+// localStatus answers as leader. The lease is checked after the revision was
+// read: had another leader been elected before, the check would fail.
+func (n *Node) localStatus() (*wirepb.StatusReply, error) {
+	revision := n.Revision()
+	status := n.status.Load()
+	if !n.leads() {
+		return nil, fault.Unavailable.New("this node holds no lease")
+	}
+	reply := &wirepb.StatusReply{
+		Term: status.Term, Leader: n.settings.Node, Revision: revision,
+		Voters: status.Voters, Learners: status.Learners,
+	}
+	reply.Nodes = n.reports.states()
+	return reply, nil
+}
+
+// NewServer returns the server of this node's feed.
+func (n *Node) NewServer(counters *wire.Counters) *feed.Server {
+	return feed.NewServer(n, n.Hello(), n.logger, counters, n.servePeer)
+}
+
+// Read calls the function with the state, which it must not keep or change.
+func (n *Node) Read(visit func(machine *state.Machine)) {
+	n.stateMutex.RLock()
+	defer n.stateMutex.RUnlock()
+	visit(n.member.State)
+}
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/weldline/weldline/internal/raft"
+)
+
+// Metrics are the control node's metrics.
+type Metrics struct {
+	role, term, applied prometheus.Gauge
+	batchEntries        prometheus.Histogram
+	batchSeconds        prometheus.Histogram
+	decideSeconds       prometheus.Histogram
+	decisions           *prometheus.CounterVec
+}
+
+// NewMetrics registers the control node's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	factory := promauto.With(registry)
+	return &Metrics{
+		role:         factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_role", Help: "0 follower, 1 pre-candidate, 2 candidate, 3 leader."}),
+		term:         factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_term", Help: "Present term."}),
+		applied:      factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_applied_index", Help: "Last applied log index."}),
+		batchEntries: factory.NewHistogram(prometheus.HistogramOpts{Name: "weldline_raft_batch_entries", Help: "Entries applied by one pass of the loop.", Buckets: prometheus.ExponentialBuckets(1, 2, 10)}),
+		batchSeconds: factory.NewHistogram(prometheus.HistogramOpts{Name: "weldline_raft_batch_seconds", Help: "Time to persist and apply one pass of the loop.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14)}),
+		decideSeconds: factory.NewHistogram(prometheus.HistogramOpts{
+			Name: "weldline_placement_decide_seconds", Help: "Time to decide on replicas.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 12),
+		}),
+		decisions: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_placement_decisions_total", Help: "Replica decisions by kind.",
+		}, []string{"kind"}),
+	}
+}
+
+func (m *Metrics) observeStatus(status *raft.Status) {
+	m.role.Set(float64(status.Role))
+	m.term.Set(float64(status.Term))
+	m.applied.Set(float64(status.Applied))
+}
+
+func (m *Metrics) observeBatch(entries int, took time.Duration) {
+	m.batchEntries.Observe(float64(entries))
+	m.batchSeconds.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/member"
+	"github.com/weldline/weldline/internal/raft"
+	"github.com/weldline/weldline/internal/settings"
+	"github.com/weldline/weldline/internal/signal"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	tickInterval   = 10 * time.Millisecond
+	inboxLength    = 4096
+	maxBatch       = 256
+	maxEntries     = 256
+	maxInflight    = 64
+	ticksPerElect  = 10
+	minimumTickDur = time.Millisecond
+)
+
+// Options are what a Node needs besides its settings.
+type Options struct {
+	Settings *settings.Settings
+	Logger   *slog.Logger
+	// Storage and Recovered are the opened data folder.
+	Storage   member.Storage
+	Recovered member.Recovered
+	Metrics   *Metrics
+	Counters  *wire.Counters
+}
+
+// Node is a running control node.
+type Node struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	metrics  *Metrics
+	counters *wire.Counters
+	started  time.Time
+
+	// stateMutex guards member.State: the loop writes, everyone reads.
+	stateMutex sync.RWMutex
+	member     *member.Member
+	inbox      chan *wirepb.RaftMessage
+	proposals  chan *proposal
+	actions    chan func()
+	pending    map[uint64]*proposal
+	status     atomic.Pointer[raft.Status]
+	changed    *signal.Broadcast
+
+	digest        atomic.Pointer[wirepb.ClusterDigest]
+	digestChanged *signal.Broadcast
+
+	peers   *peerSet
+	reports *reportTable
+	nudge   chan struct{}
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	command *wirepb.Command
+	term    uint64
+	reply   chan proposalReply
+}
+
+type proposalReply struct {
+	result *wirepb.CommandResult
+	err    error
+}
+
+// New opens a member over its storage.
+func New(options Options) (*Node, error) {
+	node := &Node{
+		settings: options.Settings, logger: options.Logger, metrics: options.Metrics,
+		counters: options.Counters, started: time.Now(),
+		inbox:     make(chan *wirepb.RaftMessage, inboxLength),
+		proposals: make(chan *proposal, inboxLength),
+		actions:   make(chan func(), 16),
+		pending:   map[uint64]*proposal{},
+		changed:   signal.New(), digestChanged: signal.New(),
+		nudge: make(chan struct{}, 1),
+	}
+	control := options.Settings.Control
+	config := raft.Config{
+		ID:                   control.ID,
+		ElectionTimeout:      control.ElectionTimeout,
+		HeartbeatInterval:    control.HeartbeatInterval,
+		LeaseMargin:          control.LeaseMargin,
+		MaxEntriesPerMessage: maxEntries,
+		MaxInflightMessages:  maxInflight,
+		Random:               rand.Int64N,
+	}
+	opened, err := member.Open(config, bootstrapMembership(control.Members), options.Recovered, options.Storage, 0, control.CompactEvery)
+	if err != nil {
+		return nil, err
+	}
+	opened.StateLock = &node.stateMutex
+	node.member = opened
+	node.reports = newReportTable(node.now)
+	node.peers = newPeerSet(node)
+	node.publishStatus()
+	return node, nil
+}
+
+func bootstrapMembership(members []settings.Member) *wirepb.Membership {
+	membership := &wirepb.Membership{}
+	for _, entry := range members {
+		if entry.Learner {
+			membership.Learners = append(membership.Learners, entry.ID)
+			continue
+		}
+		membership.Voters = append(membership.Voters, entry.ID)
+	}
+	return membership
+}
+
+// now is the monotonic time since the node started.
+func (n *Node) now() time.Duration {
+	return time.Since(n.started)
+}
+
+// Run drives the member until ctx ends or storage fails.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	n.peers.start(ctx, &workers)
+	workers.Go(func() { n.runLeader(ctx) })
+	return n.loop(ctx)
+}
+
+func (n *Node) loop(ctx context.Context) error {
+	interval := max(minimumTickDur, min(tickInterval, n.settings.Control.HeartbeatInterval/ticksPerElect))
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return n.stop()
+		case <-ticker.C:
+			n.member.Raft.Tick(n.now())
+		case message := <-n.inbox:
+			n.member.Raft.Step(n.now(), message)
+		case entry := <-n.proposals:
+			n.propose(entry)
+		case action := <-n.actions:
+			action()
+		}
+		n.drainQueues()
+		if err := n.process(); err != nil {
+			n.logger.Error("storage_failed", "error", fault.Message(err))
+			return err
+		}
+	}
+}
+
+// drainQueues takes what else has come, so that one sync serves it all.
+func (n *Node) drainQueues() {
+	for range maxBatch {
+		select {
+		case message := <-n.inbox:
+			n.member.Raft.Step(n.now(), message)
+		case entry := <-n.proposals:
+			n.propose(entry)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) propose(entry *proposal) {
+	entry.command.ProposedUnixMs = time.Now().UnixMilli()
+	index, term, err := n.member.Propose(n.now(), entry.command)
+	if err != nil {
+		entry.reply <- proposalReply{err: err}
+		return
+	}
+	entry.term = term
+	if older := n.pending[index]; older != nil {
+		older.reply <- proposalReply{err: fault.Unavailable.New("the leader changed before the command was committed")}
+	}
+	n.pending[index] = entry
+}
+
+func (n *Node) process() error {
+	started := time.Now()
+	output, err := n.member.Process()
+	if err != nil {
+		return err
+	}
+	n.peers.sendRaft(output.Messages)
+	n.completeProposals(output)
+	n.publishStatus()
+	if len(output.Applied) > 0 || output.Restored {
+		n.metrics.observeBatch(len(output.Applied), time.Since(started))
+		n.changed.Notify()
+	}
+	return nil
+}
+
+func (n *Node) completeProposals(output member.Output) {
+	if output.Restored {
+		n.failPending("the command's outcome was lost with a snapshot")
+	}
+	for _, applied := range output.Applied {
+		entry := n.pending[applied.Index]
+		if entry == nil {
+			continue
+		}
+		delete(n.pending, applied.Index)
+		if entry.term != applied.Term {
+			entry.reply <- proposalReply{err: fault.Unavailable.New("another leader's command took its place")}
+			continue
+		}
+		entry.reply <- proposalReply{result: applied.Result}
+	}
+}
+
+func (n *Node) failPending(reason string) {
+	for index, entry := range n.pending {
+		entry.reply <- proposalReply{err: fault.Unavailable.New("%s", reason)}
+		delete(n.pending, index)
+	}
+}
+
+func (n *Node) publishStatus() {
+	status := n.member.Raft.Status()
+	previous := n.status.Swap(&status)
+	if previous == nil || previous.Role != status.Role || previous.Term != status.Term || previous.Leader != status.Leader {
+		n.logger.Info("raft_role", "role", status.Role.String(), "term", status.Term, "leader", status.Leader)
+	}
+	n.metrics.observeStatus(&status)
+}
+
+// stop hands leadership over, so that a planned stop costs no election.
+func (n *Node) stop() error {
+	if n.member.Raft.TransferLeadership() {
+		_ = n.process()
+		n.peers.flush()
+	}
+	n.failPending("the control node is stopping")
+	return nil
+}
+
+// leads reports whether this node may decide now.
+func (n *Node) leads() bool {
+	status := n.status.Load()
+	return status.Role == raft.Leader && status.CommittedOwnTerm && n.now() < status.LeaseUntil
+}
+
+// Revision returns the revision of the state that this node has applied.
+func (n *Node) Revision() uint64 {
+	n.stateMutex.RLock()
+	defer n.stateMutex.RUnlock()
+	return n.member.State.Revision()
+}
+
+// HasLeader reports whether this node knows of a leader.
+func (n *Node) HasLeader() bool {
+	return n.status.Load().Leader != raft.None
+}
--- /dev/null
+++ b/internal/control/reports.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// nodeTimeout is how long a silent node counts as live.
+	nodeTimeout = 2 * time.Second
+	// forgetNodeAfter bounds the table where nodes come and go.
+	forgetNodeAfter = 10 * time.Minute
+)
+
+// nodeEntry is the newest report of a node.
+type nodeEntry struct {
+	report   *wirepb.NodeReport
+	received time.Duration
+}
+
+// machineEntry is the newest report on a machine, by whichever agent.
+type machineEntry struct {
+	report   *wirepb.MachineReport
+	received time.Duration
+	// lastReachable is when the engine last answered an agent.
+	lastReachable time.Duration
+}
+
+// reportTable is the leader's soft state about nodes and machines.
+type reportTable struct {
+	now      func() time.Duration
+	mutex    sync.Mutex
+	nodes    map[string]nodeEntry
+	machines map[string]machineEntry
+	// arrivals counts the requests for each version in the whole fleet;
+	// counted is how many of a node's are in it.
+	arrivals map[string]uint64
+	counted  map[string]map[string]uint64
+}
+
+func newReportTable(now func() time.Duration) *reportTable {
+	return &reportTable{
+		now: now, nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
+		arrivals: map[string]uint64{}, counted: map[string]map[string]uint64{},
+	}
+}
+
+// take keeps a report unless a newer one is held. It returns whether the
+// leader should look at once.
+func (t *reportTable) take(report *wirepb.NodeReport) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held := t.nodes[report.GetNode()].report
+	if held != nil && (report.GetIncarnation() < held.GetIncarnation() ||
+		report.GetIncarnation() == held.GetIncarnation() && report.GetSequence() <= held.GetSequence()) {
+		return false
+	}
+	now := t.now()
+	t.nodes[report.GetNode()] = nodeEntry{report: report, received: now}
+	t.countArrivals(held, report)
+	urgent := held == nil || demandGrew(held, report)
+	for _, machine := range report.GetMachines() {
+		urgent = t.takeMachine(machine, now) || urgent
+	}
+	return urgent
+}
+
+// countArrivals adds what is new to the fleet's counts. Reports carry running
+// totals and leave out versions without news, so that a lost report loses no
+// arrivals; a node that restarted counts from 0 again.
+func (t *reportTable) countArrivals(held, report *wirepb.NodeReport) {
+	counted := t.counted[report.GetNode()]
+	if counted == nil || held.GetIncarnation() != report.GetIncarnation() {
+		counted = map[string]uint64{}
+		t.counted[report.GetNode()] = counted
+	}
+	for _, demand := range report.GetDemand() {
+		version, total := demand.GetVersion(), demand.GetArrivals()
+		if total > counted[version] {
+			t.arrivals[version] += total - counted[version]
+			counted[version] = total
+		}
+	}
+}
+
+// arrivalCounts copies the fleet's counts.
+func (t *reportTable) arrivalCounts() map[string]uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := make(map[string]uint64, len(t.arrivals))
+	for version, count := range t.arrivals {
+		counts[version] = count
+	}
+	return counts
+}
+
+// demandGrew reports whether requests wait for a version that none waited
+// for in the earlier report.
+func demandGrew(held, report *wirepb.NodeReport) bool {
+	waiting := map[string]uint32{}
+	for _, demand := range held.GetDemand() {
+		waiting[demand.GetVersion()] = demand.GetWaiting()
+	}
+	for _, demand := range report.GetDemand() {
+		if demand.GetWaiting() > waiting[demand.GetVersion()] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *reportTable) takeMachine(report *wirepb.MachineReport, now time.Duration) bool {
+	entry := t.machines[report.GetMachine()]
+	observed := now - time.Duration(report.GetAgeMs())*time.Millisecond
+	if entry.report != nil && observed < entry.received {
+		return false
+	}
+	changed := entry.report == nil || replicasDiffer(entry.report, report)
+	entry.received = observed
+	if report.GetReachable() {
+		entry.lastReachable = observed
+		entry.report = report
+	} else if entry.report == nil {
+		entry.report = report
+	}
+	t.machines[report.GetMachine()] = entry
+	return changed
+}
+
+func replicasDiffer(left, right *wirepb.MachineReport) bool {
+	if left.GetIncarnation() != right.GetIncarnation() || len(left.GetReplicas()) != len(right.GetReplicas()) {
+		return true
+	}
+	phases := map[string]string{}
+	for _, replica := range left.GetReplicas() {
+		phases[replica.GetId()] = replica.GetPhase()
+	}
+	for _, replica := range right.GetReplicas() {
+		if phases[replica.GetId()] != replica.GetPhase() {
+			return true
+		}
+	}
+	return false
+}
+
+// snapshot copies the tables and forgets nodes that are long gone.
+func (t *reportTable) snapshot() (map[string]nodeEntry, map[string]machineEntry) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	nodes := make(map[string]nodeEntry, len(t.nodes))
+	for name, entry := range t.nodes {
+		if now-entry.received > forgetNodeAfter {
+			delete(t.nodes, name)
+			delete(t.counted, name)
+			continue
+		}
+		nodes[name] = entry
+	}
+	machines := make(map[string]machineEntry, len(t.machines))
+	for name, entry := range t.machines {
+		machines[name] = entry
+	}
+	return nodes, machines
+}
+
+func (t *reportTable) states() []*wirepb.NodeState {
+	nodes, _ := t.snapshot()
+	now := t.now()
+	states := make([]*wirepb.NodeState, 0, len(nodes))
+	for name, entry := range nodes {
+		age := now - entry.received
+		states = append(states, &wirepb.NodeState{
+			Name: name, Zone: entry.report.GetZone(), AppliedRevision: entry.report.GetAppliedRevision(),
+			ReportAgeMs: uint32(age.Milliseconds()), Live: age < nodeTimeout,
+		})
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].GetName() < states[j].GetName() })
+	return states
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/machines"
+	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// clusterView is the leader's view for one pass: the stored objects with the
+// reports beside them.
+type clusterView struct {
+	now      time.Duration
+	revision uint64
+	models   map[string]*v1.ModelSpec
+	versions map[string]*v1.ModelVersionSpec
+	services []*v1.ServiceSpec
+	machines map[string]machines.Declared
+	replicas []storedReplica
+	nodes    map[string]nodeEntry
+	reports  map[string]machineEntry
+	arrivals map[string]uint64
+}
+
+type storedReplica struct {
+	object *wirepb.Object
+	spec   *v1.ReplicaSpec
+}
+
+func (n *Node) leaderView(nodes map[string]nodeEntry, reports map[string]machineEntry) *clusterView {
+	view := &clusterView{
+		now: n.now(), nodes: nodes, reports: reports, arrivals: n.reports.arrivalCounts(),
+		models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
+		machines: map[string]machines.Declared{},
+	}
+	n.stateMutex.RLock()
+	defer n.stateMutex.RUnlock()
+	view.revision = n.member.State.Revision()
+	n.member.State.Each(view.add)
+	return view
+}
+
+func (v *clusterView) add(object *wirepb.Object, spec v1.Spec) {
+	switch typed := spec.(type) {
+	case *v1.ModelSpec:
+		v.models[object.GetName()] = typed
+	case *v1.ModelVersionSpec:
+		v.versions[object.GetName()] = typed
+	case *v1.ServiceSpec:
+		v.services = append(v.services, typed)
+	case *v1.MachineSpec:
+		declared := machines.Declared{Object: object, Spec: typed}
+		if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &declared.Status) != nil {
+			declared.Status = v1.MachineStatus{}
+		}
+		v.machines[object.GetName()] = declared
+	case *v1.ReplicaSpec:
+		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
+	}
+}
+
+func (l *leader) reconcileMachines(view *clusterView) []*wirepb.ObjectWrite {
+	observed := make(map[string]machines.Observation, len(view.reports))
+	for name, entry := range view.reports {
+		observed[name] = machines.Observation{
+			Seen: true, Incarnation: entry.report.GetIncarnation(), SilentFor: view.now - entry.lastReachable,
+		}
+	}
+	return machines.Reconcile(machines.Input{
+		List: l.list.Load(), Declared: view.machines, Observed: observed,
+		Timeout: l.node.settings.Policy.MachineTimeout,
+	})
+}
+
+func (v *clusterView) placementInput(now time.Time) *placement.Input {
+	input := &placement.Input{
+		Now: now, Versions: v.placementVersions(), Machines: v.placementMachines(),
+		Demand: v.demand(),
+	}
+	for _, replica := range v.replicas {
+		input.Replicas = append(input.Replicas, v.placementReplica(replica))
+	}
+	return input
+}
+
+// placementVersions lists the default version of each model with the highest
+// weight and priority among its services.
+func (v *clusterView) placementVersions() map[string]*placement.Version {
+	versions := make(map[string]*placement.Version, len(v.models))
+	byModel := make(map[string]*placement.Version, len(v.models))
+	for name, model := range v.models {
+		spec := v.versions[model.DefaultVersion]
+		if spec == nil || spec.Model != name {
+			continue
+		}
+		version := &placement.Version{
+			Name: model.DefaultVersion, Spec: spec, MinReplicas: model.MinReplicas, MaxReplicas: model.MaxReplicas,
+		}
+		versions[version.Name] = version
+		byModel[name] = version
+	}
+	for _, service := range v.services {
+		for _, model := range service.Models {
+			if version := byModel[model]; version != nil {
+				version.ColdStartWeight = max(version.ColdStartWeight, service.ColdStartWeight)
+				version.Priority = max(version.Priority, service.Priority)
+			}
+		}
+	}
+	return versions
+}
+
+func (v *clusterView) placementMachines() map[string]*placement.Machine {
+	listed := make(map[string]*placement.Machine, len(v.machines))
+	for name, declared := range v.machines {
+		report := v.reports[name].report
+		machine := &placement.Machine{
+			Name: name, Zone: declared.Spec.Zone,
+			Accelerators: declared.Spec.Accelerators, AcceleratorBytes: declared.Spec.AcceleratorBytes,
+			Incarnation: declared.Status.Incarnation, Fence: report.GetFence(),
+			Accepts: declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain,
+			Lost:    declared.Status.Phase == v1.MachineLost,
+			Tiers:   map[string]placement.Tier{},
+		}
+		for _, checkpoint := range report.GetCheckpoints() {
+			machine.Tiers[checkpoint.GetCheckpoint()] = placement.Tier(checkpoint.GetTier())
+		}
+		listed[name] = machine
+	}
+	return listed
+}
+
+func (v *clusterView) placementReplica(stored storedReplica) *placement.Replica {
+	replica := &placement.Replica{Name: stored.object.GetName(), Revision: stored.object.GetRevision(), Spec: stored.spec}
+	report := v.reports[stored.spec.Machine].report
+	if report == nil || !report.GetReachable() {
+		return replica
+	}
+	replica.Restarted = report.GetIncarnation() > stored.spec.Incarnation
+	if report.GetIncarnation() != stored.spec.Incarnation {
+		return replica
+	}
+	for _, engine := range report.GetReplicas() {
+		if engine.GetId() == replica.Name {
+			replica.EnginePhase = engine.GetPhase()
+			replica.Remaining = time.Duration(engine.GetRemainingMs()) * time.Millisecond
+			replica.Running = int(engine.GetRunning())
+			replica.Observed = true
+			return replica
+		}
+	}
+	// An engine that lists no such replica has no say before it has seen the
+	// order: the order may still be on its way.
+	replica.Observed = report.GetFence() >= OrderFence(stored.object, stored.spec)
+	return replica
+}
+
+// OrderFence is the fence of the order that a replica record stands for: the
+// revision at which its load, or its unload, was decided.
+func OrderFence(object *wirepb.Object, spec *v1.ReplicaSpec) uint64 {
+	if spec.Phase == v1.ReplicaUnloading {
+		return object.GetRevision()
+	}
+	return object.GetCreateRevision()
+}
+
+// demand adds up what live routers report.
+func (v *clusterView) demand() map[string]*placement.Demand {
+	total := make(map[string]*placement.Demand, len(v.arrivals))
+	for version, count := range v.arrivals {
+		total[version] = &placement.Demand{Arrivals: count}
+	}
+	for _, entry := range v.nodes {
+		age := v.now - entry.received
+		if age > nodeTimeout {
+			continue
+		}
+		for _, reported := range entry.report.GetDemand() {
+			demand := total[reported.GetVersion()]
+			if demand == nil {
+				demand = &placement.Demand{}
+				total[reported.GetVersion()] = demand
+			}
+			demand.Waiting += int(reported.GetWaiting())
+			demand.Running += int(reported.GetRunning())
+			demand.Priority = max(demand.Priority, reported.GetPriority())
+			if reported.GetWaiting() > 0 {
+				oldest := time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
+				demand.OldestWait = max(demand.OldestWait, oldest)
+			}
+		}
+	}
+	return total
+}
+
+// replicaWrites turns actions into conditional writes of replica records.
+func replicaWrites(revision uint64, actions []placement.Action) []*wirepb.ObjectWrite {
+	writes := make([]*wirepb.ObjectWrite, 0, len(actions))
+	for position, action := range actions {
+		if write := replicaWrite(revision, position, action); write != nil {
+			writes = append(writes, write)
+		}
+	}
+	return writes
+}
+
+func replicaWrite(revision uint64, position int, action placement.Action) *wirepb.ObjectWrite {
+	write := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindReplica)}}
+	var spec v1.ReplicaSpec
+	expected := uint64(0)
+	if action.Kind == placement.ActionLoad {
+		spec = *action.Spec
+		// The revision makes the name unique for all time: names of replicas
+		// are fences in themselves and must never be used twice.
+		write.Object.Name = spec.Version + "." + strconv.FormatUint(revision, 10) + "." + strconv.Itoa(position)
+	} else {
+		spec = *action.Replica.Spec
+		write.Object.Name = action.Replica.Name
+		expected = action.Replica.Revision
+	}
+	write.ExpectedRevision = &expected
+	switch action.Kind {
+	case placement.ActionRemove:
+		write.Operation = wirepb.ObjectWrite_OPERATION_DELETE
+		return write
+	case placement.ActionReady:
+		spec.Phase = v1.ReplicaReady
+	case placement.ActionUnload:
+		spec.Phase = v1.ReplicaUnloading
+	}
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return nil
+	}
+	write.Object.Spec = encoded
+	return write
+}
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,339 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+)
+
+// Config bounds a Core.
+type Config struct {
+	// MaxWaiting bounds the waiting requests of the whole router.
+	MaxWaiting int
+}
+
+// Core is the dispatch state of one router. It is not safe for concurrent
+// use.
+type Core struct {
+	config   Config
+	targets  map[string]*target
+	versions map[string]*versionState
+	waiters  map[uint64]*waiter
+	// others is the load on each machine that other routers cause, by the
+	// lagged reports.
+	others map[string]int
+}
+
+// versionState is what a router knows of one version.
+type versionState struct {
+	targets  []*target
+	queue    queue
+	arrivals uint64
+	running  int
+	estimate *Estimate
+}
+
+// target is a Target with its load.
+type target struct {
+	Target
+	inFlight int
+	// retired targets get nothing new and are dropped when idle.
+	retired  bool
+	health   health
+	adapters map[string]time.Time
+	prefixes prefixCache
+}
+
+// New returns an empty core.
+func New(config Config) *Core {
+	return &Core{
+		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
+		waiters: map[uint64]*waiter{}, others: map[string]int{},
+	}
+}
+
+func (c *Core) version(name string) *versionState {
+	held := c.versions[name]
+	if held == nil {
+		held = &versionState{}
+		c.versions[name] = held
+	}
+	return held
+}
+
+// Submit asks for a replica. The request is granted, refused, or waits.
+func (c *Core) Submit(now time.Time, request *Request) Outcome {
+	version := c.version(request.Version)
+	version.arrivals++
+	return c.enqueue(now, version, request)
+}
+
+// Resubmit asks again for a request whose replica turned out not to run it.
+func (c *Core) Resubmit(now time.Time, request *Request) Outcome {
+	return c.enqueue(now, c.version(request.Version), request)
+}
+
+func (c *Core) enqueue(now time.Time, version *versionState, request *Request) Outcome {
+	var outcome Outcome
+	c.waiters[request.ID] = version.queue.push(request)
+	c.dispatch(now, version, &outcome, request)
+	if c.waiters[request.ID] == nil {
+		return outcome
+	}
+	if refusal, refused := c.refuseEarly(now, version, request); refused {
+		c.drop(request)
+		outcome.Refusals = append(outcome.Refusals, refusal)
+		return outcome
+	}
+	c.shed(&outcome)
+	return outcome
+}
+
+// dispatch grants waiting requests of a version, first come first, as long as
+// there is room. Fresh is the request that has just come, if any.
+func (c *Core) dispatch(now time.Time, version *versionState, outcome *Outcome, fresh *Request) {
+	for {
+		request := version.queue.first()
+		if request == nil {
+			return
+		}
+		chosen := c.pick(now, version, request)
+		if chosen == nil {
+			return
+		}
+		c.drop(request)
+		chosen.inFlight++
+		version.running++
+		chosen.remember(now, request)
+		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
+	}
+}
+
+func (c *Core) drop(request *Request) {
+	entry := c.waiters[request.ID]
+	if entry == nil {
+		return
+	}
+	c.versions[request.Version].queue.remove(entry)
+	delete(c.waiters, request.ID)
+}
+
+// refuseEarly refuses a request that can't be served in time by the leader's
+// estimate, so that its caller learns it now and not at the deadline.
+func (c *Core) refuseEarly(now time.Time, version *versionState, request *Request) (Refusal, bool) {
+	if !now.Before(request.Deadline) {
+		return Refusal{Request: request, Reason: RefusedDeadline, Detail: "the deadline has passed"}, true
+	}
+	estimate := version.estimate
+	if estimate == nil || c.hasReady(version) {
+		return Refusal{}, false
+	}
+	if estimate.Refused {
+		return Refusal{Request: request, Reason: RefusedNotLoadable, Detail: estimate.Reason}, true
+	}
+	if estimate.ReadyAt.After(request.Deadline) {
+		return Refusal{
+			Request: request, Reason: RefusedDeadline, Detail: "the model will not be loaded before the deadline",
+			RetryAfter: estimate.ReadyAt.Sub(now),
+		}, true
+	}
+	return Refusal{}, false
+}
+
+func (c *Core) hasReady(version *versionState) bool {
+	for _, held := range version.targets {
+		if !held.retired {
+			return true
+		}
+	}
+	return false
+}
+
+// shedRetryAfter is when a request that was shed should come back.
+const shedRetryAfter = time.Second
+
+// shed refuses the last to be served while more wait than may.
+func (c *Core) shed(outcome *Outcome) {
+	for len(c.waiters) > c.config.MaxWaiting {
+		var last *Request
+		for _, entry := range c.waiters {
+			if last == nil || servedBefore(last, entry.request) {
+				last = entry.request
+			}
+		}
+		c.drop(last)
+		outcome.Refusals = append(outcome.Refusals, Refusal{
+			Request: last, Reason: RefusedOverload, Detail: "too many requests wait", RetryAfter: shedRetryAfter,
+		})
+	}
+}
+
+// Result is how a granted request ended, as far as the target is concerned.
+type Result int
+
+// The results of a granted request.
+const (
+	ResultOK Result = iota
+	// ResultNotRun: the engine said that the replica does not take requests.
+	ResultNotRun
+	// ResultFailed: the engine failed or could not be reached.
+	ResultFailed
+)
+
+// Release ends a grant and gives the room to whoever waits.
+func (c *Core) Release(now time.Time, grant Grant, result Result) Outcome {
+	var outcome Outcome
+	version := c.version(grant.Target.Version)
+	version.running--
+	held := c.targets[grant.Target.Replica]
+	if held != nil {
+		held.inFlight--
+		held.health.observe(now, result)
+		if held.retired && held.inFlight == 0 {
+			c.forget(held)
+		}
+	}
+	c.dispatch(now, version, &outcome, nil)
+	return outcome
+}
+
+// Cancel takes a waiting request out of its queue.
+func (c *Core) Cancel(request *Request) {
+	c.drop(request)
+}
+
+// SetTargets replaces the replicas that may get requests.
+func (c *Core) SetTargets(now time.Time, targets []Target) Outcome {
+	var outcome Outcome
+	listed := make(map[string]bool, len(targets))
+	for _, next := range targets {
+		listed[next.Replica] = true
+		if held := c.targets[next.Replica]; held != nil {
+			held.Target = next
+			held.retired = false
+			continue
+		}
+		added := &target{Target: next, adapters: map[string]time.Time{}}
+		c.targets[next.Replica] = added
+		version := c.version(next.Version)
+		version.targets = append(version.targets, added)
+	}
+	for name, held := range c.targets {
+		if listed[name] {
+			continue
+		}
+		held.retired = true
+		if held.inFlight == 0 {
+			c.forget(held)
+		}
+	}
+	c.dispatchAll(now, &outcome)
+	return outcome
+}
+
+func (c *Core) forget(held *target) {
+	delete(c.targets, held.Replica)
+	version := c.version(held.Version)
+	for position, other := range version.targets {
+		if other == held {
+			version.targets = append(version.targets[:position], version.targets[position+1:]...)
+			return
+		}
+	}
+}
+
+// SetLoads replaces the lagged loads of machines: the requests running there
+// by all routers together.
+func (c *Core) SetLoads(now time.Time, loads map[string]int) Outcome {
+	own := map[string]int{}
+	for _, held := range c.targets {
+		own[held.Machine] += held.inFlight
+	}
+	c.others = map[string]int{}
+	for machine, running := range loads {
+		c.others[machine] = max(0, running-own[machine])
+	}
+	var outcome Outcome
+	c.dispatchAll(now, &outcome)
+	return outcome
+}
+
+// SetEstimates replaces the leader's estimates, and refuses those who can't
+// be served in time by them.
+func (c *Core) SetEstimates(now time.Time, estimates map[string]*Estimate) Outcome {
+	var outcome Outcome
+	for name, version := range c.versions {
+		version.estimate = estimates[name]
+		if version.estimate == nil {
+			continue
+		}
+		for _, entry := range append([]*waiter(nil), version.queue.waiting...) {
+			if refusal, refused := c.refuseEarly(now, version, entry.request); refused {
+				c.drop(entry.request)
+				outcome.Refusals = append(outcome.Refusals, refusal)
+			}
+		}
+	}
+	return outcome
+}
+
+// Tick refuses requests whose deadline has passed and gives room that has
+// opened by itself, such as a target whose ejection ended.
+func (c *Core) Tick(now time.Time) Outcome {
+	var outcome Outcome
+	for _, entry := range c.waiters {
+		if !now.Before(entry.request.Deadline) {
+			outcome.Refusals = append(outcome.Refusals, Refusal{
+				Request: entry.request, Reason: RefusedDeadline, Detail: "no replica was ready before the deadline",
+				RetryAfter: shedRetryAfter,
+			})
+		}
+	}
+	sort.Slice(outcome.Refusals, func(i, j int) bool {
+		return outcome.Refusals[i].Request.ID < outcome.Refusals[j].Request.ID
+	})
+	for _, refusal := range outcome.Refusals {
+		c.drop(refusal.Request)
+	}
+	c.dispatchAll(now, &outcome)
+	return outcome
+}
+
+// dispatchAll goes through the versions in order of name, so that the same
+// events always have the same outcome.
+func (c *Core) dispatchAll(now time.Time, outcome *Outcome) {
+	var waiting []string
+	for name, version := range c.versions {
+		if len(version.queue.waiting) > 0 {
+			waiting = append(waiting, name)
+		}
+	}
+	sort.Strings(waiting)
+	for _, name := range waiting {
+		c.dispatch(now, c.versions[name], outcome, nil)
+	}
+}
+
+// Waiting returns how many requests wait.
+func (c *Core) Waiting() int {
+	return len(c.waiters)
+}
+
+// Demand returns what the router asks of each version, by name.
+func (c *Core) Demand(now time.Time) []Demand {
+	var demands []Demand
+	for name, version := range c.versions {
+		if version.arrivals == 0 && version.running == 0 {
+			continue
+		}
+		demand := Demand{
+			Version: name, Waiting: len(version.queue.waiting), Running: version.running, Arrivals: version.arrivals,
+		}
+		for _, entry := range version.queue.waiting {
+			demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
+			demand.Priority = max(demand.Priority, entry.request.Priority)
+		}
+		demands = append(demands, demand)
+	}
+	sort.Slice(demands, func(i, j int) bool { return demands[i].Version < demands[j].Version })
+	return demands
+}
--- /dev/null
+++ b/internal/dispatch/pick.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// affinityBonus is how many requests in flight an affinity outweighs.
+	affinityBonus = 2.0
+	// affinityBound is the most by which a target with affinity may be
+	// busier than the least busy one.
+	affinityBound = 4.0
+	// prefixesRemembered bounds what is remembered of a replica's cache.
+	prefixesRemembered = 256
+	// prefixLifetime is how long a prefix is taken to stay cached.
+	prefixLifetime = 2 * time.Minute
+)
+
+// pick returns the best target with room, or nil.
+func (c *Core) pick(now time.Time, version *versionState, request *Request) *target {
+	least := -1.0
+	for _, candidate := range version.targets {
+		if load := c.load(candidate); c.usable(now, candidate, request, version) && (least < 0 || load < least) {
+			least = load
+		}
+	}
+	var best *target
+	bestScore := 0.0
+	for _, candidate := range version.targets {
+		if !c.usable(now, candidate, request, version) {
+			continue
+		}
+		load := c.load(candidate)
+		score := load
+		if load <= least+affinityBound {
+			score -= candidate.affinity(now, request)
+		}
+		if best == nil || score < bestScore || score == bestScore && candidate.Replica < best.Replica {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
+
+func (c *Core) load(candidate *target) float64 {
+	return float64(candidate.inFlight + c.others[candidate.Machine])
+}
+
+func (c *Core) usable(now time.Time, candidate *target, request *Request, version *versionState) bool {
+	if candidate.retired || candidate.inFlight >= candidate.Max {
+		return false
+	}
+	if len(version.targets) > 1 && candidate.Replica == request.Avoid {
+		return false
+	}
+	// With nothing else to turn to, an ejected target is tried all the same.
+	return len(version.targets) == 1 || !candidate.health.ejected(now)
+}
+
+func (t *target) affinity(now time.Time, request *Request) float64 {
+	bonus := 0.0
+	if request.Adapter != "" && !t.adapters[request.Adapter].IsZero() {
+		bonus += affinityBonus
+	}
+	if request.Prefix != 0 && t.prefixes.holds(now, request.Prefix) {
+		bonus += affinityBonus
+	}
+	return bonus
+}
+
+// remember notes what the target will hold once it has run the request.
+func (t *target) remember(now time.Time, request *Request) {
+	if request.Adapter != "" {
+		t.adapters[request.Adapter] = now
+	}
+	if request.Prefix != 0 {
+		t.prefixes.add(now, request.Prefix)
+	}
+}
+
+// prefixCache remembers the prompt prefixes that were sent to a replica.
+// Cache events come late and with gaps, so what was sent is the better guide;
+// entries age out.
+type prefixCache struct {
+	seen  map[uint64]time.Time
+	order []uint64
+}
+
+func (p *prefixCache) holds(now time.Time, prefix uint64) bool {
+	seen, found := p.seen[prefix]
+	return found && now.Sub(seen) < prefixLifetime
+}
+
+func (p *prefixCache) add(now time.Time, prefix uint64) {
+	if p.seen == nil {
+		p.seen = map[uint64]time.Time{}
+	}
+	if _, found := p.seen[prefix]; !found {
+		p.order = append(p.order, prefix)
+	}
+	p.seen[prefix] = now
+	if len(p.order) > prefixesRemembered {
+		delete(p.seen, p.order[0])
+		p.order = p.order[1:]
+	}
+}
+
+const (
+	// ejectAfter failures in a row take a target out for ejectFor, doubled
+	// with each further failure up to ejectMax. The next request probes it.
+	ejectAfter = 3
+	ejectFor   = 500 * time.Millisecond
+	ejectMax   = 10 * time.Second
+)
+
+// health tracks the failures of a target.
+type health struct {
+	failures int
+	until    time.Time
+}
+
+func (h *health) observe(now time.Time, result Result) {
+	if result != ResultFailed {
+		h.failures = 0
+		h.until = time.Time{}
+		return
+	}
+	h.failures++
+	if h.failures < ejectAfter {
+		return
+	}
+	pause := min(ejectMax, ejectFor<<min(h.failures-ejectAfter, 10))
+	h.until = now.Add(pause)
+}
+
+func (h *health) ejected(now time.Time) bool {
+	return now.Before(h.until)
+}
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import "container/heap"
+
+// waiter is a request in a queue.
+type waiter struct {
+	request *Request
+	// position is its place in the heap, -1 once it has left.
+	position int
+}
+
+// waitHeap orders waiters: the first to serve is on top.
+type waitHeap []*waiter
+
+func (h waitHeap) Len() int { return len(h) }
+
+func (h waitHeap) Less(i, j int) bool { return servedBefore(h[i].request, h[j].request) }
+
+func (h waitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position = i
+	h[j].position = j
+}
+
+func (h *waitHeap) Push(value any) {
+	entry, _ := value.(*waiter)
+	entry.position = len(*h)
+	*h = append(*h, entry)
+}
+
+func (h *waitHeap) Pop() any {
+	last := len(*h) - 1
+	entry := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	entry.position = -1
+	return entry
+}
+
+// servedBefore orders by priority, then deadline, then arrival.
+func servedBefore(left, right *Request) bool {
+	switch {
+	case left.Priority != right.Priority:
+		return left.Priority > right.Priority
+	case !left.Deadline.Equal(right.Deadline):
+		return left.Deadline.Before(right.Deadline)
+	}
+	return left.ID < right.ID
+}
+
+// queue holds the waiters of one version.
+type queue struct {
+	waiting waitHeap
+}
+
+func (q *queue) push(request *Request) *waiter {
+	entry := &waiter{request: request}
+	heap.Push(&q.waiting, entry)
+	return entry
+}
+
+func (q *queue) first() *Request {
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	return q.waiting[0].request
+}
+
+func (q *queue) remove(entry *waiter) {
+	if entry.position >= 0 {
+		heap.Remove(&q.waiting, entry.position)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/types.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import "time"
+
+// Request is a request for a replica.
+type Request struct {
+	// ID is unique among the requests that wait.
+	ID       uint64
+	Version  string
+	Adapter  string
+	Priority int32
+	Arrived  time.Time
+	Deadline time.Time
+	// Prefix is a hash of the prompt's beginning; 0 if there is none.
+	Prefix uint64
+	// Avoid names a replica that just failed the request.
+	Avoid string
+}
+
+// Target is a replica that may get requests.
+type Target struct {
+	Replica  string
+	Version  string
+	Machine  string
+	Endpoint string
+	// Max is how many requests the replica runs at once.
+	Max int
+}
+
+// Grant lets a request go to a target. It must be released.
+type Grant struct {
+	Request *Request
+	Target  Target
+	// Cold is set where the request had to wait for a replica.
+	Cold bool
+}
+
+// RefusalReason says why a request is refused. All are "not run".
+type RefusalReason string
+
+// The reasons for refusals.
+const (
+	// RefusedDeadline: the deadline passed, or can't be met.
+	RefusedDeadline RefusalReason = "deadline"
+	// RefusedOverload: too many wait, and others come first.
+	RefusedOverload RefusalReason = "overload"
+	// RefusedNotLoadable: no machine can hold the model.
+	RefusedNotLoadable RefusalReason = "not-loadable"
+)
+
+// Refusal ends a request that waited.
+type Refusal struct {
+	Request *Request
+	Reason  RefusalReason
+	Detail  string
+	// RetryAfter is when to come back; 0 if that can't be said.
+	RetryAfter time.Duration
+}
+
+// Outcome is what follows from an event.
+type Outcome struct {
+	Grants   []Grant
+	Refusals []Refusal
+}
+
+// Estimate is the leader's estimate for a version.
+type Estimate struct {
+	ReadyAt time.Time
+	Refused bool
+	Reason  string
+}
+
+// Demand is what a router reports of one version.
+type Demand struct {
+	Version  string
+	Waiting  int
+	Running  int
+	Arrivals uint64
+	// OldestWait is the age of the request that waits longest.
+	OldestWait time.Duration
+	Priority   int32
+}
--- /dev/null
+++ b/internal/feed/client.go
@@ -0,0 +1,240 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/signal"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	reconnectDelay = 100 * time.Millisecond
+	// silenceLimit is how long a connection may bring nothing. Digests come
+	// more often, so a longer silence means a server that is cut off.
+	silenceLimit = 4 * time.Second
+)
+
+// Sink takes what a Client receives. Calls come one at a time.
+type Sink interface {
+	// Revision is the highest revision applied.
+	Revision() uint64
+	// Apply takes changes; a batch with Reset holds the whole state.
+	Apply(changes Changes)
+	// TakeDigest takes soft state.
+	TakeDigest(digest *wirepb.ClusterDigest)
+}
+
+// Client follows one of several servers and changes to the next when it is
+// lost.
+type Client struct {
+	upstreams []string
+	hello     *wirepb.Hello
+	sink      Sink
+	logger    *slog.Logger
+	counters  *wire.Counters
+	connected *signal.Broadcast
+
+	mutex   sync.Mutex
+	conn    *wire.Conn
+	nextID  uint64
+	waiting map[uint64]chan *wirepb.CommandResult
+	// current is the position of the server in use.
+	current      int
+	lastReceived atomic.Int64
+}
+
+// NewClient returns a client; Run starts it.
+func NewClient(upstreams []string, hello *wirepb.Hello, sink Sink, logger *slog.Logger, counters *wire.Counters) *Client {
+	return &Client{
+		upstreams: upstreams, hello: hello, sink: sink, logger: logger, counters: counters,
+		connected: signal.New(), waiting: map[uint64]chan *wirepb.CommandResult{},
+	}
+}
+
+// Run connects and follows until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		address := c.upstreams[c.current%len(c.upstreams)]
+		conn, err := wire.Dial(ctx, address, c.hello, c.counters)
+		if err == nil {
+			c.logger.Info("upstream_connected", "address", address)
+			c.follow(ctx, conn)
+			c.logger.Info("upstream_lost", "address", address)
+		}
+		c.current++
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectDelay):
+		}
+	}
+}
+
+func (c *Client) follow(ctx context.Context, conn *wire.Conn) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	c.lastReceived.Store(time.Now().UnixNano())
+	go c.watchSilence(conn)
+	request := &wirepb.WatchRequest{AfterRevision: c.sink.Revision()}
+	if conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchRequest{WatchRequest: request}}) != nil {
+		return
+	}
+	c.attach(conn)
+	defer c.detach()
+	c.receive(conn)
+}
+
+// watchSilence drops a connection whose server is cut off without a word.
+func (c *Client) watchSilence(conn *wire.Conn) {
+	ticker := time.NewTicker(silenceLimit / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.Done():
+			return
+		case <-ticker.C:
+			if time.Since(time.Unix(0, c.lastReceived.Load())) > silenceLimit {
+				conn.Close()
+				return
+			}
+		}
+	}
+}
+
+func (c *Client) attach(conn *wire.Conn) {
+	c.mutex.Lock()
+	c.conn = conn
+	c.mutex.Unlock()
+	c.connected.Notify()
+}
+
+// detach fails every outstanding call: whether they were carried out is not
+// known, and callers that may ask again do so under the same identity.
+func (c *Client) detach() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.conn = nil
+	for id, reply := range c.waiting {
+		close(reply)
+		delete(c.waiting, id)
+	}
+}
+
+func (c *Client) receive(conn *wire.Conn) {
+	var list []*wirepb.WatchEvent
+	for {
+		envelope, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		c.lastReceived.Store(time.Now().UnixNano())
+		switch body := envelope.GetBody().(type) {
+		case *wirepb.Envelope_WatchBatch:
+			list = c.takeBatch(list, body.WatchBatch)
+		case *wirepb.Envelope_ClusterDigest:
+			c.sink.TakeDigest(body.ClusterDigest)
+		case *wirepb.Envelope_ProposalResult:
+			c.complete(envelope.GetRequestId(), body.ProposalResult)
+		}
+	}
+}
+
+// takeBatch applies changes that are newer than what is held. Parts of a
+// list are gathered until the last has come.
+func (c *Client) takeBatch(list []*wirepb.WatchEvent, batch *wirepb.WatchBatch) []*wirepb.WatchEvent {
+	if batch.GetReset_() {
+		list = append(list, batch.GetEvents()...)
+		if batch.GetMore() {
+			return list
+		}
+		if batch.GetRevision() >= c.sink.Revision() {
+			c.sink.Apply(Changes{Events: list, Revision: batch.GetRevision(), Reset: true})
+		}
+		return nil
+	}
+	held := c.sink.Revision()
+	if batch.GetRevision() <= held {
+		return nil
+	}
+	events := batch.GetEvents()
+	for len(events) > 0 && events[0].GetObject().GetRevision() <= held {
+		events = events[1:]
+	}
+	c.sink.Apply(Changes{Events: events, Revision: batch.GetRevision()})
+	return nil
+}
+
+func (c *Client) complete(id uint64, result *wirepb.CommandResult) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if reply := c.waiting[id]; reply != nil {
+		reply <- result
+		delete(c.waiting, id)
+	}
+}
+
+// Send queues an envelope to the server in use.
+func (c *Client) Send(envelope *wirepb.Envelope) error {
+	c.mutex.Lock()
+	conn := c.conn
+	c.mutex.Unlock()
+	if conn == nil {
+		return fault.Unavailable.New("no control node is connected")
+	}
+	return conn.Send(envelope)
+}
+
+// Connected returns a channel that is closed at the next connection.
+func (c *Client) Connected() <-chan struct{} {
+	return c.connected.Wait()
+}
+
+// Propose carries a command to the leader. An Unavailable error leaves open
+// whether it was carried out.
+func (c *Client) Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
+	reply := make(chan *wirepb.CommandResult, 1)
+	c.mutex.Lock()
+	conn := c.conn
+	c.nextID++
+	id := c.nextID
+	if conn != nil {
+		c.waiting[id] = reply
+	}
+	c.mutex.Unlock()
+	if conn == nil {
+		return nil, fault.Unavailable.New("no control node is connected")
+	}
+	defer c.forget(id)
+	if err := conn.Send(&wirepb.Envelope{RequestId: id, Body: &wirepb.Envelope_Proposal{Proposal: command}}); err != nil {
+		return nil, err
+	}
+	select {
+	case result, answered := <-reply:
+		if !answered {
+			return nil, fault.Unavailable.New("the connection to the control plane was lost")
+		}
+		return checkResult(result)
+	case <-ctx.Done():
+		return nil, fault.Deadline.New("no answer from the control plane in time")
+	}
+}
+
+// checkResult turns "unavailable" into an error; other failures are results.
+func checkResult(result *wirepb.CommandResult) (*wirepb.CommandResult, error) {
+	if result.GetCode() == wirepb.ResultCode_RESULT_CODE_UNAVAILABLE && result.GetWrite() == nil {
+		return nil, fault.Unavailable.New("%s", result.GetMessage())
+	}
+	return result, nil
+}
+
+func (c *Client) forget(id uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, id)
+}
--- /dev/null
+++ b/internal/feed/server.go
@@ -0,0 +1,225 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// maxEventsPerBatch bounds a frame of changes.
+	maxEventsPerBatch = 512
+	proposalTimeout   = 5 * time.Second
+	// maxProposalsPerSession bounds the calls that one connection may have
+	// outstanding.
+	maxProposalsPerSession = 256
+)
+
+// Changes is an answer to "what came after this revision".
+type Changes struct {
+	Events   []*wirepb.WatchEvent
+	Revision uint64
+	// Reset is set where Events list the whole state, because the changes
+	// are no longer known.
+	Reset bool
+}
+
+// Backend is what a Server serves.
+type Backend interface {
+	// ChangesAfter returns the changes after a revision.
+	ChangesAfter(revision uint64) Changes
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+	// Digest returns the newest digest, or nil.
+	Digest() *wirepb.ClusterDigest
+	// DigestChanged returns a channel that is closed at the next digest.
+	DigestChanged() <-chan struct{}
+	// Report takes a node's report.
+	Report(report *wirepb.NodeReport)
+	// Propose carries a command to the leader and returns its result.
+	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
+}
+
+// Server serves a Backend to the connections that it is given.
+type Server struct {
+	backend  Backend
+	hello    *wirepb.Hello
+	logger   *slog.Logger
+	counters *wire.Counters
+	// peer handles connections of control nodes; nil refuses them.
+	peer func(ctx context.Context, conn *wire.Conn)
+}
+
+// NewServer returns a server. The peer function takes over connections whose
+// hello carries a control id.
+func NewServer(backend Backend, hello *wirepb.Hello, logger *slog.Logger, counters *wire.Counters, peer func(context.Context, *wire.Conn)) *Server {
+	return &Server{backend: backend, hello: hello, logger: logger, counters: counters, peer: peer}
+}
+
+// Serve accepts connections until ctx ends, and waits for their sessions.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	for {
+		network, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fault.Unavailable.Wrap(err, "accepting a connection")
+		}
+		sessions.Go(func() { s.handle(ctx, network) })
+	}
+}
+
+func (s *Server) handle(ctx context.Context, network net.Conn) {
+	conn, err := wire.Accept(network, s.hello, s.counters)
+	if err != nil {
+		s.logger.Warn("connection_refused", "remote", network.RemoteAddr().String(), "error", fault.Message(err))
+		return
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	if conn.Peer.GetControlId() != 0 && s.peer != nil {
+		s.peer(ctx, conn)
+		return
+	}
+	s.serveNode(ctx, conn)
+}
+
+func (s *Server) serveNode(ctx context.Context, conn *wire.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	workers.Go(func() { s.sendDigests(ctx, conn) })
+	slots := make(chan struct{}, maxProposalsPerSession)
+	watching := false
+	for {
+		envelope, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		switch body := envelope.GetBody().(type) {
+		case *wirepb.Envelope_WatchRequest:
+			if watching {
+				continue
+			}
+			watching = true
+			workers.Go(func() { s.sendChanges(ctx, conn, body.WatchRequest.GetAfterRevision()) })
+		case *wirepb.Envelope_NodeReport:
+			s.backend.Report(body.NodeReport)
+		case *wirepb.Envelope_NodeReportBatch:
+			for _, report := range body.NodeReportBatch.GetReports() {
+				s.backend.Report(report)
+			}
+		case *wirepb.Envelope_Proposal:
+			slots <- struct{}{}
+			workers.Go(func() {
+				defer func() { <-slots }()
+				AnswerProposal(ctx, conn, envelope.GetRequestId(), body.Proposal, s.backend.Propose)
+			})
+		}
+	}
+}
+
+// ProposeFunc carries a command towards the leader.
+type ProposeFunc func(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
+
+// AnswerProposal carries out a proposal that came on a connection and sends
+// the result back under the same request id.
+func AnswerProposal(ctx context.Context, conn *wire.Conn, requestID uint64, command *wirepb.Command, propose ProposeFunc) {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	result, err := propose(ctx, command)
+	if err != nil {
+		result = &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_UNAVAILABLE, Message: fault.Message(err)}
+	}
+	_ = conn.Send(&wirepb.Envelope{
+		RequestId: requestID,
+		Body:      &wirepb.Envelope_ProposalResult{ProposalResult: result},
+	})
+}
+
+func (s *Server) sendDigests(ctx context.Context, conn *wire.Conn) {
+	for {
+		changed := s.backend.DigestChanged()
+		if digest := s.backend.Digest(); digest != nil {
+			envelope := &wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}}
+			if conn.Send(envelope) != nil {
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-conn.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) sendChanges(ctx context.Context, conn *wire.Conn, after uint64) {
+	for {
+		changed := s.backend.Changed()
+		changes := s.backend.ChangesAfter(after)
+		if changes.Revision > after || changes.Reset {
+			if sendBatches(conn, changes) != nil {
+				return
+			}
+			after = changes.Revision
+		}
+		select {
+		case <-changed:
+		case <-conn.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func sendBatches(conn *wire.Conn, changes Changes) error {
+	events := changes.Events
+	reset := changes.Reset
+	for {
+		count := batchLength(events, reset)
+		batch := &wirepb.WatchBatch{Reset_: reset, Events: events[:count], More: count < len(events)}
+		batch.Revision = changes.Revision
+		if !reset && batch.GetMore() {
+			batch.Revision = events[count-1].GetObject().GetRevision()
+		}
+		if err := conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchBatch{WatchBatch: batch}}); err != nil {
+			return err
+		}
+		events = events[count:]
+		if len(events) == 0 {
+			return nil
+		}
+	}
+}
+
+// batchLength cuts changes between revisions only, so that a watcher never
+// holds half of an atomic write. Lists are applied whole and may be cut
+// anywhere.
+func batchLength(events []*wirepb.WatchEvent, reset bool) int {
+	count := min(len(events), maxEventsPerBatch)
+	if reset || count == len(events) {
+		return count
+	}
+	for count < len(events) && events[count].GetObject().GetRevision() == events[count-1].GetObject().GetRevision() {
+		count++
+	}
+	return count
+}
--- /dev/null
+++ b/internal/gateway/dispatcher.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const tickInterval = 20 * time.Millisecond
+
+// dispatcher runs a dispatch.Core for concurrent requests.
+type dispatcher struct {
+	mutex   sync.Mutex
+	core    *dispatch.Core
+	waiting map[uint64]chan verdict
+	nextID  uint64
+	nudge   func()
+}
+
+// verdict ends the wait of a request: exactly one field is set.
+type verdict struct {
+	grant   *dispatch.Grant
+	refusal *dispatch.Refusal
+}
+
+func newDispatcher(maxWaiting int, nudge func()) *dispatcher {
+	return &dispatcher{
+		core:    dispatch.New(dispatch.Config{MaxWaiting: maxWaiting}),
+		waiting: map[uint64]chan verdict{}, nudge: nudge,
+	}
+}
+
+// acquire waits for a grant. The request gets its id at the first call; a
+// later call is another attempt of the same request.
+func (d *dispatcher) acquire(ctx context.Context, request *dispatch.Request) (*dispatch.Grant, *dispatch.Refusal) {
+	reply := make(chan verdict, 1)
+	d.mutex.Lock()
+	now := time.Now()
+	first := request.ID == 0
+	if first {
+		d.nextID++
+		request.ID = d.nextID
+	}
+	d.waiting[request.ID] = reply
+	var outcome dispatch.Outcome
+	if first {
+		outcome = d.core.Submit(now, request)
+	} else {
+		outcome = d.core.Resubmit(now, request)
+	}
+	d.deliver(outcome)
+	_, mustWait := d.waiting[request.ID]
+	d.mutex.Unlock()
+	if mustWait {
+		d.nudge()
+	}
+	select {
+	case result := <-reply:
+		return result.grant, result.refusal
+	case <-ctx.Done():
+		return d.abandon(request, reply)
+	}
+}
+
+// abandon takes back a request whose caller has gone, unless the verdict
+// came at the same moment.
+func (d *dispatcher) abandon(request *dispatch.Request, reply chan verdict) (*dispatch.Grant, *dispatch.Refusal) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	select {
+	case result := <-reply:
+		return result.grant, result.refusal
+	default:
+	}
+	delete(d.waiting, request.ID)
+	d.core.Cancel(request)
+	return nil, &dispatch.Refusal{Request: request, Reason: dispatch.RefusedDeadline, Detail: "the caller has gone"}
+}
+
+// deliver passes verdicts on; the mutex must be held.
+func (d *dispatcher) deliver(outcome dispatch.Outcome) {
+	for position := range outcome.Grants {
+		grant := outcome.Grants[position]
+		d.answer(grant.Request.ID, verdict{grant: &grant})
+	}
+	for position := range outcome.Refusals {
+		refusal := outcome.Refusals[position]
+		d.answer(refusal.Request.ID, verdict{refusal: &refusal})
+	}
+}
+
+func (d *dispatcher) answer(id uint64, result verdict) {
+	if reply := d.waiting[id]; reply != nil {
+		delete(d.waiting, id)
+		reply <- result
+	}
+}
+
+func (d *dispatcher) release(grant *dispatch.Grant, result dispatch.Result) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.deliver(d.core.Release(time.Now(), *grant, result))
+}
+
+func (d *dispatcher) setTargets(now time.Time, targets []dispatch.Target) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.deliver(d.core.SetTargets(now, targets))
+}
+
+func (d *dispatcher) takeDigest(now time.Time, digest *wirepb.ClusterDigest) {
+	estimates := make(map[string]*dispatch.Estimate, len(digest.GetEstimates()))
+	for _, estimate := range digest.GetEstimates() {
+		estimates[estimate.GetVersion()] = &dispatch.Estimate{
+			ReadyAt: now.Add(time.Duration(estimate.GetReadyInMs()) * time.Millisecond),
+			Refused: estimate.GetRefused(), Reason: estimate.GetReason(),
+		}
+	}
+	loads := make(map[string]int, len(digest.GetLoads()))
+	for _, load := range digest.GetLoads() {
+		loads[load.GetMachine()] = int(load.GetRunning() + load.GetQueued())
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.deliver(d.core.SetLoads(now, loads))
+	d.deliver(d.core.SetEstimates(now, estimates))
+}
+
+// tick lets deadlines pass while requests wait.
+func (d *dispatcher) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.mutex.Lock()
+			if d.core.Waiting() > 0 {
+				d.deliver(d.core.Tick(now))
+			}
+			d.mutex.Unlock()
+		}
+	}
+}
+
+func (d *dispatcher) demand(now time.Time) []dispatch.Demand {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Demand(now)
+}
+
+// Demand returns what this router asks of each model version.
+func (g *Gateway) Demand(now time.Time) []dispatch.Demand {
+	return g.dispatcher.demand(now)
+}
+
+func replicaTargets(view *nodeview.View) []dispatch.Target {
+	var targets []dispatch.Target
+	view.EachReady(func(replica nodeview.Replica, machine nodeview.Machine) {
+		targets = append(targets, dispatch.Target{
+			Replica: replica.Object.GetName(), Version: replica.Spec.Version,
+			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
+		})
+	})
+	return targets
+}
+
+// maxPerBackend bounds the requests in flight to one generic back end.
+const maxPerBackend = 256
+
+// serviceTargets makes a target of each endpoint of each generic service; the
+// service's name stands in for the version.
+func serviceTargets(view *nodeview.View) []dispatch.Target {
+	var targets []dispatch.Target
+	view.EachService(func(name string, service *v1.ServiceSpec) {
+		if service.Backend == nil {
+			return
+		}
+		for _, endpoint := range service.Backend.Endpoints {
+			targets = append(targets, dispatch.Target{
+				Replica: name + "|" + endpoint, Version: name, Machine: name + "|" + endpoint,
+				Endpoint: endpoint, Max: maxPerBackend,
+			})
+		}
+	})
+	return targets
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/weldline/weldline/internal/claims"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/limits"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/problem"
+)
+
+const (
+	engineDialTimeout = time.Second
+	maxIdlePerEngine  = 512
+	idleConnTimeout   = 90 * time.Second
+	drainPollInterval = 10 * time.Millisecond
+)
+
+// Options are what a Gateway needs.
+type Options struct {
+	Node         string
+	View         *nodeview.View
+	Logger       *slog.Logger
+	Metrics      *Metrics
+	Propose      feed.ProposeFunc
+	MaxWaiting   int
+	MaxBodyBytes int64
+	// Nudge asks for a demand report to the control plane soon.
+	Nudge func()
+}
+
+// Gateway is the callers' HTTP handler of one router.
+type Gateway struct {
+	options    Options
+	router     *mux.Router
+	dispatcher *dispatcher
+	services   *dispatcher
+	limits     *limits.Enforcer
+	claims     *claims.Keeper
+	budget     *retryBudget
+	engines    *http.Client
+	// once sends requests that may not be repeated: each on a connection of
+	// its own, so that a failed dial proves that nothing was sent.
+	once *http.Client
+
+	// inFlight counts requests and answers still to be recorded.
+	inFlight atomic.Int64
+	draining atomic.Bool
+	sequence atomic.Uint64
+}
+
+// New returns a gateway; Run must be running for it to work.
+func New(options Options) *Gateway {
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	gateway := &Gateway{
+		options: options, router: mux.NewRouter(), limits: limits.New(),
+		claims: claims.NewKeeper(options.Propose), budget: newRetryBudget(),
+		engines: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerEngine,
+			IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		}},
+		once: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		}},
+	}
+	gateway.dispatcher = newDispatcher(options.MaxWaiting, options.Nudge)
+	gateway.services = newDispatcher(options.MaxWaiting, func() {})
+	gateway.route()
+	return gateway
+}
+
+func (g *Gateway) route() {
+	g.router.HandleFunc("/v1/models", g.track(g.serveModels)).Methods(http.MethodGet)
+	g.router.HandleFunc("/v1/completions", g.track(g.serveInference)).Methods(http.MethodPost)
+	g.router.HandleFunc("/v1/chat/completions", g.track(g.serveInference)).Methods(http.MethodPost)
+	g.router.HandleFunc("/v1/services/{service}/{path:.*}", g.track(g.serveService))
+	g.router.NotFoundHandler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		g.refuse(writer, "", problem.New(problem.TypeNotFound, http.StatusNotFound, "no such path"))
+	})
+	g.router.MethodNotAllowedHandler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		g.refuse(writer, "", problem.New(problem.TypeInvalid, http.StatusMethodNotAllowed, "the path does not take this method"))
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	g.router.ServeHTTP(writer, request)
+}
+
+// track counts a request as in flight and refuses it while the router can't
+// serve: before its configuration is current, and once it is stopping.
+func (g *Gateway) track(handle http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		g.inFlight.Add(1)
+		defer g.inFlight.Add(-1)
+		if g.draining.Load() {
+			document := problem.New(problem.TypeStopping, http.StatusServiceUnavailable, "this router is stopping; use another")
+			document.RetryAfter = time.Second
+			g.refuse(writer, "", document)
+			return
+		}
+		if !g.options.View.Current() {
+			document := problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this router has not got the present configuration yet")
+			document.RetryAfter = time.Second
+			g.refuse(writer, "", document)
+			return
+		}
+		handle(writer, request)
+	}
+}
+
+// refuse answers with a problem that is proved not to have run.
+func (g *Gateway) refuse(writer http.ResponseWriter, requestID string, document *problem.Document) {
+	document.Outcome = problem.OutcomeNotRun
+	g.fail(writer, requestID, document)
+}
+
+// fail answers with a problem.
+func (g *Gateway) fail(writer http.ResponseWriter, requestID string, document *problem.Document) {
+	document.RequestID = requestID
+	g.options.Metrics.problems.WithLabelValues(document.Kind(), string(document.Outcome)).Inc()
+	document.Write(writer)
+}
+
+// Run keeps the dispatchers in step with the view until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	workers.Go(func() { g.claims.Run(ctx) })
+	workers.Go(func() { g.dispatcher.tick(ctx) })
+	workers.Go(func() { g.services.tick(ctx) })
+	workers.Go(func() { g.followDigests(ctx) })
+	for {
+		changed := g.options.View.Changed()
+		now := time.Now()
+		g.dispatcher.setTargets(now, replicaTargets(g.options.View))
+		g.services.setTargets(now, serviceTargets(g.options.View))
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (g *Gateway) followDigests(ctx context.Context) {
+	for {
+		changed := g.options.View.DigestChanged()
+		if digest := g.options.View.Digest(); digest != nil {
+			g.dispatcher.takeDigest(time.Now(), digest)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// Drain refuses new requests and waits for those in flight, answers that are
+// still to be recorded included.
+func (g *Gateway) Drain(ctx context.Context) bool {
+	g.draining.Store(true)
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for g.inFlight.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// Draining reports whether the gateway refuses new requests.
+func (g *Gateway) Draining() bool {
+	return g.draining.Load()
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (g *Gateway) serveModels(writer http.ResponseWriter, _ *http.Request) {
+	names := g.options.View.Models()
+	sort.Strings(names)
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range names {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "weldline"})
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(list)
+}
--- /dev/null
+++ b/internal/gateway/job.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/problem"
+)
+
+// Headers that callers may send.
+const (
+	// HeaderDeadline is how long the caller waits, as a Go duration.
+	HeaderDeadline = "X-Weldline-Deadline"
+	// HeaderCaller names the caller for limits.
+	HeaderCaller = "X-Weldline-Caller"
+	// HeaderService names the service where a model belongs to several.
+	HeaderService = "X-Weldline-Service"
+	// HeaderRequestID is the request's id; one is made up if it is missing.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderReplicaWait, on an answer, is for how many milliseconds the
+	// request waited because no replica was ready or free.
+	HeaderReplicaWait = "X-Weldline-Replica-Wait"
+	// HeaderTraceParent is the W3C trace context.
+	HeaderTraceParent = "Traceparent"
+
+	maxDeadline = 24 * time.Hour
+	// prefixBytes of a prompt identify what an engine may have cached.
+	prefixBytes = 512
+)
+
+// job is a caller's request on its way through the router.
+type job struct {
+	id          string
+	path        string
+	body        []byte
+	contentType string
+	traceParent string
+	caller      string
+	arrived     time.Time
+	deadline    time.Time
+	stream      bool
+	target      nodeview.Target
+	service     string
+	spec        *v1.ServiceSpec
+	prefix      uint64
+}
+
+// inferenceBody is what the router reads of an inference request; the rest
+// is the engine's business.
+type inferenceBody struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func newRequestID() string {
+	var bytes [12]byte
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+// traceParentOf passes a valid trace context on and begins one otherwise.
+func traceParentOf(header string) string {
+	parts := strings.Split(header, "-")
+	if len(parts) == 4 && len(parts[0]) == 2 && len(parts[1]) == 32 && len(parts[2]) == 16 && len(parts[3]) == 2 {
+		return header
+	}
+	var bytes [24]byte
+	_, _ = rand.Read(bytes[:])
+	return "00-" + hex.EncodeToString(bytes[:16]) + "-" + hex.EncodeToString(bytes[16:]) + "-01"
+}
+
+// newJob reads what every kind of request has in common.
+func (g *Gateway) newJob(writer http.ResponseWriter, request *http.Request) (*job, *problem.Document) {
+	created := &job{
+		id: request.Header.Get(HeaderRequestID), path: request.URL.Path, arrived: time.Now(),
+		caller: request.Header.Get(HeaderCaller), contentType: request.Header.Get("Content-Type"),
+		traceParent: traceParentOf(request.Header.Get(HeaderTraceParent)),
+	}
+	if created.id == "" {
+		created.id = newRequestID()
+	}
+	writer.Header().Set(HeaderRequestID, created.id)
+	writer.Header().Set(HeaderTraceParent, created.traceParent)
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, g.options.MaxBodyBytes))
+	if err != nil {
+		return created, problem.New(problem.TypeTooLarge, http.StatusRequestEntityTooLarge, "the body could not be read whole: "+err.Error())
+	}
+	created.body = body
+	return created, nil
+}
+
+// setDeadline takes the caller's deadline, or the service's.
+func (j *job) setDeadline(header string) *problem.Document {
+	wait := time.Duration(j.spec.Deadline)
+	if header != "" {
+		parsed, err := time.ParseDuration(header)
+		if err != nil || parsed <= 0 || parsed > maxDeadline {
+			return invalid(HeaderDeadline, "%s must be a duration between 0s and %s, not %q", HeaderDeadline, maxDeadline, header)
+		}
+		wait = parsed
+	}
+	j.deadline = j.arrived.Add(wait)
+	return nil
+}
+
+func invalid(field, format string, arguments ...any) *problem.Document {
+	document := problem.FromError(fault.InvalidField(field, format, arguments...))
+	document.Status = http.StatusBadRequest
+	return document
+}
+
+// readInference reads an inference request and finds what it names.
+func (g *Gateway) readInference(created *job, request *http.Request) *problem.Document {
+	var body inferenceBody
+	if err := json.Unmarshal(created.body, &body); err != nil {
+		return invalid("body", "the body is not a JSON object: %s", err.Error())
+	}
+	if body.Model == "" {
+		return invalid("model", "model is required")
+	}
+	target, found := g.options.View.Resolve(body.Model)
+	if !found {
+		document := problem.New(problem.TypeNotFound, http.StatusNotFound, "model "+body.Model+" is not declared, or has no version to serve")
+		document.Field = "model"
+		return document
+	}
+	created.target = target
+	created.stream = body.Stream
+	created.prefix = prefixOf(body)
+	named := request.Header.Get(HeaderService)
+	created.service, created.spec = g.options.View.ServiceOf(target.Model, named)
+	if created.spec == nil {
+		document := problem.New(problem.TypeNotFound, http.StatusNotFound, "no such service offers model "+target.Model)
+		document.Field = HeaderService
+		return document
+	}
+	return created.setDeadline(request.Header.Get(HeaderDeadline))
+}
+
+func prefixOf(body inferenceBody) uint64 {
+	prompt := body.Prompt
+	if len(prompt) == 0 {
+		prompt = body.Messages
+	}
+	if len(prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// enterLimits holds the job to the limits of its service.
+func (g *Gateway) enterLimits(created *job) (func(), *problem.Document) {
+	specs := g.options.View.Limits(created.service)
+	if len(specs) == 0 {
+		return func() {}, nil
+	}
+	routers := int(g.options.View.Digest().GetRouters())
+	release, refusal := g.limits.Acquire(created.arrived, specs, created.caller, routers)
+	if refusal == nil {
+		return release, nil
+	}
+	document := problem.New(problem.TypeLimited, http.StatusTooManyRequests, "limit "+refusal.Limit+" is reached")
+	document.RetryAfter = refusal.RetryAfter
+	return nil, document
+}
+
+func (j *job) context(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(parent, j.deadline)
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/weldline/weldline/api/engine"
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/problem"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	// stallTimeout is how long a stream may bring nothing.
+	stallTimeout = 30 * time.Second
+	maxResumes   = 3
+	resumeDelay  = 50 * time.Millisecond
+)
+
+var streamEnd = []byte("data: [DONE]")
+
+// streamRelay passes a server-sent event stream on, whole events at a time.
+// It counts what it has passed on, so that a broken stream resumes with the
+// next event and the caller sees none twice.
+type streamRelay struct {
+	gateway   *Gateway
+	writer    http.ResponseWriter
+	created   *job
+	grant     *dispatch.Grant
+	attemptID string
+	waiting   context.Context
+
+	passed   int
+	finished bool
+	// callerGone is set when writing to the caller failed.
+	callerGone bool
+}
+
+// run passes the stream on until its end. The stop function takes away the
+// deadline, which ends with the first event.
+func (s *streamRelay) run(ctx context.Context, stop func() bool, response *http.Response) attemptEnd {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.copyEvents(response, cancel, stop)
+	for resumes := 0; !s.finished && !s.callerGone; resumes++ {
+		if s.passed == 0 {
+			return failedBy(s.waiting)
+		}
+		if resumes == maxResumes || ctx.Err() != nil {
+			s.writeBroken()
+			return endBroken
+		}
+		if !s.resume(ctx, cancel) {
+			time.Sleep(resumeDelay)
+		}
+	}
+	return endAnswered
+}
+
+// copyEvents passes events on until the stream ends or breaks.
+func (s *streamRelay) copyEvents(response *http.Response, cancel context.CancelFunc, stop func() bool) {
+	reader := bufio.NewReader(response.Body)
+	stall := time.AfterFunc(stallTimeout, cancel)
+	defer stall.Stop()
+	for !s.finished {
+		event, err := readEvent(reader)
+		if err != nil {
+			return
+		}
+		stall.Reset(stallTimeout)
+		if s.passed == 0 {
+			stop()
+			s.begin(response)
+		}
+		if _, err := s.writer.Write(event); err != nil {
+			s.callerGone = true
+			return
+		}
+		_ = http.NewResponseController(s.writer).Flush()
+		s.passed++
+		s.finished = bytes.Contains(event, streamEnd)
+	}
+}
+
+func (s *streamRelay) begin(response *http.Response) {
+	s.gateway.options.Metrics.firstByte.Observe(time.Since(s.created.arrived).Seconds())
+	copyAnswerHeaders(s.writer.Header(), response.Header)
+	s.writer.WriteHeader(response.StatusCode)
+}
+
+// readEvent reads up to and including the blank line that ends an event. An
+// event cut short is an error and is not passed on.
+func readEvent(reader *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		event = append(event, line...)
+		if err != nil && err != bufio.ErrBufferFull {
+			return nil, fault.Engine.Wrap(err, "reading a stream")
+		}
+		if len(event) > maxEventBytes {
+			return nil, fault.Engine.New("event of more than %d bytes", maxEventBytes)
+		}
+		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, nil
+		}
+	}
+}
+
+// resume asks the engine for the rest of the stream. It returns false if the
+// engine can't be asked or does not know the request.
+func (s *streamRelay) resume(ctx context.Context, cancel context.CancelFunc) bool {
+	path := "/v1/requests/" + url.PathEscape(s.attemptID) + "/stream?from=" + strconv.Itoa(s.passed)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.grant.Target.Endpoint+path, nil)
+	if err != nil {
+		return false
+	}
+	response, err := s.gateway.engines.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	known := response.StatusCode == http.StatusOK && response.Header.Get(engine.HeaderRequestID) == s.attemptID
+	if !known {
+		return false
+	}
+	s.gateway.options.Metrics.resumed.Inc()
+	s.copyEvents(response, cancel, func() bool { return true })
+	return true
+}
+
+// writeBroken ends the caller's stream with a typed error and without the
+// end mark, so that no client takes it for complete.
+func (s *streamRelay) writeBroken() {
+	document := problem.New(problem.TypeStreamBroken, http.StatusBadGateway, "the stream broke after "+strconv.Itoa(s.passed)+" events")
+	document.Outcome = problem.OutcomeUnknown
+	document.RequestID = s.created.id
+	s.gateway.options.Metrics.problems.WithLabelValues(document.Kind(), string(document.Outcome)).Inc()
+	encoded, err := json.Marshal(struct {
+		Error *problem.Document `json:"error"`
+	}{document})
+	if err != nil {
+		return
+	}
+	_, _ = s.writer.Write([]byte("event: error\ndata: " + string(encoded) + "\n\n"))
+	_ = http.NewResponseController(s.writer).Flush()
+}
--- /dev/null
+++ b/internal/machines/machines.go
@@ -0,0 +1,154 @@
+// Package machines keeps the Machine resources in step with the platform's
+// machine list and with what agents see.
+//
+// The list lags, and so do reports; neither alone says that a machine is
+// gone. A machine is Leaving as soon as either the list or the operator says
+// so; Lost when no agent reached its engine for a while; Live again when one
+// does. It is Gone, and its record deleted, only when it is off the list and
+// unreachable: then nobody can use its memory any more.
+package machines
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/weldline/weldline/api/platform"
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// LabelSource marks Machine resources that weldline made from the list.
+const (
+	LabelSource    = "weldline/source"
+	SourcePlatform = "platform"
+)
+
+// Observation is what agents say of a machine.
+type Observation struct {
+	// Seen is set once any agent has reported on the machine.
+	Seen bool
+	// Incarnation is the engine's, as last reported.
+	Incarnation uint64
+	// SilentFor is how long no agent has reached the engine.
+	SilentFor time.Duration
+}
+
+// Declared is a stored Machine resource.
+type Declared struct {
+	Object *wirepb.Object
+	Spec   *v1.MachineSpec
+	Status v1.MachineStatus
+}
+
+// Input is everything that a decision depends on.
+type Input struct {
+	// List is nil while it has never been read.
+	List     *platform.MachineList
+	Declared map[string]Declared
+	Observed map[string]Observation
+	Timeout  time.Duration
+}
+
+// Reconcile returns the writes that bring the resources in step.
+func Reconcile(input Input) []*wirepb.ObjectWrite {
+	listed := map[string]platform.Machine{}
+	if input.List != nil {
+		for _, machine := range input.List.Machines {
+			listed[machine.Name] = machine
+		}
+	}
+	var writes []*wirepb.ObjectWrite
+	for name, entry := range listed {
+		if write := adopt(name, entry, input.Declared); write != nil {
+			writes = append(writes, write)
+		}
+	}
+	for name, declared := range input.Declared {
+		entry, isListed := listed[name]
+		fromList := declared.Object.GetLabels()[LabelSource] == SourcePlatform
+		delisted := fromList && !isListed && input.List != nil
+		status := nextStatus(declared, entry, delisted, input.Observed[name], input.Timeout)
+		if write := statusWrite(declared, status); write != nil {
+			writes = append(writes, write)
+		}
+	}
+	sort.Slice(writes, func(i, j int) bool { return writes[i].GetObject().GetName() < writes[j].GetObject().GetName() })
+	return writes
+}
+
+// adopt declares a machine that the list has and nobody declared, and
+// follows a changed endpoint of one declared from the list.
+func adopt(name string, entry platform.Machine, declared map[string]Declared) *wirepb.ObjectWrite {
+	spec := &v1.MachineSpec{
+		Endpoint: entry.Endpoint, Zone: entry.Zone,
+		Accelerators: entry.Accelerators, AcceleratorBytes: entry.AcceleratorBytes,
+	}
+	held, exists := declared[name]
+	if exists {
+		fromList := held.Object.GetLabels()[LabelSource] == SourcePlatform
+		if !fromList || held.Spec.Endpoint == entry.Endpoint {
+			return nil
+		}
+		spec.Drain = held.Spec.Drain
+	}
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return nil
+	}
+	if _, err := v1.DecodeSpec(v1.KindMachine, encoded); err != nil {
+		return nil // The platform lists something that can't be a machine.
+	}
+	expected := held.Object.GetRevision()
+	return &wirepb.ObjectWrite{
+		Operation: wirepb.ObjectWrite_OPERATION_PUT, ExpectedRevision: &expected,
+		Object: &wirepb.Object{
+			Kind: string(v1.KindMachine), Name: name, Spec: encoded,
+			Labels: map[string]string{LabelSource: SourcePlatform},
+		},
+	}
+}
+
+func nextStatus(declared Declared, entry platform.Machine, delisted bool, observed Observation, timeout time.Duration) v1.MachineStatus {
+	status := declared.Status
+	status.Reason = ""
+	silent := !observed.Seen || observed.SilentFor > timeout
+	if !silent {
+		status.Incarnation = observed.Incarnation
+	}
+	switch {
+	case delisted && silent:
+		status.Phase, status.Reason = v1.MachineGone, "off the machine list and unreachable"
+	case status.Incarnation == 0:
+		status.Phase, status.Reason = v1.MachineLost, "not reached yet"
+	case silent && observed.Seen:
+		status.Phase, status.Reason = v1.MachineLost, "its engine can't be reached"
+	case silent:
+		// A new leader has not heard of it yet: nothing is known.
+		status.Reason = declared.Status.Reason
+	case declared.Spec.Drain:
+		status.Phase, status.Reason = v1.MachineLeaving, "drained by an operator"
+	case delisted || entry.State == platform.MachineLeaving:
+		status.Phase, status.Reason = v1.MachineLeaving, "leaving, by the machine list"
+	default:
+		status.Phase = v1.MachineLive
+	}
+	return status
+}
+
+func statusWrite(declared Declared, status v1.MachineStatus) *wirepb.ObjectWrite {
+	revision := declared.Object.GetRevision()
+	object := &wirepb.Object{Kind: string(v1.KindMachine), Name: declared.Object.GetName()}
+	if status.Phase == v1.MachineGone {
+		return &wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_DELETE, Object: object, ExpectedRevision: &revision}
+	}
+	if status == declared.Status {
+		return nil
+	}
+	encoded, err := json.Marshal(status)
+	if err != nil {
+		return nil
+	}
+	object.Status = encoded
+	return &wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT_STATUS, Object: object, ExpectedRevision: &revision}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/weldline/weldline/internal/control"
+	"github.com/weldline/weldline/internal/datadir"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/resourceapi"
+	"github.com/weldline/weldline/internal/settings"
+	"github.com/weldline/weldline/internal/storage"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	headerTimeout   = 10 * time.Second
+	shutdownTimeout = 5 * time.Second
+)
+
+// Node is a running process.
+type Node struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	registry *prometheus.Registry
+	counters *wire.Counters
+	// incarnation orders the lives of a node.
+	incarnation uint64
+	dataDir     *datadir.Dir
+	control     *control.Node
+	router      *router
+	relay       *relay
+
+	workers sync.WaitGroup
+	failed  chan error
+	stopped atomic.Bool
+}
+
+// New prepares a node; nothing listens yet.
+func New(configuration *settings.Settings, logger *slog.Logger) (*Node, error) {
+	created := &Node{
+		settings: configuration, logger: logger, registry: prometheus.NewRegistry(),
+		counters: &wire.Counters{}, incarnation: uint64(time.Now().UnixNano()), failed: make(chan error, 8),
+	}
+	created.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	registerTraffic(created.registry, created.counters)
+	if configuration.Has(settings.RoleControl) {
+		if err := created.openControl(); err != nil {
+			return nil, err
+		}
+	}
+	if configuration.Has(settings.RoleRouter) {
+		created.router = newRouter(created)
+	}
+	if configuration.Has(settings.RoleRelay) {
+		created.relay = newRelay(created)
+	}
+	return created, nil
+}
+
+func (n *Node) openControl() error {
+	dir, err := datadir.Open(n.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	disk, recovered, err := storage.Open(dir)
+	if err != nil {
+		_ = dir.Close()
+		return err
+	}
+	n.dataDir = dir
+	n.control, err = control.New(control.Options{
+		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered,
+		Metrics: control.NewMetrics(n.registry), Counters: n.counters,
+	})
+	return err
+}
+
+func (n *Node) hello() *wirepb.Hello {
+	return &wirepb.Hello{
+		ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
+		Node: n.settings.Node, Zone: n.settings.Zone,
+	}
+}
+
+// Run starts the roles and returns when ctx ends and all have stopped, or
+// when one of them fails.
+func (n *Node) Run(ctx context.Context) error {
+	roles, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := n.start(roles); err != nil {
+		cancel()
+		n.workers.Wait()
+		return err
+	}
+	n.logger.Info("node_started", "node", n.settings.Node, "roles", n.settings.Roles)
+	var failure error
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case failure = <-n.failed:
+		n.logger.Error("role_failed", "error", fault.Message(failure))
+	}
+	n.stopped.Store(true)
+	cancel()
+	n.workers.Wait()
+	if n.dataDir != nil {
+		_ = n.dataDir.Close()
+	}
+	n.logger.Info("node_stopped", "node", n.settings.Node)
+	return failure
+}
+
+// drain lets the router finish what is in flight while the control role and
+// the feed still work: answers have to be recorded.
+func (n *Node) drain() {
+	if n.router == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Router.DrainTimeout)
+	defer cancel()
+	n.logger.Info("router_draining", "node", n.settings.Node)
+	if !n.router.drain(ctx) {
+		n.logger.Warn("drain_timed_out", "node", n.settings.Node)
+	}
+}
+
+func (n *Node) start(ctx context.Context) error {
+	if err := n.serveHTTP(ctx, n.settings.Admin, n.adminHandler()); err != nil {
+		return err
+	}
+	if n.control != nil {
+		if err := n.startControl(ctx); err != nil {
+			return err
+		}
+	}
+	if n.relay != nil {
+		if err := n.relay.start(ctx); err != nil {
+			return err
+		}
+	}
+	if n.router != nil {
+		return n.router.start(ctx)
+	}
+	return nil
+}
+
+func (n *Node) startControl(ctx context.Context) error {
+	if err := n.serveFeed(ctx, n.listenAddress(), n.control.NewServer(n.counters).Serve); err != nil {
+		return err
+	}
+	api := resourceapi.New(n.control, n.logger, n.settings.Control.ReadToken, n.settings.Control.WriteToken)
+	if err := n.serveHTTP(ctx, n.settings.Control.API, api); err != nil {
+		return err
+	}
+	n.run(func() error { return n.control.Run(ctx) })
+	return nil
+}
+
+// listenAddress is where the control role listens: as set, or its address
+// among the members.
+func (n *Node) listenAddress() string {
+	if n.settings.Control.Listen != "" {
+		return n.settings.Control.Listen
+	}
+	for _, member := range n.settings.Control.Members {
+		if member.ID == n.settings.Control.ID {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// run starts a worker whose failure stops the node.
+func (n *Node) run(work func() error) {
+	n.workers.Go(func() {
+		if err := work(); err != nil {
+			select {
+			case n.failed <- err:
+			default:
+			}
+		}
+	})
+}
+
+type feedServe func(ctx context.Context, listener net.Listener) error
+
+func (n *Node) serveFeed(ctx context.Context, address string, serve feedServe) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Unavailable.Wrap(err, "listening on %s", address)
+	}
+	n.run(func() error { return serve(ctx, listener) })
+	return nil
+}
+
+func (n *Node) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Unavailable.Wrap(err, "listening on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug)}
+	n.workers.Go(func() {
+		<-ctx.Done()
+		stopping, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(stopping) != nil {
+			_ = server.Close()
+		}
+	})
+	n.run(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return fault.Unavailable.Wrap(err, "serving %s", address)
+		}
+		return nil
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"context"
+
+	"github.com/weldline/weldline/internal/feed"
+)
+
+// relay is the relay role: it passes the control plane's feed on to the
+// nodes of a zone, and their reports and proposals back.
+type relay struct {
+	node   *Node
+	cache  *feed.Cache
+	server *feed.Server
+}
+
+func newRelay(node *Node) *relay {
+	created := &relay{node: node, cache: feed.NewCache()}
+	client := feed.NewClient(node.settings.Relay.Upstreams, node.hello(), created.cache, node.logger, node.counters)
+	created.cache.Attach(client)
+	created.server = feed.NewServer(created.cache, node.hello(), node.logger, node.counters, nil)
+	return created
+}
+
+func (r *relay) start(ctx context.Context) error {
+	r.node.workers.Go(func() { r.cache.Run(ctx) })
+	return r.node.serveFeed(ctx, r.node.settings.Relay.Listen, r.server.Serve)
+}
--- /dev/null
+++ b/internal/node/router.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/weldline/weldline/internal/agent"
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/gateway"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// minimumReportGap bounds how often nudges lead to reports.
+const minimumReportGap = 5 * time.Millisecond
+
+// router is the router role: the callers' gateway, the agent of the machines
+// nearby, and the reports of both.
+type router struct {
+	node    *Node
+	view    *nodeview.View
+	client  *feed.Client
+	gateway *gateway.Gateway
+	agent   *agent.Agent
+	nudges  chan struct{}
+
+	sequence uint64
+	// reported holds the arrivals last reported for each version.
+	reported map[string]uint64
+}
+
+func newRouter(node *Node) *router {
+	created := &router{node: node, view: nodeview.New(), nudges: make(chan struct{}, 1), reported: map[string]uint64{}}
+	settings := node.settings
+	created.client = feed.NewClient(settings.Router.Upstreams, node.hello(), created.view, node.logger, node.counters)
+	created.gateway = gateway.New(gateway.Options{
+		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: gateway.NewMetrics(node.registry),
+		Propose: created.client.Propose, MaxWaiting: settings.Router.MaxWaiting,
+		MaxBodyBytes: settings.Router.MaxBodyBytes, Nudge: created.nudge,
+	})
+	created.agent = agent.New(settings.Node, created.view, node.logger, settings.Router.PollInterval, created.nudge)
+	return created
+}
+
+func (r *router) start(ctx context.Context) error {
+	r.node.workers.Go(func() { r.client.Run(ctx) })
+	r.node.workers.Go(func() { r.gateway.Run(ctx) })
+	r.node.workers.Go(func() { r.agent.Run(ctx) })
+	r.node.workers.Go(func() { r.report(ctx) })
+	return r.node.serveHTTP(ctx, r.node.settings.Router.Listen, r.gateway)
+}
+
+func (r *router) drain(ctx context.Context) bool {
+	r.nudge()
+	return r.gateway.Drain(ctx)
+}
+
+func (r *router) nudge() {
+	select {
+	case r.nudges <- struct{}{}:
+	default:
+	}
+}
+
+// report sends the node's state upwards, regularly and when nudged.
+func (r *router) report(ctx context.Context) {
+	ticker := time.NewTicker(r.node.settings.Router.ReportInterval)
+	defer ticker.Stop()
+	for {
+		connected := r.client.Connected()
+		_ = r.client.Send(&wirepb.Envelope{Body: &wirepb.Envelope_NodeReport{NodeReport: r.nodeReport(time.Now())}})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minimumReportGap):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.nudges:
+		case <-connected:
+		}
+	}
+}
+
+func (r *router) nodeReport(now time.Time) *wirepb.NodeReport {
+	r.sequence++
+	report := &wirepb.NodeReport{
+		Node: r.node.settings.Node, Zone: r.node.settings.Zone,
+		Incarnation: r.node.incarnation, Sequence: r.sequence,
+		AppliedRevision: r.view.Revision(), Router: true, Draining: r.gateway.Draining(),
+		Machines: r.agent.Reports(now), DigestSequence: r.view.Digest().GetSequence(),
+	}
+	for _, demand := range r.gateway.Demand(now) {
+		if r.hasNews(demand) {
+			report.Demand = append(report.Demand, demandMessage(demand))
+		}
+	}
+	return report
+}
+
+// hasNews leaves out versions that nobody has asked for since the last
+// report and that nobody uses.
+func (r *router) hasNews(demand dispatch.Demand) bool {
+	news := demand.Waiting > 0 || demand.Running > 0 || demand.Arrivals != r.reported[demand.Version]
+	r.reported[demand.Version] = demand.Arrivals
+	return news
+}
+
+func demandMessage(demand dispatch.Demand) *wirepb.ModelDemand {
+	return &wirepb.ModelDemand{
+		Version: demand.Version, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
+		Arrivals: demand.Arrivals, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
+	}
+}
--- /dev/null
+++ b/internal/nodeview/view.go
@@ -0,0 +1,363 @@
+// Package nodeview is a node's copy of the declared and decided state, typed
+// for lookups on the request path.
+//
+// Invariant: the revision never goes down, and an object is never replaced by
+// an older version of itself, whichever server the changes come from. A node
+// that has just started is not current, and must not serve, before it has
+// applied what the leader held after it started.
+package nodeview
+
+import (
+	"encoding/json"
+	"sync"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/signal"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// Replica is a decided replica.
+type Replica struct {
+	Object *wirepb.Object
+	Spec   *v1.ReplicaSpec
+}
+
+// Machine is a declared machine.
+type Machine struct {
+	Object *wirepb.Object
+	Spec   *v1.MachineSpec
+	Status v1.MachineStatus
+}
+
+// Target is what a model name that a caller used stands for.
+type Target struct {
+	Model   string
+	Version string
+	// Adapter is empty where the base model itself was named.
+	Adapter string
+	Spec    *v1.ModelVersionSpec
+}
+
+// View implements feed.Sink.
+type View struct {
+	mutex    sync.RWMutex
+	revision uint64
+	objects  map[state.Key]*wirepb.Object
+	specs    map[state.Key]v1.Spec
+	machines map[string]Machine
+	// replicas are grouped by version; replicasOn by machine.
+	replicas   map[string]map[string]Replica
+	replicasOn map[string]map[string]Replica
+	// services lists, for each model, the services that offer it.
+	services map[string]map[string]*v1.ServiceSpec
+	limits   map[string]map[string]*v1.LimitSpec
+
+	digest      *wirepb.ClusterDigest
+	firstDigest *wirepb.ClusterDigest
+	current     bool
+
+	changed       *signal.Broadcast
+	digestChanged *signal.Broadcast
+}
+
+// New returns an empty view.
+func New() *View {
+	view := &View{changed: signal.New(), digestChanged: signal.New()}
+	view.clear()
+	return view
+}
+
+func (v *View) clear() {
+	v.objects = map[state.Key]*wirepb.Object{}
+	v.specs = map[state.Key]v1.Spec{}
+	v.machines = map[string]Machine{}
+	v.replicas = map[string]map[string]Replica{}
+	v.replicasOn = map[string]map[string]Replica{}
+	v.services = map[string]map[string]*v1.ServiceSpec{}
+	v.limits = map[string]map[string]*v1.LimitSpec{}
+}
+
+// Revision implements feed.Sink.
+func (v *View) Revision() uint64 {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.revision
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	return v.changed.Wait()
+}
+
+// DigestChanged returns a channel that is closed at the next digest.
+func (v *View) DigestChanged() <-chan struct{} {
+	return v.digestChanged.Wait()
+}
+
+// Apply implements feed.Sink.
+func (v *View) Apply(changes feed.Changes) {
+	v.mutex.Lock()
+	defer v.changed.Notify()
+	defer v.mutex.Unlock()
+	if changes.Revision < v.revision {
+		return
+	}
+	if changes.Reset {
+		v.clear()
+	}
+	for _, event := range changes.Events {
+		v.applyEvent(event)
+	}
+	v.revision = changes.Revision
+	v.updateCurrent()
+}
+
+func (v *View) applyEvent(event *wirepb.WatchEvent) {
+	object := event.GetObject()
+	key := state.KeyOf(object)
+	if held := v.objects[key]; held != nil {
+		if object.GetRevision() <= held.GetRevision() {
+			return
+		}
+		v.unindex(key, held)
+	}
+	if event.GetDeleted() {
+		delete(v.objects, key)
+		delete(v.specs, key)
+		return
+	}
+	spec, err := v1.DecodeSpec(key.Kind, object.GetSpec())
+	if err != nil {
+		return // Of a later release; this node can't use it.
+	}
+	v.objects[key] = object
+	v.specs[key] = spec
+	v.index(object, spec)
+}
+
+func addTo[T any](groups map[string]map[string]T, group, name string, value T) {
+	if groups[group] == nil {
+		groups[group] = map[string]T{}
+	}
+	groups[group][name] = value
+}
+
+func removeFrom[T any](groups map[string]map[string]T, group, name string) {
+	delete(groups[group], name)
+	if len(groups[group]) == 0 {
+		delete(groups, group)
+	}
+}
+
+func (v *View) index(object *wirepb.Object, spec v1.Spec) {
+	name := object.GetName()
+	switch typed := spec.(type) {
+	case *v1.MachineSpec:
+		machine := Machine{Object: object, Spec: typed}
+		if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &machine.Status) != nil {
+			machine.Status = v1.MachineStatus{Phase: v1.MachineLost}
+		}
+		v.machines[name] = machine
+	case *v1.ReplicaSpec:
+		replica := Replica{Object: object, Spec: typed}
+		addTo(v.replicas, typed.Version, name, replica)
+		addTo(v.replicasOn, typed.Machine, name, replica)
+	case *v1.ServiceSpec:
+		for _, model := range typed.Models {
+			addTo(v.services, model, name, typed)
+		}
+	case *v1.LimitSpec:
+		addTo(v.limits, typed.Service, name, typed)
+	}
+}
+
+func (v *View) unindex(key state.Key, held *wirepb.Object) {
+	name := held.GetName()
+	switch typed := v.specs[key].(type) {
+	case *v1.MachineSpec:
+		delete(v.machines, name)
+	case *v1.ReplicaSpec:
+		removeFrom(v.replicas, typed.Version, name)
+		removeFrom(v.replicasOn, typed.Machine, name)
+	case *v1.ServiceSpec:
+		for _, model := range typed.Models {
+			removeFrom(v.services, model, name)
+		}
+	case *v1.LimitSpec:
+		removeFrom(v.limits, typed.Service, name)
+	}
+}
+
+// TakeDigest implements feed.Sink. Older digests are ignored.
+func (v *View) TakeDigest(digest *wirepb.ClusterDigest) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.digest != nil && !newer(digest, v.digest) {
+		return
+	}
+	if v.firstDigest == nil {
+		v.firstDigest = digest
+	}
+	v.digest = digest
+	v.updateCurrent()
+	v.digestChanged.Notify()
+}
+
+func newer(left, right *wirepb.ClusterDigest) bool {
+	if left.GetTerm() != right.GetTerm() {
+		return left.GetTerm() > right.GetTerm()
+	}
+	return left.GetSequence() > right.GetSequence()
+}
+
+// updateCurrent marks the view as current once it holds what the leader held
+// after the node started. The first digest may have been kept by a server
+// since long before; one that came later was sent later.
+func (v *View) updateCurrent() {
+	if v.current || v.digest == nil || !newer(v.digest, v.firstDigest) {
+		return
+	}
+	v.current = v.revision >= v.digest.GetRevision()
+}
+
+// Current reports whether the node may serve.
+func (v *View) Current() bool {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.current
+}
+
+// Digest returns the newest soft state, or nil.
+func (v *View) Digest() *wirepb.ClusterDigest {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.digest
+}
+
+// Resolve returns what a model or adapter name stands for.
+func (v *View) Resolve(name string) (Target, bool) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	target := Target{Model: name}
+	if adapter, isAdapter := v.specs[state.Key{Kind: v1.KindAdapter, Name: name}].(*v1.AdapterSpec); isAdapter {
+		target.Adapter = name
+		target.Model = adapter.Model
+	}
+	model, exists := v.specs[state.Key{Kind: v1.KindModel, Name: target.Model}].(*v1.ModelSpec)
+	if !exists {
+		return Target{}, false
+	}
+	target.Version = model.DefaultVersion
+	target.Spec, exists = v.specs[state.Key{Kind: v1.KindModelVersion, Name: target.Version}].(*v1.ModelVersionSpec)
+	return target, exists
+}
+
+// Service returns a declared service, or nil.
+func (v *View) Service(name string) *v1.ServiceSpec {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	service, _ := v.specs[state.Key{Kind: v1.KindService, Name: name}].(*v1.ServiceSpec)
+	return service
+}
+
+// ServiceOf returns the service that offers a model: the named one, or the
+// first by name where none is named.
+func (v *View) ServiceOf(model, named string) (string, *v1.ServiceSpec) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	if named != "" {
+		return named, v.services[model][named]
+	}
+	first := ""
+	for name := range v.services[model] {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first, v.services[model][first]
+}
+
+// Limits returns the limits of a service by name.
+func (v *View) Limits(service string) map[string]*v1.LimitSpec {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	limits := make(map[string]*v1.LimitSpec, len(v.limits[service]))
+	for name, limit := range v.limits[service] {
+		limits[name] = limit
+	}
+	return limits
+}
+
+// Models lists the names that callers may use.
+func (v *View) Models() []string {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	var names []string
+	for key := range v.objects {
+		if key.Kind == v1.KindModel || key.Kind == v1.KindAdapter {
+			names = append(names, key.Name)
+		}
+	}
+	return names
+}
+
+// Machines returns all machines by name.
+func (v *View) Machines() map[string]Machine {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	machines := make(map[string]Machine, len(v.machines))
+	for name, machine := range v.machines {
+		machines[name] = machine
+	}
+	return machines
+}
+
+// Machine returns one machine.
+func (v *View) Machine(name string) (Machine, bool) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	machine, found := v.machines[name]
+	return machine, found
+}
+
+// ReplicasOn returns the replicas decided for a machine, and the revision.
+func (v *View) ReplicasOn(machine string) ([]Replica, uint64) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	replicas := make([]Replica, 0, len(v.replicasOn[machine]))
+	for _, replica := range v.replicasOn[machine] {
+		replicas = append(replicas, replica)
+	}
+	return replicas, v.revision
+}
+
+// EachReady calls visit for every replica that may get requests: ready, on a
+// machine that is neither leaving nor lost.
+func (v *View) EachReady(visit func(replica Replica, machine Machine)) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	for _, group := range v.replicas {
+		for _, replica := range group {
+			machine, found := v.machines[replica.Spec.Machine]
+			if !found || replica.Spec.Phase != v1.ReplicaReady {
+				continue
+			}
+			if machine.Status.Phase == v1.MachineLive && !machine.Spec.Drain {
+				visit(replica, machine)
+			}
+		}
+	}
+}
+
+// EachService calls visit for every declared service.
+func (v *View) EachService(visit func(name string, service *v1.ServiceSpec)) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	for key, spec := range v.specs {
+		if service, isService := spec.(*v1.ServiceSpec); isService {
+			visit(key.Name, service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/evict.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// evictionPatience is how long room made for a version is waited for before
+// room is made elsewhere.
+const evictionPatience = 5 * time.Second
+
+// makeRoom evicts idle replicas for a wanted one that fits nowhere.
+func (p *pass) makeRoom(entry want, names []string) {
+	name := entry.version.Name
+	if !entry.urgent {
+		return // Nothing is evicted for a replica kept in reserve.
+	}
+	if !p.fitsAnywhere(entry.version) {
+		p.decision.Estimates = append(p.decision.Estimates, Estimate{
+			Version: name, Refused: true, Reason: "no machine is large enough for the model",
+		})
+		return
+	}
+	if until, waiting := p.planner.evicting[name]; waiting && p.input.Now.Before(until) {
+		p.estimate(entry, p.loadTime(entry.version, TierRemote))
+		return
+	}
+	victims := p.cheapestVictims(entry, names)
+	if victims == nil {
+		return // All in use: the request waits for a place until its deadline.
+	}
+	for _, victim := range victims {
+		p.unload(victim, "evicted")
+	}
+	p.planner.evicting[name] = p.input.Now.Add(evictionPatience)
+	p.estimate(entry, p.loadTime(entry.version, TierRemote))
+}
+
+func (p *pass) fitsAnywhere(version *Version) bool {
+	for _, machine := range p.input.Machines {
+		if machine.Accelerators >= version.Spec.Accelerators && machine.AcceleratorBytes >= version.Spec.BytesPerAccelerator() {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapestVictims returns the idle replicas of one machine whose eviction
+// costs least, the load of the wanted one there included.
+func (p *pass) cheapestVictims(entry want, names []string) []*Replica {
+	var best []*Replica
+	var bestCost float64
+	for _, name := range names {
+		candidate := p.machines[name]
+		victims, cost := p.victimsOn(entry, candidate)
+		if victims == nil {
+			continue
+		}
+		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
+		cost += p.loadTime(entry.version, tier).Seconds() * entry.version.ColdStartWeight
+		if best == nil || cost < bestCost {
+			best, bestCost = victims, cost
+		}
+	}
+	return best
+}
+
+// victimsOn evicts idle replicas of one machine, cheapest first, until the
+// wanted one fits, then spares those that turned out not to be needed.
+func (p *pass) victimsOn(entry want, candidate *room) ([]*Replica, float64) {
+	idle := p.idleOn(candidate)
+	free := append([]int64(nil), candidate.free...)
+	bytes := entry.version.Spec.BytesPerAccelerator()
+	count := entry.version.Spec.Accelerators
+	var victims []*Replica
+	for _, replica := range idle {
+		release(free, replica, 1)
+		victims = append(victims, replica)
+		if fit(free, candidate.holds, count, bytes) != nil {
+			break
+		}
+	}
+	if fit(free, candidate.holds, count, bytes) == nil || len(victims) == 0 {
+		return nil, 0
+	}
+	var needed []*Replica
+	cost := 0.0
+	for position := len(victims) - 1; position >= 0; position-- {
+		victim := victims[position]
+		release(free, victim, -1)
+		if fit(free, candidate.holds, count, bytes) != nil {
+			continue
+		}
+		release(free, victim, 1)
+		needed = append(needed, victim)
+		cost += p.evictionCost(victim)
+	}
+	return needed, cost
+}
+
+func release(free []int64, replica *Replica, sign int64) {
+	for _, accelerator := range replica.Spec.Accelerators {
+		if accelerator < len(free) {
+			free[accelerator] += sign * replica.Spec.BytesPerAccelerator
+		}
+	}
+}
+
+func (p *pass) idleOn(candidate *room) []*Replica {
+	var idle []*Replica
+	for _, replica := range candidate.replicas {
+		if replica.Spec.Phase != v1.ReplicaReady || p.changed[replica] || !p.isIdle(replica) {
+			continue
+		}
+		version := p.input.Versions[replica.Spec.Version]
+		if version != nil && len(p.byVersion[version.Name]) <= version.MinReplicas {
+			continue
+		}
+		idle = append(idle, replica)
+	}
+	sort.Slice(idle, func(i, j int) bool {
+		left, right := p.evictionCost(idle[i]), p.evictionCost(idle[j])
+		if left != right {
+			return left < right
+		}
+		return idle[i].Name < idle[j].Name
+	})
+	return idle
+}
+
+// evictionCost is the cold start that an eviction is expected to cause, in
+// weighted seconds: the longer a replica has idled, the less likely is a use
+// soon.
+func (p *pass) evictionCost(replica *Replica) float64 {
+	version := p.input.Versions[replica.Spec.Version]
+	if version == nil {
+		return 0
+	}
+	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name])
+	load := p.loadTime(version, TierDisk).Seconds()
+	return load * version.ColdStartWeight / (1 + idle.Seconds())
+}
--- /dev/null
+++ b/internal/placement/fit.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// room is the free memory of a machine's accelerators.
+type room struct {
+	machine *Machine
+	// free may be negative where a declaration shrank.
+	free     []int64
+	replicas []*Replica
+	// holds counts replicas on each accelerator.
+	holds []int
+	// loading counts loads in progress: they share the machine's links.
+	loading int
+}
+
+func newRoom(machine *Machine) *room {
+	opened := &room{machine: machine, free: make([]int64, machine.Accelerators), holds: make([]int, machine.Accelerators)}
+	for position := range opened.free {
+		opened.free[position] = machine.AcceleratorBytes
+	}
+	return opened
+}
+
+func (r *room) reserve(replica *Replica) {
+	r.take(replica.Spec)
+	r.replicas = append(r.replicas, replica)
+	if replica.Spec.Phase == v1.ReplicaLoading {
+		r.loading++
+	}
+}
+
+func (r *room) take(spec *v1.ReplicaSpec) {
+	for _, accelerator := range spec.Accelerators {
+		if accelerator < len(r.free) {
+			r.free[accelerator] -= spec.BytesPerAccelerator
+			r.holds[accelerator]++
+		}
+	}
+}
+
+// fit returns the accelerators for a replica, or nil. Those that hold weights
+// already come first, so that as few as possible hold any; among them the
+// fullest that has room, which leaves the largest holes whole.
+func fit(free []int64, holds []int, count int, bytes int64) []int {
+	var candidates []int
+	for position, available := range free {
+		if available >= bytes {
+			candidates = append(candidates, position)
+		}
+	}
+	if len(candidates) < count {
+		return nil
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		left, right := candidates[i], candidates[j]
+		if (holds[left] > 0) != (holds[right] > 0) {
+			return holds[left] > 0
+		}
+		if free[left] != free[right] {
+			return free[left] < free[right]
+		}
+		return left < right
+	})
+	chosen := candidates[:count]
+	sort.Ints(chosen)
+	return chosen
+}
+
+// place finds a machine for each wanted replica.
+func (p *pass) place() {
+	p.planner.store.refill(p.input.Now)
+	remote := p.remoteLoads()
+	names := p.acceptingMachines()
+	queued := 0
+	for _, entry := range p.wants() {
+		chosen, accelerators := p.bestMachine(entry, names)
+		if chosen == nil {
+			p.makeRoom(entry, names)
+			continue
+		}
+		tier := chosen.machine.tierOf(entry.version.Spec.Checkpoint)
+		if tier == TierRemote && !p.planner.store.take(remote) {
+			p.estimate(entry, p.planner.store.delay(queued, remote, p.loadTime(entry.version, tier))+p.loadTime(entry.version, tier))
+			queued++
+			continue
+		}
+		if tier == TierRemote {
+			remote++
+		}
+		p.load(entry, chosen, accelerators, tier)
+	}
+	p.estimateLoading()
+}
+
+func (p *pass) acceptingMachines() []string {
+	var names []string
+	for name, machine := range p.input.Machines {
+		if machine.Accepts {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (m *Machine) tierOf(checkpoint string) Tier {
+	if tier, cached := m.Tiers[checkpoint]; cached {
+		return tier
+	}
+	return TierRemote
+}
+
+func (p *pass) loadTime(version *Version, tier Tier) time.Duration {
+	return p.planner.config.Speeds.LoadTime(version.Spec.WeightBytes, tier)
+}
+
+// bestMachine prefers the machine that is ready soonest; then one without
+// another replica of the model, then the one that packs tightest.
+func (p *pass) bestMachine(entry want, names []string) (*room, []int) {
+	var best *room
+	var bestAccelerators []int
+	var bestScore machineScore
+	bytes := entry.version.Spec.BytesPerAccelerator()
+	for _, name := range names {
+		candidate := p.machines[name]
+		accelerators := fit(candidate.free, candidate.holds, entry.version.Spec.Accelerators, bytes)
+		if accelerators == nil {
+			continue
+		}
+		score := p.score(entry, candidate, accelerators)
+		if best == nil || score.better(bestScore) {
+			best, bestAccelerators, bestScore = candidate, accelerators, score
+		}
+	}
+	return best, bestAccelerators
+}
+
+// machineScore orders machines for a load.
+type machineScore struct {
+	readyIn  time.Duration
+	sameHere int
+	empty    int
+	leftover int64
+}
+
+func (s machineScore) better(other machineScore) bool {
+	switch {
+	case s.readyIn != other.readyIn:
+		return s.readyIn < other.readyIn
+	case s.sameHere != other.sameHere:
+		return s.sameHere < other.sameHere
+	case s.empty != other.empty:
+		return s.empty < other.empty
+	}
+	return s.leftover < other.leftover
+}
+
+func (p *pass) score(entry want, candidate *room, accelerators []int) machineScore {
+	score := machineScore{}
+	tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
+	// Loads on one machine share its links, so a second takes twice as long.
+	score.readyIn = p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
+	for _, replica := range candidate.replicas {
+		if replica.Spec.Model == entry.version.Spec.Model {
+			score.sameHere++
+		}
+	}
+	for _, accelerator := range accelerators {
+		if candidate.holds[accelerator] == 0 {
+			score.empty++
+		}
+		score.leftover += candidate.free[accelerator]
+	}
+	return score
+}
+
+func (p *pass) load(entry want, chosen *room, accelerators []int, tier Tier) {
+	spec := &v1.ReplicaSpec{
+		Model: entry.version.Spec.Model, Version: entry.version.Name, Checkpoint: entry.version.Spec.Checkpoint,
+		Machine: chosen.machine.Name, Incarnation: chosen.machine.Incarnation,
+		Accelerators: accelerators, BytesPerAccelerator: entry.version.Spec.BytesPerAccelerator(),
+		WeightBytes: entry.version.Spec.WeightBytes, CacheBytes: entry.version.Spec.CacheBytes,
+		MaxConcurrent: entry.version.Spec.MaxConcurrent, Phase: v1.ReplicaLoading, Tier: string(tier),
+	}
+	chosen.take(spec)
+	chosen.loading++
+	chosen.replicas = append(chosen.replicas, &Replica{Spec: spec})
+	delete(p.planner.evicting, entry.version.Name)
+	reason := "demand"
+	if !entry.urgent {
+		reason = "reserve"
+	}
+	p.act(Action{Kind: ActionLoad, Spec: spec, Reason: reason})
+	p.estimate(entry, p.loadTime(entry.version, tier))
+}
+
+func (p *pass) estimate(entry want, readyIn time.Duration) {
+	if entry.urgent {
+		p.decision.Estimates = append(p.decision.Estimates, Estimate{Version: entry.version.Name, ReadyIn: readyIn})
+	}
+}
+
+// estimateLoading passes on what engines say of loads in progress.
+func (p *pass) estimateLoading() {
+	for name, demand := range p.input.Demand {
+		if demand.Waiting == 0 {
+			continue
+		}
+		for _, replica := range p.byVersion[name] {
+			if replica.Spec.Phase != v1.ReplicaLoading {
+				continue
+			}
+			readyIn := replica.Remaining
+			if readyIn == 0 && replica.EnginePhase == "" {
+				readyIn = p.planner.config.Speeds.LoadTime(replica.Spec.WeightBytes, Tier(replica.Spec.Tier))
+			}
+			p.decision.Estimates = append(p.decision.Estimates, Estimate{Version: name, ReadyIn: readyIn})
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/keepalive"
+)
+
+// Config tunes a Planner.
+type Config struct {
+	Speeds TierSpeeds
+	// StoreLoadsPerSecond and StoreConcurrentLoads are the weight store's
+	// limits.
+	StoreLoadsPerSecond  float64
+	StoreConcurrentLoads int
+	KeepAlive            keepalive.Policy
+}
+
+// Planner decides on replicas. What it remembers between passes is soft: a
+// new leader starts without it and at worst keeps replicas a little longer or
+// loads a little later. It is not safe for concurrent use.
+type Planner struct {
+	config Config
+	store  *storePacer
+	// lastUsed is when a replica last served or became ready.
+	lastUsed map[string]time.Time
+	arrivals map[string]uint64
+	// evicting maps a version to when the room made for it must be used.
+	evicting map[string]time.Time
+	// retryAfter holds back versions whose load failed.
+	retryAfter map[string]time.Time
+	// leavingSince is when a machine stopped to accept.
+	leavingSince map[string]time.Time
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner(config Config) *Planner {
+	return &Planner{
+		config:       config,
+		store:        newStorePacer(config.StoreLoadsPerSecond, config.StoreConcurrentLoads),
+		lastUsed:     map[string]time.Time{},
+		arrivals:     map[string]uint64{},
+		evicting:     map[string]time.Time{},
+		retryAfter:   map[string]time.Time{},
+		leavingSince: map[string]time.Time{},
+	}
+}
+
+// pass is the working state of one Decide.
+type pass struct {
+	planner  *Planner
+	input    *Input
+	machines map[string]*room
+	// byVersion holds the replicas that count for a version: loading or
+	// ready, on machines that are not lost.
+	byVersion map[string][]*Replica
+	// changed marks replicas that this pass has acted on.
+	changed  map[*Replica]bool
+	decision Decision
+}
+
+// Decide returns the next changes. The caller must not call again before it
+// has proposed them and seen the outcome in the state.
+func (p *Planner) Decide(input *Input) Decision {
+	current := &pass{
+		planner: p, input: input, machines: map[string]*room{},
+		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
+	}
+	current.open()
+	current.reconcile()
+	current.observeUse()
+	current.retire()
+	current.place()
+	p.forget(input)
+	return current.decision
+}
+
+// open builds the free-memory view: every record reserves, whatever its
+// phase, until the engine has confirmed that it is gone.
+func (p *pass) open() {
+	for name, machine := range p.input.Machines {
+		p.machines[name] = newRoom(machine)
+		if machine.Accepts {
+			delete(p.planner.leavingSince, name)
+		} else if _, known := p.planner.leavingSince[name]; !known {
+			p.planner.leavingSince[name] = p.input.Now
+		}
+	}
+	sort.Slice(p.input.Replicas, func(i, j int) bool { return p.input.Replicas[i].Name < p.input.Replicas[j].Name })
+	for _, replica := range p.input.Replicas {
+		if room := p.machines[replica.Spec.Machine]; room != nil {
+			room.reserve(replica)
+		}
+	}
+}
+
+func (p *pass) act(action Action) {
+	if action.Replica != nil {
+		p.changed[action.Replica] = true
+	}
+	p.decision.Actions = append(p.decision.Actions, action)
+}
+
+// observeUse notes which replicas are in use and which versions are asked
+// for, and counts the replicas of each version.
+func (p *pass) observeUse() {
+	for _, replica := range p.input.Replicas {
+		if p.changed[replica] && replica.Spec.Phase != v1.ReplicaLoading {
+			continue
+		}
+		if replica.Spec.Phase == v1.ReplicaUnloading {
+			continue
+		}
+		machine := p.input.Machines[replica.Spec.Machine]
+		if machine == nil || machine.Lost {
+			continue
+		}
+		p.byVersion[replica.Spec.Version] = append(p.byVersion[replica.Spec.Version], replica)
+		_, known := p.planner.lastUsed[replica.Name]
+		if replica.Running > 0 || !known || replica.Spec.Phase == v1.ReplicaLoading {
+			p.planner.lastUsed[replica.Name] = p.input.Now
+		}
+	}
+	for version, demand := range p.input.Demand {
+		grew := demand.Arrivals > p.planner.arrivals[version]
+		p.planner.arrivals[version] = demand.Arrivals
+		if grew || demand.Waiting > 0 || demand.Running > 0 {
+			p.planner.config.KeepAlive.Used(version, p.input.Now)
+		}
+		if grew || demand.Waiting > 0 {
+			p.touch(version)
+		}
+	}
+}
+
+// touch marks one ready replica of a version as used: a request may have come
+// and gone between two reports.
+func (p *pass) touch(version string) {
+	for _, replica := range p.byVersion[version] {
+		if replica.Spec.Phase == v1.ReplicaReady {
+			p.planner.lastUsed[replica.Name] = p.input.Now
+			return
+		}
+	}
+}
+
+// forget drops what is remembered of replicas and machines that are gone.
+func (p *Planner) forget(input *Input) {
+	present := make(map[string]bool, len(input.Replicas))
+	for _, replica := range input.Replicas {
+		present[replica.Name] = true
+	}
+	for name := range p.lastUsed {
+		if !present[name] {
+			delete(p.lastUsed, name)
+		}
+	}
+	for name := range p.leavingSince {
+		if input.Machines[name] == nil {
+			delete(p.leavingSince, name)
+		}
+	}
+	for version, until := range p.retryAfter {
+		if input.Now.After(until) {
+			delete(p.retryAfter, version)
+		}
+	}
+	for version, until := range p.evicting {
+		if input.Now.After(until) {
+			delete(p.evicting, version)
+		}
+	}
+}
+
+func (p *Planner) subject(version *Version) keepalive.Subject {
+	return keepalive.Subject{
+		Version:         version.Name,
+		Accelerators:    version.Spec.Accelerators,
+		LoadTime:        p.config.Speeds.LoadTime(version.Spec.WeightBytes, TierDisk),
+		ColdStartWeight: version.ColdStartWeight,
+	}
+}
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// Tier is where a machine finds a checkpoint.
+type Tier string
+
+// The tiers, from fast to slow.
+const (
+	TierMemory Tier = "memory"
+	TierDisk   Tier = "disk"
+	TierRemote Tier = "remote"
+)
+
+// TierSpeeds are bytes per second at which weights reach the accelerators.
+type TierSpeeds struct {
+	Memory, Disk, Remote float64
+}
+
+// DefaultTierSpeeds are assumed until loads have been observed.
+var DefaultTierSpeeds = TierSpeeds{Memory: 16e9, Disk: 4e9, Remote: 1e9}
+
+// Of returns the speed of a tier.
+func (s TierSpeeds) Of(tier Tier) float64 {
+	switch tier {
+	case TierMemory:
+		return s.Memory
+	case TierDisk:
+		return s.Disk
+	}
+	return s.Remote
+}
+
+// LoadTime returns how long a load of the given size takes from a tier.
+func (s TierSpeeds) LoadTime(bytes int64, tier Tier) time.Duration {
+	return time.Duration(float64(bytes) / s.Of(tier) * float64(time.Second))
+}
+
+// Version is a declared model version that may be loaded.
+type Version struct {
+	Name            string
+	Spec            *v1.ModelVersionSpec
+	MinReplicas     int
+	MaxReplicas     int
+	ColdStartWeight float64
+	Priority        int32
+}
+
+// Machine is a declared machine as observed.
+type Machine struct {
+	Name             string
+	Zone             string
+	Accelerators     int
+	AcceleratorBytes int64
+	Incarnation      uint64
+	// Accepts is set for a live machine that may get new replicas.
+	Accepts bool
+	// Lost is set for a machine that has been silent too long.
+	Lost bool
+	// Tiers holds the checkpoints that are not only remote.
+	Tiers map[string]Tier
+	// Fence is the highest fence that the engine has accepted.
+	Fence uint64
+}
+
+// Replica is a decided replica with what its engine reports of it.
+type Replica struct {
+	Name     string
+	Revision uint64
+	Spec     *v1.ReplicaSpec
+	// Observed is set where the engine answered with the same incarnation
+	// as the replica's, after the decision reached it.
+	Observed bool
+	// Restarted is set where the engine runs under a later incarnation.
+	Restarted bool
+	// EnginePhase is the engine's own phase; empty if it lists no such replica.
+	EnginePhase string
+	Remaining   time.Duration
+	Running     int
+}
+
+// The phases that engines report.
+const (
+	EngineLoading   = "loading"
+	EngineReady     = "ready"
+	EngineFailed    = "failed"
+	EngineUnloading = "unloading"
+)
+
+// Demand is what all routers together ask of a version.
+type Demand struct {
+	Waiting    int
+	Running    int
+	Arrivals   uint64
+	OldestWait time.Duration
+	Priority   int32
+}
+
+// Input is everything that a decision depends on.
+type Input struct {
+	Now      time.Time
+	Versions map[string]*Version
+	Machines map[string]*Machine
+	Replicas []*Replica
+	Demand   map[string]*Demand
+}
+
+// ActionKind is what to do to a replica record.
+type ActionKind string
+
+// The kinds of actions.
+const (
+	// ActionLoad creates a record in phase Loading.
+	ActionLoad ActionKind = "load"
+	// ActionReady moves it to Ready.
+	ActionReady ActionKind = "ready"
+	// ActionUnload moves it to Unloading.
+	ActionUnload ActionKind = "unload"
+	// ActionRemove deletes it and frees its reservation.
+	ActionRemove ActionKind = "remove"
+)
+
+// Action is one change of a replica record.
+type Action struct {
+	Kind ActionKind
+	// Replica is the record to change; nil for ActionLoad.
+	Replica *Replica
+	// Spec is the new record's for ActionLoad.
+	Spec *v1.ReplicaSpec
+	// Reason says why, for logs and metrics.
+	Reason string
+}
+
+// Estimate tells routers when a version that they wait for may be ready.
+type Estimate struct {
+	Version string
+	ReadyIn time.Duration
+	// Refused is set where the version can't be loaded; Reason says why.
+	Refused bool
+	Reason  string
+}
+
+// Decision is what Decide returns.
+type Decision struct {
+	Actions   []Action
+	Estimates []Estimate
+}
--- /dev/null
+++ b/internal/placement/want.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// want is one replica that should be loaded.
+type want struct {
+	version *Version
+	// waiting is how long the oldest request has waited; 0 for prewarming.
+	waiting  time.Duration
+	urgent   bool
+	priority int32
+	loadTime time.Duration
+}
+
+// wants lists the replicas to load, most urgent first: requests that wait
+// come before replicas kept in reserve; then by priority, then by who has
+// waited longest for the time that the load takes.
+func (p *pass) wants() []want {
+	var wanted []want
+	for name, version := range p.input.Versions {
+		missing := p.missing(name, version)
+		if missing <= 0 {
+			continue
+		}
+		entry := want{version: version, loadTime: p.planner.config.Speeds.LoadTime(version.Spec.WeightBytes, TierDisk)}
+		if demand := p.input.Demand[name]; demand != nil && demand.Waiting > 0 {
+			entry.urgent = true
+			entry.waiting = demand.OldestWait
+			entry.priority = max(demand.Priority, version.Priority)
+		}
+		for range missing {
+			wanted = append(wanted, entry)
+		}
+	}
+	sort.Slice(wanted, func(i, j int) bool { return wanted[i].before(wanted[j]) })
+	return wanted
+}
+
+func (w want) before(other want) bool {
+	switch {
+	case w.urgent != other.urgent:
+		return w.urgent
+	case w.priority != other.priority:
+		return w.priority > other.priority
+	case w.score() != other.score():
+		return w.score() > other.score()
+	}
+	return w.version.Name < other.version.Name
+}
+
+// score is the response ratio: the time waited and to wait, over the time
+// that the load takes. Short loads go first, and none starves.
+func (w want) score() float64 {
+	load := max(w.loadTime, time.Millisecond).Seconds()
+	return (w.waiting.Seconds() + load) / load
+}
+
+// missing returns how many more replicas a version should have.
+func (p *pass) missing(name string, version *Version) int {
+	if p.input.Now.Before(p.planner.retryAfter[name]) {
+		return 0
+	}
+	desired := version.MinReplicas
+	usable := 0
+	for _, replica := range p.byVersion[name] {
+		if p.input.Machines[replica.Spec.Machine].Accepts {
+			usable++
+		}
+	}
+	if demand := p.input.Demand[name]; demand != nil {
+		desired = max(desired, p.desiredFor(demand, version, usable))
+	}
+	if desired == 0 && p.planner.config.KeepAlive.Prewarm(p.planner.subject(version), p.input.Now) {
+		desired = 1
+	}
+	if desired == 0 && p.mustReplace(name) {
+		desired = 1
+	}
+	// The state machine counts every replica that is loading or ready, also
+	// on machines that leave.
+	allowed := version.MaxReplicas - len(p.byVersion[name])
+	return min(desired-usable, allowed)
+}
+
+// desiredFor sizes a version for its load. A further replica is worth its
+// load only where those present are full.
+func (p *pass) desiredFor(demand *Demand, version *Version, usable int) int {
+	if demand.Waiting == 0 {
+		return min(usable, version.MaxReplicas)
+	}
+	slots := version.Spec.MaxConcurrent
+	total := demand.Waiting + demand.Running
+	return min(version.MaxReplicas, max(1, (total+slots-1)/slots))
+}
+
+// mustReplace reports whether a replica in use sits on a machine that leaves.
+func (p *pass) mustReplace(name string) bool {
+	for _, replica := range p.byVersion[name] {
+		leaving := !p.input.Machines[replica.Spec.Machine].Accepts
+		if leaving && replica.Spec.Phase == v1.ReplicaReady && replica.Running > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/problem/problem.go
@@ -0,0 +1,141 @@
+// Package problem writes errors to HTTP clients as RFC 9457 problem documents.
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+const (
+	// ContentType is the media type of problem documents.
+	ContentType = "application/problem+json"
+	typePrefix  = "https://weldline.dev/problems/"
+)
+
+// Outcome tells a caller whether the request may have run.
+type Outcome string
+
+// The outcomes of a failed request.
+const (
+	// OutcomeNotRun: proved not to have run, and won't.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown: it may have run, or may be running.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Document is a problem document.
+type Document struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail,omitempty"`
+	Field   string  `json:"field,omitempty"`
+	Outcome Outcome `json:"outcome,omitempty"`
+	// ResourceVersion is the present one where a conditional write failed.
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+	RequestID       string `json:"requestId,omitempty"`
+	// RetryAfter is also sent as a header, in whole seconds.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// The names of problem types, documented in docs/API.md.
+const (
+	TypeInvalid       = "invalid"
+	TypeConflict      = "conflict"
+	TypeNotFound      = "not-found"
+	TypeInUse         = "in-use"
+	TypeUnauthorized  = "unauthorized"
+	TypeExpired       = "expired"
+	TypeUnavailable   = "unavailable"
+	TypeDeadline      = "deadline"
+	TypeOverloaded    = "overloaded"
+	TypeLimited       = "limited"
+	TypeTooLarge      = "too-large"
+	TypeKeyMismatch   = "idempotency-key-mismatch"
+	TypeKeyMissing    = "idempotency-key-missing"
+	TypeUnknown       = "outcome-unknown"
+	TypeEngineFailed  = "engine-failed"
+	TypeStreamBroken  = "stream-broken"
+	TypeNotLoadable   = "not-loadable"
+	TypeStopping      = "stopping"
+	TypeInternalError = "internal"
+)
+
+var titles = map[string]string{
+	TypeInvalid:       "The request is not valid",
+	TypeConflict:      "The resource has another version",
+	TypeNotFound:      "There is no such thing",
+	TypeInUse:         "The resource is in use",
+	TypeUnauthorized:  "The token does not allow this",
+	TypeExpired:       "The position is too old; list again",
+	TypeUnavailable:   "The service can't answer now",
+	TypeDeadline:      "The deadline can't be met",
+	TypeOverloaded:    "Too many requests wait already",
+	TypeLimited:       "A declared limit is reached",
+	TypeTooLarge:      "The request is too large",
+	TypeKeyMismatch:   "The key was used for another request",
+	TypeKeyMissing:    "An Idempotency-Key is required",
+	TypeUnknown:       "The outcome is not known",
+	TypeEngineFailed:  "The back end failed",
+	TypeStreamBroken:  "The stream broke before its end",
+	TypeNotLoadable:   "The model can't be loaded",
+	TypeStopping:      "This node is stopping",
+	TypeInternalError: "An internal error",
+}
+
+// New returns a document of a type.
+func New(kind string, status int, detail string) *Document {
+	return &Document{Type: typePrefix + kind, Title: titles[kind], Status: status, Detail: detail}
+}
+
+// Kind returns the document's type without its prefix.
+func (d *Document) Kind() string {
+	return d.Type[len(typePrefix):]
+}
+
+// FromError returns the document for a typed error.
+func FromError(err error) *Document {
+	for _, mapping := range mappings {
+		if fault.Is(err, mapping.fault) {
+			document := New(mapping.kind, mapping.status, fault.Message(err))
+			document.Field = fault.FieldOf(err)
+			return document
+		}
+	}
+	return New(TypeInternalError, http.StatusInternalServerError, fault.Message(err))
+}
+
+var mappings = []struct {
+	fault  *errorx.Type
+	kind   string
+	status int
+}{
+	{fault.Invalid, TypeInvalid, http.StatusUnprocessableEntity},
+	{fault.Conflict, TypeConflict, http.StatusConflict},
+	{fault.NotFound, TypeNotFound, http.StatusNotFound},
+	{fault.InUse, TypeInUse, http.StatusConflict},
+	{fault.Unauthorized, TypeUnauthorized, http.StatusUnauthorized},
+	{fault.Expired, TypeExpired, http.StatusGone},
+	{fault.Unavailable, TypeUnavailable, http.StatusServiceUnavailable},
+	{fault.Deadline, TypeDeadline, http.StatusGatewayTimeout},
+	{fault.Refused, TypeOverloaded, http.StatusTooManyRequests},
+	{fault.Engine, TypeEngineFailed, http.StatusBadGateway},
+}
+
+// Write sends the document.
+func (d *Document) Write(writer http.ResponseWriter) {
+	header := writer.Header()
+	header.Set("Content-Type", ContentType)
+	if d.RetryAfter > 0 {
+		seconds := int64((d.RetryAfter + time.Second - 1) / time.Second)
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writer.WriteHeader(d.Status)
+	_ = json.NewEncoder(writer).Encode(d)
+}
--- /dev/null
+++ b/internal/raft/raft.go
@@ -0,0 +1,298 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// None is the id of no node.
+const None uint64 = 0
+
+// Role is the part that a node plays in its term.
+type Role int
+
+// The roles of a node.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Config is fixed for the life of a node.
+type Config struct {
+	// ID is the node's id, not None.
+	ID uint64
+	// ElectionTimeout is how long a follower waits for a leader.
+	ElectionTimeout time.Duration
+	// HeartbeatInterval is how often a leader sends heartbeats.
+	HeartbeatInterval time.Duration
+	// LeaseMargin is by how much the leader's lease ends before the
+	// followers' promise does.
+	LeaseMargin time.Duration
+	// MaxEntriesPerMessage bounds an append message.
+	MaxEntriesPerMessage int
+	// MaxInflightMessages bounds unanswered append messages to one peer.
+	MaxInflightMessages int
+	// Random returns a number in [0, n).
+	Random func(n int64) int64
+}
+
+// Stored is what a node finds in its storage when it starts.
+type Stored struct {
+	HardState *wirepb.HardState
+	// Snapshot is the position that the stored snapshot covers; nil if none.
+	Snapshot *wirepb.SnapshotMeta
+	// Entries follow the snapshot without a gap.
+	Entries []*wirepb.Entry
+	// Membership is used where there is no snapshot.
+	Membership *wirepb.Membership
+}
+
+// Ready is what the driver must do; see the package documentation for the
+// order.
+type Ready struct {
+	// HardState is nil if unchanged.
+	HardState *wirepb.HardState
+	// TermChanged is set where the term or vote changed: these must be
+	// durable, while a lost commit index is learned again.
+	TermChanged bool
+	// Entries must be appended; they replace stored ones of the same index
+	// and all that follow those.
+	Entries []*wirepb.Entry
+	// Snapshot replaces the state machine and the stored log.
+	Snapshot *wirepb.Snapshot
+	Messages []*wirepb.RaftMessage
+	// Committed entries are to be applied in order.
+	Committed []*wirepb.Entry
+}
+
+// Empty reports whether there is nothing to do.
+func (r Ready) Empty() bool {
+	return r.HardState == nil && len(r.Entries) == 0 && r.Snapshot == nil &&
+		len(r.Messages) == 0 && len(r.Committed) == 0
+}
+
+// Node is one member of the replicated log. It is not safe for concurrent
+// use.
+type Node struct {
+	config     Config
+	role       Role
+	term       uint64
+	vote       uint64
+	leader     uint64
+	log        entryLog
+	membership *wirepb.Membership
+
+	now time.Duration
+	// lastContact is when this node last heard from a leader, or started.
+	lastContact      time.Duration
+	electionDeadline time.Duration
+	heartbeatDue     time.Duration
+
+	votes    map[uint64]bool
+	progress map[uint64]*progress
+	lease    lease
+	// pendingMembership is the index of the newest membership entry that may
+	// not be applied yet; a second change must wait for it.
+	pendingMembership uint64
+	transferTo        uint64
+
+	messages  []*wirepb.RaftMessage
+	persisted *wirepb.HardState
+	snapshot  *wirepb.Snapshot
+	// provider returns the newest snapshot for peers that are too far behind.
+	provider func() *wirepb.Snapshot
+}
+
+// New returns a node in the follower role. The provider returns the newest
+// durable snapshot.
+func New(config Config, stored Stored, now time.Duration, provider func() *wirepb.Snapshot) (*Node, error) {
+	if config.ID == None {
+		return nil, fault.InvalidField("id", "a node's id must not be 0")
+	}
+	if config.LeaseMargin >= config.ElectionTimeout {
+		return nil, fault.InvalidField("leaseMargin", "must be shorter than the election timeout")
+	}
+	node := &Node{config: config, now: now, provider: provider, membership: stored.Membership}
+	if stored.Snapshot != nil {
+		node.membership = stored.Snapshot.GetMembership()
+	}
+	if node.membership == nil {
+		node.membership = &wirepb.Membership{}
+	}
+	node.log = newEntryLog(stored.Snapshot, stored.Entries)
+	node.term = stored.HardState.GetTerm()
+	node.vote = stored.HardState.GetVote()
+	if commit := stored.HardState.GetCommit(); commit > node.log.committed {
+		if commit > node.log.lastIndex() {
+			return nil, fault.Corrupt.New("commit index %d is past the last stored entry %d", commit, node.log.lastIndex())
+		}
+		node.log.committed = commit
+	}
+	node.persisted = node.hardState()
+	node.lastContact = now
+	node.becomeFollower(node.term, None)
+	return node, nil
+}
+
+func (n *Node) hardState() *wirepb.HardState {
+	return &wirepb.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
+}
+
+// Tick advances time: it starts elections and sends heartbeats that are due.
+func (n *Node) Tick(now time.Duration) {
+	n.advanceClock(now)
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.now >= n.electionDeadline && n.isVoter(n.config.ID) {
+		n.campaign()
+	}
+}
+
+func (n *Node) advanceClock(now time.Duration) {
+	if now > n.now {
+		n.now = now
+	}
+}
+
+// Step handles a message from another node.
+func (n *Node) Step(now time.Duration, message *wirepb.RaftMessage) {
+	n.advanceClock(now)
+	if !n.checkTerm(message) {
+		return
+	}
+	switch message.GetType() {
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
+		n.handleVoteRequest(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY, wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_REPLY:
+		n.handleVoteReply(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
+		n.handleAppend(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_REPLY:
+		n.handleAppendReply(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
+		n.handleHeartbeat(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_REPLY:
+		n.handleHeartbeatReply(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
+		n.handleSnapshot(message)
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW:
+		n.handleTimeoutNow()
+	}
+}
+
+// Ready returns the outstanding work. Until Advance is called, the same work
+// is returned again, with what has come since.
+func (n *Node) Ready() Ready {
+	ready := Ready{
+		Entries:  n.log.unstable(),
+		Snapshot: n.snapshot,
+		Messages: n.messages,
+	}
+	if current := n.hardState(); !sameHardState(current, n.persisted) {
+		ready.HardState = current
+		ready.TermChanged = current.GetTerm() != n.persisted.GetTerm() || current.GetVote() != n.persisted.GetVote()
+	}
+	if n.snapshot == nil {
+		ready.Committed = n.log.unapplied()
+	}
+	return ready
+}
+
+func sameHardState(left, right *wirepb.HardState) bool {
+	return left.GetTerm() == right.GetTerm() && left.GetVote() == right.GetVote() && left.GetCommit() == right.GetCommit()
+}
+
+// Advance tells the node that a Ready has been carried out.
+func (n *Node) Advance(ready Ready) {
+	if ready.HardState != nil {
+		n.persisted = ready.HardState
+	}
+	n.messages = n.messages[len(ready.Messages):]
+	if ready.Snapshot != nil && ready.Snapshot == n.snapshot {
+		n.snapshot = nil
+	}
+	if count := len(ready.Entries); count > 0 {
+		last := ready.Entries[count-1]
+		n.log.stableTo(last.GetIndex(), last.GetTerm())
+	}
+	for _, entry := range ready.Committed {
+		n.applied(entry)
+	}
+	if n.role == Leader && len(ready.Entries) > 0 {
+		n.acknowledgeOwnEntries()
+	}
+}
+
+func (n *Node) applied(entry *wirepb.Entry) {
+	n.log.applied = entry.GetIndex()
+	if entry.GetKind() == wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		n.applyMembership(entry)
+	}
+}
+
+// Compact forgets entries up to index, which a durable snapshot covers.
+func (n *Node) Compact(index uint64) {
+	n.log.compact(index)
+}
+
+// EntriesAfterSnapshot returns the entries still held, for a fresh log file.
+func (n *Node) EntriesAfterSnapshot() []*wirepb.Entry {
+	return n.log.entries
+}
+
+// HardState returns the term, vote and commit index to store.
+func (n *Node) HardState() *wirepb.HardState {
+	return n.hardState()
+}
+
+// MetaAt describes a snapshot of everything up to index.
+func (n *Node) MetaAt(index uint64) *wirepb.SnapshotMeta {
+	return &wirepb.SnapshotMeta{Index: index, Term: n.log.term(index), Membership: n.membership}
+}
+
+// Status is a view of a node for its driver, tests and operators.
+type Status struct {
+	ID, Term, Leader         uint64
+	Role                     Role
+	Committed, Applied, Last uint64
+	Voters, Learners         []uint64
+	// LeaseUntil is when the leader's lease ends, 0 if it holds none.
+	LeaseUntil time.Duration
+	// CommittedOwnTerm is set once a leader has committed an entry of its
+	// term, and so knows everything committed before.
+	CommittedOwnTerm bool
+	// FirstHeld is the index of the oldest entry still held.
+	FirstHeld uint64
+	// PendingMembership is the index of the newest membership entry that may
+	// not be applied yet.
+	PendingMembership uint64
+}
+
+// Status returns the node's present state.
+func (n *Node) Status() Status {
+	return Status{
+		ID: n.config.ID, Term: n.term, Leader: n.leader, Role: n.role,
+		Committed: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
+		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
+		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1, PendingMembership: n.pendingMembership,
+	}
+}
+
+func (n *Node) send(message *wirepb.RaftMessage) {
+	message.From = n.config.ID
+	if message.Term == 0 {
+		message.Term = n.term
+	}
+	n.messages = append(n.messages, message)
+}
--- /dev/null
+++ b/internal/resourceapi/write.go
@@ -0,0 +1,231 @@
+package resourceapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// conflictRevision carries the stored revision in a Conflict error.
+var conflictRevision = errorx.RegisterProperty("conflict_revision")
+
+func conflictOf(err error) (uint64, bool) {
+	value, found := errorx.ExtractProperty(err, conflictRevision)
+	revision, isRevision := value.(uint64)
+	return revision, found && isRevision
+}
+
+// ApplyRequest is the body of POST /apply.
+type ApplyRequest struct {
+	Items []v1.Resource `json:"items"`
+	// Delete lists resources to delete in the same step.
+	Delete []ResourceName `json:"delete,omitempty"`
+	// DryRun checks everything and changes nothing.
+	DryRun bool `json:"dryRun,omitempty"`
+}
+
+// ResourceName names a resource.
+type ResourceName struct {
+	Kind v1.Kind `json:"kind"`
+	Name string  `json:"name"`
+	// ResourceVersion makes the deletion conditional if set.
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+// ApplyResult is the answer of POST /apply.
+type ApplyResult struct {
+	ResourceVersion string `json:"resourceVersion"`
+	// Changed lists the resources that were created or changed.
+	Changed []ResourceName `json:"changed"`
+	DryRun  bool           `json:"dryRun,omitempty"`
+}
+
+func (a *API) put(writer http.ResponseWriter, request *http.Request) error {
+	kind, err := kindOf(request)
+	if err != nil {
+		return err
+	}
+	var resource v1.Resource
+	if err := decodeBody(request, &resource); err != nil {
+		return err
+	}
+	name := mux.Vars(request)["name"]
+	if resource.Kind != kind || resource.Metadata.Name != name {
+		return fault.InvalidField("metadata.name", "the body names %s %s, the path %s %s", resource.Kind, resource.Metadata.Name, kind, name)
+	}
+	write, err := putWrite(&resource)
+	if err != nil {
+		return err
+	}
+	result, err := a.commit(request, []*wirepb.ObjectWrite{write})
+	if err != nil {
+		return err
+	}
+	resource.Metadata.ResourceVersion = strconv.FormatUint(result.GetRevision(), 10)
+	if len(result.GetObjects()) > 0 {
+		resource.Metadata.Generation = result.GetObjects()[0].GetGeneration()
+	}
+	return respond(writer, resource)
+}
+
+// putWrite checks a resource in full and returns its conditional write.
+func putWrite(resource *v1.Resource) (*wirepb.ObjectWrite, error) {
+	if resource.Kind == v1.KindReplica {
+		return nil, fault.InvalidField("kind", "Replica is written by weldline only")
+	}
+	if _, err := v1.Normalize(resource); err != nil {
+		return nil, err
+	}
+	expected, err := v1.ParseRevision(resource.Metadata.ResourceVersion)
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.ObjectWrite{
+		Operation: wirepb.ObjectWrite_OPERATION_PUT, ExpectedRevision: expected,
+		Object: &wirepb.Object{
+			Kind: string(resource.Kind), Name: resource.Metadata.Name,
+			Spec: resource.Spec, Labels: resource.Metadata.Labels,
+		},
+	}, nil
+}
+
+func deleteWrite(kind v1.Kind, name, version string) (*wirepb.ObjectWrite, error) {
+	if kind == v1.KindReplica {
+		return nil, fault.InvalidField("kind", "Replica is written by weldline only")
+	}
+	expected, err := v1.ParseRevision(version)
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.ObjectWrite{
+		Operation: wirepb.ObjectWrite_OPERATION_DELETE, ExpectedRevision: expected,
+		Object: &wirepb.Object{Kind: string(kind), Name: name},
+	}, nil
+}
+
+func (a *API) remove(writer http.ResponseWriter, request *http.Request) error {
+	kind, err := kindOf(request)
+	if err != nil {
+		return err
+	}
+	name := mux.Vars(request)["name"]
+	write, err := deleteWrite(kind, name, request.URL.Query().Get("resourceVersion"))
+	if err != nil {
+		return err
+	}
+	result, err := a.commit(request, []*wirepb.ObjectWrite{write})
+	if err != nil {
+		return err
+	}
+	return respond(writer, ApplyResult{
+		ResourceVersion: strconv.FormatUint(result.GetRevision(), 10),
+		Changed:         []ResourceName{{Kind: kind, Name: name}},
+	})
+}
+
+func (a *API) apply(writer http.ResponseWriter, request *http.Request) error {
+	var body ApplyRequest
+	if err := decodeBody(request, &body); err != nil {
+		return err
+	}
+	writes, err := applyWrites(&body)
+	if err != nil {
+		return err
+	}
+	var result *wirepb.WriteResult
+	if body.DryRun {
+		result, err = a.dryRun(request, writes)
+	} else {
+		result, err = a.commit(request, writes)
+	}
+	if err != nil {
+		return err
+	}
+	answer := ApplyResult{
+		ResourceVersion: strconv.FormatUint(result.GetRevision(), 10), DryRun: body.DryRun, Changed: []ResourceName{},
+	}
+	for _, object := range result.GetObjects() {
+		answer.Changed = append(answer.Changed, ResourceName{
+			Kind: v1.Kind(object.GetKind()), Name: object.GetName(),
+			ResourceVersion: strconv.FormatUint(object.GetRevision(), 10),
+		})
+	}
+	return respond(writer, answer)
+}
+
+func applyWrites(body *ApplyRequest) ([]*wirepb.ObjectWrite, error) {
+	writes := make([]*wirepb.ObjectWrite, 0, len(body.Items)+len(body.Delete))
+	for position := range body.Items {
+		write, err := putWrite(&body.Items[position])
+		if err != nil {
+			return nil, inItem(err, "items", position)
+		}
+		writes = append(writes, write)
+	}
+	for position, target := range body.Delete {
+		write, err := deleteWrite(target.Kind, target.Name, target.ResourceVersion)
+		if err != nil {
+			return nil, inItem(err, "delete", position)
+		}
+		writes = append(writes, write)
+	}
+	return writes, nil
+}
+
+func inItem(err error, list string, position int) error {
+	field := list + "[" + strconv.Itoa(position) + "]." + fault.FieldOf(err)
+	return fault.InvalidField(field, "%s", fault.Message(err))
+}
+
+func (a *API) dryRun(request *http.Request, writes []*wirepb.ObjectWrite) (*wirepb.WriteResult, error) {
+	if err := a.barrier(request); err != nil {
+		return nil, err
+	}
+	var result *wirepb.WriteResult
+	a.store.Read(func(machine *state.Machine) { result = machine.DryRun(writes) })
+	return result, resultError(result)
+}
+
+func (a *API) commit(request *http.Request, writes []*wirepb.ObjectWrite) (*wirepb.WriteResult, error) {
+	ctx, cancel := context.WithTimeout(request.Context(), writeTimeout)
+	defer cancel()
+	command := &wirepb.Command{
+		RequestId: request.Header.Get("Idempotency-Key"),
+		Body:      &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}},
+	}
+	result, err := a.store.Propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	if result.GetWrite() == nil {
+		return nil, fault.InvalidField("Idempotency-Key", "%s", result.GetMessage())
+	}
+	return result.GetWrite(), resultError(result.GetWrite())
+}
+
+// resultError returns the typed error of a failed write.
+func resultError(result *wirepb.WriteResult) error {
+	switch result.GetCode() {
+	case wirepb.ResultCode_RESULT_CODE_OK:
+		return nil
+	case wirepb.ResultCode_RESULT_CODE_CONFLICT:
+		return fault.Conflict.New("%s", result.GetMessage()).
+			WithProperty(fault.Field, result.GetField()).
+			WithProperty(conflictRevision, result.GetCurrentRevision())
+	case wirepb.ResultCode_RESULT_CODE_NOT_FOUND:
+		return fault.NotFound.New("%s", result.GetMessage())
+	case wirepb.ResultCode_RESULT_CODE_IN_USE:
+		return fault.InUse.New("%s", result.GetMessage())
+	case wirepb.ResultCode_RESULT_CODE_UNAVAILABLE:
+		return fault.Unavailable.New("%s", result.GetMessage())
+	}
+	return fault.InvalidField(result.GetField(), "%s", result.GetMessage())
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,279 @@
+package state
+
+import (
+	"bytes"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// MaxRequestRecords bounds the remembered results of operators' requests.
+	MaxRequestRecords = 4096
+	// MaxEventsKept bounds the changes kept for watchers. A watcher that is
+	// further behind lists again.
+	MaxEventsKept = 16384
+)
+
+// Key identifies an object.
+type Key struct {
+	Kind v1.Kind
+	Name string
+}
+
+// KeyOf returns the key of an object.
+func KeyOf(object *wirepb.Object) Key {
+	return Key{Kind: v1.Kind(object.GetKind()), Name: object.GetName()}
+}
+
+// Machine is the replicated state. It is not safe for concurrent use.
+// Objects that it hands out must not be changed.
+type Machine struct {
+	revision uint64
+	clock    int64
+	objects  map[Key]*wirepb.Object
+	specs    map[Key]v1.Spec
+	// replicasOn and replicasOf index the replicas by machine and by model.
+	replicasOn index
+	replicasOf index
+	claims     claimTable
+	requests   requestTable
+	events     []*wirepb.WatchEvent
+	// compacted is the highest revision whose event is no longer kept.
+	compacted uint64
+}
+
+// New returns an empty state.
+func New() *Machine {
+	return &Machine{
+		objects:    map[Key]*wirepb.Object{},
+		specs:      map[Key]v1.Spec{},
+		replicasOn: index{},
+		replicasOf: index{},
+		claims:     newClaimTable(),
+		requests:   newRequestTable(),
+	}
+}
+
+// Revision is the number of the newest change.
+func (m *Machine) Revision() uint64 { return m.revision }
+
+// ClockMillis is the newest proposer's clock seen, in Unix milliseconds.
+func (m *Machine) ClockMillis() int64 { return m.clock }
+
+// Get returns an object, or nil.
+func (m *Machine) Get(kind v1.Kind, name string) *wirepb.Object {
+	return m.objects[Key{kind, name}]
+}
+
+// Spec returns the decoded spec of an object, or nil.
+func (m *Machine) Spec(kind v1.Kind, name string) v1.Spec {
+	return m.specs[Key{kind, name}]
+}
+
+// Each calls visit for every object, in no order.
+func (m *Machine) Each(visit func(object *wirepb.Object, spec v1.Spec)) {
+	for key, object := range m.objects {
+		visit(object, m.specs[key])
+	}
+}
+
+// List returns the objects of a kind by name; of all kinds if kind is empty.
+func (m *Machine) List(kind v1.Kind) []*wirepb.Object {
+	var listed []*wirepb.Object
+	for key, object := range m.objects {
+		if kind == "" || key.Kind == kind {
+			listed = append(listed, object)
+		}
+	}
+	sort.Slice(listed, func(i, j int) bool {
+		if listed[i].GetKind() != listed[j].GetKind() {
+			return listed[i].GetKind() < listed[j].GetKind()
+		}
+		return listed[i].GetName() < listed[j].GetName()
+	})
+	return listed
+}
+
+// Apply applies one command of the log.
+func (m *Machine) Apply(data []byte) *wirepb.CommandResult {
+	if len(data) == 0 {
+		return &wirepb.CommandResult{}
+	}
+	command := &wirepb.Command{}
+	if err := proto.Unmarshal(data, command); err != nil {
+		return &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_INVALID, Message: "undecodable command"}
+	}
+	// Leaders' clocks differ; the state's must not run backwards.
+	m.clock = max(m.clock, command.GetProposedUnixMs())
+	fingerprint := fingerprintOf(command)
+	if earlier, found := m.requests.lookup(command.GetRequestId(), fingerprint); found {
+		return earlier
+	}
+	result := m.applyBody(command)
+	m.requests.record(command.GetRequestId(), fingerprint, result)
+	return result
+}
+
+func (m *Machine) applyBody(command *wirepb.Command) *wirepb.CommandResult {
+	switch body := command.GetBody().(type) {
+	case *wirepb.Command_Write:
+		write := m.applyWrites(body.Write.GetWrites())
+		return &wirepb.CommandResult{Code: write.GetCode(), Message: write.GetMessage(), Write: write}
+	case *wirepb.Command_Claims:
+		result := &wirepb.CommandResult{}
+		for _, claim := range body.Claims.GetClaims() {
+			result.Claims = append(result.Claims, m.claims.apply(claim, m.clock))
+		}
+		return result
+	case *wirepb.Command_ClaimSweep:
+		m.claims.sweep(m.clock)
+		return &wirepb.CommandResult{}
+	}
+	return &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_INVALID, Message: "unknown command"}
+}
+
+// DryRun returns what a write command would do now, and changes nothing.
+func (m *Machine) DryRun(writes []*wirepb.ObjectWrite) *wirepb.WriteResult {
+	batch, failure := m.stageAll(writes)
+	if failure != nil {
+		return failure
+	}
+	result := &wirepb.WriteResult{Revision: m.revision}
+	for _, key := range batch.order {
+		if staged := batch.staged[key]; staged.object != nil {
+			result.Objects = append(result.Objects, identityOf(staged.object))
+		}
+	}
+	return result
+}
+
+// applyWrites applies all writes at one revision, or none.
+func (m *Machine) applyWrites(writes []*wirepb.ObjectWrite) *wirepb.WriteResult {
+	batch, failure := m.stageAll(writes)
+	if failure != nil {
+		return failure
+	}
+	return batch.commit()
+}
+
+// stageAll checks all writes together without making them visible.
+func (m *Machine) stageAll(writes []*wirepb.ObjectWrite) (*overlay, *wirepb.WriteResult) {
+	batch := newOverlay(m)
+	for position, write := range writes {
+		if failure := batch.stage(write); failure != nil {
+			failure.FailedWrite = uint32(position)
+			failure.Revision = m.revision
+			return nil, failure
+		}
+	}
+	if failure := batch.checkReferences(); failure != nil {
+		failure.Revision = m.revision
+		return nil, failure
+	}
+	if failure := batch.checkReservations(); failure != nil {
+		failure.Revision = m.revision
+		return nil, failure
+	}
+	return batch, nil
+}
+
+func (m *Machine) put(object *wirepb.Object, spec v1.Spec) {
+	key := KeyOf(object)
+	m.store(key, object, spec)
+	m.remember(&wirepb.WatchEvent{Object: object})
+}
+
+func (m *Machine) store(key Key, object *wirepb.Object, spec v1.Spec) {
+	m.objects[key] = object
+	m.specs[key] = spec
+	if replica, isReplica := spec.(*v1.ReplicaSpec); isReplica {
+		m.replicasOn.add(replica.Machine, key.Name)
+		m.replicasOf.add(replica.Model, key.Name)
+	}
+}
+
+func (m *Machine) remove(key Key) {
+	if replica, isReplica := m.specs[key].(*v1.ReplicaSpec); isReplica {
+		m.replicasOn.remove(replica.Machine, key.Name)
+		m.replicasOf.remove(replica.Model, key.Name)
+	}
+	delete(m.objects, key)
+	delete(m.specs, key)
+	tombstone := &wirepb.Object{Kind: string(key.Kind), Name: key.Name, Revision: m.revision}
+	m.remember(&wirepb.WatchEvent{Deleted: true, Object: tombstone})
+}
+
+func (m *Machine) remember(event *wirepb.WatchEvent) {
+	m.events = append(m.events, event)
+	if len(m.events) <= 2*MaxEventsKept {
+		return
+	}
+	dropped := len(m.events) - MaxEventsKept
+	m.compacted = m.events[dropped-1].GetObject().GetRevision()
+	m.events = append([]*wirepb.WatchEvent(nil), m.events[dropped:]...)
+}
+
+// EventsAfter returns the changes after a revision in order, or an Expired
+// error where they are no longer kept.
+func (m *Machine) EventsAfter(revision uint64) ([]*wirepb.WatchEvent, error) {
+	if revision < m.compacted {
+		return nil, fault.Expired.New("revision %d is too old; list again", revision)
+	}
+	first := sort.Search(len(m.events), func(i int) bool {
+		return m.events[i].GetObject().GetRevision() > revision
+	})
+	return m.events[first:len(m.events):len(m.events)], nil
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	snapshot := &wirepb.StateSnapshot{
+		Revision:       m.revision,
+		ClockUnixMs:    m.clock,
+		Objects:        m.List(""),
+		Claims:         m.claims.list(),
+		RequestRecords: m.requests.list(),
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	if err != nil {
+		return nil, fault.Internal.Wrap(err, "encoding the state")
+	}
+	return data, nil
+}
+
+// Restore replaces the whole state. Watchers must list again, because the
+// changes that led to it are not known.
+func (m *Machine) Restore(data []byte) error {
+	snapshot := &wirepb.StateSnapshot{}
+	if err := proto.Unmarshal(data, snapshot); err != nil {
+		return fault.Corrupt.Wrap(err, "decoding a state snapshot")
+	}
+	restored := New()
+	restored.revision = snapshot.GetRevision()
+	restored.compacted = snapshot.GetRevision()
+	restored.clock = snapshot.GetClockUnixMs()
+	for _, object := range snapshot.GetObjects() {
+		spec, err := v1.DecodeSpec(v1.Kind(object.GetKind()), object.GetSpec())
+		if err != nil {
+			return fault.Corrupt.Wrap(err, "decoding %s %s of a state snapshot", object.GetKind(), object.GetName())
+		}
+		restored.store(KeyOf(object), object, spec)
+	}
+	for _, claim := range snapshot.GetClaims() {
+		restored.claims.records[claim.GetKey()] = claim
+	}
+	for _, record := range snapshot.GetRequestRecords() {
+		restored.requests.add(record)
+	}
+	*m = *restored
+	return nil
+}
+
+func sameSpec(left, right *wirepb.Object) bool {
+	return bytes.Equal(left.GetSpec(), right.GetSpec())
+}
--- /dev/null
+++ b/internal/state/reservations.go
@@ -0,0 +1,135 @@
+package state
+
+import (
+	"encoding/json"
+	"strconv"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// index maps an owner's name to a set of replica names.
+type index map[string]map[string]struct{}
+
+func (i index) add(owner, replica string) {
+	if i[owner] == nil {
+		i[owner] = map[string]struct{}{}
+	}
+	i[owner][replica] = struct{}{}
+}
+
+func (i index) remove(owner, replica string) {
+	delete(i[owner], replica)
+	if len(i[owner]) == 0 {
+		delete(i, owner)
+	}
+}
+
+// checkReservations refuses new replicas that would overcommit a machine's
+// memory, exceed the model's replicas, or go to a machine that is leaving.
+//
+// Placement checks the same before it proposes. It is checked again here
+// because here it can't be stale: whatever a leader believed when it decided,
+// the log holds one order of decisions and each is judged after those before.
+func (o *overlay) checkReservations() *wirepb.WriteResult {
+	for _, key := range o.order {
+		staged := o.staged[key]
+		replica, isReplica := staged.spec.(*v1.ReplicaSpec)
+		if staged.object == nil || !isReplica || o.machine.objects[key] != nil {
+			continue
+		}
+		if failure := o.checkNewReplica(key, replica); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+func (o *overlay) checkNewReplica(key Key, replica *v1.ReplicaSpec) *wirepb.WriteResult {
+	object, spec := o.current(Key{v1.KindMachine, replica.Machine})
+	machine, isMachine := spec.(*v1.MachineSpec)
+	if object == nil || !isMachine {
+		return failed(wirepb.ResultCode_RESULT_CODE_INVALID, "spec.machine", "machine "+replica.Machine+" does not exist")
+	}
+	if phase := phaseOf(object); phase != v1.MachineLive || machine.Drain {
+		return failed(wirepb.ResultCode_RESULT_CODE_UNAVAILABLE, "spec.machine", "machine "+replica.Machine+" gets no new work")
+	}
+	if failure := o.checkMemory(replica, machine); failure != nil {
+		return failure
+	}
+	return o.checkReplicaCount(key, replica)
+}
+
+func phaseOf(object *wirepb.Object) v1.MachinePhase {
+	status := v1.MachineStatus{}
+	if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &status) != nil {
+		return v1.MachineLost
+	}
+	return status.Phase
+}
+
+// checkMemory adds up every reservation on the machine, the new one included.
+func (o *overlay) checkMemory(replica *v1.ReplicaSpec, machine *v1.MachineSpec) *wirepb.WriteResult {
+	reserved := make([]int64, machine.Accelerators)
+	for _, other := range o.replicas(replica.Machine, o.machine.replicasOn, ownerMachine) {
+		for _, accelerator := range other.Accelerators {
+			if accelerator < 0 || accelerator >= machine.Accelerators {
+				return failed(wirepb.ResultCode_RESULT_CODE_INVALID, "spec.accelerators",
+					"accelerator "+strconv.Itoa(accelerator)+" does not exist on machine "+replica.Machine)
+			}
+			reserved[accelerator] += other.BytesPerAccelerator
+		}
+	}
+	for accelerator, bytes := range reserved {
+		if bytes > machine.AcceleratorBytes {
+			return failed(wirepb.ResultCode_RESULT_CODE_UNAVAILABLE, "spec.bytesPerAccelerator",
+				"accelerator "+strconv.Itoa(accelerator)+" of machine "+replica.Machine+" has no memory left")
+		}
+	}
+	return nil
+}
+
+// checkReplicaCount counts the model's replicas that are not on their way out.
+func (o *overlay) checkReplicaCount(key Key, replica *v1.ReplicaSpec) *wirepb.WriteResult {
+	_, spec := o.current(Key{v1.KindModel, replica.Model})
+	model, isModel := spec.(*v1.ModelSpec)
+	if !isModel {
+		return failed(wirepb.ResultCode_RESULT_CODE_INVALID, "spec.model", "model "+replica.Model+" does not exist")
+	}
+	count := 0
+	for _, other := range o.replicas(replica.Model, o.machine.replicasOf, ownerModel) {
+		if other.Phase == v1.ReplicaLoading || other.Phase == v1.ReplicaReady {
+			count++
+		}
+	}
+	if count > model.MaxReplicas {
+		return failed(wirepb.ResultCode_RESULT_CODE_UNAVAILABLE, "spec.model",
+			"model "+replica.Model+" has all its "+strconv.Itoa(model.MaxReplicas)+" replicas; "+key.Name+" is one too many")
+	}
+	return nil
+}
+
+func ownerMachine(replica *v1.ReplicaSpec) string { return replica.Machine }
+
+func ownerModel(replica *v1.ReplicaSpec) string { return replica.Model }
+
+// replicas returns an owner's replicas as they stand with the staged writes.
+func (o *overlay) replicas(owner string, stored index, ownerOf func(*v1.ReplicaSpec) string) []*v1.ReplicaSpec {
+	var found []*v1.ReplicaSpec
+	for name := range stored[owner] {
+		key := Key{v1.KindReplica, name}
+		if _, staged := o.staged[key]; staged {
+			continue
+		}
+		if replica, isReplica := o.machine.specs[key].(*v1.ReplicaSpec); isReplica {
+			found = append(found, replica)
+		}
+	}
+	for key, staged := range o.staged {
+		replica, isReplica := staged.spec.(*v1.ReplicaSpec)
+		if key.Kind == v1.KindReplica && isReplica && ownerOf(replica) == owner {
+			found = append(found, replica)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,222 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// ProtocolVersion is the version of the internal protocol. Processes of
+// different versions refuse each other.
+const ProtocolVersion = 1
+
+const (
+	handshakeTimeout = 3 * time.Second
+	writeTimeout     = 5 * time.Second
+	sendQueueLength  = 1024
+	bufferBytes      = 32 << 10
+)
+
+// Counters counts traffic; one may be shared by many connections.
+type Counters struct {
+	BytesSent, BytesReceived       atomic.Uint64
+	MessagesSent, MessagesReceived atomic.Uint64
+}
+
+// Conn is a framed connection after its handshake. Send never blocks on the
+// network: a peer that doesn't drain its queue is disconnected, because soft
+// state may be lost but must not hold up the sender.
+type Conn struct {
+	network  net.Conn
+	reader   *bufio.Reader
+	outbox   chan *wirepb.Envelope
+	done     chan struct{}
+	once     sync.Once
+	counters *Counters
+	// Peer is what the other side said of itself.
+	Peer *wirepb.Hello
+}
+
+// Dial connects, shakes hands and starts the writer.
+func Dial(ctx context.Context, address string, hello *wirepb.Hello, counters *Counters) (*Conn, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	network, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Unavailable.Wrap(err, "connecting to %s", address)
+	}
+	conn := newConn(network, counters)
+	if err := conn.greet(hello); err != nil {
+		_ = network.Close()
+		return nil, err
+	}
+	go conn.writeLoop()
+	return conn, nil
+}
+
+// Accept performs the server's side of the handshake on a fresh connection.
+func Accept(network net.Conn, self *wirepb.Hello, counters *Counters) (*Conn, error) {
+	conn := newConn(network, counters)
+	if err := conn.welcome(self); err != nil {
+		_ = network.Close()
+		return nil, err
+	}
+	go conn.writeLoop()
+	return conn, nil
+}
+
+func newConn(network net.Conn, counters *Counters) *Conn {
+	if counters == nil {
+		counters = &Counters{}
+	}
+	return &Conn{
+		network:  network,
+		reader:   bufio.NewReaderSize(network, bufferBytes),
+		outbox:   make(chan *wirepb.Envelope, sendQueueLength),
+		done:     make(chan struct{}),
+		counters: counters,
+	}
+}
+
+func (c *Conn) greet(hello *wirepb.Hello) error {
+	_ = c.network.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}}); err != nil {
+		return err
+	}
+	envelope, _, err := ReadFrame(c.reader)
+	if err != nil {
+		return err
+	}
+	reply := envelope.GetHelloReply()
+	if reply == nil {
+		return fault.Protocol.New("the first frame of the server is not a hello reply")
+	}
+	if reply.GetRefusal() != "" {
+		return fault.Protocol.New("refused by %s: %s", reply.GetNode(), reply.GetRefusal())
+	}
+	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion()}
+	return c.network.SetDeadline(time.Time{})
+}
+
+func (c *Conn) welcome(self *wirepb.Hello) error {
+	_ = c.network.SetDeadline(time.Now().Add(handshakeTimeout))
+	envelope, _, err := ReadFrame(c.reader)
+	if err != nil {
+		return err
+	}
+	hello := envelope.GetHello()
+	refusal := refuseHello(hello, self)
+	reply := &wirepb.HelloReply{ProtocolVersion: ProtocolVersion, Node: self.GetNode(), Refusal: refusal}
+	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
+		return err
+	}
+	if refusal != "" {
+		return fault.Protocol.New("refused a connection: %s", refusal)
+	}
+	c.Peer = hello
+	return c.network.SetDeadline(time.Time{})
+}
+
+func refuseHello(hello, self *wirepb.Hello) string {
+	switch {
+	case hello == nil:
+		return "the first frame is not a hello"
+	case hello.GetProtocolVersion() != ProtocolVersion:
+		return "protocol version differs"
+	case hello.GetCluster() != self.GetCluster():
+		return "cluster name differs"
+	}
+	return ""
+}
+
+func (c *Conn) writeNow(envelope *wirepb.Envelope) error {
+	writer := bufio.NewWriter(c.network)
+	if _, err := WriteFrame(writer, envelope); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return fault.Unavailable.Wrap(err, "flushing a frame")
+	}
+	return nil
+}
+
+// Send queues an envelope. It fails, and closes the connection, when the
+// queue is full.
+func (c *Conn) Send(envelope *wirepb.Envelope) error {
+	select {
+	case <-c.done:
+		return fault.Stopped.New("connection is closed")
+	default:
+	}
+	select {
+	case c.outbox <- envelope:
+		return nil
+	default:
+		c.Close()
+		return fault.Unavailable.New("send queue of %d messages is full", sendQueueLength)
+	}
+}
+
+// Receive reads the next envelope.
+func (c *Conn) Receive() (*wirepb.Envelope, error) {
+	envelope, size, err := ReadFrame(c.reader)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.counters.BytesReceived.Add(uint64(size))
+	c.counters.MessagesReceived.Add(1)
+	return envelope, nil
+}
+
+// Close ends the connection; queued envelopes are lost.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.network.Close()
+	})
+}
+
+// Done is closed when the connection is.
+func (c *Conn) Done() <-chan struct{} {
+	return c.done
+}
+
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	writer := bufio.NewWriterSize(c.network, bufferBytes)
+	for {
+		select {
+		case <-c.done:
+			return
+		case envelope := <-c.outbox:
+			if !c.writeBurst(writer, envelope) {
+				return
+			}
+		}
+	}
+}
+
+// writeBurst writes an envelope and all queued behind it with one flush.
+func (c *Conn) writeBurst(writer *bufio.Writer, envelope *wirepb.Envelope) bool {
+	_ = c.network.SetWriteDeadline(time.Now().Add(writeTimeout))
+	for {
+		size, err := WriteFrame(writer, envelope)
+		if err != nil {
+			return false
+		}
+		c.counters.BytesSent.Add(uint64(size))
+		c.counters.MessagesSent.Add(1)
+		select {
+		case envelope = <-c.outbox:
+			continue
+		default:
+		}
+		return writer.Flush() == nil
+	}
+}
