Refuse early only on learned load speeds

Cause: 218 of 974 demo requests were refused as unable to meet their deadline. The refusals' details (now counted by the load tool) all named the estimate; the planner assumed 1 GB/s from the weight store where it gives 4 GB/s, so a cold fleet refused callers whom it could have served. Ruled out: the store's admission (loads began at a steady 4/s) and the leader's loss (2.3 s gap). Change: speeds are learned from finished loads and begin optimistic; the store's delay is estimated by throughput, not by whole rounds.

--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -55,6 +55,8 @@
 	firstToken time.Duration
 	coldWait   time.Duration
 	cold       bool
+	// refusal is the problem's title and detail.
+	refusal string
 }
 
 // send sends an ask until it is answered, refused or out of time. A caller
@@ -112,16 +114,19 @@
 	if err := json.NewDecoder(response.Body).Decode(&document); err != nil {
 		return answer{lost: true}
 	}
+	result := answer{refusal: document.Title + ": " + document.Detail}
 	switch {
 	case response.StatusCode < http.StatusInternalServerError && response.StatusCode != http.StatusTooManyRequests &&
 		document.Outcome != problem.OutcomeUnknown:
-		return answer{outcome: OutcomeInvalid}
+		result.outcome = OutcomeInvalid
 	case document.Outcome == problem.OutcomeNotRun:
-		return answer{outcome: OutcomeNotRun}
+		result.outcome = OutcomeNotRun
 	case document.Outcome == problem.OutcomeUnknown:
-		return answer{outcome: OutcomeUnknown}
+		result.outcome = OutcomeUnknown
+	default:
+		result.outcome = OutcomeWrong
 	}
-	return answer{outcome: OutcomeWrong}
+	return result
 }
 
 // expected is the engines' whole answer to the ask.
@@ -210,6 +215,9 @@
 	defer r.mutex.Unlock()
 	r.summary.Total++
 	r.summary.Requests[result.outcome]++
+	if result.refusal != "" {
+		r.summary.Refusals[result.refusal]++
+	}
 	if result.outcome != OutcomeAnswered {
 		return
 	}
--- a/internal/loadgen/summary.go
+++ b/internal/loadgen/summary.go
@@ -38,17 +38,18 @@
 
 // Summary is the result of a load.
 type Summary struct {
-	Result            string             `json:"result"`
-	Requests          map[Outcome]int    `json:"requests"`
-	Total             int                `json:"total"`
-	Resent            int                `json:"resent"`
-	Holds             int                `json:"holds"`
-	ColdStartSeconds  Percentiles        `json:"cold_start_seconds"`
-	FirstTokenSeconds Percentiles        `json:"first_token_seconds"`
-	TokenGapSeconds   Percentiles        `json:"token_gap_seconds"`
-	Violations        map[string]int     `json:"violations"`
-	Seconds           float64            `json:"seconds"`
-	Details           map[string]float64 `json:"details,omitempty"`
+	Result            string          `json:"result"`
+	Requests          map[Outcome]int `json:"requests"`
+	Total             int             `json:"total"`
+	Resent            int             `json:"resent"`
+	Holds             int             `json:"holds"`
+	ColdStartSeconds  Percentiles     `json:"cold_start_seconds"`
+	FirstTokenSeconds Percentiles     `json:"first_token_seconds"`
+	TokenGapSeconds   Percentiles     `json:"token_gap_seconds"`
+	Violations        map[string]int  `json:"violations"`
+	Seconds           float64         `json:"seconds"`
+	// Refusals counts refused requests by problem and detail.
+	Refusals map[string]int `json:"refusals,omitempty"`
 }
 
 const (
@@ -73,7 +74,7 @@
 		return hdrhistogram.New(int64(time.Microsecond), histogramMax, histogramPrecision)
 	}
 	return &recorder{
-		summary:   Summary{Requests: map[Outcome]int{}, Violations: map[string]int{}},
+		summary:   Summary{Requests: map[Outcome]int{}, Violations: map[string]int{}, Refusals: map[string]int{}},
 		coldStart: create(), firstToken: create(), tokenGap: create(), notRun: map[string]bool{},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,7 +105,7 @@
 		n.workers.Wait()
 		return err
 	}
-	n.logger.Info("node_started", "node", n.settings.Node, "roles", n.settings.Roles)
+	n.logger.Info("node_started", "roles", n.settings.Roles)
 	var failure error
 	select {
 	case <-ctx.Done():
@@ -119,7 +119,7 @@
 	if n.dataDir != nil {
 		_ = n.dataDir.Close()
 	}
-	n.logger.Info("node_stopped", "node", n.settings.Node)
+	n.logger.Info("node_stopped")
 	return failure
 }
 
@@ -131,9 +131,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Router.DrainTimeout)
 	defer cancel()
-	n.logger.Info("router_draining", "node", n.settings.Node)
+	n.logger.Info("router_draining")
 	if !n.router.drain(ctx) {
-		n.logger.Warn("drain_timed_out", "node", n.settings.Node)
+		n.logger.Warn("drain_timed_out")
 	}
 }
 
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -117,7 +117,7 @@
 }
 
 func (p *pass) loadTime(version *Version, tier Tier) time.Duration {
-	return p.planner.config.Speeds.LoadTime(version.Spec.WeightBytes, tier)
+	return p.planner.speeds.loadTime(version.Spec.WeightBytes, tier)
 }
 
 // bestMachine prefers the machine that is ready soonest; then one without
@@ -218,7 +218,7 @@
 			}
 			readyIn := replica.Remaining
 			if readyIn == 0 && replica.EnginePhase == "" {
-				readyIn = p.planner.config.Speeds.LoadTime(replica.Spec.WeightBytes, Tier(replica.Spec.Tier))
+				readyIn = p.planner.speeds.loadTime(replica.Spec.WeightBytes, Tier(replica.Spec.Tier))
 			}
 			p.decision.Estimates = append(p.decision.Estimates, Estimate{Version: name, ReadyIn: readyIn})
 			break
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -24,6 +24,9 @@
 type Planner struct {
 	config Config
 	store  *storePacer
+	// speeds are learned from loads; loadingSince is when each was first seen.
+	speeds       *speedTable
+	loadingSince map[string]time.Time
 	// lastUsed is when a replica last served or became ready.
 	lastUsed map[string]time.Time
 	arrivals map[string]uint64
@@ -40,6 +43,8 @@
 	return &Planner{
 		config:       config,
 		store:        newStorePacer(config.StoreLoadsPerSecond, config.StoreConcurrentLoads),
+		speeds:       newSpeedTable(config.Speeds),
+		loadingSince: map[string]time.Time{},
 		lastUsed:     map[string]time.Time{},
 		arrivals:     map[string]uint64{},
 		evicting:     map[string]time.Time{},
@@ -69,6 +74,7 @@
 		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
 	}
 	current.open()
+	current.learnSpeeds()
 	current.reconcile()
 	current.observeUse()
 	current.retire()
@@ -157,6 +163,11 @@
 			delete(p.lastUsed, name)
 		}
 	}
+	for name := range p.loadingSince {
+		if !present[name] {
+			delete(p.loadingSince, name)
+		}
+	}
 	for name := range p.leavingSince {
 		if input.Machines[name] == nil {
 			delete(p.leavingSince, name)
@@ -178,7 +189,7 @@
 	return keepalive.Subject{
 		Version:         version.Name,
 		Accelerators:    version.Spec.Accelerators,
-		LoadTime:        p.config.Speeds.LoadTime(version.Spec.WeightBytes, TierDisk),
+		LoadTime:        p.speeds.loadTime(version.Spec.WeightBytes, TierDisk),
 		ColdStartWeight: version.ColdStartWeight,
 	}
 }
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -36,15 +36,16 @@
 	return true
 }
 
-// delay estimates how long the position-th waiting load waits for the store.
-func (s *storePacer) delay(position, running int, loadTime time.Duration) time.Duration {
-	byRate := time.Duration(float64(position) / s.perSecond * float64(time.Second))
-	ahead := position + running - s.concurrent
-	if ahead < 0 {
+// delay estimates how long a load waits for the store behind others: by the
+// admitted rate, and by the time that the store takes for the loads ahead.
+func (s *storePacer) delay(ahead, running int, loadTime time.Duration) time.Duration {
+	byRate := time.Duration(float64(ahead+1) / s.perSecond * float64(time.Second))
+	excess := ahead + running - s.concurrent + 1
+	if excess <= 0 {
 		return byRate
 	}
-	rounds := ahead/s.concurrent + 1
-	return max(byRate, time.Duration(rounds)*loadTime)
+	byThroughput := time.Duration(float64(excess) / float64(s.concurrent) * float64(loadTime))
+	return max(byRate, byThroughput)
 }
 
 // remoteLoads counts the loads that occupy the weight store.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -21,8 +21,10 @@
 	Memory, Disk, Remote float64
 }
 
-// DefaultTierSpeeds are assumed until loads have been observed.
-var DefaultTierSpeeds = TierSpeeds{Memory: 16e9, Disk: 4e9, Remote: 1e9}
+// DefaultTierSpeeds are assumed until loads have been observed. They are on
+// the fast side on purpose: too slow a guess refuses callers who could have
+// been served, too fast a one only lets them wait until their deadline.
+var DefaultTierSpeeds = TierSpeeds{Memory: 32e9, Disk: 8e9, Remote: 4e9}
 
 // Of returns the speed of a tier.
 func (s TierSpeeds) Of(tier Tier) float64 {
