Split the leader's decisions from its I/O

Cause: the fault simulator has to drive the real decisions in virtual time, but they were methods of the running control node. Change: package controller holds reports, views and passes as pure code; the control node only proposes what it returns.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -17,16 +17,7 @@
 func (n *Node) ChangesAfter(revision uint64) feed.Changes {
 	n.stateMutex.RLock()
 	defer n.stateMutex.RUnlock()
-	current := n.member.State.Revision()
-	events, err := n.member.State.EventsAfter(revision)
-	if err == nil {
-		return feed.Changes{Events: events, Revision: current}
-	}
-	changes := feed.Changes{Revision: current, Reset: true}
-	for _, object := range n.member.State.List("") {
-		changes.Events = append(changes.Events, &wirepb.WatchEvent{Object: object})
-	}
-	return changes
+	return feed.ChangesOf(n.member.State, revision)
 }
 
 // Changed implements feed.Backend.
@@ -58,7 +49,7 @@
 func (n *Node) takeReports(reports []*wirepb.NodeReport) {
 	urgent := false
 	for _, report := range reports {
-		urgent = n.reports.take(report) || urgent
+		urgent = n.reports.Take(n.now(), report) || urgent
 	}
 	if urgent {
 		n.wakeLeader()
@@ -197,7 +188,7 @@
 		Term: status.Term, Leader: n.settings.Node, Revision: revision,
 		Voters: status.Voters, Learners: status.Learners,
 	}
-	reply.Nodes = n.reports.states()
+	reply.Nodes = n.reports.States(n.now())
 	return reply, nil
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/weldline/weldline/api/platform"
+	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/keepalive"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -18,30 +20,18 @@
 	reconcileInterval = 100 * time.Millisecond
 	// reconcilePause keeps a stream of nudges from using up the processor.
 	reconcilePause  = 5 * time.Millisecond
-	digestInterval  = 500 * time.Millisecond
-	sweepInterval   = 2 * time.Second
 	commitTimeout   = 3 * time.Second
 	listReadTimeout = 2 * time.Second
-	// settleTime is how long a new leader waits for reports before it takes
-	// silence as a sign.
-	settleTime = 1500 * time.Millisecond
 )
 
-// leader runs the controllers for one term.
+// leader runs the controller for one term and proposes what it decides.
 type leader struct {
-	node    *Node
-	term    uint64
-	since   time.Duration
-	planner *placement.Planner
-	list    *atomic.Pointer[platform.MachineList]
-
-	estimates      []placement.Estimate
-	digestSequence uint64
-	lastDigest     time.Duration
-	lastSweep      time.Duration
+	node       *Node
+	controller *controller.Controller
+	list       *atomic.Pointer[platform.MachineList]
 }
 
-// runLeader runs the controllers whenever this node leads.
+// runLeader runs the controller whenever this node leads.
 func (n *Node) runLeader(ctx context.Context) {
 	list := &atomic.Pointer[platform.MachineList]{}
 	go n.readMachineList(ctx, list)
@@ -59,7 +49,7 @@
 			current = nil
 			continue
 		}
-		if term := n.status.Load().Term; current == nil || current.term != term {
+		if term := n.status.Load().Term; current == nil || current.controller.Term() != term {
 			current = n.newLeader(term, list)
 		}
 		current.pass(ctx)
@@ -69,49 +59,45 @@
 
 func (n *Node) newLeader(term uint64, list *atomic.Pointer[platform.MachineList]) *leader {
 	platformSettings := n.settings.Platform
-	return &leader{
-		node: n, term: term, since: n.now(), list: list,
-		planner: placement.NewPlanner(placement.Config{
+	config := controller.Config{
+		Node: n.settings.Node, Term: term, MachineTimeout: n.settings.Policy.MachineTimeout,
+		Planner: placement.Config{
 			Speeds:               placement.DefaultTierSpeeds,
 			StoreLoadsPerSecond:  platformSettings.StoreLoadsPerSecond,
 			StoreConcurrentLoads: platformSettings.StoreConcurrentLoads,
 			KeepAlive:            keepalive.New(n.settings.Policy.Name),
-		}),
+		},
 	}
+	return &leader{node: n, controller: controller.New(n.now(), config, n.reports), list: list}
 }
 
-// pass runs every controller once. Each decides on the state that holds the
+// pass runs every controller once. Each decides on a state that holds the
 // outcome of the one before.
 func (l *leader) pass(ctx context.Context) {
-	nodes, machines := l.node.reports.snapshot()
-	view := l.node.leaderView(nodes, machines)
-	if writes := l.reconcileMachines(view); len(writes) > 0 {
-		l.write(ctx, writes)
-		view = l.node.leaderView(nodes, machines)
-	}
-	if l.node.now()-l.since > settleTime {
-		l.placeReplicas(ctx, view)
+	var writes []*wirepb.ObjectWrite
+	l.node.Read(func(machine *state.Machine) {
+		writes = l.controller.MachineWrites(l.node.now(), machine, l.list.Load())
+	})
+	l.write(ctx, writes)
+	l.placeReplicas(ctx)
+	l.sweep(ctx)
+	if digest := l.controller.Digest(l.node.now(), l.node.Revision()); digest != nil {
+		l.node.takeDigest(digest)
+		l.node.peers.broadcast(&wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}})
 	}
-	l.maybeSweep(ctx)
-	l.maybeDigest(nodes, machines)
 }
 
-func (l *leader) placeReplicas(ctx context.Context, view *clusterView) {
+func (l *leader) placeReplicas(ctx context.Context) {
+	var decision controller.ReplicaDecision
 	started := time.Now()
-	decision := l.planner.Decide(view.placementInput(started))
+	l.node.Read(func(machine *state.Machine) {
+		decision = l.controller.DecideReplicas(l.node.now(), started, machine)
+	})
 	l.node.metrics.decideSeconds.Observe(time.Since(started).Seconds())
-	changed := !sameEstimates(l.estimates, decision.Estimates)
-	l.estimates = decision.Estimates
-	if changed {
-		l.lastDigest = 0
-	}
-	if len(decision.Actions) == 0 {
-		return
-	}
 	for _, action := range decision.Actions {
 		l.logAction(action)
 	}
-	l.write(ctx, replicaWrites(view.revision, decision.Actions))
+	l.write(ctx, decision.Writes)
 }
 
 func (l *leader) logAction(action placement.Action) {
@@ -127,7 +113,11 @@
 // write proposes the writes together. Where one of them is refused, each is
 // proposed alone, so that one bad decision does not hold up the others.
 func (l *leader) write(ctx context.Context, writes []*wirepb.ObjectWrite) {
-	result, err := l.commit(ctx, writes)
+	if len(writes) == 0 {
+		return
+	}
+	command := &wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}}
+	result, err := l.commit(ctx, command)
 	if err != nil {
 		l.node.logger.Warn("write_not_committed", "error", fault.Message(err))
 		return
@@ -144,55 +134,24 @@
 	}
 }
 
-func (l *leader) commit(ctx context.Context, writes []*wirepb.ObjectWrite) (*wirepb.CommandResult, error) {
+func (l *leader) commit(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	command := &wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}}
 	return l.node.proposeLocally(ctx, command)
 }
 
-// maybeSweep closes abandoned claims. It stands behind the owners' own
-// resolution; see the state package.
-func (l *leader) maybeSweep(ctx context.Context) {
-	if l.node.now()-l.lastSweep < sweepInterval {
+func (l *leader) sweep(ctx context.Context) {
+	due := false
+	l.node.Read(func(machine *state.Machine) { due = l.controller.SweepDue(l.node.now(), machine) })
+	if !due {
 		return
 	}
-	l.lastSweep = l.node.now()
-	if !l.node.hasClaims() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
 	command := &wirepb.Command{Body: &wirepb.Command_ClaimSweep{ClaimSweep: &wirepb.ClaimSweep{}}}
-	if _, err := l.node.proposeLocally(ctx, command); err != nil {
+	if _, err := l.commit(ctx, command); err != nil {
 		l.node.logger.Warn("claim_sweep_failed", "error", fault.Message(err))
 	}
 }
 
-func (n *Node) hasClaims() bool {
-	n.stateMutex.RLock()
-	defer n.stateMutex.RUnlock()
-	held, _ := n.member.State.OpenClaims()
-	return held > 0
-}
-
-func sameEstimates(left, right []placement.Estimate) bool {
-	if len(left) != len(right) {
-		return false
-	}
-	known := make(map[string]placement.Estimate, len(left))
-	for _, estimate := range left {
-		known[estimate.Version] = estimate
-	}
-	for _, estimate := range right {
-		other, found := known[estimate.Version]
-		if !found || other.Refused != estimate.Refused {
-			return false
-		}
-	}
-	return true
-}
-
 // readMachineList polls the platform's list. A failed read keeps the last.
 func (n *Node) readMachineList(ctx context.Context, list *atomic.Pointer[platform.MachineList]) {
 	if n.settings.Platform.MachineList == "" {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/raft"
@@ -60,7 +61,7 @@
 	digestChanged *signal.Broadcast
 
 	peers   *peerSet
-	reports *reportTable
+	reports *controller.ReportTable
 	nudge   chan struct{}
 }
 
@@ -104,7 +105,7 @@
 	}
 	opened.StateLock = &node.stateMutex
 	node.member = opened
-	node.reports = newReportTable(node.now)
+	node.reports = controller.NewReportTable()
 	node.peers = newPeerSet(node)
 	node.publishStatus()
 	return node, nil
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,173 @@
+// Package controller holds the decisions of the leading control node.
+//
+// The problem: the leader must turn declared resources, lagging reports and
+// demand into replica records, again and again, and nothing that it believes
+// may matter unless the replicated log accepts it.
+//
+// The mechanism: Controller is level-triggered and pure. Each pass looks at
+// the whole state and the newest reports and returns conditional writes. The
+// control node proposes them; the simulator drives the same code in virtual
+// time. What a controller remembers is soft and begins anew with each term.
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"github.com/weldline/weldline/api/platform"
+	"github.com/weldline/weldline/internal/machines"
+	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// SettleTime is how long a new leader waits for reports before it places
+	// replicas: until then silence is no sign.
+	SettleTime = 1500 * time.Millisecond
+	// digestInterval is how often soft state is spread without a reason.
+	digestInterval = 500 * time.Millisecond
+	// sweepInterval is how often abandoned claims are looked for.
+	sweepInterval = 2 * time.Second
+)
+
+// Config is fixed for one term of leadership.
+type Config struct {
+	Node           string
+	Term           uint64
+	MachineTimeout time.Duration
+	Planner        placement.Config
+}
+
+// Controller decides for one term. It is not safe for concurrent use.
+type Controller struct {
+	config    Config
+	since     time.Duration
+	reports   *ReportTable
+	planner   *placement.Planner
+	estimates []placement.Estimate
+
+	digestSequence uint64
+	lastDigest     time.Duration
+	lastSweep      time.Duration
+}
+
+// New returns a controller that begins its term at now.
+func New(now time.Duration, config Config, reports *ReportTable) *Controller {
+	return &Controller{
+		config: config, since: now, reports: reports, lastSweep: now,
+		planner: placement.NewPlanner(config.Planner),
+	}
+}
+
+// Term is the term that the controller decides for.
+func (c *Controller) Term() uint64 {
+	return c.config.Term
+}
+
+// MachineWrites keeps the Machine resources in step with the machine list and
+// the reports. The list is nil while it has never been read.
+func (c *Controller) MachineWrites(now time.Duration, machine *state.Machine, list *platform.MachineList) []*wirepb.ObjectWrite {
+	view := newView(now, machine, c.reports)
+	return machines.Reconcile(machines.Input{
+		List: list, Declared: view.machines, Observed: view.observations(), Timeout: c.config.MachineTimeout,
+	})
+}
+
+// ReplicaDecision is what a pass decided about replicas.
+type ReplicaDecision struct {
+	Actions []placement.Action
+	Writes  []*wirepb.ObjectWrite
+}
+
+// DecideReplicas returns the next changes of replica records. The caller must
+// hold the state and must see the outcome in it before the next call. Wall is
+// the time of day, for what is learned of it.
+func (c *Controller) DecideReplicas(now time.Duration, wall time.Time, machine *state.Machine) ReplicaDecision {
+	if now-c.since < SettleTime {
+		return ReplicaDecision{}
+	}
+	view := newView(now, machine, c.reports)
+	decision := c.planner.Decide(view.placementInput(wall))
+	if !sameEstimates(c.estimates, decision.Estimates) {
+		c.lastDigest = 0
+	}
+	c.estimates = decision.Estimates
+	return ReplicaDecision{Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions)}
+}
+
+// SweepDue reports whether abandoned claims should be looked for. It stands
+// behind the owners' own resolution; see the state package.
+func (c *Controller) SweepDue(now time.Duration, machine *state.Machine) bool {
+	if now-c.lastSweep < sweepInterval {
+		return false
+	}
+	c.lastSweep = now
+	held, _ := machine.OpenClaims()
+	return held > 0
+}
+
+// Digest returns the soft state to spread, or nil if none is due.
+func (c *Controller) Digest(now time.Duration, revision uint64) *wirepb.ClusterDigest {
+	if c.lastDigest != 0 && now-c.lastDigest < digestInterval {
+		return nil
+	}
+	c.lastDigest = now
+	c.digestSequence++
+	nodes, reports := c.reports.snapshot(now)
+	digest := &wirepb.ClusterDigest{
+		Term: c.config.Term, Sequence: c.digestSequence, Leader: c.config.Node, Revision: revision,
+	}
+	addNodes(digest, now, nodes)
+	for _, estimate := range c.estimates {
+		digest.Estimates = append(digest.Estimates, &wirepb.ReplicaEstimate{
+			Version: estimate.Version, ReadyInMs: uint32(estimate.ReadyIn.Milliseconds()),
+			Refused: estimate.Refused, Reason: estimate.Reason,
+		})
+	}
+	addLoads(digest, reports)
+	return digest
+}
+
+func addNodes(digest *wirepb.ClusterDigest, now time.Duration, nodes map[string]nodeEntry) {
+	for name, entry := range nodes {
+		if now-entry.received > NodeTimeout {
+			continue
+		}
+		if entry.report.GetRouter() && !entry.report.GetDraining() {
+			digest.Routers++
+		}
+		digest.Nodes = append(digest.Nodes, &wirepb.NodeEntry{
+			Name: name, Zone: entry.report.GetZone(), Draining: entry.report.GetDraining(),
+		})
+	}
+	sort.Slice(digest.Nodes, func(i, j int) bool { return digest.Nodes[i].GetName() < digest.Nodes[j].GetName() })
+}
+
+func addLoads(digest *wirepb.ClusterDigest, reports map[string]machineEntry) {
+	for name, entry := range reports {
+		if entry.report.GetRunning()+entry.report.GetQueued() > 0 {
+			digest.Loads = append(digest.Loads, &wirepb.MachineLoad{
+				Machine: name, Running: entry.report.GetRunning(), Queued: entry.report.GetQueued(),
+			})
+		}
+	}
+	sort.Slice(digest.Loads, func(i, j int) bool { return digest.Loads[i].GetMachine() < digest.Loads[j].GetMachine() })
+}
+
+func sameEstimates(left, right []placement.Estimate) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	known := make(map[string]placement.Estimate, len(left))
+	for _, estimate := range left {
+		known[estimate.Version] = estimate
+	}
+	for _, estimate := range right {
+		other, found := known[estimate.Version]
+		if !found || other.Refused != estimate.Refused {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/control/reports.go
+++ b/internal/controller/reports.go
@@ -1,4 +1,4 @@
-package control
+package controller
 
 import (
 	"sort"
@@ -9,8 +9,8 @@
 )
 
 const (
-	// nodeTimeout is how long a silent node counts as live.
-	nodeTimeout = 2 * time.Second
+	// NodeTimeout is how long a silent node counts as live.
+	NodeTimeout = 2 * time.Second
 	// forgetNodeAfter bounds the table where nodes come and go.
 	forgetNodeAfter = 10 * time.Minute
 )
@@ -29,9 +29,9 @@
 	lastReachable time.Duration
 }
 
-// reportTable is the leader's soft state about nodes and machines.
-type reportTable struct {
-	now      func() time.Duration
+// ReportTable is the leader's soft state about nodes and machines. Times are
+// monotonic, since the control node started. It is safe for concurrent use.
+type ReportTable struct {
 	mutex    sync.Mutex
 	nodes    map[string]nodeEntry
 	machines map[string]machineEntry
@@ -41,16 +41,17 @@
 	counted  map[string]map[string]uint64
 }
 
-func newReportTable(now func() time.Duration) *reportTable {
-	return &reportTable{
-		now: now, nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
+// NewReportTable returns an empty table.
+func NewReportTable() *ReportTable {
+	return &ReportTable{
+		nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
 		arrivals: map[string]uint64{}, counted: map[string]map[string]uint64{},
 	}
 }
 
-// take keeps a report unless a newer one is held. It returns whether the
+// Take keeps a report unless a newer one is held. It returns whether the
 // leader should look at once.
-func (t *reportTable) take(report *wirepb.NodeReport) bool {
+func (t *ReportTable) Take(now time.Duration, report *wirepb.NodeReport) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	held := t.nodes[report.GetNode()].report
@@ -58,7 +59,6 @@
 		report.GetIncarnation() == held.GetIncarnation() && report.GetSequence() <= held.GetSequence()) {
 		return false
 	}
-	now := t.now()
 	t.nodes[report.GetNode()] = nodeEntry{report: report, received: now}
 	t.countArrivals(held, report)
 	urgent := held == nil || demandGrew(held, report)
@@ -71,7 +71,7 @@
 // countArrivals adds what is new to the fleet's counts. Reports carry running
 // totals and leave out versions without news, so that a lost report loses no
 // arrivals; a node that restarted counts from 0 again.
-func (t *reportTable) countArrivals(held, report *wirepb.NodeReport) {
+func (t *ReportTable) countArrivals(held, report *wirepb.NodeReport) {
 	counted := t.counted[report.GetNode()]
 	if counted == nil || held.GetIncarnation() != report.GetIncarnation() {
 		counted = map[string]uint64{}
@@ -87,7 +87,7 @@
 }
 
 // arrivalCounts copies the fleet's counts.
-func (t *reportTable) arrivalCounts() map[string]uint64 {
+func (t *ReportTable) arrivalCounts() map[string]uint64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	counts := make(map[string]uint64, len(t.arrivals))
@@ -112,7 +112,7 @@
 	return false
 }
 
-func (t *reportTable) takeMachine(report *wirepb.MachineReport, now time.Duration) bool {
+func (t *ReportTable) takeMachine(report *wirepb.MachineReport, now time.Duration) bool {
 	entry := t.machines[report.GetMachine()]
 	observed := now - time.Duration(report.GetAgeMs())*time.Millisecond
 	if entry.report != nil && observed < entry.received {
@@ -147,10 +147,9 @@
 }
 
 // snapshot copies the tables and forgets nodes that are long gone.
-func (t *reportTable) snapshot() (map[string]nodeEntry, map[string]machineEntry) {
+func (t *ReportTable) snapshot(now time.Duration) (map[string]nodeEntry, map[string]machineEntry) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := t.now()
 	nodes := make(map[string]nodeEntry, len(t.nodes))
 	for name, entry := range t.nodes {
 		if now-entry.received > forgetNodeAfter {
@@ -167,15 +166,15 @@
 	return nodes, machines
 }
 
-func (t *reportTable) states() []*wirepb.NodeState {
-	nodes, _ := t.snapshot()
-	now := t.now()
+// States lists the nodes for an operator.
+func (t *ReportTable) States(now time.Duration) []*wirepb.NodeState {
+	nodes, _ := t.snapshot(now)
 	states := make([]*wirepb.NodeState, 0, len(nodes))
 	for name, entry := range nodes {
 		age := now - entry.received
 		states = append(states, &wirepb.NodeState{
 			Name: name, Zone: entry.report.GetZone(), AppliedRevision: entry.report.GetAppliedRevision(),
-			ReportAgeMs: uint32(age.Milliseconds()), Live: age < nodeTimeout,
+			ReportAgeMs: uint32(age.Milliseconds()), Live: age < NodeTimeout,
 		})
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].GetName() < states[j].GetName() })
--- a/internal/control/view.go
+++ b/internal/controller/view.go
@@ -1,4 +1,4 @@
-package control
+package controller
 
 import (
 	"encoding/json"
@@ -8,6 +8,7 @@
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -31,16 +32,16 @@
 	spec   *v1.ReplicaSpec
 }
 
-func (n *Node) leaderView(nodes map[string]nodeEntry, reports map[string]machineEntry) *clusterView {
+// newView reads the state and the reports. The caller must hold the state.
+func newView(now time.Duration, machine *state.Machine, reports *ReportTable) *clusterView {
+	nodes, machineReports := reports.snapshot(now)
 	view := &clusterView{
-		now: n.now(), nodes: nodes, reports: reports, arrivals: n.reports.arrivalCounts(),
-		models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
+		now: now, revision: machine.Revision(), nodes: nodes, reports: machineReports,
+		arrivals: reports.arrivalCounts(),
+		models:   map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{},
 	}
-	n.stateMutex.RLock()
-	defer n.stateMutex.RUnlock()
-	view.revision = n.member.State.Revision()
-	n.member.State.Each(view.add)
+	machine.Each(view.add)
 	return view
 }
 
@@ -63,17 +64,14 @@
 	}
 }
 
-func (l *leader) reconcileMachines(view *clusterView) []*wirepb.ObjectWrite {
-	observed := make(map[string]machines.Observation, len(view.reports))
-	for name, entry := range view.reports {
+func (v *clusterView) observations() map[string]machines.Observation {
+	observed := make(map[string]machines.Observation, len(v.reports))
+	for name, entry := range v.reports {
 		observed[name] = machines.Observation{
-			Seen: true, Incarnation: entry.report.GetIncarnation(), SilentFor: view.now - entry.lastReachable,
+			Seen: true, Incarnation: entry.report.GetIncarnation(), SilentFor: v.now - entry.lastReachable,
 		}
 	}
-	return machines.Reconcile(machines.Input{
-		List: l.list.Load(), Declared: view.machines, Observed: observed,
-		Timeout: l.node.settings.Policy.MachineTimeout,
-	})
+	return observed
 }
 
 func (v *clusterView) placementInput(now time.Time) *placement.Input {
@@ -176,7 +174,7 @@
 	}
 	for _, entry := range v.nodes {
 		age := v.now - entry.received
-		if age > nodeTimeout {
+		if age > NodeTimeout {
 			continue
 		}
 		for _, reported := range entry.report.GetDemand() {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -30,6 +31,22 @@
 	Reset bool
 }
 
+// ChangesOf returns the changes of a state after a revision, or the whole
+// state where they are no longer kept.
+func ChangesOf(machine *state.Machine, revision uint64) Changes {
+	changes := Changes{Revision: machine.Revision()}
+	events, err := machine.EventsAfter(revision)
+	if err == nil {
+		changes.Events = events
+		return changes
+	}
+	changes.Reset = true
+	for _, object := range machine.List("") {
+		changes.Events = append(changes.Events, &wirepb.WatchEvent{Object: object})
+	}
+	return changes
+}
+
 // Backend is what a Server serves.
 type Backend interface {
 	// ChangesAfter returns the changes after a revision.
