Extract the engine's contract into a pure model

Change: package enginemodel holds fences, incarnations and memory; the emulator runs it in real time.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -7,29 +7,26 @@
 	"time"
 
 	"github.com/weldline/weldline/api/engine"
+	"github.com/weldline/weldline/internal/enginemodel"
 )
 
 // Engine emulates a model engine on one machine.
 type Engine struct {
-	machine      string
-	accelerators int
-	bytes        int64
-	config       EngineConfig
-	faults       *faultSource
-	store        *Store
-	auditor      *auditor
+	machine string
+	config  EngineConfig
+	faults  *faultSource
+	store   *Store
+	auditor *auditor
 	// leavingSince tells since when the machine has been leaving.
 	leavingSince func(machine string) (time.Time, bool)
 
-	mutex       sync.Mutex
-	incarnation uint64
-	fence       uint64
-	replicas    map[string]*replica
-	// ended names can't be loaded again in this incarnation.
-	ended   map[string]bool
-	streams map[string]*stream
-	caches  *checkpointCache
-	loads   loadHistory
+	mutex sync.Mutex
+	model *enginemodel.Engine
+	// replicas holds what serving needs beside the model's replicas.
+	replicas map[string]*replica
+	streams  map[string]*stream
+	caches   *checkpointCache
+	loads    loadHistory
 	// life ends with the incarnation.
 	life context.Context
 	kill context.CancelFunc
@@ -37,16 +34,13 @@
 
 // replica is a loaded, loading or unloading model.
 type replica struct {
-	order     engine.Order
-	phase     string
+	*enginemodel.Replica
 	readyAt   time.Time
-	running   int
 	cacheUsed int64
 	waiting   []*slotWaiter
 	adapters  map[string]bool
 	prefixes  map[uint64]bool
 	cancel    context.CancelFunc
-	reason    string
 }
 
 // faultSource draws faults.
@@ -75,8 +69,8 @@
 
 func newEngine(machine string, config *Config, faults *faultSource, store *Store, auditor *auditor, leavingSince func(string) (time.Time, bool)) *Engine {
 	created := &Engine{
-		machine: machine, accelerators: config.Machines.Accelerators, bytes: config.Machines.AcceleratorBytes,
-		config: config.Engine, faults: faults, store: store, auditor: auditor, leavingSince: leavingSince,
+		machine: machine, config: config.Engine,
+		model: enginemodel.New(machine, config.Machines.Accelerators, config.Machines.AcceleratorBytes, 0), faults: faults, store: store, auditor: auditor, leavingSince: leavingSince,
 		caches: newCheckpointCache(config.Engine),
 	}
 	created.begin()
@@ -85,10 +79,8 @@
 
 // begin starts an incarnation with empty memory; disk caches survive.
 func (e *Engine) begin() {
-	e.incarnation = uint64(time.Now().UnixNano())
-	e.fence = 0
+	e.model.Restart(uint64(time.Now().UnixNano()))
 	e.replicas = map[string]*replica{}
-	e.ended = map[string]bool{}
 	e.streams = map[string]*stream{}
 	e.caches.dropMemory()
 	e.life, e.kill = context.WithCancel(context.Background())
@@ -100,8 +92,8 @@
 	defer e.mutex.Unlock()
 	e.kill()
 	for _, held := range e.replicas {
-		if held.phase != engine.PhaseFailed {
-			e.auditor.holds(held.order.Version, -1)
+		if held.Phase != engine.PhaseFailed {
+			e.auditor.holds(held.Order.Version, -1)
 		}
 	}
 	e.begin()
@@ -111,75 +103,28 @@
 func (e *Engine) order(order engine.Order) engine.OrderResult {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	result := engine.OrderResult{Accepted: true}
-	if reason := e.refusal(order); reason != "" {
+	result, effect := e.model.Apply(order)
+	switch {
+	case effect.Loading != nil:
+		e.beginLoad(effect.Loading)
+	case effect.Unloading != nil:
+		e.beginUnload(effect.Unloading)
+	case result.Reason == engine.ReasonNoMemory:
+		e.auditor.count(func(audit *Audit) { audit.MemoryOvercommits++ })
+	case !result.Accepted:
 		e.auditor.count(func(audit *Audit) { audit.StaleOrders++ })
-		return engine.OrderResult{Reason: reason, Fence: e.fence}
-	}
-	e.fence = max(e.fence, order.Fence)
-	switch order.Kind {
-	case engine.OrderLoad:
-		result = e.load(order)
-	case engine.OrderUnload:
-		e.unload(order)
 	}
-	result.Fence = e.fence
 	return result
 }
 
-func (e *Engine) refusal(order engine.Order) string {
-	if order.Incarnation != e.incarnation {
-		return engine.ReasonIncarnation
-	}
-	if held := e.replicas[order.Replica]; held != nil && order.Kind == engine.OrderLoad {
-		return "" // Carried out already.
-	}
-	if order.Fence < e.fence || e.ended[order.Replica] && order.Kind == engine.OrderLoad {
-		return engine.ReasonStaleFence
-	}
-	return ""
-}
-
-func (e *Engine) load(order engine.Order) engine.OrderResult {
-	if e.replicas[order.Replica] != nil {
-		return engine.OrderResult{Accepted: true}
-	}
-	if !e.hasRoom(order) {
-		// The name is spent: a late copy of this order must not succeed.
-		e.ended[order.Replica] = true
-		e.auditor.count(func(audit *Audit) { audit.MemoryOvercommits++ })
-		return engine.OrderResult{Reason: engine.ReasonNoMemory}
-	}
+func (e *Engine) beginLoad(loading *enginemodel.Replica) {
 	ctx, cancel := context.WithCancel(e.life)
 	started := &replica{
-		order: order, phase: engine.PhaseLoading, cancel: cancel,
-		adapters: map[string]bool{}, prefixes: map[uint64]bool{},
+		Replica: loading, cancel: cancel, adapters: map[string]bool{}, prefixes: map[uint64]bool{},
 	}
-	e.replicas[order.Replica] = started
-	e.auditor.holds(order.Version, 1)
+	e.replicas[loading.Order.Replica] = started
+	e.auditor.holds(loading.Order.Version, 1)
 	go e.runLoad(ctx, started)
-	return engine.OrderResult{Accepted: true}
-}
-
-func (e *Engine) hasRoom(order engine.Order) bool {
-	used := make([]int64, e.accelerators)
-	for _, held := range e.replicas {
-		if held.phase == engine.PhaseFailed {
-			continue
-		}
-		for _, accelerator := range held.order.Accelerators {
-			used[accelerator] += held.order.BytesPerAccelerator
-		}
-	}
-	for _, accelerator := range order.Accelerators {
-		if accelerator < 0 || accelerator >= e.accelerators {
-			return false
-		}
-		if used[accelerator]+order.BytesPerAccelerator > e.bytes {
-			return false
-		}
-	}
-	return true
 }
 
 // runLoad brings the weights in from the fastest tier that has them.
@@ -189,24 +134,23 @@
 	if dies {
 		time.AfterFunc(dieAfter, e.Restart)
 	}
-	bytes := loading.order.WeightBytes
+	bytes := loading.Order.WeightBytes
 	err := e.fetch(ctx, loading, bytes)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if ctx.Err() != nil || e.replicas[loading.order.Replica] != loading {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	if ctx.Err() != nil || !e.model.FinishLoad(loading.Replica, reason) {
 		return
 	}
 	if err != nil {
-		// A failed load holds no memory, and its name is spent.
-		loading.phase = engine.PhaseFailed
-		loading.reason = err.Error()
-		e.ended[loading.order.Replica] = true
-		e.auditor.holds(loading.order.Version, -1)
+		e.auditor.holds(loading.Order.Version, -1)
 		return
 	}
-	e.caches.add(loading.order.Checkpoint, bytes)
+	e.caches.add(loading.Order.Checkpoint, bytes)
 	e.auditor.count(func(audit *Audit) { audit.Loads++ })
-	loading.phase = engine.PhaseReady
 }
 
 // dieAfter is how far into a load a dying engine comes.
@@ -216,7 +160,7 @@
 
 func (e *Engine) fetch(ctx context.Context, loading *replica, bytes int64) error {
 	e.mutex.Lock()
-	tier := e.caches.tier(loading.order.Checkpoint)
+	tier := e.caches.tier(loading.Order.Checkpoint)
 	e.mutex.Unlock()
 	progress := func(remaining time.Duration) {
 		e.mutex.Lock()
@@ -244,35 +188,24 @@
 	return e.store.Transfer(ctx, bytes, progress)
 }
 
-// unload refuses new requests, lets the running ones finish and frees the
-// memory. The name can't be loaded again.
-func (e *Engine) unload(order engine.Order) {
-	e.ended[order.Replica] = true
-	held := e.replicas[order.Replica]
-	if held == nil {
-		return
-	}
-	if held.phase == engine.PhaseFailed {
-		delete(e.replicas, order.Replica)
-		return
-	}
-	if held.phase == engine.PhaseLoading {
-		held.cancel()
-	}
-	held.phase = engine.PhaseUnloading
+// beginUnload turns away those who wait; the running ones finish.
+func (e *Engine) beginUnload(ending *enginemodel.Replica) {
+	held := e.replicas[ending.Order.Replica]
+	held.cancel()
 	for _, waiting := range held.waiting {
 		close(waiting.refused)
 	}
 	held.waiting = nil
-	e.finishUnload(held)
+	e.dropUnloaded(held)
 }
 
-func (e *Engine) finishUnload(held *replica) {
-	if held.phase != engine.PhaseUnloading || held.running > 0 {
-		return
+// dropUnloaded follows the model once it has freed a replica's memory.
+func (e *Engine) dropUnloaded(held *replica) {
+	name := held.Order.Replica
+	if e.replicas[name] == held && e.model.Replica(name) != held.Replica {
+		delete(e.replicas, name)
+		e.auditor.holds(held.Order.Version, -1)
 	}
-	delete(e.replicas, held.order.Replica)
-	e.auditor.holds(held.order.Version, -1)
 }
 
 // report returns the engine's state with load figures that lag.
@@ -280,25 +213,23 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := time.Now()
-	report := engine.Report{
-		Machine: e.machine, Incarnation: e.incarnation, Fence: e.fence,
-		Accelerators: e.accelerators, AcceleratorBytes: e.bytes,
-	}
-	running, queued := 0, 0
-	for name, held := range e.replicas {
-		running += held.running
-		queued += len(held.waiting)
-		entry := engine.ReplicaReport{
-			Replica: name, Version: held.order.Version, Phase: held.phase, Running: held.running, Reason: held.reason,
+	report := e.model.Report()
+	queued := 0
+	for position := range report.Replicas {
+		entry := &report.Replicas[position]
+		held := e.replicas[entry.Replica]
+		if held == nil {
+			continue
 		}
-		if held.phase == engine.PhaseLoading {
+		queued += len(held.waiting)
+		if held.Phase == engine.PhaseLoading {
 			entry.RemainingMillis = max(0, held.readyAt.Sub(now).Milliseconds())
 		}
 		for adapter := range held.adapters {
 			entry.Adapters = append(entry.Adapters, adapter)
 		}
-		report.Replicas = append(report.Replicas, entry)
 	}
+	running := report.Running
 	e.loads.add(now, running, queued)
 	report.Running, report.Queued = e.loads.at(now.Add(-e.config.ReportLag))
 	report.Checkpoints = e.caches.list()
--- a/internal/emulator/inference.go
+++ b/internal/emulator/inference.go
@@ -79,12 +79,12 @@
 func (e *Engine) enter(ctx context.Context, name string, priority int, bytes int64) (*replica, bool) {
 	e.mutex.Lock()
 	held := e.replicas[name]
-	if held == nil || held.phase != engine.PhaseReady {
+	if held == nil || held.Phase != engine.PhaseReady {
 		e.mutex.Unlock()
 		return nil, false
 	}
 	if held.admits(bytes) {
-		held.running++
+		e.model.Begin(name)
 		held.cacheUsed += bytes
 		e.mutex.Unlock()
 		return held, true
@@ -104,10 +104,10 @@
 }
 
 func (r *replica) admits(bytes int64) bool {
-	if r.running >= r.order.MaxConcurrent {
+	if r.Running >= r.Order.MaxConcurrent {
 		return false
 	}
-	return r.running == 0 || r.cacheUsed+bytes <= r.order.CacheBytes
+	return r.Running == 0 || r.cacheUsed+bytes <= r.Order.CacheBytes
 }
 
 // withdraw takes a waiter out; where it was granted at the same moment, its
@@ -136,16 +136,16 @@
 }
 
 func (e *Engine) leaveLocked(held *replica, bytes int64) {
-	held.running--
+	e.model.End(held.Replica)
 	held.cacheUsed -= bytes
-	for len(held.waiting) > 0 && held.phase == engine.PhaseReady && held.admits(held.waiting[0].bytes) {
+	for len(held.waiting) > 0 && held.Phase == engine.PhaseReady && held.admits(held.waiting[0].bytes) {
 		next := held.waiting[0]
 		held.waiting = held.waiting[1:]
-		held.running++
+		e.model.Begin(held.Order.Replica)
 		held.cacheUsed += next.bytes
 		close(next.granted)
 	}
-	e.finishUnload(held)
+	e.dropUnloaded(held)
 }
 
 // stream is the buffered output of one request; readers follow it.
@@ -275,7 +275,7 @@
 	wait := prefill
 	for position := range body.tokens() {
 		e.mutex.Lock()
-		others := max(0, held.running-1)
+		others := max(0, held.Running-1)
 		e.mutex.Unlock()
 		wait += e.config.TokenInterval + time.Duration(others)*e.config.BatchSlowdown
 		select {
--- a/internal/loadgen/holds.go
+++ b/internal/loadgen/holds.go
@@ -34,14 +34,12 @@
 		if ctx.Err() != nil {
 			break
 		}
-		var lost bool
-		outcome, lost = g.sendHold(ctx, number+attempt+1, key)
-		if !lost && outcome != OutcomeUnknown && outcome != OutcomeNotRun {
-			break
-		}
+		answered, lost := g.sendHold(ctx, number+attempt+1, key)
 		if lost {
-			outcome = OutcomeDropped
+			// A broken connection takes nothing back that was said before.
 			g.recorder.resent()
+		} else if outcome = answered; outcome != OutcomeUnknown && outcome != OutcomeNotRun {
+			break
 		}
 		time.Sleep(resendDelay)
 	}
