Replace a lost control node by its standby

Cause: a voter that was lost for good kept its seat, so the loss of a second one stopped every decision.

Change: the leader promotes a learner that has caught up and then demotes the silent voter, one voter a step (controller.NextMembership, a pure function); control.replaceAfter says how long silence may last, 30 s by default.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -81,6 +81,7 @@
 	l.write(ctx, writes)
 	l.placeReplicas(ctx)
 	l.sweep(ctx)
+	l.repairMembership(ctx)
 	if digest := l.controller.Digest(l.node.now(), l.node.Revision()); digest != nil {
 		l.node.takeDigest(digest)
 		l.node.peers.broadcast(&wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}})
@@ -152,6 +153,39 @@
 	}
 }
 
+// repairMembership lets a standby take the place of a voter that is lost.
+func (l *leader) repairMembership(ctx context.Context) {
+	target := 0
+	for _, entry := range l.node.settings.Control.Members {
+		if !entry.Learner {
+			target++
+		}
+	}
+	node := l.node
+	l.onLoop(ctx, func() {
+		raftNode := node.member.Raft
+		next := controller.NextMembership(raftNode.Status(), raftNode.Peers(), target, node.settings.Control.ReplaceAfter)
+		if next == nil {
+			return
+		}
+		err := raftNode.ProposeMembership(node.now(), next)
+		if err == nil {
+			node.logger.Info("membership_changed", "voters", next.GetVoters(), "learners", next.GetLearners())
+		} else if !fault.Is(err, fault.Conflict) {
+			node.logger.Warn("membership_refused", "error", fault.Message(err))
+		}
+	})
+}
+
+// onLoop runs an action on the goroutine that owns the member, unless that
+// stops first.
+func (l *leader) onLoop(ctx context.Context, action func()) {
+	select {
+	case l.node.actions <- action:
+	case <-ctx.Done():
+	}
+}
+
 // readMachineList polls the platform's list. A failed read keeps the last.
 func (n *Node) readMachineList(ctx context.Context, list *atomic.Pointer[platform.MachineList]) {
 	if n.settings.Platform.MachineList == "" {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -52,7 +52,9 @@
 // Applied is the result of one committed entry.
 type Applied struct {
 	Index, Term uint64
-	Result      *wirepb.CommandResult
+	// Entry is the entry itself; Result is nil for one that is no command.
+	Entry  *wirepb.Entry
+	Result *wirepb.CommandResult
 }
 
 // Member is one node of the replicated log with its copy of the state. It is
@@ -191,7 +193,7 @@
 }
 
 func (m *Member) apply(entry *wirepb.Entry) Applied {
-	applied := Applied{Index: entry.GetIndex(), Term: entry.GetTerm()}
+	applied := Applied{Index: entry.GetIndex(), Term: entry.GetTerm(), Entry: entry}
 	if entry.GetKind() == wirepb.EntryKind_ENTRY_KIND_COMMAND {
 		applied.Result = m.State.Apply(entry.GetData())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,9 @@
 	LeaseMargin time.Duration `yaml:"leaseMargin"`
 	// CompactEvery is how many entries lie between snapshots. Default 4096.
 	CompactEvery uint64 `yaml:"compactEvery"`
+	// ReplaceAfter is how long a silent voter keeps its place before a
+	// learner takes it. Default 30s.
+	ReplaceAfter time.Duration `yaml:"replaceAfter"`
 	// ReadToken and WriteToken are required from operators if set.
 	ReadToken  string `yaml:"readToken"`
 	WriteToken string `yaml:"writeToken"`
@@ -171,6 +174,7 @@
 	setDefault(&s.Control.HeartbeatInterval, 100*time.Millisecond)
 	setDefault(&s.Control.LeaseMargin, 100*time.Millisecond)
 	setDefault(&s.Control.CompactEvery, 4096)
+	setDefault(&s.Control.ReplaceAfter, 30*time.Second)
 	setDefault(&s.Router.MaxWaiting, 4096)
 	setDefault(&s.Router.MaxBodyBytes, 4<<20)
 	setDefault(&s.Router.ReportInterval, 250*time.Millisecond)
@@ -302,6 +306,7 @@
 	}{
 		{"control.electionTimeout", s.Control.ElectionTimeout, 50 * time.Millisecond, time.Minute},
 		{"control.heartbeatInterval", s.Control.HeartbeatInterval, 5 * time.Millisecond, 10 * time.Second},
+		{"control.replaceAfter", s.Control.ReplaceAfter, time.Second, 24 * time.Hour},
 		{"router.reportInterval", s.Router.ReportInterval, 10 * time.Millisecond, 10 * time.Second},
 		{"router.pollInterval", s.Router.PollInterval, 10 * time.Millisecond, 10 * time.Second},
 		{"router.drainTimeout", s.Router.DrainTimeout, time.Second, time.Hour},
