--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,9 +18,8 @@
 	requestTimeout = 2 * time.Second
 	// transitionPoll is the pause between reports while a load or unload is
 	// under way: it adds to every cold start.
-	transitionPoll  = 20 * time.Millisecond
-	maxIdleConns    = 4
-	refusedOrderAge = 10 * time.Second
+	transitionPoll = 20 * time.Millisecond
+	maxIdleConns   = 4
 )
 
 // Agent watches over the machines assigned to one node.
@@ -46,9 +45,7 @@
 	// report is the newest answer; observed is when it came.
 	report   *wirepb.MachineReport
 	observed time.Time
-	// refused holds loads that the engine will never carry out, until the
-	// leader has taken notice.
-	refused map[string]time.Time
+	refused  Refusals
 }
 
 // New returns an agent; nudge asks for a report to the control plane soon.
@@ -113,7 +110,7 @@
 		}
 		watcherContext, cancel := context.WithCancel(ctx)
 		started := &watcher{
-			agent: a, machine: name, cancel: cancel, refused: map[string]time.Time{},
+			agent: a, machine: name, cancel: cancel, refused: Refusals{},
 			client: &engineClient{client: a.client, endpoint: machine.Spec.Endpoint},
 		}
 		a.watchers[name] = started
@@ -185,7 +182,7 @@
 func (w *watcher) give(ctx context.Context, orders []engine.Order) int {
 	accepted := 0
 	for _, order := range orders {
-		if _, known := w.refused[order.Replica]; known && order.Kind == engine.OrderLoad {
+		if w.refused.covers(order) {
 			continue
 		}
 		result, err := w.client.order(ctx, order)
@@ -199,9 +196,7 @@
 		}
 		w.agent.logger.Warn("order_refused", "machine", w.machine, "replica", order.Replica,
 			"kind", string(order.Kind), "reason", result.Reason)
-		if order.Kind == engine.OrderLoad {
-			w.refused[order.Replica] = time.Now()
-		}
+		w.refused.Note(order, time.Now())
 	}
 	return accepted
 }
@@ -230,30 +225,7 @@
 }
 
 func (w *watcher) publish(report *engine.Report, asked time.Time) {
-	message := &wirepb.MachineReport{
-		Machine: w.machine, Incarnation: report.Incarnation, Reachable: true,
-		Running: uint32(report.Running), Queued: uint32(report.Queued), Fence: report.Fence,
-	}
-	held := map[string]bool{}
-	for _, replica := range report.Replicas {
-		held[replica.Replica] = true
-		message.Replicas = append(message.Replicas, &wirepb.EngineReplica{
-			Id: replica.Replica, Version: replica.Version, Phase: replica.Phase,
-			RemainingMs: uint32(replica.RemainingMillis), Running: uint32(replica.Running), Adapters: replica.Adapters,
-		})
-	}
-	for name, since := range w.refused {
-		if held[name] || asked.Sub(since) > refusedOrderAge {
-			delete(w.refused, name)
-			continue
-		}
-		message.Replicas = append(message.Replicas, &wirepb.EngineReplica{Id: name, Phase: engine.PhaseFailed})
-	}
-	for _, checkpoint := range report.Checkpoints {
-		message.Checkpoints = append(message.Checkpoints, &wirepb.CachedCheckpoint{
-			Checkpoint: checkpoint.Checkpoint, Tier: checkpoint.Tier,
-		})
-	}
+	message := MachineReport(w.machine, report, w.refused, asked)
 	w.agent.mutex.Lock()
 	urgent := differs(w.report, message)
 	w.report = message
@@ -263,22 +235,3 @@
 		w.agent.nudge()
 	}
 }
-
-// differs reports whether the leader should hear at once: a replica came,
-// went or changed its phase, or the engine accepted a newer fence.
-func differs(held, next *wirepb.MachineReport) bool {
-	if held.GetIncarnation() != next.GetIncarnation() || held.GetFence() != next.GetFence() ||
-		len(held.GetReplicas()) != len(next.GetReplicas()) {
-		return true
-	}
-	phases := make(map[string]string, len(held.GetReplicas()))
-	for _, replica := range held.GetReplicas() {
-		phases[replica.GetId()] = replica.GetPhase()
-	}
-	for _, replica := range next.GetReplicas() {
-		if phases[replica.GetId()] != replica.GetPhase() {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -153,20 +153,16 @@
 		if batch.GetMore() {
 			return list
 		}
-		if batch.GetRevision() >= c.sink.Revision() {
-			c.sink.Apply(Changes{Events: list, Revision: batch.GetRevision(), Reset: true})
+		listed := Changes{Events: list, Revision: batch.GetRevision(), Reset: true}
+		if fresh, any := Fresh(c.sink.Revision(), listed); any {
+			c.sink.Apply(fresh)
 		}
 		return nil
 	}
-	held := c.sink.Revision()
-	if batch.GetRevision() <= held {
-		return nil
-	}
-	events := batch.GetEvents()
-	for len(events) > 0 && events[0].GetObject().GetRevision() <= held {
-		events = events[1:]
+	changes := Changes{Events: batch.GetEvents(), Revision: batch.GetRevision()}
+	if fresh, any := Fresh(c.sink.Revision(), changes); any {
+		c.sink.Apply(fresh)
 	}
-	c.sink.Apply(Changes{Events: events, Revision: batch.GetRevision()})
 	return nil
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sort"
 	"sync"
 	"time"
 
@@ -47,6 +48,23 @@
 	return changes
 }
 
+// Fresh returns what is new to a watcher that holds everything up to a
+// revision. It is what keeps a configuration from reverting: a watcher may be
+// answered late, twice, or by a server that is behind the one before.
+func Fresh(held uint64, changes Changes) (Changes, bool) {
+	if changes.Reset {
+		return changes, changes.Revision >= held
+	}
+	if changes.Revision <= held {
+		return Changes{}, false
+	}
+	first := sort.Search(len(changes.Events), func(i int) bool {
+		return changes.Events[i].GetObject().GetRevision() > held
+	})
+	changes.Events = changes.Events[first:]
+	return changes, true
+}
+
 // Backend is what a Server serves.
 type Backend interface {
 	// ChangesAfter returns the changes after a revision.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -114,21 +113,10 @@
 }
 
 func (d *dispatcher) takeDigest(now time.Time, digest *wirepb.ClusterDigest) {
-	estimates := make(map[string]*dispatch.Estimate, len(digest.GetEstimates()))
-	for _, estimate := range digest.GetEstimates() {
-		estimates[estimate.GetVersion()] = &dispatch.Estimate{
-			ReadyAt: now.Add(time.Duration(estimate.GetReadyInMs()) * time.Millisecond),
-			Refused: estimate.GetRefused(), Reason: estimate.GetReason(),
-		}
-	}
-	loads := make(map[string]int, len(digest.GetLoads()))
-	for _, load := range digest.GetLoads() {
-		loads[load.GetMachine()] = int(load.GetRunning() + load.GetQueued())
-	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.deliver(d.core.SetLoads(now, loads))
-	d.deliver(d.core.SetEstimates(now, estimates))
+	d.deliver(d.core.SetLoads(now, nodeview.LoadsOf(digest)))
+	d.deliver(d.core.SetEstimates(now, nodeview.EstimatesOf(digest, now)))
 }
 
 // tick lets deadlines pass while requests wait.
@@ -159,35 +147,3 @@
 func (g *Gateway) Demand(now time.Time) []dispatch.Demand {
 	return g.dispatcher.demand(now)
 }
-
-func replicaTargets(view *nodeview.View) []dispatch.Target {
-	var targets []dispatch.Target
-	view.EachReady(func(replica nodeview.Replica, machine nodeview.Machine) {
-		targets = append(targets, dispatch.Target{
-			Replica: replica.Object.GetName(), Version: replica.Spec.Version,
-			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
-		})
-	})
-	return targets
-}
-
-// maxPerBackend bounds the requests in flight to one generic back end.
-const maxPerBackend = 256
-
-// serviceTargets makes a target of each endpoint of each generic service; the
-// service's name stands in for the version.
-func serviceTargets(view *nodeview.View) []dispatch.Target {
-	var targets []dispatch.Target
-	view.EachService(func(name string, service *v1.ServiceSpec) {
-		if service.Backend == nil {
-			return
-		}
-		for _, endpoint := range service.Backend.Endpoints {
-			targets = append(targets, dispatch.Target{
-				Replica: name + "|" + endpoint, Version: name, Machine: name + "|" + endpoint,
-				Endpoint: endpoint, Max: maxPerBackend,
-			})
-		}
-	})
-	return targets
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,8 +144,8 @@
 	for {
 		changed := g.options.View.Changed()
 		now := time.Now()
-		g.dispatcher.setTargets(now, replicaTargets(g.options.View))
-		g.services.setTargets(now, serviceTargets(g.options.View))
+		g.dispatcher.setTargets(now, g.options.View.ReplicaTargets())
+		g.services.setTargets(now, g.options.View.ServiceTargets())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -15,6 +15,7 @@
 
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -127,26 +128,33 @@
 	return digest.Sum64()
 }
 
-// runOnce runs a request that may not be repeated under a claim.
+// runOnce runs a request that may not be repeated under a claim. What to do
+// next is decided by claims.Attempt.
 func (g *Gateway) runOnce(ctx context.Context, writer http.ResponseWriter, entry *call) string {
+	attempt := &claims.Attempt{}
 	result, err := g.claims.Open(ctx, entry.claimKey(), entry.fingerprint(), entry.owner, entry.deadline)
-	if err != nil {
-		return g.answerUnknown(writer, entry, "the request could not be claimed in time")
-	}
-	switch result.GetState() {
-	case wirepb.ClaimState_CLAIM_STATE_GRANTED:
-		return g.sendOnce(ctx, writer, entry)
-	case wirepb.ClaimState_CLAIM_STATE_COMPLETED:
+	switch attempt.Claimed(result.GetState(), err) {
+	case claims.StepSend:
+		return g.sendOnce(ctx, writer, entry, attempt)
+	case claims.StepReplay:
 		return replay(writer, result.GetAnswer())
-	case wirepb.ClaimState_CLAIM_STATE_MISMATCH:
+	case claims.StepMismatch:
 		document := problem.New(problem.TypeKeyMismatch, http.StatusUnprocessableEntity, "the key was used for a different request")
 		document.Field = engine.HeaderIdempotencyKey
 		g.refuse(writer, entry.id, document)
 		return "refused"
-	case wirepb.ClaimState_CLAIM_STATE_OPEN:
-		return g.answerUnknown(writer, entry, "the same request is still running elsewhere")
 	}
-	return g.answerUnknown(writer, entry, "an earlier attempt under this key may have run")
+	return g.answerUnknown(writer, entry, unclaimedDetail(result, err))
+}
+
+func unclaimedDetail(result *wirepb.ClaimResult, err error) string {
+	switch {
+	case err != nil:
+		return "the request could not be claimed in time"
+	case result.GetState() == wirepb.ClaimState_CLAIM_STATE_OPEN:
+		return "the same request is still running elsewhere"
+	}
+	return "an earlier attempt under this key may have run"
 }
 
 func replay(writer http.ResponseWriter, answer *wirepb.RecordedAnswer) string {
@@ -167,24 +175,24 @@
 
 // sendOnce sends a claimed request. It goes to another back end only where
 // the one before proved not to have run it.
-func (g *Gateway) sendOnce(ctx context.Context, writer http.ResponseWriter, entry *call) string {
+func (g *Gateway) sendOnce(ctx context.Context, writer http.ResponseWriter, entry *call, attempt *claims.Attempt) string {
 	wanted := &dispatch.Request{Version: entry.service, Priority: entry.spec.Priority, Arrived: entry.arrived, Deadline: entry.deadline}
-	for attempt := 1; ; attempt++ {
+	for number := 1; ; number++ {
 		grant, refusal := g.services.acquire(ctx, wanted)
 		if refusal != nil {
-			return g.closeNotRun(writer, entry, refusal)
+			return g.closeNotRun(writer, entry, attempt, refusal)
 		}
-		answer, end := g.callBackend(ctx, g.once, entry, grant, attempt)
+		answer, end := g.callBackend(ctx, g.once, entry, grant, number)
 		g.services.release(grant, end.health())
 		g.options.Metrics.attempts.WithLabelValues(end.String()).Inc()
-		switch end {
-		case endAnswered:
+		switch attempt.Sent(sendEnd(end)) {
+		case claims.StepAnswer:
 			g.recordAnswer(entry, answer)
 			answer.write(writer)
 			return end.String()
-		case endNotRun:
+		case claims.StepSend:
 			wanted.Avoid = grant.Target.Replica
-			if !pause(ctx, attempt) {
+			if !pause(ctx, number) {
 				wanted.Deadline = time.Now()
 			}
 		default:
@@ -194,11 +202,25 @@
 	}
 }
 
+func sendEnd(end attemptEnd) claims.SendEnd {
+	switch end {
+	case endAnswered:
+		return claims.SendAnswered
+	case endNotRun:
+		return claims.SendNotRun
+	}
+	return claims.SendUnknown
+}
+
 // closeNotRun says "not run" once the claim is closed against any later run.
-func (g *Gateway) closeNotRun(writer http.ResponseWriter, entry *call, refusal *dispatch.Refusal) string {
+func (g *Gateway) closeNotRun(writer http.ResponseWriter, entry *call, attempt *claims.Attempt, refusal *dispatch.Refusal) string {
+	if attempt.Refused() != claims.StepCloseNotRun {
+		return g.answerUnknown(writer, entry, "the request may have run")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	if err := g.claims.CloseNotRun(ctx, entry.claimKey(), entry.owner); err != nil {
+	err := g.claims.CloseNotRun(ctx, entry.claimKey(), entry.owner)
+	if attempt.Closed(err) != claims.StepAnswerNotRun {
 		return g.answerUnknown(writer, entry, "the request was not sent, but its claim could not be closed")
 	}
 	return g.answerRefusal(writer, entry.job, refusal, false)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/agent"
-	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/gateway"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -26,12 +25,11 @@
 	nudges  chan struct{}
 
 	sequence uint64
-	// reported holds the arrivals last reported for each version.
-	reported map[string]uint64
+	demand   *nodeview.DemandNews
 }
 
 func newRouter(node *Node) *router {
-	created := &router{node: node, view: nodeview.New(), nudges: make(chan struct{}, 1), reported: map[string]uint64{}}
+	created := &router{node: node, view: nodeview.New(), nudges: make(chan struct{}, 1), demand: nodeview.NewDemandNews()}
 	settings := node.settings
 	created.client = feed.NewClient(settings.Router.Upstreams, node.hello(), created.view, node.logger, node.counters)
 	created.gateway = gateway.New(gateway.Options{
@@ -93,25 +91,6 @@
 		AppliedRevision: r.view.Revision(), Router: true, Draining: r.gateway.Draining(),
 		Machines: r.agent.Reports(now), DigestSequence: r.view.Digest().GetSequence(),
 	}
-	for _, demand := range r.gateway.Demand(now) {
-		if r.hasNews(demand) {
-			report.Demand = append(report.Demand, demandMessage(demand))
-		}
-	}
+	report.Demand = r.demand.Messages(r.gateway.Demand(now))
 	return report
 }
-
-// hasNews leaves out versions that nobody has asked for since the last
-// report and that nobody uses.
-func (r *router) hasNews(demand dispatch.Demand) bool {
-	news := demand.Waiting > 0 || demand.Running > 0 || demand.Arrivals != r.reported[demand.Version]
-	r.reported[demand.Version] = demand.Arrivals
-	return news
-}
-
-func demandMessage(demand dispatch.Demand) *wirepb.ModelDemand {
-	return &wirepb.ModelDemand{
-		Version: demand.Version, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
-		Arrivals: demand.Arrivals, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
-	}
-}
--- /dev/null
+++ b/internal/nodeview/targets.go
@@ -0,0 +1,94 @@
+package nodeview
+
+import (
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// maxPerBackend bounds the requests in flight to one generic back end.
+const maxPerBackend = 256
+
+// ReplicaTargets lists the replicas that may get requests.
+func (v *View) ReplicaTargets() []dispatch.Target {
+	var targets []dispatch.Target
+	v.EachReady(func(replica Replica, machine Machine) {
+		targets = append(targets, dispatch.Target{
+			Replica: replica.Object.GetName(), Version: replica.Spec.Version,
+			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
+		})
+	})
+	return targets
+}
+
+// ServiceTargets makes a target of each endpoint of each generic service; the
+// service's name stands in for the version.
+func (v *View) ServiceTargets() []dispatch.Target {
+	var targets []dispatch.Target
+	v.EachService(func(name string, service *v1.ServiceSpec) {
+		if service.Backend == nil {
+			return
+		}
+		for _, endpoint := range service.Backend.Endpoints {
+			targets = append(targets, dispatch.Target{
+				Replica: name + "|" + endpoint, Version: name, Machine: name + "|" + endpoint,
+				Endpoint: endpoint, Max: maxPerBackend,
+			})
+		}
+	})
+	return targets
+}
+
+// EstimatesOf returns a digest's estimates by version, as of now.
+func EstimatesOf(digest *wirepb.ClusterDigest, now time.Time) map[string]*dispatch.Estimate {
+	estimates := make(map[string]*dispatch.Estimate, len(digest.GetEstimates()))
+	for _, estimate := range digest.GetEstimates() {
+		estimates[estimate.GetVersion()] = &dispatch.Estimate{
+			ReadyAt: now.Add(time.Duration(estimate.GetReadyInMs()) * time.Millisecond),
+			Refused: estimate.GetRefused(), Reason: estimate.GetReason(),
+		}
+	}
+	return estimates
+}
+
+// LoadsOf returns a digest's lagged loads by machine, in requests.
+func LoadsOf(digest *wirepb.ClusterDigest) map[string]int {
+	loads := make(map[string]int, len(digest.GetLoads()))
+	for _, load := range digest.GetLoads() {
+		loads[load.GetMachine()] = int(load.GetRunning() + load.GetQueued())
+	}
+	return loads
+}
+
+// DemandNews turns a router's demand into report entries and leaves out
+// versions that nobody has asked for since the last report and nobody uses.
+type DemandNews struct {
+	reported map[string]uint64
+}
+
+// NewDemandNews returns a DemandNews that has reported nothing.
+func NewDemandNews() *DemandNews {
+	return &DemandNews{reported: map[string]uint64{}}
+}
+
+// Messages returns the entries of the next report.
+func (n *DemandNews) Messages(demands []dispatch.Demand) []*wirepb.ModelDemand {
+	var messages []*wirepb.ModelDemand
+	for _, demand := range demands {
+		news := demand.Waiting > 0 || demand.Running > 0 || demand.Arrivals != n.reported[demand.Version]
+		n.reported[demand.Version] = demand.Arrivals
+		if news {
+			messages = append(messages, demandMessage(demand))
+		}
+	}
+	return messages
+}
+
+func demandMessage(demand dispatch.Demand) *wirepb.ModelDemand {
+	return &wirepb.ModelDemand{
+		Version: demand.Version, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
+		Arrivals: demand.Arrivals, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
+	}
+}
