--- a/cmd/weldbench/main.go
+++ b/cmd/weldbench/main.go
@@ -18,11 +18,13 @@
 )
 
 type commandLine struct {
-	Emulate emulateCommand `cmd:"" help:"Run emulated engines, back ends, weight store and machine list."`
-	Load    loadCommand    `cmd:"" help:"Drive routers with an open-loop load and judge every answer."`
-	Faults  faultsCommand  `cmd:"" help:"Simulate clusters under faults and check what must always hold."`
-	Ports   portsCommand   `cmd:"" help:"Print free ports of this machine."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Emulate  emulateCommand  `cmd:"" help:"Run emulated engines, back ends, weight store and machine list."`
+	Load     loadCommand     `cmd:"" help:"Drive routers with an open-loop load and judge every answer."`
+	Faults   faultsCommand   `cmd:"" help:"Simulate clusters under faults and check what must always hold."`
+	Capacity capacityCommand `cmd:"" help:"Measure what a running fleet costs, by role."`
+	Hollow   hollowCommand   `cmd:"" help:"Host many routers without callers in one process."`
+	Ports    portsCommand    `cmd:"" help:"Print free ports of this machine."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 type versionCommand struct{}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -45,14 +45,37 @@
 	return ""
 }
 
-func registerTraffic(registry *prometheus.Registry, counters *wire.Counters) {
-	register := func(name, help string, read func() uint64) {
-		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 {
-			return float64(read())
-		}))
+// trafficCollector exports the traffic between processes by kind of message.
+type trafficCollector struct {
+	counters *wire.Counters
+	bytes    *prometheus.Desc
+	messages *prometheus.Desc
+}
+
+func newTrafficCollector(counters *wire.Counters) *trafficCollector {
+	labels := []string{"kind", "direction"}
+	return &trafficCollector{
+		counters: counters,
+		bytes:    prometheus.NewDesc("weldline_wire_bytes_total", "Bytes exchanged with other processes.", labels, nil),
+		messages: prometheus.NewDesc("weldline_wire_messages_total", "Messages exchanged with other processes.", labels, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *trafficCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.bytes
+	descriptions <- c.messages
+}
+
+// Collect implements prometheus.Collector.
+func (c *trafficCollector) Collect(metrics chan<- prometheus.Metric) {
+	send := func(description *prometheus.Desc, value uint64, kind, direction string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), kind, direction)
+	}
+	for _, traffic := range c.counters.Traffic() {
+		send(c.bytes, traffic.BytesSent, traffic.Kind, "sent")
+		send(c.bytes, traffic.BytesReceived, traffic.Kind, "received")
+		send(c.messages, traffic.MessagesSent, traffic.Kind, "sent")
+		send(c.messages, traffic.MessagesReceived, traffic.Kind, "received")
 	}
-	register("weldline_wire_sent_bytes_total", "Bytes sent to other processes.", counters.BytesSent.Load)
-	register("weldline_wire_received_bytes_total", "Bytes received from other processes.", counters.BytesReceived.Load)
-	register("weldline_wire_sent_messages_total", "Messages sent to other processes.", counters.MessagesSent.Load)
-	register("weldline_wire_received_messages_total", "Messages received from other processes.", counters.MessagesReceived.Load)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,8 +54,8 @@
 	created.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		newTrafficCollector(created.counters),
 	)
-	registerTraffic(created.registry, created.counters)
 	if configuration.Has(settings.RoleControl) {
 		if err := created.openControl(); err != nil {
 			return nil, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,8 +157,13 @@
 	if err := decoder.Decode(settings); err != nil {
 		return nil, fault.InvalidField("settings", "%s", yaml.FormatError(err, false, false))
 	}
-	settings.setDefaults()
-	return settings, settings.validate()
+	return settings, settings.Complete()
+}
+
+// Complete fills in the defaults and checks everything.
+func (s *Settings) Complete() error {
+	s.setDefaults()
+	return s.validate()
 }
 
 func setDefault[T comparable](target *T, value T) {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -23,12 +22,6 @@
 	bufferBytes      = 32 << 10
 )
 
-// Counters counts traffic; one may be shared by many connections.
-type Counters struct {
-	BytesSent, BytesReceived       atomic.Uint64
-	MessagesSent, MessagesReceived atomic.Uint64
-}
-
 // Conn is a framed connection after its handshake. Send never blocks on the
 // network: a peer that doesn't drain its queue is disconnected, because soft
 // state may be lost but must not hold up the sender.
@@ -169,8 +162,7 @@
 		c.Close()
 		return nil, err
 	}
-	c.counters.BytesReceived.Add(uint64(size))
-	c.counters.MessagesReceived.Add(1)
+	c.counters.received(envelope, size)
 	return envelope, nil
 }
 
@@ -210,8 +202,7 @@
 		if err != nil {
 			return false
 		}
-		c.counters.BytesSent.Add(uint64(size))
-		c.counters.MessagesSent.Add(1)
+		c.counters.sent(envelope, size)
 		select {
 		case envelope = <-c.outbox:
 			continue
