Assign machines by zone and wake agents only for their own

Cause: every node hashed all 350 nodes for each of 1100 machines twice a second, and every change of the state made each agent ask its engines again.

Change: the assignment looks only at nodes of the machine's zone, and a node skips machines of other zones that have nodes; an agent wakes when something is decided for its own machine (View.DecidedFor).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,6 +25,7 @@
 // Agent watches over the machines assigned to one node.
 type Agent struct {
 	node     string
+	zone     string
 	view     *nodeview.View
 	logger   *slog.Logger
 	client   *http.Client
@@ -49,9 +50,9 @@
 }
 
 // New returns an agent; nudge asks for a report to the control plane soon.
-func New(node string, view *nodeview.View, logger *slog.Logger, interval time.Duration, nudge func()) *Agent {
+func New(node, zone string, view *nodeview.View, logger *slog.Logger, interval time.Duration, nudge func()) *Agent {
 	return &Agent{
-		node: node, view: view, logger: logger, interval: interval, nudge: nudge,
+		node: node, zone: zone, view: view, logger: logger, interval: interval, nudge: nudge,
 		client: &http.Client{
 			Timeout:   requestTimeout,
 			Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute},
@@ -88,13 +89,14 @@
 }
 
 func (a *Agent) assign(ctx context.Context, workers *sync.WaitGroup) {
-	nodes := a.view.Digest().GetNodes()
+	assignment := NewAssignment(a.view.Digest().GetNodes())
 	assigned := map[string]nodeview.Machine{}
-	for name, machine := range a.view.Machines() {
-		if AgentOf(name, machine.Spec.Zone, nodes) == a.node {
+	a.view.EachMachine(func(name string, machine nodeview.Machine) {
+		zone := machine.Spec.Zone
+		if assignment.mayWatch(a.zone, zone) && assignment.AgentOf(name, zone) == a.node {
 			assigned[name] = machine
 		}
-	}
+	})
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for name, held := range a.watchers {
@@ -143,13 +145,29 @@
 }
 
 func (w *watcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		decided := w.agent.view.DecidedFor(w.machine)
+		pause := w.cycle(ctx)
+		w.wait(ctx, pause, decided)
+	}
+}
+
+// wait returns after a pause, or once something was decided for the machine.
+// Changes that concern other machines don't end it: at the target size there
+// are several a second, and each would cost a report from every engine.
+func (w *watcher) wait(ctx context.Context, pause time.Duration, decided uint64) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	for {
 		changed := w.agent.view.Changed()
-		pause := w.cycle(ctx)
+		if w.agent.view.DecidedFor(w.machine) != decided {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause):
+		case <-timer.C:
+			return
 		case <-changed:
 		}
 	}
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -166,10 +166,10 @@
 
 // watchMachines is the agent: it asks the engines assigned to this node.
 func (r *routerNode) watchMachines() {
-	nodes := r.view.Digest().GetNodes()
+	assignment := agent.NewAssignment(r.view.Digest().GetNodes())
 	for _, machine := range r.world.machines {
 		declared, known := r.view.Machine(machine.name)
-		assigned := known && agent.AgentOf(machine.name, declared.Spec.Zone, nodes) == r.name
+		assigned := known && assignment.AgentOf(machine.name, declared.Spec.Zone) == r.name
 		watch := r.watches[machine.name]
 		switch {
 		case !assigned:
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -37,7 +37,7 @@
 		Propose: created.client.Propose, MaxWaiting: settings.Router.MaxWaiting,
 		MaxBodyBytes: settings.Router.MaxBodyBytes, Nudge: created.nudge,
 	})
-	created.agent = agent.New(settings.Node, created.view, node.logger, settings.Router.PollInterval, created.nudge)
+	created.agent = agent.New(settings.Node, settings.Zone, created.view, node.logger, settings.Router.PollInterval, created.nudge)
 	return created
 }
 
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -50,6 +50,8 @@
 	// replicas are grouped by version; replicasOn by machine.
 	replicas   map[string]map[string]Replica
 	replicasOn map[string]map[string]Replica
+	// decidedFor is the revision of the newest decision for each machine.
+	decidedFor map[string]uint64
 	// services lists, for each model, the services that offer it.
 	services map[string]map[string]*v1.ServiceSpec
 	limits   map[string]map[string]*v1.LimitSpec
@@ -75,6 +77,7 @@
 	v.machines = map[string]Machine{}
 	v.replicas = map[string]map[string]Replica{}
 	v.replicasOn = map[string]map[string]Replica{}
+	v.decidedFor = map[string]uint64{}
 	v.services = map[string]map[string]*v1.ServiceSpec{}
 	v.limits = map[string]map[string]*v1.LimitSpec{}
 }
@@ -122,6 +125,9 @@
 			return
 		}
 		v.unindex(key, held)
+		if replica, isReplica := v.specs[key].(*v1.ReplicaSpec); isReplica {
+			v.decidedFor[replica.Machine] = object.GetRevision()
+		}
 	}
 	if event.GetDeleted() {
 		delete(v.objects, key)
@@ -164,6 +170,7 @@
 		replica := Replica{Object: object, Spec: typed}
 		addTo(v.replicas, typed.Version, name, replica)
 		addTo(v.replicasOn, typed.Machine, name, replica)
+		v.decidedFor[typed.Machine] = max(v.decidedFor[typed.Machine], object.GetRevision())
 	case *v1.ServiceSpec:
 		for _, model := range typed.Models {
 			addTo(v.services, model, name, typed)
@@ -296,15 +303,13 @@
 	return names
 }
 
-// Machines returns all machines by name.
-func (v *View) Machines() map[string]Machine {
+// EachMachine calls visit for every machine.
+func (v *View) EachMachine(visit func(name string, machine Machine)) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	machines := make(map[string]Machine, len(v.machines))
 	for name, machine := range v.machines {
-		machines[name] = machine
+		visit(name, machine)
 	}
-	return machines
 }
 
 // Machine returns one machine.
@@ -326,6 +331,14 @@
 	return replicas, v.revision
 }
 
+// DecidedFor returns the revision of the newest decision about a replica on a
+// machine; 0 if there was none.
+func (v *View) DecidedFor(machine string) uint64 {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	return v.decidedFor[machine]
+}
+
 // EachReady calls visit for every replica that may get requests: ready, on a
 // machine that is neither leaving nor lost.
 func (v *View) EachReady(visit func(replica Replica, machine Machine)) {
