Send the roster only when it changes, and loads as a byte each

Cause: every digest named all nodes and spelt out each machine's load, so a node received 14.4 kB/s idle and 62 kB/s of digests under loads, against an allowance of 13 kB/s for everything; followers passed each report on alone.

Change: the digest refers to a roster of nodes and machines by the sequence at which it began; feed.DigestSender leaves it out where the connection's other end has it, feed.DigestReceiver puts it back. Loads are one byte for each machine of the roster. Reports travel in the batches in which they came.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -89,7 +89,7 @@
 }
 
 func (a *Agent) assign(ctx context.Context, workers *sync.WaitGroup) {
-	assignment := NewAssignment(a.view.Digest().GetNodes())
+	assignment := NewAssignment(a.view.Digest().GetRoster().GetNodes())
 	assigned := map[string]nodeview.Machine{}
 	a.view.EachMachine(func(name string, machine nodeview.Machine) {
 		zone := machine.Spec.Zone
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -35,13 +35,13 @@
 	return n.digestChanged.Wait()
 }
 
-// Report implements feed.Backend: the leader keeps the report, a follower
-// passes it on.
-func (n *Node) Report(report *wirepb.NodeReport) {
-	n.takeReports([]*wirepb.NodeReport{report})
+// Report implements feed.Backend: the leader keeps the reports, a follower
+// passes them on, as many in one message as came in one.
+func (n *Node) Report(reports ...*wirepb.NodeReport) {
+	n.takeReports(reports)
 	status := n.status.Load()
 	if link := n.peers.links[status.Leader]; link != nil {
-		batch := &wirepb.NodeReportBatch{Reports: []*wirepb.NodeReport{report}}
+		batch := &wirepb.NodeReportBatch{Reports: reports}
 		_ = link.send(&wirepb.Envelope{Body: &wirepb.Envelope_NodeReportBatch{NodeReportBatch: batch}})
 	}
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -84,7 +84,7 @@
 	l.repairMembership(ctx)
 	if digest := l.controller.Digest(l.node.now(), l.node.Revision()); digest != nil {
 		l.node.takeDigest(digest)
-		l.node.peers.broadcast(&wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}})
+		l.node.peers.broadcastDigest(digest)
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -31,6 +31,7 @@
 
 	mutex   sync.Mutex
 	conn    *wire.Conn
+	digests *feed.DigestSender
 	nextID  uint64
 	waiting map[uint64]chan *wirepb.Envelope
 }
@@ -67,9 +68,17 @@
 	time.Sleep(flushDelay)
 }
 
-func (s *peerSet) broadcast(envelope *wirepb.Envelope) {
+func (s *peerSet) broadcastDigest(digest *wirepb.ClusterDigest) {
 	for _, link := range s.links {
-		_ = link.send(envelope)
+		link.sendDigest(digest)
+	}
+}
+
+func (l *peerLink) sendDigest(digest *wirepb.ClusterDigest) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Send(l.digests.Envelope(digest))
 	}
 }
 
@@ -100,6 +109,7 @@
 	defer stop()
 	l.mutex.Lock()
 	l.conn = conn
+	l.digests = &feed.DigestSender{}
 	l.mutex.Unlock()
 	defer l.detach()
 	for {
@@ -168,6 +178,7 @@
 func (n *Node) servePeer(ctx context.Context, conn *wire.Conn) {
 	var workers sync.WaitGroup
 	defer workers.Wait()
+	digests := &feed.DigestReceiver{}
 	for {
 		envelope, err := conn.Receive()
 		if err != nil {
@@ -179,7 +190,9 @@
 		case *wirepb.Envelope_NodeReportBatch:
 			n.takeReports(body.NodeReportBatch.GetReports())
 		case *wirepb.Envelope_ClusterDigest:
-			n.takeDigest(body.ClusterDigest)
+			if digest := digests.Complete(body.ClusterDigest); digest != nil {
+				n.takeDigest(digest)
+			}
 		case *wirepb.Envelope_Proposal:
 			workers.Go(func() {
 				feed.AnswerProposal(ctx, conn, envelope.GetRequestId(), body.Proposal, n.proposeLocally)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,9 +11,12 @@
 package controller
 
 import (
+	"math"
 	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/weldline/weldline/api/platform"
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/placement"
@@ -48,6 +51,9 @@
 	estimates []placement.Estimate
 
 	digestSequence uint64
+	// roster is what the digests carry, since rosterSequence.
+	roster         *wirepb.Roster
+	rosterSequence uint64
 	lastDigest     time.Duration
 	lastSweep      time.Duration
 }
@@ -118,41 +124,61 @@
 	digest := &wirepb.ClusterDigest{
 		Term: c.config.Term, Sequence: c.digestSequence, Leader: c.config.Node, Revision: revision,
 	}
-	addNodes(digest, now, nodes)
 	for _, estimate := range c.estimates {
 		digest.Estimates = append(digest.Estimates, &wirepb.ReplicaEstimate{
 			Version: estimate.Version, ReadyInMs: uint32(estimate.ReadyIn.Milliseconds()),
 			Refused: estimate.Refused, Reason: estimate.Reason,
 		})
 	}
-	addLoads(digest, reports)
+	digest.Routers = liveRouters(now, nodes)
+	if roster := rosterOf(now, nodes, reports); c.roster == nil || !proto.Equal(roster, c.roster) {
+		c.roster, c.rosterSequence = roster, c.digestSequence
+	}
+	digest.Roster, digest.RosterSequence = c.roster, c.rosterSequence
+	digest.MachineLoads = machineLoads(c.roster, reports)
 	return digest
 }
 
-func addNodes(digest *wirepb.ClusterDigest, now time.Duration, nodes map[string]nodeEntry) {
-	for name, entry := range nodes {
-		if now-entry.received > NodeTimeout {
-			continue
+func liveRouters(now time.Duration, nodes map[string]nodeEntry) uint32 {
+	count := uint32(0)
+	for _, entry := range nodes {
+		if now-entry.received <= NodeTimeout && entry.report.GetRouter() && !entry.report.GetDraining() {
+			count++
 		}
-		if entry.report.GetRouter() && !entry.report.GetDraining() {
-			digest.Routers++
-		}
-		digest.Nodes = append(digest.Nodes, &wirepb.NodeEntry{
-			Name: name, Zone: entry.report.GetZone(), Draining: entry.report.GetDraining(),
-		})
 	}
-	sort.Slice(digest.Nodes, func(i, j int) bool { return digest.Nodes[i].GetName() < digest.Nodes[j].GetName() })
+	return count
 }
 
-func addLoads(digest *wirepb.ClusterDigest, reports map[string]machineEntry) {
-	for name, entry := range reports {
-		if entry.report.GetRunning()+entry.report.GetQueued() > 0 {
-			digest.Loads = append(digest.Loads, &wirepb.MachineLoad{
-				Machine: name, Running: entry.report.GetRunning(), Queued: entry.report.GetQueued(),
+func rosterOf(now time.Duration, nodes map[string]nodeEntry, reports map[string]machineEntry) *wirepb.Roster {
+	roster := &wirepb.Roster{}
+	for name, entry := range nodes {
+		if now-entry.received <= NodeTimeout {
+			roster.Nodes = append(roster.Nodes, &wirepb.NodeEntry{
+				Name: name, Zone: entry.report.GetZone(), Draining: entry.report.GetDraining(),
 			})
 		}
 	}
-	sort.Slice(digest.Loads, func(i, j int) bool { return digest.Loads[i].GetMachine() < digest.Loads[j].GetMachine() })
+	sort.Slice(roster.Nodes, func(i, j int) bool { return roster.Nodes[i].GetName() < roster.Nodes[j].GetName() })
+	for name := range reports {
+		roster.Machines = append(roster.Machines, name)
+	}
+	sort.Strings(roster.Machines)
+	return roster
+}
+
+// machineLoads packs the lagged loads in the roster's order, without the
+// zeros at its end.
+func machineLoads(roster *wirepb.Roster, reports map[string]machineEntry) []byte {
+	loads := make([]byte, len(roster.GetMachines()))
+	used := 0
+	for position, name := range roster.GetMachines() {
+		report := reports[name].report
+		loads[position] = byte(min(report.GetRunning()+report.GetQueued(), math.MaxUint8))
+		if loads[position] > 0 {
+			used = position + 1
+		}
+	}
+	return loads[:used]
 }
 
 func sameEstimates(left, right []placement.Estimate) bool {
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -166,7 +166,7 @@
 
 // watchMachines is the agent: it asks the engines assigned to this node.
 func (r *routerNode) watchMachines() {
-	assignment := agent.NewAssignment(r.view.Digest().GetNodes())
+	assignment := agent.NewAssignment(r.view.Digest().GetRoster().GetNodes())
 	for _, machine := range r.world.machines {
 		declared, known := r.view.Machine(machine.name)
 		assigned := known && assignment.AgentOf(machine.name, declared.Spec.Zone) == r.name
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -176,9 +176,11 @@
 
 // Report implements Backend. Of one node, the newest report stands for those
 // before it.
-func (c *Cache) Report(report *wirepb.NodeReport) {
+func (c *Cache) Report(reports ...*wirepb.NodeReport) {
 	c.mutex.Lock()
-	c.reports[report.GetNode()] = report
+	for _, report := range reports {
+		c.reports[report.GetNode()] = report
+	}
 	c.mutex.Unlock()
 	select {
 	case c.reported <- struct{}{}:
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -128,6 +128,7 @@
 
 func (c *Client) receive(conn *wire.Conn) {
 	var list []*wirepb.WatchEvent
+	digests := &DigestReceiver{}
 	for {
 		envelope, err := conn.Receive()
 		if err != nil {
@@ -138,7 +139,9 @@
 		case *wirepb.Envelope_WatchBatch:
 			list = c.takeBatch(list, body.WatchBatch)
 		case *wirepb.Envelope_ClusterDigest:
-			c.sink.TakeDigest(body.ClusterDigest)
+			if digest := digests.Complete(body.ClusterDigest); digest != nil {
+				c.sink.TakeDigest(digest)
+			}
 		case *wirepb.Envelope_ProposalResult:
 			c.complete(envelope.GetRequestId(), body.ProposalResult)
 		}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -65,16 +65,6 @@
 	return changes, true
 }
 
-// Newer reports whether a digest is to replace the held one, which may be
-// nil. Order is by term, then sequence, so that a deposed leader's late digest
-// changes nothing.
-func Newer(digest, held *wirepb.ClusterDigest) bool {
-	if held == nil || digest.GetTerm() != held.GetTerm() {
-		return held == nil || digest.GetTerm() > held.GetTerm()
-	}
-	return digest.GetSequence() > held.GetSequence()
-}
-
 // Backend is what a Server serves.
 type Backend interface {
 	// ChangesAfter returns the changes after a revision.
@@ -85,8 +75,8 @@
 	Digest() *wirepb.ClusterDigest
 	// DigestChanged returns a channel that is closed at the next digest.
 	DigestChanged() <-chan struct{}
-	// Report takes a node's report.
-	Report(report *wirepb.NodeReport)
+	// Report takes the reports of one or more nodes.
+	Report(reports ...*wirepb.NodeReport)
 	// Propose carries a command to the leader and returns its result.
 	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 }
@@ -165,9 +155,7 @@
 		case *wirepb.Envelope_NodeReport:
 			s.backend.Report(body.NodeReport)
 		case *wirepb.Envelope_NodeReportBatch:
-			for _, report := range body.NodeReportBatch.GetReports() {
-				s.backend.Report(report)
-			}
+			s.backend.Report(body.NodeReportBatch.GetReports()...)
 		case *wirepb.Envelope_Proposal:
 			slots <- struct{}{}
 			workers.Go(func() {
@@ -197,11 +185,11 @@
 }
 
 func (s *Server) sendDigests(ctx context.Context, conn *wire.Conn) {
+	sender := &DigestSender{}
 	for {
 		changed := s.backend.DigestChanged()
 		if digest := s.backend.Digest(); digest != nil {
-			envelope := &wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}}
-			if conn.Send(envelope) != nil {
+			if conn.Send(sender.Envelope(digest)) != nil {
 				return
 			}
 		}
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -55,9 +55,12 @@
 
 // LoadsOf returns a digest's lagged loads by machine, in requests.
 func LoadsOf(digest *wirepb.ClusterDigest) map[string]int {
-	loads := make(map[string]int, len(digest.GetLoads()))
-	for _, load := range digest.GetLoads() {
-		loads[load.GetMachine()] = int(load.GetRunning() + load.GetQueued())
+	machines := digest.GetRoster().GetMachines()
+	loads := make(map[string]int, len(digest.GetMachineLoads()))
+	for position, load := range digest.GetMachineLoads() {
+		if load > 0 && position < len(machines) {
+			loads[machines[position]] = int(load)
+		}
 	}
 	return loads
 }
