--- a/cmd/weldbench/capacity.go
+++ b/cmd/weldbench/capacity.go
@@ -19,11 +19,13 @@
 
 // capacityCommand measures a fleet that scripts/capacity.sh has started.
 type capacityCommand struct {
-	Fleet   string        `required:"" type:"existingfile" help:"File that lists the fleet's processes."`
-	Phase   time.Duration `default:"20s" help:"Length of each phase."`
-	SpeedUp float64       `default:"30" help:"How much faster than declared changes and loads come."`
-	Seed    uint64        `default:"1" help:"Seed."`
-	JSON    bool          `name:"json" help:"Write the result as one JSON object."`
+	Fleet     string        `required:"" type:"existingfile" help:"File that lists the fleet's processes."`
+	Phase     time.Duration `default:"20s" help:"Length of each phase."`
+	SpeedUp   float64       `default:"30" help:"How much faster than declared changes and loads come."`
+	Seed      uint64        `default:"1" help:"Seed."`
+	Faults    bool          `help:"Add a phase in which engines restart as often as in a day."`
+	PhaseFile string        `type:"path" help:"File that gets the name of each phase as it begins."`
+	JSON      bool          `name:"json" help:"Write the result as one JSON object."`
 }
 
 // Run implements the command.
@@ -34,7 +36,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	plan := capacity.Plan{PhaseLength: c.Phase, SpeedUp: c.SpeedUp, Seed: c.Seed}
+	plan := capacity.Plan{PhaseLength: c.Phase, SpeedUp: c.SpeedUp, Seed: c.Seed, Faults: c.Faults, PhaseFile: c.PhaseFile}
 	result, err := capacity.Run(ctx, fleet, plan, func(text string) { fmt.Fprintln(os.Stderr, "capacity: "+text) })
 	if err != nil {
 		return err
@@ -108,3 +110,30 @@
 	configuration.Router.Upstreams = append(append([]string{}, c.Upstreams[preferred:]...), c.Upstreams[:preferred]...)
 	return configuration, configuration.Complete()
 }
+
+// slopesCommand fits lines through the results of several capacity runs.
+type slopesCommand struct {
+	Results []string `arg:"" type:"existingfile" help:"Results of weldbench capacity --json."`
+}
+
+// Run implements the command.
+func (c *slopesCommand) Run() error {
+	var results []capacity.Result
+	for _, path := range c.Results {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return fault.Usage.Wrap(err, "reading a result")
+		}
+		var result capacity.Result
+		if err := json.Unmarshal(content, &result); err != nil {
+			return fault.InvalidField(path, "is no result of weldbench capacity: %s", err.Error())
+		}
+		results = append(results, result)
+	}
+	slopes, err := capacity.Fit(results)
+	if err != nil {
+		return err
+	}
+	capacity.WriteSlopes(os.Stdout, slopes)
+	return nil
+}
--- a/cmd/weldbench/main.go
+++ b/cmd/weldbench/main.go
@@ -22,6 +22,7 @@
 	Load     loadCommand     `cmd:"" help:"Drive routers with an open-loop load and judge every answer."`
 	Faults   faultsCommand   `cmd:"" help:"Simulate clusters under faults and check what must always hold."`
 	Capacity capacityCommand `cmd:"" help:"Measure what a running fleet costs, by role."`
+	Slopes   slopesCommand   `cmd:"" help:"Fit lines through the results of several capacity runs."`
 	Hollow   hollowCommand   `cmd:"" help:"Host many routers without callers in one process."`
 	Ports    portsCommand    `cmd:"" help:"Print free ports of this machine."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -14,7 +14,9 @@
 	API []string `json:"api"`
 	// Routers are base URLs of callers' gateways.
 	Routers []string `json:"routers"`
-	Size    Size     `json:"size"`
+	// Platform is the base URL of the emulated platform.
+	Platform string `json:"platform"`
+	Size     Size   `json:"size"`
 }
 
 // Process is one process of the fleet.
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/datadir"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/operator"
 	"github.com/weldline/weldline/internal/resourceapi"
@@ -26,6 +27,7 @@
 	readyTimeout  = time.Minute
 	requestLimit  = 20 * time.Second
 	day           = 24 * time.Hour
+	faultsPhase   = "faults"
 )
 
 // Plan says how long each phase lasts and how much faster than at the
@@ -34,6 +36,11 @@
 	PhaseLength time.Duration
 	SpeedUp     float64
 	Seed        uint64
+	// Faults adds a phase in which engines restart as often as in a day, and
+	// during which processes are killed from outside.
+	Faults bool
+	// PhaseFile, if set, gets the name of each phase as it begins.
+	PhaseFile string
 }
 
 // Phase is what one phase cost.
@@ -44,6 +51,9 @@
 	// Changes and Loads are how many there were.
 	Changes int `json:"changes,omitempty"`
 	Loads   int `json:"loads,omitempty"`
+	// Refused and Failed count the requests of a phase with faults.
+	Refused int `json:"refused,omitempty"`
+	Failed  int `json:"failed,omitempty"`
 	// InForce is the time from the acceptance of a change to the last node.
 	InForce Spread `json:"in_force_seconds,omitzero"`
 	// Cold is the time of a request that had to wait for a load, with loads
@@ -60,6 +70,8 @@
 	// LateChanges were not in force everywhere in time; LostChanges never.
 	LateChanges int `json:"late_changes"`
 	LostChanges int `json:"lost_changes"`
+	// RecoverySeconds is how long after the faults everything was there again.
+	RecoverySeconds float64 `json:"recovery_seconds,omitempty"`
 	// FailedRequests got neither an answer nor a refusal.
 	FailedRequests  int `json:"failed_requests"`
 	RefusedRequests int `json:"refused_requests"`
@@ -89,10 +101,10 @@
 	if err := r.prepare(ctx); err != nil {
 		return nil, err
 	}
-	phases := []struct {
-		name string
-		work func(ctx context.Context, phase *Phase) error
-	}{{"idle", idle}, {"changes", r.makeChanges}, {"loads", r.makeLoads}}
+	phases := []namedPhase{{"idle", idle}, {"changes", r.makeChanges}, {"loads", r.makeLoads}}
+	if plan.Faults {
+		phases = append(phases, namedPhase{faultsPhase, r.sufferFaults})
+	}
 	for _, phase := range phases {
 		if err := r.measure(ctx, phase.name, phase.work); err != nil {
 			return nil, err
@@ -105,6 +117,11 @@
 	return r.result, nil
 }
 
+type namedPhase struct {
+	name string
+	work func(ctx context.Context, phase *Phase) error
+}
+
 // prepare declares everything and waits until every node has it.
 func (r *runner) prepare(ctx context.Context) error {
 	started := time.Now()
@@ -118,20 +135,27 @@
 		items = items[count:]
 	}
 	r.progress("waiting for all nodes and machines")
+	if err := r.waitForAll(ctx); err != nil {
+		return err
+	}
+	r.result.ReadySeconds = time.Since(started).Seconds()
+	return nil
+}
+
+// waitForAll waits until every node and machine is there and up to date.
+func (r *runner) waitForAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
 		status, err := r.client.Status(ctx)
 		if err == nil && r.allPresent(ctx, status) {
-			break
+			return nil
 		}
 		if ctx.Err() != nil {
 			return fault.Deadline.New("the fleet was not ready in %s", readyTimeout)
 		}
-		time.Sleep(time.Second)
+		time.Sleep(statusPoll)
 	}
-	r.result.ReadySeconds = time.Since(started).Seconds()
-	return nil
 }
 
 func (r *runner) allPresent(ctx context.Context, status *resourceapi.Status) bool {
@@ -167,6 +191,11 @@
 // measure runs a phase between two samplings.
 func (r *runner) measure(ctx context.Context, name string, work func(context.Context, *Phase) error) error {
 	r.progress("measuring " + name)
+	if r.plan.PhaseFile != "" {
+		if err := datadir.WriteFileSynced(r.plan.PhaseFile, []byte(name)); err != nil {
+			return err
+		}
+	}
 	before, err := scrape(ctx, r.fleet)
 	if err != nil {
 		return err
@@ -189,7 +218,9 @@
 		return err
 	}
 	phase.Seconds = span.Seconds()
-	phase.Roles = costs(r.fleet, status.Leader, before, after, span)
+	if name != faultsPhase { // Processes that were killed count from 0 again.
+		phase.Roles = costs(r.fleet, status.Leader, before, after, span)
+	}
 	r.result.Phases = append(r.result.Phases, phase)
 	return nil
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -15,7 +15,8 @@
 	_, _ = fmt.Fprintf(writer, "%s: %d nodes, %d workers, %d models, %d adapters; ready in %.1f s\n",
 		r.Result, r.Size.Nodes, r.Size.Workers, r.Size.Models, r.Size.Adapters, r.ReadySeconds)
 	for _, phase := range r.Phases {
-		_, _ = fmt.Fprintf(writer, "\n%s (%.0f s, %d changes, %d loads)\n", phase.Name, phase.Seconds, phase.Changes, phase.Loads)
+		_, _ = fmt.Fprintf(writer, "\n%s (%.0f s, %d changes, %d loads, %d refused, %d failed)\n",
+			phase.Name, phase.Seconds, phase.Changes, phase.Loads, phase.Refused, phase.Failed)
 		if phase.InForce.Count > 0 {
 			_, _ = fmt.Fprintf(writer, "  in force everywhere: p50 %.3f s, p99 %.3f s, max %.3f s\n", phase.InForce.P50, phase.InForce.P99, phase.InForce.Max)
 		}
@@ -34,6 +35,9 @@
 			}
 		}
 	}
+	if r.RecoverySeconds > 0 {
+		_, _ = fmt.Fprintf(writer, "\neverything was back %.1f s after the faults\n", r.RecoverySeconds)
+	}
 	_, _ = fmt.Fprintf(writer, "\nlate changes %d, lost changes %d, refused requests %d, failed requests %d\n",
 		r.LateChanges, r.LostChanges, r.RefusedRequests, r.FailedRequests)
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -114,6 +114,7 @@
 	routes.HandleFunc("/emulator/faults", w.serveFaults).Methods(http.MethodPost)
 	routes.HandleFunc("/emulator/leave/{machine}", w.serveLeave).Methods(http.MethodPost)
 	routes.HandleFunc("/emulator/remove/{machine}", w.serveRemove).Methods(http.MethodPost)
+	routes.HandleFunc("/emulator/restart/{machine}", w.serveRestart).Methods(http.MethodPost)
 	var err error
 	if w.addresses.Platform, err = w.listen(routes); err != nil {
 		return err
@@ -226,3 +227,13 @@
 	}
 	writer.WriteHeader(http.StatusNoContent)
 }
+
+// serveRestart ends an engine process and starts the next.
+func (w *World) serveRestart(writer http.ResponseWriter, request *http.Request) {
+	restarted := w.Engine(mux.Vars(request)["machine"])
+	if restarted == nil {
+		http.Error(writer, "no such machine", http.StatusNotFound)
+		return
+	}
+	restarted.Restart()
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -32,11 +32,40 @@
 }
 trap cleanup EXIT
 
-start() { # log name, command...
-  local log=$1
+declare -A process_of=() command_of=()
+
+start() { # name, command...
+  local name=$1
   shift
-  "$@" 2>>"$run/$log.log" &
+  command_of[$name]="$*"
+  "$@" 2>>"$run/$name.log" &
   processes+=($!)
+  process_of[$name]=$!
+}
+
+# Kills a process started here without warning, and starts it again.
+crash() { # name, seconds until it comes back
+  echo "capacity: killing $1" >&2
+  kill -KILL "${process_of[$1]}" 2>/dev/null || true
+  wait "${process_of[$1]}" 2>/dev/null || true
+  sleep "$2"
+  # shellcheck disable=SC2086
+  start "$1" ${command_of[$1]}
+}
+
+# The faults of the phase of that name: the leader, a rack (a relay), and a
+# region (all nodes of one process) are lost and come back.
+faults() {
+  while [ "$(cat "$run/phase" 2>/dev/null)" != faults ]; do
+    kill -0 "$driver" 2>/dev/null || return 0
+    sleep 0.2
+  done
+  sleep 2
+  local leader
+  leader=$("$bin/weldctl" --server "$(echo "${apis%,}" | tr -d '"')" status -o json | grep '"leader"' | cut -d'"' -f4)
+  crash "$leader" 2
+  crash relay-1 2
+  crash hollow-1 3
 }
 
 zones=""
@@ -145,7 +174,12 @@
   first=$((first + count))
 done
 cat >"$run/fleet.json" <<FLEET
-{"processes":[${fleet%,}],"api":[${apis%,}],"routers":[${routers%,}],
+{"processes":[${fleet%,}],"api":[${apis%,}],"routers":[${routers%,}],"platform":"$platform",
  "size":{"nodes":$NODES,"workers":$WORKERS,"models":$MODELS,"adapters":$ADAPTERS,"changesPerDay":$CHANGES,"loadsPerHour":$LOADS}}
 FLEET
-"$bin/weldbench" capacity --fleet "$run/fleet.json" --phase "$PHASE" --speed-up "$SPEED_UP" ${JSON:+--json}
+"$bin/weldbench" capacity --fleet "$run/fleet.json" --phase "$PHASE" --speed-up "$SPEED_UP" \
+  --phase-file "$run/phase" ${FAULTS:+--faults} ${JSON:+--json} &
+driver=$!
+processes+=("$driver")
+if [ -n "${FAULTS:-}" ]; then faults; fi
+wait "$driver"
