--- a/cmd/weldbench/main.go
+++ b/cmd/weldbench/main.go
@@ -24,6 +24,7 @@
 	Capacity capacityCommand `cmd:"" help:"Measure what a running fleet costs, by role."`
 	Slopes   slopesCommand   `cmd:"" help:"Fit lines through the results of several capacity runs."`
 	Hollow   hollowCommand   `cmd:"" help:"Host many routers without callers in one process."`
+	Simulate simulateCommand `cmd:"" help:"Run days of traffic through the real decisions in virtual time."`
 	Ports    portsCommand    `cmd:"" help:"Print free ports of this machine."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/cmd/weldbench/simulate.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/policysim"
+)
+
+// simulateCommand runs days of traffic in virtual time.
+type simulateCommand struct {
+	Scenario string `required:"" help:"ramlochun, seatdesk, or a file." placeholder:"NAME|FILE"`
+	Seed     uint64 `default:"1" help:"Seed of the traffic and the faults."`
+	Policy   string `default:"adaptive" help:"adaptive (the project's own), ski-rental, fixed-10m, none, always-loaded, round-robin, clairvoyant."`
+	JSON     bool   `name:"json" help:"Write the result as one JSON object."`
+}
+
+// Run implements the command.
+func (c *simulateCommand) Run() error {
+	scenario, err := policysim.Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	policy, err := policysim.PolicyByName(c.Policy)
+	if err != nil {
+		return err
+	}
+	result := policysim.Run(scenario, c.Seed, policy)
+	if c.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+			return fault.Internal.Wrap(err, "encoding the result")
+		}
+	} else {
+		encoded, err := json.MarshalIndent(result, "", "  ")
+		if err != nil {
+			return fault.Internal.Wrap(err, "encoding the result")
+		}
+		fmt.Println(string(encoded))
+	}
+	if broken := result.Broken(); broken > 0 {
+		return fault.Refused.New("%d promises were broken", broken)
+	}
+	return nil
+}
--- a/cmd/weldline/main.go
+++ b/cmd/weldline/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/weldline/weldline/internal/buildinfo"
+	"github.com/weldline/weldline/internal/datadir"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/node"
 	"github.com/weldline/weldline/internal/settings"
@@ -24,6 +25,7 @@
 )
 
 type commandLine struct {
+	Init    initCommand    `cmd:"" help:"Make the data folder of a new control node."`
 	Serve   serveCommand   `cmd:"" help:"Run the roles that the settings name."`
 	Config  configCommand  `cmd:"" help:"Work on settings files."`
 	Version versionCommand `cmd:"" help:"Print the version."`
@@ -33,6 +35,26 @@
 	Config string `required:"" type:"path" help:"Settings file."`
 }
 
+// initCommand makes a data folder, once in a node's life.
+type initCommand struct {
+	Config string `required:"" type:"path" help:"Settings file."`
+	Join   bool   `help:"The node joins a running cluster, under an id that was never used."`
+}
+
+// Run implements the command.
+func (c *initCommand) Run() error {
+	configuration, err := settings.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if !configuration.Has(settings.RoleControl) {
+		return fault.InvalidField("roles", "only a control node has a data folder")
+	}
+	return datadir.Init(configuration.DataDir, datadir.Identity{
+		Cluster: configuration.Cluster, ControlID: configuration.Control.ID, Join: c.Join,
+	})
+}
+
 type configCommand struct {
 	Check checkCommand `cmd:"" help:"Check a settings file."`
 }
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -260,7 +260,9 @@
 	defer cancel()
 	r.changes++
 	model := modelName(r.random.IntN(r.fleet.Size.Models))
-	spec := v1.ModelSpec{DefaultVersion: model + ".v1", MaxReplicas: 2 + r.changes%2}
+	// A value of its own each time: a write that changes nothing is in force
+	// from the start.
+	spec := v1.ModelSpec{DefaultVersion: model + ".v1", MaxReplicas: 2 + r.changes}
 	written, err := r.client.Put(ctx, resource(v1.KindModel, model, spec), "")
 	if err != nil {
 		return 0, false
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -35,8 +35,10 @@
 	// Storage and Recovered are the opened data folder.
 	Storage   member.Storage
 	Recovered member.Recovered
-	Metrics   *Metrics
-	Counters  *wire.Counters
+	// Join is set for a node that learns the members from the others.
+	Join     bool
+	Metrics  *Metrics
+	Counters *wire.Counters
 }
 
 // Node is a running control node.
@@ -99,7 +101,7 @@
 		MaxInflightMessages:  maxInflight,
 		Random:               rand.Int64N,
 	}
-	opened, err := member.Open(config, bootstrapMembership(control.Members), options.Recovered, options.Storage, 0, control.CompactEvery)
+	opened, err := member.Open(config, bootstrapMembership(options), options.Recovered, options.Storage, 0, control.CompactEvery)
 	if err != nil {
 		return nil, err
 	}
@@ -111,9 +113,13 @@
 	return node, nil
 }
 
-func bootstrapMembership(members []settings.Member) *wirepb.Membership {
+// bootstrapMembership is what the members agree on before the first change.
+func bootstrapMembership(options Options) *wirepb.Membership {
 	membership := &wirepb.Membership{}
-	for _, entry := range members {
+	if options.Join {
+		return membership
+	}
+	for _, entry := range options.Settings.Control.Members {
 		if entry.Learner {
 			membership.Learners = append(membership.Learners, entry.ID)
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 	reports   *ReportTable
 	planner   *placement.Planner
 	estimates []placement.Estimate
+	stored    *storedView
 
 	digestSequence uint64
 	// roster is what the digests carry, since rosterSequence.
@@ -74,7 +75,7 @@
 // MachineWrites keeps the Machine resources in step with the machine list and
 // the reports. The list is nil while it has never been read.
 func (c *Controller) MachineWrites(now time.Duration, machine *state.Machine, list *platform.MachineList) []*wirepb.ObjectWrite {
-	view := newView(now, machine, c.reports)
+	view := c.view(now, machine)
 	return machines.Reconcile(machines.Input{
 		List: list, Declared: view.machines, Observed: view.observations(), Timeout: c.config.MachineTimeout,
 	})
@@ -93,7 +94,7 @@
 	if now-c.since < SettleTime {
 		return ReplicaDecision{}
 	}
-	view := newView(now, machine, c.reports)
+	view := c.view(now, machine)
 	decision := c.planner.Decide(view.placementInput(wall))
 	if !sameEstimates(c.estimates, decision.Estimates) {
 		c.lastDigest = 0
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -12,19 +12,17 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// clusterView is the leader's view for one pass: the stored objects with the
-// reports beside them.
-type clusterView struct {
-	now      time.Duration
+// storedView is what the state holds, sorted for the controllers. It is good
+// for one revision of the state.
+type storedView struct {
 	revision uint64
 	models   map[string]*v1.ModelSpec
 	versions map[string]*v1.ModelVersionSpec
 	services []*v1.ServiceSpec
 	machines map[string]machines.Declared
 	replicas []storedReplica
-	nodes    map[string]nodeEntry
-	reports  map[string]machineEntry
-	arrivals map[string]uint64
+	// placed are the versions that may be loaded.
+	placed map[string]*placement.Version
 }
 
 type storedReplica struct {
@@ -32,20 +30,41 @@
 	spec   *v1.ReplicaSpec
 }
 
-// newView reads the state and the reports. The caller must hold the state.
-func newView(now time.Duration, machine *state.Machine, reports *ReportTable) *clusterView {
-	nodes, machineReports := reports.snapshot(now)
-	view := &clusterView{
-		now: now, revision: machine.Revision(), nodes: nodes, reports: machineReports,
-		arrivals: reports.arrivalCounts(),
-		models:   map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
+// clusterView is the leader's view for one pass: the stored objects with the
+// reports beside them.
+type clusterView struct {
+	*storedView
+	now      time.Duration
+	nodes    map[string]nodeEntry
+	reports  map[string]machineEntry
+	arrivals map[string]uint64
+}
+
+// view reads the state, unless it is as it was, and the reports. The caller
+// must hold the state.
+func (c *Controller) view(now time.Duration, machine *state.Machine) *clusterView {
+	if c.stored == nil || c.stored.revision != machine.Revision() {
+		c.stored = readState(machine)
+	}
+	nodes, machineReports := c.reports.snapshot(now)
+	return &clusterView{
+		storedView: c.stored, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
+	}
+}
+
+func readState(machine *state.Machine) *storedView {
+	view := &storedView{
+		revision: machine.Revision(), models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{},
 	}
-	machine.Each(view.add)
+	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
+		view.add(object, spec, machine.MachineStatus(object.GetName()))
+	})
+	view.placed = view.placementVersions()
 	return view
 }
 
-func (v *clusterView) add(object *wirepb.Object, spec v1.Spec) {
+func (v *storedView) add(object *wirepb.Object, spec v1.Spec, status v1.MachineStatus) {
 	switch typed := spec.(type) {
 	case *v1.ModelSpec:
 		v.models[object.GetName()] = typed
@@ -54,11 +73,7 @@
 	case *v1.ServiceSpec:
 		v.services = append(v.services, typed)
 	case *v1.MachineSpec:
-		declared := machines.Declared{Object: object, Spec: typed}
-		if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &declared.Status) != nil {
-			declared.Status = v1.MachineStatus{}
-		}
-		v.machines[object.GetName()] = declared
+		v.machines[object.GetName()] = machines.Declared{Object: object, Spec: typed, Status: status}
 	case *v1.ReplicaSpec:
 		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
 	}
@@ -76,7 +91,7 @@
 
 func (v *clusterView) placementInput(now time.Time) *placement.Input {
 	input := &placement.Input{
-		Now: now, Versions: v.placementVersions(), Machines: v.placementMachines(),
+		Now: now, Versions: v.placed, Machines: v.placementMachines(),
 		Demand: v.demand(),
 	}
 	for _, replica := range v.replicas {
@@ -87,7 +102,7 @@
 
 // placementVersions lists the default version of each model with the highest
 // weight and priority among its services.
-func (v *clusterView) placementVersions() map[string]*placement.Version {
+func (v *storedView) placementVersions() map[string]*placement.Version {
 	versions := make(map[string]*placement.Version, len(v.models))
 	byModel := make(map[string]*placement.Version, len(v.models))
 	for name, model := range v.models {
--- a/internal/datadir/datadir.go
+++ b/internal/datadir/datadir.go
@@ -3,9 +3,9 @@
 package datadir
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -14,20 +14,65 @@
 const (
 	// FormatVersion is written to new folders; others are refused.
 	FormatVersion = "weldline-data-1"
-	versionFile   = "FORMAT"
+	identityFile  = "IDENTITY"
 	lockFile      = "LOCK"
 	folderMode    = 0o750
 	fileMode      = 0o640
 )
 
+// Identity says whose folder it is. It is written once, by Init: a control
+// node that finds none must not start, because a voter whose disk was lost has
+// forgotten its promises.
+type Identity struct {
+	Format  string `json:"format"`
+	Cluster string `json:"cluster"`
+	// ControlID is the node's id in the replicated log.
+	ControlID uint64 `json:"controlId"`
+	// Join is set for a node that joins a running cluster. It knows no
+	// members until it has heard of them, and does not vote before.
+	Join bool `json:"join,omitempty"`
+}
+
 // Dir is a locked data folder.
 type Dir struct {
 	path string
 	lock *os.File
 }
 
-// Open creates or opens the folder, takes its lock and checks its format.
-func Open(path string) (*Dir, error) {
+// Init makes a new data folder. It fails where there is one already.
+func Init(path string, identity Identity) error {
+	dir, err := lockFolder(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = dir.Close() }()
+	if _, err := os.Stat(dir.Path(identityFile)); err == nil {
+		return fault.Conflict.New("the data folder is initialised already")
+	}
+	identity.Format = FormatVersion
+	content, err := json.MarshalIndent(identity, "", "  ")
+	if err != nil {
+		return fault.Internal.Wrap(err, "encoding the identity")
+	}
+	return WriteFileSynced(dir.Path(identityFile), append(content, '\n'))
+}
+
+// Open takes the lock of an initialised folder and checks that it belongs to
+// the given node.
+func Open(path, cluster string, controlID uint64) (*Dir, Identity, error) {
+	dir, err := lockFolder(path)
+	if err != nil {
+		return nil, Identity{}, err
+	}
+	identity, err := dir.checkIdentity(cluster, controlID)
+	if err != nil {
+		_ = dir.Close()
+		return nil, Identity{}, err
+	}
+	return dir, identity, nil
+}
+
+func lockFolder(path string) (*Dir, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, fault.Storage.Wrap(err, "creating the data folder")
 	}
@@ -39,12 +84,7 @@
 		_ = lock.Close()
 		return nil, fault.Storage.Wrap(err, "another process holds the data folder")
 	}
-	dir := &Dir{path: path, lock: lock}
-	if err := dir.checkFormat(); err != nil {
-		_ = lock.Close()
-		return nil, err
-	}
-	return dir, nil
+	return &Dir{path: path, lock: lock}, nil
 }
 
 // Path returns the path of a file or folder inside the data folder.
@@ -57,20 +97,28 @@
 	return d.lock.Close()
 }
 
-func (d *Dir) checkFormat() error {
-	path := d.Path(versionFile)
-	content, err := os.ReadFile(path)
+func (d *Dir) checkIdentity(cluster string, controlID uint64) (Identity, error) {
+	identity := Identity{}
+	content, err := os.ReadFile(d.Path(identityFile))
 	if os.IsNotExist(err) {
-		return WriteFileSynced(path, []byte(FormatVersion+"\n"))
+		return identity, fault.InvalidField("dataDir",
+			"the data folder is not initialised; run weldline init once for a new node, never for one that lost its disk")
 	}
 	if err != nil {
-		return fault.Storage.Wrap(err, "reading the format version")
+		return identity, fault.Storage.Wrap(err, "reading the identity")
 	}
-	found := strings.TrimSpace(string(content))
-	if found != FormatVersion {
-		return fault.Corrupt.New("data folder has format %q, this program writes %q", found, FormatVersion)
+	if err := json.Unmarshal(content, &identity); err != nil {
+		return identity, fault.Corrupt.Wrap(err, "decoding the identity")
 	}
-	return nil
+	switch {
+	case identity.Format != FormatVersion:
+		return identity, fault.Corrupt.New("data folder has format %q, this program writes %q", identity.Format, FormatVersion)
+	case identity.Cluster != cluster:
+		return identity, fault.InvalidField("cluster", "the data folder belongs to cluster %q", identity.Cluster)
+	case identity.ControlID != controlID:
+		return identity, fault.InvalidField("control.id", "the data folder belongs to control node %d", identity.ControlID)
+	}
+	return identity, nil
 }
 
 // WriteFileSynced replaces a file atomically: the content is synced under a
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -9,6 +9,9 @@
 type Config struct {
 	// MaxWaiting bounds the waiting requests of the whole router.
 	MaxWaiting int
+	// RoundRobin takes the targets of a version in turn, without regard to
+	// load and affinity: a baseline for comparisons.
+	RoundRobin bool
 }
 
 // Core is the dispatch state of one router. It is not safe for concurrent
@@ -30,6 +33,8 @@
 	arrivals uint64
 	running  int
 	estimate *Estimate
+	// turn counts the grants, for round robin.
+	turn int
 }
 
 // target is a Target with its load.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -18,6 +18,9 @@
 
 // pick returns the best target with room, or nil.
 func (c *Core) pick(now time.Time, version *versionState, request *Request) *target {
+	if c.config.RoundRobin {
+		return c.pickInTurn(now, version, request)
+	}
 	least := -1.0
 	for _, candidate := range version.targets {
 		if load := c.load(candidate); c.usable(now, candidate, request, version) && (least < 0 || load < least) {
@@ -42,6 +45,17 @@
 	return best
 }
 
+func (c *Core) pickInTurn(now time.Time, version *versionState, request *Request) *target {
+	for range version.targets {
+		version.turn++
+		candidate := version.targets[version.turn%len(version.targets)]
+		if c.usable(now, candidate, request, version) {
+			return candidate
+		}
+	}
+	return nil
+}
+
 func (c *Core) load(candidate *target) float64 {
 	return float64(candidate.inFlight + c.others[candidate.Machine])
 }
--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/weldline/weldline/internal/enginemodel"
 	"github.com/weldline/weldline/internal/fault"
 )
 
@@ -58,6 +59,13 @@
 	ReportLag time.Duration `yaml:"reportLag"`
 }
 
+func (c EngineConfig) tiers() enginemodel.Tiers {
+	return enginemodel.Tiers{
+		MemoryBytesPerSecond: c.MemoryBytesPerSecond, DiskBytesPerSecond: c.DiskBytesPerSecond,
+		MemoryCacheBytes: c.MemoryCacheBytes, DiskCacheBytes: c.DiskCacheBytes,
+	}
+}
+
 // StoreConfig describes the weight store.
 type StoreConfig struct {
 	// LoadsPerSecond that are admitted; more get 429. Default 3.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -25,7 +25,7 @@
 	// replicas holds what serving needs beside the model's replicas.
 	replicas map[string]*replica
 	streams  map[string]*stream
-	caches   *checkpointCache
+	caches   *enginemodel.CheckpointCache
 	loads    loadHistory
 	// life ends with the incarnation.
 	life context.Context
@@ -71,7 +71,7 @@
 	created := &Engine{
 		machine: machine, config: config.Engine,
 		model: enginemodel.New(machine, config.Machines.Accelerators, config.Machines.AcceleratorBytes, 0), faults: faults, store: store, auditor: auditor, leavingSince: leavingSince,
-		caches: newCheckpointCache(config.Engine),
+		caches: enginemodel.NewCheckpointCache(config.Engine.tiers()),
 	}
 	created.begin()
 	return created
@@ -82,7 +82,7 @@
 	e.model.Restart(uint64(time.Now().UnixNano()))
 	e.replicas = map[string]*replica{}
 	e.streams = map[string]*stream{}
-	e.caches.dropMemory()
+	e.caches.DropMemory()
 	e.life, e.kill = context.WithCancel(context.Background())
 }
 
@@ -149,7 +149,7 @@
 		e.auditor.holds(loading.Order.Version, -1)
 		return
 	}
-	e.caches.add(loading.Order.Checkpoint, bytes)
+	e.caches.Add(loading.Order.Checkpoint, bytes)
 	e.auditor.count(func(audit *Audit) { audit.Loads++ })
 }
 
@@ -160,14 +160,14 @@
 
 func (e *Engine) fetch(ctx context.Context, loading *replica, bytes int64) error {
 	e.mutex.Lock()
-	tier := e.caches.tier(loading.Order.Checkpoint)
+	tier := e.caches.Tier(loading.Order.Checkpoint)
 	e.mutex.Unlock()
 	progress := func(remaining time.Duration) {
 		e.mutex.Lock()
 		loading.readyAt = time.Now().Add(remaining)
 		e.mutex.Unlock()
 	}
-	if speed := e.caches.speed(tier); speed > 0 {
+	if speed := e.caches.Speed(tier); speed > 0 {
 		needed := time.Duration(float64(bytes) / speed * float64(time.Second))
 		progress(needed)
 		select {
@@ -232,7 +232,7 @@
 	running := report.Running
 	e.loads.add(now, running, queued)
 	report.Running, report.Queued = e.loads.at(now.Add(-e.config.ReportLag))
-	report.Checkpoints = e.caches.list()
+	report.Checkpoints = e.caches.List()
 	return report
 }
 
--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -101,7 +101,7 @@
 }
 
 func (c *checks) violate(check, format string, arguments ...any) {
-	detail := fmt.Sprintf("at %s: ", c.world.now) + fmt.Sprintf(format, arguments...)
+	detail := fmt.Sprintf("at %s: ", c.world.Now()) + fmt.Sprintf(format, arguments...)
 	c.violations[check] = append(c.violations[check], detail)
 }
 
@@ -226,8 +226,8 @@
 
 // expectInForce checks after the time allowed, if it was calm all along.
 func (c *checks) expectInForce(revision uint64) {
-	accepted := c.world.now
-	c.world.after(inForceWithin, func() {
+	accepted := c.world.Now()
+	c.world.After(inForceWithin, func() {
 		if c.busy > 0 || c.quietSince+inForceWithin > accepted {
 			return
 		}
@@ -270,9 +270,9 @@
 	if m == nil || m.leavingSince == 0 {
 		return
 	}
-	inContact := c.world.now-router.lastDigest < contact
-	if inContact && c.world.now-m.leavingSince > leavingGrace && c.world.now-c.quietSince > leavingGrace && c.busy == 0 {
-		c.violate(CheckLeaving, "%s got work %s after it began to leave", m.name, c.world.now-m.leavingSince)
+	inContact := c.world.Now()-router.lastDigest < contact
+	if inContact && c.world.Now()-m.leavingSince > leavingGrace && c.world.Now()-c.quietSince > leavingGrace && c.busy == 0 {
+		c.violate(CheckLeaving, "%s got work %s after it began to leave", m.name, c.world.Now()-m.leavingSince)
 	}
 }
 
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -85,7 +85,7 @@
 // restart starts the process again after a while.
 func (c *controlNode) restart(after time.Duration) {
 	epoch := c.epoch
-	c.world.after(after, func() {
+	c.world.After(after, func() {
 		if !c.up && c.epoch == epoch && !c.lost {
 			c.start(c.bootstrap)
 		}
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -56,17 +56,17 @@
 
 // inject lets a fault begin, and heal in time.
 func (w *world) inject(fault Fault) {
-	w.after(fault.At, func() {
+	w.After(fault.At, func() {
 		heal := w.begin(fault)
 		if heal == nil {
 			return // There was nothing that it could hit.
 		}
 		w.faults[string(fault.Kind)]++
 		w.checks.busy++
-		w.after(fault.For, func() {
+		w.After(fault.For, func() {
 			heal()
 			w.checks.busy--
-			w.checks.quietSince = w.now
+			w.checks.quietSince = w.Now()
 		})
 	})
 }
@@ -221,7 +221,7 @@
 }
 
 func (w *world) rejoinOnceReplaced(node *controlNode) {
-	w.after(time.Second, func() {
+	w.After(time.Second, func() {
 		leader := w.leader()
 		if leader == nil || contains(leader.member.Raft.Status().Voters, node.id) {
 			w.rejoinOnceReplaced(node)
@@ -279,7 +279,7 @@
 	if m.leavingSince > 0 || m.gone {
 		return nil
 	}
-	m.leavingSince = w.now
+	m.leavingSince = w.Now()
 	w.list.publish()
 	return func() {
 		if !m.gone {
@@ -297,7 +297,7 @@
 	m.crashEngine()
 	m.gone = true
 	w.list.publish()
-	w.after(away+2*time.Second, func() {
+	w.After(away+2*time.Second, func() {
 		m.gone = false
 		m.leavingSince = 0
 		m.startEngine()
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -61,7 +61,7 @@
 
 func (m *machine) restart(after time.Duration) {
 	epoch := m.epoch
-	m.world.after(after, func() {
+	m.world.After(after, func() {
 		if !m.up && m.epoch == epoch && !m.gone {
 			m.startEngine()
 		}
@@ -138,7 +138,7 @@
 			Accelerators: acceleratorsPerMachine, AcceleratorBytes: acceleratorBytes, State: state,
 		})
 	}
-	l.versions = append(l.versions, listVersion{at: l.world.now, list: list})
+	l.versions = append(l.versions, listVersion{at: l.world.Now(), list: list})
 }
 
 // read returns the list as a process sees it: late, and not at all anew while
@@ -148,7 +148,7 @@
 		return l.lastRead[reader.name]
 	}
 	for position := len(l.versions) - 1; position >= 0; position-- {
-		if l.versions[position].at+listLag <= l.world.now {
+		if l.versions[position].at+listLag <= l.world.Now() {
 			l.lastRead[reader.name] = l.versions[position].list
 			break
 		}
--- a/internal/faultsim/network.go
+++ b/internal/faultsim/network.go
@@ -45,7 +45,7 @@
 	if w.random.Float64() < w.network.late {
 		delay += time.Duration(w.random.Int64N(int64(lateDelay)))
 	}
-	w.after(delay, func() {
+	w.After(delay, func() {
 		if w.reaches(from, to) {
 			to.run(to.epoch, deliver)
 		}
--- a/internal/faultsim/operators.go
+++ b/internal/faultsim/operators.go
@@ -32,9 +32,9 @@
 		created.begin()
 		w.operators = append(w.operators, created)
 	}
-	w.after(1500*time.Millisecond, w.operators[0].declareAll)
+	w.After(1500*time.Millisecond, w.operators[0].declareAll)
 	for _, entry := range w.operators {
-		w.after(3*time.Second, func() { w.repeatUntil(operatorInterval, trafficEnd, entry.act) })
+		w.After(3*time.Second, func() { w.repeatUntil(operatorInterval, trafficEnd, entry.act) })
 	}
 }
 
@@ -176,7 +176,7 @@
 // the leader confirms under its lease how far the reader must have come.
 func (o *operator) readHot() {
 	target := o.anyControl()
-	operation := o.world.register.begin(o.world.now, registerInput{})
+	operation := o.world.register.begin(o.world.Now(), registerInput{})
 	type answer struct {
 		value int32
 		valid bool
@@ -190,7 +190,7 @@
 		})
 	}, func(read answer, answered bool) {
 		if answered && read.valid {
-			operation.end(o.world.now, registerOutput{value: read.value})
+			operation.end(o.world.Now(), registerOutput{value: read.value})
 		}
 	})
 }
@@ -245,10 +245,10 @@
 		expected := spec.Priority
 		spec.Priority = o.world.register.nextValue()
 		revision := found.GetRevision()
-		operation := o.world.register.begin(o.world.now, registerInput{write: true, expected: expected, next: spec.Priority})
+		operation := o.world.register.begin(o.world.Now(), registerInput{write: true, expected: expected, next: spec.Priority})
 		o.write([]*wirepb.ObjectWrite{put(v1.KindService, hotService, spec, &revision)}, func(result *wirepb.CommandResult) {
 			if result != nil {
-				operation.end(o.world.now, registerOutput{conflict: result.GetCode() == wirepb.ResultCode_RESULT_CODE_CONFLICT})
+				operation.end(o.world.Now(), registerOutput{conflict: result.GetCode() == wirepb.ResultCode_RESULT_CODE_CONFLICT})
 			}
 		})
 	})
--- a/internal/faultsim/process.go
+++ b/internal/faultsim/process.go
@@ -40,7 +40,7 @@
 func (p *process) begin() {
 	p.up = true
 	p.epoch++
-	p.startedAt = p.world.now
+	p.startedAt = p.world.Now()
 	p.frozenUntil = 0
 }
 
@@ -50,24 +50,24 @@
 }
 
 func (p *process) freeze(span time.Duration) {
-	p.frozenUntil = max(p.frozenUntil, p.world.now+span)
+	p.frozenUntil = max(p.frozenUntil, p.world.Now()+span)
 }
 
 // clock is the process's monotonic time since it started.
 func (p *process) clock() time.Duration {
-	return time.Duration(float64(p.world.now-p.startedAt) * p.rate)
+	return time.Duration(float64(p.world.Now()-p.startedAt) * p.rate)
 }
 
 // wall is the process's time of day.
 func (p *process) wall() time.Time {
-	return epochStart.Add(p.world.now + p.wallError)
+	return epochStart.Add(p.world.Now() + p.wallError)
 }
 
 // after runs an action on the process, unless it has crashed by then. A
 // frozen process runs it when it thaws.
 func (p *process) after(delay time.Duration, action func()) {
 	epoch := p.epoch
-	p.world.after(delay, func() { p.run(epoch, action) })
+	p.world.After(delay, func() { p.run(epoch, action) })
 }
 
 // every runs an action again and again for the life of the process.
@@ -82,8 +82,8 @@
 	if !p.up || p.epoch != epoch {
 		return
 	}
-	if p.world.now < p.frozenUntil {
-		p.world.after(p.frozenUntil-p.world.now, func() { p.run(epoch, action) })
+	if p.world.Now() < p.frozenUntil {
+		p.world.After(p.frozenUntil-p.world.Now(), func() { p.run(epoch, action) })
 		return
 	}
 	action()
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -36,8 +36,8 @@
 }
 
 func (w *world) repeatUntil(interval, end time.Duration, action func()) {
-	w.after(w.span(interval/2, interval*3/2), func() {
-		if w.now < end {
+	w.After(w.span(interval/2, interval*3/2), func() {
+		if w.Now() < end {
 			action()
 			w.repeatUntil(interval, end, action)
 		}
@@ -197,7 +197,7 @@
 	if try > maxHoldTries {
 		return
 	}
-	again := func() { w.after(w.span(50*time.Millisecond, time.Second), func() { w.tryHold(key, try+1) }) }
+	again := func() { w.After(w.span(50*time.Millisecond, time.Second), func() { w.tryHold(key, try+1) }) }
 	router := w.routers[w.random.IntN(routerCount)]
 	if !router.up {
 		again()
@@ -210,7 +210,7 @@
 		}
 		settled = true
 	}
-	w.after(holdDeadline+time.Second, func() { reply(verdictUnknown) })
+	w.After(holdDeadline+time.Second, func() { reply(verdictUnknown) })
 	router.run(router.epoch, func() { router.hold(key, reply) })
 	if w.random.IntN(8) == 0 {
 		again() // An impatient caller: both copies are under way at once.
@@ -234,21 +234,21 @@
 		return
 	}
 	r.requests++
-	entry := &holdAttempt{router: r, key: key, owner: r.requestID(), deadline: r.world.now + holdDeadline, reply: reply}
+	entry := &holdAttempt{router: r, key: key, owner: r.requestID(), deadline: r.world.Now() + holdDeadline, reply: reply}
 	entry.open()
 }
 
 func (h *holdAttempt) command(operation wirepb.ClaimCommand_Operation) *wirepb.ClaimCommand {
 	return &wirepb.ClaimCommand{
 		Operation: operation, Key: h.key, Fingerprint: 1, Owner: h.owner,
-		DeadlineUnixMs: h.router.wall().Add(h.deadline - h.router.world.now).UnixMilli(),
+		DeadlineUnixMs: h.router.wall().Add(h.deadline - h.router.world.Now()).UnixMilli(),
 		Answer:         &wirepb.RecordedAnswer{Status: 200, Body: []byte(h.key)},
 	}
 }
 
 func (h *holdAttempt) open() {
 	h.apply(h.command(wirepb.ClaimCommand_OPERATION_OPEN), h.deadline, func(result *wirepb.ClaimResult, err error) {
-		if result.GetState() == wirepb.ClaimState_CLAIM_STATE_OPEN && h.router.world.now < h.deadline {
+		if result.GetState() == wirepb.ClaimState_CLAIM_STATE_OPEN && h.router.world.Now() < h.deadline {
 			h.router.after(claimRetry, h.open)
 			return
 		}
@@ -259,7 +259,7 @@
 // apply proposes a claim operation until it is answered or time is up.
 func (h *holdAttempt) apply(claim *wirepb.ClaimCommand, until time.Duration, done func(*wirepb.ClaimResult, error)) {
 	r := h.router
-	if r.world.now >= until {
+	if r.world.Now() >= until {
 		done(nil, fault.Deadline.New("no claim before the deadline"))
 		return
 	}
@@ -310,7 +310,7 @@
 func (h *holdAttempt) send() {
 	r := h.router
 	h.sends++
-	left := h.deadline - r.world.now
+	left := h.deadline - r.world.Now()
 	if left <= 0 || h.sends > 3 || r.world.random.IntN(8) == 0 {
 		h.step(h.Refused(), nil)
 		return
@@ -335,7 +335,7 @@
 		})
 		return
 	}
-	until := h.router.world.now + 10*time.Second
+	until := h.router.world.Now() + 10*time.Second
 	h.apply(h.command(wirepb.ClaimCommand_OPERATION_NOT_RUN), until, func(result *wirepb.ClaimResult, err error) {
 		if err == nil && result.GetState() != wirepb.ClaimState_CLAIM_STATE_NOT_RUN {
 			err = fault.Conflict.New("the claim was closed otherwise")
@@ -345,5 +345,5 @@
 }
 
 func (h *holdAttempt) record(operation wirepb.ClaimCommand_Operation) {
-	h.apply(h.command(operation), h.router.world.now+10*time.Second, func(*wirepb.ClaimResult, error) {})
+	h.apply(h.command(operation), h.router.world.Now()+10*time.Second, func(*wirepb.ClaimResult, error) {})
 }
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -65,7 +65,7 @@
 	r.core = dispatch.New(dispatch.Config{MaxWaiting: maxWaiting})
 	r.waiting = map[uint64]*inference{}
 	r.watches = map[string]*machineWatch{}
-	r.lastHeard = r.world.now
+	r.lastHeard = r.world.Now()
 	r.startedFrom = r.world.checks.truth.Revision()
 	r.wasCurrent = false
 	r.seenRevision = 0
@@ -87,7 +87,7 @@
 
 func (r *routerNode) restart(after time.Duration) {
 	epoch := r.epoch
-	r.world.after(after, func() {
+	r.world.After(after, func() {
 		if !r.up && r.epoch == epoch {
 			r.start()
 		}
@@ -96,9 +96,9 @@
 
 // poll reports to the upstream and takes what is new.
 func (r *routerNode) poll() {
-	if r.world.now-r.lastHeard > upstreamSilent {
+	if r.world.Now()-r.lastHeard > upstreamSilent {
 		r.upstream++
-		r.lastHeard = r.world.now
+		r.lastHeard = r.world.Now()
 	}
 	upstream := r.world.controls[r.upstream%controlCount]
 	revision := r.view.Revision()
@@ -124,14 +124,14 @@
 			continue
 		}
 		message := agent.CopyReport(watch.report)
-		message.AgeMs = uint32((r.world.now - watch.observed).Milliseconds())
+		message.AgeMs = uint32((r.world.Now() - watch.observed).Milliseconds())
 		report.Machines = append(report.Machines, message)
 	}
 	return report
 }
 
 func (r *routerNode) take(answer watchReply) {
-	r.lastHeard = r.world.now
+	r.lastHeard = r.world.Now()
 	changes, fresh := feed.Fresh(r.view.Revision(), answer.changes)
 	if r.world.mutation == MutationRevert && answer.changes.Revision < r.view.Revision() {
 		r.view = nodeview.New()
@@ -150,7 +150,7 @@
 	if r.view.Digest() == before {
 		return
 	}
-	r.lastDigest = r.world.now
+	r.lastDigest = r.world.Now()
 	r.deliver(r.core.SetLoads(r.wall(), nodeview.LoadsOf(answer.digest)))
 	r.deliver(r.core.SetEstimates(r.wall(), nodeview.EstimatesOf(answer.digest, r.wall())))
 }
@@ -197,7 +197,7 @@
 }
 
 func (r *routerNode) ask(watch *machineWatch, next func(engine.Report)) {
-	asked := r.world.now
+	asked := r.world.Now()
 	call(&r.process, &watch.machine.process, engineTimeout, func(reply func(engine.Report)) {
 		reply(watch.machine.engine.Report())
 	}, func(report engine.Report, answered bool) {
@@ -250,7 +250,7 @@
 	if w.random.Float64() >= w.network.duplicate {
 		return
 	}
-	w.after(w.span(0, 4*time.Second), func() {
+	w.After(w.span(0, 4*time.Second), func() {
 		if w.reaches(&r.process, &machine.process) {
 			machine.run(machine.epoch, func() { machine.order(order) })
 		}
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -86,19 +86,19 @@
 	for _, fault := range schedule.Faults {
 		w.inject(fault)
 	}
-	w.runUntil(simulationEnd)
+	w.RunUntil(simulationEnd)
 	for range settleSteps {
 		if w.checks.agreed() {
 			break
 		}
-		w.runUntil(w.now + controlTick)
+		w.RunUntil(w.Now() + controlTick)
 	}
 	w.checks.finish()
 	return w.outcome(schedule)
 }
 
 func (w *world) outcome(schedule Schedule) Outcome {
-	outcome := Outcome{Events: w.ran, Faults: w.faults, Committed: len(w.checks.entries), Undecided: w.checks.undecided}
+	outcome := Outcome{Events: w.Ran(), Faults: w.faults, Committed: len(w.checks.entries), Undecided: w.checks.undecided}
 	for _, told := range w.checks.verdicts {
 		switch told {
 		case verdictAnswered:
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/weldline/weldline/internal/virtualtime"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -66,7 +67,7 @@
 
 // world is one simulated cluster.
 type world struct {
-	scheduler
+	virtualtime.Scheduler
 	seed     uint64
 	random   *rand.Rand
 	mutation Mutation
@@ -137,7 +138,7 @@
 // observe looks at the whole cluster regularly.
 func (w *world) observe() {
 	const interval = 10 * time.Millisecond
-	w.after(interval, func() {
+	w.After(interval, func() {
 		w.checks.lookAround()
 		w.observe()
 	})
--- a/internal/keepalive/adaptive.go
+++ b/internal/keepalive/adaptive.go
@@ -124,7 +124,7 @@
 
 // Timeout implements Policy.
 func (a *Adaptive) Timeout(subject Subject, _ time.Time) time.Duration {
-	rent := subject.rent()
+	rent := subject.Rent()
 	held := a.histories[subject.Version]
 	if held == nil || held.total == 0 {
 		return rent
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -32,8 +32,8 @@
 	ColdStartWeight float64
 }
 
-// rent is for how long idling costs as much as one cold start.
-func (s Subject) rent() time.Duration {
+// Rent is for how long idling costs as much as one cold start.
+func (s Subject) Rent() time.Duration {
 	seconds := s.ColdStartWeight * s.LoadTime.Seconds() / float64(max(1, s.Accelerators))
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -93,5 +93,5 @@
 
 func (skiRental) Name() string                                       { return "ski-rental" }
 func (skiRental) Used(string, time.Time)                             {}
-func (skiRental) Timeout(subject Subject, _ time.Time) time.Duration { return subject.rent() }
+func (skiRental) Timeout(subject Subject, _ time.Time) time.Duration { return subject.Rent() }
 func (skiRental) Prewarm(Subject, time.Time) bool                    { return false }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 }
 
 func (n *Node) openControl() error {
-	dir, err := datadir.Open(n.settings.DataDir)
+	dir, identity, err := datadir.Open(n.settings.DataDir, n.settings.Cluster, n.settings.Control.ID)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 	}
 	n.dataDir = dir
 	n.control, err = control.New(control.Options{
-		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered,
+		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered, Join: identity.Join,
 		Metrics: control.NewMetrics(n.registry), Counters: n.counters,
 	})
 	return err
--- /dev/null
+++ b/internal/policysim/policy.go
@@ -0,0 +1,81 @@
+package policysim
+
+import (
+	"sort"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keepalive"
+)
+
+// Policy is what a run is made under.
+type Policy struct {
+	Name string
+	// RoundRobin routes without regard to load and affinity.
+	RoundRobin bool
+	// keepAlive makes the keep-alive policy; it may look at the arrivals to
+	// come.
+	keepAlive func(arrivals []arrival) keepalive.Policy
+}
+
+// OwnPolicy is the project's own, with its default settings.
+const OwnPolicy = "adaptive"
+
+// PolicyNames lists the policies: the project's own and the baselines.
+var PolicyNames = []string{
+	OwnPolicy, "ski-rental", "fixed-10m", "none", "always-loaded", "round-robin", "clairvoyant",
+}
+
+// PolicyByName returns a policy.
+func PolicyByName(name string) (Policy, error) {
+	switch name {
+	case "round-robin":
+		return Policy{Name: name, RoundRobin: true, keepAlive: named(OwnPolicy)}, nil
+	case "clairvoyant":
+		return Policy{Name: name, keepAlive: newClairvoyant}, nil
+	}
+	if keepalive.New(name) == nil {
+		return Policy{}, fault.InvalidField("policy", "unknown policy %s", name)
+	}
+	return Policy{Name: name, keepAlive: named(name)}, nil
+}
+
+func named(name string) func([]arrival) keepalive.Policy {
+	return func([]arrival) keepalive.Policy { return keepalive.New(name) }
+}
+
+// clairvoyant sees when each version is used next. It keeps a replica exactly
+// where idling until then costs no more than loading again, and loads nothing
+// ahead: the best that any rule of keeping can do under the same weights.
+type clairvoyant struct {
+	uses map[string][]time.Time
+}
+
+func newClairvoyant(arrivals []arrival) keepalive.Policy {
+	policy := &clairvoyant{uses: map[string][]time.Time{}}
+	for _, entry := range arrivals {
+		version := entry.model + ".v1"
+		policy.uses[version] = append(policy.uses[version], epoch.Add(entry.at))
+	}
+	return policy
+}
+
+// Name implements keepalive.Policy.
+func (c *clairvoyant) Name() string { return "clairvoyant" }
+
+// Used implements keepalive.Policy.
+func (c *clairvoyant) Used(string, time.Time) {}
+
+// Timeout implements keepalive.Policy.
+func (c *clairvoyant) Timeout(subject keepalive.Subject, now time.Time) time.Duration {
+	uses := c.uses[subject.Version]
+	next := sort.Search(len(uses), func(i int) bool { return !uses[i].Before(now) })
+	if next < len(uses) && uses[next].Sub(now) <= subject.Rent() {
+		const forever = 24 * time.Hour
+		return forever
+	}
+	return 0
+}
+
+// Prewarm implements keepalive.Policy.
+func (c *clairvoyant) Prewarm(keepalive.Subject, time.Time) bool { return false }
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -141,7 +141,10 @@
 
 func (n *Node) handleVoteRequest(message *wirepb.RaftMessage) {
 	reply := &wirepb.RaftMessage{To: message.GetFrom(), Term: message.GetTerm()}
-	upToDate := n.log.isUpToDate(message.GetIndex(), message.GetLogTerm())
+	// A node that knows no members has joined with an empty disk: whatever
+	// it promised before is forgotten, so it promises nothing.
+	mayVote := len(n.membership.GetVoters()) > 0
+	upToDate := mayVote && n.log.isUpToDate(message.GetIndex(), message.GetLogTerm())
 	if message.GetType() == wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE {
 		reply.Type = wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY
 		reply.Reject = !upToDate || n.promisedToLeader() || message.GetTerm() <= n.term
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -37,6 +37,8 @@
 	clock    int64
 	objects  map[Key]*wirepb.Object
 	specs    map[Key]v1.Spec
+	// statuses holds the decoded status of each machine that has one.
+	statuses map[string]v1.MachineStatus
 	// replicasOn and replicasOf index the replicas by machine and by model.
 	replicasOn index
 	replicasOf index
@@ -52,6 +54,7 @@
 	return &Machine{
 		objects:    map[Key]*wirepb.Object{},
 		specs:      map[Key]v1.Spec{},
+		statuses:   map[string]v1.MachineStatus{},
 		replicasOn: index{},
 		replicasOf: index{},
 		claims:     newClaimTable(),
@@ -75,6 +78,12 @@
 	return m.specs[Key{kind, name}]
 }
 
+// MachineStatus returns the status of a machine; the zero value if it has
+// none.
+func (m *Machine) MachineStatus(name string) v1.MachineStatus {
+	return m.statuses[name]
+}
+
 // Each calls visit for every object, in no order.
 func (m *Machine) Each(visit func(object *wirepb.Object, spec v1.Spec)) {
 	for key, object := range m.objects {
@@ -191,6 +200,9 @@
 func (m *Machine) store(key Key, object *wirepb.Object, spec v1.Spec) {
 	m.objects[key] = object
 	m.specs[key] = spec
+	if key.Kind == v1.KindMachine {
+		m.statuses[key.Name] = statusOf(object)
+	}
 	if replica, isReplica := spec.(*v1.ReplicaSpec); isReplica {
 		m.replicasOn.add(replica.Machine, key.Name)
 		m.replicasOf.add(replica.Model, key.Name)
@@ -204,6 +216,9 @@
 	}
 	delete(m.objects, key)
 	delete(m.specs, key)
+	if key.Kind == v1.KindMachine {
+		delete(m.statuses, key.Name)
+	}
 	tombstone := &wirepb.Object{Kind: string(key.Kind), Name: key.Name, Revision: m.revision}
 	m.remember(&wirepb.WatchEvent{Deleted: true, Object: tombstone})
 }
--- a/internal/state/reservations.go
+++ b/internal/state/reservations.go
@@ -51,7 +51,7 @@
 	if object == nil || !isMachine {
 		return failed(wirepb.ResultCode_RESULT_CODE_INVALID, "spec.machine", "machine "+replica.Machine+" does not exist")
 	}
-	if phase := phaseOf(object); phase != v1.MachineLive || machine.Drain {
+	if statusOf(object).Phase != v1.MachineLive || machine.Drain {
 		return failed(wirepb.ResultCode_RESULT_CODE_UNAVAILABLE, "spec.machine", "machine "+replica.Machine+" gets no new work")
 	}
 	if failure := o.checkMemory(replica, machine); failure != nil {
@@ -60,12 +60,13 @@
 	return o.checkReplicaCount(key, replica)
 }
 
-func phaseOf(object *wirepb.Object) v1.MachinePhase {
+// statusOf decodes a machine's status. One that can't be read gets no work.
+func statusOf(object *wirepb.Object) v1.MachineStatus {
 	status := v1.MachineStatus{}
 	if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &status) != nil {
-		return v1.MachineLost
+		return v1.MachineStatus{Phase: v1.MachineLost}
 	}
-	return status.Phase
+	return status
 }
 
 // checkMemory adds up every reservation on the machine, the new one included.
--- a/internal/faultsim/scheduler.go
+++ b/internal/virtualtime/scheduler.go
@@ -1,4 +1,5 @@
-package faultsim
+// Package virtualtime runs events in virtual time, for the simulators.
+package virtualtime
 
 import (
 	"container/heap"
@@ -39,20 +40,32 @@
 	return taken
 }
 
-// scheduler is the virtual time.
-type scheduler struct {
+// Scheduler is a clock and the events that are due by it. It is not safe for
+// concurrent use: the simulators run in one goroutine, so that the same
+// events always come in the same order.
+type Scheduler struct {
 	now      time.Duration
 	queue    eventQueue
 	sequence uint64
 	ran      int
 }
 
-func (s *scheduler) after(delay time.Duration, action func()) {
+// Now is the time since the simulation began.
+func (s *Scheduler) Now() time.Duration { return s.now }
+
+// Ran is how many events have run.
+func (s *Scheduler) Ran() int { return s.ran }
+
+// After runs an action after a delay. Actions due at the same time run in the
+// order in which they were scheduled.
+func (s *Scheduler) After(delay time.Duration, action func()) {
 	s.sequence++
-	heap.Push(&s.queue, event{at: s.now + delay, sequence: s.sequence, action: action})
+	heap.Push(&s.queue, event{at: s.now + max(delay, 0), sequence: s.sequence, action: action})
 }
 
-func (s *scheduler) runUntil(end time.Duration) {
+// RunUntil runs everything that is due up to a time, which is then the
+// present.
+func (s *Scheduler) RunUntil(end time.Duration) {
 	for len(s.queue) > 0 && s.queue[0].at <= end {
 		next, _ := heap.Pop(&s.queue).(event)
 		s.now = next.at
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -119,6 +119,7 @@
   storeLoadsPerSecond: 1000
   storeConcurrentLoads: 1000
 SETTINGS
+  "$bin/weldline" init --config "$run/control-$number.yaml"
   start "control-$number" "$bin/weldline" serve --config "$run/control-$number.yaml"
   fleet+="{\"name\":\"control-$number\",\"role\":\"control\",\"admin\":\"http://$admin\",\"nodes\":1},"
   apis+="\"http://$api\","
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -93,6 +93,7 @@
 say "starting $nodes nodes"
 for number in $(seq 1 $nodes); do
   write_settings "$number"
+  "$bin/weldline" init --config "$run/node-$number.yaml"
   start_node "$number"
 done
 servers="http://127.0.0.1:${api[1]},http://127.0.0.1:${api[2]},http://127.0.0.1:${api[3]}"
