Keep replicas by what those on one accelerator are worth together

Cause: each replica had a timeout of its own, as if it paid for an accelerator alone. But an accelerator that holds a replica worth keeping holds its neighbours for nothing, and gaps say more than one number: what matters is the cold start saved for each second of idling from now on.

Change: a policy returns an index, the largest ratio of the expected cold start saved to the expected idling (a Gittins index over the histogram of gaps), or the rate of visits at this time of day; an accelerator is kept while its idle replicas are worth one accelerator in sum. Loading ahead is weighed against the part of an accelerator that it takes.

--- a/internal/keepalive/adaptive.go
+++ b/internal/keepalive/adaptive.go
@@ -7,18 +7,17 @@
 
 const (
 	// The histogram's edges grow by edgeGrowth from firstEdge: 1 s to a day.
-	firstEdge    = time.Second
-	edgeGrowth   = 1.5
-	bucketCount  = 29
-	gapDecay     = 0.97
-	priorWeight  = 2.0
-	minimumGap   = time.Second
-	daySlots     = 96
-	slotDuration = 24 * time.Hour / daySlots
-	slotDecay    = 0.7
-	// prewarmLead is how far ahead of an expected use a load begins, as a
-	// multiple of the load time.
-	prewarmLead = 2.0
+	firstEdge   = time.Second
+	edgeGrowth  = 1.5
+	bucketCount = 29
+	gapDecay    = 0.97
+	// priorGaps is how many observed gaps weigh as much as no knowledge.
+	priorGaps = 2.0
+	// minimumGap separates uses; shorter ones are one use.
+	minimumGap = time.Second
+	// shortestIdle keeps the index of a replica that has just been used
+	// finite.
+	shortestIdle = time.Second
 )
 
 // Adaptive learns from each version's history; see the package documentation.
@@ -34,15 +33,8 @@
 // history is what is remembered of one version.
 type history struct {
 	lastUsed time.Time
-	counts   [bucketCount + 1]float64
-	// sums holds the seconds of the gaps in each bucket, for their mean.
-	sums  [bucketCount + 1]float64
-	total float64
-	// slots is, for each part of the day, the decayed share of days with a
-	// first use in it.
-	slots    [daySlots]float64
-	slotSeen [daySlots]int64
-	firstDay int64
+	gaps     gapHistogram
+	daily    dailyRates
 }
 
 // Name implements Policy.
@@ -52,9 +44,10 @@
 func (a *Adaptive) Used(version string, now time.Time) {
 	held := a.histories[version]
 	if held == nil {
-		held = &history{lastUsed: now, firstDay: dayOf(now)}
+		held = &history{lastUsed: now}
+		held.daily.begin(now)
+		held.daily.add(now)
 		a.histories[version] = held
-		held.markSlot(now)
 		return
 	}
 	gap := now.Sub(held.lastUsed)
@@ -62,40 +55,43 @@
 		return
 	}
 	held.lastUsed = now
-	held.markSlot(now)
 	if gap >= minimumGap {
-		held.addGap(gap)
+		held.gaps.add(gap)
+	}
+	if gap >= sessionGap {
+		held.daily.add(now)
 	}
 }
 
-func dayOf(now time.Time) int64 {
-	return now.Unix() / int64((24 * time.Hour).Seconds())
-}
-
-func slotOf(now time.Time) int {
-	return int(now.Unix() / int64(slotDuration.Seconds()) % daySlots)
-}
-
-// markSlot raises the share of a part of the day once a day.
-func (h *history) markSlot(now time.Time) {
-	slot, day := slotOf(now), dayOf(now)
-	if h.slotSeen[slot] == day+1 {
-		return
+// Index implements Policy.
+func (a *Adaptive) Index(subject Subject, idle time.Duration, now time.Time) float64 {
+	idle = max(idle, shortestIdle)
+	unknown := subject.coldCost() / idle.Seconds()
+	held := a.histories[subject.Version]
+	if held == nil {
+		return unknown
 	}
-	h.slots[slot] = h.share(slot, day)*slotDecay + (1 - slotDecay)
-	h.slotSeen[slot] = day + 1
+	known := held.gaps.remaining(idle)
+	byGaps := (known*held.gaps.index(subject.coldCost(), idle) + priorGaps*unknown) / (known + priorGaps)
+	return max(byGaps, held.daily.rate(now)*subject.coldCost())
 }
 
-// share returns the decayed share of past days with a use in the slot.
-func (h *history) share(slot int, day int64) float64 {
-	if h.slotSeen[slot] == 0 {
+// Prewarm implements Policy: what loading now would be worth is the rate of
+// uses at the time when the load will be done.
+func (a *Adaptive) Prewarm(subject Subject, now time.Time) float64 {
+	held := a.histories[subject.Version]
+	if held == nil {
 		return 0
 	}
-	missed := day - h.slotSeen[slot]
-	if missed <= 0 {
-		return h.slots[slot]
-	}
-	return h.slots[slot] * math.Pow(slotDecay, float64(missed))
+	return held.daily.rate(now.Add(subject.LoadTime)) * subject.coldCost()
+}
+
+// gapHistogram counts the gaps between uses in geometric buckets and forgets
+// old ones.
+type gapHistogram struct {
+	counts [bucketCount + 1]float64
+	// sums holds the seconds of the gaps in each bucket, for their mean.
+	sums [bucketCount + 1]float64
 }
 
 func bucketOf(gap time.Duration) int {
@@ -106,12 +102,15 @@
 	return min(position, bucketCount)
 }
 
-func edgeOf(bucket int) time.Duration {
-	return time.Duration(firstEdge.Seconds() * math.Pow(edgeGrowth, float64(bucket)) * float64(time.Second))
-}
+// edges holds the upper edge of each bucket, in seconds.
+var edges = func() (edges [bucketCount + 1]float64) {
+	for bucket := range edges {
+		edges[bucket] = firstEdge.Seconds() * math.Pow(edgeGrowth, float64(bucket))
+	}
+	return edges
+}()
 
-func (h *history) addGap(gap time.Duration) {
-	h.total *= gapDecay
+func (h *gapHistogram) add(gap time.Duration) {
 	for position := range h.counts {
 		h.counts[position] *= gapDecay
 		h.sums[position] *= gapDecay
@@ -119,61 +118,50 @@
 	bucket := bucketOf(gap)
 	h.counts[bucket]++
 	h.sums[bucket] += gap.Seconds()
-	h.total++
 }
 
-// Timeout implements Policy.
-func (a *Adaptive) Timeout(subject Subject, _ time.Time) time.Duration {
-	rent := subject.Rent()
-	held := a.histories[subject.Version]
-	if held == nil || held.total == 0 {
-		return rent
+// remaining is how many of the remembered gaps were longer than the idle time.
+func (h *gapHistogram) remaining(idle time.Duration) float64 {
+	total := 0.0
+	for bucket, count := range h.counts {
+		total += count * longerShare(bucket, idle.Seconds())
 	}
-	best := held.bestTimeout(subject)
-	share := held.total / (held.total + priorWeight)
-	return time.Duration(share*float64(best) + (1-share)*float64(min(rent, edgeOf(bucketCount))))
+	return total
 }
 
-// bestTimeout returns the bucket edge of least expected cost per gap. One
-// pass suffices: the time idled by gaps shorter than an edge is summed up on
-// the way, and the rest idle for the whole timeout.
-func (h *history) bestTimeout(subject Subject) time.Duration {
-	accelerators := float64(max(1, subject.Accelerators))
-	coldCost := subject.ColdStartWeight * subject.LoadTime.Seconds()
-	best := time.Duration(0)
-	bestCost := h.total * coldCost // Unload at once: every gap ends cold.
-	shorterSum, shorterCount := 0.0, 0.0
-	for bucket := range bucketCount {
-		shorterSum += h.sums[bucket]
-		shorterCount += h.counts[bucket]
-		longer := h.total - shorterCount
-		edge := edgeOf(bucket)
-		cost := (shorterSum+longer*edge.Seconds())*accelerators + longer*coldCost
-		if cost < bestCost {
-			best, bestCost = edge, cost
-		}
+// longerShare is the share of a bucket's gaps that are longer than a time, if
+// they lie evenly between its edges.
+func longerShare(bucket int, seconds float64) float64 {
+	upper, lower := edges[bucket], 0.0
+	if bucket > 0 {
+		lower = edges[bucket-1]
 	}
-	return best
+	return min(1, max(0, (upper-seconds)/(upper-lower)))
 }
 
-// Prewarm implements Policy: it loads ahead of a part of the day in which the
-// version was used on most days, where a cold start is worth the idling until
-// the middle of that part.
-func (a *Adaptive) Prewarm(subject Subject, now time.Time) bool {
-	held := a.histories[subject.Version]
-	if held == nil || dayOf(now) == held.firstDay {
-		return false
-	}
-	lead := time.Duration(prewarmLead * float64(subject.LoadTime))
-	ahead := now.Add(lead)
-	slot := slotOf(ahead)
-	if held.slotSeen[slot] == dayOf(ahead)+1 {
-		return false // Used in this part of the day already.
+// index returns the largest ratio, over all horizons, of the cold start saved
+// to the time idled until then: for gaps longer than the time idled so far,
+// P(gap <= horizon) * cold / E[min(gap, horizon) - idle].
+func (h *gapHistogram) index(coldCost float64, idle time.Duration) float64 {
+	elapsed := idle.Seconds()
+	total := h.remaining(idle)
+	best, ended, waited := 0.0, 0.0, 0.0
+	for bucket := bucketOf(idle); bucket <= bucketCount; bucket++ {
+		count := h.counts[bucket] * longerShare(bucket, elapsed)
+		if count == 0 {
+			continue
+		}
+		middle := h.sums[bucket] / h.counts[bucket]
+		if middle <= elapsed {
+			middle = (elapsed + edges[bucket]) / 2
+		}
+		ended += count
+		waited += count * (middle - elapsed)
+		horizon := max(edges[bucket]-elapsed, 0)
+		expected := waited + (total-ended)*horizon
+		if expected > 0 {
+			best = max(best, ended*coldCost/expected)
+		}
 	}
-	share := held.share(slot, dayOf(ahead))
-	intoSlot := ahead.Sub(ahead.Truncate(slotDuration))
-	expectedIdle := slotDuration/2 + lead
-	gain := share * subject.ColdStartWeight * subject.LoadTime.Seconds()
-	price := expectedIdle.Seconds() * float64(max(1, subject.Accelerators))
-	return intoSlot < lead && gain > price
+	return best
 }
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -1,18 +1,26 @@
-// Package keepalive decides how long a replica that serves nobody is kept.
+// Package keepalive decides how long a replica that serves nobody is kept, and
+// which to load before anybody asks.
 //
-// The problem: an idle replica costs accelerator time, and a replica that was
-// unloaded too early costs its next caller a cold start. Which is worse is
-// for the operator to say: a service's ColdStartWeight is how many
-// accelerator-seconds of idling one second of cold start is worth.
+// The problem: an accelerator that holds weights while nothing runs on it costs
+// idle hours, and a replica that was unloaded too early costs its next caller a
+// cold start. Which is worse is for the operator to say: a service's
+// ColdStartWeight is how many accelerator-seconds of idling one second of cold
+// start is worth.
 //
-// The mechanism: for each version the gaps between uses are gathered in a
-// histogram of geometric buckets that forgets old gaps. The timeout is the
-// bucket edge with the least expected cost,
+// The mechanism: a policy gives each replica an index: what keeping it is worth
+// now, in accelerators. It is the expected cold start saved for each second of
+// idling until the next use, the largest such ratio over all horizons (a
+// Gittins index). Replicas share accelerators, so the planner adds up the
+// indices of those on one: an accelerator is kept as long as its replicas
+// together are worth one accelerator, and a replica worth little stays for
+// nothing beside one that is worth much.
 //
-//	E[min(gap, timeout)] * accelerators + P(gap > timeout) * weight * load,
+// The index comes from two sources, whichever is higher: the gaps between a
+// version's uses, by how long it has idled; and the rate of its uses at this
+// time of day on the days before. Without history a version is worth its cold
+// start over the time that it has idled, so that alone it is kept as long as
+// idling costs less than loading (the ski-rental rule).
 //
-// A version with few observed gaps borrows from the ski-rental rule (idle as
-// long as the load is worth), which costs at most twice the best in hindsight.
 // All functions take the time as an argument.
 package keepalive
 
@@ -24,7 +32,7 @@
 // Subject is the version that a question is about.
 type Subject struct {
 	Version string
-	// Accelerators that an idle replica occupies.
+	// Accelerators that a replica occupies.
 	Accelerators int
 	// LoadTime is the expected cold start.
 	LoadTime time.Duration
@@ -32,23 +40,37 @@
 	ColdStartWeight float64
 }
 
-// Rent is for how long idling costs as much as one cold start.
+// coldCost is what a cold start costs, in accelerator-seconds.
+func (s Subject) coldCost() float64 {
+	return s.ColdStartWeight * s.LoadTime.Seconds()
+}
+
+// Rent is for how long idling alone costs as much as one cold start.
 func (s Subject) Rent() time.Duration {
-	seconds := s.ColdStartWeight * s.LoadTime.Seconds() / float64(max(1, s.Accelerators))
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(s.coldCost() / float64(max(1, s.Accelerators)) * float64(time.Second))
 }
 
-// Policy says how long an idle replica is kept. Implementations are not safe
-// for concurrent use.
+const (
+	// Always is the index of what must be kept.
+	Always = math.MaxFloat64
+	// Never is the index of what must go, whatever it shares accelerators
+	// with.
+	Never = -1.0
+)
+
+// Policy says what replicas are worth. Implementations are not safe for
+// concurrent use.
 type Policy interface {
 	// Name is the policy's name in settings and reports.
 	Name() string
 	// Used records that a version was in use at a time.
 	Used(version string, now time.Time)
-	// Timeout returns how long a replica may idle.
-	Timeout(subject Subject, now time.Time) time.Duration
-	// Prewarm reports whether a replica should be loaded before a request.
-	Prewarm(subject Subject, now time.Time) bool
+	// Index returns what a replica that has idled for so long is worth, in
+	// accelerators, or Always or Never.
+	Index(subject Subject, idle time.Duration, now time.Time) float64
+	// Prewarm returns what loading a version that nobody asks for is worth,
+	// in accelerators.
+	Prewarm(subject Subject, now time.Time) float64
 }
 
 // Names lists the policies that New knows.
@@ -66,7 +88,7 @@
 	case "none":
 		return fixed{name: name}
 	case "always-loaded":
-		return fixed{name: name, timeout: math.MaxInt64, prewarm: true}
+		return fixed{name: name, timeout: math.MaxInt64, prewarm: Always}
 	}
 	return nil
 }
@@ -76,22 +98,34 @@
 	return fixed{name: "fixed-" + timeout.String(), timeout: timeout}
 }
 
+// KeepIf returns the index of a rule that only knows keeping and unloading.
+func KeepIf(keep bool) float64 {
+	if keep {
+		return Always
+	}
+	return Never
+}
+
 // fixed keeps every replica equally long.
 type fixed struct {
 	name    string
 	timeout time.Duration
-	prewarm bool
+	prewarm float64
 }
 
-func (f fixed) Name() string                             { return f.name }
-func (f fixed) Used(string, time.Time)                   {}
-func (f fixed) Timeout(Subject, time.Time) time.Duration { return f.timeout }
-func (f fixed) Prewarm(Subject, time.Time) bool          { return f.prewarm }
+func (f fixed) Name() string                       { return f.name }
+func (f fixed) Used(string, time.Time)             {}
+func (f fixed) Prewarm(Subject, time.Time) float64 { return f.prewarm }
+func (f fixed) Index(_ Subject, idle time.Duration, _ time.Time) float64 {
+	return KeepIf(idle <= f.timeout)
+}
 
 // skiRental idles as long as a cold start is worth.
 type skiRental struct{}
 
-func (skiRental) Name() string                                       { return "ski-rental" }
-func (skiRental) Used(string, time.Time)                             {}
-func (skiRental) Timeout(subject Subject, _ time.Time) time.Duration { return subject.Rent() }
-func (skiRental) Prewarm(Subject, time.Time) bool                    { return false }
+func (skiRental) Name() string                       { return "ski-rental" }
+func (skiRental) Used(string, time.Time)             {}
+func (skiRental) Prewarm(Subject, time.Time) float64 { return 0 }
+func (skiRental) Index(subject Subject, idle time.Duration, _ time.Time) float64 {
+	return KeepIf(idle <= subject.Rent())
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -62,7 +62,9 @@
 	// ready, on machines that are not lost.
 	byVersion map[string][]*Replica
 	// changed marks replicas that this pass has acted on.
-	changed  map[*Replica]bool
+	changed map[*Replica]bool
+	// worth is what the replicas on each accelerator are worth, by machine.
+	worth    map[string]map[int]float64
 	decision Decision
 }
 
@@ -72,6 +74,7 @@
 	current := &pass{
 		planner: p, input: input, machines: map[string]*room{},
 		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
+		worth: map[string]map[int]float64{},
 	}
 	current.open()
 	current.learnSpeeds()
--- a/internal/placement/retire.go
+++ b/internal/placement/retire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/keepalive"
 )
 
 // leaveGrace is how long a leaving machine's replica waits for another to
@@ -44,7 +45,7 @@
 		return "not-declared"
 	case !machine.Accepts:
 		return p.leaveReason(replica)
-	case replica.Spec.Phase == v1.ReplicaReady && p.isIdleTooLong(replica, version):
+	case replica.Spec.Phase == v1.ReplicaReady && p.isWorthless(replica, version):
 		return "idle"
 	}
 	return ""
@@ -73,14 +74,50 @@
 	return replica.Running == 0 && (demand == nil || demand.Waiting == 0)
 }
 
-func (p *pass) isIdleTooLong(replica *Replica, version *Version) bool {
+// isWorthless reports whether an idle replica is no longer worth its place.
+// The replicas that share an accelerator pay for it together: it is kept as
+// long as one of them is in use or they are worth one accelerator in sum.
+func (p *pass) isWorthless(replica *Replica, version *Version) bool {
 	if !p.isIdle(replica) || len(p.byVersion[version.Name]) <= version.MinReplicas {
 		return false
 	}
-	subject := p.planner.subject(version)
-	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name])
-	if idle <= p.planner.config.KeepAlive.Timeout(subject, p.input.Now) {
-		return false
+	if p.indexOf(replica) == keepalive.Never {
+		return true
+	}
+	worth := p.accelerators(replica.Spec.Machine)
+	for _, accelerator := range replica.Spec.Accelerators {
+		if worth[accelerator] >= 1 {
+			return false
+		}
 	}
-	return !p.planner.config.KeepAlive.Prewarm(subject, p.input.Now)
+	return true
+}
+
+// accelerators returns what the replicas on each accelerator of a machine are
+// worth together.
+func (p *pass) accelerators(machine string) map[int]float64 {
+	if worth, known := p.worth[machine]; known {
+		return worth
+	}
+	worth := map[int]float64{}
+	for _, replica := range p.machines[machine].replicas {
+		for _, accelerator := range replica.Spec.Accelerators {
+			worth[accelerator] += max(p.indexOf(replica), 0) / float64(len(replica.Spec.Accelerators))
+		}
+	}
+	p.worth[machine] = worth
+	return worth
+}
+
+// indexOf returns what keeping a replica is worth, in accelerators.
+func (p *pass) indexOf(replica *Replica) float64 {
+	version := p.input.Versions[replica.Spec.Version]
+	switch {
+	case version == nil || replica.Spec.Phase == v1.ReplicaUnloading:
+		return 0
+	case replica.Spec.Phase == v1.ReplicaLoading || !p.isIdle(replica):
+		return keepalive.Always
+	}
+	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name])
+	return p.planner.config.KeepAlive.Index(p.planner.subject(version), idle, p.input.Now)
 }
--- /dev/null
+++ b/internal/placement/retire_test.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/keepalive"
+)
+
+// indexed is a policy whose indices a test sets.
+type indexed map[string]float64
+
+func (i indexed) Name() string                                 { return "indexed" }
+func (i indexed) Used(string, time.Time)                       {}
+func (i indexed) Prewarm(keepalive.Subject, time.Time) float64 { return 0 }
+func (i indexed) Index(subject keepalive.Subject, _ time.Duration, _ time.Time) float64 {
+	return i[subject.Version]
+}
+
+// TestSharedAcceleratorsArePaidForTogether has two idle replicas on one
+// accelerator and one on another.
+func TestSharedAcceleratorsArePaidForTogether(t *testing.T) {
+	const gibibyte = 1 << 30
+	cases := []struct {
+		name    string
+		indices indexed
+		running string
+		unloads []string
+	}{
+		{"worth one together", indexed{"a": 0.6, "b": 0.5, "c": 0.9}, "", []string{"c"}},
+		{"worth less together", indexed{"a": 0.4, "b": 0.5, "c": 1.1}, "", []string{"a", "b"}},
+		{"a neighbour in use pays", indexed{"a": 0, "b": 0, "c": 0}, "a", []string{"c"}},
+		{"what must go goes", indexed{"a": keepalive.Always, "b": keepalive.Never, "c": keepalive.Always}, "", []string{"b"}},
+	}
+	for _, entry := range cases {
+		t.Run(entry.name, func(t *testing.T) {
+			planner := NewPlanner(Config{Speeds: DefaultTierSpeeds, StoreLoadsPerSecond: 1, StoreConcurrentLoads: 1, KeepAlive: entry.indices})
+			input := &Input{
+				Now: time.Unix(1000, 0), Versions: map[string]*Version{}, Demand: map[string]*Demand{},
+				Machines: map[string]*Machine{"m": {
+					Name: "m", Accelerators: 2, AcceleratorBytes: 80 * gibibyte, Incarnation: 1, Accepts: true,
+				}},
+			}
+			for position, name := range []string{"a", "b", "c"} {
+				input.Versions[name] = &Version{Name: name, Spec: &v1.ModelVersionSpec{Model: name, Accelerators: 1, WeightBytes: gibibyte}, MaxReplicas: 1}
+				replica := &Replica{
+					Name: name, Observed: true, EnginePhase: EngineReady,
+					Spec: &v1.ReplicaSpec{
+						Model: name, Version: name, Machine: "m", Incarnation: 1, Accelerators: []int{position / 2},
+						BytesPerAccelerator: 30 * gibibyte, Phase: v1.ReplicaReady,
+					},
+				}
+				if name == entry.running {
+					replica.Running = 1
+				}
+				input.Replicas = append(input.Replicas, replica)
+			}
+			var unloads []string
+			for _, action := range planner.Decide(input).Actions {
+				if action.Kind == ActionUnload {
+					unloads = append(unloads, action.Replica.Name)
+				}
+			}
+			if len(unloads) != len(entry.unloads) {
+				t.Fatalf("unloads %v, expected %v", unloads, entry.unloads)
+			}
+			for position := range unloads {
+				if unloads[position] != entry.unloads[position] {
+					t.Errorf("unloads %v, expected %v", unloads, entry.unloads)
+				}
+			}
+		})
+	}
+}
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -7,6 +7,11 @@
 	v1 "github.com/weldline/weldline/api/v1"
 )
 
+// prewarmMargin is by how much loading ahead must be worth more than keeping:
+// a load costs the store's bandwidth, and what is loaded must not be unloaded
+// by the next pass.
+const prewarmMargin = 1.2
+
 // want is one replica that should be loaded.
 type want struct {
 	version *Version
@@ -75,7 +80,7 @@
 	if demand := p.input.Demand[name]; demand != nil {
 		desired = max(desired, p.desiredFor(demand, version, usable))
 	}
-	if desired == 0 && p.planner.config.KeepAlive.Prewarm(p.planner.subject(version), p.input.Now) {
+	if desired == 0 && usable == 0 && p.isWorthLoading(version) {
 		desired = 1
 	}
 	if desired == 0 && p.mustReplace(name) {
@@ -87,6 +92,29 @@
 	return min(desired-usable, allowed)
 }
 
+// isWorthLoading reports whether a version that nobody asks for is worth the
+// part of an accelerator that it would take: replicas that are loaded ahead
+// share accelerators.
+func (p *pass) isWorthLoading(version *Version) bool {
+	worth := p.planner.config.KeepAlive.Prewarm(p.planner.subject(version), p.input.Now)
+	if worth <= 0 {
+		return false
+	}
+	share := 1.0
+	if largest := p.largestAccelerator(); largest > 0 {
+		share = float64(version.Spec.BytesPerAccelerator()) / float64(largest)
+	}
+	return worth >= prewarmMargin*share*float64(version.Spec.Accelerators)
+}
+
+func (p *pass) largestAccelerator() int64 {
+	largest := int64(0)
+	for _, machine := range p.input.Machines {
+		largest = max(largest, machine.AcceleratorBytes)
+	}
+	return largest
+}
+
 // desiredFor sizes a version for its load. A further replica is worth its
 // load only where those present are full.
 func (p *pass) desiredFor(demand *Demand, version *Version, usable int) int {
