--- a/api/v1/validate.go
+++ b/api/v1/validate.go
@@ -31,7 +31,7 @@
 	setDefaults()
 	// validate checks every field that can be checked alone.
 	validate() error
-	// References lists the resources that must exist.
+	// References lists the resources that the spec names.
 	References() []Reference
 }
 
@@ -40,6 +40,9 @@
 	Field string
 	Kind  Kind
 	Name  string
+	// Optional references may be declared before what they name; that can't
+	// be deleted while it is named.
+	Optional bool
 }
 
 // newSpec returns an empty spec of a kind, or nil.
@@ -172,9 +175,14 @@
 	)
 }
 
-// References implements Spec. The default version is not one: a model is
-// declared before its versions, and can't be served until one exists.
-func (s *ModelSpec) References() []Reference { return nil }
+// References implements Spec. A model is declared before its versions, and
+// can't be served until its default version exists.
+func (s *ModelSpec) References() []Reference {
+	if s.DefaultVersion == "" {
+		return nil
+	}
+	return []Reference{{Field: "spec.defaultVersion", Kind: KindModelVersion, Name: s.DefaultVersion, Optional: true}}
+}
 
 func (s *ModelVersionSpec) setDefaults() {
 	if s.Accelerators == 0 {
--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -27,8 +27,9 @@
 )
 
 type commandLine struct {
-	Server []string `help:"Base URLs of the resource API." env:"WELDLINE_API" default:"http://127.0.0.1:7201"`
-	Token  string   `help:"Operator's token." env:"WELDLINE_TOKEN"`
+	Server    []string `help:"Base URLs of the resource API." env:"WELDLINE_API" default:"http://127.0.0.1:7201"`
+	Token     string   `help:"Operator's token." env:"WELDLINE_TOKEN"`
+	Authority string   `help:"PEM file of the authority of the servers' certificates." env:"WELDLINE_AUTHORITY" type:"path"`
 
 	Apply   applyCommand   `cmd:"" help:"Declare the resources of a file or folder, all or none."`
 	Diff    diffCommand    `cmd:"" help:"Show what apply would change. Exits with 6 if anything."`
@@ -71,7 +72,7 @@
 	parsed := kong.Parse(&line, kong.Name("weldctl"), kong.Description("Declare and watch weldline resources."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	client, err := operator.NewClient(line.Server, line.Token)
+	client, err := operator.NewClient(line.Server, line.Token, line.Authority)
 	if err == nil {
 		err = parsed.Run(&session{ctx: ctx, client: client})
 	}
--- a/cmd/weldline/main.go
+++ b/cmd/weldline/main.go
@@ -56,13 +56,26 @@
 }
 
 type configCommand struct {
-	Check checkCommand `cmd:"" help:"Check a settings file."`
+	Check     checkCommand     `cmd:"" help:"Check a settings file."`
+	Reference referenceCommand `cmd:"" help:"Print what may be set, as Markdown."`
 }
 
 type checkCommand struct {
 	File string `arg:"" type:"path" help:"Settings file."`
 }
 
+type referenceCommand struct{}
+
+// Run implements the command.
+func (c *referenceCommand) Run() error {
+	reference, err := settings.Reference()
+	if err != nil {
+		return err
+	}
+	fmt.Print(reference)
+	return nil
+}
+
 type versionCommand struct{}
 
 func (c *serveCommand) Run() error {
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -90,7 +90,7 @@
 
 // Run measures a fleet that has been started.
 func Run(ctx context.Context, fleet *Fleet, plan Plan, progress func(string)) (*Result, error) {
-	client, err := operator.NewClient(fleet.API, "")
+	client, err := operator.NewClient(fleet.API, "", "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -7,7 +7,6 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/state"
-	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -190,8 +189,8 @@
 }
 
 // NewServer returns the server of this node's feed.
-func (n *Node) NewServer(counters *wire.Counters) *feed.Server {
-	return feed.NewServer(n, n.Hello(), n.logger, counters, n.servePeer)
+func (n *Node) NewServer() *feed.Server {
+	return feed.NewServer(n, n.identity(), n.logger, n.servePeer)
 }
 
 // Read calls the function with the state, which it must not keep or change.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/settings"
@@ -39,6 +40,8 @@
 	Join     bool
 	Metrics  *Metrics
 	Counters *wire.Counters
+	// Keys secures the connections to other processes; nil for plain text.
+	Keys *keys.Store
 }
 
 // Node is a running control node.
@@ -47,6 +50,7 @@
 	logger   *slog.Logger
 	metrics  *Metrics
 	counters *wire.Counters
+	keys     *keys.Store
 	started  time.Time
 
 	// stateMutex guards member.State: the loop writes, everyone reads.
@@ -83,7 +87,7 @@
 func New(options Options) (*Node, error) {
 	node := &Node{
 		settings: options.Settings, logger: options.Logger, metrics: options.Metrics,
-		counters: options.Counters, started: time.Now(),
+		counters: options.Counters, keys: options.Keys, started: time.Now(),
 		inbox:     make(chan *wirepb.RaftMessage, inboxLength),
 		proposals: make(chan *proposal, inboxLength),
 		actions:   make(chan func(), 16),
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -34,10 +34,9 @@
 // lost.
 type Client struct {
 	upstreams []string
-	hello     *wirepb.Hello
+	self      wire.Identity
 	sink      Sink
 	logger    *slog.Logger
-	counters  *wire.Counters
 	connected *signal.Broadcast
 
 	mutex   sync.Mutex
@@ -50,9 +49,9 @@
 }
 
 // NewClient returns a client; Run starts it.
-func NewClient(upstreams []string, hello *wirepb.Hello, sink Sink, logger *slog.Logger, counters *wire.Counters) *Client {
+func NewClient(upstreams []string, self wire.Identity, sink Sink, logger *slog.Logger) *Client {
 	return &Client{
-		upstreams: upstreams, hello: hello, sink: sink, logger: logger, counters: counters,
+		upstreams: upstreams, self: self, sink: sink, logger: logger,
 		connected: signal.New(), waiting: map[uint64]chan *wirepb.CommandResult{},
 	}
 }
@@ -61,7 +60,7 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		address := c.upstreams[c.current%len(c.upstreams)]
-		conn, err := wire.Dial(ctx, address, c.hello, c.counters)
+		conn, err := wire.Dial(ctx, address, c.self)
 		if err == nil {
 			c.logger.Info("upstream_connected", "address", address)
 			c.follow(ctx, conn)
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -83,18 +83,17 @@
 
 // Server serves a Backend to the connections that it is given.
 type Server struct {
-	backend  Backend
-	hello    *wirepb.Hello
-	logger   *slog.Logger
-	counters *wire.Counters
+	backend Backend
+	self    wire.Identity
+	logger  *slog.Logger
 	// peer handles connections of control nodes; nil refuses them.
 	peer func(ctx context.Context, conn *wire.Conn)
 }
 
 // NewServer returns a server. The peer function takes over connections whose
 // hello carries a control id.
-func NewServer(backend Backend, hello *wirepb.Hello, logger *slog.Logger, counters *wire.Counters, peer func(context.Context, *wire.Conn)) *Server {
-	return &Server{backend: backend, hello: hello, logger: logger, counters: counters, peer: peer}
+func NewServer(backend Backend, self wire.Identity, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
+	return &Server{backend: backend, self: self, logger: logger, peer: peer}
 }
 
 // Serve accepts connections until ctx ends, and waits for their sessions.
@@ -116,7 +115,7 @@
 }
 
 func (s *Server) handle(ctx context.Context, network net.Conn) {
-	conn, err := wire.Accept(network, s.hello, s.counters)
+	conn, err := wire.Accept(network, s.self)
 	if err != nil {
 		s.logger.Warn("connection_refused", "remote", network.RemoteAddr().String(), "error", fault.Message(err))
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/weldline/weldline/internal/control"
 	"github.com/weldline/weldline/internal/datadir"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/storage"
@@ -33,6 +35,8 @@
 	logger   *slog.Logger
 	registry *prometheus.Registry
 	counters *wire.Counters
+	// keys is nil where connections are in plain text.
+	keys *keys.Store
 	// incarnation orders the lives of a node.
 	incarnation uint64
 	dataDir     *datadir.Dir
@@ -56,6 +60,13 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		newTrafficCollector(created.counters),
 	)
+	if configuration.TLS.Certificate != "" {
+		loaded, err := keys.Load(configuration.TLS.Files())
+		if err != nil {
+			return nil, err
+		}
+		created.keys = loaded
+	}
 	if configuration.Has(settings.RoleControl) {
 		if err := created.openControl(); err != nil {
 			return nil, err
@@ -83,15 +94,18 @@
 	n.dataDir = dir
 	n.control, err = control.New(control.Options{
 		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered, Join: identity.Join,
-		Metrics: control.NewMetrics(n.registry), Counters: n.counters,
+		Metrics: control.NewMetrics(n.registry), Counters: n.counters, Keys: n.keys,
 	})
 	return err
 }
 
-func (n *Node) hello() *wirepb.Hello {
-	return &wirepb.Hello{
-		ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
-		Node: n.settings.Node, Zone: n.settings.Zone,
+func (n *Node) identity() wire.Identity {
+	return wire.Identity{
+		Hello: &wirepb.Hello{
+			ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
+			Node: n.settings.Node, Zone: n.settings.Zone,
+		},
+		Keys: n.keys, Counters: n.counters,
 	}
 }
 
@@ -158,7 +172,7 @@
 }
 
 func (n *Node) startControl(ctx context.Context) error {
-	if err := n.serveFeed(ctx, n.listenAddress(), n.control.NewServer(n.counters).Serve); err != nil {
+	if err := n.serveFeed(ctx, n.listenAddress(), n.control.NewServer().Serve); err != nil {
 		return err
 	}
 	api := resourceapi.New(n.control, n.logger, n.settings.Control.ReadToken, n.settings.Control.WriteToken)
@@ -211,6 +225,9 @@
 	if err != nil {
 		return fault.Unavailable.Wrap(err, "listening on %s", address)
 	}
+	if n.keys != nil && n.settings.TLS.Public {
+		listener = tls.NewListener(listener, n.keys.PublicServer())
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug)}
 	n.workers.Go(func() {
 		<-ctx.Done()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -16,9 +16,9 @@
 
 func newRelay(node *Node) *relay {
 	created := &relay{node: node, cache: feed.NewCache()}
-	client := feed.NewClient(node.settings.Relay.Upstreams, node.hello(), created.cache, node.logger, node.counters)
+	client := feed.NewClient(node.settings.Relay.Upstreams, node.identity(), created.cache, node.logger)
 	created.cache.Attach(client)
-	created.server = feed.NewServer(created.cache, node.hello(), node.logger, node.counters, nil)
+	created.server = feed.NewServer(created.cache, node.identity(), node.logger, nil)
 	return created
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -31,7 +31,7 @@
 func newRouter(node *Node) *router {
 	created := &router{node: node, view: nodeview.New(), nudges: make(chan struct{}, 1), demand: nodeview.NewDemandNews()}
 	settings := node.settings
-	created.client = feed.NewClient(settings.Router.Upstreams, node.hello(), created.view, node.logger, node.counters)
+	created.client = feed.NewClient(settings.Router.Upstreams, node.identity(), created.view, node.logger)
 	created.gateway = gateway.New(gateway.Options{
 		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: gateway.NewMetrics(node.registry),
 		Propose: created.client.Propose, MaxWaiting: settings.Router.MaxWaiting,
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,9 +5,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
@@ -35,12 +38,27 @@
 	current int
 }
 
-// NewClient returns a client of the given base URLs.
-func NewClient(servers []string, token string) (*Client, error) {
+// NewClient returns a client of the given base URLs. Authority is the PEM file
+// of the authority that signs the servers' certificates; empty for the
+// system's.
+func NewClient(servers []string, token, authority string) (*Client, error) {
 	if len(servers) == 0 {
 		return nil, fault.InvalidField("server", "at least one server is required")
 	}
-	return &Client{servers: servers, token: token, http: &http.Client{}}, nil
+	client := &Client{servers: servers, token: token, http: &http.Client{}}
+	if authority == "" {
+		return client, nil
+	}
+	content, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, fault.InvalidField("authority", "can't read the authority: %s", err.Error())
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, fault.InvalidField("authority", "the file holds no certificate")
+	}
+	client.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}
+	return client, nil
 }
 
 // call is one request to the API.
--- a/internal/state/overlay.go
+++ b/internal/state/overlay.go
@@ -155,7 +155,7 @@
 func (o *overlay) checkReferencesOf(key Key, spec v1.Spec) *wirepb.WriteResult {
 	for _, reference := range spec.References() {
 		target, _ := o.current(Key{reference.Kind, reference.Name})
-		if target == nil {
+		if target == nil && !reference.Optional {
 			return failed(wirepb.ResultCode_RESULT_CODE_INVALID, reference.Field,
 				string(key.Kind)+" "+key.Name+" refers to "+string(reference.Kind)+" "+reference.Name+", which does not exist")
 		}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -36,15 +38,26 @@
 	Peer *wirepb.Hello
 }
 
+// Identity is what a process shows of itself on every connection.
+type Identity struct {
+	Hello *wirepb.Hello
+	// Keys secures connections; nil leaves them in plain text.
+	Keys     *keys.Store
+	Counters *Counters
+}
+
 // Dial connects, shakes hands and starts the writer.
-func Dial(ctx context.Context, address string, hello *wirepb.Hello, counters *Counters) (*Conn, error) {
+func Dial(ctx context.Context, address string, self Identity) (*Conn, error) {
 	dialer := net.Dialer{Timeout: handshakeTimeout}
 	network, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to %s", address)
 	}
-	conn := newConn(network, counters)
-	if err := conn.greet(hello); err != nil {
+	if self.Keys != nil {
+		network = tls.Client(network, self.Keys.PeerClient())
+	}
+	conn := newConn(network, self.Counters)
+	if err := conn.greet(self.Hello); err != nil {
 		_ = network.Close()
 		return nil, err
 	}
@@ -53,9 +66,12 @@
 }
 
 // Accept performs the server's side of the handshake on a fresh connection.
-func Accept(network net.Conn, self *wirepb.Hello, counters *Counters) (*Conn, error) {
-	conn := newConn(network, counters)
-	if err := conn.welcome(self); err != nil {
+func Accept(network net.Conn, self Identity) (*Conn, error) {
+	if self.Keys != nil {
+		network = tls.Server(network, self.Keys.PeerServer())
+	}
+	conn := newConn(network, self.Counters)
+	if err := conn.welcome(self.Hello); err != nil {
 		_ = network.Close()
 		return nil, err
 	}
@@ -93,6 +109,9 @@
 		return fault.Protocol.New("refused by %s: %s", reply.GetNode(), reply.GetRefusal())
 	}
 	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion()}
+	if err := c.checkName(); err != nil {
+		return err
+	}
 	return c.network.SetDeadline(time.Time{})
 }
 
@@ -104,6 +123,10 @@
 	}
 	hello := envelope.GetHello()
 	refusal := refuseHello(hello, self)
+	c.Peer = hello
+	if err := c.checkName(); refusal == "" && err != nil {
+		refusal = fault.Message(err)
+	}
 	reply := &wirepb.HelloReply{ProtocolVersion: ProtocolVersion, Node: self.GetNode(), Refusal: refusal}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
@@ -111,10 +134,18 @@
 	if refusal != "" {
 		return fault.Protocol.New("refused a connection: %s", refusal)
 	}
-	c.Peer = hello
 	return c.network.SetDeadline(time.Time{})
 }
 
+// checkName checks, on a secured connection, that the peer is who it says.
+func (c *Conn) checkName() error {
+	secured, isSecured := c.network.(*tls.Conn)
+	if !isSecured {
+		return nil
+	}
+	return keys.CheckName(secured.ConnectionState(), c.Peer.GetNode())
+}
+
 func refuseHello(hello, self *wirepb.Hello) string {
 	switch {
 	case hello == nil:
--- /dev/null
+++ b/internal/wire/conn_test.go
@@ -0,0 +1,115 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keys"
+	"github.com/weldline/weldline/internal/keys/keystest"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+func identity(t *testing.T, node string, files *keys.Files) wire.Identity {
+	t.Helper()
+	self := wire.Identity{
+		Hello:    &wirepb.Hello{ProtocolVersion: wire.ProtocolVersion, Cluster: "test", Node: node},
+		Counters: &wire.Counters{},
+	}
+	if files == nil {
+		return self
+	}
+	store, err := keys.Load(*files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self.Keys = store
+	return self
+}
+
+// connect lets a client meet a server and returns both sides' errors. Where
+// both agree, a message goes through.
+func connect(t *testing.T, server, client wire.Identity) (serverErr, clientErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	received := make(chan error, 1)
+	go func() {
+		network, err := listener.Accept()
+		if err != nil {
+			received <- err
+			return
+		}
+		conn, err := wire.Accept(network, server)
+		if err != nil {
+			received <- err
+			return
+		}
+		defer conn.Close()
+		envelope, err := conn.Receive()
+		if err == nil && envelope.GetWatchRequest().GetAfterRevision() != 7 {
+			err = fault.Protocol.New("another message came")
+		}
+		received <- err
+	}()
+	conn, clientErr := wire.Dial(context.Background(), listener.Addr().String(), client)
+	if clientErr == nil {
+		request := &wirepb.WatchRequest{AfterRevision: 7}
+		clientErr = conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchRequest{WatchRequest: request}})
+	}
+	serverErr = <-received
+	if conn != nil {
+		conn.Close()
+	}
+	return serverErr, clientErr
+}
+
+// TestHandshake lists who may talk to whom.
+func TestHandshake(t *testing.T) {
+	ours, theirs := keystest.NewAuthority(t), keystest.NewAuthority(t)
+	server, client, stranger := ours.Issue("server"), ours.Issue("client"), theirs.Issue("client")
+	otherCluster := identity(t, "client", nil)
+	otherCluster.Hello.Cluster = "other"
+	otherVersion := identity(t, "client", nil)
+	otherVersion.Hello.ProtocolVersion = wire.ProtocolVersion + 1
+	cases := []struct {
+		name           string
+		server, client wire.Identity
+		accepted       bool
+	}{
+		{"plain text", identity(t, "server", nil), identity(t, "client", nil), true},
+		{"another cluster", identity(t, "server", nil), otherCluster, false},
+		{"another protocol version", identity(t, "server", nil), otherVersion, false},
+		{"mutual TLS", identity(t, "server", &server), identity(t, "client", &client), true},
+		{"certificate of another authority", identity(t, "server", &server), identity(t, "client", &stranger), false},
+		{"certificate of another name", identity(t, "server", &server), identity(t, "somebody", &client), false},
+		{"server of another name", identity(t, "somebody", &server), identity(t, "client", &client), false},
+		{"plain text to TLS", identity(t, "server", &server), identity(t, "client", nil), false},
+		{"TLS to plain text", identity(t, "server", nil), identity(t, "client", &client), false},
+	}
+	for _, entry := range cases {
+		t.Run(entry.name, func(t *testing.T) {
+			serverErr, clientErr := connect(t, entry.server, entry.client)
+			if accepted := serverErr == nil && clientErr == nil; accepted != entry.accepted {
+				t.Errorf("server: %v, client: %v", serverErr, clientErr)
+			}
+		})
+	}
+}
+
+// TestTrafficIsCountedByKind checks the counters on both sides.
+func TestTrafficIsCountedByKind(t *testing.T) {
+	server, client := identity(t, "server", nil), identity(t, "client", nil)
+	if serverErr, clientErr := connect(t, server, client); serverErr != nil || clientErr != nil {
+		t.Fatal(serverErr, clientErr)
+	}
+	listed := server.Counters.Traffic()
+	if len(listed) != 1 || listed[0].Kind != "watch_request" || listed[0].MessagesReceived != 1 || listed[0].BytesReceived == 0 {
+		t.Errorf("%+v", listed)
+	}
+}
