--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// dispatchTable drives a Core by hand. Requests are numbered; their properties
+// are key=value; times are seconds since the beginning.
+type dispatchTable struct {
+	t        *testing.T
+	core     *Core
+	now      time.Time
+	requests map[uint64]*Request
+	grants   map[uint64]Grant
+}
+
+var beginning = time.Unix(0, 0)
+
+func TestCore(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		table := &dispatchTable{t: t}
+		datadriven.RunTest(t, path, table.run)
+	})
+}
+
+func (d *dispatchTable) run(t *testing.T, data *datadriven.TestData) string {
+	var out strings.Builder
+	switch data.Cmd {
+	case "new":
+		config := Config{MaxWaiting: 100}
+		data.MaybeScanArgs(t, "max", &config.MaxWaiting)
+		data.MaybeScanArgs(t, "round-robin", &config.RoundRobin)
+		d.core, d.now = New(config), beginning
+		d.requests, d.grants = map[uint64]*Request{}, map[uint64]Grant{}
+	case "at":
+		var seconds float64
+		data.ScanArgs(t, "s", &seconds)
+		d.now = beginning.Add(time.Duration(seconds * float64(time.Second)))
+		d.report(&out, d.core.Tick(d.now))
+	case "demand":
+		for _, demand := range d.core.Demand(d.now) {
+			fmt.Fprintf(&out, "%s waiting=%d running=%d arrivals=%d oldest=%s priority=%d\n",
+				demand.Version, demand.Waiting, demand.Running, demand.Arrivals, demand.OldestWait, demand.Priority)
+		}
+	default:
+		for _, line := range strings.Split(strings.TrimSpace(data.Input), "\n") {
+			d.step(&out, data.Cmd, line)
+		}
+		if data.Cmd == "targets" {
+			d.setTargets(&out, data.Input)
+		}
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func (d *dispatchTable) step(out *strings.Builder, command, line string) {
+	name, properties, _ := strings.Cut(line, " ")
+	id, _ := strconv.ParseUint(name, 10, 64)
+	values := map[string]string{}
+	for _, property := range strings.Fields(properties) {
+		key, value, _ := strings.Cut(property, "=")
+		values[key] = value
+	}
+	number := func(key string) float64 {
+		value, _ := strconv.ParseFloat(values[key], 64)
+		return value
+	}
+	seconds := func(key string) time.Time {
+		return beginning.Add(time.Duration(number(key) * float64(time.Second)))
+	}
+	switch command {
+	case "submit":
+		request := &Request{
+			ID: id, Version: values["version"], Adapter: values["adapter"], Priority: int32(number("priority")),
+			Prefix: uint64(number("prefix")), Arrived: d.now, Deadline: seconds("deadline"),
+		}
+		d.requests[id] = request
+		d.report(out, d.core.Submit(d.now, request))
+	case "resubmit":
+		d.requests[id].Avoid = values["avoid"]
+		d.report(out, d.core.Resubmit(d.now, d.requests[id]))
+	case "release":
+		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "failed": ResultFailed}[values["result"]]
+		d.report(out, d.core.Release(d.now, d.grants[id], result))
+	case "cancel":
+		d.core.Cancel(d.requests[id])
+	case "loads":
+		d.report(out, d.core.SetLoads(d.now, map[string]int{name: int(number("running"))}))
+	case "estimate":
+		estimate := &Estimate{ReadyAt: seconds("ready"), Refused: values["refused"] != "", Reason: values["refused"]}
+		d.report(out, d.core.SetEstimates(d.now, map[string]*Estimate{name: estimate}))
+	case "targets":
+	default:
+		d.t.Fatalf("unknown command %s", command)
+	}
+}
+
+// setTargets reads one target a line: replica, version, machine, most at once.
+func (d *dispatchTable) setTargets(out *strings.Builder, input string) {
+	var targets []Target
+	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 4 {
+			continue
+		}
+		most, _ := strconv.Atoi(fields[3])
+		targets = append(targets, Target{Replica: fields[0], Version: fields[1], Machine: fields[2], Max: most})
+	}
+	d.report(out, d.core.SetTargets(d.now, targets))
+}
+
+func (d *dispatchTable) report(out *strings.Builder, outcome Outcome) {
+	for _, grant := range outcome.Grants {
+		d.grants[grant.Request.ID] = grant
+		fmt.Fprintf(out, "%d goes to %s cold=%t\n", grant.Request.ID, grant.Target.Replica, grant.Cold)
+	}
+	for _, refusal := range outcome.Refusals {
+		fmt.Fprintf(out, "%d refused: %s (%s) come back in %s\n", refusal.Request.ID, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+	}
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,62 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// TestRateIsSharedByRouters gives each of two routers half of the rate.
+func TestRateIsSharedByRouters(t *testing.T) {
+	now := time.Unix(1000, 0)
+	specs := map[string]*v1.LimitSpec{"rate": {Service: "s", RequestsPerSecond: 20, Burst: 20}}
+	enforcer := New()
+	admitted := 0
+	for range 100 {
+		if _, refusal := enforcer.Acquire(now, specs, "caller", 2); refusal == nil {
+			admitted++
+		}
+	}
+	if admitted != 10 {
+		t.Errorf("%d of a burst of 20 admitted at one of two routers", admitted)
+	}
+	_, refusal := enforcer.Acquire(now, specs, "caller", 2)
+	if refusal == nil || refusal.RetryAfter <= 0 {
+		t.Fatalf("%+v", refusal)
+	}
+	if _, refusal := enforcer.Acquire(now.Add(refusal.RetryAfter), specs, "caller", 2); refusal != nil {
+		t.Errorf("refused when told to come back: %+v", refusal)
+	}
+}
+
+// TestConcurrencyIsGivenBack also when a later limit refuses.
+func TestConcurrencyIsGivenBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	specs := map[string]*v1.LimitSpec{
+		"all":  {Service: "s", Concurrent: 2},
+		"mine": {Service: "s", Caller: "me", Concurrent: 1},
+	}
+	enforcer := New()
+	release, refusal := enforcer.Acquire(now, specs, "me", 1)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	for range 5 {
+		if _, refusal := enforcer.Acquire(now, specs, "me", 1); refusal == nil {
+			t.Fatal("a second one of the same caller was admitted")
+		}
+	}
+	other, refusal := enforcer.Acquire(now, specs, "you", 1)
+	if refusal != nil {
+		t.Fatalf("refusals of one caller used up the limit of all: %+v", refusal)
+	}
+	if _, refusal := enforcer.Acquire(now, specs, "they", 1); refusal == nil {
+		t.Error("a third one was admitted")
+	}
+	release()
+	other()
+	if _, refusal := enforcer.Acquire(now, specs, "me", 1); refusal != nil {
+		t.Errorf("nothing was given back: %+v", refusal)
+	}
+}
--- /dev/null
+++ b/internal/manifest/manifest_test.go
@@ -0,0 +1,40 @@
+package manifest
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+// TestParse reads resource files: good ones list what they declare, bad ones
+// name the file, the line and the field.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
+		resources, lines, err := Parse("file.yaml", []byte(d.Input))
+		if err != nil {
+			if !fault.Is(err, fault.Invalid) {
+				t.Errorf("not an invalid input: %v", err)
+			}
+			return fault.FieldOf(err) + ": " + strings.SplitN(fault.Message(err), "\n", 2)[0] + "\n"
+		}
+		var out strings.Builder
+		for position, resource := range resources {
+			fmt.Fprintf(&out, "line %d: %s/%s\n", lines[position], resource.Kind, resource.Metadata.Name)
+		}
+		return out.String()
+	})
+}
+
+// TestExamples reads the examples of both deployments.
+func TestExamples(t *testing.T) {
+	for folder, least := range map[string]int{"../../examples/ramlochun": 60 + 95, "../../examples/seatdesk": 40 + 95} {
+		resources, err := Load(folder)
+		if err != nil || len(resources) < least {
+			t.Errorf("%s: %d resources, %v", folder, len(resources), err)
+		}
+	}
+}
