--- a/cmd/weldbench/main.go
+++ b/cmd/weldbench/main.go
@@ -25,6 +25,7 @@
 	Slopes   slopesCommand   `cmd:"" help:"Fit lines through the results of several capacity runs."`
 	Hollow   hollowCommand   `cmd:"" help:"Host many routers without callers in one process."`
 	Simulate simulateCommand `cmd:"" help:"Run days of traffic through the real decisions in virtual time."`
+	Report   reportCommand   `cmd:"" help:"Compare policies over seeds: a table and drawings."`
 	Ports    portsCommand    `cmd:"" help:"Print free ports of this machine."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/policysim/compare.go
@@ -0,0 +1,166 @@
+package policysim
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"sort"
+	"sync"
+)
+
+// Comparison is the mean of several seeds under one policy.
+type Comparison struct {
+	Scenario string
+	Policy   string
+	// Scale multiplies the cold-start weights of the scenario; 1 as shipped.
+	Scale float64
+	Seeds int
+
+	ColdShare    float64
+	ColdP50      float64
+	ColdP99      float64
+	FloorP99     float64
+	WaitP99      float64
+	WaitP999     float64
+	FirstP95     float64
+	IdleHours    float64
+	Loads        float64
+	Refused      float64
+	Broken       int
+	WorstSeconds float64
+}
+
+// Job is one run of a comparison.
+type Job struct {
+	Policy string
+	Scale  float64
+	Seed   uint64
+}
+
+// Compare runs jobs on all processors and averages over the seeds. Results
+// come in the order of the policies and scales of the jobs.
+func Compare(scenario *Scenario, jobs []Job, progress func(Result)) ([]Comparison, error) {
+	results := make([]Result, len(jobs))
+	positions := make(chan int)
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	var failure error
+	for range runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for position := range positions {
+				job := jobs[position]
+				policy, err := PolicyByName(job.Policy)
+				mutex.Lock()
+				if err != nil {
+					failure = err
+				}
+				mutex.Unlock()
+				if err != nil {
+					continue
+				}
+				results[position] = Run(scenario.scaled(job.Scale), job.Seed, policy)
+				mutex.Lock()
+				progress(results[position])
+				mutex.Unlock()
+			}
+		})
+	}
+	for position := range jobs {
+		positions <- position
+	}
+	close(positions)
+	group.Wait()
+	return average(scenario.Name, jobs, results), failure
+}
+
+// scaled returns the scenario with other weights of cold starts.
+func (s *Scenario) scaled(scale float64) *Scenario {
+	if scale == 1 {
+		return s
+	}
+	copied := *s
+	copied.Services = append([]ServiceScenario(nil), s.Services...)
+	for position := range copied.Services {
+		copied.Services[position].ColdStartWeight *= scale
+	}
+	return &copied
+}
+
+func average(scenario string, jobs []Job, results []Result) []Comparison {
+	type key struct {
+		policy string
+		scale  float64
+	}
+	sums := map[key]*Comparison{}
+	var order []key
+	for position, job := range jobs {
+		group := key{job.Policy, job.Scale}
+		if sums[group] == nil {
+			sums[group] = &Comparison{Scenario: scenario, Policy: job.Policy, Scale: job.Scale}
+			order = append(order, group)
+		}
+		sums[group].add(results[position])
+	}
+	compared := make([]Comparison, 0, len(order))
+	for _, group := range order {
+		compared = append(compared, sums[group].mean())
+	}
+	return compared
+}
+
+func (c *Comparison) add(result Result) {
+	c.Seeds++
+	if result.Requests.Total > 0 {
+		c.ColdShare += float64(result.ColdStarts) / float64(result.Requests.Total)
+	}
+	c.ColdP50 += result.ColdStart.P50
+	c.ColdP99 += result.ColdStart.P99
+	c.FloorP99 += result.ColdStartFloor.P99
+	c.WaitP99 += result.ReplicaWait.P99
+	c.WaitP999 += result.ReplicaWait.P999
+	c.FirstP95 += result.FirstToken.P95
+	c.IdleHours += result.IdleHours
+	c.Loads += float64(result.Loads)
+	c.Refused += float64(result.Requests.RefusedNotRun)
+	c.Broken += result.Broken()
+	c.WorstSeconds = max(c.WorstSeconds, result.Seconds)
+}
+
+func (c *Comparison) mean() Comparison {
+	mean := *c
+	count := float64(c.Seeds)
+	for _, value := range []*float64{
+		&mean.ColdShare, &mean.ColdP50, &mean.ColdP99, &mean.FloorP99, &mean.WaitP99, &mean.WaitP999,
+		&mean.FirstP95, &mean.IdleHours, &mean.Loads, &mean.Refused,
+	} {
+		*value /= count
+	}
+	return mean
+}
+
+// WriteComparison writes a Markdown table.
+func WriteComparison(writer io.Writer, compared []Comparison) {
+	_, _ = fmt.Fprintln(writer, "| scenario | policy | weights x | seeds | cold | cold start p50 s | cold start p99 s | floor p99 s | ratio | replica wait p99 s | p999 s | first token p95 s | idle hours | loads | refused | broken |")
+	_, _ = fmt.Fprintln(writer, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, entry := range compared {
+		ratio := 0.0
+		if entry.FloorP99 > 0 {
+			ratio = entry.ColdP99 / entry.FloorP99
+		}
+		_, _ = fmt.Fprintf(writer, "| %s | %s | %g | %d | %.1f%% | %.2f | %.2f | %.2f | %.2f | %.3f | %.2f | %.2f | %.1f | %.0f | %.1f | %d |\n",
+			entry.Scenario, entry.Policy, entry.Scale, entry.Seeds, 100*entry.ColdShare, entry.ColdP50, entry.ColdP99,
+			entry.FloorP99, ratio, entry.WaitP99, entry.WaitP999, entry.FirstP95, entry.IdleHours, entry.Loads, entry.Refused, entry.Broken)
+	}
+}
+
+// curve returns the points of a policy over its scales, by idle hours.
+func curve(compared []Comparison, policy string, value func(Comparison) float64) [][2]float64 {
+	var points [][2]float64
+	for _, entry := range compared {
+		if entry.Policy == policy {
+			points = append(points, [2]float64{entry.IdleHours, value(entry)})
+		}
+	}
+	sort.Slice(points, func(i, j int) bool { return points[i][0] < points[j][0] })
+	return points
+}
