Load where memory keeps its checkpoints, and evict for a faster tier

Cause: loads crowded on 8 of 18 machines and pushed each other's checkpoints out of memory, so the tail of cold starts came from disk; and where the machine with the checkpoint in memory was full of idle replicas, the load went to a slower one.

Change: the planner learns how many bytes the machines keep in memory (the most held, once one has dropped something) and, of equally fast machines, prefers one whose memory keeps what it has. An idle replica gives way where a load in its place takes less than 0.6 of the time elsewhere and saves more than its own next cold start costs; until the room is there, nothing else is done.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,7 +33,7 @@
 // deployment is a gateway before emulated engines, with the state machine
 // itself as control plane.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	world   *emulator.World
 	view    *nodeview.View
 	gateway *gateway.Gateway
@@ -46,7 +46,7 @@
 
 // deploy starts one machine with replica r of model m, and a ledger of two
 // workers whose holds may not be repeated.
-func deploy(t *testing.T, configuration string) *deployment {
+func deploy(t testing.TB, configuration string) *deployment {
 	t.Helper()
 	config, err := emulator.ParseConfig([]byte("machines: {count: 1}\nengine: {tokenInterval: 1ms}\nbackends: [{name: ledger, workers: 2}]\n" + configuration))
 	if err != nil {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -11,6 +11,72 @@
 // room is made elsewhere.
 const evictionPatience = 5 * time.Second
 
+// madeRoom is room on a machine that is on its way to a version, and until
+// when it is waited for.
+type madeRoom struct {
+	machine string
+	until   time.Time
+}
+
+const (
+	// evictionTakes is about how long it takes to unload an idle replica.
+	evictionTakes = 100 * time.Millisecond
+	// worthEvicting is the share of the load time elsewhere below which a load
+	// in evicted room must be: a small gain is not worth another's replica.
+	worthEvicting = 0.6
+)
+
+// evictForSpeed makes room on a machine that has the checkpoint in a faster
+// tier than the one with room, if nothing but idle replicas is in the way and
+// their next cold starts cost less than this one saves.
+func (p *pass) evictForSpeed(entry want, names []string, readyIn time.Duration) bool {
+	if !entry.urgent {
+		return false
+	}
+	var best []*Replica
+	bestMachine, bestTime := "", time.Duration(float64(readyIn)*worthEvicting)
+	for _, name := range names {
+		candidate := p.machines[name]
+		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
+		takes := p.loadTime(entry.version, tier) + evictionTakes
+		if takes >= bestTime {
+			continue
+		}
+		victims, cost := p.victimsOn(entry, candidate)
+		saved := (readyIn - takes).Seconds() * entry.version.ColdStartWeight
+		if victims != nil && cost < saved {
+			best, bestMachine, bestTime = victims, name, takes
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.evict(entry, bestMachine, best, bestTime)
+	return true
+}
+
+// awaitsRoom reports whether room made for a version is still on its way.
+func (p *pass) awaitsRoom(entry want) bool {
+	made, waiting := p.planner.evicting[entry.version.Name]
+	if !waiting || !p.input.Now.Before(made.until) {
+		return false
+	}
+	target := p.machines[made.machine]
+	if target == nil || !target.machine.Accepts {
+		return false
+	}
+	bytes := entry.version.Spec.BytesPerAccelerator()
+	return fit(target.free, target.holds, entry.version.Spec.Accelerators, bytes) == nil
+}
+
+func (p *pass) evict(entry want, machine string, victims []*Replica, takes time.Duration) {
+	for _, victim := range victims {
+		p.unload(victim, "evicted")
+	}
+	p.planner.evicting[entry.version.Name] = madeRoom{machine: machine, until: p.input.Now.Add(evictionPatience)}
+	p.estimate(entry, takes)
+}
+
 // makeRoom evicts idle replicas for a wanted one that fits nowhere.
 func (p *pass) makeRoom(entry want, names []string) {
 	name := entry.version.Name
@@ -23,19 +89,11 @@
 		})
 		return
 	}
-	if until, waiting := p.planner.evicting[name]; waiting && p.input.Now.Before(until) {
-		p.estimate(entry, p.loadTime(entry.version, TierRemote))
-		return
-	}
-	victims := p.cheapestVictims(entry, names)
+	machine, victims := p.cheapestVictims(entry, names)
 	if victims == nil {
 		return // All in use: the request waits for a place until its deadline.
 	}
-	for _, victim := range victims {
-		p.unload(victim, "evicted")
-	}
-	p.planner.evicting[name] = p.input.Now.Add(evictionPatience)
-	p.estimate(entry, p.loadTime(entry.version, TierRemote))
+	p.evict(entry, machine, victims, p.loadTime(entry.version, TierRemote))
 }
 
 func (p *pass) fitsAnywhere(version *Version) bool {
@@ -49,8 +107,7 @@
 
 // cheapestVictims returns the idle replicas of one machine whose eviction
 // costs least, the load of the wanted one there included.
-func (p *pass) cheapestVictims(entry want, names []string) []*Replica {
-	var best []*Replica
+func (p *pass) cheapestVictims(entry want, names []string) (machine string, best []*Replica) {
 	var bestCost float64
 	for _, name := range names {
 		candidate := p.machines[name]
@@ -61,10 +118,10 @@
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
 		cost += p.loadTime(entry.version, tier).Seconds() * entry.version.ColdStartWeight
 		if best == nil || cost < bestCost {
-			best, bestCost = victims, cost
+			machine, best, bestCost = name, victims, cost
 		}
 	}
-	return best
+	return machine, best
 }
 
 // victimsOn evicts idle replicas of one machine, cheapest first, until the
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -79,12 +79,19 @@
 	names := p.acceptingMachines()
 	queued := 0
 	for _, entry := range p.wants() {
+		if p.awaitsRoom(entry) {
+			p.estimate(entry, evictionTakes+p.loadTime(entry.version, TierMemory))
+			continue
+		}
 		chosen, accelerators := p.bestMachine(entry, names)
 		if chosen == nil {
 			p.makeRoom(entry, names)
 			continue
 		}
 		tier := chosen.machine.tierOf(entry.version.Spec.Checkpoint)
+		if p.evictForSpeed(entry, names, p.loadTime(entry.version, tier)) {
+			continue
+		}
 		if tier == TierRemote && !p.planner.store.take(remote) {
 			p.estimate(entry, p.planner.store.delay(queued, remote, p.loadTime(entry.version, tier))+p.loadTime(entry.version, tier))
 			queued++
@@ -120,7 +127,8 @@
 	return p.planner.speeds.loadTime(version.Spec.WeightBytes, tier)
 }
 
-// bestMachine prefers the machine that is ready soonest; then one without
+// bestMachine prefers the machine that is ready soonest; then one whose memory
+// keeps the checkpoints that it has; then one without
 // another replica of the model, then the one that packs tightest.
 func (p *pass) bestMachine(entry want, names []string) (*room, []int) {
 	var best *room
@@ -143,16 +151,20 @@
 
 // machineScore orders machines for a load.
 type machineScore struct {
-	readyIn  time.Duration
-	sameHere int
-	empty    int
-	leftover int64
+	readyIn time.Duration
+	// pushesOut is set where other checkpoints would leave the memory.
+	pushesOut bool
+	sameHere  int
+	empty     int
+	leftover  int64
 }
 
 func (s machineScore) better(other machineScore) bool {
 	switch {
 	case s.readyIn != other.readyIn:
 		return s.readyIn < other.readyIn
+	case s.pushesOut != other.pushesOut:
+		return !s.pushesOut
 	case s.sameHere != other.sameHere:
 		return s.sameHere < other.sameHere
 	case s.empty != other.empty:
@@ -166,6 +178,7 @@
 	tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
 	// Loads on one machine share its links, so a second takes twice as long.
 	score.readyIn = p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
+	score.pushesOut = p.planner.memory.overflows(candidate.machine, entry.version.Spec.Checkpoint, entry.version.Spec.WeightBytes)
 	for _, replica := range candidate.replicas {
 		if replica.Spec.Model == entry.version.Spec.Model {
 			score.sameHere++
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -26,12 +26,13 @@
 	store  *storePacer
 	// speeds are learned from loads; loadingSince is when each was first seen.
 	speeds       *speedTable
+	memory       *hostMemory
 	loadingSince map[string]time.Time
 	// lastUsed is when a replica last served or became ready.
 	lastUsed map[string]time.Time
 	arrivals map[string]uint64
-	// evicting maps a version to when the room made for it must be used.
-	evicting map[string]time.Time
+	// evicting maps a version to the room that is made for it.
+	evicting map[string]madeRoom
 	// retryAfter holds back versions whose load failed.
 	retryAfter map[string]time.Time
 	// leavingSince is when a machine stopped to accept.
@@ -44,10 +45,11 @@
 		config:       config,
 		store:        newStorePacer(config.StoreLoadsPerSecond, config.StoreConcurrentLoads),
 		speeds:       newSpeedTable(config.Speeds),
+		memory:       newHostMemory(),
 		loadingSince: map[string]time.Time{},
 		lastUsed:     map[string]time.Time{},
 		arrivals:     map[string]uint64{},
-		evicting:     map[string]time.Time{},
+		evicting:     map[string]madeRoom{},
 		retryAfter:   map[string]time.Time{},
 		leavingSince: map[string]time.Time{},
 	}
@@ -78,6 +80,7 @@
 	}
 	current.open()
 	current.learnSpeeds()
+	p.memory.observe(input)
 	current.reconcile()
 	current.observeUse()
 	current.retire()
@@ -181,8 +184,8 @@
 			delete(p.retryAfter, version)
 		}
 	}
-	for version, until := range p.evicting {
-		if input.Now.After(until) {
+	for version, made := range p.evicting {
+		if input.Now.After(made.until) {
 			delete(p.evicting, version)
 		}
 	}
--- a/internal/placement/retire_test.go
+++ b/internal/placement/retire_test.go
@@ -21,7 +21,6 @@
 // TestSharedAcceleratorsArePaidForTogether has two idle replicas on one
 // accelerator and one on another.
 func TestSharedAcceleratorsArePaidForTogether(t *testing.T) {
-	const gibibyte = 1 << 30
 	cases := []struct {
 		name    string
 		indices indexed
