--- a/internal/policysim/run.go
+++ b/internal/policysim/run.go
@@ -46,6 +46,11 @@
 
 // Run simulates a scenario.
 func Run(scenario *Scenario, seed uint64, policy Policy) Result {
+	return runFor(scenario, seed, policy, time.Duration(scenario.Days)*day)
+}
+
+// runFor simulates the beginning of a scenario.
+func runFor(scenario *Scenario, seed uint64, policy Policy, end time.Duration) Result {
 	started := time.Now()
 	arrivals := drawArrivals(scenario, seed)
 	if policy.Name == "clairvoyant" {
@@ -53,8 +58,7 @@
 		policy.keepAlive = func([]arrival) keepalive.Policy { return remembered }
 	}
 	s := newSimulation(scenario, seed, policy, arrivals)
-	s.feed(arrivals)
-	end := time.Duration(scenario.Days) * day
+	s.feed(arrivals, end)
 	s.RunUntil(end)
 	s.settle(end)
 	result := s.result(seed)
@@ -63,10 +67,10 @@
 }
 
 // feed schedules the arrivals one after the other, spread over the routers.
-func (s *simulation) feed(arrivals []arrival) {
+func (s *simulation) feed(arrivals []arrival, end time.Duration) {
 	var next func(number int)
 	next = func(number int) {
-		if number == len(arrivals) {
+		if number == len(arrivals) || arrivals[number].at >= end {
 			return
 		}
 		entry := arrivals[number]
