--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -232,6 +232,16 @@
 			}
 		}
 		c.start(id)
+	case "join":
+		// An empty disk that was initialised to join.
+		id := one()
+		bootstrap := c.bootstrap
+		c.bootstrap = &wirepb.Membership{}
+		delete(c.disks, id)
+		c.applied[id] = nil
+		c.start(id)
+		c.bootstrap = bootstrap
+		c.settle()
 	case "transfer":
 		c.members[one()].Raft.TransferLeadership()
 		c.process(one())
