Look only at machines that could be the best for a load

Cause: a pass over 890 models and 1100 machines took 47.9 ms when a burst asked for 60 cold models: each sorted the accelerators of every machine by reflection.

Change: a machine that is ready later than the best so far is skipped before its accelerators are looked at; whether there is room is checked before choosing; the choice needs no sort.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -48,30 +49,44 @@
 // already come first, so that as few as possible hold any; among them the
 // fullest that has room, which leaves the largest holes whole.
 func fit(free []int64, holds []int, count int, bytes int64) []int {
-	var candidates []int
-	for position, available := range free {
-		if available >= bytes {
-			candidates = append(candidates, position)
-		}
-	}
-	if len(candidates) < count {
+	if !hasRoom(free, count, bytes) {
 		return nil
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		left, right := candidates[i], candidates[j]
-		if (holds[left] > 0) != (holds[right] > 0) {
-			return holds[left] > 0
-		}
-		if free[left] != free[right] {
-			return free[left] < free[right]
+	chosen := make([]int, 0, count)
+	for range count {
+		best := -1
+		for position, available := range free {
+			if available < bytes || slices.Contains(chosen, position) {
+				continue
+			}
+			if best < 0 || fitsBetter(free, holds, position, best) {
+				best = position
+			}
 		}
-		return left < right
-	})
-	chosen := candidates[:count]
-	sort.Ints(chosen)
+		chosen = append(chosen, best)
+	}
+	slices.Sort(chosen)
 	return chosen
 }
 
+func fitsBetter(free []int64, holds []int, position, other int) bool {
+	if (holds[position] > 0) != (holds[other] > 0) {
+		return holds[position] > 0
+	}
+	return free[position] < free[other]
+}
+
+// hasRoom reports whether enough accelerators have room; it costs next to
+// nothing beside choosing among them.
+func hasRoom(free []int64, count int, bytes int64) bool {
+	for _, available := range free {
+		if available >= bytes {
+			count--
+		}
+	}
+	return count <= 0
+}
+
 // place finds a machine for each wanted replica.
 func (p *pass) place() {
 	p.planner.store.refill(p.input.Now)
@@ -137,6 +152,10 @@
 	bytes := entry.version.Spec.BytesPerAccelerator()
 	for _, name := range names {
 		candidate := p.machines[name]
+		readyIn := p.readyIn(entry, candidate)
+		if best != nil && readyIn > bestScore.readyIn {
+			continue
+		}
 		accelerators := fit(candidate.free, candidate.holds, entry.version.Spec.Accelerators, bytes)
 		if accelerators == nil {
 			continue
@@ -173,11 +192,15 @@
 	return s.leftover < other.leftover
 }
 
-func (p *pass) score(entry want, candidate *room, accelerators []int) machineScore {
-	score := machineScore{}
+// readyIn is how long a load on a machine takes. Loads on one machine share its
+// links, so a second takes twice as long.
+func (p *pass) readyIn(entry want, candidate *room) time.Duration {
 	tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-	// Loads on one machine share its links, so a second takes twice as long.
-	score.readyIn = p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
+	return p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
+}
+
+func (p *pass) score(entry want, candidate *room, accelerators []int) machineScore {
+	score := machineScore{readyIn: p.readyIn(entry, candidate)}
 	score.pushesOut = p.planner.memory.overflows(candidate.machine, entry.version.Spec.Checkpoint, entry.version.Spec.WeightBytes)
 	for _, replica := range candidate.replicas {
 		if replica.Spec.Model == entry.version.Spec.Model {
