Exit with the documented codes, and name the field

Cause: the command line library wraps the errors of commands, and errors were recognised by their own type only, so bad input exited with 1 instead of 2 and its text carried type names.

Change: fault.Is, FieldOf and Message look through the chain of an error; fault.Describe adds the field. All three commands use it.

--- a/cmd/weldbench/main.go
+++ b/cmd/weldbench/main.go
@@ -44,7 +44,7 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "weldbench: "+fault.Message(err))
+	fmt.Fprintln(os.Stderr, "weldbench: "+fault.Describe(err))
 	if fault.Is(err, fault.Invalid) {
 		os.Exit(exitInvalid)
 	}
--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -79,7 +79,7 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "weldctl: "+fault.Message(err))
+	fmt.Fprintln(os.Stderr, "weldctl: "+fault.Describe(err))
 	for _, mapping := range exitCodes {
 		if fault.Is(err, mapping.kind) {
 			os.Exit(mapping.code)
--- a/cmd/weldline/main.go
+++ b/cmd/weldline/main.go
@@ -120,7 +120,7 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "weldline: "+fault.Message(err))
+	fmt.Fprintln(os.Stderr, "weldline: "+fault.Describe(err))
 	if fault.Is(err, fault.Invalid) {
 		os.Exit(exitInvalid)
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -5,7 +5,12 @@
 // carry its path in the Field property.
 package fault
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
 
 var (
 	namespace = errorx.NewNamespace("weldline")
@@ -52,10 +57,24 @@
 	return Invalid.New(format, arguments...).WithProperty(Field, field)
 }
 
+// typed returns the typed error in an error's chain, or nil. Libraries wrap
+// what passes through them: the command line does so with every failure.
+func typed(err error) *errorx.Error {
+	var found *errorx.Error
+	if errors.As(err, &found) {
+		return found
+	}
+	return nil
+}
+
 // FieldOf returns the field of an error, or the empty string.
 func FieldOf(err error) string {
-	value, found := errorx.ExtractProperty(err, Field)
-	if !found {
+	found := typed(err)
+	if found == nil {
+		return ""
+	}
+	value, known := errorx.ExtractProperty(found, Field)
+	if !known {
 		return ""
 	}
 	field, _ := value.(string)
@@ -64,7 +83,8 @@
 
 // Is reports whether err is of the given type.
 func Is(err error, kind *errorx.Type) bool {
-	return errorx.IsOfType(err, kind)
+	found := typed(err)
+	return found != nil && errorx.IsOfType(found, kind)
 }
 
 // Message returns the text of an error without type names or stack.
@@ -72,8 +92,17 @@
 	if err == nil {
 		return ""
 	}
-	if typed := errorx.Cast(err); typed != nil {
-		return typed.Message()
+	if found := typed(err); found != nil {
+		return found.Message()
 	}
 	return err.Error()
 }
+
+// Describe returns the text of an error for a person, with the field at fault.
+func Describe(err error) string {
+	field, message := FieldOf(err), Message(err)
+	if field == "" || strings.HasPrefix(message, field+":") {
+		return message
+	}
+	return field + ": " + message
+}
