Let simulated engines run only as many requests as they have slots

Cause: the policy simulator's engines took any number of requests at once, so overload did not show in it.

Change: a replica runs maxConcurrent requests, others wait at the engine in order and end as unknown at their deadline.

--- a/internal/policysim/machine.go
+++ b/internal/policysim/machine.go
@@ -35,6 +35,9 @@
 	// life numbers the engine's lives, for what was scheduled in an old one.
 	life int
 
+	// slots holds who runs and who waits on each replica.
+	slots map[*enginemodel.Replica]*slots
+
 	accounted time.Duration
 	idle      int
 	// reported is the newest report, until something changes.
@@ -49,6 +52,7 @@
 	bytes := int64(s.scenario.Machines.AcceleratorGiB * gibibyte)
 	created.engine = enginemodel.New(created.name, s.scenario.Machines.Accelerators, bytes, 1)
 	created.incarnation = 1
+	created.dropSlots()
 	return created
 }
 
@@ -154,6 +158,7 @@
 	m.life++
 	m.engine.Restart(m.incarnation)
 	m.caches.DropMemory()
+	m.dropSlots()
 	m.account()
 	m.simulation.dropRequestsOn(m)
 }
--- a/internal/policysim/router.go
+++ b/internal/policysim/router.go
@@ -142,6 +142,12 @@
 	e.life = e.machine.life
 	s.meter.ran(e)
 	e.machine.account()
+	e.machine.admit(e)
+}
+
+// start begins to generate: the replica has a slot for the request.
+func (e *request) start() {
+	s := e.router.simulation
 	service := s.scenario.Services[e.service]
 	prefill := time.Duration(service.PromptTokens) * s.scenario.Machines.PrefillPerToken
 	s.meter.firstToken(e, s.Now()+prefill)
@@ -155,6 +161,7 @@
 	}
 	e.finished++
 	e.machine.engine.End(e.held)
+	e.machine.free(e)
 	e.machine.account()
 	e.router.release(e.grant, dispatch.ResultOK)
 	e.end(outcomeAnswered)
@@ -165,6 +172,15 @@
 	r.watchDeadlines()
 }
 
+// expire gives up a request that still waits at its engine when its deadline
+// comes: it was sent, so its router can't say that it did not run.
+func (e *request) expire() {
+	e.machine.engine.End(e.held)
+	e.machine.account()
+	e.router.release(e.grant, dispatch.ResultOK)
+	e.end(outcomeUnknown)
+}
+
 // again looks for another replica.
 func (e *request) again(result dispatch.Result) {
 	e.held = nil
