Forget machines that no agent reports any more

Change: a machine without a report for ten minutes is forgotten, as nodes are. Tests for the table: arrivals counted once, the newest report on a machine, what is forgotten.

--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -11,8 +11,8 @@
 const (
 	// NodeTimeout is how long a silent node counts as live.
 	NodeTimeout = 2 * time.Second
-	// forgetNodeAfter bounds the table where nodes come and go.
-	forgetNodeAfter = 10 * time.Minute
+	// forgetAfter bounds the table where nodes and machines come and go.
+	forgetAfter = 10 * time.Minute
 )
 
 // nodeEntry is the newest report of a node.
@@ -146,13 +146,13 @@
 	return false
 }
 
-// snapshot copies the tables and forgets nodes that are long gone.
+// snapshot copies the tables and forgets who is long gone.
 func (t *ReportTable) snapshot(now time.Duration) (map[string]nodeEntry, map[string]machineEntry) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	nodes := make(map[string]nodeEntry, len(t.nodes))
 	for name, entry := range t.nodes {
-		if now-entry.received > forgetNodeAfter {
+		if now-entry.received > forgetAfter {
 			delete(t.nodes, name)
 			delete(t.counted, name)
 			continue
@@ -161,6 +161,10 @@
 	}
 	machines := make(map[string]machineEntry, len(t.machines))
 	for name, entry := range t.machines {
+		if now-entry.received > forgetAfter {
+			delete(t.machines, name) // No agent has it any more.
+			continue
+		}
 		machines[name] = entry
 	}
 	return nodes, machines
--- /dev/null
+++ b/internal/controller/reports_test.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+func report(node string, incarnation, sequence, arrivals uint64, machines ...*wirepb.MachineReport) *wirepb.NodeReport {
+	return &wirepb.NodeReport{
+		Node: node, Incarnation: incarnation, Sequence: sequence, Machines: machines,
+		Demand: []*wirepb.ModelDemand{{Version: "v", Arrivals: arrivals}},
+	}
+}
+
+// TestArrivalsAreCountedOnce over lost, late and repeated reports, and over a
+// node that starts anew.
+func TestArrivalsAreCountedOnce(t *testing.T) {
+	table := NewReportTable()
+	for _, step := range []struct {
+		report *wirepb.NodeReport
+		total  uint64
+	}{
+		{report("a", 1, 1, 5), 5},
+		{report("b", 1, 1, 2), 7},
+		{report("a", 1, 3, 9), 11}, // The second was lost.
+		{report("a", 1, 2, 7), 11}, // It comes late.
+		{report("a", 1, 3, 9), 11},
+		{report("a", 2, 1, 1), 12}, // The node started anew.
+		{report("a", 1, 9, 50), 12},
+	} {
+		table.Take(0, step.report)
+		if total := table.arrivalCounts()["v"]; total != step.total {
+			t.Errorf("after %v: %d arrivals, expected %d", step.report, total, step.total)
+		}
+	}
+}
+
+// TestNewestReportOnAMachineCounts whichever agent it comes from.
+func TestNewestReportOnAMachineCounts(t *testing.T) {
+	table := NewReportTable()
+	fresh := &wirepb.MachineReport{Machine: "m", Reachable: true, Incarnation: 2}
+	stale := &wirepb.MachineReport{Machine: "m", Reachable: true, Incarnation: 1, AgeMs: 5000}
+	table.Take(10*time.Second, report("a", 1, 1, 0, fresh))
+	table.Take(10*time.Second, report("b", 1, 1, 0, stale))
+	_, machines := table.snapshot(10 * time.Second)
+	if incarnation := machines["m"].report.GetIncarnation(); incarnation != 2 {
+		t.Errorf("incarnation %d", incarnation)
+	}
+	silent := &wirepb.MachineReport{Machine: "m"}
+	table.Take(20*time.Second, report("a", 1, 2, 0, silent))
+	_, machines = table.snapshot(20 * time.Second)
+	if held := machines["m"]; held.report.GetIncarnation() != 2 || held.lastReachable != 10*time.Second {
+		t.Errorf("a report without an answer replaced what the engine had said: %+v", held)
+	}
+}
+
+// TestForgetsWhoIsLongGone bounds the tables.
+func TestForgetsWhoIsLongGone(t *testing.T) {
+	table := NewReportTable()
+	table.Take(0, report("a", 1, 1, 0, &wirepb.MachineReport{Machine: "m", Reachable: true}))
+	if nodes, machines := table.snapshot(forgetAfter); len(nodes) != 1 || len(machines) != 1 {
+		t.Errorf("forgotten too soon: %v, %v", nodes, machines)
+	}
+	if nodes, machines := table.snapshot(forgetAfter + time.Second); len(nodes) != 0 || len(machines) != 0 {
+		t.Errorf("still there: %v, %v", nodes, machines)
+	}
+	if len(table.machines)+len(table.nodes)+len(table.counted) != 0 {
+		t.Error("the tables still hold them")
+	}
+}
