--- a/internal/placement/hostmemory.go
+++ b/internal/placement/hostmemory.go
@@ -29,6 +29,13 @@
 	for name, machine := range input.Machines {
 		h.observeMachine(name, machine, sizes)
 	}
+	for name := range h.held {
+		if input.Machines[name] == nil {
+			delete(h.held, name)
+			delete(h.names, name)
+			delete(h.incarnations, name)
+		}
+	}
 }
 
 func (h *hostMemory) observeMachine(name string, machine *Machine, sizes map[string]int64) {
