--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -30,7 +30,7 @@
 // cluster drives members by hand: time passes and messages travel only when a
 // table says so.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	now       time.Duration
 	bootstrap *wirepb.Membership
 	compact   uint64
@@ -42,15 +42,19 @@
 }
 
 func (c *cluster) start(id uint64) {
-	if c.disks[id] == nil {
-		c.disks[id] = &memoryDisk{}
-	}
 	config := raft.Config{
 		ID: id, ElectionTimeout: time.Second, HeartbeatInterval: 100 * time.Millisecond,
 		LeaseMargin: 100 * time.Millisecond, MaxEntriesPerMessage: 4, MaxInflightMessages: 2,
 		// Lower ids wait less, so tables can foresee who campaigns.
 		Random: func(int64) int64 { return int64(id) * int64(50*time.Millisecond) },
 	}
+	c.startWith(id, config)
+}
+
+func (c *cluster) startWith(id uint64, config raft.Config) {
+	if c.disks[id] == nil {
+		c.disks[id] = &memoryDisk{}
+	}
 	opened, err := member.Open(config, c.bootstrap, c.disks[id].recovered, c.disks[id], c.now, c.compact)
 	if err != nil {
 		c.t.Fatal(err)
