Look for the largest accelerator once a pass

Cause: read over again, placement walked all machines for every version that its history made worth a thought, to find the size of the largest accelerator; the benchmarks had no history and did not show it. The ready time of a machine was worked out twice, and reconciling the machine list copied the counts of arrivals that it does not use.

Change: each is done once, where it is needed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,9 +75,10 @@
 // MachineWrites keeps the Machine resources in step with the machine list and
 // the reports. The list is nil while it has never been read.
 func (c *Controller) MachineWrites(now time.Duration, machine *state.Machine, list *platform.MachineList) []*wirepb.ObjectWrite {
-	view := c.view(now, machine)
+	_, reports := c.reports.snapshot(now)
 	return machines.Reconcile(machines.Input{
-		List: list, Declared: view.machines, Observed: view.observations(), Timeout: c.config.MachineTimeout,
+		List: list, Declared: c.storedView(machine).machines, Observed: observations(now, reports),
+		Timeout: c.config.MachineTimeout,
 	})
 }
 
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -40,15 +40,19 @@
 	arrivals map[string]uint64
 }
 
-// view reads the state, unless it is as it was, and the reports. The caller
-// must hold the state.
-func (c *Controller) view(now time.Duration, machine *state.Machine) *clusterView {
+// storedView reads the state, unless it is as it was. The caller must hold it.
+func (c *Controller) storedView(machine *state.Machine) *storedView {
 	if c.stored == nil || c.stored.revision != machine.Revision() {
 		c.stored = readState(machine)
 	}
+	return c.stored
+}
+
+// view joins the state with the reports. The caller must hold the state.
+func (c *Controller) view(now time.Duration, machine *state.Machine) *clusterView {
 	nodes, machineReports := c.reports.snapshot(now)
 	return &clusterView{
-		storedView: c.stored, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
+		storedView: c.storedView(machine), now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
 	}
 }
 
@@ -79,11 +83,11 @@
 	}
 }
 
-func (v *clusterView) observations() map[string]machines.Observation {
-	observed := make(map[string]machines.Observation, len(v.reports))
-	for name, entry := range v.reports {
+func observations(now time.Duration, reports map[string]machineEntry) map[string]machines.Observation {
+	observed := make(map[string]machines.Observation, len(reports))
+	for name, entry := range reports {
 		observed[name] = machines.Observation{
-			Seen: true, Incarnation: entry.report.GetIncarnation(), SilentFor: v.now - entry.lastReachable,
+			Seen: true, Incarnation: entry.report.GetIncarnation(), SilentFor: now - entry.lastReachable,
 		}
 	}
 	return observed
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -160,7 +160,7 @@
 		if accelerators == nil {
 			continue
 		}
-		score := p.score(entry, candidate, accelerators)
+		score := p.score(entry, candidate, accelerators, readyIn)
 		if best == nil || score.better(bestScore) {
 			best, bestAccelerators, bestScore = candidate, accelerators, score
 		}
@@ -199,8 +199,8 @@
 	return p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
 }
 
-func (p *pass) score(entry want, candidate *room, accelerators []int) machineScore {
-	score := machineScore{readyIn: p.readyIn(entry, candidate)}
+func (p *pass) score(entry want, candidate *room, accelerators []int, readyIn time.Duration) machineScore {
+	score := machineScore{readyIn: readyIn}
 	score.pushesOut = p.planner.memory.overflows(candidate.machine, entry.version.Spec.Checkpoint, entry.version.Spec.WeightBytes)
 	for _, replica := range candidate.replicas {
 		if replica.Spec.Model == entry.version.Spec.Model {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -60,6 +60,8 @@
 	planner  *Planner
 	input    *Input
 	machines map[string]*room
+	// largestAccelerator is the memory of the largest, in bytes.
+	largestAccelerator int64
 	// byVersion holds the replicas that count for a version: loading or
 	// ready, on machines that are not lost.
 	byVersion map[string][]*Replica
@@ -94,6 +96,7 @@
 func (p *pass) open() {
 	for name, machine := range p.input.Machines {
 		p.machines[name] = newRoom(machine)
+		p.largestAccelerator = max(p.largestAccelerator, machine.AcceleratorBytes)
 		if machine.Accepts {
 			delete(p.planner.leavingSince, name)
 		} else if _, known := p.planner.leavingSince[name]; !known {
--- a/internal/placement/planner_bench_test.go
+++ b/internal/placement/planner_bench_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// BenchmarkDecideRemembered is a pass in which nobody waits, while every
+// version was asked for at this time of the day before.
+func BenchmarkDecideRemembered(b *testing.B) {
+	input := targetInput()
+	policy := keepalive.NewAdaptive()
+	for version := range input.Versions {
+		policy.Used(version, input.Now.Add(-24*time.Hour))
+	}
+	planner := NewPlanner(Config{
+		Speeds: DefaultTierSpeeds, StoreLoadsPerSecond: 100, StoreConcurrentLoads: 100, KeepAlive: policy,
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		planner.Decide(input)
+	}
+}
+
 // BenchmarkDecideIdle is a pass in which nobody waits.
 func BenchmarkDecideIdle(b *testing.B) { benchmarkDecide(b, 0) }
 
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -101,20 +101,12 @@
 		return false
 	}
 	share := 1.0
-	if largest := p.largestAccelerator(); largest > 0 {
-		share = float64(version.Spec.BytesPerAccelerator()) / float64(largest)
+	if p.largestAccelerator > 0 {
+		share = float64(version.Spec.BytesPerAccelerator()) / float64(p.largestAccelerator)
 	}
 	return worth >= prewarmMargin*share*float64(version.Spec.Accelerators)
 }
 
-func (p *pass) largestAccelerator() int64 {
-	largest := int64(0)
-	for _, machine := range p.input.Machines {
-		largest = max(largest, machine.AcceleratorBytes)
-	}
-	return largest
-}
-
 // desiredFor sizes a version for its load. A further replica is worth its
 // load only where those present are full.
 func (p *pass) desiredFor(demand *Demand, version *Version, usable int) int {
