Let one piece of code serve where two said the same

The identity of a control member was passed as two fields and built again, and the clairvoyant policy was a special case in the simulator's run.

Change: member.Proposals, raft.Status.LeaseHeld, keys.ReadAuthority, state.NewerEvents, machines.ReplicasDiffer and virtualtime.RunAll now serve both sides. control.Options takes the wire.Identity. A policy simulation holds its arrivals. The unused raft.Status.PendingMembership is gone. Behaviour is meant to stay as it was; the tests keep their assertions.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/weldline/weldline/api/engine"
+	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -57,21 +58,8 @@
 	return message
 }
 
-// differs reports whether the leader should hear at once: a replica came,
-// went or changed its phase, or the engine accepted a newer fence.
+// differs reports whether the leader should hear at once: something came, went
+// or changed its phase, or the engine accepted a newer fence.
 func differs(held, next *wirepb.MachineReport) bool {
-	if held.GetIncarnation() != next.GetIncarnation() || held.GetFence() != next.GetFence() ||
-		len(held.GetReplicas()) != len(next.GetReplicas()) {
-		return true
-	}
-	phases := make(map[string]string, len(held.GetReplicas()))
-	for _, replica := range held.GetReplicas() {
-		phases[replica.GetId()] = replica.GetPhase()
-	}
-	for _, replica := range next.GetReplicas() {
-		if phases[replica.GetId()] != replica.GetPhase() {
-			return true
-		}
-	}
-	return false
+	return held.GetFence() != next.GetFence() || machines.ReplicasDiffer(held, next)
 }
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -190,7 +190,7 @@
 
 // NewServer returns the server of this node's feed.
 func (n *Node) NewServer() *feed.Server {
-	return feed.NewServer(n, n.identity(), n.logger, n.servePeer)
+	return feed.NewServer(n, n.self, n.logger, n.servePeer)
 }
 
 // Read calls the function with the state, which it must not keep or change.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -10,7 +10,6 @@
 
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/settings"
@@ -37,11 +36,10 @@
 	Storage   member.Storage
 	Recovered member.Recovered
 	// Join is set for a node that learns the members from the others.
-	Join     bool
-	Metrics  *Metrics
-	Counters *wire.Counters
-	// Keys secures the connections to other processes; nil for plain text.
-	Keys *keys.Store
+	Join    bool
+	Metrics *Metrics
+	// Self is how the node introduces itself, with its id in the log.
+	Self wire.Identity
 }
 
 // Node is a running control node.
@@ -49,8 +47,7 @@
 	settings *settings.Settings
 	logger   *slog.Logger
 	metrics  *Metrics
-	counters *wire.Counters
-	keys     *keys.Store
+	self     wire.Identity
 	started  time.Time
 
 	// stateMutex guards member.State: the loop writes, everyone reads.
@@ -59,7 +56,7 @@
 	inbox      chan *wirepb.RaftMessage
 	proposals  chan *proposal
 	actions    chan func()
-	pending    map[uint64]*proposal
+	pending    *member.Proposals
 	status     atomic.Pointer[raft.Status]
 	changed    *signal.Broadcast
 
@@ -74,7 +71,6 @@
 // proposal is a command on its way through the log.
 type proposal struct {
 	command *wirepb.Command
-	term    uint64
 	reply   chan proposalReply
 }
 
@@ -87,11 +83,11 @@
 func New(options Options) (*Node, error) {
 	node := &Node{
 		settings: options.Settings, logger: options.Logger, metrics: options.Metrics,
-		counters: options.Counters, keys: options.Keys, started: time.Now(),
+		self: options.Self, started: time.Now(),
 		inbox:     make(chan *wirepb.RaftMessage, inboxLength),
 		proposals: make(chan *proposal, inboxLength),
 		actions:   make(chan func(), 16),
-		pending:   map[uint64]*proposal{},
+		pending:   member.NewProposals(),
 		changed:   signal.New(), digestChanged: signal.New(),
 		nudge: make(chan struct{}, 1),
 	}
@@ -196,11 +192,9 @@
 		entry.reply <- proposalReply{err: err}
 		return
 	}
-	entry.term = term
-	if older := n.pending[index]; older != nil {
-		older.reply <- proposalReply{err: fault.Unavailable.New("the leader changed before the command was committed")}
-	}
-	n.pending[index] = entry
+	n.pending.Add(index, term, func(result *wirepb.CommandResult, err error) {
+		entry.reply <- proposalReply{result: result, err: err}
+	})
 }
 
 func (n *Node) process() error {
@@ -210,7 +204,7 @@
 		return err
 	}
 	n.peers.sendRaft(output.Messages)
-	n.completeProposals(output)
+	n.pending.Complete(output)
 	n.publishStatus()
 	if len(output.Applied) > 0 || output.Restored {
 		n.metrics.observeBatch(len(output.Applied), time.Since(started))
@@ -219,31 +213,6 @@
 	return nil
 }
 
-func (n *Node) completeProposals(output member.Output) {
-	if output.Restored {
-		n.failPending("the command's outcome was lost with a snapshot")
-	}
-	for _, applied := range output.Applied {
-		entry := n.pending[applied.Index]
-		if entry == nil {
-			continue
-		}
-		delete(n.pending, applied.Index)
-		if entry.term != applied.Term {
-			entry.reply <- proposalReply{err: fault.Unavailable.New("another leader's command took its place")}
-			continue
-		}
-		entry.reply <- proposalReply{result: applied.Result}
-	}
-}
-
-func (n *Node) failPending(reason string) {
-	for index, entry := range n.pending {
-		entry.reply <- proposalReply{err: fault.Unavailable.New("%s", reason)}
-		delete(n.pending, index)
-	}
-}
-
 func (n *Node) publishStatus() {
 	status := n.member.Raft.Status()
 	previous := n.status.Swap(&status)
@@ -259,14 +228,13 @@
 		_ = n.process()
 		n.peers.flush()
 	}
-	n.failPending("the control node is stopping")
+	n.pending.Fail("the control node is stopping")
 	return nil
 }
 
 // leads reports whether this node may decide now.
 func (n *Node) leads() bool {
-	status := n.status.Load()
-	return status.Role == raft.Leader && status.CommittedOwnTerm && n.now() < status.LeaseUntil
+	return n.status.Load().LeaseHeld(n.now())
 }
 
 // Revision returns the revision of the state that this node has applied.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -82,20 +82,9 @@
 	}
 }
 
-// identity is how this node introduces itself.
-func (n *Node) identity() wire.Identity {
-	return wire.Identity{
-		Hello: &wirepb.Hello{
-			ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
-			Node: n.settings.Node, Zone: n.settings.Zone, ControlId: n.settings.Control.ID,
-		},
-		Keys: n.keys, Counters: n.counters,
-	}
-}
-
 func (l *peerLink) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		conn, err := wire.Dial(ctx, l.member.Address, l.node.identity())
+		conn, err := wire.Dial(ctx, l.member.Address, l.node.self)
 		if err == nil {
 			l.receive(ctx, conn)
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -118,7 +119,7 @@
 	if entry.report != nil && observed < entry.received {
 		return false
 	}
-	changed := entry.report == nil || replicasDiffer(entry.report, report)
+	changed := entry.report == nil || machines.ReplicasDiffer(entry.report, report)
 	entry.received = observed
 	if report.GetReachable() {
 		entry.lastReachable = observed
@@ -130,22 +131,6 @@
 	return changed
 }
 
-func replicasDiffer(left, right *wirepb.MachineReport) bool {
-	if left.GetIncarnation() != right.GetIncarnation() || len(left.GetReplicas()) != len(right.GetReplicas()) {
-		return true
-	}
-	phases := map[string]string{}
-	for _, replica := range left.GetReplicas() {
-		phases[replica.GetId()] = replica.GetPhase()
-	}
-	for _, replica := range right.GetReplicas() {
-		if phases[replica.GetId()] != replica.GetPhase() {
-			return true
-		}
-	}
-	return false
-}
-
 // snapshot copies the tables and forgets who is long gone.
 func (t *ReportTable) snapshot(now time.Duration) (map[string]nodeEntry, map[string]machineEntry) {
 	t.mutex.Lock()
--- a/internal/faultsim/campaign.go
+++ b/internal/faultsim/campaign.go
@@ -1,15 +1,15 @@
 package faultsim
 
 import (
-	"runtime"
 	"slices"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/virtualtime"
 )
 
 // Summary is what a campaign over many schedules showed.
@@ -57,26 +57,17 @@
 	}
 }
 
-// Campaign runs schedules on all processors and sums up what they showed. The
+// Campaign runs schedules on all processors and sums up what they showed;
+// progress is called with how many have ended, from several goroutines. The
 // summary, but for its seconds, depends on the schedules alone.
 func Campaign(schedules []Schedule, progress func(done int)) *Summary {
 	started := time.Now()
 	outcomes := make([]Outcome, len(schedules))
-	positions := make(chan int)
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for position := range positions {
-				outcomes[position] = Run(schedules[position])
-			}
-		})
-	}
-	for position := range schedules {
-		positions <- position
-		progress(position)
-	}
-	close(positions)
-	group.Wait()
+	var ended atomic.Int64
+	virtualtime.RunAll(len(schedules), func(position int) {
+		outcomes[position] = Run(schedules[position])
+		progress(int(ended.Add(1)))
+	})
 	summary := newSummary()
 	for _, outcome := range outcomes {
 		summary.add(outcome)
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -34,7 +32,7 @@
 	member  *member.Member
 	reports *controller.ReportTable
 	digest  *wirepb.ClusterDigest
-	pending map[uint64]*proposal
+	pending *member.Proposals
 	decider *controller.Controller
 	passing bool
 	// bootstrap is the membership that the data folder was made with.
@@ -43,12 +41,6 @@
 	lost bool
 }
 
-// proposal is a command on its way through the log of its proposer.
-type proposal struct {
-	term uint64
-	done func(*wirepb.CommandResult, error)
-}
-
 func (w *world) newControlNode(id uint64, zone string) *controlNode {
 	return &controlNode{process: w.newProcess(numbered("control", int(id)), zone), id: id, disk: &disk{world: w}}
 }
@@ -73,7 +65,7 @@
 	c.member = opened
 	c.reports = controller.NewReportTable()
 	c.digest = nil
-	c.pending = map[uint64]*proposal{}
+	c.pending = member.NewProposals()
 	c.decider = nil
 	c.passing = false
 	c.every(controlTick, func() {
@@ -84,11 +76,10 @@
 	c.carryOut()
 }
 
-// restart starts the process again after a while.
+// restart starts the process again after a while, unless its machine is lost.
 func (c *controlNode) restart(after time.Duration) {
-	epoch := c.epoch
-	c.world.After(after, func() {
-		if !c.up && c.epoch == epoch && !c.lost {
+	c.ifStillDown(after, func() {
+		if !c.lost {
 			c.start(c.bootstrap)
 		}
 	})
@@ -108,8 +99,7 @@
 	if !c.up {
 		return false
 	}
-	status := c.member.Raft.Status()
-	return status.Role == raft.Leader && status.CommittedOwnTerm && c.clock() < status.LeaseUntil
+	return c.member.Raft.Status().LeaseHeld(c.clock())
 }
 
 // carryOut does what the core has made ready, as the process's loop does.
@@ -130,7 +120,7 @@
 			return
 		}
 	}
-	c.complete(output)
+	c.pending.Complete(output)
 }
 
 func (c *controlNode) sendRaft(message *wirepb.RaftMessage) {
@@ -144,42 +134,16 @@
 	})
 }
 
-func (c *controlNode) complete(output member.Output) {
-	if output.Restored {
-		// In order of the log: a map's own order would differ from run to run.
-		for _, index := range slices.Sorted(maps.Keys(c.pending)) {
-			waiting := c.pending[index]
-			delete(c.pending, index)
-			waiting.done(nil, fault.Unavailable.New("the outcome was lost with a snapshot"))
-		}
-	}
-	for _, applied := range output.Applied {
-		waiting := c.pending[applied.Index]
-		if waiting == nil {
-			continue
-		}
-		delete(c.pending, applied.Index)
-		if waiting.term != applied.Term {
-			waiting.done(nil, fault.Unavailable.New("another leader's command took its place"))
-			continue
-		}
-		waiting.done(applied.Result, nil)
-	}
-}
-
 // propose proposes a command on this node; done may never be called if it
 // crashes.
-func (c *controlNode) propose(command *wirepb.Command, done func(*wirepb.CommandResult, error)) {
+func (c *controlNode) propose(command *wirepb.Command, done member.Done) {
 	command.ProposedUnixMs = c.wall().UnixMilli()
 	index, term, err := c.member.Propose(c.clock(), command)
 	if err != nil {
 		done(nil, err)
 		return
 	}
-	if older := c.pending[index]; older != nil {
-		older.done(nil, fault.Unavailable.New("the leader changed"))
-	}
-	c.pending[index] = &proposal{term: term, done: done}
+	c.pending.Add(index, term, done)
 	c.carryOut()
 }
 
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -1,6 +1,7 @@
 package faultsim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -223,7 +224,7 @@
 func (w *world) rejoinOnceReplaced(node *controlNode) {
 	w.After(time.Second, func() {
 		leader := w.leader()
-		if leader == nil || contains(leader.member.Raft.Status().Voters, node.id) {
+		if leader == nil || slices.Contains(leader.member.Raft.Status().Voters, node.id) {
 			w.rejoinOnceReplaced(node)
 			return
 		}
@@ -233,15 +234,6 @@
 	})
 }
 
-func contains(ids []uint64, id uint64) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *world) cutZones(fault Fault) func() {
 	one := zones[fault.Target%len(zones)]
 	var pairs [][2]string
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -60,9 +60,8 @@
 }
 
 func (m *machine) restart(after time.Duration) {
-	epoch := m.epoch
-	m.world.After(after, func() {
-		if !m.up && m.epoch == epoch && !m.gone {
+	m.ifStillDown(after, func() {
+		if !m.gone {
 			m.startEngine()
 		}
 	})
--- a/internal/faultsim/process.go
+++ b/internal/faultsim/process.go
@@ -49,6 +49,17 @@
 	p.epoch++
 }
 
+// ifStillDown starts a process that has crashed, unless something else has
+// started it meanwhile.
+func (p *process) ifStillDown(after time.Duration, start func()) {
+	epoch := p.epoch
+	p.world.After(after, func() {
+		if !p.up && p.epoch == epoch {
+			start()
+		}
+	})
+}
+
 func (p *process) freeze(span time.Duration) {
 	p.frozenUntil = max(p.frozenUntil, p.world.Now()+span)
 }
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -86,12 +86,7 @@
 }
 
 func (r *routerNode) restart(after time.Duration) {
-	epoch := r.epoch
-	r.world.After(after, func() {
-		if !r.up && r.epoch == epoch {
-			r.start()
-		}
-	})
+	r.ifStillDown(after, r.start)
 }
 
 // poll reports to the upstream and takes what is new.
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -144,10 +144,7 @@
 	defer c.mutex.Unlock()
 	changes := Changes{Revision: c.revision}
 	if revision >= c.compacted {
-		first := sort.Search(len(c.events), func(i int) bool {
-			return c.events[i].GetObject().GetRevision() > revision
-		})
-		changes.Events = c.events[first:len(c.events):len(c.events)]
+		changes.Events = state.NewerEvents(c.events, revision)
 		return changes
 	}
 	changes.Reset = true
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"sort"
 	"sync"
 	"time"
 
@@ -58,10 +57,7 @@
 	if changes.Revision <= held {
 		return Changes{}, false
 	}
-	first := sort.Search(len(changes.Events), func(i int) bool {
-		return changes.Events[i].GetObject().GetRevision() > held
-	})
-	changes.Events = changes.Events[first:]
+	changes.Events = state.NewerEvents(changes.Events, held)
 	return changes, true
 }
 
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -60,13 +60,9 @@
 	if err != nil {
 		return fault.InvalidField("tls.certificate", "can't read the certificate and its key: %s", err.Error())
 	}
-	content, err := os.ReadFile(s.files.Authority)
+	authority, err := ReadAuthority(s.files.Authority, "tls.authority")
 	if err != nil {
-		return fault.InvalidField("tls.authority", "can't read the authority: %s", err.Error())
-	}
-	authority := x509.NewCertPool()
-	if !authority.AppendCertsFromPEM(content) {
-		return fault.InvalidField("tls.authority", "the file holds no certificate")
+		return err
 	}
 	s.certificate, s.authority = &certificate, authority
 	s.checked = s.now()
@@ -74,6 +70,20 @@
 	return nil
 }
 
+// ReadAuthority reads the certificates of an authority from a PEM file; errors
+// name the given field.
+func ReadAuthority(path, field string) (*x509.CertPool, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.InvalidField(field, "can't read the authority: %s", err.Error())
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(content) {
+		return nil, fault.InvalidField(field, "the file holds no certificate")
+	}
+	return authority, nil
+}
+
 // newest is when one of the files was last changed.
 func (s *Store) newest() time.Time {
 	var newest time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,9 +92,11 @@
 		return err
 	}
 	n.dataDir = dir
+	self := n.identity()
+	self.Hello.ControlId = n.settings.Control.ID
 	n.control, err = control.New(control.Options{
 		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered, Join: identity.Join,
-		Metrics: control.NewMetrics(n.registry), Counters: n.counters, Keys: n.keys,
+		Metrics: control.NewMetrics(n.registry), Self: self,
 	})
 	return err
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,11 +6,9 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"net/http"
 	"net/url"
-	"os"
 	"strings"
 	"time"
 
@@ -18,6 +16,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/resourceapi"
 )
@@ -49,13 +48,9 @@
 	if authority == "" {
 		return client, nil
 	}
-	content, err := os.ReadFile(authority)
+	pool, err := keys.ReadAuthority(authority, "authority")
 	if err != nil {
-		return nil, fault.InvalidField("authority", "can't read the authority: %s", err.Error())
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(content) {
-		return nil, fault.InvalidField("authority", "the file holds no certificate")
+		return nil, err
 	}
 	client.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}
 	return client, nil
--- a/internal/policysim/compare.go
+++ b/internal/policysim/compare.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"runtime"
 	"sort"
 	"sync"
+
+	"github.com/weldline/weldline/internal/virtualtime"
 )
 
 // Comparison is the mean of several seeds under one policy.
@@ -40,58 +41,42 @@
 // Compare runs jobs on all processors and averages over the seeds. Results
 // come in the order of the policies and scales of the jobs.
 func Compare(scenario *Scenario, jobs []Job, progress func(Result)) ([]Comparison, error) {
+	policies := make([]Policy, len(jobs))
+	for position, job := range jobs {
+		policy, err := PolicyByName(job.Policy)
+		if err != nil {
+			return nil, err
+		}
+		policies[position] = policy
+	}
 	results := make([]Result, len(jobs))
-	positions := make(chan int)
-	var group sync.WaitGroup
 	var mutex sync.Mutex
-	var failure error
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for position := range positions {
-				job := jobs[position]
-				policy, err := PolicyByName(job.Policy)
-				mutex.Lock()
-				if err != nil {
-					failure = err
-				}
-				mutex.Unlock()
-				if err != nil {
-					continue
-				}
-				results[position] = Run(scenario.scaled(job.Scale), job.Seed, policy)
-				mutex.Lock()
-				progress(results[position])
-				mutex.Unlock()
-			}
-		})
-	}
-	for position := range jobs {
-		positions <- position
-	}
-	close(positions)
-	group.Wait()
-	return average(scenario.Name, jobs, results), failure
+	virtualtime.RunAll(len(jobs), func(position int) {
+		job := jobs[position]
+		results[position] = Run(scenario.scaled(job.Scale), job.Seed, policies[position])
+		mutex.Lock()
+		defer mutex.Unlock()
+		progress(results[position])
+	})
+	return average(scenario.Name, jobs, results), nil
 }
 
 // scaled returns the scenario with other weights of cold starts.
 func (s *Scenario) scaled(scale float64) *Scenario {
-	if scale == 1 {
-		return s
-	}
-	copied := *s
-	copied.Services = append([]ServiceScenario(nil), s.Services...)
-	for position := range copied.Services {
-		copied.Services[position].ColdStartWeight *= scale
-	}
-	return &copied
+	return s.withServices(func(service *ServiceScenario) { service.ColdStartWeight *= scale })
 }
 
 // WithTraffic returns the scenario with a multiple of its sessions.
 func (s *Scenario) WithTraffic(factor float64) *Scenario {
+	return s.withServices(func(service *ServiceScenario) { service.SessionsPerDay *= factor })
+}
+
+// withServices returns a copy whose services were changed.
+func (s *Scenario) withServices(change func(*ServiceScenario)) *Scenario {
 	copied := *s
 	copied.Services = append([]ServiceScenario(nil), s.Services...)
 	for position := range copied.Services {
-		copied.Services[position].SessionsPerDay *= factor
+		change(&copied.Services[position])
 	}
 	return &copied
 }
--- a/internal/policysim/meter.go
+++ b/internal/policysim/meter.go
@@ -1,7 +1,6 @@
 package policysim
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -133,16 +132,6 @@
 	}
 }
 
-// sorted lists a router's requests by number.
-func (r *router) sorted() []*request {
-	listed := make([]*request, 0, len(r.requests))
-	for _, entry := range r.requests {
-		listed = append(listed, entry)
-	}
-	slices.SortFunc(listed, func(left, right *request) int { return cmp.Compare(left.asked.ID, right.asked.ID) })
-	return listed
-}
-
 // Percentiles are seconds.
 type Percentiles struct {
 	P50  float64 `json:"p50"`
--- a/internal/policysim/router.go
+++ b/internal/policysim/router.go
@@ -1,7 +1,9 @@
 package policysim
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -219,6 +221,16 @@
 	}
 }
 
+// sorted lists a router's requests by number.
+func (r *router) sorted() []*request {
+	listed := make([]*request, 0, len(r.requests))
+	for _, entry := range r.requests {
+		listed = append(listed, entry)
+	}
+	slices.SortFunc(listed, func(left, right *request) int { return cmp.Compare(left.asked.ID, right.asked.ID) })
+	return listed
+}
+
 func (e *request) end(result requestOutcome) {
 	e.ended = true
 	delete(e.router.requests, e.asked.ID)
--- a/internal/policysim/run.go
+++ b/internal/policysim/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/weldline/weldline/internal/keepalive"
 )
 
 // Requests counts requests by outcome.
@@ -53,12 +51,8 @@
 func runFor(scenario *Scenario, seed uint64, policy Policy, end time.Duration) Result {
 	started := time.Now()
 	arrivals := drawArrivals(scenario, seed)
-	if policy.Name == "clairvoyant" {
-		remembered := policy.keepAlive(arrivals)
-		policy.keepAlive = func([]arrival) keepalive.Policy { return remembered }
-	}
 	s := newSimulation(scenario, seed, policy, arrivals)
-	s.feed(arrivals, end)
+	s.feed(end)
 	s.RunUntil(end)
 	s.settle(end)
 	result := s.result(seed)
@@ -67,13 +61,13 @@
 }
 
 // feed schedules the arrivals one after the other, spread over the routers.
-func (s *simulation) feed(arrivals []arrival, end time.Duration) {
+func (s *simulation) feed(end time.Duration) {
 	var next func(number int)
 	next = func(number int) {
-		if number == len(arrivals) || arrivals[number].at >= end {
+		if number == len(s.arrivals) || s.arrivals[number].at >= end {
 			return
 		}
-		entry := arrivals[number]
+		entry := s.arrivals[number]
 		s.After(entry.at-s.Now(), func() {
 			s.routers[number%len(s.routers)].arrive(uint64(number+1), entry)
 			next(number + 1)
--- a/internal/policysim/simulation.go
+++ b/internal/policysim/simulation.go
@@ -43,6 +43,7 @@
 	virtualtime.Scheduler
 	scenario *Scenario
 	policy   Policy
+	arrivals []arrival
 	random   *rand.Rand
 	meter    *meter
 
@@ -67,7 +68,7 @@
 
 func newSimulation(scenario *Scenario, seed uint64, policy Policy, arrivals []arrival) *simulation {
 	s := &simulation{
-		scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(seed, 7)),
+		scenario: scenario, policy: policy, arrivals: arrivals, random: rand.New(rand.NewPCG(seed, 7)),
 		state: state.New(), view: nodeview.New(), reports: controller.NewReportTable(),
 		byName: map[string]*machine{}, services: map[string]*ServiceScenario{}, weights: map[string]int64{}, ready: map[string]int{},
 	}
@@ -82,7 +83,7 @@
 		s.routers = append(s.routers, s.newRouter(number))
 	}
 	s.declare()
-	s.lead(arrivals)
+	s.lead()
 	s.tick()
 	s.scheduleFaults()
 	return s
@@ -94,14 +95,14 @@
 }
 
 // lead begins a new term: whatever the leader before had learned is lost.
-func (s *simulation) lead(arrivals []arrival) {
+func (s *simulation) lead() {
 	s.term++
 	s.reports = controller.NewReportTable()
 	s.decider = controller.New(s.Now(), controller.Config{
 		Node: "control", Term: s.term, MachineTimeout: machineTimeout,
 		Planner: placement.Config{
 			Speeds: placement.DefaultTierSpeeds, StoreLoadsPerSecond: s.scenario.Store.LoadsPerSecond,
-			StoreConcurrentLoads: s.scenario.Store.ConcurrentLoads, KeepAlive: s.policy.keepAlive(arrivals),
+			StoreConcurrentLoads: s.scenario.Store.ConcurrentLoads, KeepAlive: s.policy.keepAlive(s.arrivals),
 		},
 	}, s.reports)
 }
@@ -248,7 +249,7 @@
 	strike(faults.MachinesLeaving, func() { s.machines[s.random.IntN(len(s.machines))].leave() })
 	strike(faults.LeaderChanges, func() {
 		s.pausedBy = s.Now() + electionPause
-		s.lead(nil)
+		s.lead()
 	})
 	if faults.SlowStoreMinutes > 0 {
 		strike(1, func() {
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -63,10 +63,8 @@
 	return n.lease.start + n.config.ElectionTimeout - n.config.LeaseMargin
 }
 
-// LeaseValid reports whether this node may decide and answer reads at now: it
-// leads, has committed an entry of its term, and no other node can have been
-// elected yet.
+// LeaseValid advances the clock and reports whether the lease is held then.
 func (n *Node) LeaseValid(now time.Duration) bool {
 	n.advanceClock(now)
-	return n.role == Leader && n.log.term(n.log.committed) == n.term && n.now < n.leaseUntil()
+	return n.Status().LeaseHeld(n.now)
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -274,9 +274,13 @@
 	CommittedOwnTerm bool
 	// FirstHeld is the index of the oldest entry still held.
 	FirstHeld uint64
-	// PendingMembership is the index of the newest membership entry that may
-	// not be applied yet.
-	PendingMembership uint64
+}
+
+// LeaseHeld reports whether the node may decide and answer reads at now: it
+// leads, has committed an entry of its term, and no other node can have been
+// elected yet.
+func (s Status) LeaseHeld(now time.Duration) bool {
+	return s.Role == Leader && s.CommittedOwnTerm && now < s.LeaseUntil
 }
 
 // Status returns the node's present state.
@@ -285,7 +289,7 @@
 		ID: n.config.ID, Term: n.term, Leader: n.leader, Role: n.role,
 		Committed: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
-		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1, PendingMembership: n.pendingMembership,
+		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1,
 	}
 }
 
--- a/internal/spec/log.go
+++ b/internal/spec/log.go
@@ -1,6 +1,9 @@
 package spec
 
-import "fmt"
+import (
+	"fmt"
+	"math/bits"
+)
 
 // The bounds of the log's model.
 const (
@@ -155,20 +158,12 @@
 	return 0
 }
 
-func bits(set uint8) int {
-	count := 0
-	for ; set != 0; set &= set - 1 {
-		count++
-	}
-	return count
-}
-
 // lead lets a node become leader, and a leader send heartbeats, append and
 // commit.
 func (r LogRules) lead(state LogState, node int, visit func(string, LogState)) {
 	own := state.Nodes[node]
 	if !own.Leader {
-		if bits(own.Votes) >= logQuorum {
+		if bits.OnesCount8(own.Votes) >= logQuorum {
 			next := state
 			next.Nodes[node].Leader = true
 			visit(fmt.Sprintf("%d leads term %d", node, own.Term), next)
@@ -202,7 +197,7 @@
 	if r.LongLease {
 		lasts = 2 * promiseTicks
 	}
-	if bits(own.Answered) >= logQuorum && own.Age < lasts {
+	if bits.OnesCount8(own.Answered) >= logQuorum && own.Age < lasts {
 		own.Lease = max(own.Lease, lasts-own.Age)
 	}
 	visit(fmt.Sprintf("%d answers the heartbeat of %d", other, leader), state)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -239,10 +239,16 @@
 	if revision < m.compacted {
 		return nil, fault.Expired.New("revision %d is too old; list again", revision)
 	}
-	first := sort.Search(len(m.events), func(i int) bool {
-		return m.events[i].GetObject().GetRevision() > revision
+	return NewerEvents(m.events, revision), nil
+}
+
+// NewerEvents returns those of events in order of revision that came after
+// one. Appending to the result leaves the others alone.
+func NewerEvents(events []*wirepb.WatchEvent, revision uint64) []*wirepb.WatchEvent {
+	first := sort.Search(len(events), func(i int) bool {
+		return events[i].GetObject().GetRevision() > revision
 	})
-	return m.events[first:len(m.events):len(m.events)], nil
+	return events[first:len(events):len(events)]
 }
 
 // Snapshot encodes the whole state.
