Let feed clients leave a server that is cut off

A client counted its way through a list that grows when it learns of more servers, so the next one could be the same again; and the old digest that a cut-off server sends to whoever connects counted as a sign of life.

Ruled out: an acknowledgement without a quorum (version 15 was committed by the majority side), a late feed of the new leader.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -51,7 +51,7 @@
 	core  *orders.Core
 	pacer *orders.Pacer
 	// taken is the sequence of the report that the core took last, by machine.
-	taken  map[string]uint64
+	taken map[string]uint64
 }
 
 // newFleet starts giving orders; it does nothing on a node without Engines.
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -15,12 +14,7 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-const (
-	reconnectDelay = 100 * time.Millisecond
-	// silenceLimit is how long a connection may bring nothing. Digests come
-	// more often, so a longer silence means a server that is cut off.
-	silenceLimit = 1500 * time.Millisecond
-)
+const reconnectDelay = 100 * time.Millisecond
 
 // Sink takes what a Client receives. Calls come one at a time.
 type Sink interface {
@@ -47,9 +41,9 @@
 	conn    *wire.Conn
 	nextID  uint64
 	waiting map[uint64]chan *wirepb.CommandResult
-	// current is the position of the server in use.
-	current      int
-	lastReceived atomic.Int64
+	// last is the server tried last.
+	last     string
+	liveness liveness
 }
 
 // NewClient returns a client; Run starts it.
@@ -63,15 +57,14 @@
 // Run connects and follows until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		servers := c.servers()
-		address := servers[c.current%len(servers)]
+		address := nextServer(c.servers(), c.last)
+		c.last = address
 		conn, err := wire.Dial(ctx, address, c.self)
 		if err == nil {
 			c.logger.Info("upstream_connected", "address", address)
 			c.follow(ctx, conn)
 			c.logger.Info("upstream_lost", "address", address)
 		}
-		c.current++
 		select {
 		case <-ctx.Done():
 		case <-time.After(reconnectDelay):
@@ -84,7 +77,7 @@
 // the others from the feed.
 func (c *Client) Discover(discover func() []string) {
 	c.discover = discover
-	c.current = rand.IntN(len(c.upstreams))
+	c.last = c.upstreams[rand.IntN(len(c.upstreams))]
 }
 
 func (c *Client) servers() []string {
@@ -104,7 +97,9 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	c.lastReceived.Store(time.Now().UnixNano())
+	c.mutex.Lock()
+	c.liveness.connected(time.Now())
+	c.mutex.Unlock()
 	go c.watchSilence(conn)
 	request := &wirepb.WatchRequest{AfterRevision: c.sink.Revision()}
 	if conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchRequest{WatchRequest: request}}) != nil {
@@ -117,14 +112,14 @@
 
 // watchSilence drops a connection whose server is cut off without a word.
 func (c *Client) watchSilence(conn *wire.Conn) {
-	ticker := time.NewTicker(silenceLimit / 4)
+	ticker := time.NewTicker(firstLimit / 4)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-conn.Done():
 			return
 		case <-ticker.C:
-			if time.Since(time.Unix(0, c.lastReceived.Load())) > silenceLimit {
+			if c.isSilent() {
 				conn.Close()
 				return
 			}
@@ -132,6 +127,12 @@
 	}
 }
 
+func (c *Client) isSilent() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.liveness.lost(time.Now())
+}
+
 func (c *Client) attach(conn *wire.Conn) {
 	c.mutex.Lock()
 	c.conn = conn
@@ -159,12 +160,14 @@
 		if err != nil {
 			return
 		}
-		c.lastReceived.Store(time.Now().UnixNano())
 		switch body := envelope.GetBody().(type) {
 		case *wirepb.Envelope_WatchBatch:
 			list = c.takeBatch(list, body.WatchBatch)
 		case *wirepb.Envelope_ClusterDigest:
 			if digest := digests.Complete(body.ClusterDigest); digest != nil {
+				c.mutex.Lock()
+				c.liveness.take(time.Now(), digest)
+				c.mutex.Unlock()
 				c.sink.TakeDigest(digest)
 			}
 		case *wirepb.Envelope_ProposalResult:
--- /dev/null
+++ b/internal/feed/liveness_test.go
@@ -0,0 +1,61 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// TestNextServerLeavesTheLast: a client that had tried as many servers as it
+// knew came back to the same one once it had learned of more, and stayed with a
+// server that was cut off.
+func TestNextServerLeavesTheLast(t *testing.T) {
+	seeds := []string{"a", "b", "c"}
+	grown := []string{"a", "b", "c", "d"}
+	for _, last := range grown {
+		if next := nextServer(grown, last); next == last {
+			t.Errorf("after %s comes %s again", last, next)
+		}
+	}
+	visited := map[string]bool{}
+	last := "c"
+	for range seeds {
+		last = nextServer(seeds, last)
+		visited[last] = true
+	}
+	if len(visited) != len(seeds) {
+		t.Errorf("visited %v of %v", visited, seeds)
+	}
+	if next := nextServer(seeds, "unknown"); next != "a" {
+		t.Errorf("after a server that is no longer listed comes %s", next)
+	}
+}
+
+// TestOldDigestIsNoSignOfLife: a server that is cut off sends the digest that it
+// holds to whoever connects.
+func TestOldDigestIsNoSignOfLife(t *testing.T) {
+	start := time.Unix(1000, 0)
+	digest := func(term, sequence uint64) *wirepb.ClusterDigest {
+		return &wirepb.ClusterDigest{Term: term, Sequence: sequence}
+	}
+	held := &liveness{}
+	held.connected(start)
+	held.take(start, digest(2, 7))
+	if held.lost(start.Add(silenceLimit)) {
+		t.Error("lost within the limit")
+	}
+	later := start.Add(silenceLimit + time.Millisecond)
+	if !held.lost(later) {
+		t.Error("not lost after the limit")
+	}
+	held.connected(later)
+	held.take(later, digest(2, 7))
+	if !held.lost(later.Add(firstLimit + time.Millisecond)) {
+		t.Error("the digest held before counts as a sign of life")
+	}
+	held.take(later, digest(2, 8))
+	if held.lost(later.Add(firstLimit + time.Millisecond)) {
+		t.Error("a newer digest does not count")
+	}
+}
