Be ready sooner after an outage, and never before the routes are in force

Segments of the log are removed one by one, since a gap looks like damage after a loss of power.

The ingress got its table tests.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -185,6 +185,15 @@
 	}
 }
 
+// Status implements Backend.
+func (c *Cache) Status(ctx context.Context) (*wirepb.StatusReply, error) {
+	answer, err := c.client.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	if err != nil {
+		return nil, err
+	}
+	return answer.GetStatusReply(), nil
+}
+
 // Propose implements Backend.
 func (c *Cache) Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 	return c.client.Propose(ctx, command)
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -40,7 +40,7 @@
 	mutex   sync.Mutex
 	conn    *wire.Conn
 	nextID  uint64
-	waiting map[uint64]chan *wirepb.CommandResult
+	waiting map[uint64]chan *wirepb.Envelope
 	// last is the server tried last.
 	last     string
 	liveness liveness
@@ -50,7 +50,7 @@
 func NewClient(upstreams []string, self wire.Identity, sink Sink, logger *slog.Logger) *Client {
 	return &Client{
 		upstreams: upstreams, self: self, sink: sink, logger: logger,
-		connected: signal.New(), waiting: map[uint64]chan *wirepb.CommandResult{},
+		connected: signal.New(), waiting: map[uint64]chan *wirepb.Envelope{},
 	}
 }
 
@@ -170,8 +170,8 @@
 				c.mutex.Unlock()
 				c.sink.TakeDigest(digest)
 			}
-		case *wirepb.Envelope_ProposalResult:
-			c.complete(envelope.GetRequestId(), body.ProposalResult)
+		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply:
+			c.complete(envelope)
 		}
 	}
 }
@@ -197,12 +197,12 @@
 	return nil
 }
 
-func (c *Client) complete(id uint64, result *wirepb.CommandResult) {
+func (c *Client) complete(envelope *wirepb.Envelope) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if reply := c.waiting[id]; reply != nil {
-		reply <- result
-		delete(c.waiting, id)
+	if reply := c.waiting[envelope.GetRequestId()]; reply != nil {
+		reply <- envelope
+		delete(c.waiting, envelope.GetRequestId())
 	}
 }
 
@@ -225,7 +225,29 @@
 // Propose carries a command to the leader. An Unavailable error leaves open
 // whether it was carried out.
 func (c *Client) Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
-	reply := make(chan *wirepb.CommandResult, 1)
+	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Proposal{Proposal: command}})
+	if err != nil {
+		return nil, err
+	}
+	return checkResult(answer.GetProposalResult())
+}
+
+// Confirm returns the revision that the leader held after the call was made.
+// Whoever has applied as much holds everything that was committed before.
+func (c *Client) Confirm(ctx context.Context) (uint64, error) {
+	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	if err != nil {
+		return 0, err
+	}
+	if answer.GetStatusReply().GetLeader() == "" {
+		return 0, fault.Unavailable.New("there is no leader to confirm a revision")
+	}
+	return answer.GetStatusReply().GetRevision(), nil
+}
+
+// call sends an envelope and waits for the one that repeats its id.
+func (c *Client) call(ctx context.Context, envelope *wirepb.Envelope) (*wirepb.Envelope, error) {
+	reply := make(chan *wirepb.Envelope, 1)
 	c.mutex.Lock()
 	conn := c.conn
 	c.nextID++
@@ -238,15 +260,16 @@
 		return nil, fault.Unavailable.New("no control node is connected")
 	}
 	defer c.forget(id)
-	if err := conn.Send(&wirepb.Envelope{RequestId: id, Body: &wirepb.Envelope_Proposal{Proposal: command}}); err != nil {
+	envelope.RequestId = id
+	if err := conn.Send(envelope); err != nil {
 		return nil, err
 	}
 	select {
-	case result, answered := <-reply:
+	case answer, answered := <-reply:
 		if !answered {
 			return nil, fault.Unavailable.New("the connection to the control plane was lost")
 		}
-		return checkResult(result)
+		return answer, nil
 	case <-ctx.Done():
 		return nil, fault.Deadline.New("no answer from the control plane in time")
 	}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -73,6 +73,8 @@
 	DigestChanged() <-chan struct{}
 	// Report takes the reports of one or more nodes.
 	Report(reports ...*wirepb.NodeReport)
+	// Status returns the leader's view of the cluster.
+	Status(ctx context.Context) (*wirepb.StatusReply, error)
 	// Propose carries a command to the leader and returns its result.
 	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 }
@@ -151,6 +153,8 @@
 			s.backend.Report(body.NodeReport)
 		case *wirepb.Envelope_NodeReportBatch:
 			s.backend.Report(body.NodeReportBatch.GetReports()...)
+		case *wirepb.Envelope_StatusRequest:
+			workers.Go(func() { s.answerStatus(ctx, conn, envelope.GetRequestId()) })
 		case *wirepb.Envelope_Proposal:
 			slots <- struct{}{}
 			workers.Go(func() {
@@ -161,6 +165,17 @@
 	}
 }
 
+// answerStatus asks the leader; the empty reply stands for "none answers".
+func (s *Server) answerStatus(ctx context.Context, conn *wire.Conn, requestID uint64) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	reply, err := s.backend.Status(ctx)
+	if err != nil {
+		reply = &wirepb.StatusReply{}
+	}
+	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_StatusReply{StatusReply: reply}})
+}
+
 // ProposeFunc carries a command towards the leader.
 type ProposeFunc func(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 
--- /dev/null
+++ b/internal/ingress/harness_test.go
@@ -0,0 +1,262 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/retrybudget"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// The headers of the stand-ins.
+const (
+	headerID     = "Test-Id"
+	headerWait   = "Test-Wait"
+	headerTarget = "Test-Target"
+	headerNotRun = "Test-Not-Run"
+	headerSeal   = "Test-Seal"
+	headerModel  = "Test-Model"
+)
+
+// translator is the stand-in for a platform's.
+type translator struct{}
+
+func (translator) Describe(header http.Header) ingress.Attributes {
+	wait, _ := time.ParseDuration(header.Get(headerWait))
+	return ingress.Attributes{ID: header.Get(headerID), Wait: wait, Model: header.Get(headerModel)}
+}
+
+func (translator) Prepare(header http.Header, attempt ingress.Attempt) {
+	header.Set(headerTarget, attempt.Machine)
+	header.Set(headerWait, attempt.Remains.String())
+}
+
+func (translator) Judge(status int, answer http.Header, id string) ingress.Verdict {
+	succeeded := status >= 200 && status < 300
+	return ingress.Verdict{
+		Own:       answer.Get(headerID) == "" || answer.Get(headerID) == id,
+		Genuine:   !succeeded || answer.Get(headerSeal) != "",
+		NotRun:    answer.Get(headerNotRun) != "",
+		Elsewhere: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// deployment is an ingress with the machines and routes that a test declares.
+type deployment struct {
+	t        *testing.T
+	view     *nodeview.View
+	server   *httptest.Server
+	revision uint64
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	created := &deployment{t: t, view: nodeview.New()}
+	handler := ingress.New(ingress.Options{
+		View: created.view, Logger: slog.New(slog.DiscardHandler), Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
+		Translator: translator{}, MaxWaiting: 100,
+		// A window of a nanosecond is over at once, so that the whole slack
+		// counts from the start.
+		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var workers sync.WaitGroup
+	workers.Go(func() { handler.Run(ctx) })
+	created.server = httptest.NewServer(handler)
+	t.Cleanup(func() {
+		created.server.CloseClientConnections()
+		created.server.Close()
+		cancel()
+		workers.Wait()
+	})
+	return created
+}
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// object returns an event that declares something.
+func (d *deployment) object(kind v1.Kind, name string, spec, status any) *wirepb.WatchEvent {
+	object := &wirepb.Object{Kind: string(kind), Name: name, Revision: d.revision + 1, Spec: encode(d.t, spec)}
+	if status != nil {
+		object.Status = encode(d.t, status)
+	}
+	return &wirepb.WatchEvent{Object: object}
+}
+
+func (d *deployment) apply(events ...*wirepb.WatchEvent) {
+	d.revision++
+	d.view.Apply(feed.Changes{Events: events, Revision: d.revision})
+}
+
+func (d *deployment) route(kind v1.RouteKind, attempts int, timeout time.Duration) *wirepb.WatchEvent {
+	return d.object(v1.KindRoute, "r", &v1.RouteSpec{
+		Host: "shop.example", PathPrefix: "/a/", Kind: kind, Timeout: v1.Duration(timeout),
+		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: attempts,
+	}, nil)
+}
+
+func (d *deployment) machine(name, address string) *wirepb.WatchEvent {
+	return d.object(v1.KindMachine, name,
+		&v1.MachineSpec{Endpoint: "http://" + address, Zone: "z", Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
+}
+
+func (d *deployment) declaration() []*wirepb.WatchEvent {
+	return []*wirepb.WatchEvent{
+		d.object(v1.KindDeclaration, state.DeclarationName, &v1.DeclarationSpec{Version: 1, MaxBodyBytes: 1000}, nil),
+		d.object(v1.KindPool, "pool", &v1.PoolSpec{}, nil),
+	}
+}
+
+// serve declares a route to machines at addresses, and makes the view current.
+func (d *deployment) serve(kind v1.RouteKind, attempts int, timeout time.Duration, addresses ...string) {
+	events := append(d.declaration(), d.route(kind, attempts, timeout))
+	for position, address := range addresses {
+		events = append(events, d.machine("m"+strconv.Itoa(position), address))
+	}
+	d.apply(events...)
+	d.view.Confirm(d.revision)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is how the body ended, nil at its proper end.
+	err error
+}
+
+func (d *deployment) ask(method, path, id, body string, headers ...string) reply {
+	d.t.Helper()
+	request, err := http.NewRequest(method, d.server.URL+path, stringReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	request.Host = "shop.example"
+	request.Header.Set(headerID, id)
+	for position := 0; position+1 < len(headers); position += 2 {
+		request.Header.Set(headers[position], headers[position+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// rawMachine is a machine that answers each request on a connection with what
+// the script says, byte for byte.
+type rawMachine struct {
+	address string
+	mutex   sync.Mutex
+	// seen are the heads and bodies of the requests.
+	seen []seenRequest
+}
+
+type seenRequest struct {
+	method, target, host, body string
+	header                     http.Header
+}
+
+// script writes an answer; it returns false to close the connection after it.
+type script func(request seenRequest, number int, connection net.Conn) bool
+
+func newRawMachine(t *testing.T, answer script) *rawMachine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	created := &rawMachine{address: listener.Addr().String()}
+	var connections sync.WaitGroup
+	connections.Go(func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Go(func() { created.serve(connection, answer) })
+			t.Cleanup(func() { _ = connection.Close() })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close() })
+	return created
+}
+
+func (m *rawMachine) serve(connection net.Conn, answer script) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		seen := seenRequest{
+			method: request.Method, target: request.RequestURI, host: request.Host, body: string(body), header: request.Header,
+		}
+		m.mutex.Lock()
+		m.seen = append(m.seen, seen)
+		number := len(m.seen)
+		m.mutex.Unlock()
+		if !answer(seen, number, connection) {
+			return
+		}
+	}
+}
+
+func (m *rawMachine) requests() []seenRequest {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append([]seenRequest(nil), m.seen...)
+}
+
+// write sends text and goes on.
+func write(connection net.Conn, text string) bool {
+	_, err := io.WriteString(connection, text)
+	return err == nil
+}
+
+// ok is a whole answer to a request.
+func ok(request seenRequest, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + headerID + ": " + request.header.Get(headerID) + "\r\n" + headerSeal + ": s\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(connection net.Conn) bool {
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/retrybudget"
+	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -53,6 +54,9 @@
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// serving is set once the routes of a current view are in force.
+	serving       atomic.Bool
+	servingChange *signal.Broadcast
 }
 
 // New returns an ingress; Run must be running for it to work.
@@ -60,7 +64,7 @@
 	config := dispatch.Config{MaxWaiting: options.MaxWaiting, SharedSlots: true, PlacedAdapters: true}
 	return &Ingress{
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
-		dispatcher: dispatcher.New(config, options.Nudge),
+		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: upstream.NewPool(upstream.Config{
 			DialTimeout: dialTimeout, MaxIdle: defaultMaxIdle, IdleTimeout: idleTimeout,
 		}),
@@ -85,12 +89,19 @@
 	}
 }
 
-// rebuild takes over the view's routes and targets.
+// rebuild takes over the view's routes and targets. Only once those of a
+// current view are in force does the node serve: a table that is behind the view
+// would deny routes that are declared.
 func (i *Ingress) rebuild() {
+	current := i.options.View.Current() && i.options.View.Declaration() != nil
 	specs := map[string]*v1.RouteSpec{}
 	i.options.View.EachRoute(func(name string, route *v1.RouteSpec) { specs[name] = route })
 	i.table.Store(NewTable(specs, i.table.Load()))
 	i.dispatcher.SetTargets(time.Now(), i.options.View.RegisteredTargets())
+	if current && !i.serving.Swap(true) {
+		i.servingChange.Notify()
+		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
+	}
 }
 
 func (i *Ingress) followDigests(ctx context.Context) {
@@ -131,7 +142,7 @@
 // Serves reports whether the configuration is at least as new as any that was
 // accepted before this node started.
 func (i *Ingress) Serves() bool {
-	return i.options.View.Current() && i.options.View.Declaration() != nil
+	return i.serving.Load()
 }
 
 // Stop makes every further answer ask its caller to use another connection.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -24,6 +24,8 @@
 	// maxConnectFailures bounds the machines that are tried without any of
 	// them having got the request.
 	maxConnectFailures = 4
+	// maxStartWait bounds the wait for a node that has just started.
+	maxStartWait = 2 * time.Second
 	// retryAfterBusy is when a refused caller should come back.
 	retryAfterBusy = 150 * time.Millisecond
 	// retryAfterStart is when to come back to a node that has just started.
@@ -76,7 +78,7 @@
 
 // prepare finds the route and reads the request whole.
 func (j *job) prepare() (*problem.Document, time.Duration) {
-	if !j.ingress.Serves() {
+	if !j.awaitConfiguration() {
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node has not got the present configuration yet"), retryAfterStart
 	}
 	j.route = j.ingress.table.Load().Find(j.request.Host, j.request.URL.EscapedPath())
@@ -95,6 +97,35 @@
 	return j.findVersion(), 0
 }
 
+// awaitConfiguration waits until the node may serve. A node that has just
+// started mostly can within a second, and a caller who is turned away may have
+// no further try; but one who would wait too long does better elsewhere.
+func (j *job) awaitConfiguration() bool {
+	if j.ingress.Serves() {
+		return true
+	}
+	wait := maxStartWait
+	if j.attributes.Wait > 0 {
+		wait = min(wait, time.Duration(float64(j.attributes.Wait)*patienceShare))
+	}
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	for !j.ingress.Serves() {
+		changed := j.ingress.servingChange.Wait()
+		if j.ingress.Serves() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return false
+		case <-j.request.Context().Done():
+			return false
+		}
+	}
+	return true
+}
+
 func (j *job) readBody() *problem.Document {
 	limit := int64(defaultBodySize)
 	if declared := j.ingress.options.View.Declaration(); declared != nil && declared.MaxBodyBytes > 0 {
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -56,6 +56,7 @@
 
 func (r *ingressRole) start(ctx context.Context) error {
 	r.node.workers.Go(func() { r.client.Run(ctx) })
+	r.node.workers.Go(func() { r.client.ConfirmUntilCurrent(ctx, r.view) })
 	r.node.workers.Go(func() { r.ingress.Run(ctx) })
 	r.node.workers.Go(func() { r.report(ctx) })
 	ready := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -43,6 +43,7 @@
 
 func (r *router) start(ctx context.Context) error {
 	r.node.workers.Go(func() { r.client.Run(ctx) })
+	r.node.workers.Go(func() { r.client.ConfirmUntilCurrent(ctx, r.view) })
 	r.node.workers.Go(func() { r.gateway.Run(ctx) })
 	r.node.workers.Go(func() { r.agent.Run(ctx) })
 	r.node.workers.Go(func() { r.report(ctx) })
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -58,6 +58,9 @@
 
 	digest      *wirepb.ClusterDigest
 	firstDigest *wirepb.ClusterDigest
+	// confirmed is a revision that the leader held after the node started.
+	confirmed   uint64
+	isConfirmed bool
 	current     bool
 
 	changed       *signal.Broadcast
@@ -216,12 +219,24 @@
 // after the node started. The first digest may have been kept by a server
 // since long before; one that came later was sent later.
 func (v *View) updateCurrent() {
+	if v.isConfirmed && v.revision >= v.confirmed {
+		v.current = true
+	}
 	if v.current || v.digest == nil || !feed.Newer(v.digest, v.firstDigest) {
 		return
 	}
 	v.current = v.revision >= v.digest.GetRevision()
 }
 
+// Confirm takes a revision that the leader held after the node started.
+func (v *View) Confirm(revision uint64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.confirmed, v.isConfirmed = revision, true
+	v.updateCurrent()
+	v.changed.Notify()
+}
+
 // Current reports whether the node may serve.
 func (v *View) Current() bool {
 	v.mutex.RLock()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -53,6 +53,9 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, fault.Storage.Wrap(err, "creating the log folder")
 	}
+	if err := datadir.SyncDir(filepath.Dir(folder)); err != nil {
+		return nil, err
+	}
 	sequences, err := listSegments(folder)
 	if err != nil {
 		return nil, err
@@ -289,13 +292,18 @@
 	if err := l.Append(record); err != nil {
 		return err
 	}
+	// One after the other: after a loss of power each removal may have
+	// happened or not, and a gap in the sequence would look like damage.
 	for len(l.segments) > 0 && l.segments[0] < l.sequence {
 		if err := os.Remove(l.path(l.segments[0])); err != nil {
 			return fault.Storage.Wrap(err, "removing a log segment")
 		}
+		if err := datadir.SyncDir(l.folder); err != nil {
+			return err
+		}
 		l.segments = l.segments[1:]
 	}
-	return datadir.SyncDir(l.folder)
+	return nil
 }
 
 // Size returns the bytes in the newest segment.
