--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -38,7 +38,9 @@
 	}{
 		{
 			"whole answer", v1.RouteUnrepeatable,
-			func(request seenRequest, _ int, connection net.Conn) bool { return write(connection, ok(request, "fine")) },
+			func(request seenRequest, _ int, connection net.Conn) bool {
+				return write(connection, ok(request, "fine"))
+			},
 			200, "fine", false, 1,
 		},
 		{
