Place replicas by each version's share of the work, and route by work

A model that many ask for stood on one worker, a further replica came only once 64 slots were full, and routers counted requests, although one summary means as much reading as ten questions. Waiting for adapters came on top: a worker that is at a model order refuses adapter orders (409), which a quarter of all orders met.

Change: placement/spread.go: replicas follow the averaged rate of work, at most twice the even share on a machine; victims by worth, crowded machines last. dispatch/work.go: work before a machine, lagged for the others', plus what a cached beginning spares; homes by rendezvous hashing, passed over when reading again costs less than waiting. No adapter orders to an engine that is at a model; idle machines are preferred for adapters.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -108,6 +108,8 @@
 	// models maps a ready version to the name of its model and its adapters.
 	models map[string]adapterHolder
 	held   int
+	// busy machines take no orders for adapters for now.
+	busy bool
 }
 
 type adapterHolder struct {
@@ -126,7 +128,7 @@
 		if !heard || machine.Status.Phase != v1.MachineLive || pool == nil || pool.Engine == nil {
 			continue
 		}
-		place := &adapterPlace{machine: name, slots: pool.Engine.AdapterSlots, models: map[string]adapterHolder{}}
+		place := &adapterPlace{machine: name, slots: pool.Engine.AdapterSlots, busy: known.Busy, models: map[string]adapterHolder{}}
 		for _, adapters := range known.Models {
 			place.held += len(adapters)
 		}
@@ -158,13 +160,20 @@
 		if slices.Contains(holder.adapters, demand.Adapter) || slices.Contains(holder.coming, demand.Adapter) {
 			return nil
 		}
-		if best == nil || place.held < best.held {
+		if best == nil || place.better(best) {
 			best = place
 		}
 	}
 	return best
 }
 
+func (p *adapterPlace) better(other *adapterPlace) bool {
+	if p.busy != other.busy {
+		return !p.busy
+	}
+	return p.held < other.held
+}
+
 // take returns the tasks that load an adapter here, after one that makes room
 // for it where all places are taken.
 func (p *adapterPlace) take(demand AdapterDemand, lastUsed map[adapterUse]time.Duration) []orders.AdapterTask {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 
 	"github.com/weldline/weldline/api/platform"
 	"github.com/weldline/weldline/internal/machines"
+	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -140,7 +141,8 @@
 		c.roster, c.rosterSequence = roster, c.digestSequence
 	}
 	digest.Roster, digest.RosterSequence = c.roster, c.rosterSequence
-	digest.MachineLoads = machineLoads(c.roster, loads)
+	digest.MachineLoads = packed(c.roster, loads)
+	digest.MachineWork = packed(c.roster, workOf(now, nodes))
 	return digest
 }
 
@@ -202,9 +204,26 @@
 	c.control = addresses
 }
 
-// machineLoads packs the lagged loads in the roster's order, without the
+// workOf returns the outstanding work at each machine, in units of a digest.
+func workOf(now time.Duration, nodes map[string]nodeEntry) map[string]uint32 {
+	tokens := map[string]uint32{}
+	for _, entry := range nodes {
+		if now-entry.received > NodeTimeout {
+			continue
+		}
+		for _, load := range entry.report.GetLoads() {
+			tokens[load.GetMachine()] += load.GetWork()
+		}
+	}
+	for machine, work := range tokens {
+		tokens[machine] = (work + nodeview.WorkUnit - 1) / nodeview.WorkUnit
+	}
+	return tokens
+}
+
+// packed lists a number for each machine in the roster's order, without the
 // zeros at its end.
-func machineLoads(roster *wirepb.Roster, reported map[string]uint32) []byte {
+func packed(roster *wirepb.Roster, reported map[string]uint32) []byte {
 	loads := make([]byte, len(roster.GetMachines()))
 	used := 0
 	for position, name := range roster.GetMachines() {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -39,7 +39,9 @@
 	// arrivals counts the requests for each version in the whole fleet;
 	// counted is how many of a node's are in it.
 	arrivals map[string]uint64
-	counted  map[string]map[string]uint64
+	counted  map[string]map[string]runningTotals
+	// work adds up what requests asked of machines, like arrivals.
+	work map[string]uint64
 	// adapterUsed is when each adapter was last asked for.
 	adapterUsed map[adapterUse]time.Duration
 }
@@ -48,7 +50,7 @@
 func NewReportTable() *ReportTable {
 	return &ReportTable{
 		nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
-		arrivals: map[string]uint64{}, counted: map[string]map[string]uint64{},
+		arrivals: map[string]uint64{}, counted: map[string]map[string]runningTotals{}, work: map[string]uint64{},
 		adapterUsed: map[adapterUse]time.Duration{},
 	}
 }
@@ -73,34 +75,40 @@
 	return urgent
 }
 
+// runningTotals are a node's counts for one version since it started.
+type runningTotals struct {
+	arrivals, work uint64
+}
+
 // countArrivals adds what is new to the fleet's counts. Reports carry running
 // totals and leave out versions without news, so that a lost report loses no
 // arrivals; a node that restarted counts from 0 again.
 func (t *ReportTable) countArrivals(held, report *wirepb.NodeReport) {
 	counted := t.counted[report.GetNode()]
 	if counted == nil || held.GetIncarnation() != report.GetIncarnation() {
-		counted = map[string]uint64{}
+		counted = map[string]runningTotals{}
 		t.counted[report.GetNode()] = counted
 	}
 	for _, demand := range report.GetDemand() {
 		if demand.GetAdapter() != "" {
 			continue // Counted with its version.
 		}
-		version, total := demand.GetVersion(), demand.GetArrivals()
-		if total > counted[version] {
-			t.arrivals[version] += total - counted[version]
-			counted[version] = total
+		version, before := demand.GetVersion(), counted[demand.GetVersion()]
+		if demand.GetArrivals() > before.arrivals {
+			t.arrivals[version] += demand.GetArrivals() - before.arrivals
+			t.work[version] += max(demand.GetWork(), before.work) - before.work
+			counted[version] = runningTotals{arrivals: demand.GetArrivals(), work: demand.GetWork()}
 		}
 	}
 }
 
 // arrivalCounts copies the fleet's counts.
-func (t *ReportTable) arrivalCounts() map[string]uint64 {
+func (t *ReportTable) arrivalCounts() map[string]runningTotals {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	counts := make(map[string]uint64, len(t.arrivals))
+	counts := make(map[string]runningTotals, len(t.arrivals))
 	for version, count := range t.arrivals {
-		counts[version] = count
+		counts[version] = runningTotals{arrivals: count, work: t.work[version]}
 	}
 	return counts
 }
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -38,7 +38,7 @@
 	now      time.Duration
 	nodes    map[string]nodeEntry
 	reports  map[string]machineEntry
-	arrivals map[string]uint64
+	arrivals map[string]runningTotals
 }
 
 // storedView reads the state, unless it is as it was. The caller must hold it.
@@ -239,8 +239,8 @@
 // demand adds up what live routers report.
 func (v *clusterView) demand() map[string]*placement.Demand {
 	total := make(map[string]*placement.Demand, len(v.arrivals))
-	for version, count := range v.arrivals {
-		total[version] = &placement.Demand{Arrivals: count}
+	for version, counts := range v.arrivals {
+		total[version] = &placement.Demand{Arrivals: counts.arrivals, Work: counts.work}
 	}
 	for _, entry := range v.nodes {
 		age := v.now - entry.received
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -15,6 +15,11 @@
 	RoundRobin bool
 	// SharedSlots is set where the replicas on a machine share its slots.
 	SharedSlots bool
+	// ByWork takes targets by the work that their machines have before them,
+	// instead of by their requests.
+	ByWork bool
+	// Seed tells routers apart where targets are alike.
+	Seed uint64
 	// PlacedAdapters is set where a request for an adapter can only run where
 	// the adapter is.
 	PlacedAdapters bool
@@ -32,6 +37,9 @@
 	others map[string]int
 	// onMachine is the router's own requests in flight, by machine.
 	onMachine map[string]int
+	// work is this router's outstanding work by machine, and othersWork that of
+	// the others, by lagged reports.
+	work, othersWork map[string]float64
 	// routers is how many share the replicas.
 	routers int
 }
@@ -41,6 +49,7 @@
 	targets  []*target
 	queue    queue
 	arrivals uint64
+	work     float64
 	// adapterArrivals counts the requests for each adapter.
 	adapterArrivals map[string]uint64
 	running         int
@@ -64,7 +73,8 @@
 func New(config Config) *Core {
 	return &Core{
 		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
-		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{}, routers: 1,
+		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
+		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
 	}
 }
 
@@ -81,6 +91,7 @@
 func (c *Core) Submit(now time.Time, request *Request) Outcome {
 	version := c.version(request.Version)
 	version.arrivals++
+	version.work += request.Work
 	if request.Adapter != "" && c.config.PlacedAdapters {
 		version.countAdapter(request.Adapter)
 	}
@@ -126,6 +137,7 @@
 		c.drop(request)
 		chosen.inFlight++
 		c.onMachine[chosen.Machine]++
+		c.addWork(chosen.Machine, request)
 		version.running++
 		chosen.remember(now, request)
 		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
@@ -230,6 +242,7 @@
 	version := c.version(grant.Target.Version)
 	version.running--
 	c.leaveMachine(grant.Target.Machine)
+	c.finishWork(grant.Target.Machine, grant.Request, 0)
 	held := c.targets[grant.Target.Replica]
 	if held != nil {
 		held.inFlight--
@@ -382,6 +395,7 @@
 		}
 		demand := Demand{
 			Version: name, Waiting: len(version.queue.waiting), Running: version.running, Arrivals: version.arrivals,
+			Work: uint64(version.work),
 		}
 		for _, entry := range version.queue.waiting {
 			demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -34,6 +34,9 @@
 // pickFrom picks among the targets that are suspect, or among those that are
 // not.
 func (c *Core) pickFrom(now time.Time, version *versionState, request *Request, suspect bool) *target {
+	if c.config.ByWork {
+		return c.pickByWork(now, version, request, suspect)
+	}
 	least := -1.0
 	for _, candidate := range version.targets {
 		if candidate.Suspect != suspect || !c.usable(now, candidate, request, version) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -17,6 +17,11 @@
 	Avoid string
 	// Tried are the machines that the request must not go to again.
 	Tried []string
+	// Work is what the request asks of a machine, in tokens; Shared is the
+	// part of it that is spared where the prompt's beginning is cached.
+	Work, Shared float64
+	// outstanding is the work that the request's machine has not done yet.
+	outstanding float64
 	// Patience is until when the request waits for a place; zero for as long
 	// as its deadline allows.
 	Patience time.Time
@@ -87,6 +92,8 @@
 	Waiting  int
 	Running  int
 	Arrivals uint64
+	// Work is what all requests so far asked of machines, in tokens.
+	Work uint64
 	// OldestWait is the age of the request that waits longest.
 	OldestWait time.Duration
 	Priority   int32
--- /dev/null
+++ b/internal/dispatch/work.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// startedShare is the part of a request's work that is left once its answer
+	// has begun: its prompt has been read, and what follows runs beside others.
+	startedShare = 0.05
+	// firstHomeShare and secondHomeShare are how sure it is that the homes of a
+	// prompt's beginning hold it.
+	firstHomeShare  = 0.9
+	secondHomeShare = 0.45
+)
+
+// addWork counts a request's work at a machine.
+func (c *Core) addWork(machine string, request *Request) {
+	request.outstanding = request.Work
+	c.work[machine] += request.Work
+}
+
+// finishWork lowers the work that a request still means for its machine.
+func (c *Core) finishWork(machine string, request *Request, left float64) {
+	done := request.outstanding - left
+	if done <= 0 {
+		return
+	}
+	request.outstanding = left
+	c.work[machine] -= done
+	if c.work[machine] < 1 {
+		delete(c.work, machine)
+	}
+}
+
+// Started notes that the answer to a granted request has begun.
+func (c *Core) Started(grant Grant) {
+	c.finishWork(grant.Target.Machine, grant.Request, grant.Request.Work*startedShare)
+}
+
+// Work returns the outstanding work by machine.
+func (c *Core) Work() map[string]float64 {
+	return maps.Clone(c.work)
+}
+
+// SetWork replaces the lagged work of machines, that of all routers together.
+func (c *Core) SetWork(total map[string]float64) {
+	c.othersWork = make(map[string]float64, len(total))
+	for machine, work := range total {
+		c.othersWork[machine] = max(0, work-c.work[machine])
+	}
+}
+
+// pickByWork takes the target where the request is done soonest: the work before
+// it, and its own, less what is spared where the beginning of its prompt is
+// cached. Every router finds the same homes for a beginning, by rendezvous
+// hashing, so that few machines hold each; a busy home is passed over as soon
+// as reading the beginning again costs less than waiting.
+func (c *Core) pickByWork(now time.Time, version *versionState, request *Request, suspect bool) *target {
+	var usable []*target
+	for _, candidate := range version.targets {
+		if candidate.Suspect == suspect && c.usable(now, candidate, request, version) {
+			usable = append(usable, candidate)
+		}
+	}
+	first, second := homes(usable, request.Prefix)
+	var best *target
+	var bestCost float64
+	var bestTie uint64
+	for _, candidate := range usable {
+		cost := c.work[candidate.Machine] + c.othersWork[candidate.Machine]
+		cost += request.Shared * (1 - candidate.cachedShare(now, request, first, second))
+		tie := rank(c.config.Seed+request.ID, candidate.Machine)
+		if best == nil || cost < bestCost || cost == bestCost && tie > bestTie {
+			best, bestCost, bestTie = candidate, cost, tie
+		}
+	}
+	return best
+}
+
+// cachedShare is how sure it is that a target holds the beginning of a prompt.
+func (t *target) cachedShare(now time.Time, request *Request, first, second *target) float64 {
+	switch {
+	case request.Prefix == 0:
+		return 0
+	case t.prefixes.holds(now, request.Prefix):
+		return 1
+	case t == first:
+		return firstHomeShare
+	case t == second:
+		return secondHomeShare
+	}
+	return 0
+}
+
+// homes returns the two targets that rank highest for a prefix.
+func homes(targets []*target, prefix uint64) (first, second *target) {
+	if prefix == 0 {
+		return nil, nil
+	}
+	var firstRank, secondRank uint64
+	for _, candidate := range targets {
+		ranked := rank(prefix, candidate.Machine)
+		switch {
+		case first == nil || ranked > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = candidate, ranked
+		case second == nil || ranked > secondRank:
+			second, secondRank = candidate, ranked
+		}
+	}
+	return first, second
+}
+
+// rank orders machines for a key, for each key differently.
+func rank(key uint64, machine string) uint64 {
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], key)
+	digest := xxhash.New()
+	_, _ = digest.Write(buffer[:])
+	_, _ = digest.WriteString(machine)
+	return digest.Sum64()
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -112,6 +112,20 @@
 	d.deliver(d.core.Release(time.Now(), *grant, result))
 }
 
+// Started notes that the answer to a granted request has begun.
+func (d *Dispatcher) Started(grant *dispatch.Grant) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.Started(*grant)
+}
+
+// Work returns the outstanding work by machine.
+func (d *Dispatcher) Work() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Work()
+}
+
 // SetTargets replaces the targets.
 func (d *Dispatcher) SetTargets(now time.Time, targets []dispatch.Target) {
 	d.mutex.Lock()
@@ -123,6 +137,7 @@
 func (d *Dispatcher) TakeDigest(now time.Time, digest *wirepb.ClusterDigest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.core.SetWork(nodeview.WorkOf(digest))
 	d.deliver(d.core.SetLoads(now, nodeview.LoadsOf(digest), int(digest.GetRouters())))
 	d.deliver(d.core.SetEstimates(now, nodeview.EstimatesOf(digest, now)))
 }
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -55,6 +55,6 @@
 	return &wirepb.ClusterDigest{
 		Term: digest.GetTerm(), Sequence: digest.GetSequence(), Leader: digest.GetLeader(), Routers: digest.GetRouters(),
 		Estimates: digest.GetEstimates(), Revision: digest.GetRevision(), RosterSequence: digest.GetRosterSequence(),
-		Roster: roster, MachineLoads: digest.GetMachineLoads(),
+		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 
 // New returns an ingress; Run must be running for it to work.
 func New(options Options) *Ingress {
-	config := dispatch.Config{MaxWaiting: options.MaxWaiting, SharedSlots: true, PlacedAdapters: true}
+	config := dispatch.Config{MaxWaiting: options.MaxWaiting, SharedSlots: true, PlacedAdapters: true, ByWork: true, Seed: rand.Uint64()}
 	return &Ingress{
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
@@ -162,10 +163,10 @@
 
 // Loads returns the requests in flight by machine, for reports.
 func (i *Ingress) Loads() []*wirepb.MachineLoad {
-	loads := i.dispatcher.Loads()
+	loads, work := i.dispatcher.Loads(), i.dispatcher.Work()
 	messages := make([]*wirepb.MachineLoad, 0, len(loads))
 	for machine, running := range loads {
-		messages = append(messages, &wirepb.MachineLoad{Machine: machine, Running: uint32(running)})
+		messages = append(messages, &wirepb.MachineLoad{Machine: machine, Running: uint32(running), Work: uint32(work[machine])})
 	}
 	return messages
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -162,7 +162,7 @@
 func (j *job) run(ctx context.Context) attemptEnd {
 	wanted := &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.route.Spec.Priority, Prefix: j.attributes.Prefix,
-		Arrived: j.arrived, Deadline: j.deadline,
+		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
 		Patience: j.arrived.Add(time.Duration(float64(j.deadline.Sub(j.arrived)) * patienceShare)),
 	}
 	for failures := 0; ; {
@@ -188,6 +188,16 @@
 	}
 }
 
+// plainWork is the work of a request without tokens.
+const plainWork = 1000
+
+func (j *job) work() float64 {
+	if work := j.attributes.PromptTokens + j.attributes.OutputTokens; work > 0 {
+		return work
+	}
+	return plainWork
+}
+
 // healthAfter is what an attempt's end says about its machine; nothing where
 // the caller left.
 func (j *job) healthAfter(end attemptEnd) dispatch.Result {
@@ -342,6 +352,7 @@
 		return endFailed
 	}
 	defer answer.Close()
+	j.ingress.dispatcher.Started(grant)
 	return j.pass(ctx, answer, grant)
 }
 
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -13,6 +13,10 @@
 	Model, Adapter string
 	// Wait is how long the caller waits; 0 if it does not say.
 	Wait time.Duration
+	// PromptTokens are read before the answer begins, SharedTokens of them at
+	// the beginning that others share; OutputTokens are the most that it has. All
+	// are 0 where a request has no tokens.
+	PromptTokens, SharedTokens, OutputTokens float64
 	// Prefix identifies the beginning of the prompt that others share; 0 if
 	// there is none.
 	Prefix uint64
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -68,6 +68,21 @@
 	return loads
 }
 
+// WorkUnit is how many tokens a unit of work in digests stands for.
+const WorkUnit = 512
+
+// WorkOf returns a digest's lagged outstanding work by machine, in tokens.
+func WorkOf(digest *wirepb.ClusterDigest) map[string]float64 {
+	machines := digest.GetRoster().GetMachines()
+	work := make(map[string]float64, len(digest.GetMachineWork()))
+	for position, units := range digest.GetMachineWork() {
+		if units > 0 && position < len(machines) {
+			work[machines[position]] = float64(units) * WorkUnit
+		}
+	}
+	return work
+}
+
 // adapterSeparator stands between a version and an adapter in keys; names have
 // none.
 const adapterSeparator = "\x00"
@@ -100,6 +115,6 @@
 func demandMessage(demand dispatch.Demand) *wirepb.ModelDemand {
 	return &wirepb.ModelDemand{
 		Version: demand.Version, Adapter: demand.Adapter, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
-		Arrivals: demand.Arrivals, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
+		Arrivals: demand.Arrivals, Work: demand.Work, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
 	}
 }
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -349,7 +349,8 @@
 }
 
 func (e *engine) nextAdapterOrders(wanted Wanted) []Order {
-	if len(e.adapters) >= maxAdapterOrders {
+	// An engine that is at an order for a model takes none for an adapter.
+	if e.underWay != nil || len(e.adapters) >= maxAdapterOrders {
 		return nil
 	}
 	var orders []Order
@@ -455,8 +456,10 @@
 	Coming map[string][]string
 	// Loading is the model that an accepted order is loading.
 	Loading string
-	Memory  []string
-	Disk    []string
+	// Busy is set while an order for a model is under way.
+	Busy   bool
+	Memory []string
+	Disk   []string
 }
 
 // State returns what is known of an engine; false if nothing is.
@@ -465,7 +468,10 @@
 	if held == nil || !held.heard {
 		return State{}, false
 	}
-	state := State{Models: map[string][]string{}, Coming: map[string][]string{}, Memory: held.memory, Disk: held.disk}
+	state := State{
+		Models: map[string][]string{}, Coming: map[string][]string{}, Memory: held.memory, Disk: held.disk,
+		Busy: held.sending || held.underWay != nil,
+	}
 	for model, adapters := range held.models {
 		names := make([]string, 0, len(adapters))
 		for adapter := range adapters {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -83,7 +83,7 @@
 // makeRoom evicts idle replicas for a wanted one that fits nowhere.
 func (p *pass) makeRoom(entry want, names []string) {
 	name := entry.version.Name
-	if !entry.urgent {
+	if !entry.urgent && !entry.further {
 		return // Nothing is evicted for a replica kept in reserve.
 	}
 	if !p.fitsAnywhere(entry.version) {
@@ -96,6 +96,9 @@
 	if victims == nil {
 		return // All in use: the request waits for a place until its deadline.
 	}
+	if entry.further && !p.paysToEvict(entry, victims) {
+		return
+	}
 	p.evict(entry, machine, victims, p.loadTime(entry.version, TierRemote))
 }
 
@@ -114,7 +117,7 @@
 	var bestCost float64
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) {
+		if !candidate.serves(entry.version) || entry.further && candidate.hasReplica(entry.version.Name) {
 			continue
 		}
 		victims, cost := p.victimsOn(entry, candidate)
@@ -123,6 +126,7 @@
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
 		cost += p.loadTime(entry.version, tier).Seconds() * entry.version.ColdStartWeight
+		cost += p.crowding(candidate, entry)
 		if best == nil || cost < bestCost {
 			machine, best, bestCost = name, victims, cost
 		}
@@ -174,7 +178,7 @@
 func (p *pass) idleOn(candidate *room) []*Replica {
 	var idle []*Replica
 	for _, replica := range candidate.replicas {
-		if replica.Spec.Phase != v1.ReplicaReady || p.changed[replica] || !p.isIdle(replica) {
+		if replica.Spec.Phase != v1.ReplicaReady || p.changed[replica] || !p.mayEvict(replica) {
 			continue
 		}
 		version := p.input.Versions[replica.Spec.Version]
@@ -201,6 +205,9 @@
 	if version == nil {
 		return 0
 	}
+	if version.Spec.Pool != "" {
+		return p.loadTime(version, TierDisk).Seconds() * version.ColdStartWeight * p.replicaWorth(replica, version)
+	}
 	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name])
 	load := p.loadTime(version, TierDisk).Seconds()
 	return load * version.ColdStartWeight / (1 + idle.Seconds())
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -158,7 +158,7 @@
 	bytes := entry.version.Spec.BytesPerAccelerator()
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) {
+		if !candidate.serves(entry.version) || entry.version.Spec.Pool != "" && candidate.hasReplica(entry.version.Name) {
 			continue
 		}
 		readyIn := p.readyIn(entry, candidate)
@@ -234,6 +234,7 @@
 		MaxConcurrent: entry.version.Spec.MaxConcurrent, Phase: v1.ReplicaLoading, Tier: string(tier),
 	}
 	chosen.take(spec)
+	p.spread.load[spec.Machine] += p.planner.work.rates[spec.Version] / float64(max(1, p.spreadOver(entry.version)))
 	chosen.loading++
 	chosen.replicas = append(chosen.replicas, &Replica{Spec: spec})
 	delete(p.planner.evicting, entry.version.Name)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -26,6 +26,7 @@
 	store  *storePacer
 	// speeds are learned from loads; loadingSince is when each was first seen.
 	speeds       *speedTable
+	work         *workRates
 	memory       *hostMemory
 	loadingSince map[string]time.Time
 	// lastUsed is when a replica last served or became ready.
@@ -45,6 +46,7 @@
 		config:       config,
 		store:        newStorePacer(config.StoreLoadsPerSecond, config.StoreConcurrentLoads),
 		speeds:       newSpeedTable(config.Speeds),
+		work:         newWorkRates(),
 		memory:       newHostMemory(),
 		loadingSince: map[string]time.Time{},
 		lastUsed:     map[string]time.Time{},
@@ -69,6 +71,7 @@
 	changed map[*Replica]bool
 	// worth is what the replicas on each accelerator are worth, by machine.
 	worth    map[string]map[int]float64
+	spread   *spread
 	decision Decision
 }
 
@@ -85,6 +88,7 @@
 	p.memory.observe(input)
 	current.reconcile()
 	current.observeUse()
+	current.openSpread()
 	current.retire()
 	current.place()
 	p.forget(input)
--- /dev/null
+++ b/internal/placement/spread.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// Machines that registered hold models side by side, and what a model costs is
+// the work that its requests mean, not the places that it takes: a model that is
+// asked for much overloads the one machine that holds it long before its slots
+// are full. So the replicas of a version follow its share of all work.
+
+const (
+	// workMemory is the time over which the rate of work is averaged.
+	workMemory = 3 * time.Second
+	// spreadMargin is by how much more than its even share of work a machine
+	// may get from one version.
+	spreadMargin = 2.0
+	// minimumRate, in tokens per second, is below which one replica will do.
+	minimumRate = 500
+	// reserveValue makes evicting for a further replica harder than for a first.
+	reserveValue = 0.5
+)
+
+// workRates are the averaged rates of work by version, in tokens per second.
+type workRates struct {
+	rates   map[string]float64
+	seen    map[string]uint64
+	updated time.Time
+}
+
+func newWorkRates() *workRates {
+	return &workRates{rates: map[string]float64{}, seen: map[string]uint64{}}
+}
+
+// observe takes the running totals of work.
+func (w *workRates) observe(now time.Time, demand map[string]*Demand) {
+	elapsed := now.Sub(w.updated).Seconds()
+	first := w.updated.IsZero()
+	w.updated = now
+	if elapsed <= 0 {
+		return
+	}
+	keep := math.Exp(-elapsed / workMemory.Seconds())
+	for version := range w.rates {
+		w.rates[version] *= keep
+	}
+	for version, entry := range demand {
+		grown := float64(entry.Work - min(w.seen[version], entry.Work))
+		w.seen[version] = entry.Work
+		if !first {
+			w.rates[version] += grown / workMemory.Seconds()
+		}
+	}
+}
+
+// spread is the view of work in one pass.
+type spread struct {
+	// total is the rate of all work by pool, machines the number of those that
+	// take replicas.
+	total    map[string]float64
+	machines map[string]int
+	// load is the rate of work by machine.
+	load map[string]float64
+}
+
+func (p *pass) openSpread() {
+	p.planner.work.observe(p.input.Now, p.input.Demand)
+	opened := &spread{total: map[string]float64{}, machines: map[string]int{}, load: map[string]float64{}}
+	for name, version := range p.input.Versions {
+		opened.total[version.Spec.Pool] += p.planner.work.rates[name]
+	}
+	for _, machine := range p.input.Machines {
+		if machine.Accepts {
+			opened.machines[machine.Pool]++
+		}
+	}
+	for name, replicas := range p.byVersion {
+		for _, replica := range replicas {
+			opened.load[replica.Spec.Machine] += p.planner.work.rates[name] / float64(len(replicas))
+		}
+	}
+	p.spread = opened
+}
+
+// spreadOver is over how many machines a version should be spread.
+func (p *pass) spreadOver(version *Version) int {
+	rate := p.planner.work.rates[version.Name]
+	pool := version.Spec.Pool
+	if pool == "" || rate < minimumRate || p.spread.total[pool] == 0 {
+		return 0
+	}
+	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
+	return min(p.spread.machines[pool], int(math.Ceil(rate/(even*spreadMargin))))
+}
+
+// replicaWorth is what a replica of a pool's version is worth, in weighted
+// seconds of cold starts for each second: what it serves, or nearly nothing
+// where its version has more replicas than it needs.
+func (p *pass) replicaWorth(replica *Replica, version *Version) float64 {
+	rate := p.planner.work.rates[version.Name]
+	count := max(1, len(p.byVersion[version.Name]))
+	wanted := max(1, p.spreadOver(version))
+	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name]).Seconds()
+	recent := 1 / (1 + idle)
+	if count > wanted {
+		return 0.01 * (recent + rate/float64(count)/minimumRate)
+	}
+	return recent + rate/float64(count)/minimumRate
+}
+
+// mayEvict reports whether a replica may make room. What a registered machine
+// runs of a model is not reported; an unload waits for its runs, so there it is
+// a matter of worth alone.
+func (p *pass) mayEvict(replica *Replica) bool {
+	version := p.input.Versions[replica.Spec.Version]
+	if version == nil || version.Spec.Pool == "" {
+		return p.isIdle(replica)
+	}
+	demand := p.input.Demand[replica.Spec.Version]
+	return demand == nil || demand.Waiting == 0 || len(p.byVersion[version.Name]) > 1
+}
+
+// paysToEvict reports whether a further replica is worth more than what it
+// pushes out.
+func (p *pass) paysToEvict(entry want, victims []*Replica) bool {
+	rate := p.planner.work.rates[entry.version.Name]
+	gained := reserveValue * rate / float64(len(p.byVersion[entry.version.Name])+1) / minimumRate
+	lost := 0.0
+	for _, victim := range victims {
+		if version := p.input.Versions[victim.Spec.Version]; version != nil {
+			lost += p.replicaWorth(victim, version)
+		}
+	}
+	return gained > lost
+}
+
+// crowding is what it costs to load where much else is asked for, on the scale
+// of eviction costs.
+func (p *pass) crowding(candidate *room, entry want) float64 {
+	pool := entry.version.Spec.Pool
+	if pool == "" || p.spread.total[pool] == 0 {
+		return 0
+	}
+	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
+	return p.spread.load[candidate.machine.Name] / even * p.loadTime(entry.version, TierRemote).Seconds() * entry.version.ColdStartWeight
+}
+
+// hasReplica reports whether the version is loading or loaded on a machine.
+func (r *room) hasReplica(version string) bool {
+	for _, replica := range r.replicas {
+		if replica.Spec.Version == version && replica.Spec.Phase != v1.ReplicaUnloading {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -97,9 +97,11 @@
 
 // Demand is what all routers together ask of a version.
 type Demand struct {
-	Waiting    int
-	Running    int
-	Arrivals   uint64
+	Waiting  int
+	Running  int
+	Arrivals uint64
+	// Work is what all requests so far asked of machines, in tokens.
+	Work       uint64
 	OldestWait time.Duration
 	Priority   int32
 }
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -16,8 +16,11 @@
 type want struct {
 	version *Version
 	// waiting is how long the oldest request has waited; 0 for prewarming.
-	waiting  time.Duration
-	urgent   bool
+	waiting time.Duration
+	urgent  bool
+	// further is set where the version has a replica and needs more to share
+	// its work.
+	further  bool
 	priority int32
 	loadTime time.Duration
 }
@@ -38,8 +41,10 @@
 			entry.waiting = demand.OldestWait
 			entry.priority = max(demand.Priority, version.Priority)
 		}
+		entry.further = version.Spec.Pool != "" && len(p.byVersion[name]) > 0
 		for range missing {
 			wanted = append(wanted, entry)
+			entry.further = entry.further || version.Spec.Pool != ""
 		}
 	}
 	sort.Slice(wanted, func(i, j int) bool { return wanted[i].before(wanted[j]) })
@@ -48,6 +53,8 @@
 
 func (w want) before(other want) bool {
 	switch {
+	case w.further != other.further:
+		return other.further
 	case w.urgent != other.urgent:
 		return w.urgent
 	case w.priority != other.priority:
@@ -80,6 +87,7 @@
 	if demand := p.input.Demand[name]; demand != nil {
 		desired = max(desired, p.desiredFor(demand, version, usable))
 	}
+	desired = max(desired, p.spreadOver(version))
 	if desired == 0 && usable == 0 && p.isWorthLoading(version) {
 		desired = 1
 	}
