Go on when a disk takes nothing for a time, and bound the log by bytes

Change: storage waits and tries again; the log cuts off what a failed append left (wal.Repair), a failed rotation leaves the present segment in use, and an empty segment behind a torn one is no damage. Nothing is promised meanwhile, so the node is as good as silent.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,6 +27,15 @@
 // peer that is a little behind gets entries and not the whole state.
 const compactTailShare = 4
 
+const (
+	// maxLogBytes bounds the entries held in memory and on disk between
+	// snapshots: a declared document may be large.
+	maxLogBytes = 4 << 20
+	// bytesTail is how many entries are kept behind a snapshot that was taken
+	// for their size.
+	bytesTail = 8
+)
+
 // Storage makes things durable. A method that returns without an error has
 // synced what it was given.
 type Storage interface {
@@ -69,6 +78,8 @@
 	storage      Storage
 	snapshot     *wirepb.Snapshot
 	compactEvery uint64
+	// logBytes is the size of the entries applied since the last snapshot.
+	logBytes int
 }
 
 // Open rebuilds a member from what its storage held.
@@ -195,6 +206,7 @@
 	defer m.lockState()()
 	applied := make([]Applied, 0, len(entries))
 	for _, entry := range entries {
+		m.logBytes += len(entry.GetData())
 		applied = append(applied, m.apply(entry))
 	}
 	return applied
@@ -211,7 +223,13 @@
 func (m *Member) maybeCompact() error {
 	status := m.Raft.Status()
 	tail := m.compactEvery / compactTailShare
-	if status.Applied-(status.FirstHeld-1) < m.compactEvery+tail {
+	held := status.Applied - (status.FirstHeld - 1)
+	if m.logBytes >= maxLogBytes {
+		tail = min(tail, bytesTail)
+	} else if held < m.compactEvery+tail {
+		return nil
+	}
+	if held <= tail {
 		return nil
 	}
 	data, err := m.State.Snapshot()
@@ -225,5 +243,6 @@
 		return err
 	}
 	m.snapshot = snapshot
+	m.logBytes = 0
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	// incarnation orders the lives of a node.
 	incarnation uint64
 	dataDir     *datadir.Dir
+	disk        *storage.Disk
 	control     *control.Node
 	router      *router
 	relay       *relay
@@ -138,7 +139,12 @@
 		_ = dir.Close()
 		return err
 	}
-	n.dataDir = dir
+	disk.OnFailure = func(err error, attempt int) {
+		if attempt == 1 {
+			n.logger.Error("storage_failed", "error", fault.Message(err))
+		}
+	}
+	n.dataDir, n.disk = dir, disk
 	self := n.identity()
 	self.Hello.ControlId = identity.ControlID
 	if n.settings.Formation.Forms() {
@@ -183,6 +189,9 @@
 	}
 	n.stopped.Store(true)
 	cancel()
+	if n.disk != nil {
+		n.disk.Stop()
+	}
 	n.workers.Wait()
 	if n.dataDir != nil {
 		_ = n.dataDir.Close()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -46,6 +46,9 @@
 	size     int64
 	segments []uint64
 	failed   error
+	// good is the length of the newest segment before the record whose append
+	// failed.
+	good int64
 }
 
 // Open replays every record in order and opens the log for appending.
@@ -61,8 +64,12 @@
 		return nil, err
 	}
 	log := &Log{folder: folder, segments: sequences}
-	for position, sequence := range sequences {
-		last := position == len(sequences)-1
+	newest, err := newestUsed(folder, sequences)
+	if err != nil {
+		return nil, err
+	}
+	for _, sequence := range sequences {
+		last := sequence >= newest
 		if err := log.replaySegment(sequence, last, replay); err != nil {
 			return nil, err
 		}
@@ -73,6 +80,25 @@
 	return log, log.openLast()
 }
 
+// newestUsed returns the newest segment that holds anything. A rotation that
+// failed half-way leaves an empty one behind it.
+func newestUsed(folder string, sequences []uint64) (uint64, error) {
+	for position := len(sequences) - 1; position >= 0; position-- {
+		information, err := os.Stat(segmentPath(folder, sequences[position]))
+		if err != nil {
+			return 0, fault.Storage.Wrap(err, "reading the size of a log segment")
+		}
+		if information.Size() > 0 {
+			return sequences[position], nil
+		}
+	}
+	return 0, nil
+}
+
+func segmentPath(folder string, sequence uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("%016x%s", sequence, segmentSuffix))
+}
+
 func listSegments(folder string) ([]uint64, error) {
 	entries, err := os.ReadDir(folder)
 	if err != nil {
@@ -100,7 +126,7 @@
 }
 
 func (l *Log) path(sequence uint64) string {
-	return filepath.Join(l.folder, fmt.Sprintf("%016x%s", sequence, segmentSuffix))
+	return segmentPath(l.folder, sequence)
 }
 
 func (l *Log) replaySegment(sequence uint64, last bool, replay func(*wirepb.WalRecord) error) error {
@@ -228,16 +254,40 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	good := l.size
 	if err := l.append(record); err != nil {
 		l.failed = err
+		l.good = good
 		return err
 	}
 	if l.size >= SegmentBytes {
-		return l.Rotate()
+		// Without a new segment the present one grows on.
+		_ = l.Rotate()
 	}
 	return nil
 }
 
+// Repair makes the log usable again after a failed Append: it cuts off whatever
+// of the record reached the newest segment. The record itself is lost, and must
+// be appended again before anything may depend on it.
+func (l *Log) Repair() error {
+	if l.failed == nil {
+		return nil
+	}
+	if err := truncate(l.path(l.sequence), l.good); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(l.path(l.sequence), os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return fault.Storage.Wrap(err, "opening a repaired log segment")
+	}
+	_ = l.segment.Close()
+	l.segment = file
+	l.size = l.good
+	l.failed = nil
+	return nil
+}
+
 func (l *Log) append(record *wirepb.WalRecord) error {
 	encoded, err := Encode(record)
 	if err != nil {
@@ -254,22 +304,23 @@
 	return nil
 }
 
-// Rotate begins a new segment and returns its failure, if any.
+// Rotate begins a new segment. Where that fails, the present one stays in use.
 func (l *Log) Rotate() error {
-	if err := l.rotate(); err != nil {
-		l.failed = err
-		return err
+	if l.failed != nil {
+		return l.failed
 	}
-	return nil
+	return l.rotate()
 }
 
 func (l *Log) rotate() error {
 	next := l.sequence + 1
-	file, err := os.OpenFile(l.path(next), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
+	file, err := os.OpenFile(l.path(next), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return fault.Storage.Wrap(err, "creating a log segment")
 	}
 	if err := datadir.SyncDir(l.folder); err != nil {
+		// An empty segment may stay behind; it is used when this is repeated.
+		_ = file.Close()
 		return err
 	}
 	if l.segment != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -185,3 +185,65 @@
 		}
 	})
 }
+
+// TestRepairAfterAFailedAppend: a disk that took nothing for a time must not end
+// the log. What was not acknowledged is gone, what was is there.
+func TestRepairAfterAFailedAppend(t *testing.T) {
+	folder := t.TempDir()
+	log, err := Open(folder, func(*wirepb.WalRecord) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Append(record(1)); err != nil {
+		t.Fatal(err)
+	}
+	writable := log.segment
+	refusing, err := os.Open(writable.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.segment = refusing
+	for range 2 {
+		if err := log.Append(record(2)); !fault.Is(err, fault.Storage) {
+			t.Fatalf("an append to a file that refuses writes: %v", err)
+		}
+	}
+	// A part of the record had reached the file.
+	if _, err := writable.WriteString("torn"); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Repair(); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Append(record(3)); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	terms, err := replayed(folder)
+	if err != nil || len(terms) != 2 || terms[0] != 1 || terms[1] != 3 {
+		t.Errorf("replayed %v, %v", terms, err)
+	}
+}
+
+// TestEmptySegmentAfterATornOne: a rotation that failed left an empty segment,
+// the one before it grew on, and its end was torn by a loss of power.
+func TestEmptySegmentAfterATornOne(t *testing.T) {
+	folder, segment := written(t, 2)
+	content, err := os.ReadFile(segment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(segment, content[:len(content)-3], fileMode); err != nil {
+		t.Fatal(err)
+	}
+	log := &Log{folder: folder}
+	if err := os.WriteFile(log.path(2), nil, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	terms, err := replayed(folder)
+	if err != nil || len(terms) != 1 || terms[0] != 1 {
+		t.Errorf("replayed %v, %v", terms, err)
+	}
+}
