Answer those who wait when a node stops

Change: shortly before its time is over, a stopping node ends the wait of every request (503, with when to come back) and says of those that a machine has that they may have run. A stream's request waits at most 0.7 of the time after which its caller leaves without a first event.

Test: TestEndAnswersWhoWaits.

--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -44,6 +44,9 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Affinity prefers machines that hold the beginning of the prompt.
 	Affinity bool `json:"affinity,omitempty"`
+	// FirstByteLimit is for how long callers wait for the first byte of an
+	// answer; 0 if only the deadline counts.
+	FirstByteLimit Duration `json:"firstByteLimit,omitempty"`
 	// PauseTarget is the longest pause between events of a timely stream.
 	PauseTarget Duration `json:"pauseTarget,omitempty"`
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -63,22 +63,26 @@
 	t        *testing.T
 	view     *nodeview.View
 	server   *httptest.Server
+	handler  *ingress.Ingress
 	revision uint64
+	// waits gets a value when a request has to wait for a place.
+	waits chan struct{}
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	created := &deployment{t: t, view: nodeview.New()}
+	created := &deployment{t: t, view: nodeview.New(), waits: make(chan struct{}, 100)}
 	handler := ingress.New(ingress.Options{
 		View: created.view, Logger: slog.New(slog.DiscardHandler), Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
 		Translator: translator{}, MaxWaiting: 100,
 		// A window of a nanosecond is over at once, so that the whole slack
 		// counts from the start.
-		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() {},
+		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() { created.waits <- struct{}{} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers sync.WaitGroup
 	workers.Go(func() { handler.Run(ctx) })
+	created.handler = handler
 	created.server = httptest.NewServer(handler)
 	t.Cleanup(func() {
 		created.server.CloseClientConnections()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,6 +55,9 @@
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// ending is over once whoever is left must be answered at once.
+	ending context.Context
+	end    context.CancelFunc
 	// serving is set once the routes of a current view are in force.
 	serving       atomic.Bool
 	servingChange *signal.Broadcast
@@ -63,7 +66,9 @@
 // New returns an ingress; Run must be running for it to work.
 func New(options Options) *Ingress {
 	config := dispatch.Config{MaxWaiting: options.MaxWaiting, SharedSlots: true, PlacedAdapters: true, ByWork: true, Seed: rand.Uint64()}
+	ending, end := context.WithCancel(context.Background())
 	return &Ingress{
+		ending: ending, end: end,
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: upstream.NewPool(upstream.Config{
@@ -151,6 +156,12 @@
 	i.stopping.Store(true)
 }
 
+// End answers all that wait, and breaks off what runs: the node is about to be
+// gone, and an answer is better than a closed connection.
+func (i *Ingress) End() {
+	i.end()
+}
+
 // InFlight returns how many requests have not been answered.
 func (i *Ingress) InFlight() int64 {
 	return i.inFlight.Load()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -309,3 +309,33 @@
 	}
 	<-closed
 }
+
+// TestEndAnswersWhoWaits: a node that is about to be gone answers those who wait
+// for a place, and those whose machine is silent. A request once waited for a
+// model until the process ended, and its connection was closed with no answer.
+func TestEndAnswersWhoWaits(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	silent := newRawMachine(t, func(_ seenRequest, _ int, connection net.Conn) bool {
+		reached <- struct{}{}
+		_, _ = connection.Read(make([]byte, 1))
+		return false
+	})
+	d := newDeployment(t)
+	d.serve(v1.RouteUnrepeatable, 1, long, silent.address)
+	answers := make(chan reply, 2)
+	go func() { answers <- d.ask(http.MethodPost, "/a/b", "running", "x") }()
+	<-reached
+	d.handler.End()
+	if got := <-answers; got.status != 504 || !strings.Contains(got.body, "unknown") {
+		t.Errorf("the one that may have run got %d %q", got.status, got.body)
+	}
+
+	empty := newDeployment(t)
+	empty.serve(v1.RouteUnrepeatable, 1, long)
+	go func() { answers <- empty.ask(http.MethodPost, "/a/b", "waiting", "x") }()
+	<-empty.waits
+	empty.handler.End()
+	if got := <-answers; got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("the one that waited got %d %q", got.status, got.body)
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -18,6 +18,9 @@
 	// patienceShare is the share of the time that a request has for which it
 	// waits for a place; after it, the caller does better elsewhere.
 	patienceShare = 0.45
+	// firstBytePatience is the share of the time that a caller waits for the
+	// first byte after which the request no longer waits for a place.
+	firstBytePatience = 0.7
 	// firstTryShare is the share of the time left that a machine gets for a
 	// request that may be tried elsewhere afterwards.
 	firstTryShare = 0.5
@@ -69,6 +72,7 @@
 	}
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
 	defer cancel()
+	defer context.AfterFunc(j.ingress.ending, cancel)()
 	if j.run(ctx) == endBroken {
 		// Closing the connection is how the caller learns that the answer is
 		// not whole.
@@ -119,6 +123,8 @@
 		case <-changed:
 		case <-limit.C:
 			return false
+		case <-j.ingress.ending.Done():
+			return false
 		case <-j.request.Context().Done():
 			return false
 		}
@@ -163,7 +169,7 @@
 	wanted := &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.route.Spec.Priority, Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
-		Patience: j.arrived.Add(time.Duration(float64(j.deadline.Sub(j.arrived)) * patienceShare)),
+		Patience: j.arrived.Add(j.patience()),
 	}
 	for failures := 0; ; {
 		grant, refusal := j.ingress.dispatcher.Acquire(ctx, wanted)
@@ -188,6 +194,16 @@
 	}
 }
 
+// patience is how long the request waits for a place: a part of its time, and
+// less than its caller waits for a first sign of an answer.
+func (j *job) patience() time.Duration {
+	patience := time.Duration(float64(j.deadline.Sub(j.arrived)) * patienceShare)
+	if limit := time.Duration(j.route.Spec.FirstByteLimit); limit > 0 {
+		patience = min(patience, time.Duration(float64(limit)*firstBytePatience))
+	}
+	return patience
+}
+
 // plainWork is the work of a request without tokens.
 const plainWork = 1000
 
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -87,8 +87,14 @@
 	for r.ingress.InFlight() > 0 && time.Since(started) < limit {
 		time.Sleep(stopPollPeriod)
 	}
-	if left := r.ingress.InFlight(); left > 0 {
-		r.node.logger.Warn("drain_timed_out", "in_flight", left)
+	left := r.ingress.InFlight()
+	if left == 0 {
+		return
+	}
+	r.node.logger.Warn("drain_timed_out", "in_flight", left)
+	r.ingress.End()
+	for r.ingress.InFlight() > 0 && time.Since(started) < limit+stopReserve/2 {
+		time.Sleep(stopPollPeriod)
 	}
 }
 
