Give orders soon after a change of leader, and evict by urgency

And rare models whose callers have 4 to 5 s were kept at the cost of those whose callers have half a second.

It asks the engines itself instead of waiting for their heartbeats. An unanswered order is repeated after 0.3 s under the same number. A replica's worth counts only the part of a cold start that its callers would miss (placement/spread.go).

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/orders"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -16,7 +17,12 @@
 
 const (
 	fleetInterval = 25 * time.Millisecond
-	orderTimeout  = time.Second
+	// orderTimeout is how long an order may stay unanswered before it is given
+	// again under the same number.
+	orderTimeout = 300 * time.Millisecond
+	// grantLifetime is for how long a machine may be given orders under one
+	// grant, from before it was proposed.
+	grantLifetime = 500 * time.Millisecond
 	pollTimeout   = time.Second
 	// lostAfterHeartbeats and goneAfterHeartbeats are how many heartbeats a
 	// machine may miss before it is taken to be lost, and gone.
@@ -52,6 +58,8 @@
 	pacer *orders.Pacer
 	// taken is the sequence of the report that the core took last, by machine.
 	taken map[string]uint64
+	// granted is until when orders may be given, by machine.
+	granted map[string]time.Duration
 }
 
 // newFleet starts giving orders; it does nothing on a node without Engines.
@@ -60,7 +68,7 @@
 	running, cancel := context.WithCancel(ctx)
 	created := &fleet{
 		node: node, term: term, since: node.now(), cancel: cancel, nudge: make(chan struct{}, 1),
-		core: orders.NewCore(pacer), pacer: pacer, taken: map[string]uint64{},
+		core: orders.NewCore(pacer), pacer: pacer, taken: map[string]uint64{}, granted: map[string]time.Duration{},
 	}
 	if node.engines != nil {
 		created.workers.Go(func() { created.run(running) })
@@ -136,11 +144,13 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	listed := map[string]bool{}
+	for name := range registered.Machines {
+		listed[name] = true
+	}
 	for name, entry := range f.node.instances.Entries() {
 		if _, known := registered.Machines[name]; !known {
 			continue
 		}
-		listed[name] = true
 		if entry.Report.GetSequence() <= f.taken[name] || entry.Received < f.since {
 			continue
 		}
@@ -175,18 +185,61 @@
 		case <-ticker.C:
 		case <-f.nudge:
 		}
-		if f.mayOrder() {
+		if f.leads() {
 			f.pass(ctx)
 		}
 	}
 }
 
-// mayOrder reports whether orders may be given now: the lease is held, and
-// whoever gave orders before can't be giving any more.
-func (f *fleet) mayOrder() bool {
+// leads reports whether the lease of this term is held.
+func (f *fleet) leads() bool {
 	status := f.node.status.Load()
+	return status.Term == f.term && status.LeaseHeld(f.node.now())
+}
+
+// mayOrder reports whether a machine may be given orders now: the lease is held,
+// a grant of its own stands in the log, and whoever had one before has had none
+// for long enough.
+func (f *fleet) mayOrder(machine string) bool {
+	f.mutex.Lock()
+	until := f.granted[machine]
+	f.mutex.Unlock()
 	now := f.node.now()
-	return status.Term == f.term && status.LeaseHeld(now) && now-f.since >= f.node.settings.Machines.OrderLease
+	return now < until && f.leads()
+}
+
+// grant makes a machine take orders of this leader. The time counts from before
+// the proposal: whoever holds the entry has got it later.
+func (f *fleet) grant(ctx context.Context, machine string) error {
+	f.mutex.Lock()
+	until := f.granted[machine]
+	f.mutex.Unlock()
+	started := f.node.now()
+	if started+grantLifetime/2 < until {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	command := &wirepb.GrantCommand{Holder: f.node.settings.Node, Machines: []string{machine}}
+	if _, err := f.node.proposeLocally(ctx, &wirepb.Command{Body: &wirepb.Command_Grant{Grant: command}}); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.granted[machine] = started + grantLifetime
+	return nil
+}
+
+// noteGrants remembers what the log tells of grants.
+func (n *Node) noteGrants(output member.Output) {
+	if output.Restored {
+		n.grants.Forget(n.now())
+	}
+	for _, applied := range output.Applied {
+		if grant := applied.Result.GetGrant(); grant != nil {
+			n.grants.Note(n.now(), grant.GetHolder(), grant.GetMachines())
+		}
+	}
 }
 
 func (f *fleet) pass(ctx context.Context) {
@@ -197,6 +250,10 @@
 		defer f.mutex.Unlock()
 		wanted = registered.Wanted(f.core.State, f.node.reports.AdapterDemand(f.node.now()))
 	})
+	now := f.node.now()
+	for position := range wanted {
+		wanted[position].Held = !f.node.grants.Free(now, wanted[position].Machine)
+	}
 	f.mutex.Lock()
 	plan := f.core.Plan(f.node.now(), wanted)
 	f.mutex.Unlock()
@@ -228,10 +285,11 @@
 }
 
 func (f *fleet) order(ctx context.Context, order orders.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	started := f.node.now()
-	outcome := f.node.engines.Order(ctx, order, f.node.settings.Node, f.term, f.mayOrder)
+	outcome := orders.NotSent
+	if err := f.grant(ctx, order.Machine); err == nil {
+		outcome = f.send(ctx, order)
+	}
 	f.node.logger.Info("order", "machine", order.Machine, "operation", string(order.Operation), "model", order.Model,
 		"adapter", order.Adapter, "expected", order.Expected, "fence", f.term, "outcome", outcome.String(),
 		"took_ms", (f.node.now() - started).Milliseconds())
@@ -244,6 +302,13 @@
 	f.node.wakeLeader()
 }
 
+func (f *fleet) send(ctx context.Context, order orders.Order) orders.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	permitted := func() bool { return f.mayOrder(order.Machine) }
+	return f.node.engines.Order(ctx, order, f.node.settings.Node, f.term, permitted)
+}
+
 // takeInstance keeps a machine's report; a follower passes it on to the
 // leader.
 func (n *Node) takeInstance(report *wirepb.InstanceReport) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -22,6 +22,9 @@
 	reconcilePause  = 5 * time.Millisecond
 	commitTimeout   = 3 * time.Second
 	listReadTimeout = 2 * time.Second
+	// registeredSettleTime is how long a new leader waits for reports where it
+	// asks the machines itself, and uses none that it has not heard of.
+	registeredSettleTime = 600 * time.Millisecond
 )
 
 // leader runs the controller for one term and proposes what it decides.
@@ -78,6 +81,9 @@
 			KeepAlive:            keepalive.New(n.settings.Policy.Name),
 		},
 	}
+	if n.engines != nil {
+		config.SettleTime = registeredSettleTime
+	}
 	n.reports.ForgetMachines()
 	return &leader{
 		node: n, controller: controller.New(n.now(), config, n.reports), list: list, fleet: newFleet(ctx, n, term),
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/member"
 	members "github.com/weldline/weldline/internal/membership"
+	"github.com/weldline/weldline/internal/orders"
 	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/signal"
@@ -85,7 +86,9 @@
 	instances *instances.Table
 	engines   Engines
 	seeds     func() []string
-	nudge     chan struct{}
+	// grants tells which machines others may have given orders to.
+	grants *orders.Grants
+	nudge  chan struct{}
 }
 
 // proposal is a command on its way through the log.
@@ -128,6 +131,7 @@
 	}
 	opened.StateLock = &node.stateMutex
 	node.member = opened
+	node.grants = orders.NewGrants(node.settings.Node, grantLifetime+node.settings.Machines.OrderLease)
 	node.reports = controller.NewReportTable()
 	node.peers = newPeerSet(node)
 	node.publishStatus()
@@ -231,6 +235,7 @@
 		return err
 	}
 	n.peers.sendRaft(output.Messages)
+	n.noteGrants(output)
 	n.pending.Complete(output)
 	n.publishStatus()
 	if len(output.Applied) > 0 || output.Restored {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,7 +40,10 @@
 	Node           string
 	Term           uint64
 	MachineTimeout time.Duration
-	Planner        placement.Config
+	// SettleTime is how long a new leader waits for reports before it places
+	// replicas; 0 stands for the package's.
+	SettleTime time.Duration
+	Planner    placement.Config
 }
 
 // Controller decides for one term. It is not safe for concurrent use.
@@ -85,6 +88,13 @@
 	})
 }
 
+func (c *Controller) settleTime() time.Duration {
+	if c.config.SettleTime > 0 {
+		return c.config.SettleTime
+	}
+	return SettleTime
+}
+
 // ReplicaDecision is what a pass decided about replicas.
 type ReplicaDecision struct {
 	Actions []placement.Action
@@ -95,7 +105,7 @@
 // hold the state and must see the outcome in it before the next call. Wall is
 // the time of day, for what is learned of it.
 func (c *Controller) DecideReplicas(now time.Duration, wall time.Time, machine *state.Machine) ReplicaDecision {
-	if now-c.since < SettleTime {
+	if now-c.since < c.settleTime() {
 		return ReplicaDecision{}
 	}
 	view := c.view(now, machine)
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -42,6 +42,8 @@
 	counted  map[string]map[string]runningTotals
 	// work adds up what requests asked of machines, like arrivals.
 	work map[string]uint64
+	// targets are the shortest targets reported of each version.
+	targets map[string]uint32
 	// adapterUsed is when each adapter was last asked for.
 	adapterUsed map[adapterUse]time.Duration
 }
@@ -50,7 +52,7 @@
 func NewReportTable() *ReportTable {
 	return &ReportTable{
 		nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
-		arrivals: map[string]uint64{}, counted: map[string]map[string]runningTotals{}, work: map[string]uint64{},
+		arrivals: map[string]uint64{}, counted: map[string]map[string]runningTotals{}, work: map[string]uint64{}, targets: map[string]uint32{},
 		adapterUsed: map[adapterUse]time.Duration{},
 	}
 }
@@ -78,6 +80,8 @@
 // runningTotals are a node's counts for one version since it started.
 type runningTotals struct {
 	arrivals, work uint64
+	// targetMs is the shortest target reported.
+	targetMs uint32
 }
 
 // countArrivals adds what is new to the fleet's counts. Reports carry running
@@ -93,6 +97,12 @@
 		if demand.GetAdapter() != "" {
 			continue // Counted with its version.
 		}
+		if target := demand.GetTargetMs(); target > 0 {
+			held := t.targets[demand.GetVersion()]
+			if held == 0 || target < held {
+				t.targets[demand.GetVersion()] = target
+			}
+		}
 		version, before := demand.GetVersion(), counted[demand.GetVersion()]
 		if demand.GetArrivals() > before.arrivals {
 			t.arrivals[version] += demand.GetArrivals() - before.arrivals
@@ -108,7 +118,7 @@
 	defer t.mutex.Unlock()
 	counts := make(map[string]runningTotals, len(t.arrivals))
 	for version, count := range t.arrivals {
-		counts[version] = runningTotals{arrivals: count, work: t.work[version]}
+		counts[version] = runningTotals{arrivals: count, work: t.work[version], targetMs: t.targets[version]}
 	}
 	return counts
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -50,6 +50,7 @@
 	queue    queue
 	arrivals uint64
 	work     float64
+	target   time.Duration
 	// adapterArrivals counts the requests for each adapter.
 	adapterArrivals map[string]uint64
 	running         int
@@ -92,6 +93,9 @@
 	version := c.version(request.Version)
 	version.arrivals++
 	version.work += request.Work
+	if request.Target > 0 && (version.target == 0 || request.Target < version.target) {
+		version.target = request.Target
+	}
 	if request.Adapter != "" && c.config.PlacedAdapters {
 		version.countAdapter(request.Adapter)
 	}
@@ -395,7 +399,7 @@
 		}
 		demand := Demand{
 			Version: name, Waiting: len(version.queue.waiting), Running: version.running, Arrivals: version.arrivals,
-			Work: uint64(version.work),
+			Work: uint64(version.work), Target: version.target,
 		}
 		for _, entry := range version.queue.waiting {
 			demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -20,6 +20,8 @@
 	// Work is what the request asks of a machine, in tokens; Shared is the
 	// part of it that is spared where the prompt's beginning is cached.
 	Work, Shared float64
+	// Target is within which the answer should begin; 0 if that is open.
+	Target time.Duration
 	// outstanding is the work that the request's machine has not done yet.
 	outstanding float64
 	// Patience is until when the request waits for a place; zero for as long
@@ -94,6 +96,9 @@
 	Arrivals uint64
 	// Work is what all requests so far asked of machines, in tokens.
 	Work uint64
+	// Target is the shortest time within which a request wanted its answer to
+	// begin; 0 if none said.
+	Target time.Duration
 	// OldestWait is the age of the request that waits longest.
 	OldestWait time.Duration
 	Priority   int32
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -169,6 +169,7 @@
 	wanted := &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.route.Spec.Priority, Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
+		Target:   time.Duration(j.route.Spec.TargetLatency),
 		Patience: j.arrived.Add(j.patience()),
 	}
 	for failures := 0; ; {
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -115,6 +115,7 @@
 func demandMessage(demand dispatch.Demand) *wirepb.ModelDemand {
 	return &wirepb.ModelDemand{
 		Version: demand.Version, Adapter: demand.Adapter, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
-		Arrivals: demand.Arrivals, Work: demand.Work, OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
+		Arrivals: demand.Arrivals, Work: demand.Work,
+		TargetMs: uint32(demand.Target.Milliseconds()), OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
 	}
 }
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -94,6 +94,8 @@
 	Load, Unload []Task
 	// Adapters to load and to drop.
 	Adapters []AdapterTask
+	// Held is set while another node may still be giving orders.
+	Held bool
 }
 
 // Task is a model to load or unload.
@@ -271,6 +273,9 @@
 	held := c.engine(machine)
 	held.polling = false
 	held.pollDue = now + pollRetry
+	if !held.heard {
+		held.pollDue = now + pollInterval
+	}
 }
 
 // Plan is what to do next.
@@ -287,7 +292,11 @@
 	sort.Slice(wanted, func(i, j int) bool { return wanted[i].Machine < wanted[j].Machine })
 	for _, entry := range wanted {
 		held := c.engine(entry.Machine)
-		if !held.heard || now < held.pauseUntil {
+		if !held.heard && !held.polling && now >= held.pollDue {
+			held.polling = true
+			plan.Polls = append(plan.Polls, entry.Machine)
+		}
+		if !held.heard || entry.Held || now < held.pauseUntil {
 			continue
 		}
 		held.settleAdapters(now)
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -20,6 +20,14 @@
 	spreadMargin = 2.0
 	// minimumRate, in tokens per second, is below which one replica will do.
 	minimumRate = 500
+	// sharedFrom is the part of a machine's even share of work from which a
+	// version gets a second replica.
+	sharedFrom = 0.5
+	// leastRecent is what a replica is worth that nobody has asked for.
+	leastRecent = 0.05
+	// surplusWorth is the part of its worth that is left of a replica of which
+	// there are more than needed.
+	surplusWorth = 0.01
 	// reserveValue makes evicting for a further replica harder than for a first.
 	reserveValue = 0.5
 )
@@ -93,7 +101,24 @@
 		return 0
 	}
 	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
-	return min(p.spread.machines[pool], int(math.Ceil(rate/(even*spreadMargin))))
+	wanted := int(math.Ceil(rate / (even * spreadMargin)))
+	if rate >= even*sharedFrom {
+		// The loss of one machine must not take a version that many ask for.
+		wanted = max(wanted, 1)
+	}
+	return min(p.spread.machines[pool], wanted)
+}
+
+// urgency is which part of a cold start its requests would miss: next to nothing
+// where they have time for it, all of it where their target is shorter, or not
+// known.
+func (p *pass) urgency(version *Version) float64 {
+	demand := p.input.Demand[version.Name]
+	if demand == nil || demand.Target == 0 {
+		return 1
+	}
+	missed := p.loadTime(version, TierDisk).Seconds() / demand.Target.Seconds()
+	return min(1, missed*missed)
 }
 
 // replicaWorth is what a replica of a pool's version is worth, in weighted
@@ -104,11 +129,11 @@
 	count := max(1, len(p.byVersion[version.Name]))
 	wanted := max(1, p.spreadOver(version))
 	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name]).Seconds()
-	recent := 1 / (1 + idle)
+	worth := (max(leastRecent, 1/(1+idle)) + rate/float64(count)/minimumRate) * p.urgency(version)
 	if count > wanted {
-		return 0.01 * (recent + rate/float64(count)/minimumRate)
+		return surplusWorth * worth
 	}
-	return recent + rate/float64(count)/minimumRate
+	return worth
 }
 
 // mayEvict reports whether a replica may make room. What a registered machine
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -101,7 +101,10 @@
 	Running  int
 	Arrivals uint64
 	// Work is what all requests so far asked of machines, in tokens.
-	Work       uint64
+	Work uint64
+	// Target is the shortest time within which a request wanted its answer to
+	// begin; 0 if none said.
+	Target     time.Duration
 	OldestWait time.Duration
 	Priority   int32
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -148,6 +148,8 @@
 		return m.declare(body.Declare)
 	case *wirepb.Command_Register:
 		return m.register(body.Register)
+	case *wirepb.Command_Grant:
+		return &wirepb.CommandResult{Grant: body.Grant}
 	}
 	return &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_INVALID, Message: "unknown command"}
 }
