--- /dev/null
+++ b/internal/retrybudget/budget_test.go
@@ -0,0 +1,72 @@
+package retrybudget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestBoundHoldsForAllRouters: whatever the traffic, and though routers start
+// anew, all together keep below the bound in every window, wherever it begins.
+func TestBoundHoldsForAllRouters(t *testing.T) {
+	config := Config{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	const routers = 7
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		var first, again []time.Duration
+		budgets := make([]*Budget, routers)
+		for position := range budgets {
+			budgets[position] = New(config, 0)
+		}
+		for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
+			// Traffic rises and falls, and now and then everything fails.
+			rate := 1 + int(3*now.Seconds())%5
+			failing := int(now.Seconds())/7%2 == 0
+			for range rate {
+				budget := budgets[random.IntN(routers)]
+				if random.IntN(4) == 0 {
+					budget.Sent(now)
+					first = append(first, now)
+				}
+				if failing && budget.Spend(now, routers) {
+					again = append(again, now)
+				}
+			}
+			if random.IntN(400) == 0 {
+				budgets[random.IntN(routers)] = New(config, now)
+			}
+		}
+		if len(again) == 0 {
+			t.Fatal("nothing was ever sent again")
+		}
+		for start := time.Duration(0); start < 60*time.Second; start += 100 * time.Millisecond {
+			requests, repeats := within(first, start, config.Window), within(again, start, config.Window)
+			if float64(repeats) > config.Ratio*float64(requests)+float64(config.Slack) {
+				t.Fatalf("seed %d: from %s, %d of %d requests were sent again", seed, start, repeats, requests)
+			}
+		}
+	}
+}
+
+func within(moments []time.Duration, start, window time.Duration) int {
+	count := 0
+	for _, moment := range moments {
+		if moment >= start && moment < start+window {
+			count++
+		}
+	}
+	return count
+}
+
+// TestSmallAfterAStart: a router that has just started may have spent its share
+// in an earlier life.
+func TestSmallAfterAStart(t *testing.T) {
+	config := Config{Ratio: 0, Slack: 100, Window: 10 * time.Second}
+	budget := New(config, time.Hour)
+	if budget.Spend(time.Hour, 1) {
+		t.Error("all of the slack is there at once")
+	}
+	if !budget.Spend(time.Hour+5*time.Second, 1) {
+		t.Error("nothing is there after half a window")
+	}
+}
