Don't take a model to be gone on an early report

Reports tell how things were some hundred ms ago; this one was from before a load of 65 GB had finished, which the old leader had just recorded as ready. The record was removed as 'unloaded', its room was free, and another 65 GB were ordered into it.

Ruled out: a late order of the old leader (the second was numbered and accepted as the first of the new one), a wrong sum in the state machine.

Change: in a new term a record counts until the engine has been heard of twice over a second without naming the model (orders.State.Settled); a model that was seen needs as much to be taken as gone.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -112,20 +112,26 @@
 		f.observe(registered)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		writes = registered.Adopt(f.core.State)
+		writes = registered.Adopt(f.stateOf())
 	})
 	current.write(ctx, writes)
 	f.node.Read(func(machine *state.Machine) {
 		registered := controller.ReadRegistered(machine)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		for _, report := range registered.Reports(f.core.State) {
+		for _, report := range registered.Reports(f.stateOf()) {
 			f.node.reports.TakeMachine(f.node.now(), report)
 		}
 		f.pacer.Limit(registered.StoreLoadsPerSecond)
 	})
 }
 
+// stateOf returns what is known of engines now; the mutex must be held.
+func (f *fleet) stateOf() controller.StateOf {
+	now := f.node.now()
+	return func(machine string) (orders.State, bool) { return f.core.State(now, machine) }
+}
+
 func (f *fleet) instancesInput(machine *state.Machine) instances.Input {
 	registered := controller.ReadRegistered(machine)
 	interval := f.node.settings.Machines.HeartbeatInterval
@@ -248,7 +254,7 @@
 		registered := controller.ReadRegistered(machine)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
-		wanted = registered.Wanted(f.core.State, f.node.reports.AdapterDemand(f.node.now()))
+		wanted = registered.Wanted(f.stateOf(), f.node.reports.AdapterDemand(f.node.now()))
 	})
 	now := f.node.now()
 	for position := range wanted {
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -192,6 +192,10 @@
 			phase = placement.EngineReady
 		case known.Loading == replica.spec.Checkpoint:
 			phase = placement.EngineLoading
+		case !known.Settled && replica.spec.Phase != v1.ReplicaLoading:
+			// The record is the better guide: the report may be from before
+			// the load was done.
+			phase = placement.EngineReady
 		default:
 			continue
 		}
--- /dev/null
+++ b/internal/controller/registered_test.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"encoding/json"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/orders"
+	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// fleetState returns a state with a pool, one machine and two model versions, of
+// which the machine has a ready replica of one.
+func fleetState(t *testing.T) *state.Machine {
+	t.Helper()
+	machine := state.New()
+	encode := func(value any) []byte {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return encoded
+	}
+	put := func(kind v1.Kind, name string, spec, status any) {
+		object := &wirepb.Object{Kind: string(kind), Name: name, Spec: encode(spec)}
+		if status != nil {
+			object.Status = encode(status)
+		}
+		data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{
+			Writes: []*wirepb.ObjectWrite{{Object: object}},
+		}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result := machine.Apply(data); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+			t.Fatal(result.GetMessage())
+		}
+	}
+	put(v1.KindPool, "pool", &v1.PoolSpec{Engine: &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2}}, nil)
+	for _, name := range []string{"red", "blue"} {
+		put(v1.KindModel, name, &v1.ModelSpec{}, nil)
+		put(v1.KindModelVersion, name+"@1", &v1.ModelVersionSpec{
+			Model: name, Checkpoint: name, WeightBytes: 60, Accelerators: 1, MaxConcurrent: 4, Pool: "pool",
+		}, nil)
+	}
+	put(v1.KindMachine, "m",
+		&v1.MachineSpec{Endpoint: "http://10.0.0.1:80", Zone: "z", Accelerators: 1, AcceleratorBytes: 100, Pool: "pool", Slots: 4},
+		&v1.MachineStatus{Phase: v1.MachineLive, Incarnation: registeredIncarnation})
+	put(v1.KindReplica, "record", &v1.ReplicaSpec{
+		Model: "red", Version: "red@1", Checkpoint: "red", Machine: "m", Incarnation: registeredIncarnation,
+		Accelerators: []int{0}, BytesPerAccelerator: 60, WeightBytes: 60, Phase: v1.ReplicaReady,
+	}, nil)
+	return machine
+}
+
+func knows(known orders.State) StateOf {
+	return func(string) (orders.State, bool) { return known, true }
+}
+
+// TestEarlyReportDoesNotUnload: a new leader asked an engine whose answer was
+// from before a load had been done. It took the model to be gone, freed its
+// room, and ordered another into it.
+func TestEarlyReportDoesNotUnload(t *testing.T) {
+	registered := ReadRegistered(fleetState(t))
+	tests := []struct {
+		name  string
+		known orders.State
+		phase string
+	}{
+		{"held", orders.State{Models: map[string][]string{"red": nil}}, placement.EngineReady},
+		{"not named yet", orders.State{Models: map[string][]string{}}, placement.EngineReady},
+		{"not named for long enough", orders.State{Models: map[string][]string{}, Settled: true}, ""},
+	}
+	for _, test := range tests {
+		phase := ""
+		for _, replica := range registered.Reports(knows(test.known))[0].GetReplicas() {
+			phase = replica.GetPhase()
+		}
+		if phase != test.phase {
+			t.Errorf("%s: the replica is reported as %q, not %q", test.name, phase, test.phase)
+		}
+	}
+}
+
+// TestAdoption: what an engine holds gets a record, room or not; what has one
+// gets no second; what nobody declared is left alone.
+func TestAdoption(t *testing.T) {
+	registered := ReadRegistered(fleetState(t))
+	writes := registered.Adopt(knows(orders.State{Models: map[string][]string{"red": nil, "blue": {"a1"}, "unknown": nil}}))
+	if len(writes) != 1 {
+		t.Fatalf("%d writes: %v", len(writes), writes)
+	}
+	spec, err := v1.DecodeSpec(v1.KindReplica, writes[0].GetObject().GetSpec())
+	if err != nil {
+		t.Fatal(err)
+	}
+	adopted, isReplica := spec.(*v1.ReplicaSpec)
+	if !isReplica || adopted.Checkpoint != "blue" || adopted.Phase != v1.ReplicaReady || !adopted.Adopted {
+		t.Errorf("adopted %+v", adopted)
+	}
+	if adapters := v1.ReplicaAdapters(writes[0].GetObject().GetStatus()); len(adapters) != 1 || adapters[0] != "a1" {
+		t.Errorf("adapters %v", adapters)
+	}
+	machine := fleetState(t)
+	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result := machine.Apply(data); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		t.Errorf("a fact is refused: %s", result.GetMessage())
+	}
+}
+
+// TestAdapterTasks tables where an adapter goes that requests wait for.
+func TestAdapterTasks(t *testing.T) {
+	waiting := []AdapterDemand{{Version: "red@1", Adapter: "a9", Waiting: 1}}
+	tests := []struct {
+		name  string
+		known orders.State
+		tasks []orders.AdapterTask
+	}{
+		{"room", orders.State{Models: map[string][]string{"red": {"a1"}}}, []orders.AdapterTask{{Model: "red", Adapter: "a9"}}},
+		{"held", orders.State{Models: map[string][]string{"red": {"a9"}}}, nil},
+		{"on its way", orders.State{Models: map[string][]string{"red": nil}, Coming: map[string][]string{"red": {"a9"}}}, nil},
+		{"full", orders.State{Models: map[string][]string{"red": {"a1", "a2"}}}, []orders.AdapterTask{{Model: "red", Adapter: "a1", Drop: true}}},
+		{
+			"full with what is on its way",
+			orders.State{Models: map[string][]string{"red": {"a2"}}, Coming: map[string][]string{"red": {"a3"}}},
+			[]orders.AdapterTask{{Model: "red", Adapter: "a2", Drop: true}},
+		},
+		{"not held", orders.State{Models: map[string][]string{}}, nil},
+	}
+	for _, test := range tests {
+		registered := ReadRegistered(fleetState(t))
+		tasks := registered.adapterTasks(knows(test.known), waiting)["m"]
+		if len(tasks) != len(test.tasks) || len(tasks) == 1 && tasks[0] != test.tasks[0] {
+			t.Errorf("%s: %v, wanted %v", test.name, tasks, test.tasks)
+		}
+	}
+}
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -128,8 +128,10 @@
 	// adapter are not believed about adapters.
 	trustAfter = 1500 * time.Millisecond
 	// missingReports is how many reports in a row must lack a model that was
-	// loaded before it is taken to be gone.
+	// loaded, over no less than missingFor, before it is taken to be gone: reports
+	// tell how things were some hundred ms ago, and may come late.
 	missingReports = 2
+	missingFor     = time.Second
 	// orderPatience is how long an accepted order may take before the engine's
 	// state is taken as the outcome.
 	orderPatience = 30 * time.Second
@@ -138,9 +140,13 @@
 // engine is what the core knows of one engine.
 type engine struct {
 	heard bool
+	// heardFirst is when the engine was first heard of in this term, reports
+	// how often it was since.
+	heardFirst time.Duration
+	reports    int
 	// models maps each model held to its adapters.
 	models  map[string]map[string]bool
-	missing map[string]int
+	missing map[string]absence
 	memory  []string
 	disk    []string
 
@@ -158,6 +164,12 @@
 	pauseUntil   time.Duration
 }
 
+// absence is how often and since when reports lack a model.
+type absence struct {
+	reports int
+	since   time.Duration
+}
+
 type underWay struct {
 	order Order
 	since time.Duration
@@ -181,7 +193,7 @@
 	held := c.engines[machine]
 	if held == nil {
 		held = &engine{
-			models: map[string]map[string]bool{}, missing: map[string]int{}, adapters: map[AdapterTask]time.Duration{},
+			models: map[string]map[string]bool{}, missing: map[string]absence{}, adapters: map[AdapterTask]time.Duration{},
 		}
 		c.engines[machine] = held
 	}
@@ -211,7 +223,10 @@
 		}
 		held.sequence, held.sequenceKnown = report.Sequence, true
 	}
-	held.heard = true
+	if !held.heard {
+		held.heard, held.heardFirst = true, now
+	}
+	held.reports++
 	held.memory, held.disk = report.Memory, report.Disk
 	held.takeModels(now, report)
 	held.finish(now, report)
@@ -236,8 +251,13 @@
 		if _, listed := report.Models[model]; listed {
 			continue
 		}
-		e.missing[model]++
-		if e.missing[model] >= missingReports {
+		absent, noted := e.missing[model]
+		if !noted {
+			absent.since = now
+		}
+		absent.reports++
+		e.missing[model] = absent
+		if absent.reports >= missingReports && now-absent.since >= missingFor {
 			delete(e.models, model)
 			delete(e.missing, model)
 		}
@@ -465,6 +485,9 @@
 	Coming map[string][]string
 	// Loading is the model that an accepted order is loading.
 	Loading string
+	// Settled is set once the engine has been heard of often and long enough in
+	// this term to believe that it does not hold what it does not name.
+	Settled bool
 	// Busy is set while an order for a model is under way.
 	Busy   bool
 	Memory []string
@@ -472,14 +495,15 @@
 }
 
 // State returns what is known of an engine; false if nothing is.
-func (c *Core) State(machine string) (State, bool) {
+func (c *Core) State(now time.Duration, machine string) (State, bool) {
 	held := c.engines[machine]
 	if held == nil || !held.heard {
 		return State{}, false
 	}
 	state := State{
 		Models: map[string][]string{}, Coming: map[string][]string{}, Memory: held.memory, Disk: held.disk,
-		Busy: held.sending || held.underWay != nil,
+		Settled: held.reports >= missingReports && now-held.heardFirst >= missingFor,
+		Busy:    held.sending || held.underWay != nil,
 	}
 	for model, adapters := range held.models {
 		names := make([]string, 0, len(adapters))
--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -40,7 +40,7 @@
 			case "report":
 				machine, report := readReport(t, d)
 				core.Take(now, machine, report)
-				return describe(core, machine)
+				return describe(now, core, machine)
 			case "want":
 				entry := readWanted(t, d)
 				wanted[entry.Machine] = entry
@@ -115,8 +115,8 @@
 	return entry
 }
 
-func describe(core *Core, machine string) string {
-	state, known := core.State(machine)
+func describe(now time.Duration, core *Core, machine string) string {
+	state, known := core.State(now, machine)
 	if !known {
 		return "nothing known"
 	}
