--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -119,6 +119,7 @@
 	config := raft.Config{
 		ID:                   options.ID,
 		ElectionTimeout:      control.ElectionTimeout,
+		ElectionSpread:       control.ElectionSpread,
 		HeartbeatInterval:    control.HeartbeatInterval,
 		LeaseMargin:          control.LeaseMargin,
 		MaxEntriesPerMessage: maxEntries,
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -91,7 +91,7 @@
 }
 
 func (n *Node) resetElectionDeadline() {
-	spread := n.config.Random(int64(n.config.ElectionTimeout))
+	spread := n.config.Random(int64(n.config.ElectionSpread))
 	n.electionDeadline = n.now + n.config.ElectionTimeout + time.Duration(spread)
 }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -32,6 +32,9 @@
 	ID uint64
 	// ElectionTimeout is how long a follower waits for a leader.
 	ElectionTimeout time.Duration
+	// ElectionSpread is by how much more, at random, it waits, so that two
+	// seldom stand at once; 0 stands for ElectionTimeout.
+	ElectionSpread time.Duration
 	// HeartbeatInterval is how often a leader sends heartbeats.
 	HeartbeatInterval time.Duration
 	// LeaseMargin is by how much the leader's lease ends before the
@@ -121,6 +124,9 @@
 	if config.LeaseMargin >= config.ElectionTimeout {
 		return nil, fault.InvalidField("leaseMargin", "must be shorter than the election timeout")
 	}
+	if config.ElectionSpread <= 0 {
+		config.ElectionSpread = config.ElectionTimeout
+	}
 	node := &Node{config: config, now: now, provider: provider, membership: stored.Membership}
 	if stored.Snapshot != nil {
 		node.membership = stored.Snapshot.GetMembership()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,6 +161,9 @@
 	Members []Member `yaml:"members"`
 	// ElectionTimeout is how long followers wait for a leader. Default 1s.
 	ElectionTimeout time.Duration `yaml:"electionTimeout"`
+	// ElectionSpread is by how much more, at random, they wait. Default the
+	// election timeout.
+	ElectionSpread time.Duration `yaml:"electionSpread"`
 	// HeartbeatInterval is how often the leader sends. Default 100ms.
 	HeartbeatInterval time.Duration `yaml:"heartbeatInterval"`
 	// LeaseMargin covers differences of clock rate. Default 100ms.
@@ -257,6 +260,7 @@
 func (s *Settings) setDefaults() {
 	setDefault(&s.LogLevel, "info")
 	setDefault(&s.Control.ElectionTimeout, time.Second)
+	setDefault(&s.Control.ElectionSpread, s.Control.ElectionTimeout)
 	setDefault(&s.Control.HeartbeatInterval, 100*time.Millisecond)
 	setDefault(&s.Control.LeaseMargin, 100*time.Millisecond)
 	setDefault(&s.Control.CompactEvery, 4096)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -183,6 +183,7 @@
 		low, high time.Duration
 	}{
 		{"control.electionTimeout", s.Control.ElectionTimeout, 50 * time.Millisecond, time.Minute},
+		{"control.electionSpread", s.Control.ElectionSpread, 10 * time.Millisecond, time.Minute},
 		{"control.heartbeatInterval", s.Control.HeartbeatInterval, 5 * time.Millisecond, 10 * time.Second},
 		{"control.replaceAfter", s.Control.ReplaceAfter, time.Second, 24 * time.Hour},
 		{"router.reportInterval", s.Router.ReportInterval, 10 * time.Millisecond, 10 * time.Second},
