Drop no adapter that is in use

An engine that is told to drop an adapter in use answers 202, waits for its runs, and refuses every other order meanwhile; the place that was asked for longest ago was often asked for a second ago, and the core went on ordering into 409s for several seconds.

Change: only an adapter that nobody has asked for in 2.5 s makes room, other machines are preferred to waiting; an accepted drop counts as an order under way until the engine no longer names the adapter. A line in the log for each request that is sent.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -17,8 +17,15 @@
 	OldestWait       time.Duration
 	// LastUsed is when a router last reported a request for it.
 	LastUsed time.Duration
+	// Now is when the demand was read.
+	Now time.Duration
 }
 
+// adapterIdle is for how long an adapter must not have been asked for before it
+// makes room: an engine that is to drop one in use waits for its runs, and
+// takes no other order meanwhile.
+const adapterIdle = 2500 * time.Millisecond
+
 // adapterUse remembers when adapters were last asked for.
 type adapterUse struct {
 	version, adapter string
@@ -30,7 +37,7 @@
 	defer t.mutex.Unlock()
 	total := map[adapterUse]*AdapterDemand{}
 	for use, last := range t.adapterUsed {
-		total[use] = &AdapterDemand{Version: use.version, Adapter: use.adapter, LastUsed: last}
+		total[use] = &AdapterDemand{Version: use.version, Adapter: use.adapter, LastUsed: last, Now: now}
 	}
 	for _, entry := range t.nodes {
 		if now-entry.received > NodeTimeout {
@@ -92,7 +99,7 @@
 		if entry.Waiting == 0 {
 			continue
 		}
-		chosen := chooseAdapterPlace(places, entry)
+		chosen := chooseAdapterPlace(places, entry, lastUsed)
 		if chosen == nil {
 			continue
 		}
@@ -150,7 +157,7 @@
 
 // chooseAdapterPlace returns the machine with the fewest adapters that holds
 // the version, or nil where one holds the adapter already.
-func chooseAdapterPlace(places []*adapterPlace, demand AdapterDemand) *adapterPlace {
+func chooseAdapterPlace(places []*adapterPlace, demand AdapterDemand, lastUsed map[adapterUse]time.Duration) *adapterPlace {
 	var best *adapterPlace
 	for _, place := range places {
 		holder, held := place.models[demand.Version]
@@ -160,6 +167,11 @@
 		if slices.Contains(holder.adapters, demand.Adapter) || slices.Contains(holder.coming, demand.Adapter) {
 			return nil
 		}
+		if place.held >= place.slots {
+			if _, idle := place.oldest(demand.Now, lastUsed); idle == "" {
+				continue
+			}
+		}
 		if best == nil || place.better(best) {
 			best = place
 		}
@@ -182,16 +194,15 @@
 		p.held++
 		return []orders.AdapterTask{load}
 	}
-	version, adapter := p.oldest(lastUsed)
-	if adapter == "" {
-		return nil
-	}
+	version, adapter := p.oldest(demand.Now, lastUsed)
 	// The place is free once the engine has dropped the other; the next pass
 	// loads.
 	return []orders.AdapterTask{{Model: p.models[version].model, Adapter: adapter, Drop: true}}
 }
 
-func (p *adapterPlace) oldest(lastUsed map[adapterUse]time.Duration) (version, adapter string) {
+// oldest returns the adapter that was asked for longest ago, if that is long
+// enough; no name if none may go.
+func (p *adapterPlace) oldest(now time.Duration, lastUsed map[adapterUse]time.Duration) (version, adapter string) {
 	first := true
 	var oldest time.Duration
 	versions := make([]string, 0, len(p.models))
@@ -201,7 +212,11 @@
 	sort.Strings(versions)
 	for _, name := range versions {
 		for _, candidate := range p.models[name].adapters {
-			if used := lastUsed[adapterUse{name, candidate}]; first || used < oldest {
+			used, known := lastUsed[adapterUse{name, candidate}]
+			if known && now-used < adapterIdle {
+				continue
+			}
+			if first || used < oldest {
 				first, oldest, version, adapter = false, used, name, candidate
 			}
 		}
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -117,7 +118,11 @@
 
 // TestAdapterTasks tables where an adapter goes that requests wait for.
 func TestAdapterTasks(t *testing.T) {
-	waiting := []AdapterDemand{{Version: "red@1", Adapter: "a9", Waiting: 1}}
+	now := time.Minute
+	waiting := []AdapterDemand{
+		{Version: "red@1", Adapter: "a9", Waiting: 1, LastUsed: now, Now: now},
+		{Version: "red@1", Adapter: "a7", LastUsed: now - time.Second, Now: now},
+	}
 	tests := []struct {
 		name  string
 		known orders.State
@@ -132,6 +137,8 @@
 			orders.State{Models: map[string][]string{"red": {"a2"}}, Coming: map[string][]string{"red": {"a3"}}},
 			[]orders.AdapterTask{{Model: "red", Adapter: "a2", Drop: true}},
 		},
+		{"full with one in use", orders.State{Models: map[string][]string{"red": {"a7", "a2"}}}, []orders.AdapterTask{{Model: "red", Adapter: "a2", Drop: true}}},
+		{"full with what is in use", orders.State{Models: map[string][]string{"red": {"a7"}}, Coming: map[string][]string{"red": {"a3"}}}, nil},
 		{"not held", orders.State{Models: map[string][]string{}}, nil},
 	}
 	for _, test := range tests {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -354,6 +354,7 @@
 	if j.sent == 0 {
 		j.ingress.countFirst(j.pool)
 	}
+	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", time.Until(j.deadline).Milliseconds())
 	tryCtx, cancel := j.tryContext(ctx)
 	defer cancel()
 	outgoing := j.outgoing(grant)
--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -16,6 +16,7 @@
 package orders
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -265,7 +266,7 @@
 }
 
 func (e *engine) isUnloading(model string) bool {
-	return e.underWay != nil && e.underWay.order.Operation == Unload && e.underWay.order.Model == model
+	return e.underWay != nil && e.underWay.order.Operation == Unload && e.underWay.order.Adapter == "" && e.underWay.order.Model == model
 }
 
 // finish ends the order under way where the report shows its outcome.
@@ -275,6 +276,12 @@
 	}
 	order := e.underWay.order
 	_, listed := report.Models[order.Model]
+	if order.Adapter != "" {
+		if !slices.Contains(report.Models[order.Model], order.Adapter) {
+			e.underWay = nil
+		}
+		return
+	}
 	idle := report.Polled && !report.Busy && report.Sequence >= e.underWay.sequence
 	switch {
 	case order.Operation == Load && listed:
@@ -450,7 +457,10 @@
 	}
 	e.adapterTouch = now
 	if order.Operation == Unload {
+		// It is in use: the engine waits for its runs, and takes nothing else.
 		delete(e.models[order.Model], order.Adapter)
+		e.underWay = &underWay{order: order, since: now, sequence: e.sequence}
+		e.pollDue = now + pollRetry
 		return
 	}
 	e.adapters[order.adapterTask()] = now + AdapterSettles
