Let routers tell of machines that they can't connect to

Cause: a crashed worker says nothing; its models were placed elsewhere only after 4 missed heartbeats (4.8 s), while routers had known since the first refused connection, and tried it three times each before they left it alone.

Change: a connection that does not come about ejects a target at once, and the router reports the machine; one that is reported and has missed a heartbeat is Lost after 1.25 intervals. Where all targets are ejected, the one whose ejection ends first is tried instead of letting the request wait.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -28,6 +28,9 @@
 	// machine may miss before it is taken to be lost, and gone.
 	lostAfterHeartbeats = 4
 	goneAfterHeartbeats = 25
+	// suspectAfterHeartbeats is the same for a machine that routers can't
+	// connect to: one that it should have sent has not come.
+	suspectAfterHeartbeats = 1.25
 	// forgetAfterHeartbeats is how long a record is kept of a machine that is
 	// gone, so that a late heartbeat can't bring it back.
 	forgetAfterHeartbeats = 100
@@ -136,11 +139,13 @@
 	registered := controller.ReadRegistered(machine)
 	interval := f.node.settings.Machines.HeartbeatInterval
 	return instances.Input{
-		Now: f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
+		Unreachable: f.node.reports.Unreachable(f.node.now()),
+		Now:         f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
 		Policy: instances.Policy{
-			LostAfter:   lostAfterHeartbeats * interval,
-			GoneAfter:   goneAfterHeartbeats * interval,
-			ForgetAfter: forgetAfterHeartbeats * interval,
+			LostAfter:    lostAfterHeartbeats * interval,
+			SuspectAfter: time.Duration(suspectAfterHeartbeats * float64(interval)),
+			GoneAfter:    goneAfterHeartbeats * interval,
+			ForgetAfter:  forgetAfterHeartbeats * interval,
 		},
 	}
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -70,7 +70,7 @@
 	t.nodes[report.GetNode()] = nodeEntry{report: report, received: now}
 	t.countArrivals(held, report)
 	t.noteAdapters(now, report)
-	urgent := held == nil || demandGrew(held, report)
+	urgent := held == nil || demandGrew(held, report) || len(report.GetUnreachable()) > len(held.GetUnreachable())
 	for _, machine := range report.GetMachines() {
 		urgent = t.takeMachine(machine, now) || urgent
 	}
@@ -164,6 +164,23 @@
 	return t.takeMachine(report, now)
 }
 
+// Unreachable counts, for each machine, the live routers that can't connect to
+// it.
+func (t *ReportTable) Unreachable(now time.Duration) map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := map[string]int{}
+	for _, entry := range t.nodes {
+		if now-entry.received > NodeTimeout {
+			continue
+		}
+		for _, machine := range entry.report.GetUnreachable() {
+			counts[machine]++
+		}
+	}
+	return counts
+}
+
 // ForgetMachines drops what an earlier term learned of machines.
 func (t *ReportTable) ForgetMachines() {
 	t.mutex.Lock()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -238,6 +239,8 @@
 	ResultNotRun
 	// ResultFailed: the engine failed or could not be reached.
 	ResultFailed
+	// ResultUnreachable: no connection came about.
+	ResultUnreachable
 )
 
 // Release ends a grant and gives the room to whoever waits.
@@ -266,6 +269,19 @@
 	}
 }
 
+// Unreachable returns the machines that no connection came about to lately, by
+// name.
+func (c *Core) Unreachable(now time.Time) []string {
+	var names []string
+	for _, held := range c.targets {
+		if now.Before(held.health.unreachableUntil) && !slices.Contains(names, held.Machine) {
+			names = append(names, held.Machine)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Loads returns the requests in flight by machine.
 func (c *Core) Loads() map[string]int {
 	return maps.Clone(c.onMachine)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -28,7 +28,25 @@
 	if chosen := c.pickFrom(now, version, request, false); chosen != nil {
 		return chosen
 	}
-	return c.pickFrom(now, version, request, true)
+	if chosen := c.pickFrom(now, version, request, true); chosen != nil || !c.config.ByWork {
+		return chosen
+	}
+	return c.pickEjected(version, request)
+}
+
+// pickEjected returns the target whose ejection ends first, where all that could
+// take the request are ejected: trying it is better than waiting.
+func (c *Core) pickEjected(version *versionState, request *Request) *target {
+	var best *target
+	for _, candidate := range version.targets {
+		if !c.fits(candidate, request) {
+			continue
+		}
+		if best == nil || candidate.health.until.Before(best.health.until) {
+			best = candidate
+		}
+	}
+	return best
 }
 
 // pickFrom picks among the targets that are suspect, or among those that are
@@ -88,10 +106,7 @@
 }
 
 func (c *Core) usable(now time.Time, candidate *target, request *Request, version *versionState) bool {
-	if candidate.retired || !c.hasSlot(candidate) || slices.Contains(request.Tried, candidate.Machine) {
-		return false
-	}
-	if c.config.PlacedAdapters && request.Adapter != "" && !slices.Contains(candidate.Adapters, request.Adapter) {
+	if !c.fits(candidate, request) {
 		return false
 	}
 	if len(version.targets) > 1 && candidate.Replica == request.Avoid {
@@ -101,6 +116,14 @@
 	return len(version.targets) == 1 || !candidate.health.ejected(now)
 }
 
+// fits reports whether a target could take a request, its health apart.
+func (c *Core) fits(candidate *target, request *Request) bool {
+	if candidate.retired || !c.hasSlot(candidate) || slices.Contains(request.Tried, candidate.Machine) {
+		return false
+	}
+	return !c.config.PlacedAdapters || request.Adapter == "" || slices.Contains(candidate.Adapters, request.Adapter)
+}
+
 // hasSlot reports whether a request would probably run at once. Where others
 // fill the replica by the lagged reports, a router still gets its equal share
 // of the slots, up to twice as many requests as there are slots in all:
@@ -170,21 +193,29 @@
 	ejectAfter = 3
 	ejectFor   = 500 * time.Millisecond
 	ejectMax   = 10 * time.Second
+	// unreachableFor is how long a failed connection counts as news.
+	unreachableFor = 2 * time.Second
 )
 
 // health tracks the failures of a target.
 type health struct {
 	failures int
 	until    time.Time
+	// unreachableUntil is until when the target is reported as unreachable.
+	unreachableUntil time.Time
 }
 
 func (h *health) observe(now time.Time, result Result) {
-	if result != ResultFailed {
-		h.failures = 0
-		h.until = time.Time{}
+	if result != ResultFailed && result != ResultUnreachable {
+		*h = health{}
 		return
 	}
 	h.failures++
+	if result == ResultUnreachable {
+		// Nothing is gained by trying a machine that is down three times.
+		h.failures = max(h.failures, ejectAfter)
+		h.unreachableUntil = now.Add(unreachableFor)
+	}
 	if h.failures < ejectAfter {
 		return
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,13 @@
 	d.core.Started(*grant)
 }
 
+// Unreachable returns the machines that no connection came about to lately.
+func (d *Dispatcher) Unreachable(now time.Time) []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Unreachable(now)
+}
+
 // Work returns the outstanding work by machine.
 func (d *Dispatcher) Work() map[string]float64 {
 	d.mutex.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -182,6 +182,11 @@
 	return messages
 }
 
+// Unreachable returns the machines that this node can't connect to at present.
+func (i *Ingress) Unreachable(now time.Time) []string {
+	return i.dispatcher.Unreachable(now)
+}
+
 func (i *Ingress) routers() int {
 	if routers := i.options.View.Digest().GetRouters(); routers > 0 {
 		return int(routers)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -187,6 +187,7 @@
 		}
 		if end == endNotConnected {
 			failures++
+			j.ingress.options.Nudge()
 		}
 		if !j.mayTryAgain(ctx, end, failures) {
 			j.giveUp(ctx, end)
@@ -256,6 +257,8 @@
 		return dispatch.ResultOK
 	case endNotRun:
 		return dispatch.ResultNotRun
+	case endNotConnected:
+		return dispatch.ResultUnreachable
 	}
 	return dispatch.ResultFailed
 }
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -84,6 +84,9 @@
 type Policy struct {
 	// LostAfter is after how much silence a machine is Lost.
 	LostAfter time.Duration
+	// SuspectAfter is after how much silence it is Lost if routers can't
+	// connect to it either.
+	SuspectAfter time.Duration
 	// GoneAfter is after how much silence it is Gone.
 	GoneAfter time.Duration
 	// ForgetAfter is for how long the record of one that is gone is kept, so
@@ -105,7 +108,9 @@
 	Since    time.Duration
 	Declared map[string]Declared
 	Pools    map[string]*v1.PoolSpec
-	Policy   Policy
+	// Unreachable counts the routers that can't connect to a machine.
+	Unreachable map[string]int
+	Policy      Policy
 }
 
 // Reconcile returns the commands that bring the records in step, by name.
@@ -183,6 +188,10 @@
 		silentSince = max(silentSince, entry.Received)
 	}
 	silent := input.Now - silentSince
+	lostAfter := input.Policy.LostAfter
+	if input.Unreachable[name] > 0 {
+		lostAfter = min(lostAfter, input.Policy.SuspectAfter)
+	}
 	switch {
 	case successors[declared.Spec.Endpoint] != name:
 		return transition(name, v1.MachineGone, "another machine has its address")
@@ -192,9 +201,9 @@
 		return nil
 	case heard && entry.Report.GetLeaving():
 		return transition(name, v1.MachineLeaving, "said so")
-	case silent > input.Policy.LostAfter && phase != v1.MachineLost:
+	case silent > lostAfter && phase != v1.MachineLost:
 		return transition(name, v1.MachineLost, "silent")
-	case silent <= input.Policy.LostAfter && heard && phase == v1.MachineLost:
+	case silent <= lostAfter && heard && phase == v1.MachineLost:
 		return transition(name, v1.MachineLive, "heard again")
 	}
 	return nil
--- a/internal/instances/table_test.go
+++ b/internal/instances/table_test.go
@@ -18,6 +18,7 @@
 //
 //	at s=N
 //	beat machine=m endpoint=E sequence=N [leaving] [pool=P]
+//	unreachable: the machines that a router can't connect to
 //	leader: a new leader begins now
 //	reconcile: prints the commands and carries them out
 func TestReconcile(t *testing.T) {
@@ -27,7 +28,7 @@
 		revision := uint64(0)
 		input := Input{
 			Declared: declared, Pools: map[string]*v1.PoolSpec{"pool": {}},
-			Policy: Policy{LostAfter: 4 * time.Second, GoneAfter: 20 * time.Second, ForgetAfter: 60 * time.Second},
+			Policy: Policy{LostAfter: 4 * time.Second, SuspectAfter: 1500 * time.Millisecond, GoneAfter: 20 * time.Second, ForgetAfter: 60 * time.Second},
 		}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
@@ -36,6 +37,12 @@
 				d.ScanArgs(t, "s", &seconds)
 				input.Now = time.Duration(seconds) * time.Second
 				return ""
+			case "unreachable":
+				input.Unreachable = map[string]int{}
+				for _, name := range strings.Fields(d.Input) {
+					input.Unreachable[name]++
+				}
+				return ""
 			case "leader":
 				input.Since = input.Now
 				return ""
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -133,6 +133,7 @@
 		Node: r.node.settings.Node, Zone: r.node.settings.Zone,
 		Incarnation: r.node.incarnation, Sequence: r.sequence, Router: true, Draining: !r.ingress.Ready(),
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
-		Demand: r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
+		Unreachable: r.ingress.Unreachable(now),
+		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
 	}
 }
