Write logs on standard output, bounded and beside the work

Change: internal/logging: JSON lines through a buffer of fixed size to a goroutine of their own; what does not fit is dropped and counted, an event beyond 100 lines a second is left out and counted, failures excepted; both in lines of their own and as counters. The programs share one main; SIGHUP reads the settings again in both.

--- a/cmd/weldline/main.go
+++ b/cmd/weldline/main.go
@@ -2,11 +2,8 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -72,18 +69,7 @@
 type versionCommand struct{}
 
 func (c *serveCommand) Run() error {
-	configuration, err := settings.Load(c.Config)
-	if err != nil {
-		return err
-	}
-	logger := node.NewLogger(configuration)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	process, err := node.New(configuration, logger, node.Extensions{})
-	if err != nil {
-		return err
-	}
-	return process.Run(ctx)
+	return node.RunUntilStopped(func() (*settings.Settings, error) { return settings.Load(c.Config) }, node.Extensions{})
 }
 
 func (c *checkCommand) Run() error {
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -7,8 +7,10 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/logging"
 	"github.com/weldline/weldline/internal/settings"
 )
 
@@ -29,30 +31,36 @@
 	return exitFailure
 }
 
-// NewLogger returns the logger of a node: JSON lines on standard error.
-func NewLogger(configuration *settings.Settings) *slog.Logger {
+// logPatience is how long a stopping process waits for its last lines.
+const logPatience = 200 * time.Millisecond
+
+// NewLog returns the log of a node: JSON lines on standard output.
+func NewLog(configuration *settings.Settings) *logging.Log {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(configuration.LogLevel)) // Validated with the settings.
-	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	return slog.New(handler).With("node", configuration.Node)
+	return logging.New(os.Stdout, level)
 }
 
 // Main runs a node by the settings that load returns, until it is told to stop,
 // and returns the exit code. SIGHUP makes it read the settings again.
 func Main(load func() (*settings.Settings, error), extensions Extensions) int {
-	err := runMain(load, extensions)
+	err := RunUntilStopped(load, extensions)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldline: "+fault.Describe(err))
 	}
 	return ExitCode(err)
 }
 
-func runMain(load func() (*settings.Settings, error), extensions Extensions) error {
+// RunUntilStopped runs a node by the settings that load returns, until it is
+// told to stop.
+func RunUntilStopped(load func() (*settings.Settings, error), extensions Extensions) error {
 	configuration, err := load()
 	if err != nil {
 		return err
 	}
-	logger := NewLogger(configuration)
+	log := NewLog(configuration)
+	defer log.Close(logPatience)
+	logger := log.With("node", configuration.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	hangups := make(chan os.Signal, 1)
@@ -61,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	process.Register(log)
 	go process.followSettings(ctx, hangups, load)
 	return process.Run(ctx)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,11 @@
 	return created, nil
 }
 
+// Register adds metrics to those of the node.
+func (n *Node) Register(collector prometheus.Collector) {
+	n.registry.MustRegister(collector)
+}
+
 // openDataDir opens the data folder; where the nodes find each other by
 // formation, it gives an empty one an identity.
 func (n *Node) openDataDir() (*datadir.Dir, datadir.Identity, error) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -38,7 +38,7 @@
   local name=$1
   shift
   command_of[$name]="$*"
-  "$@" 2>>"$run/$name.log" &
+  "$@" >>"$run/$name.log" 2>&1 &
   processes+=($!)
   process_of[$name]=$!
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,7 +35,7 @@
 }
 
 start_node() { # number
-  "$bin/weldline" serve --config "$run/node-$1.yaml" 2>>"$run/node-$1.log" &
+  "$bin/weldline" serve --config "$run/node-$1.yaml" >>"$run/node-$1.log" 2>&1 &
   processes[node-$1]=$!
 }
 
