Make room where the fewest loads are ahead

Change: loads in progress and those for which room is being made count into the time that a load takes on a registered machine.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-		takes := p.loadTime(entry.version, tier) + evictionTakes
+		takes := p.takesOn(entry, candidate, tier) + evictionTakes
 		if takes >= bestTime {
 			continue
 		}
@@ -58,6 +58,26 @@
 	return true
 }
 
+// takesOn is how long a load takes on a machine. One that registered carries out
+// one order at a time, so what is on its way there comes first.
+func (p *pass) takesOn(entry want, candidate *room, tier Tier) time.Duration {
+	takes := p.loadTime(entry.version, tier)
+	if candidate.machine.Pool == "" {
+		return takes
+	}
+	return takes * time.Duration(1+candidate.loading+candidate.expected)
+}
+
+// expect counts the room that is still being made on each machine.
+func (p *pass) expect() {
+	for name, made := range p.planner.evicting {
+		target := p.machines[made.machine]
+		if target != nil && p.input.Now.Before(made.until) && !target.hasReplica(name) {
+			target.expected++
+		}
+	}
+}
+
 // awaitsRoom reports whether room made for a version is still on its way.
 func (p *pass) awaitsRoom(entry want) bool {
 	made, waiting := p.planner.evicting[entry.version.Name]
@@ -76,6 +96,7 @@
 	for _, victim := range victims {
 		p.unload(victim, "evicted")
 	}
+	p.machines[machine].expected++
 	p.planner.evicting[entry.version.Name] = madeRoom{machine: machine, until: p.input.Now.Add(evictionPatience)}
 	p.estimate(entry, takes)
 }
@@ -125,7 +146,7 @@
 			continue
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-		cost += p.loadTime(entry.version, tier).Seconds() * entry.version.ColdStartWeight
+		cost += p.takesOn(entry, candidate, tier).Seconds() * entry.version.ColdStartWeight
 		cost += p.crowding(candidate, entry)
 		if best == nil || cost < bestCost {
 			machine, best, bestCost = name, victims, cost
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -18,6 +18,8 @@
 	holds []int
 	// loading counts loads in progress: they share the machine's links.
 	loading int
+	// expected counts loads for which room is being made.
+	expected int
 }
 
 func newRoom(machine *Machine) *room {
@@ -91,6 +93,7 @@
 func (p *pass) place() {
 	p.planner.store.limit(p.input.StoreLoadsPerSecond, p.input.StoreConcurrentLoads)
 	p.planner.store.refill(p.input.Now)
+	p.expect()
 	remote := p.remoteLoads()
 	names := p.acceptingMachines()
 	queued := 0
