Explain a request from the logs: weldctl explain

It reads the logs of any nodes, takes the lines with the request's id, and around them those about its model, adapter and machines and about leaders, members and configurations, in order of time; the cause comes first. Tests on real lines: one refused for want of a loaded adapter, one whose machine ended.

--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -38,6 +38,7 @@
 	Delete  deleteCommand  `cmd:"" help:"Delete a resource."`
 	Drain   drainCommand   `cmd:"" help:"Empty a machine, or let it work again."`
 	Status  statusCommand  `cmd:"" help:"Show the cluster: leader, nodes and the version in force on each."`
+	Explain explainCommand `cmd:"" help:"Tell what happened to a request, and why, from logs."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,67 @@
+package explain
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+func readLog(t *testing.T, name string) []Line {
+	t.Helper()
+	file, err := os.Open("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// TestStories are of real requests: one refused since its model was not loaded
+// in time, one whose machine ended in the middle of the answer. The second log
+// has something before each line.
+func TestStories(t *testing.T) {
+	tests := []struct {
+		log, id string
+		cause   []string
+	}{
+		{"refused.log", "563295633b4350fd", []string{"refused with 503 after 1687 ms", "adapter a4 of model yezi9fa15", "load yezi9fa15/a4 at +1.8 s accepted", "leader changed to core-hall-b-1"}},
+		{"broken.log", "26f743f49b8cf566", []string{"machine i-9fa8c2ed6f ended in the middle of the answer", "silent"}},
+	}
+	for _, test := range tests {
+		story, err := Request(test.id, readLog(t, test.log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range test.cause {
+			if !strings.Contains(story.Cause, part) {
+				t.Errorf("%s: %q does not say %q", test.id, story.Cause, part)
+			}
+		}
+		for position := range story.Lines[1:] {
+			if story.Lines[position+1].Time.Before(story.Lines[position].Time) {
+				t.Errorf("%s: lines are out of order", test.id)
+			}
+		}
+		var out strings.Builder
+		if err := story.Write(&out); err != nil || !strings.Contains(out.String(), "* ") {
+			t.Errorf("%s: %v %q", test.id, err, out.String())
+		}
+	}
+}
+
+// TestUnknownRequest, and lines that are none.
+func TestUnknownRequest(t *testing.T) {
+	lines, err := Read(strings.NewReader("no line\n{\"half\n{\"msg\":\"x\"}\n\n"))
+	if err != nil || len(lines) != 0 {
+		t.Errorf("%v %v", lines, err)
+	}
+	if _, err := Request("id", lines); !fault.Is(err, fault.NotFound) {
+		t.Errorf("%v", err)
+	}
+}
