Report adapters in use, and keep room for what it was made for

Change: a router reports the adapters of requests in flight; room on a registered machine is kept for the versions that it was made for.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -54,8 +54,10 @@
 	target   time.Duration
 	// adapterArrivals counts the requests for each adapter.
 	adapterArrivals map[string]uint64
-	running         int
-	estimate        *Estimate
+	// adapterRunning counts the requests in flight for each adapter.
+	adapterRunning map[string]int
+	running        int
+	estimate       *Estimate
 	// turn counts the grants, for round robin.
 	turn int
 }
@@ -110,6 +112,20 @@
 	v.adapterArrivals[adapter]++
 }
 
+// runAdapter counts a request in flight for an adapter, if it is for one.
+func (v *versionState) runAdapter(adapter string, change int) {
+	if adapter == "" {
+		return
+	}
+	if v.adapterRunning == nil {
+		v.adapterRunning = map[string]int{}
+	}
+	v.adapterRunning[adapter] += change
+	if v.adapterRunning[adapter] <= 0 {
+		delete(v.adapterRunning, adapter)
+	}
+}
+
 // Resubmit asks again for a request whose replica turned out not to run it.
 func (c *Core) Resubmit(now time.Time, request *Request) Outcome {
 	return c.enqueue(now, c.version(request.Version), request)
@@ -144,6 +160,7 @@
 		c.onMachine[chosen.Machine]++
 		c.addWork(chosen.Machine, request)
 		version.running++
+		version.runAdapter(request.Adapter, 1)
 		chosen.remember(now, request)
 		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
 	}
@@ -248,6 +265,7 @@
 	var outcome Outcome
 	version := c.version(grant.Target.Version)
 	version.running--
+	version.runAdapter(grant.Request.Adapter, -1)
 	c.leaveMachine(grant.Target.Machine)
 	c.finishWork(grant.Target.Machine, grant.Request, 0)
 	held := c.targets[grant.Target.Replica]
@@ -437,7 +455,9 @@
 func (v *versionState) adapterDemand(now time.Time, name string) []Demand {
 	byAdapter := map[string]*Demand{}
 	for adapter, arrivals := range v.adapterArrivals {
-		byAdapter[adapter] = &Demand{Version: name, Adapter: adapter, Arrivals: arrivals}
+		byAdapter[adapter] = &Demand{
+			Version: name, Adapter: adapter, Arrivals: arrivals, Running: v.adapterRunning[adapter],
+		}
 	}
 	for _, entry := range v.queue.waiting {
 		demand := byAdapter[entry.request.Adapter]
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -74,10 +75,17 @@
 		target := p.machines[made.machine]
 		if target != nil && p.input.Now.Before(made.until) && !target.hasReplica(name) {
 			target.expected++
+			target.promised = append(target.promised, name)
 		}
 	}
 }
 
+// isPromisedToOthers reports whether room on a registered machine was made for
+// other versions only: what another takes would have to be made again.
+func (r *room) isPromisedToOthers(version *Version) bool {
+	return version.Spec.Pool != "" && len(r.promised) > 0 && !slices.Contains(r.promised, version.Name)
+}
+
 // awaitsRoom reports whether room made for a version is still on its way.
 func (p *pass) awaitsRoom(entry want) bool {
 	made, waiting := p.planner.evicting[entry.version.Name]
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -20,6 +20,8 @@
 	loading int
 	// expected counts loads for which room is being made.
 	expected int
+	// promised are the versions that room was made for and that are not there.
+	promised []string
 }
 
 func newRoom(machine *Machine) *room {
@@ -164,6 +166,9 @@
 		if !candidate.serves(entry.version) || entry.version.Spec.Pool != "" && candidate.hasReplica(entry.version.Name) {
 			continue
 		}
+		if candidate.isPromisedToOthers(entry.version) {
+			continue
+		}
 		readyIn := p.readyIn(entry, candidate)
 		if best != nil && readyIn > bestScore.readyIn {
 			continue
--- /dev/null
+++ b/internal/placement/spread_test.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/keepalive"
+)
+
+// poolInput has registered machines that hold two models each, and as many
+// versions as fill them.
+func poolInput(machines int) *Input {
+	input := &Input{
+		Now: time.Unix(1000, 0), Versions: map[string]*Version{}, Machines: map[string]*Machine{}, Demand: map[string]*Demand{},
+	}
+	for position := range machines {
+		name := "m" + strconv.Itoa(position)
+		input.Machines[name] = &Machine{
+			Name: name, Accelerators: 1, AcceleratorBytes: 100, Incarnation: 1, Accepts: true, Pool: "pool", Tiers: map[string]Tier{},
+		}
+		for place := range 2 {
+			version := "v" + strconv.Itoa(2*position+place)
+			poolVersion(input, version)
+			poolReplica(input, version, name)
+		}
+	}
+	return input
+}
+
+func poolVersion(input *Input, name string) {
+	input.Versions[name] = &Version{
+		Name: name, MaxReplicas: 100, ColdStartWeight: 30,
+		Spec: &v1.ModelVersionSpec{
+			Model: name, Checkpoint: name, Accelerators: 1, WeightBytes: 50, MaxConcurrent: 64, Pool: "pool",
+			LoadTime: v1.Duration(2 * time.Second), DiskLoadTime: v1.Duration(time.Second), MemoryLoadTime: v1.Duration(500 * time.Millisecond),
+		},
+	}
+}
+
+func poolReplica(input *Input, version, machine string) {
+	input.Replicas = append(input.Replicas, &Replica{
+		Name: version + "." + machine, Observed: true, EnginePhase: EngineReady,
+		Spec: &v1.ReplicaSpec{
+			Model: version, Version: version, Checkpoint: version, Machine: machine, Incarnation: 1, Accelerators: []int{0},
+			BytesPerAccelerator: 50, WeightBytes: 50, Phase: v1.ReplicaReady,
+		},
+	})
+}
+
+func newPoolPlanner() *Planner {
+	return NewPlanner(Config{
+		Speeds: DefaultTierSpeeds, StoreLoadsPerSecond: 100, StoreConcurrentLoads: 100, KeepAlive: keepalive.New("resident"),
+	})
+}
+
+// ask adds work that requests mean, in tokens, over a span.
+func ask(input *Input, span time.Duration, work map[string]uint64) {
+	input.Now = input.Now.Add(span)
+	for version, tokens := range work {
+		demand := input.Demand[version]
+		if demand == nil {
+			demand = &Demand{}
+			input.Demand[version] = demand
+		}
+		demand.Arrivals++
+		demand.Work += tokens
+	}
+}
+
+// carryOut changes the replicas as a decision says, at once.
+func carryOut(input *Input, decision Decision) {
+	for _, action := range decision.Actions {
+		switch action.Kind {
+		case ActionLoad:
+			poolReplica(input, action.Spec.Version, action.Spec.Machine)
+		case ActionUnload, ActionRemove:
+			for position, replica := range input.Replicas {
+				if replica == action.Replica {
+					input.Replicas = append(input.Replicas[:position], input.Replicas[position+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+func replicasOf(input *Input, version string) int {
+	count := 0
+	for _, replica := range input.Replicas {
+		if replica.Spec.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// TestReplicasFollowWork: a version that most of the work is for gets several
+// machines before its slots are full, one that is hardly asked for keeps one, and
+// when the work moves on, so do the replicas.
+func TestReplicasFollowWork(t *testing.T) {
+	input := poolInput(9)
+	planner := newPoolPlanner()
+	planner.Decide(input)
+	follow := func(hot string) {
+		for range 100 {
+			ask(input, 100*time.Millisecond, map[string]uint64{hot: 3000, "v2": 100, "v3": 300})
+			carryOut(input, planner.Decide(input))
+		}
+	}
+	follow("v0")
+	if count := replicasOf(input, "v0"); count < 3 || count > 9 {
+		t.Errorf("v0, with nine tenths of the work, has %d replicas", count)
+	}
+	if replicasOf(input, "v2") != 1 || replicasOf(input, "v3") != 1 {
+		t.Errorf("v2 and v3, with little work, have %d and %d replicas", replicasOf(input, "v2"), replicasOf(input, "v3"))
+	}
+	follow("v17")
+	if count := replicasOf(input, "v17"); count < 3 {
+		t.Errorf("v17, which most of the work is for now, has %d replicas", count)
+	}
+	for name := range input.Machines {
+		held := map[string]bool{}
+		for _, replica := range input.Replicas {
+			if replica.Spec.Machine == name && held[replica.Spec.Version] {
+				t.Errorf("%s is on machine %s twice", replica.Spec.Version, name)
+			}
+			held[replica.Spec.Version] = held[replica.Spec.Version] || replica.Spec.Machine == name
+		}
+	}
+}
+
+// TestRoomIsKeptForWhatItWasMadeFor: the room that an eviction made for one
+// version went to another, often to the one that had just been evicted.
+func TestRoomIsKeptForWhatItWasMadeFor(t *testing.T) {
+	input := poolInput(1)
+	poolVersion(input, "wanted")
+	poolVersion(input, "other")
+	planner := newPoolPlanner()
+	input.Demand["wanted"] = &Demand{Waiting: 1, Arrivals: 1, OldestWait: time.Second}
+	first := planner.Decide(input)
+	if len(first.Actions) != 1 || first.Actions[0].Kind != ActionUnload {
+		t.Fatalf("%v", describe(first))
+	}
+	carryOut(input, first)
+	// Another that is more urgent comes up in between.
+	input.Demand["other"] = &Demand{Waiting: 1, Arrivals: 1, OldestWait: time.Minute, Priority: 5}
+	input.Now = input.Now.Add(100 * time.Millisecond)
+	for _, action := range planner.Decide(input).Actions {
+		if action.Kind == ActionLoad && action.Spec.Version != "wanted" {
+			t.Errorf("%s got the room that was made for wanted", action.Spec.Version)
+		}
+	}
+}
+
+// TestRegisteredMachinesAreLeftAlone: what a silent or leaving machine holds is
+// not unloaded: it may still serve, and takes its models with it.
+func TestRegisteredMachinesAreLeftAlone(t *testing.T) {
+	input := poolInput(2)
+	planner := newPoolPlanner()
+	planner.Decide(input)
+	input.Machines["m0"].Accepts, input.Machines["m0"].Lost = false, true
+	input.Machines["m1"].Accepts = false
+	input.Now = input.Now.Add(time.Minute)
+	if decision := planner.Decide(input); len(decision.Actions) != 0 {
+		t.Errorf("%v", describe(decision))
+	}
+}
