--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -26,24 +26,26 @@
 	client  *feed.Client
 	ingress *ingress.Ingress
 	server  *ingress.Server
-	nudges  chan struct{}
+	reports *reporter
 
 	sequence uint64
 	demand   *nodeview.DemandNews
 }
 
 func newIngressRole(node *Node) *ingressRole {
-	created := &ingressRole{node: node, view: nodeview.New(), nudges: make(chan struct{}, 1), demand: nodeview.NewDemandNews()}
+	created := &ingressRole{node: node, view: nodeview.New(), demand: nodeview.NewDemandNews()}
 	settings := node.settings
+	created.reports = newReporter(settings.Ingress.ReportInterval, created.nodeReport)
 	created.client = feed.NewClient(settings.Formation.Addresses(), node.identity(), created.view, node.logger)
 	created.client.Discover(created.controlAddresses)
+	created.reports.client = created.client
 	created.ingress = ingress.New(ingress.Options{
 		View: created.view, Logger: node.logger, Metrics: ingress.NewMetrics(node.registry),
 		Translator: node.extensions.Translator, MaxWaiting: settings.Ingress.MaxWaiting,
 		Budget: retrybudget.Config{
 			Ratio: settings.Ingress.RetryRatio, Slack: settings.Ingress.RetrySlack, Window: settings.Ingress.RetryWindow,
 		},
-		Nudge: created.nudge,
+		Nudge: created.reports.nudge,
 	})
 	created.server = ingress.NewServer(created.ingress, created.view, node.logger)
 	return created
@@ -58,7 +60,7 @@
 	r.node.workers.Go(func() { r.client.Run(ctx) })
 	r.node.workers.Go(func() { r.client.ConfirmUntilCurrent(ctx, r.view) })
 	r.node.workers.Go(func() { r.ingress.Run(ctx) })
-	r.node.workers.Go(func() { r.report(ctx) })
+	r.node.workers.Go(func() { r.reports.run(ctx) })
 	ready := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		if r.ingress.Ready() {
 			writer.WriteHeader(http.StatusOK)
@@ -98,35 +100,6 @@
 	}
 }
 
-func (r *ingressRole) nudge() {
-	select {
-	case r.nudges <- struct{}{}:
-	default:
-	}
-}
-
-// report sends demand and loads upwards, regularly and when requests wait.
-func (r *ingressRole) report(ctx context.Context) {
-	ticker := time.NewTicker(r.node.settings.Ingress.ReportInterval)
-	defer ticker.Stop()
-	for {
-		connected := r.client.Connected()
-		_ = r.client.Send(&wirepb.Envelope{Body: &wirepb.Envelope_NodeReport{NodeReport: r.nodeReport(time.Now())}})
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(minimumReportGap):
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-r.nudges:
-		case <-connected:
-		}
-	}
-}
-
 func (r *ingressRole) nodeReport(now time.Time) *wirepb.NodeReport {
 	r.sequence++
 	return &wirepb.NodeReport{
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -74,20 +75,32 @@
 	return process.Run(ctx)
 }
 
-// followSettings takes over new seeds when the settings are read again. What
-// else has changed takes effect with the next start.
+// settingsInterval is how often the settings are read without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings takes over new seeds when the settings have changed, which may
+// come with SIGHUP or without. What else has changed takes effect with the next
+// start.
 func (n *Node) followSettings(ctx context.Context, hangups <-chan os.Signal, load func() (*settings.Settings, error)) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
 		case <-hangups:
+			asked = true
 		}
 		configuration, err := load()
 		if err != nil {
 			n.logger.Warn("settings_not_reloaded", "field", fault.FieldOf(err), "error", fault.Message(err))
 			continue
 		}
+		if !asked && slices.Equal(configuration.Formation.Seeds, n.seeds.Load().Seeds) {
+			continue
+		}
 		n.seeds.Store(&configuration.Formation)
 		n.logger.Info("settings_reloaded", "seeds", configuration.Formation.Seeds)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,9 +114,6 @@
 	// OrderLease is for how long after a change of leader no orders are given
 	// to machines. Default 3s.
 	OrderLease time.Duration `yaml:"orderLease"`
-	// StoreWindow is the span in which the weight store counts loads.
-	// Default 5s.
-	StoreWindow time.Duration `yaml:"storeWindow"`
 }
 
 // TLSSettings secure connections. Changed files are read again while the node
@@ -283,7 +280,6 @@
 	setDefault(&s.Ingress.RetryWindow, 10*time.Second)
 	setDefault(&s.Machines.HeartbeatInterval, time.Second)
 	setDefault(&s.Machines.OrderLease, 3*time.Second)
-	setDefault(&s.Machines.StoreWindow, 5*time.Second)
 	setDefault(&s.Policy.Name, "adaptive")
 	setDefault(&s.Policy.MachineTimeout, 3*time.Second)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -38,9 +38,8 @@
 type Pool struct {
 	config Config
 
-	mutex  sync.Mutex
-	idle   map[string][]*conn
-	dialed uint64
+	mutex sync.Mutex
+	idle  map[string][]*conn
 }
 
 // conn is one connection to a machine.
@@ -78,9 +77,6 @@
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
-	p.mutex.Lock()
-	p.dialed++
-	p.mutex.Unlock()
 	return &conn{machine: machine, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
@@ -136,10 +132,3 @@
 		}
 	}
 }
-
-// Dialed returns how many connections were made.
-func (p *Pool) Dialed() uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.dialed
-}
