Test that a caller who leaves stops the machine, and what waits for it

The rule had no test of its own: its machine must see the end of the connection, and a request whose caller left while it waited must go to no machine later. Both held; clean under the race detector.

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -175,6 +175,17 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
 }
 
+// askAndLeave sends a request and returns a function by which its caller leaves.
+func (d *deployment) askAndLeave(path, id string) (leave func()) {
+	d.t.Helper()
+	connection, err := net.Dial("tcp", d.server.Listener.Addr().String())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	write(connection, "POST "+path+" HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": "+id+"\r\nContent-Length: 1\r\n\r\nx")
+	return func() { _ = connection.Close() }
+}
+
 // rawMachine is a machine that answers each request on a connection with what
 // the script says, byte for byte.
 type rawMachine struct {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -339,3 +339,43 @@
 		t.Errorf("the one that waited got %d %q", got.status, got.body)
 	}
 }
+
+// TestCallerWhoLeaves: a machine is told at once, by the end of its connection,
+// and a request that waits for a place goes to none any more.
+func TestCallerWhoLeaves(t *testing.T) {
+	reached, ended := make(chan struct{}, 1), make(chan struct{})
+	machine := newRawMachine(t, func(_ seenRequest, _ int, connection net.Conn) bool {
+		reached <- struct{}{}
+		_, _ = connection.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	d := newDeployment(t)
+	d.serve(v1.RouteStream, 2, long, machine.address)
+	leave := d.askAndLeave("/a/b", "running")
+	<-reached
+	leave()
+	<-ended
+	if sends := len(machine.requests()); sends != 1 {
+		t.Errorf("the request was sent %d times", sends)
+	}
+
+	late := newRawMachine(t, func(request seenRequest, _ int, connection net.Conn) bool {
+		return write(connection, ok(request, "late"))
+	})
+	empty := newDeployment(t)
+	empty.serve(v1.RouteStream, 2, long)
+	leave = empty.askAndLeave("/a/b", "waiting")
+	<-empty.waits
+	leave()
+	for empty.handler.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	empty.apply(empty.machine("m0", late.address))
+	if got := empty.ask(http.MethodPost, "/a/b", "next", "x"); got.status != 200 {
+		t.Errorf("the next request got %d", got.status)
+	}
+	if sent := late.requests(); len(sent) != 1 || sent[0].header.Get(headerID) != "next" {
+		t.Errorf("a request was sent after its caller had left: %v", sent)
+	}
+}
