Let a machine get 2.6 times its even share of work from one version

Too small a margin spreads hot models over machines at the cost of what is asked for next; too large a one overloads the few that hold them.

The margin is a constant of the planner, found on two sites: learning it from what late starts cost is left for later.

--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -17,7 +17,7 @@
 	workMemory = 3 * time.Second
 	// spreadMargin is by how much more than its even share of work a machine
 	// may get from one version.
-	spreadMargin = 2.0
+	spreadMargin = 2.6
 	// minimumRate, in tokens per second, is below which one replica will do.
 	minimumRate = 500
 	// sharedFrom is the part of a machine's even share of work from which a
