Let the dispatcher follow the digests for both routers

Cause: gateway and ingress each carried the same loop that hands the view's digests to their dispatcher; and a pool's connection bound was checked in two branches of the same function. Change: Dispatcher.FollowDigests serves both; the bound is checked once, first. The one difference: a pool with both a bad bound and a negative load rate now names the bound.

--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -140,8 +140,9 @@
 func (s *PoolSpec) setDefaults() {}
 
 func (s *PoolSpec) validate() error {
-	if s.Engine == nil {
-		return requireRange("spec.maxConnections", int64(s.MaxConnections), 0, 1_000_000)
+	err := requireRange("spec.maxConnections", int64(s.MaxConnections), 0, 1_000_000)
+	if err != nil || s.Engine == nil {
+		return err
 	}
 	if s.Engine.StoreLoadsPerSecond < 0 {
 		return fault.InvalidField("spec.engine.storeLoadsPerSecond", "must not be negative")
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -149,6 +149,21 @@
 	d.deliver(d.core.SetEstimates(now, nodeview.EstimatesOf(digest, now)))
 }
 
+// FollowDigests takes each digest of the view until ctx ends.
+func (d *Dispatcher) FollowDigests(ctx context.Context, view *nodeview.View) {
+	for {
+		changed := view.DigestChanged()
+		if digest := view.Digest(); digest != nil {
+			d.TakeDigest(time.Now(), digest)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // Tick lets deadlines pass while requests wait.
 func (d *Dispatcher) Tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	workers.Go(func() { g.claims.Run(ctx) })
 	workers.Go(func() { g.dispatcher.Tick(ctx) })
 	workers.Go(func() { g.services.Tick(ctx) })
-	workers.Go(func() { g.followDigests(ctx) })
+	workers.Go(func() { g.dispatcher.FollowDigests(ctx, g.options.View) })
 	for {
 		changed := g.options.View.Changed()
 		now := time.Now()
@@ -156,20 +156,6 @@
 	}
 }
 
-func (g *Gateway) followDigests(ctx context.Context) {
-	for {
-		changed := g.options.View.DigestChanged()
-		if digest := g.options.View.Digest(); digest != nil {
-			g.dispatcher.TakeDigest(time.Now(), digest)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
 // Drain refuses new requests and waits for those in flight, answers that are
 // still to be recorded included.
 func (g *Gateway) Drain(ctx context.Context) bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -82,7 +82,7 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	workers.Go(func() { i.dispatcher.Tick(ctx) })
-	workers.Go(func() { i.followDigests(ctx) })
+	workers.Go(func() { i.dispatcher.FollowDigests(ctx, i.options.View) })
 	workers.Go(func() { i.retainConnections(ctx) })
 	for {
 		changed := i.options.View.Changed()
@@ -110,20 +110,6 @@
 	}
 }
 
-func (i *Ingress) followDigests(ctx context.Context) {
-	for {
-		changed := i.options.View.DigestChanged()
-		if digest := i.options.View.Digest(); digest != nil {
-			i.dispatcher.TakeDigest(time.Now(), digest)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
 func (i *Ingress) retainConnections(ctx context.Context) {
 	ticker := time.NewTicker(retainInterval)
 	defer ticker.Stop()
