Read registered machines once for each revision of the state

Cause: the leader walked all objects of the state three times in each round and once more in each pass over the orders, every 25 ms, though they had mostly not changed in between. Change: controller.RegisteredCache keeps what was read until the revision is another. Each change of an object spends a revision, and what was read is never written to, so the result is the same. Test: TestCacheFollowsRevisions. Ruled out: passing one reading through the round; the writes between its steps must be seen by the next.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -55,6 +55,8 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 	nudge   chan struct{}
+	// registered is what the state holds of the machines.
+	registered controller.RegisteredCache
 
 	mutex sync.Mutex
 	core  *orders.Core
@@ -111,7 +113,7 @@
 	}
 	var writes []*wirepb.ObjectWrite
 	f.node.Read(func(machine *state.Machine) {
-		registered := controller.ReadRegistered(machine)
+		registered := f.registered.Read(machine)
 		f.observe(registered)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
@@ -119,7 +121,7 @@
 	})
 	current.write(ctx, writes)
 	f.node.Read(func(machine *state.Machine) {
-		registered := controller.ReadRegistered(machine)
+		registered := f.registered.Read(machine)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		for _, report := range registered.Reports(f.stateOf()) {
@@ -136,7 +138,7 @@
 }
 
 func (f *fleet) instancesInput(machine *state.Machine) instances.Input {
-	registered := controller.ReadRegistered(machine)
+	registered := f.registered.Read(machine)
 	interval := f.node.settings.Machines.HeartbeatInterval
 	return instances.Input{
 		Unreachable: f.node.reports.Unreachable(f.node.now()),
@@ -256,7 +258,7 @@
 func (f *fleet) pass(ctx context.Context) {
 	var wanted []orders.Wanted
 	f.node.Read(func(machine *state.Machine) {
-		registered := controller.ReadRegistered(machine)
+		registered := f.registered.Read(machine)
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		wanted = registered.Wanted(f.stateOf(), f.node.reports.AdapterDemand(f.node.now()))
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"sync"
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/instances"
@@ -62,6 +63,23 @@
 	return registered
 }
 
+// RegisteredCache reads the state once for each revision of it. Every change of
+// an object has a revision of its own, and what was read is never written to.
+type RegisteredCache struct {
+	mutex sync.Mutex
+	held  *Registered
+}
+
+// Read is ReadRegistered, read anew only where the revision is another.
+func (c *RegisteredCache) Read(machine *state.Machine) *Registered {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.held == nil || c.held.revision != machine.Revision() {
+		c.held = ReadRegistered(machine)
+	}
+	return c.held
+}
+
 func (r *Registered) add(object *wirepb.Object, spec v1.Spec, status v1.MachineStatus) {
 	switch typed := spec.(type) {
 	case *v1.MachineSpec:
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -149,3 +149,28 @@
 		}
 	}
 }
+
+// TestCacheFollowsRevisions: the state is read once for a revision, and what a
+// new one changed is seen at once.
+func TestCacheFollowsRevisions(t *testing.T) {
+	machine, cache := fleetState(t), RegisteredCache{}
+	first := cache.Read(machine)
+	if cache.Read(machine) != first {
+		t.Error("the same revision was read twice")
+	}
+	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{
+		Writes: []*wirepb.ObjectWrite{{
+			Operation: wirepb.ObjectWrite_OPERATION_DELETE,
+			Object:    &wirepb.Object{Kind: string(v1.KindReplica), Name: "record"},
+		}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result := machine.Apply(data); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		t.Fatal(result.GetMessage())
+	}
+	if held := cache.Read(machine).replicas["m"]; len(held) != 0 {
+		t.Errorf("a deleted record is still seen: %v", held)
+	}
+}
