Remove a branch of the spread that could not change anything

Cause: the try at a second replica of much asked for versions was taken back by setting its least number to 1; from the least rate on, the rounded up share is at least 1 anyway, so the branch and its constant did nothing, and their comments claimed a second replica. Change: both are gone. The result is the same for every rate.

--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -20,9 +20,6 @@
 	spreadMargin = 2.6
 	// minimumRate, in tokens per second, is below which one replica will do.
 	minimumRate = 500
-	// sharedFrom is the part of a machine's even share of work from which a
-	// version gets a second replica.
-	sharedFrom = 0.5
 	// leastRecent is what a replica is worth that nobody has asked for.
 	leastRecent = 0.05
 	// surplusWorth is the part of its worth that is left of a replica of which
@@ -102,10 +99,6 @@
 	}
 	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
 	wanted := int(math.Ceil(rate / (even * spreadMargin)))
-	if rate >= even*sharedFrom {
-		// The loss of one machine must not take a version that many ask for.
-		wanted = max(wanted, 1)
-	}
 	return min(p.spread.machines[pool], wanted)
 }
 
