Let a new leader know what the one before knew of demand

Rates of work are averaged by the leader; a new one had none, so every replica beyond the first counted as surplus, the cheapest to evict. Besides, a router that came over from the frozen leader brought its running totals, which looked like the work of one moment.

Change: digests to control nodes carry, once a second, the rate of work and the time since it was last asked for of each version; a new leader begins with what it got last. Without it (all were restarted) no replica is surplus for 1.5 s, and versions that nobody has asked for go first. A router's totals count as news from its second report on.

Ruled out: rates averaged by routers (versions without news would have to be reported all the time); a longer settle time (3 s without any placement).

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -4,13 +4,36 @@
 	"context"
 	"time"
 
+	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-const leaderPollDelay = 20 * time.Millisecond
+const (
+	leaderPollDelay = 20 * time.Millisecond
+	// historyLifetime is how old what is known of past demand may be.
+	historyLifetime = 10 * time.Second
+)
+
+// demandHistory is what the newest leader handed on of demand.
+type demandHistory struct {
+	// taken is when it came.
+	taken    time.Duration
+	versions []placement.VersionHistory
+}
+
+// pastDemand returns what is known of how versions were asked for; nil if that is
+// nothing, or too old.
+func (n *Node) pastDemand() []placement.VersionHistory {
+	held := n.history.Load()
+	if held == nil || n.now()-held.taken > historyLifetime {
+		return nil
+	}
+	return held.versions
+}
 
 // ChangesAfter implements feed.Backend from this node's copy of the state.
 func (n *Node) ChangesAfter(revision uint64) feed.Changes {
@@ -67,7 +90,10 @@
 	if !feed.Newer(digest, n.digest.Load()) {
 		return
 	}
-	n.digest.Store(digest)
+	if history := controller.HistoryOf(digest); history != nil {
+		n.history.Store(&demandHistory{taken: n.now(), versions: history})
+	}
+	n.digest.Store(feed.WithoutHistory(digest))
 	n.digestChanged.Notify()
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -79,6 +79,7 @@
 			StoreLoadsPerSecond:  platformSettings.StoreLoadsPerSecond,
 			StoreConcurrentLoads: platformSettings.StoreConcurrentLoads,
 			KeepAlive:            keepalive.New(n.settings.Policy.Name),
+			History:              n.pastDemand(),
 		},
 	}
 	if n.engines != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -76,6 +76,8 @@
 
 	digest        atomic.Pointer[wirepb.ClusterDigest]
 	digestChanged *signal.Broadcast
+	// history is what the newest leader handed on of demand.
+	history atomic.Pointer[demandHistory]
 
 	peers *peerSet
 	joins *joinTable
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -31,6 +31,8 @@
 	SettleTime = 1500 * time.Millisecond
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
+	// historyInterval is how often control nodes are told of past demand.
+	historyInterval = time.Second
 	// sweepInterval is how often abandoned claims are looked for.
 	sweepInterval = 2 * time.Second
 )
@@ -62,7 +64,10 @@
 	roster         *wirepb.Roster
 	rosterSequence uint64
 	lastDigest     time.Duration
+	lastHistory    time.Duration
 	lastSweep      time.Duration
+	// decidedAt is the time of day of the last decision.
+	decidedAt time.Time
 }
 
 // New returns a controller that begins its term at now.
@@ -109,6 +114,7 @@
 		return ReplicaDecision{}
 	}
 	view := c.view(now, machine)
+	c.decidedAt = wall
 	decision := c.planner.Decide(view.placementInput(wall))
 	if !sameEstimates(c.estimates, decision.Estimates) {
 		c.lastDigest = 0
@@ -153,9 +159,37 @@
 	digest.Roster, digest.RosterSequence = c.roster, c.rosterSequence
 	digest.MachineLoads = packed(c.roster, loads)
 	digest.MachineWork = packed(c.roster, workOf(now, nodes))
+	digest.History = c.history(now)
 	return digest
 }
 
+// history returns what the next leader should know of demand, once in
+// historyInterval.
+func (c *Controller) history(now time.Duration) []*wirepb.DemandHistory {
+	if c.lastHistory != 0 && now-c.lastHistory < historyInterval {
+		return nil
+	}
+	c.lastHistory = now
+	var messages []*wirepb.DemandHistory
+	for _, entry := range c.planner.History(c.decidedAt) {
+		messages = append(messages, &wirepb.DemandHistory{
+			Version: entry.Version, Rate: float32(entry.Rate), IdleMs: uint32(entry.Idle.Milliseconds()),
+		})
+	}
+	return messages
+}
+
+// HistoryOf returns what a digest hands on of demand; nil if it hands on nothing.
+func HistoryOf(digest *wirepb.ClusterDigest) []placement.VersionHistory {
+	var history []placement.VersionHistory
+	for _, entry := range digest.GetHistory() {
+		history = append(history, placement.VersionHistory{
+			Version: entry.GetVersion(), Rate: float64(entry.GetRate()), Idle: time.Duration(entry.GetIdleMs()) * time.Millisecond,
+		})
+	}
+	return history
+}
+
 func liveRouters(now time.Duration, nodes map[string]nodeEntry) uint32 {
 	count := uint32(0)
 	for _, entry := range nodes {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -89,6 +89,9 @@
 // arrivals; a node that restarted counts from 0 again.
 func (t *ReportTable) countArrivals(held, report *wirepb.NodeReport) {
 	counted := t.counted[report.GetNode()]
+	// What a node was asked before it first reported here tells nothing of the
+	// present rate of work.
+	news := held != nil
 	if counted == nil || held.GetIncarnation() != report.GetIncarnation() {
 		counted = map[string]runningTotals{}
 		t.counted[report.GetNode()] = counted
@@ -106,7 +109,9 @@
 		version, before := demand.GetVersion(), counted[demand.GetVersion()]
 		if demand.GetArrivals() > before.arrivals {
 			t.arrivals[version] += demand.GetArrivals() - before.arrivals
-			t.work[version] += max(demand.GetWork(), before.work) - before.work
+			if news {
+				t.work[version] += max(demand.GetWork(), before.work) - before.work
+			}
 			counted[version] = runningTotals{arrivals: demand.GetArrivals(), work: demand.GetWork()}
 		}
 	}
--- a/internal/controller/reports_test.go
+++ b/internal/controller/reports_test.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// TestWorkFromBeforeIsNotNews: a router that had served for long came over from a
+// leader that was cut off, and all its work so far looked like the work of a moment.
+func TestWorkFromBeforeIsNotNews(t *testing.T) {
+	table := NewReportTable()
+	for _, step := range []struct {
+		incarnation, sequence, arrivals, work, total uint64
+	}{
+		{1, 70, 500, 90_000, 0},
+		{1, 71, 501, 90_300, 300},
+		{1, 73, 504, 91_000, 1000},
+		{2, 1, 2, 400, 1400}, // It started anew.
+	} {
+		taken := report("a", step.incarnation, step.sequence, step.arrivals)
+		taken.Demand[0].Work = step.work
+		table.Take(0, taken)
+		if total := table.arrivalCounts()["v"].work; total != step.total {
+			t.Errorf("after %v: work %d, expected %d", taken, total, step.total)
+		}
+	}
+}
+
 // TestNewestReportOnAMachineCounts whichever agent it comes from.
 func TestNewestReportOnAMachineCounts(t *testing.T) {
 	table := NewReportTable()
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -56,5 +56,16 @@
 		Term: digest.GetTerm(), Sequence: digest.GetSequence(), Leader: digest.GetLeader(), Routers: digest.GetRouters(),
 		Estimates: digest.GetEstimates(), Revision: digest.GetRevision(), RosterSequence: digest.GetRosterSequence(),
 		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
+		History: digest.GetHistory(),
 	}
 }
+
+// WithoutHistory returns a digest as it goes to nodes that never lead.
+func WithoutHistory(digest *wirepb.ClusterDigest) *wirepb.ClusterDigest {
+	if len(digest.GetHistory()) == 0 {
+		return digest
+	}
+	stripped := withRoster(digest, digest.GetRoster())
+	stripped.History = nil
+	return stripped
+}
--- a/internal/feed/digest_test.go
+++ b/internal/feed/digest_test.go
@@ -11,7 +11,8 @@
 func digestOf(term, sequence, rosterSequence uint64) *wirepb.ClusterDigest {
 	return &wirepb.ClusterDigest{
 		Term: term, Sequence: sequence, RosterSequence: rosterSequence, MachineLoads: []byte{byte(sequence)},
-		Roster: &wirepb.Roster{Machines: []string{"machine-0"}, Nodes: []*wirepb.NodeEntry{{Name: "node"}}},
+		Roster:  &wirepb.Roster{Machines: []string{"machine-0"}, Nodes: []*wirepb.NodeEntry{{Name: "node"}}},
+		History: []*wirepb.DemandHistory{{Version: "v", Rate: 1200, IdleMs: 40}},
 	}
 }
 
@@ -58,3 +59,16 @@
 		}
 	}
 }
+
+// TestHistoryStaysAmongControlNodes covers digests as routers get them.
+func TestHistoryStaysAmongControlNodes(t *testing.T) {
+	full := digestOf(3, 4, 2)
+	stripped := WithoutHistory(full)
+	if len(stripped.GetHistory()) != 0 || len(full.GetHistory()) != 1 {
+		t.Errorf("with history %v, without %v", full, stripped)
+	}
+	full.History = nil
+	if !proto.Equal(full, stripped) {
+		t.Errorf("the rest differs: %v, %v", full, stripped)
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -16,6 +16,8 @@
 	StoreLoadsPerSecond  float64
 	StoreConcurrentLoads int
 	KeepAlive            keepalive.Policy
+	// History is what the leader before knew; nil if that is lost.
+	History []VersionHistory
 }
 
 // Planner decides on replicas. What it remembers between passes is soft: a
@@ -31,7 +33,9 @@
 	loadingSince map[string]time.Time
 	// lastUsed is when a replica last served or became ready.
 	lastUsed map[string]time.Time
-	arrivals map[string]uint64
+	// lastAsked is when a version was last asked for.
+	lastAsked map[string]time.Time
+	arrivals  map[string]uint64
 	// evicting maps a version to the room that is made for it.
 	evicting map[string]madeRoom
 	// retryAfter holds back versions whose load failed.
@@ -50,6 +54,7 @@
 		memory:       newHostMemory(),
 		loadingSince: map[string]time.Time{},
 		lastUsed:     map[string]time.Time{},
+		lastAsked:    map[string]time.Time{},
 		arrivals:     map[string]uint64{},
 		evicting:     map[string]madeRoom{},
 		retryAfter:   map[string]time.Time{},
@@ -83,6 +88,7 @@
 		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
 		worth: map[string]map[int]float64{},
 	}
+	p.takeHistory(input.Now)
 	current.open()
 	current.learnSpeeds()
 	p.memory.observe(input)
@@ -138,8 +144,11 @@
 		}
 		p.byVersion[replica.Spec.Version] = append(p.byVersion[replica.Spec.Version], replica)
 		_, known := p.planner.lastUsed[replica.Name]
-		if replica.Running > 0 || !known || replica.Spec.Phase == v1.ReplicaLoading {
+		switch {
+		case replica.Running > 0 || replica.Spec.Phase == v1.ReplicaLoading:
 			p.planner.lastUsed[replica.Name] = p.input.Now
+		case !known:
+			p.planner.lastUsed[replica.Name] = p.firstUse(replica.Spec.Version)
 		}
 	}
 	for version, demand := range p.input.Demand {
@@ -147,6 +156,7 @@
 		p.planner.arrivals[version] = demand.Arrivals
 		if grew || demand.Waiting > 0 || demand.Running > 0 {
 			p.planner.config.KeepAlive.Used(version, p.input.Now)
+			p.planner.lastAsked[version] = p.input.Now
 		}
 		if grew || demand.Waiting > 0 {
 			p.touch(version)
@@ -186,6 +196,11 @@
 			delete(p.leavingSince, name)
 		}
 	}
+	for version, asked := range p.lastAsked {
+		if input.Now.Sub(asked) >= historyHorizon {
+			delete(p.lastAsked, version)
+		}
+	}
 	for version, until := range p.retryAfter {
 		if input.Now.After(until) {
 			delete(p.retryAfter, version)
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -33,7 +33,10 @@
 type workRates struct {
 	rates   map[string]float64
 	seen    map[string]uint64
+	begun   time.Time
 	updated time.Time
+	// settled is set once the rates are believed where they are low.
+	settled bool
 }
 
 func newWorkRates() *workRates {
@@ -42,10 +45,14 @@
 
 // observe takes the running totals of work.
 func (w *workRates) observe(now time.Time, demand map[string]*Demand) {
+	first := w.begun.IsZero()
+	if first {
+		w.begun, w.updated = now, now
+	}
 	elapsed := now.Sub(w.updated).Seconds()
-	first := w.updated.IsZero()
 	w.updated = now
-	if elapsed <= 0 {
+	w.settled = w.settled || now.Sub(w.begun) >= ratesSettle
+	if elapsed <= 0 && !first {
 		return
 	}
 	keep := math.Exp(-elapsed / workMemory.Seconds())
@@ -123,7 +130,7 @@
 	wanted := max(1, p.spreadOver(version))
 	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name]).Seconds()
 	worth := (max(leastRecent, 1/(1+idle)) + rate/float64(count)/minimumRate) * p.urgency(version)
-	if count > wanted {
+	if count > wanted && p.planner.work.settled {
 		return surplusWorth * worth
 	}
 	return worth
