Evict for a waiting request only what is worth less

Only further replicas were weighed against what they push out.

Change: first replicas of registered pools are weighed as well: by the rate of work of the version and how many requests wait, against the worth of the victims.

Proof: TestColdVersionDoesNotPushOutBusyOnes fails without it.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -125,7 +125,7 @@
 	if victims == nil {
 		return // All in use: the request waits for a place until its deadline.
 	}
-	if entry.further && !p.paysToEvict(entry, victims) {
+	if entry.version.Spec.Pool != "" && !p.paysToEvict(entry, victims) {
 		return
 	}
 	p.evict(entry, machine, victims, p.loadTime(entry.version, TierRemote))
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -148,11 +148,21 @@
 	return demand == nil || demand.Waiting == 0 || len(p.byVersion[version.Name]) > 1
 }
 
-// paysToEvict reports whether a further replica is worth more than what it
-// pushes out.
+// gain is what a wanted replica is worth, on the scale of replicaWorth.
+func (p *pass) gain(entry want) float64 {
+	served := p.planner.work.rates[entry.version.Name] / minimumRate
+	if entry.further {
+		return reserveValue * served / float64(len(p.byVersion[entry.version.Name])+1)
+	}
+	if demand := p.input.Demand[entry.version.Name]; demand != nil {
+		served += float64(demand.Waiting)
+	}
+	return served
+}
+
+// paysToEvict reports whether a replica is worth more than what it pushes out.
 func (p *pass) paysToEvict(entry want, victims []*Replica) bool {
-	rate := p.planner.work.rates[entry.version.Name]
-	gained := reserveValue * rate / float64(len(p.byVersion[entry.version.Name])+1) / minimumRate
+	gained := p.gain(entry)
 	lost := 0.0
 	for _, victim := range victims {
 		if version := p.input.Versions[victim.Spec.Version]; version != nil {
--- a/internal/placement/spread_test.go
+++ b/internal/placement/spread_test.go
@@ -167,3 +167,32 @@
 		t.Errorf("%v", describe(decision))
 	}
 }
+
+// TestColdVersionDoesNotPushOutBusyOnes: where few machines could take orders, a
+// single request for a rare version evicted the only replica of a busy one.
+func TestColdVersionDoesNotPushOutBusyOnes(t *testing.T) {
+	input := poolInput(3)
+	poolVersion(input, "cold")
+	planner := newPoolPlanner()
+	work := map[string]uint64{}
+	for version := range input.Versions {
+		if version != "cold" {
+			work[version] = 3000
+		}
+	}
+	for range 30 {
+		ask(input, 100*time.Millisecond, work)
+		planner.Decide(input)
+	}
+	wait := func(requests int) int {
+		input.Demand["cold"] = &Demand{Arrivals: uint64(requests), Work: 500, Waiting: requests, OldestWait: time.Second}
+		all, _ := evicted(planner.Decide(input), "")
+		return all
+	}
+	if evictions := wait(1); evictions != 0 {
+		t.Errorf("one request evicted %d busy replicas", evictions)
+	}
+	if evictions := wait(100); evictions == 0 {
+		t.Error("a hundred requests got no room")
+	}
+}
