Elect at once where all voters are known to lead nothing

The node that had led came back without its disk, so nobody released its lease and the two others kept their promises; and all seven routers had connected to that node, which was up first since it had nothing to read, and which held no state before 36.34 s.

Change: a node that is follower in a term never leads that term or an earlier one. Whoever knows it of all voters, or that they are gone for good (another identity runs at their address), need not wait, and neither need those whom it asks; the knowledge counts for its requests only.

Ruled out: keeping what others know of idle voters (a node with an old membership may not know the leader at all).

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -35,6 +35,12 @@
 	return held.versions
 }
 
+// Serves implements feed.Backend: a node that joins with an empty disk holds
+// nothing before it is a member.
+func (n *Node) Serves() bool {
+	return len(n.membership.Load().GetVoters()) > 0
+}
+
 // ChangesAfter implements feed.Backend from this node's copy of the state.
 func (n *Node) ChangesAfter(revision uint64) feed.Changes {
 	n.stateMutex.RLock()
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -133,20 +133,20 @@
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 		if n.isSettled() {
 			stopSeeds()
 			seeds, stopSeeds = nil, func() {}
-			continue
+		} else {
+			if seeds == nil {
+				seeds, stopSeeds = n.dialSeeds(ctx, workers)
+			}
+			n.askToJoin(seeds)
 		}
-		if seeds == nil {
-			seeds, stopSeeds = n.dialSeeds(ctx, workers)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
 		}
-		n.askToJoin(seeds)
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -272,6 +272,7 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	n.peers.learn(conn.Peer.GetControlId(), conn.Peer.GetAddress())
+	n.noteSuccessor(ctx, conn.Peer)
 	digests := &feed.DigestReceiver{}
 	for {
 		envelope, err := conn.Receive()
@@ -280,7 +281,9 @@
 		}
 		switch body := envelope.GetBody().(type) {
 		case *wirepb.Envelope_Raft:
-			n.inbox <- body.Raft
+			if body.Raft.GetTo() == n.id {
+				n.inbox <- body.Raft
+			}
 		case *wirepb.Envelope_NodeReportBatch:
 			n.takeReports(body.NodeReportBatch.GetReports())
 		case *wirepb.Envelope_ClusterDigest:
@@ -301,6 +304,21 @@
 	}
 }
 
+// noteSuccessor tells the member that others have ended for good, where another
+// identity runs at their address now: the one before lived with its disk.
+func (n *Node) noteSuccessor(ctx context.Context, peer *wirepb.Hello) {
+	for _, held := range n.membership.Load().GetAddresses() {
+		if held.GetAddress() != peer.GetAddress() || held.GetId() == peer.GetControlId() {
+			continue
+		}
+		gone := held.GetId()
+		select {
+		case n.actions <- func() { n.member.Raft.NoteGone(n.now(), gone) }:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (n *Node) answerStatus(conn *wire.Conn, requestID uint64) {
 	reply := &wirepb.StatusReply{}
 	if status, err := n.localStatus(); err == nil {
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -138,6 +138,9 @@
 	c.digest = digest
 }
 
+// Serves implements Backend: nodes may wait at a relay for what it is sent.
+func (c *Cache) Serves() bool { return true }
+
 // ChangesAfter implements Backend.
 func (c *Cache) ChangesAfter(revision uint64) Changes {
 	c.mutex.Lock()
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -75,6 +75,8 @@
 	Report(reports ...*wirepb.NodeReport)
 	// Status returns the leader's view of the cluster.
 	Status(ctx context.Context) (*wirepb.StatusReply, error)
+	// Serves reports whether the backend holds a state that nodes may follow.
+	Serves() bool
 	// Propose carries a command to the leader and returns its result.
 	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 }
@@ -91,6 +93,12 @@
 // NewServer returns a server. The peer function takes over connections whose
 // hello carries a control id.
 func NewServer(backend Backend, self wire.Identity, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
+	self.Refuse = func(hello *wirepb.Hello) string {
+		if hello.GetControlId() == 0 && !backend.Serves() {
+			return "this node holds no state yet"
+		}
+		return ""
+	}
 	return &Server{backend: backend, self: self, logger: logger, peer: peer}
 }
 
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -210,6 +210,10 @@
 		delete(c.cut, one())
 	case "kill":
 		delete(c.members, one())
+	case "gone":
+		var gone uint64
+		d.ScanArgs(t, "member", &gone)
+		c.members[one()].Raft.NoteGone(c.now, gone)
 	case "lose-disk":
 		delete(c.disks, one())
 	case "start":
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -33,7 +33,7 @@
 	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
 		// Voting while the promise to a leader lasts would let two leaders
 		// hold a lease at once.
-		if n.promisedToLeader() && message.GetRound() != forcedElection {
+		if n.promisedToLeader(message.GetAllIdle()) && message.GetRound() != forcedElection {
 			return false
 		}
 	}
@@ -54,7 +54,7 @@
 		})
 	case message.GetType() == wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE:
 		n.send(&wirepb.RaftMessage{
-			Type: wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY, To: message.GetFrom(), Reject: true,
+			Type: wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY, To: message.GetFrom(), Reject: true, Idle: n.ownIdle(),
 		})
 	}
 }
@@ -70,12 +70,14 @@
 }
 
 // promisedToLeader reports whether this node must not help to elect another
-// leader yet. A leader holds itself to the promise while its lease may last.
-func (n *Node) promisedToLeader() bool {
+// leader yet. A leader holds itself to the promise while its lease may last. Who
+// asks may know that all voters are idle up to a term.
+func (n *Node) promisedToLeader(allIdle uint64) bool {
 	if n.role == Leader {
 		return true
 	}
-	return !n.isReleased() && n.now < n.lastContact+n.config.ElectionTimeout
+	free := n.isReleased() || allIdle != None && n.term <= allIdle
+	return !free && n.now < n.lastContact+n.config.ElectionTimeout
 }
 
 func (n *Node) becomeFollower(term, leader uint64) {
@@ -106,9 +108,8 @@
 		n.resetElectionDeadline()
 		return
 	}
-	n.role = PreCandidate
-	n.leader = None
-	n.requestVotes(wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, n.term+1, 0)
+	n.resetElectionDeadline()
+	n.askForPreVotes()
 }
 
 func (n *Node) hasUnappliedMembership() bool {
@@ -121,26 +122,38 @@
 }
 
 func (n *Node) startElection(round uint64) {
+	allIdle := n.allIdle()
 	n.role = Candidate
 	n.term++
 	n.vote = n.config.ID
 	n.leader = None
-	n.requestVotes(wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, n.term, round)
-}
-
-func (n *Node) requestVotes(kind wirepb.RaftMessageType, term, round uint64) {
 	n.resetElectionDeadline()
 	n.votes = map[uint64]bool{n.config.ID: true}
+	n.requestVotes(wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, n.term, round, allIdle)
+	n.countVotes()
+}
+
+// askForPreVotes counts the node's own vote, unless it may be bound by a promise
+// to a leader, and asks for the others'.
+func (n *Node) askForPreVotes() {
+	allIdle := n.allIdle()
+	n.role = PreCandidate
+	n.leader = None
+	n.votes = map[uint64]bool{n.config.ID: !n.promisedToLeader(allIdle)}
+	n.requestVotes(wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, n.term+1, 0, allIdle)
+	n.countVotes()
+}
+
+func (n *Node) requestVotes(kind wirepb.RaftMessageType, term, round, allIdle uint64) {
 	for _, peer := range n.membership.GetVoters() {
 		if peer == n.config.ID {
 			continue
 		}
 		n.send(&wirepb.RaftMessage{
-			Type: kind, To: peer, Term: term, Round: round, Released: n.released,
+			Type: kind, To: peer, Term: term, Round: round, Released: n.released, AllIdle: allIdle,
 			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
 		})
 	}
-	n.countVotes()
 }
 
 func (n *Node) handleVoteRequest(message *wirepb.RaftMessage) {
@@ -151,10 +164,14 @@
 	upToDate := mayVote && n.log.isUpToDate(message.GetIndex(), message.GetLogTerm())
 	if message.GetType() == wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE {
 		reply.Type = wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_REPLY
-		reply.Reject = !upToDate || n.promisedToLeader() || message.GetTerm() <= n.term
+		reply.Reject = !upToDate || n.promisedToLeader(message.GetAllIdle()) || message.GetTerm() <= n.term
 		if reply.Reject {
 			reply.Term = n.term
 		}
+		reply.Idle = n.ownIdle()
+		if upToDate {
+			n.scheduleProbe()
+		}
 		n.send(reply)
 		return
 	}
@@ -182,6 +199,11 @@
 		return
 	}
 	n.votes[message.GetFrom()] = !message.GetReject()
+	if n.role == PreCandidate && !n.votes[n.config.ID] && !n.promisedToLeader(n.allIdle()) {
+		// All are known to be idle by now, which makes them free to vote.
+		n.askForPreVotes()
+		return
+	}
 	n.countVotes()
 }
 
@@ -196,7 +218,10 @@
 		return
 	}
 	if n.role == PreCandidate {
-		n.startElection(0)
+		// The others' votes are enough, but to stand is to vote for oneself.
+		if n.votes[n.config.ID] {
+			n.startElection(0)
+		}
 		return
 	}
 	n.becomeLeader()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -103,6 +103,11 @@
 	led uint64
 	// released is the newest term up to which no leader holds a lease.
 	released uint64
+	// idle is the term up to which each other node leads nothing, as far as is
+	// known.
+	idle map[uint64]uint64
+	// probeDue is when a node without a leader asks for votes again.
+	probeDue time.Duration
 
 	votes    map[uint64]bool
 	progress map[uint64]*progress
@@ -131,7 +136,7 @@
 	if config.ElectionSpread <= 0 {
 		config.ElectionSpread = config.ElectionTimeout
 	}
-	node := &Node{config: config, now: now, provider: provider, membership: stored.Membership}
+	node := &Node{config: config, now: now, provider: provider, membership: stored.Membership, idle: map[uint64]uint64{}}
 	if stored.Snapshot != nil {
 		node.membership = stored.Snapshot.GetMembership()
 	}
@@ -152,6 +157,7 @@
 	node.lastContact = now
 	node.releaseOwnLease()
 	node.becomeFollower(node.term, None)
+	node.scheduleProbe()
 	return node, nil
 }
 
@@ -166,8 +172,13 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionDeadline && n.isVoter(n.config.ID) {
+	if !n.isVoter(n.config.ID) {
+		return
+	}
+	if n.now >= n.electionDeadline {
 		n.campaign()
+	} else if n.now >= n.probeDue {
+		n.probe()
 	}
 }
 
@@ -181,6 +192,7 @@
 func (n *Node) Step(now time.Duration, message *wirepb.RaftMessage) {
 	n.advanceClock(now)
 	n.learnReleased(message.GetReleased())
+	n.learnIdle(message)
 	if !n.checkTerm(message) {
 		return
 	}
--- a/internal/raft/release.go
+++ b/internal/raft/release.go
@@ -1,6 +1,11 @@
 package raft
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
 
 // A node that was leader of its term and has started anew holds no lease, and
 // nobody else can hold one of that term or of an earlier one: it was elected by
@@ -53,3 +58,74 @@
 	}
 	return wait + time.Duration(n.config.Random(int64(wait)))
 }
+
+// Where the leader itself does not come back (its disk may be lost), the others
+// can still find out that no lease is left. A node that is follower in a term will
+// never lead that term or an earlier one; this stays true, whenever it was said.
+// Once every other voter has said so, or is gone for good, no voter holds a lease
+// of the terms that all of them spoke of. The lease of a leader that is not among
+// these voters can't matter: it is a voter of a newer membership, which a quorum
+// holds, and that quorum refuses whoever lacks it. For that reason the knowledge
+// counts only for the votes of the node that has it, and others don't keep it.
+
+// probeShare is the part of the election timeout after which a node without a
+// leader asks the others whether they lead.
+const probeShare = 8
+
+func (n *Node) scheduleProbe() {
+	wait := n.config.ElectionTimeout / probeShare
+	n.probeDue = n.now + wait + time.Duration(n.config.Random(int64(wait)))
+}
+
+// probe asks for votes before the election is due. Nobody who may be bound by a
+// promise grants one, but all say whether they lead.
+func (n *Node) probe() {
+	n.scheduleProbe()
+	if n.leader != None || n.role == Candidate || n.hasUnappliedMembership() {
+		return
+	}
+	n.askForPreVotes()
+}
+
+// ownIdle is the term up to which this node leads nothing and never will.
+func (n *Node) ownIdle() uint64 {
+	if n.role == Leader || n.role == Candidate {
+		return None
+	}
+	return n.term
+}
+
+// learnIdle notes what a request or reply tells of its sender. Who asks for a
+// pre-vote for a term is not in it yet; who asks for a vote may win that term.
+func (n *Node) learnIdle(message *wirepb.RaftMessage) {
+	idle := message.GetIdle()
+	switch message.GetType() {
+	case wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
+		idle = message.GetTerm() - 1
+	}
+	if idle > n.idle[message.GetFrom()] {
+		n.idle[message.GetFrom()] = idle
+	}
+}
+
+// NoteGone tells that a member's process has ended for good: another identity
+// runs at its address.
+func (n *Node) NoteGone(now time.Duration, id uint64) {
+	n.advanceClock(now)
+	n.idle[id] = math.MaxUint64
+	if n.leader == id {
+		n.leader = None
+	}
+}
+
+// allIdle returns the term up to which no voter leads anything, 0 if that is
+// not known of all of them.
+func (n *Node) allIdle() uint64 {
+	least := n.ownIdle()
+	for _, voter := range n.membership.GetVoters() {
+		if voter != n.config.ID {
+			least = min(least, n.idle[voter])
+		}
+	}
+	return least
+}
--- a/internal/spec/spec_test.go
+++ b/internal/spec/spec_test.go
@@ -41,6 +41,7 @@
 	check(t, "three terms", Log(LogRules{Terms: 3}), "")
 	check(t, "forgotten votes", Log(LogRules{Terms: 2, ForgetVotes: true}), "two leaders in one term")
 	check(t, "long lease", Log(LogRules{Terms: 2, LongLease: true}), "two leases at once")
+	check(t, "a quorum is idle", Log(LogRules{Terms: 2, IdleQuorum: true}), "two leases at once")
 	check(t, "a release by others", Log(LogRules{Terms: 2, ReleaseOthers: true}), "two leases at once")
 	check(t, "promises ignored", Log(LogRules{Terms: 2, IgnorePromise: true}), "two leases at once")
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -49,6 +49,9 @@
 	// Keys secures connections; nil leaves them in plain text.
 	Keys     *keys.Store
 	Counters *Counters
+	// Refuse returns why a server takes no connection of a peer, or an empty
+	// text; nil takes all.
+	Refuse func(hello *wirepb.Hello) string
 }
 
 // Dial connects, shakes hands and starts the writer.
@@ -82,7 +85,7 @@
 		network = tls.Server(network, self.Keys.PeerServer())
 	}
 	conn := newConn(network, self.Counters)
-	if err := conn.welcome(self.Hello); err != nil {
+	if err := conn.welcome(self); err != nil {
 		_ = network.Close()
 		return nil, err
 	}
@@ -126,19 +129,22 @@
 	return c.network.SetDeadline(time.Time{})
 }
 
-func (c *Conn) welcome(self *wirepb.Hello) error {
+func (c *Conn) welcome(self Identity) error {
 	_ = c.network.SetDeadline(time.Now().Add(handshakeTimeout))
 	envelope, _, err := ReadFrame(c.reader)
 	if err != nil {
 		return err
 	}
 	hello := envelope.GetHello()
-	refusal := refuseHello(hello, self)
+	refusal := refuseHello(hello, self.Hello)
+	if refusal == "" && self.Refuse != nil {
+		refusal = self.Refuse(hello)
+	}
 	c.Peer = hello
 	if err := c.checkName(); refusal == "" && err != nil {
 		refusal = fault.Message(err)
 	}
-	reply := &wirepb.HelloReply{ProtocolVersion: ProtocolVersion, Node: self.GetNode(), Refusal: refusal}
+	reply := &wirepb.HelloReply{ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
 	}
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -77,6 +77,15 @@
 	otherCluster.Hello.Cluster = "other"
 	otherVersion := identity(t, "client", nil)
 	otherVersion.Hello.ProtocolVersion = wire.ProtocolVersion + 1
+	refusing := identity(t, "server", nil)
+	refusing.Refuse = func(hello *wirepb.Hello) string {
+		if hello.GetControlId() == 0 {
+			return "no state yet"
+		}
+		return ""
+	}
+	peer := identity(t, "peer", nil)
+	peer.Hello.ControlId = 7
 	cases := []struct {
 		name           string
 		server, client wire.Identity
@@ -85,6 +94,8 @@
 		{"plain text", identity(t, "server", nil), identity(t, "client", nil), true},
 		{"another cluster", identity(t, "server", nil), otherCluster, false},
 		{"another protocol version", identity(t, "server", nil), otherVersion, false},
+		{"a server without state", refusing, identity(t, "client", nil), false},
+		{"its peer", refusing, peer, true},
 		{"mutual TLS", identity(t, "server", &server), identity(t, "client", &client), true},
 		{"certificate of another authority", identity(t, "server", &server), identity(t, "client", &stranger), false},
 		{"certificate of another name", identity(t, "server", &server), identity(t, "somebody", &client), false},
