--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -100,16 +100,6 @@
 	return fit(target.free, target.holds, entry.version.Spec.Accelerators, bytes) == nil
 }
 
-// isSooner reports whether a load on a registered machine that has room now ends
-// sooner than one in the room that is still being made.
-func (p *pass) isSooner(entry want, chosen *room) bool {
-	if chosen == nil || entry.version.Spec.Pool == "" || !entry.urgent {
-		return false
-	}
-	awaited := p.machines[p.planner.evicting[entry.version.Name].machine]
-	return p.readyIn(entry, chosen) < evictionTakes+p.readyIn(entry, awaited)
-}
-
 func (p *pass) evict(entry want, machine string, victims []*Replica, takes time.Duration) {
 	for _, victim := range victims {
 		p.unload(victim, "evicted")
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -100,11 +100,11 @@
 	names := p.acceptingMachines()
 	queued := 0
 	for _, entry := range p.wants() {
-		chosen, accelerators := p.bestMachine(entry, names)
-		if p.awaitsRoom(entry) && !p.isSooner(entry, chosen) {
+		if p.awaitsRoom(entry) {
 			p.estimate(entry, evictionTakes+p.loadTime(entry.version, TierMemory))
 			continue
 		}
+		chosen, accelerators := p.bestMachine(entry, names)
 		if chosen == nil {
 			p.makeRoom(entry, names)
 			continue
