--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -153,7 +153,7 @@
 	interval := f.node.settings.Machines.HeartbeatInterval
 	return instances.Input{
 		Unreachable: f.node.reports.Unreachable(f.node.now()), Routers: f.node.reports.Routers(f.node.now()),
-		Now:         f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
+		Now: f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
 		Policy: instances.Policy{
 			LostAfter:    lostAfterHeartbeats * interval,
 			SuspectAfter: time.Duration(suspectAfterHeartbeats * float64(interval)),
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -22,12 +22,17 @@
 )
 
 const (
-	tickInterval   = 10 * time.Millisecond
-	inboxLength    = 4096
-	maxBatch       = 256
-	maxEntries     = 256
-	maxInflight    = 64
-	ticksPerElect  = 10
+	tickInterval  = 10 * time.Millisecond
+	inboxLength   = 4096
+	maxBatch      = 256
+	maxEntries    = 256
+	maxInflight   = 64
+	ticksPerElect = 10
+	// slowProcessing is how long it may take to process what has come while the
+	// disk is quick, calmTime for how long it must have been before a snapshot is
+	// taken that need not be.
+	slowProcessing = 20 * time.Millisecond
+	calmTime       = time.Second
 	minimumTickDur = time.Millisecond
 )
 
@@ -91,6 +96,8 @@
 	// grants tells which machines others may have given orders to.
 	grants *orders.Grants
 	nudge  chan struct{}
+	// calmSince is since when processing has been quick; the loop's own.
+	calmSince time.Duration
 }
 
 // proposal is a command on its way through the log.
@@ -189,6 +196,9 @@
 		case <-ctx.Done():
 			return n.stop()
 		case <-ticker.C:
+			if err := n.compactInCalm(); err != nil {
+				return err
+			}
 			n.member.Raft.Tick(n.now())
 		case message := <-n.inbox:
 			n.member.Raft.Step(n.now(), message)
@@ -205,6 +215,21 @@
 	}
 }
 
+// compactInCalm takes a snapshot while the disk is quick and all is well, so that
+// a restart finds little to replay: until it is done, the node helps nobody.
+func (n *Node) compactInCalm() error {
+	now := n.now()
+	if !n.HasLeader() || now-n.calmSince < calmTime || !n.member.ReplayIsLong() {
+		return nil
+	}
+	n.calmSince = now
+	if err := n.member.CompactNow(); err != nil {
+		n.logger.Error("storage_failed", "error", fault.Message(err))
+		return err
+	}
+	return nil
+}
+
 // drainQueues takes what else has come, so that one sync serves it all.
 func (n *Node) drainQueues() {
 	for range maxBatch {
@@ -237,6 +262,9 @@
 	if err != nil {
 		return err
 	}
+	if time.Since(started) > slowProcessing {
+		n.calmSince = n.now()
+	}
 	n.peers.sendRaft(output.Messages)
 	n.noteGrants(output)
 	n.pending.Complete(output)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -34,6 +34,14 @@
 	// bytesTail is how many entries are kept behind a snapshot that was taken
 	// for their size.
 	bytesTail = 8
+	// replayShare is how many times as long as the snapshot the entries behind it
+	// may be before a restart is slow for their replay; shortReplay, in bytes, is
+	// always short.
+	replayShare = 2
+	shortReplay = 64 << 10
+	// quietTail is how many entries are kept behind a snapshot that was taken
+	// while there was time.
+	quietTail = 64
 )
 
 // Storage makes things durable. A method that returns without an error has
@@ -232,6 +240,26 @@
 	if held <= tail {
 		return nil
 	}
+	return m.compact(tail)
+}
+
+// ReplayIsLong reports whether a restart would replay much more than it reads of
+// the snapshot. A driver that has time then calls CompactNow.
+func (m *Member) ReplayIsLong() bool {
+	return m.logBytes >= max(shortReplay, replayShare*len(m.snapshot.GetData()))
+}
+
+// CompactNow replaces what has been applied by a snapshot. An error means that
+// storage failed.
+func (m *Member) CompactNow() error {
+	status := m.Raft.Status()
+	return m.compact(min(quietTail, status.Applied-(status.FirstHeld-1)))
+}
+
+// compact takes a snapshot of what has been applied and keeps some entries behind
+// it for peers that are a little behind.
+func (m *Member) compact(tail uint64) error {
+	status := m.Raft.Status()
 	data, err := m.State.Snapshot()
 	if err != nil {
 		return err
