--- /dev/null
+++ b/api/v1/declaration_test.go
@@ -0,0 +1,27 @@
+package v1
+
+import (
+	"testing"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+// TestDeclarationLimitsNameTheirField: a bad limit is refused under its own name.
+func TestDeclarationLimitsNameTheirField(t *testing.T) {
+	tests := []struct {
+		spec, field string
+	}{
+		{`{"version":1,"headerTimeout":"3s","idleTimeout":"15s","maxHeaderBytes":1024,"maxBodyBytes":4096}`, ""},
+		{`{"version":1}`, ""},
+		{`{"headerTimeout":"-1s"}`, "spec.headerTimeout"},
+		{`{"idleTimeout":"-1s"}`, "spec.idleTimeout"},
+		{`{"maxHeaderBytes":-1}`, "spec.maxHeaderBytes"},
+		{`{"maxBodyBytes":-1}`, "spec.maxBodyBytes"},
+	}
+	for _, test := range tests {
+		_, err := DecodeSpec(KindDeclaration, []byte(test.spec))
+		if field := fault.FieldOf(err); field != test.field || (err != nil) != (test.field != "") {
+			t.Errorf("%s: %v names %q, wanted %q", test.spec, err, field, test.field)
+		}
+	}
+}
--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -174,10 +174,9 @@
 func (s *DeclarationSpec) setDefaults() {}
 
 func (s *DeclarationSpec) validate() error {
-	if s.HeaderTimeout < 0 || s.IdleTimeout < 0 {
-		return fault.InvalidField("spec.headerTimeout", "time-outs must not be negative")
-	}
 	return firstError(
+		requireNotNegative("spec.headerTimeout", s.HeaderTimeout),
+		requireNotNegative("spec.idleTimeout", s.IdleTimeout),
 		requireRange("spec.maxHeaderBytes", s.MaxHeaderBytes, 0, maxBytes),
 		requireRange("spec.maxBodyBytes", s.MaxBodyBytes, 0, maxBytes),
 	)
--- a/api/v1/validate.go
+++ b/api/v1/validate.go
@@ -147,6 +147,13 @@
 	return nil
 }
 
+func requireNotNegative(field string, span Duration) error {
+	if span < 0 {
+		return fault.InvalidField(field, "a time-out must not be negative")
+	}
+	return nil
+}
+
 const maxBytes = int64(1) << 50
 
 func validateEndpoint(field, endpoint string) error {
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -25,14 +25,18 @@
 	versions []placement.VersionHistory
 }
 
-// pastDemand returns what is known of how versions were asked for; nil if that is
-// nothing, or too old.
-func (n *Node) pastDemand() []placement.VersionHistory {
+// pastDemand returns what is known of how versions were asked for, and its age;
+// nil if that is nothing, or too old.
+func (n *Node) pastDemand() ([]placement.VersionHistory, time.Duration) {
 	held := n.history.Load()
-	if held == nil || n.now()-held.taken > historyLifetime {
-		return nil
+	if held == nil {
+		return nil, 0
 	}
-	return held.versions
+	age := n.now() - held.taken
+	if age > historyLifetime {
+		return nil, age
+	}
+	return held.versions, age
 }
 
 // Serves implements feed.Backend: a node that joins with an empty disk holds
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -72,6 +72,8 @@
 
 func (n *Node) newLeader(ctx context.Context, term uint64, list *atomic.Pointer[platform.MachineList]) *leader {
 	platformSettings := n.settings.Platform
+	history, historyAge := n.pastDemand()
+	n.logger.Info("term_begun", "term", term, "versions_known", len(history), "history_age_ms", historyAge.Milliseconds())
 	config := controller.Config{
 		Node: n.settings.Node, Term: term, MachineTimeout: n.settings.Policy.MachineTimeout,
 		Planner: placement.Config{
@@ -79,7 +81,7 @@
 			StoreLoadsPerSecond:  platformSettings.StoreLoadsPerSecond,
 			StoreConcurrentLoads: platformSettings.StoreConcurrentLoads,
 			KeepAlive:            keepalive.New(n.settings.Policy.Name),
-			History:              n.pastDemand(),
+			History:              history,
 		},
 	}
 	if n.engines != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -227,6 +227,7 @@
 		n.logger.Error("storage_failed", "error", fault.Message(err))
 		return err
 	}
+	n.logger.Info("snapshot_taken", "applied", n.member.Raft.Status().Applied, "took_ms", (n.now() - now).Milliseconds())
 	return nil
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -312,6 +312,7 @@
 			continue
 		}
 		gone := held.GetId()
+		n.logger.Info("member_gone", "member", gone, "address", held.GetAddress(), "successor", peer.GetControlId())
 		select {
 		case n.actions <- func() { n.member.Raft.NoteGone(n.now(), gone) }:
 		case <-ctx.Done():
