--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -45,6 +46,7 @@
 // Main runs a node by the settings that load returns, until it is told to stop,
 // and returns the exit code. SIGHUP makes it read the settings again.
 func Main(load func() (*settings.Settings, error), extensions Extensions) int {
+	keepHeapSmall()
 	err := RunUntilStopped(load, extensions)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldline: "+fault.Describe(err))
@@ -52,6 +54,18 @@
 	return ExitCode(err)
 }
 
+// heapGrowthPercent is by how much the heap may grow beyond what lives before it is
+// collected. A node keeps a few megabytes and makes little garbage a second, so
+// memory is the dearer of the two.
+const heapGrowthPercent = 40
+
+// keepHeapSmall sets how often garbage is collected, unless the environment does.
+func keepHeapSmall() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(heapGrowthPercent)
+	}
+}
+
 // RunUntilStopped runs a node by the settings that load returns, until it is
 // told to stop.
 func RunUntilStopped(load func() (*settings.Settings, error), extensions Extensions) error {
