--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/upstream"
+)
+
+// firstTryShare is the share of the time left that a machine gets for a request
+// that may be tried elsewhere afterwards.
+const firstTryShare = 0.5
+
+// attemptEnd is how an attempt ended.
+type attemptEnd int
+
+const (
+	// endAnswered: the caller has the whole answer.
+	endAnswered attemptEnd = iota
+	// endBroken: the answer broke off after its head had gone to the caller.
+	endBroken
+	// endNotConnected: nothing reached the machine.
+	endNotConnected
+	// endNotRun: the machine said that it did not run the request.
+	endNotRun
+	// endElsewhere: it did not since it is not the right one.
+	endElsewhere
+	// endFailed: the machine may have run it; there is no answer.
+	endFailed
+	// endError: the machine ran it and failed; the route allows repeating.
+	endError
+)
+
+// String names the end in logs and metrics.
+func (e attemptEnd) String() string {
+	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "error"}[e]
+}
+
+// health is what the end says about the machine.
+func (e attemptEnd) health() dispatch.Result {
+	switch e {
+	case endAnswered:
+		return dispatch.ResultOK
+	case endNotRun:
+		return dispatch.ResultNotRun
+	case endNotConnected:
+		return dispatch.ResultUnreachable
+	}
+	return dispatch.ResultFailed
+}
+
+// attempt sends the request to one machine and passes its answer on.
+func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptEnd {
+	if j.sent == 0 {
+		j.ingress.countFirst(j.pool)
+	}
+	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", time.Until(j.deadline).Milliseconds())
+	tryCtx, cancel := j.tryContext(ctx)
+	defer cancel()
+	outgoing := j.outgoing(grant)
+	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
+	if failure == upstream.FailedConnect {
+		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
+		return endNotConnected
+	}
+	j.sent++
+	if failure != upstream.FailedNone {
+		j.mayHaveRun = true
+		j.log("no_answer", "machine", grant.Target.Machine, "failure", failure.String(), "error", err.Error())
+		return endFailed
+	}
+	defer answer.Close()
+	j.ingress.dispatcher.Started(grant)
+	return j.pass(ctx, answer, grant)
+}
+
+// tryContext gives a machine a part of the time where another may be tried
+// after it.
+func (j *job) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	spec := j.route.Spec
+	if spec.Kind != v1.RouteRepeatable || j.sent+1 >= spec.MaxAttempts {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(float64(time.Until(j.deadline))*firstTryShare))
+}
+
+func (j *job) outgoing(grant *dispatch.Grant) *upstream.Request {
+	header := upstream.EndToEnd(j.request.Header)
+	return &upstream.Request{
+		Machine: grant.Target.Machine, Address: upstream.AddressOf(grant.Target.Endpoint),
+		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body,
+		Prepare: func(header http.Header) error {
+			j.ingress.options.Translator.Prepare(header, Attempt{
+				Machine: grant.Target.Machine, Remains: time.Until(j.deadline), Priority: j.route.Spec.Priority,
+			})
+			return nil
+		},
+		Matches: func(header http.Header) bool {
+			return j.ingress.options.Translator.Judge(0, header, j.attributes.ID).Own
+		},
+	}
+}
