Take a member to be gone only by the answer to a dial

Cause: found on reading the change again. A control node took a connection from another identity at a member's address for proof that the member had ended. A node that was frozen may find a connection in its queue that the identity before made long ago, and would take the present one, even the leader, to be gone. Change: the answer to a dial tells which identity answers; only a dial to a known member that another identity answers, under the same node's name, is proof. Ruled out: an order of incarnations by the time of day, which may jump.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -185,6 +186,7 @@
 	for ctx.Err() == nil {
 		conn, err := wire.Dial(ctx, l.member.Address, l.node.self)
 		if err == nil {
+			l.node.noteSuccessor(ctx, l.member, conn.Peer)
 			l.receive(ctx, conn)
 			pause = peerRetryFirst
 		}
@@ -272,7 +274,6 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	n.peers.learn(conn.Peer.GetControlId(), conn.Peer.GetAddress())
-	n.noteSuccessor(ctx, conn.Peer)
 	digests := &feed.DigestReceiver{}
 	for {
 		envelope, err := conn.Receive()
@@ -304,17 +305,22 @@
 	}
 }
 
-// noteSuccessor tells the member that others have ended for good, where another
-// identity runs at their address now: the one before lived with its disk.
-func (n *Node) noteSuccessor(ctx context.Context, peer *wirepb.Hello) {
+// noteSuccessor tells the member that another has ended for good, where a new
+// identity answers at its machine: the one before lived with its disk. The member
+// was known to be there before this node dialled, so whoever answers is not from
+// before its time. The answer to a dial is the only proof: what dials in may have
+// done so long ago.
+func (n *Node) noteSuccessor(ctx context.Context, dialled settings.Member, peer *wirepb.Hello) {
+	if dialled.ID == raft.None || peer.GetControlId() == raft.None || peer.GetControlId() == dialled.ID {
+		return
+	}
 	for _, held := range n.membership.Load().GetAddresses() {
-		if held.GetAddress() != peer.GetAddress() || held.GetId() == peer.GetControlId() {
+		if held.GetId() != dialled.ID || held.GetAddress() != dialled.Address || held.GetNode() != peer.GetNode() {
 			continue
 		}
-		gone := held.GetId()
-		n.logger.Info("member_gone", "member", gone, "address", held.GetAddress(), "successor", peer.GetControlId())
+		n.logger.Info("member_gone", "member", dialled.ID, "address", dialled.Address, "successor", peer.GetControlId())
 		select {
-		case n.actions <- func() { n.member.Raft.NoteGone(n.now(), gone) }:
+		case n.actions <- func() { n.member.Raft.NoteGone(n.now(), dialled.ID) }:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -122,7 +122,7 @@
 	if reply.GetRefusal() != "" {
 		return fault.Protocol.New("refused by %s: %s", reply.GetNode(), reply.GetRefusal())
 	}
-	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion()}
+	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId()}
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -144,7 +144,9 @@
 	if err := c.checkName(); refusal == "" && err != nil {
 		refusal = fault.Message(err)
 	}
-	reply := &wirepb.HelloReply{ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal}
+	reply := &wirepb.HelloReply{
+		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
+	}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
 	}
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -124,3 +124,30 @@
 		t.Errorf("%+v", listed)
 	}
 }
+
+// TestDialerLearnsTheIdentity: whoever dials is told which control node answers,
+// which may be another one than was there before.
+func TestDialerLearnsTheIdentity(t *testing.T) {
+	server := identity(t, "server", nil)
+	server.Hello.ControlId = 11
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		if network, err := listener.Accept(); err == nil {
+			if conn, err := wire.Accept(network, server); err == nil {
+				<-conn.Done()
+			}
+		}
+	}()
+	conn, err := wire.Dial(t.Context(), listener.Addr().String(), identity(t, "client", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if conn.Peer.GetControlId() != 11 || conn.Peer.GetNode() != "server" {
+		t.Errorf("the peer is %v", conn.Peer)
+	}
+}
