Keep in the state who was granted orders last

Cause: a control node that had started anew did not know which workers it or another had been granted, so after a loss of power everywhere no worker got an order for 3.5 s, even where the same node led before and after. Change: the replicated state names the last holder of each worker, by the identity that lives with the disk; a leader waits only where that is another one. Ruled out: the node's name as holder (another machine may take it). TestGrants, TestHoldersLastAsLongAsTheirMachine. The case "a machine granted before the start" of TestGrants asks for another holder now, since that is what is waited for; the one for the node itself is new.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -245,7 +245,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	command := &wirepb.GrantCommand{Holder: f.node.settings.Node, Machines: []string{machine}}
+	command := &wirepb.GrantCommand{Holder: f.node.holder, Machines: []string{machine}}
 	if _, err := f.node.proposeLocally(ctx, &wirepb.Command{Body: &wirepb.Command_Grant{Grant: command}}); err != nil {
 		return err
 	}
@@ -262,22 +262,27 @@
 	}
 	for _, applied := range output.Applied {
 		if grant := applied.Result.GetGrant(); grant != nil {
-			n.grants.Note(n.now(), grant.GetHolder(), grant.GetMachines())
+			n.grants.Note(n.now(), grant.GetMachines())
 		}
 	}
 }
 
 func (f *fleet) pass(ctx context.Context) {
 	var wanted []orders.Wanted
+	holders := map[string]string{}
 	f.node.Read(func(machine *state.Machine) {
 		registered := f.registered.Read(machine)
+		for name := range registered.Machines {
+			holders[name] = machine.Holder(name)
+		}
 		f.mutex.Lock()
 		defer f.mutex.Unlock()
 		wanted = registered.Wanted(f.stateOf(), f.node.reports.AdapterDemand(f.node.now()), f.work)
 	})
 	now := f.node.now()
 	for position := range wanted {
-		wanted[position].Held = !f.node.grants.Free(now, wanted[position].Machine)
+		name := wanted[position].Machine
+		wanted[position].Held = !f.node.grants.Free(now, name, holders[name])
 	}
 	f.mutex.Lock()
 	plan := f.core.Plan(f.node.now(), wanted)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,8 +94,10 @@
 	instances *instances.Table
 	engines   Engines
 	seeds     func() []string
-	// grants tells which machines others may have given orders to.
+	// grants tells which machines others may have given orders to; holder names
+	// this node there.
 	grants *orders.Grants
+	holder string
 	nudge  chan struct{}
 	// calmSince is since when processing has been quick; the loop's own.
 	calmSince time.Duration
@@ -141,7 +144,8 @@
 	}
 	opened.StateLock = &node.stateMutex
 	node.member = opened
-	node.grants = orders.NewGrants(node.settings.Node, grantLifetime+node.settings.Machines.OrderLease)
+	node.holder = strconv.FormatUint(options.ID, 10)
+	node.grants = orders.NewGrants(node.holder, grantLifetime+node.settings.Machines.OrderLease)
 	node.reports = controller.NewReportTable()
 	node.peers = newPeerSet(node)
 	node.publishStatus()
--- a/internal/orders/grants.go
+++ b/internal/orders/grants.go
@@ -12,9 +12,11 @@
 // Before a leader orders a machine, a grant is committed to the log, and it may
 // order for a short time counted from before the proposal. A later leader holds
 // every committed grant, and noted it when it applied it, which was later than
-// that: so it waits from then on. What it may have missed (before its start, or
-// under a snapshot) counts as granted when it began to know. It is safe for
-// concurrent use.
+// that: so it waits from then on. Who was granted orders last is part of the
+// replicated state, but not when: what was granted before a node's start, or under
+// a snapshot, counts as granted when it began to know. A machine that nobody else
+// was granted since need not wait, not even for a node that has started anew. It is
+// safe for concurrent use.
 type Grants struct {
 	self string
 	// wait is for how long a machine is left alone after a grant to another.
@@ -23,17 +25,15 @@
 	mutex sync.Mutex
 	// known is since when no grant can have been missed.
 	known time.Duration
-	noted map[string]notedGrant
+	// noted is when each machine was granted last, as far as was seen.
+	noted map[string]time.Duration
 }
 
-type notedGrant struct {
-	holder string
-	at     time.Duration
-}
-
-// NewGrants returns the grants of a node that starts now, at 0.
+// NewGrants returns the grants of a node that starts now, at 0. Self names the node
+// as holder, as nobody else ever is: a node that lost its disk, or has taken another
+// one's name, is another holder.
 func NewGrants(self string, wait time.Duration) *Grants {
-	return &Grants{self: self, wait: wait, noted: map[string]notedGrant{}}
+	return &Grants{self: self, wait: wait, noted: map[string]time.Duration{}}
 }
 
 // Forget notes that grants may have been missed until now.
@@ -41,30 +41,32 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.known = now
-	g.noted = map[string]notedGrant{}
+	g.noted = map[string]time.Duration{}
 }
 
 // Note notes a grant that the log holds.
-func (g *Grants) Note(now time.Duration, holder string, machines []string) {
+func (g *Grants) Note(now time.Duration, machines []string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, machine := range machines {
-		g.noted[machine] = notedGrant{holder: holder, at: now}
+		g.noted[machine] = now
 	}
-	for machine, grant := range g.noted {
-		if now-grant.at > 2*g.wait {
+	for machine, at := range g.noted {
+		if now-at > 2*g.wait {
 			delete(g.noted, machine)
 		}
 	}
 }
 
-// Free reports whether this node may have a grant for a machine.
-func (g *Grants) Free(now time.Duration, machine string) bool {
+// Free reports whether a machine may be given orders by this node, as leader that
+// holds its lease. Holder is whom the state names as the one who was granted orders
+// to it last, empty if nobody was.
+func (g *Grants) Free(now time.Duration, machine, holder string) bool {
+	if holder == "" || holder == g.self {
+		return true
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if now-g.known < g.wait {
-		return false
-	}
-	grant, noted := g.noted[machine]
-	return !noted || grant.holder == g.self || now-grant.at >= g.wait
+	since := max(g.known, g.noted[machine])
+	return now-since >= g.wait
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -44,6 +44,8 @@
 	replicasOf index
 	claims     claimTable
 	requests   requestTable
+	// holders are the nodes that were granted orders last, by machine.
+	holders map[string]string
 	// declaration is the newest document that took effect, or nil.
 	declaration *wirepb.Declaration
 	events      []*wirepb.WatchEvent
@@ -61,6 +63,7 @@
 		replicasOf: index{},
 		claims:     newClaimTable(),
 		requests:   newRequestTable(),
+		holders:    map[string]string{},
 	}
 }
 
@@ -149,6 +152,9 @@
 	case *wirepb.Command_Register:
 		return m.register(body.Register)
 	case *wirepb.Command_Grant:
+		for _, machine := range body.Grant.GetMachines() {
+			m.holders[machine] = body.Grant.GetHolder()
+		}
 		return &wirepb.CommandResult{Grant: body.Grant}
 	}
 	return &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_INVALID, Message: "unknown command"}
@@ -226,6 +232,7 @@
 	delete(m.specs, key)
 	if key.Kind == v1.KindMachine {
 		delete(m.statuses, key.Name)
+		delete(m.holders, key.Name)
 	}
 	tombstone := &wirepb.Object{Kind: string(key.Kind), Name: key.Name, Revision: m.revision}
 	m.remember(&wirepb.WatchEvent{Deleted: true, Object: tombstone})
@@ -268,6 +275,7 @@
 		Claims:         m.claims.list(),
 		RequestRecords: m.requests.list(),
 		Declaration:    m.declaration,
+		Holders:        m.listHolders(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -295,6 +303,9 @@
 		}
 		restored.store(KeyOf(object), object, spec)
 	}
+	for _, entry := range snapshot.GetHolders() {
+		restored.holders[entry.GetMachine()] = entry.GetHolder()
+	}
 	for _, claim := range snapshot.GetClaims() {
 		restored.claims.records[claim.GetKey()] = claim
 	}
@@ -305,6 +316,21 @@
 	return nil
 }
 
+// Holder returns the node that was granted orders to a machine last; empty if none
+// was.
+func (m *Machine) Holder(machine string) string {
+	return m.holders[machine]
+}
+
+func (m *Machine) listHolders() []*wirepb.OrderHolder {
+	listed := make([]*wirepb.OrderHolder, 0, len(m.holders))
+	for machine, holder := range m.holders {
+		listed = append(listed, &wirepb.OrderHolder{Machine: machine, Holder: holder})
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].GetMachine() < listed[j].GetMachine() })
+	return listed
+}
+
 func sameSpec(left, right *wirepb.Object) bool {
 	return bytes.Equal(left.GetSpec(), right.GetSpec())
 }
