Leave the placement of listed machines as it was

Change: replicas that nobody is known to have asked for count as long idle on registered machines only.

--- a/internal/placement/history.go
+++ b/internal/placement/history.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
 )
 
 // A leader learns over seconds how much is asked for which version. One that has
@@ -57,12 +59,15 @@
 }
 
 // firstUse is when a replica that was not known before is taken to have been
-// used last.
-func (p *pass) firstUse(version string) time.Time {
-	if asked, known := p.planner.lastAsked[version]; known {
+// used last. Of what registered machines hold, much may never have been asked for;
+// others hold only what was.
+func (p *pass) firstUse(replica *v1.ReplicaSpec) time.Time {
+	if asked, known := p.planner.lastAsked[replica.Version]; known {
 		return asked
 	}
-	if demand := p.input.Demand[version]; demand != nil && demand.Arrivals > 0 {
+	demand := p.input.Demand[replica.Version]
+	machine := p.input.Machines[replica.Machine]
+	if machine.Pool == "" || demand != nil && demand.Arrivals > 0 {
 		return p.input.Now
 	}
 	return p.input.Now.Add(-unaskedIdle)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -149,7 +149,7 @@
 		case replica.Running > 0 || replica.Spec.Phase == v1.ReplicaLoading:
 			p.planner.lastUsed[replica.Name] = p.input.Now
 		case !known:
-			p.planner.lastUsed[replica.Name] = p.firstUse(replica.Spec.Version)
+			p.planner.lastUsed[replica.Name] = p.firstUse(replica.Spec)
 		}
 	}
 	for version, demand := range p.input.Demand {
