Publish a node's status before it tells others

Cause: found on reading the change again. Messages of a node went out before its new status was published, by which its other goroutines act. Since a reply may now tell that the node leads no more, another could have been elected while, for a moment, the old status still showed a lease. Change: grants are noted and the status is published first. Ruled out: a further check in each place that asks for the lease. Proof: by the order in one function; no test shows the moment.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -270,10 +270,12 @@
 	if time.Since(started) > slowProcessing {
 		n.calmSince = n.now()
 	}
-	n.peers.sendRaft(output.Messages)
+	// What the node says to others must be true of all of it by then: a message
+	// may tell that it leads no more, and the status is what it acts by.
 	n.noteGrants(output)
-	n.pending.Complete(output)
 	n.publishStatus()
+	n.peers.sendRaft(output.Messages)
+	n.pending.Complete(output)
 	if len(output.Applied) > 0 || output.Restored {
 		n.metrics.observeBatch(len(output.Applied), time.Since(started))
 		n.changed.Notify()
