Test that loads go by the work that waits, and that queued loads count

Change: tests only. A datadriven table in internal/orders orders loads by the work that waits behind them; TestQueuedLoadsCount in internal/placement spreads loads by what each machine has still to load. They were written after the code, so they were not seen to fail before it.

--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -103,7 +103,11 @@
 		}
 		switch words[0] {
 		case "load", "store":
-			entry.Load = append(entry.Load, Task{Model: words[1], FromStore: words[0] == "store"})
+			task := Task{Model: words[1], FromStore: words[0] == "store"}
+			if len(words) > 2 {
+				_, _ = fmt.Sscan(words[2], &task.Work)
+			}
+			entry.Load = append(entry.Load, task)
 		case "unload":
 			entry.Unload = append(entry.Unload, Task{Model: words[1]})
 		case "adapter", "drop":
--- a/internal/placement/spread_test.go
+++ b/internal/placement/spread_test.go
@@ -196,3 +196,31 @@
 		t.Error("a hundred requests got no room")
 	}
 }
+
+// TestQueuedLoadsCount: a busy version was sent to a machine that had its weights on
+// disk, behind a load from the store that took longer than one elsewhere.
+func TestQueuedLoadsCount(t *testing.T) {
+	input := poolInput(2)
+	// One place is free on each machine; m0 is to load v1 from the store first.
+	input.Replicas = []*Replica{
+		{Name: "a", Observed: true, EnginePhase: EngineReady, Spec: input.Replicas[0].Spec},
+		{Name: "b", Observed: true, EnginePhase: EngineReady, Spec: input.Replicas[2].Spec},
+	}
+	loading := *input.Replicas[0].Spec
+	loading.Model, loading.Version, loading.Checkpoint = "v1", "v1", "v1"
+	loading.Phase, loading.Tier = v1.ReplicaLoading, string(TierRemote)
+	input.Replicas = append(input.Replicas, &Replica{Name: "c", Spec: &loading})
+	input.Machines["m0"].AcceleratorBytes = 150
+	poolVersion(input, "busy")
+	input.Machines["m0"].Tiers["busy"] = TierDisk
+	input.Demand["busy"] = &Demand{Arrivals: 1, Work: 1000, Waiting: 1, OldestWait: time.Second}
+	for _, action := range newPoolPlanner().Decide(input).Actions {
+		if action.Kind == ActionLoad && action.Spec.Version == "busy" {
+			if action.Spec.Machine != "m1" {
+				t.Errorf("loaded on %s, behind another load", action.Spec.Machine)
+			}
+			return
+		}
+	}
+	t.Error("not loaded at all")
+}
