Call one piece of code where the same was written twice

The time is still read after the mutex in fleet, so that waiting for it can't lengthen a grant. No bound, message or test assertion differs.

Conclusion: behaviour stays as it was.

--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -148,7 +148,6 @@
 		return fault.InvalidField("spec.engine.storeLoadsPerSecond", "must not be negative")
 	}
 	return firstError(
-		requireRange("spec.maxConnections", int64(s.MaxConnections), 0, 1_000_000),
 		requireRange("spec.engine.slots", int64(s.Engine.Slots), 1, 100_000),
 		requireRange("spec.engine.memoryBytes", s.Engine.MemoryBytes, 1, maxBytes),
 		requireRange("spec.engine.adapterSlots", int64(s.Engine.AdapterSlots), 0, 100_000),
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -226,19 +226,21 @@
 // a grant of its own stands in the log, and whoever had one before has had none
 // for long enough.
 func (f *fleet) mayOrder(machine string) bool {
+	until := f.grantedUntil(machine)
+	return f.node.now() < until && f.leads()
+}
+
+// grantedUntil is until when a machine may be given orders under the newest grant.
+func (f *fleet) grantedUntil(machine string) time.Duration {
 	f.mutex.Lock()
-	until := f.granted[machine]
-	f.mutex.Unlock()
-	now := f.node.now()
-	return now < until && f.leads()
+	defer f.mutex.Unlock()
+	return f.granted[machine]
 }
 
 // grant makes a machine take orders of this leader. The time counts from before
 // the proposal: whoever holds the entry has got it later.
 func (f *fleet) grant(ctx context.Context, machine string) error {
-	f.mutex.Lock()
-	until := f.granted[machine]
-	f.mutex.Unlock()
+	until := f.grantedUntil(machine)
 	started := f.node.now()
 	if started+grantLifetime/2 < until {
 		return nil
--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -40,7 +41,7 @@
 		total[use] = &AdapterDemand{Version: use.version, Adapter: use.adapter, LastUsed: last, Now: now}
 	}
 	for _, entry := range t.nodes {
-		if now-entry.received > NodeTimeout {
+		if !entry.isLive(now) {
 			continue
 		}
 		for _, reported := range entry.report.GetDemand() {
@@ -205,12 +206,7 @@
 func (p *adapterPlace) oldest(now time.Duration, lastUsed map[adapterUse]time.Duration) (version, adapter string) {
 	first := true
 	var oldest time.Duration
-	versions := make([]string, 0, len(p.models))
-	for name := range p.models {
-		versions = append(versions, name)
-	}
-	sort.Strings(versions)
-	for _, name := range versions {
+	for _, name := range slices.Sorted(maps.Keys(p.models)) {
 		for _, candidate := range p.models[name].adapters {
 			used, known := lastUsed[adapterUse{name, candidate}]
 			if known && now-used < adapterIdle {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -198,7 +198,7 @@
 func liveRouters(now time.Duration, nodes map[string]nodeEntry) uint32 {
 	count := uint32(0)
 	for _, entry := range nodes {
-		if now-entry.received <= NodeTimeout && entry.report.GetRouter() && !entry.report.GetDraining() {
+		if entry.isLive(now) && entry.report.GetRouter() && !entry.report.GetDraining() {
 			count++
 		}
 	}
@@ -208,7 +208,7 @@
 func (c *Controller) rosterOf(now time.Duration, nodes map[string]nodeEntry, reports map[string]machineEntry) *wirepb.Roster {
 	roster := &wirepb.Roster{}
 	for name, entry := range nodes {
-		if now-entry.received <= NodeTimeout {
+		if entry.isLive(now) {
 			roster.Nodes = append(roster.Nodes, &wirepb.NodeEntry{
 				Name: name, Zone: entry.report.GetZone(), Draining: entry.report.GetDraining(),
 			})
@@ -238,7 +238,7 @@
 		loads[name] = entry.report.GetRunning() + entry.report.GetQueued()
 	}
 	for _, entry := range nodes {
-		if now-entry.received > NodeTimeout {
+		if !entry.isLive(now) {
 			continue
 		}
 		for _, load := range entry.report.GetLoads() {
@@ -257,7 +257,7 @@
 func workOf(now time.Duration, nodes map[string]nodeEntry) map[string]uint32 {
 	tokens := map[string]uint32{}
 	for _, entry := range nodes {
-		if now-entry.received > NodeTimeout {
+		if !entry.isLive(now) {
 			continue
 		}
 		for _, load := range entry.report.GetLoads() {
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -21,10 +22,6 @@
 	TierDisk   = string(placement.TierDisk)
 )
 
-// registeredIncarnation is the incarnation of every registered machine: one
-// that restarts registers under a new name.
-const registeredIncarnation = 1
-
 // Registered is what the state holds of machines that registered by
 // themselves.
 type Registered struct {
@@ -120,7 +117,7 @@
 		if !heard {
 			continue
 		}
-		for _, model := range sortedKeys(known.Models) {
+		for _, model := range slices.Sorted(maps.Keys(known.Models)) {
 			if write := r.adoptModel(name, model, known.Models[model]); write != nil {
 				writes = append(writes, write)
 			}
@@ -129,15 +126,6 @@
 	return writes
 }
 
-func sortedKeys(models map[string][]string) []string {
-	names := make([]string, 0, len(models))
-	for name := range models {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func (r *Registered) adoptModel(machine, model string, adapters []string) *wirepb.ObjectWrite {
 	for _, replica := range r.replicas[machine] {
 		if replica.spec.Checkpoint == model {
@@ -150,7 +138,7 @@
 	}
 	spec, err := json.Marshal(&v1.ReplicaSpec{
 		Model: version.spec.Model, Version: version.name, Checkpoint: model,
-		Machine: machine, Incarnation: registeredIncarnation, Accelerators: []int{0},
+		Machine: machine, Incarnation: state.RegisteredIncarnation, Accelerators: []int{0},
 		BytesPerAccelerator: version.spec.BytesPerAccelerator(), WeightBytes: version.spec.WeightBytes,
 		CacheBytes: version.spec.CacheBytes, MaxConcurrent: version.spec.MaxConcurrent,
 		Phase: v1.ReplicaReady, Adopted: true,
@@ -201,7 +189,7 @@
 }
 
 func (r *Registered) report(machine string, known orders.State) *wirepb.MachineReport {
-	report := &wirepb.MachineReport{Machine: machine, Incarnation: registeredIncarnation, Reachable: true, Fence: r.revision}
+	report := &wirepb.MachineReport{Machine: machine, Incarnation: state.RegisteredIncarnation, Reachable: true, Fence: r.revision}
 	for _, replica := range r.replicas[machine] {
 		_, held := known.Models[replica.spec.Checkpoint]
 		phase := ""
@@ -220,7 +208,7 @@
 		report.Replicas = append(report.Replicas, &wirepb.EngineReplica{Id: replica.object.GetName(), Version: replica.spec.Version, Phase: phase})
 	}
 	for _, checkpoint := range known.Disk {
-		report.Checkpoints = append(report.Checkpoints, &wirepb.CachedCheckpoint{Checkpoint: checkpoint, Tier: string(placement.TierDisk)})
+		report.Checkpoints = append(report.Checkpoints, &wirepb.CachedCheckpoint{Checkpoint: checkpoint, Tier: TierDisk})
 	}
 	for _, checkpoint := range known.Memory {
 		report.Checkpoints = append(report.Checkpoints, &wirepb.CachedCheckpoint{Checkpoint: checkpoint, Tier: TierMemory})
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -50,9 +50,9 @@
 	}
 	put(v1.KindMachine, "m",
 		&v1.MachineSpec{Endpoint: "http://10.0.0.1:80", Zone: "z", Accelerators: 1, AcceleratorBytes: 100, Pool: "pool", Slots: 4},
-		&v1.MachineStatus{Phase: v1.MachineLive, Incarnation: registeredIncarnation})
+		&v1.MachineStatus{Phase: v1.MachineLive, Incarnation: state.RegisteredIncarnation})
 	put(v1.KindReplica, "record", &v1.ReplicaSpec{
-		Model: "red", Version: "red@1", Checkpoint: "red", Machine: "m", Incarnation: registeredIncarnation,
+		Model: "red", Version: "red@1", Checkpoint: "red", Machine: "m", Incarnation: state.RegisteredIncarnation,
 		Accelerators: []int{0}, BytesPerAccelerator: 60, WeightBytes: 60, Phase: v1.ReplicaReady,
 	}, nil)
 	return machine
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -22,6 +22,11 @@
 	received time.Duration
 }
 
+// isLive reports whether the node was heard of lately enough.
+func (e nodeEntry) isLive(now time.Duration) bool {
+	return now-e.received <= NodeTimeout
+}
+
 // machineEntry is the newest report on a machine, by whichever agent.
 type machineEntry struct {
 	report   *wirepb.MachineReport
@@ -176,7 +181,7 @@
 	defer t.mutex.Unlock()
 	counts := map[string]int{}
 	for _, entry := range t.nodes {
-		if now-entry.received > NodeTimeout {
+		if !entry.isLive(now) {
 			continue
 		}
 		for _, machine := range entry.report.GetUnreachable() {
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -190,11 +190,7 @@
 
 // Status implements Backend.
 func (c *Cache) Status(ctx context.Context) (*wirepb.StatusReply, error) {
-	answer, err := c.client.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
-	if err != nil {
-		return nil, err
-	}
-	return answer.GetStatusReply(), nil
+	return c.client.Status(ctx)
 }
 
 // Propose implements Backend.
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -242,14 +242,24 @@
 // Confirm returns the revision that the leader held after the call was made.
 // Whoever has applied as much holds everything that was committed before.
 func (c *Client) Confirm(ctx context.Context) (uint64, error) {
-	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	status, err := c.Status(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if answer.GetStatusReply().GetLeader() == "" {
+	if status.GetLeader() == "" {
 		return 0, fault.Unavailable.New("there is no leader to confirm a revision")
 	}
-	return answer.GetStatusReply().GetRevision(), nil
+	return status.GetRevision(), nil
+}
+
+// Status returns the leader's view of the cluster, empty where the server could
+// not reach a leader.
+func (c *Client) Status(ctx context.Context) (*wirepb.StatusReply, error) {
+	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	if err != nil {
+		return nil, err
+	}
+	return answer.GetStatusReply(), nil
 }
 
 // call sends an envelope and waits for the one that repeats its id.
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -15,6 +15,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -75,11 +76,7 @@
 func (t *Table) Entries() map[string]Entry {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	entries := make(map[string]Entry, len(t.entries))
-	for name, entry := range t.entries {
-		entries[name] = entry
-	}
-	return entries
+	return maps.Clone(t.entries)
 }
 
 // Policy tunes how silence is read.
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -97,6 +97,12 @@
 	p.spread = opened
 }
 
+// evenShare is the rate of work that each machine of a pool would get if all got
+// the same.
+func (s *spread) evenShare(pool string) float64 {
+	return s.total[pool] / float64(max(1, s.machines[pool]))
+}
+
 // spreadOver is over how many machines a version should be spread.
 func (p *pass) spreadOver(version *Version) int {
 	rate := p.planner.work.rates[version.Name]
@@ -104,8 +110,7 @@
 	if pool == "" || rate < minimumRate || p.spread.total[pool] == 0 {
 		return 0
 	}
-	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
-	wanted := int(math.Ceil(rate / (even * spreadMargin)))
+	wanted := int(math.Ceil(rate / (p.spread.evenShare(pool) * spreadMargin)))
 	return min(p.spread.machines[pool], wanted)
 }
 
@@ -179,8 +184,7 @@
 	if pool == "" || p.spread.total[pool] == 0 {
 		return 0
 	}
-	even := p.spread.total[pool] / float64(max(1, p.spread.machines[pool]))
-	return p.spread.load[candidate.machine.Name] / even * p.loadTime(entry.version, TierRemote).Seconds() * entry.version.ColdStartWeight
+	return p.spread.load[candidate.machine.Name] / p.spread.evenShare(pool) * p.loadTime(entry.version, TierRemote).Seconds() * entry.version.ColdStartWeight
 }
 
 // hasReplica reports whether the version is loading or loaded on a machine.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -35,7 +35,7 @@
 		if missing <= 0 {
 			continue
 		}
-		entry := want{version: version, loadTime: p.planner.speeds.versionLoadTime(version.Spec, TierDisk)}
+		entry := want{version: version, loadTime: p.loadTime(version, TierDisk)}
 		if demand := p.input.Demand[name]; demand != nil && demand.Waiting > 0 {
 			entry.urgent = true
 			entry.waiting = demand.OldestWait
--- a/internal/state/declare.go
+++ b/internal/state/declare.go
@@ -124,7 +124,7 @@
 	if held == nil && len(command.GetSpec()) == 0 {
 		return nil // Nobody routes to a machine that never registered.
 	}
-	status := v1.MachineStatus{Phase: phase, Incarnation: registeredIncarnation, Reason: command.GetReason()}
+	status := v1.MachineStatus{Phase: phase, Incarnation: RegisteredIncarnation, Reason: command.GetReason()}
 	if held != nil {
 		if statusOf(held).Phase.Rank() > phase.Rank() {
 			return nil
@@ -145,6 +145,6 @@
 	return &wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT, Object: object}
 }
 
-// registeredIncarnation is the incarnation of every registered machine: one
+// RegisteredIncarnation is the incarnation of every registered machine: one
 // that restarts registers under a new name.
-const registeredIncarnation = 1
+const RegisteredIncarnation = 1
