Decide swaps on registered machines late, by one measure of worth

Evictions were decided for machines that were at a load of 6 to 20 s, so the victim served nobody meanwhile. Loads went by priority and by the longest wait, so rare models had the store while a busy one had no replica. The store was given 13 loads at once, derived from its rate; it runs 4 at full speed, so each took 9 to 20 s.

Ruled out: that the rare models run slower.

Change: one number of needed replicas, by work and by averaged slots in use, for loads and evictions; only ready replicas can be surplus; what was loaded stays for as long as its load took; for each registered machine one change at a time, when its orders are done, free room and evictions compared by the same cost, and a quick machine is waited for; wants ordered by worth; the store's concurrency learned from how long loads take; no load in advance from the store of what is on a disk; the only replica on a leaving machine is replaced at once.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-		takes := p.takesOn(entry, candidate, tier) + evictionTakes
+		takes := p.loadTime(entry.version, tier) + evictionTakes
 		if takes >= bestTime {
 			continue
 		}
@@ -59,16 +59,6 @@
 	return true
 }
 
-// takesOn is how long a load takes on a machine. One that registered carries out
-// one order at a time, so what is on its way there comes first.
-func (p *pass) takesOn(entry want, candidate *room, tier Tier) time.Duration {
-	takes := p.loadTime(entry.version, tier)
-	if candidate.machine.Pool == "" {
-		return takes
-	}
-	return p.queued(candidate) + takes*time.Duration(1+candidate.expected)
-}
-
 // expect counts the room that is still being made on each machine.
 func (p *pass) expect() {
 	for name, made := range p.planner.evicting {
@@ -105,6 +95,7 @@
 		p.unload(victim, "evicted")
 	}
 	p.machines[machine].expected++
+	p.machines[machine].unloading++
 	p.planner.evicting[entry.version.Name] = madeRoom{machine: machine, until: p.input.Now.Add(evictionPatience)}
 	p.estimate(entry, takes)
 }
@@ -112,7 +103,7 @@
 // makeRoom evicts idle replicas for a wanted one that fits nowhere.
 func (p *pass) makeRoom(entry want, names []string) {
 	name := entry.version.Name
-	if !entry.urgent && !entry.further {
+	if !entry.urgent {
 		return // Nothing is evicted for a replica kept in reserve.
 	}
 	if !p.fitsAnywhere(entry.version) {
@@ -125,9 +116,6 @@
 	if victims == nil {
 		return // All in use: the request waits for a place until its deadline.
 	}
-	if entry.version.Spec.Pool != "" && !p.paysToEvict(entry, victims) {
-		return
-	}
 	p.evict(entry, machine, victims, p.loadTime(entry.version, TierRemote))
 }
 
@@ -146,7 +134,7 @@
 	var bestCost float64
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) || entry.further && candidate.hasReplica(entry.version.Name) {
+		if !candidate.serves(entry.version) {
 			continue
 		}
 		victims, cost := p.victimsOn(entry, candidate)
@@ -154,8 +142,7 @@
 			continue
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-		cost += p.takesOn(entry, candidate, tier).Seconds() * entry.version.ColdStartWeight
-		cost += p.crowding(candidate, entry)
+		cost += p.loadTime(entry.version, tier).Seconds() * entry.version.ColdStartWeight
 		if best == nil || cost < bestCost {
 			machine, best, bestCost = name, victims, cost
 		}
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -18,6 +18,8 @@
 	holds []int
 	// loading counts loads in progress: they share the machine's links.
 	loading int
+	// unloading counts replicas that are to go and have not gone.
+	unloading int
 	// expected counts loads for which room is being made.
 	expected int
 	// promised are the versions that room was made for and that are not there.
@@ -35,11 +37,21 @@
 func (r *room) reserve(replica *Replica) {
 	r.take(replica.Spec)
 	r.replicas = append(r.replicas, replica)
-	if replica.Spec.Phase == v1.ReplicaLoading {
+	switch replica.Spec.Phase {
+	case v1.ReplicaLoading:
 		r.loading++
+	case v1.ReplicaUnloading:
+		r.unloading++
 	}
 }
 
+// hasOrders reports whether orders are under way on a registered machine, which
+// carries them out one after the other. What is decided for it before they are done
+// only waits there: a load that could begin elsewhere, a replica that could serve.
+func (r *room) hasOrders() bool {
+	return r.machine.Pool != "" && r.loading+r.unloading > 0
+}
+
 func (r *room) take(spec *v1.ReplicaSpec) {
 	for _, accelerator := range spec.Accelerators {
 		if accelerator < len(r.free) {
@@ -96,14 +108,17 @@
 	p.planner.store.limit(p.input.StoreLoadsPerSecond, p.input.StoreConcurrentLoads)
 	p.planner.store.refill(p.input.Now)
 	p.expect()
-	remote := p.remoteLoads()
+	p.storeLoads = p.remoteLoads()
 	names := p.acceptingMachines()
-	queued := 0
 	for _, entry := range p.wants() {
 		if p.awaitsRoom(entry) {
 			p.estimate(entry, evictionTakes+p.loadTime(entry.version, TierMemory))
 			continue
 		}
+		if entry.version.Spec.Pool != "" {
+			p.placeOnRegistered(entry, names)
+			continue
+		}
 		chosen, accelerators := p.bestMachine(entry, names)
 		if chosen == nil {
 			p.makeRoom(entry, names)
@@ -113,13 +128,13 @@
 		if p.evictForSpeed(entry, names, p.loadTime(entry.version, tier)) {
 			continue
 		}
-		if tier == TierRemote && !p.planner.store.take(remote) {
-			p.estimate(entry, p.planner.store.delay(queued, remote, p.loadTime(entry.version, tier))+p.loadTime(entry.version, tier))
-			queued++
+		if tier == TierRemote && !p.planner.store.take(p.storeLoads) {
+			p.estimate(entry, p.planner.store.delay(p.storeQueue, p.storeLoads, p.loadTime(entry.version, tier))+p.loadTime(entry.version, tier))
+			p.storeQueue++
 			continue
 		}
 		if tier == TierRemote {
-			remote++
+			p.storeLoads++
 		}
 		p.load(entry, chosen, accelerators, tier)
 	}
@@ -163,10 +178,7 @@
 	bytes := entry.version.Spec.BytesPerAccelerator()
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) || entry.version.Spec.Pool != "" && candidate.hasReplica(entry.version.Name) {
-			continue
-		}
-		if candidate.isPromisedToOthers(entry.version) {
+		if !candidate.serves(entry.version) {
 			continue
 		}
 		readyIn := p.readyIn(entry, candidate)
@@ -210,33 +222,12 @@
 }
 
 // readyIn is how long a load on a machine takes. Loads on one machine share its
-// links, so a second takes twice as long; a registered one carries them out one
-// after the other.
+// links, so a second takes twice as long.
 func (p *pass) readyIn(entry want, candidate *room) time.Duration {
 	tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
-	if candidate.machine.Pool != "" {
-		return p.queued(candidate) + p.loadTime(entry.version, tier)
-	}
 	return p.loadTime(entry.version, tier) * time.Duration(1+candidate.loading)
 }
 
-// queued is how long the loads take that are ahead on a registered machine.
-func (p *pass) queued(candidate *room) time.Duration {
-	ahead := time.Duration(0)
-	for _, replica := range candidate.replicas {
-		version := p.input.Versions[replica.Spec.Version]
-		if replica.Spec.Phase != v1.ReplicaLoading || version == nil {
-			continue
-		}
-		takes := p.loadTime(version, Tier(replica.Spec.Tier))
-		if since, begun := p.planner.loadingSince[replica.Name]; begun {
-			takes -= min(takes, p.input.Now.Sub(since))
-		}
-		ahead += takes
-	}
-	return ahead
-}
-
 func (p *pass) score(entry want, candidate *room, accelerators []int, readyIn time.Duration) machineScore {
 	score := machineScore{readyIn: readyIn}
 	score.pushesOut = p.planner.memory.overflows(candidate.machine, entry.version.Spec.Checkpoint, entry.version.Spec.WeightBytes)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,11 +27,13 @@
 type Planner struct {
 	config Config
 	store  *storePacer
-	// speeds are learned from loads; loadingSince is when each was first seen.
-	speeds       *speedTable
-	work         *workRates
-	memory       *hostMemory
-	loadingSince map[string]time.Time
+	// speeds are learned from loads; loading are those in progress.
+	speeds  *speedTable
+	work    *workRates
+	memory  *hostMemory
+	loading map[string]*observedLoad
+	// readySince is when a replica that was loaded became ready.
+	readySince map[string]time.Time
 	// lastUsed is when a replica last served or became ready.
 	lastUsed map[string]time.Time
 	// lastAsked is when a version was last asked for.
@@ -53,7 +55,8 @@
 		speeds:       newSpeedTable(config.Speeds),
 		work:         newWorkRates(),
 		memory:       newHostMemory(),
-		loadingSince: map[string]time.Time{},
+		loading:      map[string]*observedLoad{},
+		readySince:   map[string]time.Time{},
 		lastUsed:     map[string]time.Time{},
 		lastAsked:    map[string]time.Time{},
 		arrivals:     map[string]uint64{},
@@ -76,9 +79,12 @@
 	// changed marks replicas that this pass has acted on.
 	changed map[*Replica]bool
 	// worth is what the replicas on each accelerator are worth, by machine.
-	worth    map[string]map[int]float64
-	spread   *spread
-	decision Decision
+	worth  map[string]map[int]float64
+	spread *spread
+	// storeLoads counts the loads that occupy the weight store, storeQueue those
+	// that this pass has put off until it has room.
+	storeLoads, storeQueue int
+	decision               Decision
 }
 
 // Decide returns the next changes. The caller must not call again before it
@@ -187,9 +193,14 @@
 			delete(p.lastUsed, name)
 		}
 	}
-	for name := range p.loadingSince {
+	for name := range p.readySince {
 		if !present[name] {
-			delete(p.loadingSince, name)
+			delete(p.readySince, name)
+		}
+	}
+	for name := range p.loading {
+		if !present[name] {
+			delete(p.loading, name)
 		}
 	}
 	for name := range p.leavingSince {
--- a/internal/placement/reconcile.go
+++ b/internal/placement/reconcile.go
@@ -36,6 +36,7 @@
 	switch replica.EnginePhase {
 	case EngineReady:
 		if replica.Spec.Phase == v1.ReplicaLoading {
+			p.planner.readySince[replica.Name] = p.input.Now
 			return Action{Kind: ActionReady, Replica: replica, Reason: "loaded"}, true
 		}
 	case EngineFailed:
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -61,20 +61,73 @@
 	*target += speedGain * (speed - *target)
 }
 
+// observedLoad is a load that is being watched.
+type observedLoad struct {
+	since time.Time
+	// begun is when its engine was first seen at it.
+	begun time.Time
+	// beside is the time for which it has run, times how many ran from the store.
+	beside  float64
+	updated time.Time
+	// slow is set once it has taken longer than at full speed.
+	slow bool
+}
+
 // learnSpeeds notes when loads begin and learns from those that have ended.
 func (p *pass) learnSpeeds() {
+	running := p.storeLoadsRunning()
 	for _, replica := range p.input.Replicas {
 		if replica.Spec.Phase != v1.ReplicaLoading {
 			continue
 		}
-		since, known := p.planner.loadingSince[replica.Name]
+		load, known := p.planner.loading[replica.Name]
 		if !known {
-			p.planner.loadingSince[replica.Name] = p.input.Now
+			p.planner.loading[replica.Name] = &observedLoad{since: p.input.Now}
 			continue
 		}
-		if replica.Observed && replica.EnginePhase == EngineReady {
-			p.planner.speeds.observe(replica.Spec.WeightBytes, Tier(replica.Spec.Tier), p.input.Now.Sub(since))
-			delete(p.planner.loadingSince, replica.Name)
+		ended := replica.Observed && replica.EnginePhase == EngineReady
+		if replica.Spec.Tier == string(TierRemote) {
+			p.learnStore(load, replica, running, ended)
+		}
+		if ended {
+			p.planner.speeds.observe(replica.Spec.WeightBytes, Tier(replica.Spec.Tier), p.input.Now.Sub(load.since))
+			delete(p.planner.loading, replica.Name)
 		}
 	}
 }
+
+// storeLoadsRunning counts the loads from the weight store that engines are at.
+func (p *pass) storeLoadsRunning() int {
+	count := 0
+	for _, replica := range p.input.Replicas {
+		if replica.Spec.Phase == v1.ReplicaLoading && replica.Spec.Tier == string(TierRemote) && replica.EnginePhase == EngineLoading {
+			count++
+		}
+	}
+	return count
+}
+
+// learnStore compares a load from the store with its declared time.
+func (p *pass) learnStore(load *observedLoad, replica *Replica, running int, ended bool) {
+	version := p.input.Versions[replica.Spec.Version]
+	if version == nil || version.Spec.LoadTime <= 0 {
+		return
+	}
+	p.planner.store.expect()
+	if replica.EnginePhase == EngineLoading && load.begun.IsZero() {
+		load.begun, load.updated = p.input.Now, p.input.Now
+		return
+	}
+	if load.begun.IsZero() {
+		return
+	}
+	load.beside += p.input.Now.Sub(load.updated).Seconds() * float64(running)
+	load.updated = p.input.Now
+	took := p.input.Now.Sub(load.begun).Seconds()
+	declared := time.Duration(version.Spec.LoadTime).Seconds()
+	if took <= 0 || !ended && (load.slow || took < slowedLoad*declared) {
+		return
+	}
+	load.slow = took >= slowedLoad*declared
+	p.planner.store.observe(load.beside/took, took/declared, ended)
+}
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -20,18 +20,13 @@
 	spreadMargin = 2.6
 	// minimumRate, in tokens per second, is below which one replica will do.
 	minimumRate = 500
-	// leastRecent is what a replica is worth that nobody has asked for.
-	leastRecent = 0.05
-	// surplusWorth is the part of its worth that is left of a replica of which
-	// there are more than needed.
-	surplusWorth = 0.01
-	// reserveValue makes evicting for a further replica harder than for a first.
-	reserveValue = 0.5
 )
 
 // workRates are the averaged rates of work by version, in tokens per second.
 type workRates struct {
-	rates   map[string]float64
+	rates map[string]float64
+	// inUse is the averaged number of requests that run or wait, by version.
+	inUse   map[string]float64
 	seen    map[string]uint64
 	begun   time.Time
 	updated time.Time
@@ -40,7 +35,7 @@
 }
 
 func newWorkRates() *workRates {
-	return &workRates{rates: map[string]float64{}, seen: map[string]uint64{}}
+	return &workRates{rates: map[string]float64{}, inUse: map[string]float64{}, seen: map[string]uint64{}}
 }
 
 // observe takes the running totals of work.
@@ -59,7 +54,11 @@
 	for version := range w.rates {
 		w.rates[version] *= keep
 	}
+	for version := range w.inUse {
+		w.inUse[version] *= keep
+	}
 	for version, entry := range demand {
+		w.inUse[version] += (1 - keep) * float64(entry.Running+entry.Waiting)
 		grown := float64(entry.Work - min(w.seen[version], entry.Work))
 		w.seen[version] = entry.Work
 		if !first {
@@ -114,69 +113,6 @@
 	return min(p.spread.machines[pool], wanted)
 }
 
-// urgency is which part of a cold start its requests would miss: next to nothing
-// where they have time for it, all of it where their target is shorter, or not
-// known.
-func (p *pass) urgency(version *Version) float64 {
-	demand := p.input.Demand[version.Name]
-	if demand == nil || demand.Target == 0 {
-		return 1
-	}
-	missed := p.loadTime(version, TierDisk).Seconds() / demand.Target.Seconds()
-	return min(1, missed*missed)
-}
-
-// replicaWorth is what a replica of a pool's version is worth, in weighted
-// seconds of cold starts for each second: what it serves, or nearly nothing
-// where its version has more replicas than it needs.
-func (p *pass) replicaWorth(replica *Replica, version *Version) float64 {
-	rate := p.planner.work.rates[version.Name]
-	count := max(1, len(p.byVersion[version.Name]))
-	wanted := max(1, p.spreadOver(version))
-	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name]).Seconds()
-	worth := (max(leastRecent, 1/(1+idle)) + rate/float64(count)/minimumRate) * p.urgency(version)
-	if count > wanted && p.planner.work.settled {
-		return surplusWorth * worth
-	}
-	return worth
-}
-
-// mayEvict reports whether a replica may make room. What a registered machine
-// runs of a model is not reported; an unload waits for its runs, so there it is
-// a matter of worth alone.
-func (p *pass) mayEvict(replica *Replica) bool {
-	version := p.input.Versions[replica.Spec.Version]
-	if version == nil || version.Spec.Pool == "" {
-		return p.isIdle(replica)
-	}
-	demand := p.input.Demand[replica.Spec.Version]
-	return demand == nil || demand.Waiting == 0 || len(p.byVersion[version.Name]) > 1
-}
-
-// gain is what a wanted replica is worth, on the scale of replicaWorth.
-func (p *pass) gain(entry want) float64 {
-	served := p.planner.work.rates[entry.version.Name] / minimumRate
-	if entry.further {
-		return reserveValue * served / float64(len(p.byVersion[entry.version.Name])+1)
-	}
-	if demand := p.input.Demand[entry.version.Name]; demand != nil {
-		served += float64(demand.Waiting)
-	}
-	return served
-}
-
-// paysToEvict reports whether a replica is worth more than what it pushes out.
-func (p *pass) paysToEvict(entry want, victims []*Replica) bool {
-	gained := p.gain(entry)
-	lost := 0.0
-	for _, victim := range victims {
-		if version := p.input.Versions[victim.Spec.Version]; version != nil {
-			lost += p.replicaWorth(victim, version)
-		}
-	}
-	return gained > lost
-}
-
 // crowding is what it costs to load where much else is asked for, on the scale
 // of eviction costs.
 func (p *pass) crowding(candidate *room, entry want) float64 {
@@ -184,7 +120,7 @@
 	if pool == "" || p.spread.total[pool] == 0 {
 		return 0
 	}
-	return p.spread.load[candidate.machine.Name] / p.spread.evenShare(pool) * p.loadTime(entry.version, TierRemote).Seconds() * entry.version.ColdStartWeight
+	return p.spread.load[candidate.machine.Name] / p.spread.evenShare(pool) * p.loadTime(entry.version, TierDisk).Seconds() * entry.version.ColdStartWeight
 }
 
 // hasReplica reports whether the version is loading or loaded on a machine.
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -12,10 +13,24 @@
 type storePacer struct {
 	perSecond  float64
 	concurrent int
-	tokens     float64
-	updated    time.Time
+	// learned is how many loads at once were seen to run at full speed.
+	learned float64
+	tokens  float64
+	updated time.Time
 }
 
+const (
+	// firstConcurrent is the share of the declared concurrency that is used until
+	// loads have been seen: it is derived from a rate, and a store may slow down
+	// long before.
+	firstConcurrent = 0.5
+	// slowedLoad is by how much longer than declared a load takes at least that
+	// the store has slowed down.
+	slowedLoad = 1.25
+	// concurrencyGain is the weight of the newest load in what is learned.
+	concurrencyGain = 0.5
+)
+
 func newStorePacer(perSecond float64, concurrent int) *storePacer {
 	return &storePacer{perSecond: perSecond, concurrent: concurrent, tokens: 1}
 }
@@ -39,7 +54,7 @@
 }
 
 func (s *storePacer) take(running int) bool {
-	if running >= s.concurrent || s.tokens < 1 {
+	if running >= s.allowed() || s.tokens < 1 {
 		return false
 	}
 	s.tokens--
@@ -50,14 +65,50 @@
 // admitted rate, and by the time that the store takes for the loads ahead.
 func (s *storePacer) delay(ahead, running int, loadTime time.Duration) time.Duration {
 	byRate := time.Duration(float64(ahead+1) / s.perSecond * float64(time.Second))
-	excess := ahead + running - s.concurrent + 1
+	excess := ahead + running - s.allowed() + 1
 	if excess <= 0 {
 		return byRate
 	}
-	byThroughput := time.Duration(float64(excess) / float64(s.concurrent) * float64(loadTime))
+	byThroughput := time.Duration(float64(excess) / float64(s.allowed()) * float64(loadTime))
 	return max(byRate, byThroughput)
 }
 
+// allowed is how many loads may run at once.
+func (s *storePacer) allowed() int {
+	if s.learned == 0 {
+		return s.concurrent
+	}
+	return max(1, min(s.concurrent, int(math.Round(s.learned))))
+}
+
+// expect starts what is learned, where loads have declared times to compare with.
+func (s *storePacer) expect() {
+	if s.learned == 0 {
+		s.learned = max(1, firstConcurrent*float64(s.concurrent))
+	}
+}
+
+// observe learns from a load that took, or has taken by now, so much longer than
+// declared while so many ran at once: a store that is shared evenly stretches each
+// in proportion.
+func (s *storePacer) observe(concurrent, stretch float64, ended bool) {
+	if s.learned == 0 || concurrent <= 0 {
+		return
+	}
+	switch fullSpeed := concurrent / stretch; {
+	case stretch >= slowedLoad:
+		s.learned += concurrencyGain * (min(s.learned, fullSpeed) - s.learned)
+	case ended && concurrent+0.5 >= s.learned:
+		s.learned++
+	}
+}
+
+// stretched is how long a load takes with others beside it.
+func (s *storePacer) stretched(loadTime time.Duration, running int) time.Duration {
+	excess := float64(running) / float64(s.allowed())
+	return time.Duration(float64(loadTime) * max(1, excess))
+}
+
 // remoteLoads counts the loads that occupy the weight store.
 func (p *pass) remoteLoads() int {
 	count := 0
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -18,16 +18,21 @@
 	// waiting is how long the oldest request has waited; 0 for prewarming.
 	waiting time.Duration
 	urgent  bool
+	// replaces is set where the version is served by machines that leave only.
+	replaces bool
 	// further is set where the version has a replica and needs more to share
 	// its work.
-	further  bool
+	further bool
+	// gain is what the replica of a pool's version would be worth.
+	gain     float64
 	priority int32
 	loadTime time.Duration
 }
 
 // wants lists the replicas to load, most urgent first: requests that wait
-// come before replicas kept in reserve; then by priority, then by who has
-// waited longest for the time that the load takes.
+// come before replicas kept in reserve; then by what they are worth on registered
+// machines; then by priority, then by who has waited longest for the time that the
+// load takes.
 func (p *pass) wants() []want {
 	var wanted []want
 	for name, version := range p.input.Versions {
@@ -41,8 +46,14 @@
 			entry.waiting = demand.OldestWait
 			entry.priority = max(demand.Priority, version.Priority)
 		}
-		entry.further = version.Spec.Pool != "" && len(p.byVersion[name]) > 0
+		if version.Spec.Pool != "" && len(p.byVersion[name]) > 0 {
+			entry.further = p.usable(version) > 0
+			entry.replaces = !entry.further
+		}
 		for range missing {
+			if version.Spec.Pool != "" {
+				entry.gain = p.gain(entry)
+			}
 			wanted = append(wanted, entry)
 			entry.further = entry.further || version.Spec.Pool != ""
 		}
@@ -51,12 +62,21 @@
 	return wanted
 }
 
+// isReserve reports whether nobody waits for the replica or needs it by now.
+func (w want) isReserve() bool {
+	return !w.urgent && !w.further && !w.replaces
+}
+
 func (w want) before(other want) bool {
 	switch {
 	case w.further != other.further:
 		return other.further
-	case w.urgent != other.urgent:
+	case w.isReserve() != other.isReserve():
+		return other.isReserve()
+	case w.urgent != other.urgent && w.gain == 0:
 		return w.urgent
+	case w.gain != other.gain:
+		return w.gain > other.gain
 	case w.priority != other.priority:
 		return w.priority > other.priority
 	case w.score() != other.score():
@@ -78,16 +98,11 @@
 		return 0
 	}
 	desired := version.MinReplicas
-	usable := 0
-	for _, replica := range p.byVersion[name] {
-		if p.input.Machines[replica.Spec.Machine].Accepts {
-			usable++
-		}
-	}
+	usable := p.usable(version)
 	if demand := p.input.Demand[name]; demand != nil {
 		desired = max(desired, p.desiredFor(demand, version, usable))
 	}
-	desired = max(desired, p.spreadOver(version))
+	desired = max(desired, p.needed(version, slotsUsed))
 	if desired == 0 && usable == 0 && p.isWorthLoading(version) {
 		desired = 1
 	}
@@ -100,6 +115,17 @@
 	return min(desired-usable, allowed)
 }
 
+// usable counts the replicas of a version that are there to stay.
+func (p *pass) usable(version *Version) int {
+	count := 0
+	for _, replica := range p.byVersion[version.Name] {
+		if p.input.Machines[replica.Spec.Machine].Accepts {
+			count++
+		}
+	}
+	return count
+}
+
 // isWorthLoading reports whether a version that nobody asks for is worth the
 // part of an accelerator that it would take: replicas that are loaded ahead
 // share accelerators.
@@ -118,6 +144,9 @@
 // desiredFor sizes a version for its load. A further replica is worth its
 // load only where those present are full.
 func (p *pass) desiredFor(demand *Demand, version *Version, usable int) int {
+	if version.Spec.Pool != "" {
+		return min(demand.Waiting, 1) // The rest follows from its averaged load.
+	}
 	if demand.Waiting == 0 {
 		return min(usable, version.MaxReplicas)
 	}
