Reckon with what other routers have sent since the last digest

Cause: every router sees the same work of machines, half a second to a second old, and takes the least busy one by it.

Change: a router takes the least busy machines to be filled up by what the others have sent since, as much as itself each, by its own averaged rate of the version and the observed interval between digests. Machines below that level are alike, but for cached beginnings, and are taken in proportion to what they lack.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -43,6 +43,10 @@
 	work, othersWork map[string]float64
 	// routers is how many share the replicas.
 	routers int
+	// digestAt is when the lagged work was last replaced, staleness how old it
+	// usually is.
+	digestAt  time.Time
+	staleness time.Duration
 }
 
 // versionState is what a router knows of one version.
@@ -51,6 +55,7 @@
 	queue    queue
 	arrivals uint64
 	work     float64
+	rate     workRate
 	target   time.Duration
 	// adapterArrivals counts the requests for each adapter.
 	adapterArrivals map[string]uint64
@@ -79,6 +84,7 @@
 		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
 		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
 		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
+		staleness: usualStaleness,
 	}
 }
 
@@ -96,6 +102,7 @@
 	version := c.version(request.Version)
 	version.arrivals++
 	version.work += request.Work
+	version.rate.add(now, request.Work)
 	if request.Target > 0 && (version.target == 0 || request.Target < version.target) {
 		version.target = request.Target
 	}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -48,7 +48,8 @@
 }
 
 // SetWork replaces the lagged work of machines, that of all routers together.
-func (c *Core) SetWork(total map[string]float64) {
+func (c *Core) SetWork(now time.Time, total map[string]float64) {
+	c.noteDigest(now)
 	c.othersWork = make(map[string]float64, len(total))
 	for machine, work := range total {
 		c.othersWork[machine] = max(0, work-c.work[machine])
@@ -68,13 +69,14 @@
 		}
 	}
 	first, second := homes(usable, request.Prefix)
+	level := c.levelOfOthers(now, version, usable)
 	var best *target
-	var bestCost float64
-	var bestTie uint64
+	var bestCost, bestTie float64
 	for _, candidate := range usable {
-		cost := c.work[candidate.Machine] + c.othersWork[candidate.Machine]
+		load := c.machineWork(candidate)
+		cost := max(load, level)
 		cost += request.Shared * (1 - candidate.cachedShare(now, request, first, second))
-		tie := rank(c.config.Seed+request.ID, candidate.Machine)
+		tie := weightedRank(c.config.Seed+request.ID, candidate.Machine, level-load)
 		if best == nil || cost < bestCost || cost == bestCost && tie > bestTie {
 			best, bestCost, bestTie = candidate, cost, tie
 		}
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -59,7 +59,7 @@
 	if own.Target.Machine == "m0" {
 		other = "m1"
 	}
-	core.SetWork(map[string]float64{own.Target.Machine: 2000, other: 5000})
+	core.SetWork(now, map[string]float64{own.Target.Machine: 2000, other: 5000})
 	if next := grantOf(t, core.Submit(now, request(now, 1000, 0, 0))); next.Target.Machine != own.Target.Machine {
 		t.Error("the other machine has 5000 tokens before it, this one 2000")
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -144,7 +144,7 @@
 func (d *Dispatcher) TakeDigest(now time.Time, digest *wirepb.ClusterDigest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.core.SetWork(nodeview.WorkOf(digest))
+	d.core.SetWork(now, nodeview.WorkOf(digest))
 	d.deliver(d.core.SetLoads(now, nodeview.LoadsOf(digest), int(digest.GetRouters())))
 	d.deliver(d.core.SetEstimates(now, nodeview.EstimatesOf(digest, now)))
 }
