Try the weight store with few loads at once, and more as they run at full speed

Cause: how many loads at once run at full speed is not declared.

Change: begin with four, and allow one more for each load that ends at full speed while as many as allowed run, so that it doubles with each load time; what slows down lowers it as before.

--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -113,7 +113,6 @@
 	if version == nil || version.Spec.LoadTime <= 0 {
 		return
 	}
-	p.planner.store.expect()
 	if replica.EnginePhase == EngineLoading && load.begun.IsZero() {
 		load.begun, load.updated = p.input.Now, p.input.Now
 		return
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -20,10 +20,10 @@
 }
 
 const (
-	// firstConcurrent is the share of the declared concurrency that is used until
-	// loads have been seen: it is derived from a rate, and a store may slow down
-	// long before.
-	firstConcurrent = 0.5
+	// firstConcurrent is how many loads run at once until some have been seen. What
+	// is declared follows from a rate, and a store may slow down long before. Each
+	// load at full speed allows one more, so that it doubles with each load time.
+	firstConcurrent = 4
 	// slowedLoad is by how much longer than declared a load takes at least that
 	// the store has slowed down.
 	slowedLoad = 1.25
@@ -42,6 +42,7 @@
 	}
 	if concurrent > 0 {
 		s.concurrent = concurrent
+		s.expect()
 	}
 }
 
@@ -81,10 +82,10 @@
 	return max(1, min(s.concurrent, int(math.Round(s.learned))))
 }
 
-// expect starts what is learned, where loads have declared times to compare with.
+// expect starts what is learned, where a limit follows from declared loads.
 func (s *storePacer) expect() {
 	if s.learned == 0 {
-		s.learned = max(1, firstConcurrent*float64(s.concurrent))
+		s.learned = min(firstConcurrent, float64(s.concurrent))
 	}
 }
 
--- a/internal/placement/swap_test.go
+++ b/internal/placement/swap_test.go
@@ -167,8 +167,8 @@
 	for _, replica := range input.Replicas {
 		replica.Spec.Phase, replica.EnginePhase, replica.Spec.Tier = v1.ReplicaLoading, "", string(TierRemote)
 	}
-	planner := NewPlanner(newPoolPlanner().config)
-	planner.store = newStorePacer(100, 8)
+	planner := newPoolPlanner()
+	input.StoreLoadsPerSecond, input.StoreConcurrentLoads = 100, 8
 	progress := map[string]float64{}
 	running := []*Replica{}
 	const step = 50 * time.Millisecond
@@ -209,6 +209,32 @@
 	}
 }
 
+// TestStoreIsTriedGently: a store whose rate suggests a hundred loads at once was given
+// half of them before any had been seen to end, and each held up its machine for a
+// minute.
+func TestStoreIsTriedGently(t *testing.T) {
+	input := poolInput(40)
+	input.Replicas = nil
+	input.StoreLoadsPerSecond, input.StoreConcurrentLoads = 50, 100
+	for version := range input.Versions {
+		wait(input, version, 1)
+	}
+	planner := newPoolPlanner()
+	loads := 0
+	for range 20 {
+		input.Now = input.Now.Add(200 * time.Millisecond)
+		decision := planner.Decide(input)
+		loads += len(decision.Actions)
+		carryOut(input, decision)
+		for _, replica := range input.Replicas {
+			replica.Spec.Phase, replica.Spec.Tier, replica.EnginePhase = v1.ReplicaLoading, string(TierRemote), EngineLoading
+		}
+	}
+	if loads > 2*firstConcurrent {
+		t.Errorf("%d loads from the store before one has ended", loads)
+	}
+}
+
 // course is a course of requests in virtual time: versions that are asked for evenly,
 // on fewer places than there are versions.
 type course struct {
