Order wants by one key after another

Cause: urgency was compared only where the first of two wants had no worth, so that each of two could come before the other. Found by reading; wants that are not urgent are told apart as reserves already.

--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -73,8 +73,6 @@
 		return other.further
 	case w.isReserve() != other.isReserve():
 		return other.isReserve()
-	case w.urgent != other.urgent && w.gain == 0:
-		return w.urgent
 	case w.gain != other.gain:
 		return w.gain > other.gain
 	case w.priority != other.priority:
