--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -10,7 +10,9 @@
 // report's share of the others. The least loaded target wins, after a bonus
 // for an adapter that is loaded or a prompt prefix that is probably cached,
 // as long as the bonus leads to no target that is busier by more than a
-// bound. A request that finds no room waits in a queue per version, ordered
+// bound. Where targets are taken by the work before them, a router also reckons
+// with what the others have sent since the last report, so that not all take
+// the same target (stale.go). A request that finds no room waits in a queue per version, ordered
 // by priority and deadline and bounded for the whole router: a full router
 // sheds the lowest priority first. Requests whose deadline comes before the
 // leader's estimate of readiness are refused at once, as not run.
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -16,6 +16,9 @@
 // A pass goes through four steps: follow what engines report (reconcile.go),
 // retire replicas that nobody needs (retire.go), rank what is wanted
 // (want.go), and find places, evicting idle replicas where there is no room
-// (fit.go, evict.go). Loads from the weight store are paced under its limits
-// (store.go).
+// (fit.go, evict.go). Registered machines carry out one order at a time: what
+// is worth placing or evicting there, and when, is decided in worth.go and
+// swap.go, by each version's share of work (spread.go). Loads from the weight
+// store are paced under its limits (store.go), of which the number that run at
+// full speed at once is learned (speeds.go).
 package placement
