Write the refusal of too large versions and loads from the store once

Left: the planned work of a machine is counted twice within one pass where a swap begins with an eviction (evict and placeOnRegistered); mending it changes decisions.

--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -73,7 +73,7 @@
 // isPromisedToOthers reports whether room on a registered machine was made for
 // other versions only: what another takes would have to be made again.
 func (r *room) isPromisedToOthers(version *Version) bool {
-	return version.Spec.Pool != "" && len(r.promised) > 0 && !slices.Contains(r.promised, version.Name)
+	return len(r.promised) > 0 && !slices.Contains(r.promised, version.Name)
 }
 
 // awaitsRoom reports whether room made for a version is still on its way.
@@ -102,14 +102,10 @@
 
 // makeRoom evicts idle replicas for a wanted one that fits nowhere.
 func (p *pass) makeRoom(entry want, names []string) {
-	name := entry.version.Name
 	if !entry.urgent {
 		return // Nothing is evicted for a replica kept in reserve.
 	}
-	if !p.fitsAnywhere(entry.version) {
-		p.decision.Estimates = append(p.decision.Estimates, Estimate{
-			Version: name, Refused: true, Reason: "no machine is large enough for the model",
-		})
+	if p.refuseTooLarge(entry.version) {
 		return
 	}
 	machine, victims := p.cheapestVictims(entry, names)
@@ -119,6 +115,18 @@
 	p.evict(entry, machine, victims, p.loadTime(entry.version, TierRemote))
 }
 
+// refuseTooLarge tells routers of a version that no machine can hold, and reports
+// whether it is one.
+func (p *pass) refuseTooLarge(version *Version) bool {
+	if p.fitsAnywhere(version) {
+		return false
+	}
+	p.decision.Estimates = append(p.decision.Estimates, Estimate{
+		Version: version.Name, Refused: true, Reason: "no machine is large enough for the model",
+	})
+	return true
+}
+
 func (p *pass) fitsAnywhere(version *Version) bool {
 	for _, machine := range p.input.Machines {
 		if machine.Pool == version.Spec.Pool && machine.Accelerators >= version.Spec.Accelerators && machine.AcceleratorBytes >= version.Spec.BytesPerAccelerator() {
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -100,7 +100,7 @@
 func (p *pass) storeLoadsRunning() int {
 	count := 0
 	for _, replica := range p.input.Replicas {
-		if replica.Spec.Phase == v1.ReplicaLoading && replica.Spec.Tier == string(TierRemote) && replica.EnginePhase == EngineLoading {
+		if replica.loadsFromStore() && replica.EnginePhase == EngineLoading {
 			count++
 		}
 	}
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -110,11 +110,16 @@
 	return time.Duration(float64(loadTime) * max(1, excess))
 }
 
+// loadsFromStore reports whether a replica is being loaded from the weight store.
+func (r *Replica) loadsFromStore() bool {
+	return r.Spec.Phase == v1.ReplicaLoading && r.Spec.Tier == string(TierRemote)
+}
+
 // remoteLoads counts the loads that occupy the weight store.
 func (p *pass) remoteLoads() int {
 	count := 0
 	for _, replica := range p.input.Replicas {
-		if replica.Spec.Phase == v1.ReplicaLoading && replica.Spec.Tier == string(TierRemote) && !p.changed[replica] {
+		if replica.loadsFromStore() && !p.changed[replica] {
 			count++
 		}
 	}
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -28,10 +28,7 @@
 // placeOnRegistered finds the best machine for a wanted replica of a pool's
 // version, and begins with the first step there if the machine is free for it.
 func (p *pass) placeOnRegistered(entry want, names []string) {
-	if !p.fitsAnywhere(entry.version) {
-		p.decision.Estimates = append(p.decision.Estimates, Estimate{
-			Version: entry.version.Name, Refused: true, Reason: "no machine is large enough for the model",
-		})
+	if p.refuseTooLarge(entry.version) {
 		return
 	}
 	chosen := p.cheapestSwap(entry, names)
