--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -216,7 +216,14 @@
 	n.hearLeader(message)
 	meta := message.GetSnapshot().GetMeta()
 	reply := &wirepb.RaftMessage{Type: appendReplyType, To: message.GetFrom()}
-	if meta.GetIndex() > n.log.committed {
+	switch {
+	case meta.GetIndex() <= n.log.committed:
+		// Older than what this node has.
+	case n.log.matches(meta.GetIndex(), meta.GetTerm()):
+		// The log has all that the snapshot covers, and the entries behind it may
+		// have been acknowledged: the leader counts on them.
+		n.log.commitTo(meta.GetIndex())
+	default:
 		n.snapshot = message.GetSnapshot()
 		n.log.restore(meta)
 		n.membership = meta.GetMembership()
