Bring nodes back sooner after a restart of everything; find silent machines sooner

The control nodes that they know came up last; then both sides paused up to 200 ms between attempts to connect, votes were lost for want of links, and each router asked every 50 ms for the leader's revision, got 'no leader', and later a list of all nodes. Of the requests that were late beside that, 17 had waited 0.5 s for a connection to a machine that was down.

Change: pauses of 30 ms on average for 3 s, then 200 ms, with jitter, by one function for both sides; a control node holds the question for a revision until there is a leader, and asks once for all who wait; the reply leaves out the nodes. Connections to engines get as long as earlier ones make likely (RFC 6298), at least 150 ms.

Ruled out: the release of the lease (the leader of before the outage stood first).

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -159,7 +159,7 @@
 // when it was called, so that a read after it is not stale.
 func (n *Node) Barrier(ctx context.Context) error {
 	for {
-		status, err := n.Status(ctx)
+		status, err := n.Status(ctx, &wirepb.StatusRequest{RevisionOnly: true})
 		if err == nil {
 			return n.waitForRevision(ctx, status.GetRevision())
 		}
@@ -186,10 +186,10 @@
 }
 
 // Status returns the leader's view of the cluster.
-func (n *Node) Status(ctx context.Context) (*wirepb.StatusReply, error) {
+func (n *Node) Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error) {
 	status := n.status.Load()
 	if status.Leader == status.ID {
-		return n.localStatus()
+		return n.localStatus(request)
 	}
 	link := n.peers.link(status.Leader)
 	if link == nil {
@@ -197,7 +197,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Control.ElectionTimeout)
 	defer cancel()
-	answer, err := link.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+	answer, err := link.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: request}})
 	if err != nil {
 		return nil, err
 	}
@@ -210,7 +210,7 @@
 
 // localStatus answers as leader. The lease is checked after the revision was
 // read: had another leader been elected before, the check would fail.
-func (n *Node) localStatus() (*wirepb.StatusReply, error) {
+func (n *Node) localStatus(request *wirepb.StatusRequest) (*wirepb.StatusReply, error) {
 	revision := n.Revision()
 	status := n.status.Load()
 	if !n.leads() {
@@ -220,7 +220,9 @@
 		Term: status.Term, Leader: n.settings.Node, Revision: revision,
 		Voters: status.Voters, Learners: status.Learners,
 	}
-	reply.Nodes = n.reports.States(n.now())
+	if !request.GetRevisionOnly() {
+		reply.Nodes = n.reports.States(n.now())
+	}
 	return reply, nil
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -14,10 +14,7 @@
 )
 
 const (
-	// peerRetryFirst is the pause after a connection to a peer was lost, or did
-	// not come about; it doubles with each further failure, up to peerRetryMost.
-	peerRetryFirst = 25 * time.Millisecond
-	peerRetryMost  = 200 * time.Millisecond
+	// flushDelay is how long the last messages before a stop get to be written.
 	flushDelay     = 50 * time.Millisecond
 	forwardTimeout = 5 * time.Second
 	// strangerLifetime is how long a link to a node that is no member is kept
@@ -182,19 +179,18 @@
 }
 
 func (l *peerLink) run(ctx context.Context) {
-	pause := peerRetryFirst
+	lost := time.Now()
 	for ctx.Err() == nil {
 		conn, err := wire.Dial(ctx, l.member.Address, l.node.self)
 		if err == nil {
 			l.node.noteSuccessor(ctx, l.member, conn.Peer)
 			l.receive(ctx, conn)
-			pause = peerRetryFirst
+			lost = time.Now()
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(wire.RetryPause(time.Since(lost))):
 		}
-		pause = min(2*pause, peerRetryMost)
 	}
 }
 
@@ -300,7 +296,7 @@
 		case *wirepb.Envelope_InstanceReport:
 			n.takeInstance(body.InstanceReport)
 		case *wirepb.Envelope_StatusRequest:
-			workers.Go(func() { n.answerStatus(conn, envelope.GetRequestId()) })
+			workers.Go(func() { n.answerStatus(conn, envelope.GetRequestId(), body.StatusRequest) })
 		}
 	}
 }
@@ -326,9 +322,9 @@
 	}
 }
 
-func (n *Node) answerStatus(conn *wire.Conn, requestID uint64) {
+func (n *Node) answerStatus(conn *wire.Conn, requestID uint64, request *wirepb.StatusRequest) {
 	reply := &wirepb.StatusReply{}
-	if status, err := n.localStatus(); err == nil {
+	if status, err := n.localStatus(request); err == nil {
 		reply = status
 	}
 	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_StatusReply{StatusReply: reply}})
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -189,8 +189,8 @@
 }
 
 // Status implements Backend.
-func (c *Cache) Status(ctx context.Context) (*wirepb.StatusReply, error) {
-	return c.client.Status(ctx)
+func (c *Cache) Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error) {
+	return c.client.Status(ctx, request)
 }
 
 // Propose implements Backend.
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -14,13 +14,6 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-const (
-	// reconnectFirst is the pause after a connection was lost, or none came
-	// about; it doubles with each further failure, up to reconnectMost.
-	reconnectFirst = 25 * time.Millisecond
-	reconnectMost  = 200 * time.Millisecond
-)
-
 // Sink takes what a Client receives. Calls come one at a time.
 type Sink interface {
 	// Revision is the highest revision applied.
@@ -62,20 +55,19 @@
 
 // Run connects and follows until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	pause := reconnectFirst
+	lost := time.Now()
 	for ctx.Err() == nil {
 		if connected, err := connectAny(ctx, inTurn(c.servers(), c.last), c.dial); err == nil {
 			c.last = connected.address
 			c.logger.Info("upstream_connected", "address", connected.address)
 			c.follow(ctx, connected.conn)
 			c.logger.Info("upstream_lost", "address", connected.address)
-			pause = reconnectFirst
+			lost = time.Now()
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(wire.RetryPause(time.Since(lost))):
 		}
-		pause = min(2*pause, reconnectMost)
 	}
 }
 
@@ -242,7 +234,7 @@
 // Confirm returns the revision that the leader held after the call was made.
 // Whoever has applied as much holds everything that was committed before.
 func (c *Client) Confirm(ctx context.Context) (uint64, error) {
-	status, err := c.Status(ctx)
+	status, err := c.Status(ctx, &wirepb.StatusRequest{RevisionOnly: true})
 	if err != nil {
 		return 0, err
 	}
@@ -254,8 +246,8 @@
 
 // Status returns the leader's view of the cluster, empty where the server could
 // not reach a leader.
-func (c *Client) Status(ctx context.Context) (*wirepb.StatusReply, error) {
-	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+func (c *Client) Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error) {
+	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_StatusRequest{StatusRequest: request}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -6,8 +6,13 @@
 )
 
 const (
+	// confirmInterval is how often a client without an answer asks again.
 	confirmInterval = 50 * time.Millisecond
-	confirmTimeout  = 500 * time.Millisecond
+	// confirmTimeout bounds one question; an election is mostly over by then.
+	confirmTimeout = 500 * time.Millisecond
+	// confirmPoll is how often a server looks for a leader to ask. It costs a read of
+	// its own status, and a call of a few bytes once there is a leader.
+	confirmPoll = 5 * time.Millisecond
 )
 
 // Confirmed is a Sink that must not be used before it holds what the leader
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -73,8 +73,8 @@
 	DigestChanged() <-chan struct{}
 	// Report takes the reports of one or more nodes.
 	Report(reports ...*wirepb.NodeReport)
-	// Status returns the leader's view of the cluster.
-	Status(ctx context.Context) (*wirepb.StatusReply, error)
+	// Status returns the leader's view of the cluster, as much as is asked for.
+	Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error)
 	// Serves reports whether the backend holds a state that nodes may follow.
 	Serves() bool
 	// Propose carries a command to the leader and returns its result.
@@ -88,6 +88,8 @@
 	logger  *slog.Logger
 	// peer handles connections of control nodes; nil refuses them.
 	peer func(ctx context.Context, conn *wire.Conn)
+	// confirmations asks the leader for its revision.
+	confirmations *batcher[*wirepb.StatusReply]
 }
 
 // NewServer returns a server. The peer function takes over connections whose
@@ -99,7 +101,9 @@
 		}
 		return ""
 	}
-	return &Server{backend: backend, self: self, logger: logger, peer: peer}
+	server := &Server{backend: backend, self: self, logger: logger, peer: peer}
+	server.confirmations = newBatcher(server.confirm)
+	return server
 }
 
 // Serve accepts connections until ctx ends, and waits for their sessions.
@@ -162,7 +166,7 @@
 		case *wirepb.Envelope_NodeReportBatch:
 			s.backend.Report(body.NodeReportBatch.GetReports()...)
 		case *wirepb.Envelope_StatusRequest:
-			workers.Go(func() { s.answerStatus(ctx, conn, envelope.GetRequestId()) })
+			workers.Go(func() { s.answerStatus(ctx, conn, envelope.GetRequestId(), body.StatusRequest) })
 		case *wirepb.Envelope_Proposal:
 			slots <- struct{}{}
 			workers.Go(func() {
@@ -174,16 +178,41 @@
 }
 
 // answerStatus asks the leader; the empty reply stands for "none answers".
-func (s *Server) answerStatus(ctx context.Context, conn *wire.Conn, requestID uint64) {
+func (s *Server) answerStatus(ctx context.Context, conn *wire.Conn, requestID uint64, request *wirepb.StatusRequest) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	reply, err := s.backend.Status(ctx)
+	var reply *wirepb.StatusReply
+	var err error
+	if request.GetRevisionOnly() {
+		reply, err = s.confirmations.do(ctx)
+	} else {
+		reply, err = s.backend.Status(ctx, request)
+	}
 	if err != nil {
 		reply = &wirepb.StatusReply{}
 	}
 	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_StatusReply{StatusReply: reply}})
 }
 
+// confirm asks the leader for its revision, again and again until there is one: nodes
+// that have just started wait for nothing else.
+func (s *Server) confirm(ctx context.Context) (*wirepb.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	request := &wirepb.StatusRequest{RevisionOnly: true}
+	for {
+		reply, err := s.backend.Status(ctx, request)
+		if err == nil && reply.GetLeader() != "" {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fault.Unavailable.New("there is no leader to confirm a revision")
+		case <-time.After(confirmPoll):
+		}
+	}
+}
+
 // ProposeFunc carries a command towards the leader.
 type ProposeFunc func(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 
--- a/internal/resourceapi/api.go
+++ b/internal/resourceapi/api.go
@@ -49,7 +49,7 @@
 	// Read calls the function with the state, which it must not keep.
 	Read(func(machine *state.Machine))
 	// Status returns the leader's view of the cluster.
-	Status(ctx context.Context) (*wirepb.StatusReply, error)
+	Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error)
 }
 
 // API is the HTTP handler.
@@ -215,7 +215,7 @@
 func (a *API) status(writer http.ResponseWriter, request *http.Request) error {
 	ctx, cancel := context.WithTimeout(request.Context(), readTimeout)
 	defer cancel()
-	status, err := a.store.Status(ctx)
+	status, err := a.store.Status(ctx, &wirepb.StatusRequest{})
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,7 +26,8 @@
 
 // Config bounds the connections.
 type Config struct {
-	// DialTimeout is how long a connection may take to come about.
+	// DialTimeout is the longest that a connection may take to come about. Once
+	// connections have come about, a new one gets as long as they make likely.
 	DialTimeout time.Duration
 	// MaxIdle is how many connections to a machine are kept for later.
 	MaxIdle int
@@ -40,6 +41,7 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
+	dials dialLimits
 }
 
 // conn is one connection to a machine.
@@ -57,7 +59,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
-	return &Pool{config: config, idle: map[string][]*conn{}}
+	return &Pool{config: config, idle: map[string][]*conn{}, dials: newDialLimits(config.DialTimeout)}
 }
 
 // acquire returns a kept connection to a machine, or a new one.
@@ -72,14 +74,32 @@
 		}
 		_ = kept.network.Close()
 	}
-	dialer := net.Dialer{Timeout: p.config.DialTimeout, Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
-	network, err := dialer.DialContext(ctx, "tcp", address)
+	network, err := p.dial(ctx, machine, address)
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
 	return &conn{machine: machine, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
+// dial connects to a machine within the time that other connections make likely.
+func (p *Pool) dial(ctx context.Context, machine, address string) (net.Conn, error) {
+	p.mutex.Lock()
+	limit := p.dials.limit(machine)
+	p.mutex.Unlock()
+	dialer := net.Dialer{Timeout: limit, Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
+	started := time.Now()
+	network, err := dialer.DialContext(ctx, "tcp", address)
+	took := time.Since(started)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if err == nil {
+		p.dials.connected(machine, took)
+	} else if took >= limit {
+		p.dials.timedOut(machine)
+	}
+	return network, err
+}
+
 // take returns the connection that was kept last: the others may then expire.
 func (p *Pool) take(machine string) *conn {
 	p.mutex.Lock()
@@ -115,6 +135,7 @@
 func (p *Pool) Retain(listed func(machine string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.dials.retain(listed)
 	now := time.Now()
 	for machine, kept := range p.idle {
 		remaining := kept[:0]
