Judge machines by their errors, over all routers, and try streams again after one

Errors of resumable streams went to the caller with time and another machine left.

Change: routers report running counts of answers and errors by machine; the leader adds them up over 5 s and sends them back in its digest while there are errors. A router compares each machine with its peers of the same version by the odds against chance, and leaves it out of so many choices as its errors call for; some probes stay. A repeatable request or resumable stream that met an error is tried at a machine that it was not sent to, if there is one; else, or if nothing better comes of it, the caller gets the first error, whole and at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -165,6 +165,9 @@
 	digest.MachineLoads = packed(c.roster, loads)
 	digest.MachineWork = packed(c.roster, workOf(now, nodes))
 	digest.History = c.history(now)
+	if answered, errors := c.reports.Answers(now); len(errors) > 0 {
+		digest.MachineAnswers, digest.MachineErrors = packed(c.roster, answered), packed(c.roster, errors)
+	}
 	return digest
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -51,6 +51,8 @@
 	targets map[string]uint32
 	// adapterUsed is when each adapter was last asked for.
 	adapterUsed map[adapterUse]time.Duration
+	// answers is how machines have answered all routers lately.
+	answers *answerTable
 }
 
 // NewReportTable returns an empty table.
@@ -58,7 +60,7 @@
 	return &ReportTable{
 		nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
 		arrivals: map[string]uint64{}, counted: map[string]map[string]runningTotals{}, work: map[string]uint64{}, targets: map[string]uint32{},
-		adapterUsed: map[adapterUse]time.Duration{},
+		adapterUsed: map[adapterUse]time.Duration{}, answers: newAnswerTable(),
 	}
 }
 
@@ -74,6 +76,7 @@
 	}
 	t.nodes[report.GetNode()] = nodeEntry{report: report, received: now}
 	t.countArrivals(held, report)
+	t.answers.take(now, held, report)
 	t.noteAdapters(now, report)
 	urgent := held == nil || demandGrew(held, report) || len(report.GetUnreachable()) > len(held.GetUnreachable())
 	for _, machine := range report.GetMachines() {
@@ -214,6 +217,7 @@
 		if now-entry.received > forgetAfter {
 			delete(t.nodes, name)
 			delete(t.counted, name)
+			t.answers.forgetNode(name)
 			continue
 		}
 		nodes[name] = entry
--- a/internal/controller/reports_test.go
+++ b/internal/controller/reports_test.go
@@ -91,3 +91,36 @@
 		t.Error("the tables still hold them")
 	}
 }
+
+// TestAnswersOfAllRouters: the counts of many routers add up, whatever reports are lost,
+// come twice or begin anew, and fade.
+func TestAnswersOfAllRouters(t *testing.T) {
+	table := NewReportTable()
+	now := time.Second
+	report := func(node string, incarnation, sequence, answered, errors uint64) {
+		table.Take(now, &wirepb.NodeReport{
+			Node: node, Incarnation: incarnation, Sequence: sequence, Router: true,
+			Answers: []*wirepb.MachineAnswers{{Machine: "m", Answered: answered, Errors: errors}},
+		})
+	}
+	check := func(what string, answered, errors uint32) {
+		t.Helper()
+		total, failed := table.Answers(now)
+		if total["m"] != answered || failed["m"] != errors {
+			t.Errorf("%s: %d answers and %d errors, wanted %d and %d", what, total["m"], failed["m"], answered, errors)
+		}
+	}
+	report("a", 1, 1, 100, 50)
+	check("counted at no known time", 0, 0)
+	report("a", 1, 2, 110, 55)
+	report("b", 1, 1, 0, 0)
+	report("b", 1, 4, 10, 0) // Two reports were lost.
+	check("two routers", 20, 5)
+	report("b", 1, 4, 10, 0)
+	report("b", 1, 3, 5, 0)
+	check("late and repeated", 20, 5)
+	report("a", 2, 1, 2, 1)
+	check("a router that has restarted", 22, 6)
+	now += 20 * answerMemory
+	check("long ago", 0, 0)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -47,6 +47,11 @@
 	// usually is.
 	digestAt  time.Time
 	staleness time.Duration
+	// answered counts how machines answered this router, and answers how they
+	// answered all routers lately, by the newest digest, which came at answersAt.
+	answered  map[string]Answers
+	answers   map[string]Answers
+	answersAt time.Time
 }
 
 // versionState is what a router knows of one version.
@@ -84,7 +89,7 @@
 		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
 		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
 		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
-		staleness: usualStaleness,
+		staleness: usualStaleness, answered: map[string]Answers{},
 	}
 }
 
@@ -238,10 +243,15 @@
 // The results of a granted request.
 const (
 	ResultOK Result = iota
+	// ResultError: the engine answered with a failure of its own.
+	ResultError
 	// ResultNotRun: the engine said that the replica does not take requests.
 	ResultNotRun
 	// ResultFailed: the engine failed or could not be reached.
 	ResultFailed
+	// ResultSilent: there was no whole answer in time. An engine with too much to do
+	// is as silent as one that fails.
+	ResultSilent
 	// ResultUnreachable: no connection came about.
 	ResultUnreachable
 )
@@ -254,6 +264,7 @@
 	version.runAdapter(grant.Request.Adapter, -1)
 	c.leaveMachine(grant.Target.Machine)
 	c.finishWork(grant.Target.Machine, grant.Request, 0)
+	c.countAnswer(grant.Target.Machine, result)
 	held := c.targets[grant.Target.Replica]
 	if held != nil {
 		held.inFlight--
@@ -321,6 +332,7 @@
 			c.forget(held)
 		}
 	}
+	c.forgetAnswers()
 	c.dispatchAll(now, &outcome)
 	return outcome
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -21,7 +21,10 @@
 }
 
 func (h *health) observe(now time.Time, result Result) {
-	if result != ResultFailed && result != ResultUnreachable {
+	switch result {
+	case ResultError:
+		return // The machine is there; what its errors say is for answers.go.
+	case ResultOK, ResultNotRun:
 		*h = health{}
 		return
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -118,10 +118,27 @@
 
 // fits reports whether a target could take a request, its health apart.
 func (c *Core) fits(candidate *target, request *Request) bool {
-	if candidate.retired || !c.hasSlot(candidate) || slices.Contains(request.Tried, candidate.Machine) {
-		return false
+	return c.hasSlot(candidate) && !c.isExcluded(candidate, request)
+}
+
+// isExcluded reports whether a target can't take a request, free or not.
+func (c *Core) isExcluded(candidate *target, request *Request) bool {
+	if candidate.retired || slices.Contains(request.Tried, candidate.Machine) {
+		return true
+	}
+	return c.config.PlacedAdapters && request.Adapter != "" && !slices.Contains(candidate.Adapters, request.Adapter)
+}
+
+// HasAlternative reports whether a machine that the request was not sent to, other than
+// the given one, could take it once it has a place. Where there is none, trying again
+// would only keep the caller waiting.
+func (c *Core) HasAlternative(request *Request, machine string) bool {
+	for _, candidate := range c.version(request.Version).targets {
+		if candidate.Machine != machine && !c.isExcluded(candidate, request) {
+			return true
+		}
 	}
-	return !c.config.PlacedAdapters || request.Adapter == "" || slices.Contains(candidate.Adapters, request.Adapter)
+	return false
 }
 
 // hasSlot reports whether a request would probably run at once. Where others
--- a/internal/dispatch/stale.go
+++ b/internal/dispatch/stale.go
@@ -83,7 +83,12 @@
 // weightedRank orders machines for a key so that each comes first as often as its
 // weight says: by the rendezvous hashing of weighted nodes.
 func weightedRank(key uint64, machine string, weight float64) float64 {
+	return -max(weight, math.SmallestNonzeroFloat32) / math.Log(uniform(key, machine))
+}
+
+// uniform is a number between 0 and 1 for a key and a machine, evenly spread over both.
+func uniform(key uint64, machine string) float64 {
+	// The upper 53 bits are as many as a float64 holds.
 	const scale = 1 << 53
-	uniform := (float64(rank(key, machine)>>11) + 0.5) / scale
-	return -max(weight, math.SmallestNonzeroFloat32) / math.Log(uniform)
+	return (float64(rank(key, machine)>>11) + 0.5) / scale
 }
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -68,6 +68,7 @@
 			usable = append(usable, candidate)
 		}
 	}
+	usable = c.withoutFailing(now, request, usable)
 	first, second := homes(usable, request.Prefix)
 	level := c.levelOfOthers(now, version, usable)
 	var best *target
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// HasAlternative reports whether a machine that the request was not sent to, other than
+// the given one, could take it.
+func (d *Dispatcher) HasAlternative(request *dispatch.Request, machine string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.HasAlternative(request, machine)
+}
+
 // Release ends a grant.
 func (d *Dispatcher) Release(grant *dispatch.Grant, result dispatch.Result) {
 	d.mutex.Lock()
@@ -133,6 +141,13 @@
 	return d.core.Work()
 }
 
+// Answers counts how machines have answered this router.
+func (d *Dispatcher) Answers() map[string]dispatch.Answers {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Answers()
+}
+
 // SetTargets replaces the targets.
 func (d *Dispatcher) SetTargets(now time.Time, targets []dispatch.Target) {
 	d.mutex.Lock()
@@ -145,6 +160,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.core.SetWork(now, nodeview.WorkOf(digest))
+	d.core.SetAnswers(now, nodeview.AnswersOf(digest))
 	d.deliver(d.core.SetLoads(now, nodeview.LoadsOf(digest), int(digest.GetRouters())))
 	d.deliver(d.core.SetEstimates(now, nodeview.EstimatesOf(digest, now)))
 }
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -56,7 +56,7 @@
 		Term: digest.GetTerm(), Sequence: digest.GetSequence(), Leader: digest.GetLeader(), Routers: digest.GetRouters(),
 		Estimates: digest.GetEstimates(), Revision: digest.GetRevision(), RosterSequence: digest.GetRosterSequence(),
 		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
-		History: digest.GetHistory(),
+		History: digest.GetHistory(), MachineAnswers: digest.GetMachineAnswers(), MachineErrors: digest.GetMachineErrors(),
 	}
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -30,13 +30,17 @@
 	endElsewhere
 	// endFailed: the machine may have run it; there is no answer.
 	endFailed
+	// endSilent: the same, since the time for the attempt was over.
+	endSilent
 	// endError: the machine ran it and failed; the route allows repeating.
 	endError
+	// endErrorAnswered: the caller has the machine's own failure, whole.
+	endErrorAnswered
 )
 
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "error"}[e]
+	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "error_answered"}[e]
 }
 
 // health is what the end says about the machine.
@@ -44,6 +48,10 @@
 	switch e {
 	case endAnswered:
 		return dispatch.ResultOK
+	case endError, endErrorAnswered:
+		return dispatch.ResultError
+	case endSilent:
+		return dispatch.ResultSilent
 	case endNotRun:
 		return dispatch.ResultNotRun
 	case endNotConnected:
@@ -70,6 +78,9 @@
 	if failure != upstream.FailedNone {
 		j.mayHaveRun = true
 		j.log("no_answer", "machine", grant.Target.Machine, "failure", failure.String(), "error", err.Error())
+		if tryCtx.Err() != nil {
+			return endSilent
+		}
 		return endFailed
 	}
 	defer answer.Close()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -168,6 +168,11 @@
 	return messages
 }
 
+// Answers counts how machines have answered this node, for reports.
+func (i *Ingress) Answers() map[string]dispatch.Answers {
+	return i.dispatcher.Answers()
+}
+
 // Unreachable returns the machines that this node can't connect to at present.
 func (i *Ingress) Unreachable(now time.Time) []string {
 	return i.dispatcher.Unreachable(now)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -51,6 +51,11 @@
 	mayHaveRun bool
 	// answered is set once the head of an answer has gone to the caller.
 	answered bool
+	// wanted is what the dispatcher is asked for.
+	wanted *dispatch.Request
+	// kept is a machine's own failure, while another machine is tried; nil if there
+	// is none.
+	kept *errorAnswer
 }
 
 func (i *Ingress) newJob(writer http.ResponseWriter, request *http.Request) *job {
@@ -161,23 +166,23 @@
 // run sends the request to machines until one of them has answered it, or
 // nothing more may be tried, and returns how the last attempt ended.
 func (j *job) run(ctx context.Context) attemptEnd {
-	wanted := &dispatch.Request{
+	j.wanted = &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.route.Spec.Priority, Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
 		Target:   time.Duration(j.route.Spec.TargetLatency),
 		Patience: j.arrived.Add(j.patience()),
 	}
 	for failures := 0; ; {
-		grant, refusal := j.ingress.dispatcher.Acquire(ctx, wanted)
+		grant, refusal := j.ingress.dispatcher.Acquire(ctx, j.wanted)
 		if refusal != nil {
 			j.refuse(ctx, refusal)
 			return endNotRun
 		}
 		end := j.attempt(ctx, grant)
-		j.ingress.dispatcher.Release(grant, j.healthAfter(end))
+		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.log("attempt", "machine", grant.Target.Machine, "end", end.String(), "sent", j.sent)
-		wanted.Tried = append(wanted.Tried, grant.Target.Machine)
-		if end == endAnswered || end == endBroken {
+		j.wanted.Tried = append(j.wanted.Tried, grant.Target.Machine)
+		if end == endAnswered || end == endErrorAnswered || end == endBroken {
 			return end
 		}
 		if end == endNotConnected {
@@ -212,10 +217,13 @@
 }
 
 // healthAfter is what an attempt's end says about its machine; nothing where
-// the caller left.
-func (j *job) healthAfter(end attemptEnd) dispatch.Result {
-	if j.request.Context().Err() != nil {
+// the caller left. An answer that the deadline cut short was late, whatever for.
+func (j *job) healthAfter(ctx context.Context, end attemptEnd) dispatch.Result {
+	switch {
+	case j.request.Context().Err() != nil:
 		return dispatch.ResultNotRun
+	case end == endBroken && ctx.Err() != nil:
+		return dispatch.ResultSilent
 	}
 	return end.health()
 }
@@ -272,6 +280,8 @@
 	switch {
 	case j.answered || j.request.Context().Err() != nil:
 		j.log("cancelled", "sent", j.sent)
+	case j.kept != nil:
+		j.passKeptError()
 	case !j.mayHaveRun:
 		j.fail(problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "no machine took the request: "+end.String()), retryAfterBusy)
 	case ctx.Err() != nil:
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -35,18 +35,54 @@
 		j.log("foreign_answer", "machine", grant.Target.Machine, "status", answer.Status)
 		return endFailed
 	}
-	if answer.Status >= http.StatusInternalServerError && j.canRepeatError() {
-		discard(answer)
+	if answer.Status >= http.StatusInternalServerError && j.canRepeatError(grant.Target.Machine) {
+		j.keepError(answer)
 		return endError
 	}
-	return j.relay(ctx, answer)
+	end := j.relay(ctx, answer)
+	if end == endAnswered && answer.Status >= http.StatusInternalServerError {
+		return endErrorAnswered
+	}
+	return end
+}
+
+// canRepeatError reports whether a machine's own failure is tried elsewhere rather
+// than passed on: nothing has gone to the caller yet, the request may run again, and
+// another machine could take it.
+func (j *job) canRepeatError(machine string) bool {
+	return j.route.Spec.Repeatable() && j.ingress.dispatcher.HasAlternative(j.wanted, machine) && j.reserveRetry()
 }
 
-// canRepeatError reports whether a machine's own failure is tried elsewhere
-// rather than passed on.
-func (j *job) canRepeatError() bool {
-	spec := j.route.Spec
-	return spec.Kind == v1.RouteRepeatable && j.reserveRetry()
+// errorAnswer is a machine's own failure, whole.
+type errorAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// keepError keeps a machine's failure for the case that no other machine answers. One
+// that is too long, or breaks off, is not kept: a part must not look like the whole.
+func (j *job) keepError(answer *upstream.Answer) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxDiscarded+1))
+	if err != nil || len(body) > maxDiscarded {
+		j.log("error_not_kept", "status", answer.Status, "bytes", len(body), "broke_off", err != nil)
+		return
+	}
+	j.kept = &errorAnswer{status: answer.Status, header: upstream.EndToEnd(answer.Header), body: body}
+}
+
+// passKeptError passes on the failure that a machine answered with before.
+func (j *job) passKeptError() {
+	header := j.writer.Header()
+	for name, values := range j.kept.header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(j.kept.body)))
+	j.answered = true
+	j.writer.WriteHeader(j.kept.status)
+	_, err := j.writer.Write(j.kept.body)
+	j.log("answered", "status", j.kept.status, "bytes", len(j.kept.body), "first_error", true, "caller_left", err != nil)
+	j.ingress.options.Metrics.observe(j.route, "answered", time.Since(j.arrived))
 }
 
 func discard(answer *upstream.Answer) {
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -30,10 +30,11 @@
 
 	sequence uint64
 	demand   *nodeview.DemandNews
+	answers  *nodeview.AnswerNews
 }
 
 func newIngressRole(node *Node) *ingressRole {
-	created := &ingressRole{node: node, view: nodeview.New(), demand: nodeview.NewDemandNews()}
+	created := &ingressRole{node: node, view: nodeview.New(), demand: nodeview.NewDemandNews(), answers: nodeview.NewAnswerNews()}
 	settings := node.settings
 	created.reports = newReporter(settings.Ingress.ReportInterval, created.nodeReport)
 	created.client = feed.NewClient(settings.Formation.Addresses(), node.identity(), created.view, node.logger)
@@ -108,5 +109,6 @@
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
 		Unreachable: r.ingress.Unreachable(now),
 		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
+		Answers: r.answers.Messages(r.ingress.Answers()),
 	}
 }
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -83,6 +83,54 @@
 	return work
 }
 
+// AnswersOf returns how machines answered all routers lately, by a digest; nil if none
+// of them failed.
+func AnswersOf(digest *wirepb.ClusterDigest) map[string]dispatch.Answers {
+	if len(digest.GetMachineErrors()) == 0 {
+		return nil
+	}
+	machines := digest.GetRoster().GetMachines()
+	answers := make(map[string]dispatch.Answers, len(digest.GetMachineAnswers()))
+	for position, answered := range digest.GetMachineAnswers() {
+		if answered == 0 || position >= len(machines) {
+			continue
+		}
+		entry := dispatch.Answers{Answered: float64(answered)}
+		if position < len(digest.GetMachineErrors()) {
+			entry.Errors = float64(digest.GetMachineErrors()[position])
+		}
+		answers[machines[position]] = entry
+	}
+	return answers
+}
+
+// AnswerNews turns a router's counts of answers into report entries and leaves out
+// machines that have not answered it since the last report.
+type AnswerNews struct {
+	reported map[string]dispatch.Answers
+}
+
+// NewAnswerNews returns an AnswerNews that has reported nothing.
+func NewAnswerNews() *AnswerNews {
+	return &AnswerNews{reported: map[string]dispatch.Answers{}}
+}
+
+// Messages returns the entries of the next report, by name.
+func (n *AnswerNews) Messages(counts map[string]dispatch.Answers) []*wirepb.MachineAnswers {
+	var messages []*wirepb.MachineAnswers
+	for machine, entry := range counts {
+		if n.reported[machine] == entry {
+			continue
+		}
+		messages = append(messages, &wirepb.MachineAnswers{Machine: machine, Answered: uint64(entry.Answered), Errors: uint64(entry.Errors)})
+	}
+	n.reported = counts
+	slices.SortFunc(messages, func(left, right *wirepb.MachineAnswers) int {
+		return cmp.Compare(left.GetMachine(), right.GetMachine())
+	})
+	return messages
+}
+
 // adapterSeparator stands between a version and an adapter in keys; names have
 // none.
 const adapterSeparator = "\x00"
