Refuse adapters of a version without a name of their own

The list of a version's adapters had no checks: an empty or repeated name would have been ordered again and again. Tests: TestAdaptersOfAVersion.

--- a/api/v1/declaration_test.go
+++ b/api/v1/declaration_test.go
@@ -25,3 +25,23 @@
 		}
 	}
 }
+
+// TestAdaptersOfAVersion: adapters without a name of their own are refused, each under
+// its own place in the list.
+func TestAdaptersOfAVersion(t *testing.T) {
+	const version = `{"model":"m","checkpoint":"c","weightBytes":1,"adapters":`
+	tests := []struct {
+		adapters, field string
+	}{
+		{`[]`, ""},
+		{`["a1","a2"]`, ""},
+		{`["a1",""]`, "spec.adapters[1]"},
+		{`["a1","a2","a1"]`, "spec.adapters[2]"},
+	}
+	for _, test := range tests {
+		_, err := DecodeSpec(KindModelVersion, []byte(version+test.adapters+"}"))
+		if field := fault.FieldOf(err); field != test.field || (err != nil) != (test.field != "") {
+			t.Errorf("%s: %v names %q, wanted %q", test.adapters, err, field, test.field)
+		}
+	}
+}
--- a/api/v1/validate.go
+++ b/api/v1/validate.go
@@ -216,9 +216,26 @@
 		requireRange("spec.adapterBytes", s.AdapterBytes, 0, maxBytes),
 		requireRange("spec.accelerators", int64(s.Accelerators), 1, maxAccelerators),
 		requireRange("spec.maxConcurrent", int64(s.MaxConcurrent), 1, 100_000),
+		s.validateAdapters(),
 	)
 }
 
+// validateAdapters checks that each adapter has a name of its own.
+func (s *ModelVersionSpec) validateAdapters() error {
+	named := make(map[string]bool, len(s.Adapters))
+	for position, name := range s.Adapters {
+		field := "spec.adapters[" + strconv.Itoa(position) + "]"
+		if err := requireText(field, name); err != nil {
+			return err
+		}
+		if named[name] {
+			return fault.InvalidField(field, "%q is listed twice", name)
+		}
+		named[name] = true
+	}
+	return nil
+}
+
 // References implements Spec.
 func (s *ModelVersionSpec) References() []Reference {
 	return []Reference{{Field: "spec.model", Kind: KindModel, Name: s.Model}}
