--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -12,7 +12,9 @@
 // as long as the bonus leads to no target that is busier by more than a
 // bound. Where targets are taken by the work before them, a router also reckons
 // with what the others have sent since the last report, so that not all take
-// the same target (stale.go). A request that finds no room waits in a queue per version, ordered
+// the same target (stale.go). Machines that fail more of their requests than their
+// peers, by the counts of all routers, get fewer (answers.go); those that can't be
+// reached, or are silent, get none for a while (health.go). A request that finds no room waits in a queue per version, ordered
 // by priority and deadline and bounded for the whole router: a full router
 // sheds the lowest priority first. Requests whose deadline comes before the
 // leader's estimate of readiness are refused at once, as not run.
--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"os"
 	"time"
 
@@ -23,6 +24,22 @@
 	Store    StoreConfig     `yaml:"store"`
 	Backends []BackendConfig `yaml:"backends"`
 	Faults   Faults          `yaml:"faults"`
+	Grey     GreyConfig      `yaml:"grey"`
+}
+
+// GreyConfig describes workers that fail part of their requests at once, while their
+// connections and reports are good.
+type GreyConfig struct {
+	// Share of the engines, and of the workers of each pool of back ends, that are
+	// grey, rounded up. Default 0: none.
+	Share float64 `yaml:"share"`
+	// Errors is the share of their requests that these fail. Default 0.
+	Errors float64 `yaml:"errors"`
+}
+
+// count returns how many of some workers are grey.
+func (g GreyConfig) count(workers int) int {
+	return int(math.Ceil(g.Share * float64(workers)))
 }
 
 // MachinesConfig describes the machines and their list.
@@ -161,6 +178,8 @@
 		{"faults.brokenStream", c.Faults.BrokenStream},
 		{"faults.dieWhileLoading", c.Faults.DieWhileLoading},
 		{"faults.lostOrder", c.Faults.LostOrder},
+		{"grey.share", c.Grey.Share},
+		{"grey.errors", c.Grey.Errors},
 	}
 	for _, probability := range probabilities {
 		if probability.value < 0 || probability.value > 1 {
--- /dev/null
+++ b/internal/emulator/grey_test.go
@@ -0,0 +1,78 @@
+package emulator_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/weldline/weldline/internal/emulator"
+	"github.com/weldline/weldline/internal/fault"
+)
+
+// statusOf asks a worker and returns the status of its answer.
+func statusOf(t *testing.T, method, url string) int {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestGreyWorkers: as many workers as asked for fail all of their requests, and nothing
+// else of them shows it.
+func TestGreyWorkers(t *testing.T) {
+	config, err := emulator.ParseConfig([]byte(`
+machines: {count: 3}
+backends: [{name: ledger, workers: 4}]
+grey: {share: 0.5, errors: 1}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	world, err := emulator.Start(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer world.Close()
+	failing := 0
+	for _, endpoint := range world.Addresses().Backends["ledger"] {
+		if statusOf(t, http.MethodPost, endpoint+"/hold") == http.StatusInternalServerError {
+			failing++
+		}
+	}
+	if failing != 2 {
+		t.Errorf("%d of 4 back ends fail, wanted 2", failing)
+	}
+	failing = 0
+	for name, endpoint := range world.Addresses().Engines {
+		if statusOf(t, http.MethodPost, endpoint+"/v1/completions") == http.StatusInternalServerError {
+			failing++
+		}
+		if status := statusOf(t, http.MethodGet, endpoint+"/v1/report"); status != http.StatusOK {
+			t.Errorf("the report of %s: %d", name, status)
+		}
+	}
+	if failing != 2 {
+		t.Errorf("%d of 3 engines fail, wanted 2", failing)
+	}
+}
+
+func TestGreySharesAreChecked(t *testing.T) {
+	for _, test := range []struct{ configuration, field string }{
+		{"grey: {share: 1.5}", "grey.share"},
+		{"grey: {share: -0.1}", "grey.share"},
+		{"grey: {errors: 2}", "grey.errors"},
+		{"grey: {share: 1, errors: 1}", ""},
+	} {
+		_, err := emulator.ParseConfig([]byte(test.configuration))
+		if fault.FieldOf(err) != test.field || (err != nil) != (test.field != "") {
+			t.Errorf("%s: %v", test.configuration, err)
+		}
+	}
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -78,7 +78,7 @@
 	for position := range w.config.Machines.Count {
 		name := fmt.Sprintf("worker-%03d", position+1)
 		created := newEngine(name, w.config, w.faults, w.store, w.auditor, w.leavingSince)
-		endpoint, err := w.listen(created.handler())
+		endpoint, err := w.listen(w.greyed(created.handler(), position, w.config.Machines.Count))
 		if err != nil {
 			return err
 		}
@@ -95,9 +95,9 @@
 
 func (w *World) startBackends() error {
 	for _, pool := range w.config.Backends {
-		for range pool.Workers {
+		for position := range pool.Workers {
 			worker := &Backend{config: pool, faults: w.faults, auditor: w.auditor}
-			endpoint, err := w.listen(http.HandlerFunc(worker.serve))
+			endpoint, err := w.listen(w.greyed(http.HandlerFunc(worker.serve), position, pool.Workers))
 			if err != nil {
 				return err
 			}
