Call one piece of code where the change had written the same twice

Cause, found by reading the whole change: running totals of nodes were kept by the same steps in two tables; bytes by the roster's order were decoded in three places; a kept failure wrote its head by a copy of the relay's steps; two loops waited for a leader's revision; adapters to load ahead were ranked in each pass also where no engine has a place for one; a hash was computed for each machine that is trusted anyway.

Change: nodeTotals, eachPacked, writeHead and feed.AwaitRevision serve both sides each; the ranking and the hash are left out where they can't matter.

Ruled out: one decay for the four averaged rates (a line each, on clocks of two types); one step for reconnecting in feed and control (what they do between attempts differs); copying digests whole instead of field by field (a deep copy for each connection).

No test was changed.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -158,17 +158,11 @@
 // Barrier waits until this node has applied everything that was committed
 // when it was called, so that a read after it is not stale.
 func (n *Node) Barrier(ctx context.Context) error {
-	for {
-		status, err := n.Status(ctx, &wirepb.StatusRequest{RevisionOnly: true})
-		if err == nil {
-			return n.waitForRevision(ctx, status.GetRevision())
-		}
-		select {
-		case <-ctx.Done():
-			return fault.Unavailable.New("there is no leader to confirm a read")
-		case <-time.After(leaderPollDelay):
-		}
+	status, err := feed.AwaitRevision(ctx, n, leaderPollDelay)
+	if err != nil {
+		return err
 	}
+	return n.waitForRevision(ctx, status.GetRevision())
 }
 
 func (n *Node) waitForRevision(ctx context.Context, revision uint64) error {
--- a/internal/controller/answers.go
+++ b/internal/controller/answers.go
@@ -17,7 +17,7 @@
 type answerTable struct {
 	machines map[string]*answerCount
 	// reported are the running totals of each node, by machine.
-	reported map[string]map[string]answerTotals
+	reported nodeTotals[answerTotals]
 }
 
 // answerTotals are a node's counts for one machine since the node started.
@@ -32,18 +32,12 @@
 }
 
 func newAnswerTable() *answerTable {
-	return &answerTable{machines: map[string]*answerCount{}, reported: map[string]map[string]answerTotals{}}
+	return &answerTable{machines: map[string]*answerCount{}, reported: nodeTotals[answerTotals]{}}
 }
 
-// take adds what is new in a report. The totals of a node that is first heard of say
-// nothing of when they were counted.
+// take adds what is new in a report.
 func (t *answerTable) take(now time.Duration, held, report *wirepb.NodeReport) {
-	totals := t.reported[report.GetNode()]
-	if totals == nil || held.GetIncarnation() != report.GetIncarnation() {
-		totals = map[string]answerTotals{}
-		t.reported[report.GetNode()] = totals
-	}
-	isNews := held != nil
+	totals, isNews := t.reported.of(held, report)
 	for _, entry := range report.GetAnswers() {
 		before := totals[entry.GetMachine()]
 		current := answerTotals{answered: max(before.answered, entry.GetAnswered()), errors: max(before.errors, entry.GetErrors())}
--- a/internal/controller/prefetch.go
+++ b/internal/controller/prefetch.go
@@ -49,13 +49,17 @@
 // nothing on its way: adapters that no replica of their version holds, first those that
 // were asked for lately, then those of the versions with the most work.
 func (r *Registered) prefetchTasks(places []*adapterPlace, lastUsed map[adapterUse]time.Duration, work map[string]float64) map[string]orders.AdapterTask {
+	open := openPlaces(places)
+	if len(open) == 0 {
+		return nil
+	}
 	missing, onTheirWay := r.missingAdapters(places, lastUsed, work)
 	tasks := map[string]orders.AdapterTask{}
 	for _, candidate := range missing {
 		if onTheirWay >= maxPrefetches {
 			break
 		}
-		place := prefetchPlace(places, candidate.version, tasks)
+		place := prefetchPlace(open, candidate.version, tasks)
 		if place == nil {
 			continue
 		}
@@ -98,14 +102,25 @@
 	return work / float64(len(spec.Adapters))
 }
 
+// openPlaces returns the engines that have places to spare and no order under way.
+func openPlaces(places []*adapterPlace) []*adapterPlace {
+	var open []*adapterPlace
+	for _, place := range places {
+		if !place.busy && place.held+spareAdapterPlaces < place.slots {
+			open = append(open, place)
+		}
+	}
+	return open
+}
+
 // prefetchPlace returns the engine with the fewest adapters among those that hold the
-// version, have places to spare, and nothing else to do; nil if there is none.
+// version and load none of its adapters; nil if there is none.
 func prefetchPlace(places []*adapterPlace, version string, taken map[string]orders.AdapterTask) *adapterPlace {
 	var best *adapterPlace
 	for _, place := range places {
 		holder, held := place.models[version]
 		_, isTaken := taken[place.machine]
-		if !held || isTaken || place.busy || len(holder.coming) > 0 || place.held+spareAdapterPlaces >= place.slots {
+		if !held || isTaken || len(holder.coming) > 0 {
 			continue
 		}
 		if best == nil || place.held < best.held {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -44,7 +44,7 @@
 	// arrivals counts the requests for each version in the whole fleet;
 	// counted is how many of a node's are in it.
 	arrivals map[string]uint64
-	counted  map[string]map[string]runningTotals
+	counted  nodeTotals[runningTotals]
 	// work adds up what requests asked of machines, like arrivals.
 	work map[string]uint64
 	// targets are the shortest targets reported of each version.
@@ -59,7 +59,7 @@
 func NewReportTable() *ReportTable {
 	return &ReportTable{
 		nodes: map[string]nodeEntry{}, machines: map[string]machineEntry{},
-		arrivals: map[string]uint64{}, counted: map[string]map[string]runningTotals{}, work: map[string]uint64{}, targets: map[string]uint32{},
+		arrivals: map[string]uint64{}, counted: nodeTotals[runningTotals]{}, work: map[string]uint64{}, targets: map[string]uint32{},
 		adapterUsed: map[adapterUse]time.Duration{}, answers: newAnswerTable(),
 	}
 }
@@ -92,18 +92,10 @@
 	targetMs uint32
 }
 
-// countArrivals adds what is new to the fleet's counts. Reports carry running
-// totals and leave out versions without news, so that a lost report loses no
-// arrivals; a node that restarted counts from 0 again.
+// countArrivals adds what is new to the fleet's counts. Reports leave out versions
+// without news.
 func (t *ReportTable) countArrivals(held, report *wirepb.NodeReport) {
-	counted := t.counted[report.GetNode()]
-	// What a node was asked before it first reported here tells nothing of the
-	// present rate of work.
-	news := held != nil
-	if counted == nil || held.GetIncarnation() != report.GetIncarnation() {
-		counted = map[string]runningTotals{}
-		t.counted[report.GetNode()] = counted
-	}
+	counted, isNews := t.counted.of(held, report)
 	for _, demand := range report.GetDemand() {
 		if demand.GetAdapter() != "" {
 			continue // Counted with its version.
@@ -117,7 +109,7 @@
 		version, before := demand.GetVersion(), counted[demand.GetVersion()]
 		if demand.GetArrivals() > before.arrivals {
 			t.arrivals[version] += demand.GetArrivals() - before.arrivals
-			if news {
+			if isNews {
 				t.work[version] += max(demand.GetWork(), before.work) - before.work
 			}
 			counted[version] = runningTotals{arrivals: demand.GetArrivals(), work: demand.GetWork()}
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -90,7 +90,8 @@
 	kept := make([]*target, 0, len(targets))
 	for _, candidate := range targets {
 		own := c.answers[candidate.Machine]
-		if uniform(c.config.Seed+request.ID, candidate.Machine) < own.trust(total.minus(own)) {
+		trust := own.trust(total.minus(own))
+		if trust >= 1 || uniform(c.config.Seed+request.ID, candidate.Machine) < trust {
 			kept = append(kept, candidate)
 		}
 	}
--- a/internal/emulator/grey.go
+++ b/internal/emulator/grey.go
@@ -26,8 +26,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *greyHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	fails := g.faults.draw(func(Faults) float64 { return g.errors })
-	if isRequest(request.URL.Path) && fails {
+	if isRequest(request.URL.Path) && g.faults.draw(func(Faults) float64 { return g.errors }) {
 		writer.Header().Set(engine.HeaderRequestID, request.Header.Get(engine.HeaderRequestID))
 		http.Error(writer, "the worker is broken", http.StatusInternalServerError)
 		return
--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
@@ -46,3 +49,24 @@
 		sink.Confirm(revision)
 	}
 }
+
+// StatusSource tells the leader's view of the cluster, or that there is no leader.
+type StatusSource interface {
+	Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error)
+}
+
+// AwaitRevision asks for the leader's revision, again and again until there is a leader.
+func AwaitRevision(ctx context.Context, source StatusSource, poll time.Duration) (*wirepb.StatusReply, error) {
+	request := &wirepb.StatusRequest{RevisionOnly: true}
+	for {
+		reply, err := source.Status(ctx, request)
+		if err == nil && reply.GetLeader() != "" {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fault.Unavailable.New("there is no leader to confirm a revision")
+		case <-time.After(poll):
+		}
+	}
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -194,23 +194,12 @@
 	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_StatusReply{StatusReply: reply}})
 }
 
-// confirm asks the leader for its revision, again and again until there is one: nodes
-// that have just started wait for nothing else.
+// confirm waits for the leader's revision: nodes that have just started wait for nothing
+// else.
 func (s *Server) confirm(ctx context.Context) (*wirepb.StatusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	request := &wirepb.StatusRequest{RevisionOnly: true}
-	for {
-		reply, err := s.backend.Status(ctx, request)
-		if err == nil && reply.GetLeader() != "" {
-			return reply, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, fault.Unavailable.New("there is no leader to confirm a revision")
-		case <-time.After(confirmPoll):
-		}
-	}
+	return AwaitRevision(ctx, s.backend, confirmPoll)
 }
 
 // ProposeFunc carries a command towards the leader.
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -73,13 +73,7 @@
 
 // passKeptError passes on the failure that a machine answered with before.
 func (j *job) passKeptError() {
-	header := j.writer.Header()
-	for name, values := range j.kept.header {
-		header[name] = values
-	}
-	header.Set("Content-Length", strconv.Itoa(len(j.kept.body)))
-	j.answered = true
-	j.writer.WriteHeader(j.kept.status)
+	j.writeHead(j.kept.status, j.kept.header, int64(len(j.kept.body)))
 	_, err := j.writer.Write(j.kept.body)
 	j.log("answered", "status", j.kept.status, "bytes", len(j.kept.body), "first_error", true, "caller_left", err != nil)
 	j.ingress.options.Metrics.observe(j.route, "answered", time.Since(j.arrived))
@@ -92,15 +86,11 @@
 // relay copies head and body. Once the head is out, only the machine's own end
 // of the answer may end the caller's.
 func (j *job) relay(ctx context.Context, answer *upstream.Answer) attemptEnd {
-	header := j.writer.Header()
-	for name, values := range upstream.EndToEnd(answer.Header) {
-		header[name] = values
+	length := int64(-1)
+	if answer.Header.Get("Content-Length") != "" {
+		length = answer.Length
 	}
-	if answer.Length >= 0 && answer.Header.Get("Content-Length") != "" {
-		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
-	}
-	j.answered = true
-	j.writer.WriteHeader(answer.Status)
+	j.writeHead(answer.Status, upstream.EndToEnd(answer.Header), length)
 	controller := http.NewResponseController(j.writer)
 	if j.route.Spec.Kind == v1.RouteStream {
 		_ = controller.Flush()
@@ -119,6 +109,20 @@
 	return endBroken
 }
 
+// writeHead passes on the head of a machine's answer, with the length of its body if that
+// is not below 0.
+func (j *job) writeHead(status int, endToEnd http.Header, length int64) {
+	header := j.writer.Header()
+	for name, values := range endToEnd {
+		header[name] = values
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	j.answered = true
+	j.writer.WriteHeader(status)
+}
+
 // copyBody passes a body on as it comes. It returns how many bytes it passed on
 // and the longest pause between two parts.
 func (j *job) copyBody(controller *http.ResponseController, answer *upstream.Answer) (passed int64, pause time.Duration, err error) {
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -56,15 +56,20 @@
 	return estimates
 }
 
-// LoadsOf returns a digest's lagged loads by machine, in requests.
-func LoadsOf(digest *wirepb.ClusterDigest) map[string]int {
+// eachPacked visits the machines with a number above 0 in a list by the roster's order.
+func eachPacked(digest *wirepb.ClusterDigest, packed []byte, visit func(machine string, number byte)) {
 	machines := digest.GetRoster().GetMachines()
-	loads := make(map[string]int, len(digest.GetMachineLoads()))
-	for position, load := range digest.GetMachineLoads() {
-		if load > 0 && position < len(machines) {
-			loads[machines[position]] = int(load)
+	for position, number := range packed {
+		if number > 0 && position < len(machines) {
+			visit(machines[position], number)
 		}
 	}
+}
+
+// LoadsOf returns a digest's lagged loads by machine, in requests.
+func LoadsOf(digest *wirepb.ClusterDigest) map[string]int {
+	loads := make(map[string]int, len(digest.GetMachineLoads()))
+	eachPacked(digest, digest.GetMachineLoads(), func(machine string, load byte) { loads[machine] = int(load) })
 	return loads
 }
 
@@ -73,13 +78,8 @@
 
 // WorkOf returns a digest's lagged outstanding work by machine, in tokens.
 func WorkOf(digest *wirepb.ClusterDigest) map[string]float64 {
-	machines := digest.GetRoster().GetMachines()
 	work := make(map[string]float64, len(digest.GetMachineWork()))
-	for position, units := range digest.GetMachineWork() {
-		if units > 0 && position < len(machines) {
-			work[machines[position]] = float64(units) * WorkUnit
-		}
-	}
+	eachPacked(digest, digest.GetMachineWork(), func(machine string, units byte) { work[machine] = float64(units) * WorkUnit })
 	return work
 }
 
@@ -89,18 +89,16 @@
 	if len(digest.GetMachineErrors()) == 0 {
 		return nil
 	}
-	machines := digest.GetRoster().GetMachines()
 	answers := make(map[string]dispatch.Answers, len(digest.GetMachineAnswers()))
-	for position, answered := range digest.GetMachineAnswers() {
-		if answered == 0 || position >= len(machines) {
-			continue
-		}
-		entry := dispatch.Answers{Answered: float64(answered)}
-		if position < len(digest.GetMachineErrors()) {
-			entry.Errors = float64(digest.GetMachineErrors()[position])
+	eachPacked(digest, digest.GetMachineAnswers(), func(machine string, answered byte) {
+		answers[machine] = dispatch.Answers{Answered: float64(answered)}
+	})
+	eachPacked(digest, digest.GetMachineErrors(), func(machine string, errors byte) {
+		if entry, answered := answers[machine]; answered {
+			entry.Errors = float64(errors)
+			answers[machine] = entry
 		}
-		answers[machines[position]] = entry
-	}
+	})
 	return answers
 }
 
