Log why a router leaves its control node and which routes are in force

Ruled out: a new metric alone, since the question is asked of one request and one router. Change: routes_in_force with version, revision and the leader's newest revision; upstream_lost with its reason and the same. No decision changes. Conclusion: a router that gets digests without changes shows as leader_revision ahead of revision.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -66,7 +66,7 @@
 			c.last = connected.address
 			c.logger.Info("upstream_connected", "address", connected.address)
 			c.follow(ctx, connected)
-			c.logger.Info("upstream_lost", "address", connected.address)
+			c.logLost(connected.address)
 			lost = time.Now()
 		}
 		select {
@@ -76,6 +76,15 @@
 	}
 }
 
+// logLost tells why a server is followed no more, and how far what it sent reaches.
+func (c *Client) logLost(address string) {
+	c.mutex.Lock()
+	reason, newest := c.liveness.reason, c.liveness.newest
+	c.mutex.Unlock()
+	c.logger.Info("upstream_lost", "address", address, "reason", string(reason),
+		"revision", c.sink.Revision(), "leader_term", newest.GetTerm(), "leader_revision", newest.GetRevision())
+}
+
 // Discover makes the client try further servers, which the function returns;
 // call it before Run. Nodes that are told a few servers to begin with learn of
 // the others from the feed.
@@ -136,6 +145,7 @@
 			return
 		case <-ticker.C:
 			if c.isSilent() {
+				c.note(func(time.Time) { c.liveness.reason = lostSilent })
 				conn.Close()
 				return
 			}
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -14,6 +14,18 @@
 	firstLimit = 900 * time.Millisecond
 )
 
+// lossReason is why a client follows a server no more.
+type lossReason string
+
+const (
+	// lostClosed is a connection that the server closed, or that broke.
+	lostClosed lossReason = "closed"
+	// lostSilent is a server without news from a leader.
+	lostSilent lossReason = "silent"
+	// lostMoved is a change to the client's first choice.
+	lostMoved lossReason = "moved"
+)
+
 // liveness tells whether a server still hears from a leader. Only a digest that
 // is newer than any before is a sign of it: a server that is cut off goes on
 // answering with what it holds.
@@ -23,11 +35,14 @@
 	due time.Time
 	// applying is set while the client takes over a state and reads nothing.
 	applying bool
+	// reason is why the present server is left, or was.
+	reason lossReason
 }
 
 // connected begins the time of a new server.
 func (l *liveness) connected(now time.Time) {
 	l.due = now.Add(firstLimit)
+	l.reason = lostClosed
 }
 
 // take notes a digest.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -128,6 +128,7 @@
 	current := i.options.View.Current() && i.options.View.Declaration() != nil
 	if routes, changed := i.options.View.TakeRoutes(); changed {
 		i.table.Store(NewTable(routes, i.table.Load()))
+		i.logRoutes(len(routes))
 	}
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
 	if current && !i.serving.Swap(true) {
@@ -136,6 +137,18 @@
 	}
 }
 
+// logRoutes tells which routes are in force from now on, and how far the view was behind the
+// leader's newest digest.
+func (i *Ingress) logRoutes(routes int) {
+	view := i.options.View
+	version := uint64(0)
+	if declaration := view.Declaration(); declaration != nil {
+		version = declaration.Version
+	}
+	i.options.Logger.Info("routes_in_force", "version", version, "routes", routes, "revision", view.Revision(),
+		"leader_term", view.Digest().GetTerm(), "leader_revision", view.Digest().GetRevision())
+}
+
 func (i *Ingress) retainConnections(ctx context.Context) {
 	ticker := time.NewTicker(retainInterval)
 	defer ticker.Stop()
