Leave a control node that lacks what its digests tell of

Cause: a router took a new digest for a sign that its control node was up to date. A node that hears the leader and is not heard by it passes digests on and gets no entries. Ruled out: holding digests back at control nodes until their state has caught up: routers would then wait for the limit of silence, 1.5 s and more of the 2 s they have. Change: a client notes which revision a digest told of, and leaves the server where that has not come within 0.7 s (0.5 s for a digest, 0.1 s for a new connection, 2 s in all). Lists on their way stretch it. Conclusion: routers leave such a node; machines' heartbeats there are still lost.

--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -27,7 +27,7 @@
 // memoryStorage keeps nothing: no node of these tests restarts.
 type memoryStorage struct{}
 
-func (memoryStorage) Append(*wirepb.WalRecord) error                          { return nil }
+func (memoryStorage) Append(*wirepb.WalRecord) error                         { return nil }
 func (memoryStorage) SaveSnapshot(*wirepb.Snapshot, *wirepb.WalRecord) error { return nil }
 
 // outgoing carries the connections that one control node dials to another. Once
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -124,7 +124,7 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	c.note(c.liveness.connected)
-	go c.watchSilence(conn)
+	go c.watchLiveness(conn)
 	go c.rebalance(ctx, connected)
 	request := &wirepb.WatchRequest{AfterRevision: c.sink.Revision(), Lists: true}
 	if conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchRequest{WatchRequest: request}}) != nil {
@@ -135,8 +135,9 @@
 	c.receive(connected)
 }
 
-// watchSilence drops a connection whose server is cut off without a word.
-func (c *Client) watchSilence(conn *wire.Conn) {
+// watchLiveness drops a connection whose server is cut off without a word, or lacks what the
+// leader holds.
+func (c *Client) watchLiveness(conn *wire.Conn) {
 	ticker := time.NewTicker(firstLimit / 4)
 	defer ticker.Stop()
 	for {
@@ -144,8 +145,7 @@
 		case <-conn.Done():
 			return
 		case <-ticker.C:
-			if c.isSilent() {
-				c.note(func(time.Time) { c.liveness.reason = lostSilent })
+			if c.noteLoss() {
 				conn.Close()
 				return
 			}
@@ -153,10 +153,15 @@
 	}
 }
 
-func (c *Client) isSilent() bool {
+// noteLoss reports whether the server should be left, and notes why.
+func (c *Client) noteLoss() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.liveness.lost(time.Now())
+	reason, lost := c.liveness.lost(time.Now())
+	if lost {
+		c.liveness.reason = reason
+	}
+	return lost
 }
 
 func (c *Client) attach(conn *wire.Conn) {
@@ -199,7 +204,8 @@
 			}
 		case *wirepb.Envelope_ClusterDigest:
 			if digest := digests.Complete(body.ClusterDigest); digest != nil {
-				c.note(func(now time.Time) { c.liveness.take(now, digest) })
+				held := c.sink.Revision()
+				c.note(func(now time.Time) { c.liveness.take(now, digest, held) })
 				c.sink.TakeDigest(digest)
 			}
 		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply:
@@ -223,10 +229,17 @@
 	changes := Changes{Events: batch.GetEvents(), Revision: batch.GetRevision()}
 	if fresh, any := Fresh(c.sink.Revision(), changes); any {
 		c.sink.Apply(fresh)
+		c.noteApplied()
 	}
 	return nil
 }
 
+// noteApplied brings the liveness in step with the sink.
+func (c *Client) noteApplied() {
+	held := c.sink.Revision()
+	c.note(func(now time.Time) { c.liveness.applied(now, held) })
+}
+
 // takeListPart takes a part of a compressed list. It returns whether the server may be
 // followed on.
 func (c *Client) takeListPart(lists *listReceiver, part *wirepb.WatchListPart) bool {
@@ -252,6 +265,7 @@
 	c.note(func(now time.Time) { c.liveness.apply(now, true) })
 	c.sink.Apply(fresh)
 	c.note(func(now time.Time) { c.liveness.apply(now, false) })
+	c.noteApplied()
 }
 
 // note brings the liveness up to date.
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -12,6 +12,11 @@
 	silenceLimit = 1500 * time.Millisecond
 	// firstLimit is how long a server has for its first new digest.
 	firstLimit = 900 * time.Millisecond
+	// behindLimit is how long a server may lack changes that its digests tell of. In order, they
+	// come within some tens of milliseconds of each other. A confirmed configuration must be in
+	// force within 2 s: a digest tells of it after 0.5 s at most, and a new connection with what
+	// was missed takes about 0.1 s.
+	behindLimit = 700 * time.Millisecond
 )
 
 // lossReason is why a client follows a server no more.
@@ -22,15 +27,23 @@
 	lostClosed lossReason = "closed"
 	// lostSilent is a server without news from a leader.
 	lostSilent lossReason = "silent"
+	// lostBehind is a server that lacks changes its digests tell of: it hears the leader, and
+	// what it holds is not what the leader holds.
+	lostBehind lossReason = "behind"
 	// lostMoved is a change to the client's first choice.
 	lostMoved lossReason = "moved"
 )
 
-// liveness tells whether a server still hears from a leader. Only a digest that
-// is newer than any before is a sign of it: a server that is cut off goes on
-// answering with what it holds.
+// liveness tells whether a server still hears from a leader, and holds what the leader
+// holds. Only a digest that is newer than any before is a sign of the first: a server that is
+// cut off goes on answering with what it holds. It is none of the second: a server whose
+// answers don't reach the leader gets digests, and no entries of the log.
 type liveness struct {
 	newest *wirepb.ClusterDigest
+	// missing is a revision that a digest told of and that has not been applied since
+	// missingSince; 0 if there is none.
+	missing      uint64
+	missingSince time.Time
 	// limit is in force until due.
 	due time.Time
 	// applying is set while the client takes over a state and reads nothing.
@@ -43,15 +56,34 @@
 func (l *liveness) connected(now time.Time) {
 	l.due = now.Add(firstLimit)
 	l.reason = lostClosed
+	l.missingSince = now
 }
 
-// take notes a digest.
-func (l *liveness) take(now time.Time, digest *wirepb.ClusterDigest) {
+// take notes a digest; held is the revision applied by then.
+func (l *liveness) take(now time.Time, digest *wirepb.ClusterDigest, held uint64) {
 	if !Newer(digest, l.newest) {
 		return
 	}
 	l.newest = digest
 	l.due = now.Add(silenceLimit)
+	if l.missing == 0 {
+		l.expect(now, held)
+	}
+}
+
+// applied notes that everything up to the revision held is applied.
+func (l *liveness) applied(now time.Time, held uint64) {
+	if held >= l.missing {
+		l.expect(now, held)
+	}
+}
+
+// expect begins the time for what the newest digest tells of, if that is not held.
+func (l *liveness) expect(now time.Time, held uint64) {
+	l.missing = 0
+	if revision := l.newest.GetRevision(); revision > held {
+		l.missing, l.missingSince = revision, now
+	}
 }
 
 // takePart notes a part of the state that more is to come of. Digests wait behind it: with
@@ -62,6 +94,7 @@
 	if due := now.Add(firstLimit); due.After(l.due) {
 		l.due = due
 	}
+	l.missingSince = now
 }
 
 // apply notes that the client begins to take over what it received, or is done with it.
@@ -71,9 +104,18 @@
 	if due := now.Add(firstLimit); !begins && due.After(l.due) {
 		l.due = due
 	}
+	l.missingSince = now
 }
 
-// lost reports whether another server should be tried.
-func (l *liveness) lost(now time.Time) bool {
-	return !l.applying && now.After(l.due)
+// lost reports whether another server should be tried, and why.
+func (l *liveness) lost(now time.Time) (reason lossReason, lost bool) {
+	switch {
+	case l.applying:
+		return "", false
+	case now.After(l.due):
+		return lostSilent, true
+	case l.missing != 0 && now.After(l.missingSince.Add(behindLimit)):
+		return lostBehind, true
+	}
+	return "", false
 }
--- a/internal/feed/liveness_test.go
+++ b/internal/feed/liveness_test.go
@@ -42,21 +42,21 @@
 	}
 	held := &liveness{}
 	held.connected(start)
-	held.take(start, digest(2, 7))
-	if held.lost(start.Add(silenceLimit)) {
+	held.take(start, digest(2, 7), 0)
+	if isLost(held, start.Add(silenceLimit)) {
 		t.Error("lost within the limit")
 	}
 	later := start.Add(silenceLimit + time.Millisecond)
-	if !held.lost(later) {
+	if !isLost(held, later) {
 		t.Error("not lost after the limit")
 	}
 	held.connected(later)
-	held.take(later, digest(2, 7))
-	if !held.lost(later.Add(firstLimit + time.Millisecond)) {
+	held.take(later, digest(2, 7), 0)
+	if !isLost(held, later.Add(firstLimit+time.Millisecond)) {
 		t.Error("the digest held before counts as a sign of life")
 	}
-	held.take(later, digest(2, 8))
-	if held.lost(later.Add(firstLimit + time.Millisecond)) {
+	held.take(later, digest(2, 8), 0)
+	if isLost(held, later.Add(firstLimit+time.Millisecond)) {
 		t.Error("a newer digest does not count")
 	}
 }
@@ -70,21 +70,68 @@
 	held.connected(now)
 	for range 10 {
 		now = now.Add(firstLimit / 2)
-		if held.lost(now) {
+		if isLost(held, now) {
 			t.Fatal("lost while parts of the state come")
 		}
 		held.takePart(now)
 	}
 	held.apply(now, true)
 	now = now.Add(10 * firstLimit)
-	if held.lost(now) {
+	if isLost(held, now) {
 		t.Error("lost while the state is taken over")
 	}
 	held.apply(now, false)
-	if held.lost(now.Add(firstLimit)) {
+	if isLost(held, now.Add(firstLimit)) {
 		t.Error("lost before a digest could be read")
 	}
-	if !held.lost(now.Add(firstLimit + time.Millisecond)) {
+	if !isLost(held, now.Add(firstLimit+time.Millisecond)) {
 		t.Error("a server that sends nothing more is not lost")
 	}
 }
+
+func isLost(held *liveness, now time.Time) bool {
+	_, lost := held.lost(now)
+	return lost
+}
+
+// TestServerThatLacksWhatItsDigestsTellOf: a control node whose answers did not reach the leader
+// got digests without end and no entries. The digests counted as proof that it was up to date.
+func TestServerThatLacksWhatItsDigestsTellOf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	digest := func(sequence, revision uint64) *wirepb.ClusterDigest {
+		return &wirepb.ClusterDigest{Term: 2, Sequence: sequence, Revision: revision}
+	}
+	held := &liveness{}
+	held.connected(now)
+	held.take(now, digest(1, 40), 40)
+	if isLost(held, now.Add(silenceLimit)) {
+		t.Error("lost although nothing is missing")
+	}
+	held.take(now, digest(2, 45), 40)
+	held.take(now.Add(behindLimit/2), digest(3, 46), 40)
+	if isLost(held, now.Add(behindLimit)) {
+		t.Error("lost within the limit")
+	}
+	if reason, lost := held.lost(now.Add(behindLimit + time.Millisecond)); !lost || reason != lostBehind {
+		t.Errorf("revision 45 has been missing for longer than the limit: %q, %t", reason, lost)
+	}
+	// What was missing has come; what the newest digest tells of has a time of its own.
+	later := now.Add(behindLimit)
+	held.applied(later, 45)
+	if isLost(held, later.Add(behindLimit)) {
+		t.Error("lost for a revision that has come")
+	}
+	if !isLost(held, later.Add(behindLimit+time.Millisecond)) {
+		t.Error("revision 46 is never missed")
+	}
+	// Another server gets the same time, and parts of a list stretch it.
+	held.connected(later.Add(behindLimit))
+	held.takePart(later.Add(2 * behindLimit))
+	if isLost(held, later.Add(2*behindLimit+behindLimit/2)) {
+		t.Error("lost while parts of the state come")
+	}
+	held.applied(later.Add(2*behindLimit), 50)
+	if isLost(held, later.Add(3*behindLimit)) {
+		t.Error("lost although everything is applied")
+	}
+}
