Let a control node know whether the leader hears it

A follower whose replies are lost went on serving routers, acknowledged heartbeats that it could not pass on, and held operators' calls for up to 3 s. Ruled out: judging by the connection (TCP notices after 2 s and more, and a stalled proxy or a full link never does); asking the leader for each heartbeat (a round trip each). Change: heartbeats of the leader name the newest reply it has got; a follower without a confirmation for two election timeouts refuses routers, ends their sessions, acknowledges no heartbeat and forwards nothing. Event leader_contact.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -14,6 +14,11 @@
 
 const (
 	leaderPollDelay = 20 * time.Millisecond
+	// unheardElectionTimeouts is for how many election timeouts a follower may lack its
+	// leader's confirmation before it takes itself to be unheard. A leader steps down after
+	// one without a quorum; a lost packet, or a pause of either, makes the next confirmation
+	// late by up to another half.
+	unheardElectionTimeouts = 2
 	// historyLifetime is how old what is known of past demand may be.
 	historyLifetime = 10 * time.Second
 )
@@ -39,10 +44,17 @@
 	return held.versions, age
 }
 
-// Serves implements feed.Backend: a node that joins with an empty disk holds
-// nothing before it is a member.
+// Serves implements feed.Backend. A node that joins with an empty disk holds nothing
+// before it is a member. One that the leader does not hear gets digests and no entries of
+// the log, and passes nothing on. Without a leader no node is better than another.
 func (n *Node) Serves() bool {
-	return len(n.membership.Load().GetVoters()) > 0
+	return len(n.membership.Load().GetVoters()) > 0 && (!n.HasLeader() || n.isHeard())
+}
+
+// isHeard reports whether a leader is known and hears this node.
+func (n *Node) isHeard() bool {
+	limit := unheardElectionTimeouts * n.settings.Control.ElectionTimeout
+	return n.status.Load().HeardWithin(n.now(), limit)
 }
 
 // ChangesAfter implements feed.Backend from this node's copy of the state.
@@ -116,7 +128,7 @@
 			return n.proposeLocally(ctx, command)
 		}
 		if link := n.peers.link(status.Leader); link != nil {
-			return n.forward(ctx, link, command)
+			return n.forwardWhileHeard(ctx, link, command)
 		}
 		select {
 		case <-ctx.Done():
@@ -141,6 +153,38 @@
 	}
 }
 
+// forwardWhileHeard forwards a command unless the leader does not hear this node, and waits no
+// longer once that is so: the caller has other nodes to turn to.
+func (n *Node) forwardWhileHeard(ctx context.Context, link *peerLink, command *wirepb.Command) (*wirepb.CommandResult, error) {
+	if !n.isHeard() {
+		return nil, errUnheard()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.cancelWhenUnheard(ctx, cancel)
+	return n.forward(ctx, link, command)
+}
+
+func errUnheard() error {
+	return fault.Unavailable.New("the leader does not hear this node")
+}
+
+func (n *Node) cancelWhenUnheard(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(leaderPollDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !n.isHeard() {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 func (n *Node) forward(ctx context.Context, link *peerLink, command *wirepb.Command) (*wirepb.CommandResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -357,8 +357,8 @@
 }
 
 // Heartbeat takes what a machine says of itself. It fails where no leader is
-// known, and for a machine that leaves until that is committed: what was
-// acknowledged must not be forgotten.
+// known or the leader does not hear this node, and for a machine that leaves until
+// that is committed: what was acknowledged must not be forgotten.
 func (n *Node) Heartbeat(ctx context.Context, report *wirepb.InstanceReport) error {
 	if report.GetLeaving() {
 		if err := n.leave(ctx, report, v1.MachineLeaving); err != nil {
@@ -368,6 +368,9 @@
 	if !n.HasLeader() {
 		return fault.Unavailable.New("there is no leader")
 	}
+	if !n.isHeard() {
+		return errUnheard()
+	}
 	n.takeInstance(report)
 	return nil
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -101,6 +101,8 @@
 	nudge  chan struct{}
 	// calmSince is since when processing has been quick; the loop's own.
 	calmSince time.Duration
+	// unheard is what logContact told last; the loop's own.
+	unheard bool
 }
 
 // proposal is a command on its way through the log.
@@ -291,12 +293,24 @@
 		n.logger.Info("membership_in_force", "voters", current.GetVoters(), "learners", current.GetLearners())
 	}
 	previous := n.status.Swap(&status)
+	n.logContact(&status)
 	if previous == nil || previous.Role != status.Role || previous.Term != status.Term || previous.Leader != status.Leader {
 		n.logger.Info("raft_role", "role", status.Role.String(), "term", status.Term, "leader", status.Leader)
 	}
 	n.metrics.observeStatus(&status)
 }
 
+// logContact tells when the leader stops or begins to hear this node.
+func (n *Node) logContact(status *raft.Status) {
+	unheard := n.HasLeader() && !n.isHeard()
+	if unheard == n.unheard {
+		return
+	}
+	n.unheard = unheard
+	n.logger.Warn("leader_contact", "heard", !unheard, "leader", status.Leader, "term", status.Term,
+		"heard_ms_ago", (n.now() - status.LastHeard).Milliseconds())
+}
+
 // stop hands leadership over, so that a planned stop costs no election.
 func (n *Node) stop() error {
 	if n.member.Raft.TransferLeadership() {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -20,6 +20,9 @@
 	// maxProposalsPerSession bounds the calls that one connection may have
 	// outstanding.
 	maxProposalsPerSession = 256
+	// servesInterval is how often a server looks whether it may be followed: a small part of
+	// the 2 s in which nodes must have changed to another.
+	servesInterval = 100 * time.Millisecond
 )
 
 // Changes is an answer to "what came after this revision".
@@ -75,7 +78,8 @@
 	Report(reports ...*wirepb.NodeReport)
 	// Status returns the leader's view of the cluster, as much as is asked for.
 	Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error)
-	// Serves reports whether the backend holds a state that nodes may follow.
+	// Serves reports whether nodes may follow the backend: it holds a state, and that is
+	// kept up to date as far as it knows.
 	Serves() bool
 	// Propose carries a command to the leader and returns its result.
 	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
@@ -92,6 +96,10 @@
 	confirmations *batcher[*wirepb.StatusReply]
 	// lists are whole states for watchers that hold nothing.
 	lists listCache
+
+	mutex sync.Mutex
+	// sessions are the connections of nodes that follow this server.
+	sessions map[*wire.Conn]struct{}
 }
 
 // NewServer returns a server. The peer function takes over connections whose
@@ -99,11 +107,11 @@
 func NewServer(backend Backend, self wire.Identity, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
 	self.Refuse = func(hello *wirepb.Hello) string {
 		if hello.GetControlId() == 0 && !backend.Serves() {
-			return "this node holds no state yet"
+			return "this node holds no state that may be followed"
 		}
 		return ""
 	}
-	server := &Server{backend: backend, self: self, logger: logger, peer: peer}
+	server := &Server{backend: backend, self: self, logger: logger, peer: peer, sessions: map[*wire.Conn]struct{}{}}
 	server.confirmations = newBatcher(server.confirm)
 	return server
 }
@@ -114,6 +122,7 @@
 	defer stop()
 	var sessions sync.WaitGroup
 	defer sessions.Wait()
+	sessions.Go(func() { s.endSessionsUnlessServing(ctx) })
 	for {
 		network, err := listener.Accept()
 		if ctx.Err() != nil {
@@ -142,7 +151,51 @@
 	s.serveNode(ctx, conn)
 }
 
+// endSessionsUnlessServing sends the nodes that follow this server elsewhere whenever the backend
+// may not be followed.
+func (s *Server) endSessionsUnlessServing(ctx context.Context) {
+	ticker := time.NewTicker(servesInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.backend.Serves() {
+			continue
+		}
+		if ended := s.endSessions(); ended > 0 {
+			s.logger.Warn("sessions_ended", "sessions", ended, "reason", "this node holds no state that may be followed")
+		}
+	}
+}
+
+// endSessions closes the connections of all nodes and returns how many there were.
+func (s *Server) endSessions() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for conn := range s.sessions {
+		conn.Close()
+	}
+	return len(s.sessions)
+}
+
+func (s *Server) addSession(conn *wire.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sessions[conn] = struct{}{}
+}
+
+func (s *Server) removeSession(conn *wire.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.sessions, conn)
+}
+
 func (s *Server) serveNode(ctx context.Context, conn *wire.Conn) {
+	s.addSession(conn)
+	defer s.removeSession(conn)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var workers sync.WaitGroup
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -111,6 +111,8 @@
 	// idleSince is since when all voters are known to be idle up to the term.
 	idleSince time.Duration
 
+	// contact is what this node knows of whether the leader hears it.
+	contact  contact
 	votes    map[uint64]bool
 	progress map[uint64]*progress
 	lease    lease
@@ -312,6 +314,22 @@
 	FirstHeld uint64
 	// LastContact is when the node last heard from a leader, or started.
 	LastContact time.Duration
+	// LastHeard is when a follower sent the newest reply that its leader is known to have
+	// got. In a term in which none has been confirmed yet it is when the first was sent; 0
+	// if there was none.
+	LastHeard time.Duration
+}
+
+// HeardWithin reports whether the leader, this node or another, is known to have heard this node
+// within a time: what it says reaches the leader. It is false where no leader is known.
+func (s Status) HeardWithin(now, limit time.Duration) bool {
+	switch s.Leader {
+	case None:
+		return false
+	case s.ID:
+		return true
+	}
+	return now-s.LastHeard < limit
 }
 
 // LeaseHeld reports whether the node may decide and answer reads at now: it
@@ -328,7 +346,7 @@
 		Committed: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
 		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1,
-		LastContact: n.lastContact,
+		LastContact: n.lastContact, LastHeard: n.contact.heard,
 	}
 }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -104,7 +104,7 @@
 	for _, peer := range n.peers() {
 		n.send(&wirepb.RaftMessage{
 			Type: heartbeatType, To: peer, Round: round,
-			Commit: min(n.log.committed, n.progress[peer].match),
+			Commit: min(n.log.committed, n.progress[peer].match), HeardRound: n.lease.answered[peer],
 		})
 	}
 }
@@ -207,6 +207,8 @@
 	n.hearLeader(message)
 	// The leader caps the commit index at what it knows to match here.
 	n.log.commitTo(message.GetCommit())
+	n.contact.confirm(message.GetTerm(), message.GetHeardRound())
+	n.contact.reply(n.now, message.GetTerm(), message.GetRound())
 	n.send(&wirepb.RaftMessage{
 		Type: wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_REPLY, To: message.GetFrom(), Round: message.GetRound(),
 	})
