Play an unheard control node in the fault simulator, with a mutation

Change: feed.Liveness is exported and used by the simulated routers; control nodes refuse as in internal/control (raft.Status.Unheard, in place of a limit there); fault unheard-control, under which changes are due in 3 s as in calm; mutation digest-vouches.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -14,11 +14,6 @@
 
 const (
 	leaderPollDelay = 20 * time.Millisecond
-	// unheardElectionTimeouts is for how many election timeouts a follower may lack its
-	// leader's confirmation before it takes itself to be unheard. A leader steps down after
-	// one without a quorum; a lost packet, or a pause of either, makes the next confirmation
-	// late by up to another half.
-	unheardElectionTimeouts = 2
 	// historyLifetime is how old what is known of past demand may be.
 	historyLifetime = 10 * time.Second
 )
@@ -48,13 +43,12 @@
 // before it is a member. One that the leader does not hear gets digests and no entries of
 // the log, and passes nothing on. Without a leader no node is better than another.
 func (n *Node) Serves() bool {
-	return len(n.membership.Load().GetVoters()) > 0 && (!n.HasLeader() || n.isHeard())
+	return len(n.membership.Load().GetVoters()) > 0 && !n.isUnheard()
 }
 
-// isHeard reports whether a leader is known and hears this node.
-func (n *Node) isHeard() bool {
-	limit := unheardElectionTimeouts * n.settings.Control.ElectionTimeout
-	return n.status.Load().HeardWithin(n.now(), limit)
+// isUnheard reports whether a leader is known that does not hear this node.
+func (n *Node) isUnheard() bool {
+	return n.status.Load().Unheard(n.now())
 }
 
 // ChangesAfter implements feed.Backend from this node's copy of the state.
@@ -156,7 +150,7 @@
 // forwardWhileHeard forwards a command unless the leader does not hear this node, and waits no
 // longer once that is so: the caller has other nodes to turn to.
 func (n *Node) forwardWhileHeard(ctx context.Context, link *peerLink, command *wirepb.Command) (*wirepb.CommandResult, error) {
-	if !n.isHeard() {
+	if n.isUnheard() {
 		return nil, errUnheard()
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -177,7 +171,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !n.isHeard() {
+			if n.isUnheard() {
 				cancel()
 				return
 			}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -368,7 +368,7 @@
 	if !n.HasLeader() {
 		return fault.Unavailable.New("there is no leader")
 	}
-	if !n.isHeard() {
+	if n.isUnheard() {
 		return errUnheard()
 	}
 	n.takeInstance(report)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -302,13 +302,13 @@
 
 // logContact tells when the leader stops or begins to hear this node.
 func (n *Node) logContact(status *raft.Status) {
-	unheard := n.HasLeader() && !n.isHeard()
+	unheard := n.isUnheard()
 	if unheard == n.unheard {
 		return
 	}
 	n.unheard = unheard
 	n.logger.Warn("leader_contact", "heard", !unheard, "leader", status.Leader, "term", status.Term,
-		"heard_ms_ago", (n.now() - status.LastHeard).Milliseconds())
+		"overdue_ms", (n.now() - status.HeardUntil).Milliseconds())
 }
 
 // stop hands leadership over, so that a planned stop costs no election.
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -39,6 +39,8 @@
 	bootstrap *wirepb.Membership
 	// lost is set once the machine is gone for good, disk and all.
 	lost bool
+	// muted drops what the node says to other control nodes.
+	muted bool
 }
 
 func (w *world) newControlNode(id uint64, zone string) *controlNode {
@@ -123,12 +125,19 @@
 	c.pending.Complete(output)
 }
 
+// sendTo sends to another control node.
+func (c *controlNode) sendTo(peer *controlNode, deliver func()) {
+	if !c.muted {
+		c.world.send(&c.process, &peer.process, deliver)
+	}
+}
+
 func (c *controlNode) sendRaft(message *wirepb.RaftMessage) {
 	peer := c.world.control(message.GetTo())
 	if peer == nil {
 		return
 	}
-	c.world.send(&c.process, &peer.process, func() {
+	c.sendTo(peer, func() {
 		peer.member.Raft.Step(peer.clock(), message)
 		peer.carryOut()
 	})
@@ -165,6 +174,10 @@
 		done(outcome{err: fault.Unavailable.New("there is no leader")})
 		return
 	}
+	if c.muted {
+		c.after(forwardTimeout, func() { done(outcome{err: fault.Deadline.New("no answer from the leader")}) })
+		return
+	}
 	call(&c.process, &leader.process, forwardTimeout, func(reply func(outcome)) {
 		leader.propose(command, func(result *wirepb.CommandResult, err error) { reply(outcome{result, err}) })
 	}, func(answer outcome, answered bool) {
@@ -179,14 +192,19 @@
 type watchReply struct {
 	changes feed.Changes
 	digest  *wirepb.ClusterDigest
+	// refused is set by a node that must not be followed.
+	refused bool
 }
 
 // watch takes a node's report and answers with what is new to it.
 func (c *controlNode) watch(revision uint64, report *wirepb.NodeReport) watchReply {
-	urgent := c.reports.Take(c.clock(), report)
 	status := c.member.Raft.Status()
+	if status.Unheard(c.clock()) && c.world.mutation != MutationDigestVouches {
+		return watchReply{refused: true}
+	}
+	urgent := c.reports.Take(c.clock(), report)
 	if leader := c.world.control(status.Leader); leader != nil && leader != c {
-		c.world.send(&c.process, &leader.process, func() { leader.reports.Take(leader.clock(), report) })
+		c.sendTo(leader, func() { leader.reports.Take(leader.clock(), report) })
 	} else if urgent {
 		c.pass()
 	}
@@ -240,7 +258,7 @@
 		c.takeDigest(digest)
 		for _, peer := range c.world.controls {
 			if peer != c {
-				c.world.send(&c.process, &peer.process, func() { peer.takeDigest(digest) })
+				c.sendTo(peer, func() { peer.takeDigest(digest) })
 			}
 		}
 	}
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -33,9 +33,12 @@
 	FaultSlowOrders       Kind = "slow-orders"
 	FaultMachineLeaves    Kind = "machine-leaves"
 	FaultMachineReclaimed Kind = "machine-reclaimed"
+	// FaultUnheardControl cuts what one control node says to the others.
+	FaultUnheardControl Kind = "unheard-control"
 )
 
-// Kinds lists all faults.
+// Kinds lists the faults that schedules draw from. FaultUnheardControl is drawn apart, so that
+// the schedules of earlier seeds stay what they were.
 var Kinds = []Kind{
 	FaultCrashLeader, FaultCrashControl, FaultFreezeLeader, FaultCutLeader, FaultStopLeader, FaultLoseControl,
 	FaultDiskError, FaultCrashOnVote, FaultCutZone, FaultCutOneWay, FaultLoss, FaultDuplicate, FaultCrashRouter,
@@ -47,7 +50,7 @@
 type Fault struct {
 	// At is when it begins, from the start of the simulation.
 	At time.Duration `yaml:"at" json:"at"`
-	// Kind is one of Kinds.
+	// Kind is one of Kinds, or FaultUnheardControl.
 	Kind Kind `yaml:"kind" json:"kind"`
 	// For is how long it lasts, where that means something.
 	For time.Duration `yaml:"for" json:"for"`
@@ -63,11 +66,17 @@
 			return // There was nothing that it could hit.
 		}
 		w.faults[string(fault.Kind)]++
-		w.checks.busy++
+		// Routers can leave a control node that is not heard: changes are due in time.
+		excuses := fault.Kind != FaultUnheardControl
+		if excuses {
+			w.checks.busy++
+		}
 		w.After(fault.For, func() {
 			heal()
-			w.checks.busy--
-			w.checks.quietSince = w.Now()
+			if excuses {
+				w.checks.busy--
+				w.checks.quietSince = w.Now()
+			}
 		})
 	})
 }
@@ -96,6 +105,8 @@
 		return w.crashVoters()
 	case FaultCutZone, FaultCutOneWay:
 		return w.cutZones(fault)
+	case FaultUnheardControl:
+		return w.muteControl(fault.Target)
 	case FaultLoss:
 		w.network.loss = 0.2
 		return func() { w.network.loss = 0 }
@@ -256,6 +267,17 @@
 	}
 }
 
+// muteControl makes what a control node says to the others lost. Routers, machines and
+// operators talk with it as before.
+func (w *world) muteControl(target int) func() {
+	node := w.controls[target%controlCount]
+	if node.muted {
+		return nil
+	}
+	node.muted = true
+	return func() { node.muted = false }
+}
+
 func (w *world) loadingMachine() *machine {
 	for _, candidate := range w.machines {
 		for _, held := range candidate.engine.Replicas() {
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -32,7 +32,8 @@
 	waiting     map[uint64]*inference
 	watches     map[string]*machineWatch
 	upstream    int
-	lastHeard   time.Duration
+	// liveness tells whether the upstream may be followed on.
+	liveness feed.Liveness
 	// lastDigest is when a digest that was news came.
 	lastDigest time.Duration
 	// startedFrom is what was committed when the process started.
@@ -65,7 +66,8 @@
 	r.core = dispatch.New(dispatch.Config{MaxWaiting: maxWaiting})
 	r.waiting = map[uint64]*inference{}
 	r.watches = map[string]*machineWatch{}
-	r.lastHeard = r.world.Now()
+	r.liveness = feed.Liveness{}
+	r.liveness.Connected(r.wall())
 	r.startedFrom = r.world.checks.truth.Revision()
 	r.wasCurrent = false
 	r.seenRevision = 0
@@ -91,9 +93,8 @@
 
 // poll reports to the upstream and takes what is new.
 func (r *routerNode) poll() {
-	if r.world.Now()-r.lastHeard > upstreamSilent {
-		r.upstream++
-		r.lastHeard = r.world.Now()
+	if _, lost := r.liveness.Lost(r.wall()); lost {
+		r.leaveUpstream()
 	}
 	upstream := r.world.controls[r.upstream%controlCount]
 	revision := r.view.Revision()
@@ -101,12 +102,21 @@
 	call(&r.process, &upstream.process, upstreamSilent, func(reply func(watchReply)) {
 		reply(upstream.watch(revision, report))
 	}, func(answer watchReply, answered bool) {
-		if answered {
+		switch {
+		case answered && answer.refused && upstream == r.world.controls[r.upstream%controlCount]:
+			r.leaveUpstream()
+		case answered:
 			r.take(answer)
 		}
 	})
 }
 
+// leaveUpstream goes on to the next control node.
+func (r *routerNode) leaveUpstream() {
+	r.upstream++
+	r.liveness.Connected(r.wall())
+}
+
 func (r *routerNode) report() *wirepb.NodeReport {
 	r.sequence++
 	report := &wirepb.NodeReport{
@@ -126,7 +136,6 @@
 }
 
 func (r *routerNode) take(answer watchReply) {
-	r.lastHeard = r.world.Now()
 	changes, fresh := feed.Fresh(r.view.Revision(), answer.changes)
 	if r.world.mutation == MutationRevert && answer.changes.Revision < r.view.Revision() {
 		r.view = nodeview.New()
@@ -134,12 +143,14 @@
 	}
 	if fresh {
 		r.view.Apply(changes)
+		r.liveness.Applied(r.wall(), r.view.Revision())
 		r.world.checks.viewChanged(r)
 		r.deliver(r.core.SetTargets(r.wall(), r.view.ReplicaTargets()))
 	}
 	if answer.digest == nil {
 		return
 	}
+	r.liveness.Take(r.wall(), answer.digest, r.heldForLiveness(answer.digest))
 	before := r.view.Digest()
 	r.view.TakeDigest(answer.digest)
 	if r.view.Digest() == before {
@@ -150,6 +161,14 @@
 	r.deliver(r.core.SetEstimates(r.wall(), nodeview.EstimatesOf(answer.digest, r.wall())))
 }
 
+// heldForLiveness is the revision that the router takes itself to hold.
+func (r *routerNode) heldForLiveness(digest *wirepb.ClusterDigest) uint64 {
+	if r.world.mutation == MutationDigestVouches {
+		return digest.GetRevision()
+	}
+	return r.view.Revision()
+}
+
 func (r *routerNode) serving() bool {
 	current := r.view.Current()
 	if current && !r.wasCurrent {
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -46,6 +46,8 @@
 	MutationStaleRead: {FaultCutLeader, FaultFreezeLeader, FaultCutZone},
 	MutationLongLease: {FaultCutLeader, FaultFreezeLeader, FaultCutZone},
 	MutationRevert:    {FaultCutZone, FaultCrashControl, FaultCutOneWay},
+
+	MutationDigestVouches: {FaultUnheardControl},
 }
 
 // RandomSchedule draws a schedule: one to six faults, alone, together or one
@@ -61,6 +63,9 @@
 	for range count {
 		schedule.Faults = append(schedule.Faults, randomFault(random, kinds))
 	}
+	if provokes[mutation] == nil {
+		schedule.Faults = append(schedule.Faults, faultsDrawnApart(seed)...)
+	}
 	if random.IntN(3) == 0 {
 		again := schedule.Faults[0]
 		again.At = min(again.At+time.Duration(random.Int64N(int64(4*time.Second))), faultsEnd-time.Second)
@@ -70,6 +75,15 @@
 	return schedule
 }
 
+// faultsDrawnApart returns what every fourth schedule has besides, drawn from numbers of its own.
+func faultsDrawnApart(seed uint64) []Fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	if random.IntN(4) != 0 {
+		return nil
+	}
+	return []Fault{randomFault(random, []Kind{FaultUnheardControl})}
+}
+
 func randomFault(random *rand.Rand, kinds []Kind) Fault {
 	begin := faultsBegin + time.Duration(random.Int64N(int64(faultsEnd-faultsBegin-time.Second)))
 	longest := min(6*time.Second, faultsEnd-begin)
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -1,6 +1,7 @@
 package faultsim
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -29,6 +30,22 @@
 	}
 }
 
+// TestUnheardControlNode runs schedules in which nothing fails but what a control node says to
+// the others: changes are in force everywhere in time.
+func TestUnheardControlNode(t *testing.T) {
+	const last = 24
+	for seed := uint64(1); seed <= last; seed++ {
+		schedule := Schedule{Seed: seed}
+		for number := range uint64(3) {
+			random := rand.New(rand.NewPCG(seed, number))
+			schedule.Faults = append(schedule.Faults, randomFault(random, []Kind{FaultUnheardControl}))
+		}
+		for _, violation := range Run(schedule).Violations {
+			t.Errorf("seed %d: %s: %s", seed, violation.Check, violation.Detail)
+		}
+	}
+}
+
 // TestMutationsAreCaught breaks one rule at a time; each check named beside it
 // must notice within a few schedules.
 func TestMutationsAreCaught(t *testing.T) {
@@ -40,6 +57,8 @@
 		MutationEarlyNotRun: {CheckNotRun},
 		MutationRevert:      {CheckRevert},
 		MutationEarlyFree:   {CheckDecided, CheckMemory},
+
+		MutationDigestVouches: {CheckInForce},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -55,6 +55,9 @@
 	// MutationEarlyFree: a reservation is freed when the unload is decided,
 	// not when the engine confirms it.
 	MutationEarlyFree Mutation = "early-free"
+	// MutationDigestVouches: a digest is taken for proof that its server is up to date, and a
+	// control node serves although the leader does not hear it.
+	MutationDigestVouches Mutation = "digest-vouches"
 )
 
 // Mutations lists all but MutationNone. A forgotten vote is not among them:
@@ -62,7 +65,7 @@
 // of the raft package bring about by hand.
 var Mutations = []Mutation{
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
-	MutationEarlyNotRun, MutationRevert, MutationEarlyFree,
+	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationDigestVouches,
 }
 
 // world is one simulated cluster.
--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -56,7 +56,7 @@
 		if better, proved := c.prove(ctx, first); proved {
 			c.mutex.Lock()
 			c.handover = &better
-			c.liveness.reason = lostMoved
+			c.liveness.reason = LostMoved
 			c.mutex.Unlock()
 			current.conn.Close()
 			return
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -44,7 +44,7 @@
 	waiting map[uint64]chan *wirepb.Envelope
 	// last is the server connected to last.
 	last     string
-	liveness liveness
+	liveness Liveness
 	// handover is a connection to a better server, to be followed next.
 	handover *connection
 }
@@ -123,7 +123,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	c.note(c.liveness.connected)
+	c.note(c.liveness.Connected)
 	go c.watchLiveness(conn)
 	go c.rebalance(ctx, connected)
 	request := &wirepb.WatchRequest{AfterRevision: c.sink.Revision(), Lists: true}
@@ -157,7 +157,7 @@
 func (c *Client) noteLoss() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	reason, lost := c.liveness.lost(time.Now())
+	reason, lost := c.liveness.Lost(time.Now())
 	if lost {
 		c.liveness.reason = reason
 	}
@@ -205,7 +205,7 @@
 		case *wirepb.Envelope_ClusterDigest:
 			if digest := digests.Complete(body.ClusterDigest); digest != nil {
 				held := c.sink.Revision()
-				c.note(func(now time.Time) { c.liveness.take(now, digest, held) })
+				c.note(func(now time.Time) { c.liveness.Take(now, digest, held) })
 				c.sink.TakeDigest(digest)
 			}
 		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply:
@@ -220,7 +220,7 @@
 	if batch.GetReset_() {
 		list = append(list, batch.GetEvents()...)
 		if batch.GetMore() {
-			c.note(c.liveness.takePart)
+			c.note(c.liveness.TakePart)
 			return list
 		}
 		c.applyList(Changes{Events: list, Revision: batch.GetRevision(), Reset: true})
@@ -237,13 +237,13 @@
 // noteApplied brings the liveness in step with the sink.
 func (c *Client) noteApplied() {
 	held := c.sink.Revision()
-	c.note(func(now time.Time) { c.liveness.applied(now, held) })
+	c.note(func(now time.Time) { c.liveness.Applied(now, held) })
 }
 
 // takeListPart takes a part of a compressed list. It returns whether the server may be
 // followed on.
 func (c *Client) takeListPart(lists *listReceiver, part *wirepb.WatchListPart) bool {
-	c.note(c.liveness.takePart)
+	c.note(c.liveness.TakePart)
 	listed, done, err := lists.take(part)
 	if err != nil {
 		c.logger.Warn("list_not_taken", "server", c.last, "error", fault.Message(err))
@@ -262,9 +262,9 @@
 	if !any {
 		return
 	}
-	c.note(func(now time.Time) { c.liveness.apply(now, true) })
+	c.note(func(now time.Time) { c.liveness.Apply(now, true) })
 	c.sink.Apply(fresh)
-	c.note(func(now time.Time) { c.liveness.apply(now, false) })
+	c.note(func(now time.Time) { c.liveness.Apply(now, false) })
 	c.noteApplied()
 }
 
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -19,26 +19,27 @@
 	behindLimit = 700 * time.Millisecond
 )
 
-// lossReason is why a client follows a server no more.
-type lossReason string
+// LossReason is why a client follows a server no more; empty while it follows one.
+type LossReason string
 
+// The reasons for leaving a server.
 const (
-	// lostClosed is a connection that the server closed, or that broke.
-	lostClosed lossReason = "closed"
-	// lostSilent is a server without news from a leader.
-	lostSilent lossReason = "silent"
-	// lostBehind is a server that lacks changes its digests tell of: it hears the leader, and
+	// LostClosed is a connection that the server closed, or that broke.
+	LostClosed LossReason = "closed"
+	// LostSilent is a server without news from a leader.
+	LostSilent LossReason = "silent"
+	// LostBehind is a server that lacks changes its digests tell of: it hears the leader, and
 	// what it holds is not what the leader holds.
-	lostBehind lossReason = "behind"
-	// lostMoved is a change to the client's first choice.
-	lostMoved lossReason = "moved"
+	LostBehind LossReason = "behind"
+	// LostMoved is a change to the client's first choice.
+	LostMoved LossReason = "moved"
 )
 
-// liveness tells whether a server still hears from a leader, and holds what the leader
+// Liveness tells whether a server still hears from a leader, and holds what the leader
 // holds. Only a digest that is newer than any before is a sign of the first: a server that is
 // cut off goes on answering with what it holds. It is none of the second: a server whose
 // answers don't reach the leader gets digests, and no entries of the log.
-type liveness struct {
+type Liveness struct {
 	newest *wirepb.ClusterDigest
 	// missing is a revision that a digest told of and that has not been applied since
 	// missingSince; 0 if there is none.
@@ -49,18 +50,18 @@
 	// applying is set while the client takes over a state and reads nothing.
 	applying bool
 	// reason is why the present server is left, or was.
-	reason lossReason
+	reason LossReason
 }
 
-// connected begins the time of a new server.
-func (l *liveness) connected(now time.Time) {
+// Connected begins the time of a new server.
+func (l *Liveness) Connected(now time.Time) {
 	l.due = now.Add(firstLimit)
-	l.reason = lostClosed
+	l.reason = LostClosed
 	l.missingSince = now
 }
 
-// take notes a digest; held is the revision applied by then.
-func (l *liveness) take(now time.Time, digest *wirepb.ClusterDigest, held uint64) {
+// Take notes a digest; held is the revision applied by then.
+func (l *Liveness) Take(now time.Time, digest *wirepb.ClusterDigest, held uint64) {
 	if !Newer(digest, l.newest) {
 		return
 	}
@@ -71,35 +72,35 @@
 	}
 }
 
-// applied notes that everything up to the revision held is applied.
-func (l *liveness) applied(now time.Time, held uint64) {
+// Applied notes that everything up to the revision held is applied.
+func (l *Liveness) Applied(now time.Time, held uint64) {
 	if held >= l.missing {
 		l.expect(now, held)
 	}
 }
 
 // expect begins the time for what the newest digest tells of, if that is not held.
-func (l *liveness) expect(now time.Time, held uint64) {
+func (l *Liveness) expect(now time.Time, held uint64) {
 	l.missing = 0
 	if revision := l.newest.GetRevision(); revision > held {
 		l.missing, l.missingSince = revision, now
 	}
 }
 
-// takePart notes a part of the state that more is to come of. Digests wait behind it: with
+// TakePart notes a part of the state that more is to come of. Digests wait behind it: with
 // thousands of machines the whole state takes seconds on a slow link, and a client that gave
 // up then would begin anew with the next server, for ever. A server that is cut off has no
 // more parts once it has sent what it holds.
-func (l *liveness) takePart(now time.Time) {
+func (l *Liveness) TakePart(now time.Time) {
 	if due := now.Add(firstLimit); due.After(l.due) {
 		l.due = due
 	}
 	l.missingSince = now
 }
 
-// apply notes that the client begins to take over what it received, or is done with it.
+// Apply notes that the client begins to take over what it received, or is done with it.
 // It hears nothing meanwhile.
-func (l *liveness) apply(now time.Time, begins bool) {
+func (l *Liveness) Apply(now time.Time, begins bool) {
 	l.applying = begins
 	if due := now.Add(firstLimit); !begins && due.After(l.due) {
 		l.due = due
@@ -107,15 +108,15 @@
 	l.missingSince = now
 }
 
-// lost reports whether another server should be tried, and why.
-func (l *liveness) lost(now time.Time) (reason lossReason, lost bool) {
+// Lost reports whether another server should be tried, and why.
+func (l *Liveness) Lost(now time.Time) (reason LossReason, lost bool) {
 	switch {
 	case l.applying:
 		return "", false
 	case now.After(l.due):
-		return lostSilent, true
+		return LostSilent, true
 	case l.missing != 0 && now.After(l.missingSince.Add(behindLimit)):
-		return lostBehind, true
+		return LostBehind, true
 	}
 	return "", false
 }
--- a/internal/feed/liveness_test.go
+++ b/internal/feed/liveness_test.go
@@ -40,9 +40,9 @@
 	digest := func(term, sequence uint64) *wirepb.ClusterDigest {
 		return &wirepb.ClusterDigest{Term: term, Sequence: sequence}
 	}
-	held := &liveness{}
-	held.connected(start)
-	held.take(start, digest(2, 7), 0)
+	held := &Liveness{}
+	held.Connected(start)
+	held.Take(start, digest(2, 7), 0)
 	if isLost(held, start.Add(silenceLimit)) {
 		t.Error("lost within the limit")
 	}
@@ -50,12 +50,12 @@
 	if !isLost(held, later) {
 		t.Error("not lost after the limit")
 	}
-	held.connected(later)
-	held.take(later, digest(2, 7), 0)
+	held.Connected(later)
+	held.Take(later, digest(2, 7), 0)
 	if !isLost(held, later.Add(firstLimit+time.Millisecond)) {
 		t.Error("the digest held before counts as a sign of life")
 	}
-	held.take(later, digest(2, 8), 0)
+	held.Take(later, digest(2, 8), 0)
 	if isLost(held, later.Add(firstLimit+time.Millisecond)) {
 		t.Error("a newer digest does not count")
 	}
@@ -66,21 +66,21 @@
 // over. The router gave up, began anew with the next server, and never served.
 func TestLongStatesAreNoSilence(t *testing.T) {
 	now := time.Unix(1000, 0)
-	held := &liveness{}
-	held.connected(now)
+	held := &Liveness{}
+	held.Connected(now)
 	for range 10 {
 		now = now.Add(firstLimit / 2)
 		if isLost(held, now) {
 			t.Fatal("lost while parts of the state come")
 		}
-		held.takePart(now)
+		held.TakePart(now)
 	}
-	held.apply(now, true)
+	held.Apply(now, true)
 	now = now.Add(10 * firstLimit)
 	if isLost(held, now) {
 		t.Error("lost while the state is taken over")
 	}
-	held.apply(now, false)
+	held.Apply(now, false)
 	if isLost(held, now.Add(firstLimit)) {
 		t.Error("lost before a digest could be read")
 	}
@@ -89,8 +89,8 @@
 	}
 }
 
-func isLost(held *liveness, now time.Time) bool {
-	_, lost := held.lost(now)
+func isLost(held *Liveness, now time.Time) bool {
+	_, lost := held.Lost(now)
 	return lost
 }
 
@@ -101,23 +101,23 @@
 	digest := func(sequence, revision uint64) *wirepb.ClusterDigest {
 		return &wirepb.ClusterDigest{Term: 2, Sequence: sequence, Revision: revision}
 	}
-	held := &liveness{}
-	held.connected(now)
-	held.take(now, digest(1, 40), 40)
+	held := &Liveness{}
+	held.Connected(now)
+	held.Take(now, digest(1, 40), 40)
 	if isLost(held, now.Add(silenceLimit)) {
 		t.Error("lost although nothing is missing")
 	}
-	held.take(now, digest(2, 45), 40)
-	held.take(now.Add(behindLimit/2), digest(3, 46), 40)
+	held.Take(now, digest(2, 45), 40)
+	held.Take(now.Add(behindLimit/2), digest(3, 46), 40)
 	if isLost(held, now.Add(behindLimit)) {
 		t.Error("lost within the limit")
 	}
-	if reason, lost := held.lost(now.Add(behindLimit + time.Millisecond)); !lost || reason != lostBehind {
+	if reason, lost := held.Lost(now.Add(behindLimit + time.Millisecond)); !lost || reason != LostBehind {
 		t.Errorf("revision 45 has been missing for longer than the limit: %q, %t", reason, lost)
 	}
 	// What was missing has come; what the newest digest tells of has a time of its own.
 	later := now.Add(behindLimit)
-	held.applied(later, 45)
+	held.Applied(later, 45)
 	if isLost(held, later.Add(behindLimit)) {
 		t.Error("lost for a revision that has come")
 	}
@@ -125,12 +125,12 @@
 		t.Error("revision 46 is never missed")
 	}
 	// Another server gets the same time, and parts of a list stretch it.
-	held.connected(later.Add(behindLimit))
-	held.takePart(later.Add(2 * behindLimit))
+	held.Connected(later.Add(behindLimit))
+	held.TakePart(later.Add(2 * behindLimit))
 	if isLost(held, later.Add(2*behindLimit+behindLimit/2)) {
 		t.Error("lost while parts of the state come")
 	}
-	held.applied(later.Add(2*behindLimit), 50)
+	held.Applied(later.Add(2*behindLimit), 50)
 	if isLost(held, later.Add(3*behindLimit)) {
 		t.Error("lost although everything is applied")
 	}
--- a/internal/raft/contact.go
+++ b/internal/raft/contact.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// unheardElectionTimeouts is for how many election timeouts a follower may lack its leader's
+// confirmation before it takes itself to be unheard. A leader steps down after one without a
+// quorum; a lost packet, or a pause of either, makes the next confirmation late by up to another
+// half.
+const unheardElectionTimeouts = 2
+
 // contact tells a follower whether its leader hears it. A connection can carry one
 // direction only: such a follower gets heartbeats and digests, and takes itself to be
 // a part of the cluster, while nothing that it says or acknowledges arrives.
@@ -37,3 +43,7 @@
 	}
 	c.confirmed, c.heard = round, sent
 }
+
+func (n *Node) heardUntil() time.Duration {
+	return n.contact.heard + unheardElectionTimeouts*n.config.ElectionTimeout
+}
--- a/internal/raft/contact_test.go
+++ b/internal/raft/contact_test.go
@@ -10,11 +10,12 @@
 func TestFollowerKnowsWhetherItIsHeard(t *testing.T) {
 	const (
 		interval = 100 * time.Millisecond
-		limit    = 500 * time.Millisecond
+		timeout  = 250 * time.Millisecond
 	)
-	held := contact{}
+	node := &Node{config: Config{ID: 2, ElectionTimeout: timeout}, leader: 1}
+	held := &node.contact
 	now := time.Duration(0)
-	status := func() Status { return Status{ID: 2, Leader: 1, LastHeard: held.heard} }
+	status := func() Status { return Status{ID: 2, Leader: 1, HeardUntil: node.heardUntil()} }
 	beat := func(term, round, confirmed uint64) {
 		now += interval
 		held.confirm(term, confirmed)
@@ -22,7 +23,7 @@
 	}
 	for round := uint64(1); round <= 100; round++ {
 		beat(1, round, round-1)
-		if !status().HeardWithin(now, limit) {
+		if !status().Heard(now) {
 			t.Fatalf("not heard in round %d", round)
 		}
 	}
@@ -31,31 +32,31 @@
 	for round := uint64(101); round <= 110; round++ {
 		beat(1, round, 100)
 	}
-	if status().LastHeard != lost {
+	if held.heard != lost {
 		t.Errorf("heard at %s, the last reply that arrived was sent at %s", held.heard, lost)
 	}
-	if status().HeardWithin(now, limit) {
+	if status().Heard(now) {
 		t.Error("heard although no reply arrives")
 	}
 	// A new leader has not confirmed anything yet, and gets the time for it. Rounds of the
 	// term before mean nothing in its term.
 	beat(2, 1, 0)
-	if !status().HeardWithin(now, limit) {
+	if !status().Heard(now) {
 		t.Error("not heard by a leader that has just begun")
 	}
 	beat(2, 2, 105)
 	for round := uint64(3); round <= 8; round++ {
 		beat(2, round, 0)
 	}
-	if status().HeardWithin(now, limit) {
+	if status().Heard(now) {
 		t.Error("the new leader has confirmed nothing, and its time is over")
 	}
 	beat(2, 9, 8)
-	if !status().HeardWithin(now, limit) {
+	if !status().Heard(now) {
 		t.Error("not heard after a confirmation")
 	}
 	leaderless, leading := Status{ID: 2}, Status{ID: 2, Leader: 2}
-	if leaderless.HeardWithin(0, limit) || !leading.HeardWithin(now, limit) {
-		t.Error("who knows no leader is not heard, a leader always is")
+	if leaderless.Heard(0) || leaderless.Unheard(now) || !leading.Heard(now) {
+		t.Error("without a leader there is nobody to hear a node; a leader hears itself")
 	}
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -314,22 +314,26 @@
 	FirstHeld uint64
 	// LastContact is when the node last heard from a leader, or started.
 	LastContact time.Duration
-	// LastHeard is when a follower sent the newest reply that its leader is known to have
-	// got. In a term in which none has been confirmed yet it is when the first was sent; 0
-	// if there was none.
-	LastHeard time.Duration
+	// HeardUntil is until when a follower may take its leader to hear it; see contact.
+	HeardUntil time.Duration
 }
 
-// HeardWithin reports whether the leader, this node or another, is known to have heard this node
-// within a time: what it says reaches the leader. It is false where no leader is known.
-func (s Status) HeardWithin(now, limit time.Duration) bool {
+// Heard reports whether the leader, this node or another, hears this node at now: what the node
+// says and acknowledges arrives. It is false where no leader is known.
+func (s Status) Heard(now time.Duration) bool {
 	switch s.Leader {
 	case None:
 		return false
 	case s.ID:
 		return true
 	}
-	return now-s.LastHeard < limit
+	return now < s.HeardUntil
+}
+
+// Unheard reports whether a leader is known that does not hear this node: the node gets
+// heartbeats and soft state, and the log does not reach it.
+func (s Status) Unheard(now time.Duration) bool {
+	return s.Leader != None && !s.Heard(now)
 }
 
 // LeaseHeld reports whether the node may decide and answer reads at now: it
@@ -346,7 +350,7 @@
 		Committed: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
 		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1,
-		LastContact: n.lastContact, LastHeard: n.contact.heard,
+		LastContact: n.lastContact, HeardUntil: n.heardUntil(),
 	}
 }
 
