Go on in a term whose lease was lost for a moment

Cause: a leader whose lease had lapsed, and came back in the same term, built a new controller. That numbers its digests from one again, and a digest that isn't newer is no news: routers took every control node to be cut off and went from one to the next until the numbers had caught up, and started routers did not serve. It also asked every machine anew and forgot what machines had reported. Ruled out: a longer lease, which only makes it rarer. Change: the controller of a term goes on for as long as the node leads in it, and decides only while the lease is held. One predicate for the node and the simulator (raft.Status.LeadsIn).

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -50,14 +50,16 @@
 		case <-ticker.C:
 		case <-n.nudge:
 		}
-		if !n.leads() {
+		status := n.status.Load()
+		if current != nil && !status.LeadsIn(current.controller.Term()) {
 			current.stop()
 			current = nil
+		}
+		if !status.LeaseHeld(n.now()) {
 			continue
 		}
-		if term := n.status.Load().Term; current == nil || current.controller.Term() != term {
-			current.stop()
-			current = n.newLeader(ctx, term, list)
+		if current == nil {
+			current = n.newLeader(ctx, status.Term, list)
 		}
 		current.pass(ctx)
 		time.Sleep(reconcilePause)
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -217,11 +217,13 @@
 	if c.passing {
 		return
 	}
-	if !c.leads() {
+	if c.decider != nil && !c.member.Raft.Status().LeadsIn(c.decider.Term()) {
 		c.decider = nil
+	}
+	if !c.leads() {
 		return
 	}
-	if c.decider == nil || c.decider.Term() != c.term() {
+	if c.decider == nil {
 		c.decider = c.newController()
 	}
 	c.passing = true
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -343,6 +343,14 @@
 	return s.Role == Leader && s.CommittedOwnTerm && now < s.LeaseUntil
 }
 
+// LeadsIn reports whether the node leads in a term, with or without the lease. A leader that is
+// frozen, or short of processor, may lose its lease for a moment and get it again. It decides
+// nothing meanwhile, but no other can have led in its term: what it has learned in it, and the
+// numbers that it has given out, go on.
+func (s Status) LeadsIn(term uint64) bool {
+	return s.Role == Leader && s.Term == term
+}
+
 // Status returns the node's present state.
 func (n *Node) Status() Status {
 	return Status{
