Ask engines that nothing is known of sixteen at a time

Cause: a new leader asked all registered engines at once what they hold, each over a new connection. With 1,000 of them it had no processor left for heartbeats and lost its lease. Change: at most 16 engines that have not been heard of are asked at a time; the others say by heartbeat what they hold, or come next.

--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -26,6 +26,11 @@
 	pollInterval = time.Second
 	// pollRetry is how soon an engine is asked again whose number is needed.
 	pollRetry = 200 * time.Millisecond
+	// maxFirstPolls is how many engines that nothing is known of are asked at a time. A new
+	// leader of thousands would do nothing else: most say by themselves what they hold, within
+	// one interval of their heartbeats. Few enough to leave the processor to the log, enough
+	// for a small fleet to be known at once.
+	maxFirstPolls = 16
 	// conflictPause is how long a conflict holds up the next order.
 	conflictPause = 150 * time.Millisecond
 	// refusedPause is how long an order at fault is not repeated.
@@ -124,9 +129,11 @@
 func (c *Core) Plan(now time.Duration, wanted []Wanted) Plan {
 	var plan Plan
 	sortByWork(wanted)
+	firstPolls := c.firstPolls()
 	for _, entry := range wanted {
 		held := c.engine(entry.Machine)
-		if !held.heard && !held.polling && now >= held.pollDue {
+		if !held.heard && !held.polling && now >= held.pollDue && firstPolls < maxFirstPolls {
+			firstPolls++
 			held.polling = true
 			plan.Polls = append(plan.Polls, entry.Machine)
 		}
@@ -162,6 +169,17 @@
 	return plan
 }
 
+// firstPolls counts the engines that are being asked and were not heard of before.
+func (c *Core) firstPolls() int {
+	count := 0
+	for _, held := range c.engines {
+		if held.polling && !held.heard {
+			count++
+		}
+	}
+	return count
+}
+
 // sortByWork puts the loads of each machine and the machines themselves in the
 // order of the work that waits for them: a slot of the weight store goes to what
 // serves most.
--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -184,3 +184,36 @@
 		}
 	}
 }
+
+// TestManyUnknownEnginesAreAskedInTurn: a new leader asked 1,000 engines at once, and had no
+// processor left to keep its lease.
+func TestManyUnknownEnginesAreAskedInTurn(t *testing.T) {
+	const engines = 1000
+	core := NewCore(NewPacer())
+	var wanted []Wanted
+	for number := range engines {
+		wanted = append(wanted, Wanted{Machine: fmt.Sprintf("m%04d", number)})
+	}
+	asked := map[string]bool{}
+	asking := core.Plan(0, wanted).Polls
+	for round := 0; len(asking) > 0; round++ {
+		if len(asking) > maxFirstPolls {
+			t.Fatalf("%d engines are asked at a time in round %d", len(asking), round)
+		}
+		if again := core.Plan(0, wanted).Polls; len(again) > 0 {
+			t.Fatalf("%d more are asked before the first have answered", len(again))
+		}
+		for position, machine := range asking {
+			asked[machine] = true
+			if position%2 == 0 {
+				core.PollFailed(0, machine) // It is asked again later, and holds up nobody.
+				continue
+			}
+			core.Take(0, machine, Report{Polled: true})
+		}
+		asking = core.Plan(0, wanted).Polls
+	}
+	if len(asked) != engines {
+		t.Errorf("%d engines of %d were asked", len(asked), engines)
+	}
+}
