Record machines together, not one commit after the other

Cause: the leader committed each registration and change of phase on its own and waited for it, some 14 ms each. At a first start with 1,000 workers it took 15 s, with 3,000 it would take 42 s, in which it sent no digest: routers took every control node to be cut off and went round. That is the larger part of the cliff at 300 machines. Ruled out: a command for many machines, which would change the log's format for what proposals in one batch share already: the sync and the round trip. Change: up to 256 proposals at a time. A registration that the state refuses is logged, where it was passed over in silence and repeated in each pass. At 300 machines there is still an election every 1.5 s: the leader's processor.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
@@ -114,13 +117,8 @@
 	f.node.Read(func(machine *state.Machine) {
 		commands = f.node.instances.Reconcile(f.instancesInput(machine))
 	})
-	for _, command := range commands {
-		f.node.logger.Info("machine_"+command.GetPhase(), "machine", command.GetMachine(), "reason", command.GetReason(), "forget", command.GetForget())
-		_, err := current.commit(ctx, &wirepb.Command{Body: &wirepb.Command_Register{Register: command}})
-		if err != nil {
-			f.node.logger.Warn("machine_not_recorded", "machine", command.GetMachine(), "error", fault.Message(err))
-			return
-		}
+	if !f.record(ctx, current, commands) {
+		return
 	}
 	var writes []*wirepb.ObjectWrite
 	f.node.Read(func(machine *state.Machine) {
@@ -142,6 +140,35 @@
 	})
 }
 
+// record commits what changed about machines, and reports whether all of it is. At a first start
+// that is every machine: one commit after the other would take a sync and a round trip for each,
+// and the leader does nothing else meanwhile. Proposed together they share both. There is one
+// command for a machine at most, so their order means nothing.
+func (f *fleet) record(ctx context.Context, current *leader, commands []*wirepb.RegisterCommand) bool {
+	var failed atomic.Bool
+	var commits errgroup.Group
+	commits.SetLimit(maxBatch)
+	for _, command := range commands {
+		commits.Go(func() error {
+			if failed.Load() {
+				return nil // The next pass tries again.
+			}
+			f.node.logger.Info("machine_"+command.GetPhase(), "machine", command.GetMachine(), "reason", command.GetReason(), "forget", command.GetForget())
+			result, err := current.commit(ctx, &wirepb.Command{Body: &wirepb.Command_Register{Register: command}})
+			if err != nil {
+				failed.Store(true)
+				f.node.logger.Warn("machine_not_recorded", "machine", command.GetMachine(), "error", fault.Message(err))
+				return err
+			}
+			if result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+				f.node.logger.Warn("machine_not_recorded", "machine", command.GetMachine(), "error", result.GetMessage())
+			}
+			return nil
+		})
+	}
+	return commits.Wait() == nil
+}
+
 // stateOf returns what is known of engines now; the mutex must be held.
 func (f *fleet) stateOf() controller.StateOf {
 	now := f.node.now()
--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -122,11 +122,17 @@
 }
 
 func (c *trio) newNode(position int) *Node {
+	c.t.Helper()
+	return c.newNodeWith(position, memoryStorage{}, nil)
+}
+
+func (c *trio) newNodeWith(position int, storage member.Storage, engines Engines) *Node {
 	c.t.Helper()
 	name, id := "control-"+strconv.Itoa(position), uint64(position+1)
 	configuration := &settings.Settings{
 		Cluster: "test", Node: name, Zone: "z", Roles: []settings.Role{settings.RoleControl}, DataDir: c.t.TempDir(),
 		Admin: "127.0.0.1:0", LogLevel: "error", Policy: settings.PolicySettings{Name: "resident"},
+		Machines: settings.MachineSettings{HeartbeatInterval: 10 * time.Second, OrderLease: time.Second},
 		Control: settings.ControlSettings{
 			ID: id, API: "127.0.0.1:0", ElectionTimeout: 300 * time.Millisecond,
 			HeartbeatInterval: 50 * time.Millisecond, LeaseMargin: 50 * time.Millisecond,
@@ -141,8 +147,8 @@
 		c.t.Fatal(err)
 	}
 	node, err := New(Options{
-		Settings: configuration, Logger: slog.New(slog.DiscardHandler), Storage: memoryStorage{}, Recovered: member.Recovered{},
-		ID: id, Metrics: NewMetrics(prometheus.NewRegistry()), Self: identityOf(name, id), Seeds: func() []string { return nil },
+		Settings: configuration, Logger: slog.New(slog.DiscardHandler), Storage: storage, Recovered: member.Recovered{},
+		ID: id, Engines: engines, Metrics: NewMetrics(prometheus.NewRegistry()), Self: identityOf(name, id), Seeds: func() []string { return nil },
 	})
 	if err != nil {
 		c.t.Fatal(err)
