Call a follower unheard only where its leader hears a quorum

Ruled out: a longer limit, which the 2 s for a configuration don't leave. Change: heartbeats tell whether the leader holds its lease. Conclusion: without a leader that hears others no follower is better than another.

--- a/internal/raft/contact.go
+++ b/internal/raft/contact.go
@@ -22,6 +22,8 @@
 	// reply was sent.
 	confirmed uint64
 	heard     time.Duration
+	// quorumHeard is whether the leader heard a quorum when it sent its newest heartbeat.
+	quorumHeard bool
 }
 
 // reply notes that a heartbeat is answered. The first of a term begins the time in
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -316,6 +316,9 @@
 	LastContact time.Duration
 	// HeardUntil is until when a follower may take its leader to hear it; see contact.
 	HeardUntil time.Duration
+	// LeaderHearsQuorum is whether a follower's leader heard a quorum lately, by its newest
+	// heartbeat.
+	LeaderHearsQuorum bool
 }
 
 // Heard reports whether the leader, this node or another, hears this node at now: what the node
@@ -330,10 +333,11 @@
 	return now < s.HeardUntil
 }
 
-// Unheard reports whether a leader is known that does not hear this node: the node gets
-// heartbeats and soft state, and the log does not reach it.
+// Unheard reports whether a leader is known that hears others and not this node: the node gets
+// heartbeats and soft state, and the log does not reach it. A leader that hears nobody is at
+// fault itself, and no follower is better than another.
 func (s Status) Unheard(now time.Duration) bool {
-	return s.Leader != None && !s.Heard(now)
+	return s.Leader != None && s.LeaderHearsQuorum && !s.Heard(now)
 }
 
 // LeaseHeld reports whether the node may decide and answer reads at now: it
@@ -358,7 +362,7 @@
 		Committed: n.log.committed, Applied: n.log.applied, Last: n.log.lastIndex(),
 		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
 		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1,
-		LastContact: n.lastContact, HeardUntil: n.heardUntil(),
+		LastContact: n.lastContact, HeardUntil: n.heardUntil(), LeaderHearsQuorum: n.contact.quorumHeard,
 	}
 }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -101,10 +101,11 @@
 func (n *Node) broadcastHeartbeat() {
 	n.heartbeatDue = n.now + n.config.HeartbeatInterval
 	round := n.lease.nextRound(n.now)
+	quorumHeard := n.now < n.leaseUntil()
 	for _, peer := range n.peers() {
 		n.send(&wirepb.RaftMessage{
 			Type: heartbeatType, To: peer, Round: round,
-			Commit: min(n.log.committed, n.progress[peer].match), HeardRound: n.lease.answered[peer],
+			Commit: min(n.log.committed, n.progress[peer].match), HeardRound: n.lease.answered[peer], QuorumHeard: quorumHeard,
 		})
 	}
 }
@@ -209,6 +210,7 @@
 	n.log.commitTo(message.GetCommit())
 	n.contact.confirm(message.GetTerm(), message.GetHeardRound())
 	n.contact.reply(n.now, message.GetTerm(), message.GetRound())
+	n.contact.quorumHeard = message.GetQuorumHeard()
 	n.send(&wirepb.RaftMessage{
 		Type: wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_REPLY, To: message.GetFrom(), Round: message.GetRound(),
 	})
