Hold the state while it is read, not while controllers decide

Cause: the leader's passes decided under the lock that the log needs to apply entries; the loop that applies them sends the heartbeats. Ruled out: a copy of the state for each pass. What the passes read is made once for a revision and never written to, so it may be used without the lock. Change: Controller.Observe reads the state under the lock, MachineWrites and DecideReplicas decide by what was observed; the same for registered machines.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -113,31 +113,39 @@
 	if f.node.engines == nil {
 		return
 	}
-	var commands []*wirepb.RegisterCommand
-	f.node.Read(func(machine *state.Machine) {
-		commands = f.node.instances.Reconcile(f.instancesInput(machine))
-	})
+	commands := f.node.instances.Reconcile(f.instancesInput(f.read()))
 	if !f.record(ctx, current, commands) {
 		return
 	}
-	var writes []*wirepb.ObjectWrite
-	f.node.Read(func(machine *state.Machine) {
-		registered := f.registered.Read(machine)
-		f.observe(registered)
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		writes = registered.Adopt(f.stateOf())
-	})
-	current.write(ctx, writes)
-	f.node.Read(func(machine *state.Machine) {
-		registered := f.registered.Read(machine)
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		for _, report := range registered.Reports(f.stateOf()) {
-			f.node.reports.TakeMachine(f.node.now(), report)
-		}
-		f.pacer.Limit(registered.StoreLoadsPerSecond)
-	})
+	registered := f.read()
+	f.observe(registered)
+	current.write(ctx, f.adopt(registered))
+	f.passOn(f.read())
+}
+
+// read returns what the state holds of registered machines. The state is held for the reading
+// only; see leader.pass.
+func (f *fleet) read() *controller.Registered {
+	var registered *controller.Registered
+	f.node.Read(func(machine *state.Machine) { registered = f.registered.Read(machine) })
+	return registered
+}
+
+// adopt returns the writes that bring the records in step with what engines hold.
+func (f *fleet) adopt(registered *controller.Registered) []*wirepb.ObjectWrite {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return registered.Adopt(f.stateOf())
+}
+
+// passOn tells placement what engines hold, and the pacer what the weight stores admit.
+func (f *fleet) passOn(registered *controller.Registered) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, report := range registered.Reports(f.stateOf()) {
+		f.node.reports.TakeMachine(f.node.now(), report)
+	}
+	f.pacer.Limit(registered.StoreLoadsPerSecond)
 }
 
 // record commits what changed about machines, and reports whether all of it is. At a first start
@@ -175,8 +183,7 @@
 	return func(machine string) (orders.State, bool) { return f.core.State(now, machine) }
 }
 
-func (f *fleet) instancesInput(machine *state.Machine) instances.Input {
-	registered := f.registered.Read(machine)
+func (f *fleet) instancesInput(registered *controller.Registered) instances.Input {
 	interval := f.node.settings.Machines.HeartbeatInterval
 	return instances.Input{
 		Unreachable: f.node.reports.Unreachable(f.node.now()), Routers: f.node.reports.Routers(f.node.now()),
@@ -297,16 +304,13 @@
 }
 
 func (f *fleet) pass(ctx context.Context) {
-	var wanted []orders.Wanted
+	registered := f.read()
+	wanted := f.wanted(registered)
 	holders := map[string]string{}
 	f.node.Read(func(machine *state.Machine) {
-		registered := f.registered.Read(machine)
 		for name := range registered.Machines {
 			holders[name] = machine.Holder(name)
 		}
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		wanted = registered.Wanted(f.stateOf(), f.node.reports.AdapterDemand(f.node.now()), f.work)
 	})
 	now := f.node.now()
 	for position := range wanted {
@@ -328,6 +332,13 @@
 	}
 }
 
+// wanted returns what the engines should hold.
+func (f *fleet) wanted(registered *controller.Registered) []orders.Wanted {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return registered.Wanted(f.stateOf(), f.node.reports.AdapterDemand(f.node.now()), f.work)
+}
+
 func (f *fleet) poll(ctx context.Context, machine, endpoint string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -97,13 +97,12 @@
 }
 
 // pass runs every controller once. Each decides on a state that holds the
-// outcome of the one before.
+// outcome of the one before. The state is held while it is read, and not while
+// controllers decide: the log can't apply anything meanwhile, nor send heartbeats, and with
+// thousands of machines a leader lost its followers in one pass.
 func (l *leader) pass(ctx context.Context) {
-	var writes []*wirepb.ObjectWrite
-	l.node.Read(func(machine *state.Machine) {
-		writes = l.controller.MachineWrites(l.node.now(), machine, l.list.Load())
-	})
-	l.write(ctx, writes)
+	l.node.Read(l.controller.Observe)
+	l.write(ctx, l.controller.MachineWrites(l.node.now(), l.list.Load()))
 	l.fleet.follow(ctx, l)
 	l.placeReplicas(ctx)
 	l.fleet.setWork(l.controller.Work())
@@ -118,11 +117,9 @@
 }
 
 func (l *leader) placeReplicas(ctx context.Context) {
-	var decision controller.ReplicaDecision
 	started := time.Now()
-	l.node.Read(func(machine *state.Machine) {
-		decision = l.controller.DecideReplicas(l.node.now(), started, machine)
-	})
+	l.node.Read(l.controller.Observe)
+	decision := l.controller.DecideReplicas(l.node.now(), started)
 	l.node.metrics.decideSeconds.Observe(time.Since(started).Seconds())
 	for _, action := range decision.Actions {
 		l.logAction(action)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,12 +92,20 @@
 	return c.config.Term
 }
 
+// Observe reads the state, unless it is as it was. The caller must hold the state for the call,
+// and need not hold it for those that decide: what was read is never written to.
+func (c *Controller) Observe(machine *state.Machine) {
+	if c.stored == nil || c.stored.revision != machine.Revision() {
+		c.stored = readState(machine)
+	}
+}
+
 // MachineWrites keeps the Machine resources in step with the machine list and
-// the reports. The list is nil while it has never been read.
-func (c *Controller) MachineWrites(now time.Duration, machine *state.Machine, list *platform.MachineList) []*wirepb.ObjectWrite {
+// the reports, by the state observed last. The list is nil while it has never been read.
+func (c *Controller) MachineWrites(now time.Duration, list *platform.MachineList) []*wirepb.ObjectWrite {
 	_, reports := c.reports.snapshot(now)
 	return machines.Reconcile(machines.Input{
-		List: list, Declared: c.storedView(machine).listedMachines(), Observed: observations(now, reports),
+		List: list, Declared: c.stored.listedMachines(), Observed: observations(now, reports),
 		Timeout: c.config.MachineTimeout,
 	})
 }
@@ -115,14 +123,14 @@
 	Writes  []*wirepb.ObjectWrite
 }
 
-// DecideReplicas returns the next changes of replica records. The caller must
-// hold the state and must see the outcome in it before the next call. Wall is
-// the time of day, for what is learned of it.
-func (c *Controller) DecideReplicas(now time.Duration, wall time.Time, machine *state.Machine) ReplicaDecision {
+// DecideReplicas returns the next changes of replica records, by the state observed last. The
+// caller must observe the outcome before the next call. Wall is the time of day, for what is
+// learned of it.
+func (c *Controller) DecideReplicas(now time.Duration, wall time.Time) ReplicaDecision {
 	if now-c.since < c.settleTime() {
 		return ReplicaDecision{}
 	}
-	view := c.view(now, machine)
+	view := c.view(now)
 	c.decidedAt = wall
 	decision := c.planner.Decide(view.placementInput(wall))
 	if !sameEstimates(c.estimates, decision.Estimates) {
--- a/internal/controller/roster_test.go
+++ b/internal/controller/roster_test.go
@@ -43,7 +43,7 @@
 	} {
 		reports := NewReportTable()
 		controller := New(0, Config{}, reports)
-		controller.storedView(test.machine)
+		controller.Observe(test.machine)
 		rosters := map[uint64]bool{}
 		var digest *wirepb.ClusterDigest
 		for number := range 5 {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -45,14 +45,6 @@
 	arrivals map[string]runningTotals
 }
 
-// storedView reads the state, unless it is as it was. The caller must hold it.
-func (c *Controller) storedView(machine *state.Machine) *storedView {
-	if c.stored == nil || c.stored.revision != machine.Revision() {
-		c.stored = readState(machine)
-	}
-	return c.stored
-}
-
 // listedMachines leaves out those that registered by themselves.
 func (v *storedView) listedMachines() map[string]machines.Declared {
 	listed := make(map[string]machines.Declared, len(v.machines))
@@ -64,11 +56,11 @@
 	return listed
 }
 
-// view joins the state with the reports. The caller must hold the state.
-func (c *Controller) view(now time.Duration, machine *state.Machine) *clusterView {
+// view joins the state observed last with the reports.
+func (c *Controller) view(now time.Duration) *clusterView {
 	nodes, machineReports := c.reports.snapshot(now)
 	return &clusterView{
-		storedView: c.storedView(machine), now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
+		storedView: c.stored, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
 	}
 }
 
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -228,8 +228,10 @@
 	}
 	c.passing = true
 	decider := c.decider
-	c.write(decider.MachineWrites(c.clock(), c.member.State, c.world.list.read(&c.process)), func() {
-		decision := decider.DecideReplicas(c.clock(), c.wall(), c.member.State)
+	decider.Observe(c.member.State)
+	c.write(decider.MachineWrites(c.clock(), c.world.list.read(&c.process)), func() {
+		decider.Observe(c.member.State)
+		decision := decider.DecideReplicas(c.clock(), c.wall())
 		c.write(c.mutated(decision.Writes), func() { c.finishPass(decider) })
 	})
 }
--- a/internal/policysim/simulation.go
+++ b/internal/policysim/simulation.go
@@ -221,8 +221,10 @@
 	for _, router := range s.routers {
 		s.reports.Take(s.Now(), router.report())
 	}
-	s.commit(s.decider.MachineWrites(s.Now(), s.state, nil))
-	decision := s.decider.DecideReplicas(s.Now(), s.wall(), s.state)
+	s.decider.Observe(s.state)
+	s.commit(s.decider.MachineWrites(s.Now(), nil))
+	s.decider.Observe(s.state)
+	decision := s.decider.DecideReplicas(s.Now(), s.wall())
 	s.commit(decision.Writes)
 	if digest := s.decider.Digest(s.Now(), s.state.Revision()); digest != nil {
 		s.After(feedDelay, func() { s.takeDigest(digest) })
