Replace connections between control nodes that carry nothing

Connections between control nodes had no liveness of their own: TCP notices after 2 s, or never where a machine in between answers for the other. Ruled out: a shorter TCP time-out, which ends connections on lossy links as well. Change: the leader replaces its connection to a member that has said nothing for two election timeouts, a follower that is unheard its connection to the leader, a node without a leader all of its own; each at most once in that time. Event peer_connection_renewed.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -103,6 +103,8 @@
 	calmSince time.Duration
 	// unheard is what logContact told last; the loop's own.
 	unheard bool
+	// linksChecked is when renewSilentLinks last looked; the loop's own.
+	linksChecked time.Duration
 }
 
 // proposal is a command on its way through the log.
@@ -206,6 +208,7 @@
 				return err
 			}
 			n.member.Raft.Tick(n.now())
+			n.renewSilentLinks()
 		case message := <-n.inbox:
 			n.member.Raft.Step(n.now(), message)
 		case entry := <-n.proposals:
--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -37,6 +37,28 @@
 	listener net.Listener
 	target   string
 	cut      *atomic.Bool
+
+	mutex sync.Mutex
+	// open holds, for each connection, whether it has fallen silent: what the dialler sends
+	// on it is dropped, while new connections work.
+	open []*atomic.Bool
+}
+
+// silence makes all connections that are open fall silent.
+func (o *outgoing) silence() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, silent := range o.open {
+		silent.Store(true)
+	}
+}
+
+func (o *outgoing) opened() *atomic.Bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	silent := &atomic.Bool{}
+	o.open = append(o.open, silent)
+	return silent
 }
 
 func (o *outgoing) serve() {
@@ -57,17 +79,17 @@
 	}
 	defer func() { _ = reached.Close() }()
 	go func() { _, _ = io.Copy(dialled, reached) }()
-	_, _ = io.Copy(&droppingWriter{to: reached, cut: o.cut}, dialled)
+	_, _ = io.Copy(&droppingWriter{to: reached, cut: o.cut, silent: o.opened()}, dialled)
 }
 
-// droppingWriter passes bytes on until its direction is cut.
+// droppingWriter passes bytes on until its direction is cut or its connection falls silent.
 type droppingWriter struct {
-	to  io.Writer
-	cut *atomic.Bool
+	to          io.Writer
+	cut, silent *atomic.Bool
 }
 
 func (w *droppingWriter) Write(sent []byte) (int, error) {
-	if w.cut.Load() {
+	if w.cut.Load() || w.silent.Load() {
 		return len(sent), nil
 	}
 	return w.to.Write(sent)
@@ -79,6 +101,8 @@
 	nodes     []*Node
 	addresses []string
 	cuts      []*atomic.Bool
+	// links are each node's connections to the others.
+	links [][]*outgoing
 }
 
 func listen(t *testing.T) net.Listener {
@@ -160,6 +184,10 @@
 func (c *trio) outgoingAddress(position int, target string) string {
 	link := &outgoing{listener: listen(c.t), target: target, cut: c.cuts[position]}
 	go link.serve()
+	for len(c.links) <= position {
+		c.links = append(c.links, nil)
+	}
+	c.links[position] = append(c.links[position], link)
 	return link.listener.Addr().String()
 }
 
@@ -188,7 +216,7 @@
 		return leader >= 0
 	})
 	follower = (leader + 1) % len(c.nodes)
-	c.declare(leader, 1)
+	c.declare(leader, c.nodes[leader].Revision()+1)
 	c.eventually("the follower in step", func() bool {
 		return c.nodes[follower].Revision() >= c.nodes[leader].Revision() && c.nodes[follower].Digest() != nil
 	})
@@ -250,3 +278,42 @@
 	cluster.cuts[follower].Store(true)
 	cluster.eventually("a heartbeat that is not acknowledged", func() bool { return heartbeat() != nil })
 }
+
+// TestSilentConnectionsBetweenControlNodesAreReplaced: connections may stop carrying anything
+// without a reset, while new ones work. A control node stayed behind for as long as TCP took its
+// connection to be sound.
+func TestSilentConnectionsBetweenControlNodesAreReplaced(t *testing.T) {
+	cluster := startTrio(t)
+	leader, follower := cluster.leaderAndFollower()
+	for _, link := range cluster.links[follower] {
+		link.silence()
+	}
+	for version := range uint64(versionsSentAhead) {
+		cluster.declare(leader, version+2)
+	}
+	inStep := func() bool { return cluster.nodes[follower].Revision() >= cluster.nodes[leader].Revision() }
+	cluster.eventually("the follower whose connections fell silent in step", inStep)
+
+	// The same in the other direction: the leader's own connections.
+	leader, follower = cluster.leaderAndFollower()
+	for _, link := range cluster.links[leader] {
+		link.silence()
+	}
+	cluster.eventually("a leader that all nodes follow", func() bool {
+		for position, node := range cluster.nodes {
+			if node.leads() {
+				leader = position
+			}
+		}
+		status := cluster.nodes[leader].status.Load()
+		for _, node := range cluster.nodes {
+			if node.status.Load().Leader != status.ID {
+				return false
+			}
+		}
+		return cluster.nodes[leader].leads()
+	})
+	follower = (leader + 1) % len(cluster.nodes)
+	cluster.declare(leader, 10*versionsSentAhead)
+	cluster.eventually("all in step after the leader's connections fell silent", inStep)
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -20,6 +20,12 @@
 	// strangerLifetime is how long a link to a node that is no member is kept
 	// after it was last heard of.
 	strangerLifetime = 30 * time.Second
+	// silentElectionTimeouts is for how many election timeouts a member may say nothing before
+	// the connection to it is made anew: an election takes less than two. A member that is down
+	// is dialled as often.
+	silentElectionTimeouts = 2
+	// silentLinkChecks is how often this is looked at in that time.
+	silentLinkChecks = 8
 )
 
 // peerSet holds the connections that this node dialled to the other members.
@@ -42,11 +48,13 @@
 	// node that is not a member yet, or not known to be.
 	heard time.Duration
 
-	mutex   sync.Mutex
-	conn    *wire.Conn
-	digests *feed.DigestSender
-	nextID  uint64
-	waiting map[uint64]chan *wirepb.Envelope
+	mutex sync.Mutex
+	conn  *wire.Conn
+	// connected is when conn came about.
+	connected time.Duration
+	digests   *feed.DigestSender
+	nextID    uint64
+	waiting   map[uint64]chan *wirepb.Envelope
 }
 
 func newPeerSet(node *Node) *peerSet {
@@ -200,6 +208,7 @@
 	defer stop()
 	l.mutex.Lock()
 	l.conn = conn
+	l.connected = l.node.now()
 	l.digests = &feed.DigestSender{}
 	l.mutex.Unlock()
 	defer l.detach()
@@ -265,6 +274,52 @@
 	}
 }
 
+// renew closes a connection that has stood for longer than a limit; another is dialled.
+func (l *peerLink) renew(limit time.Duration) {
+	l.mutex.Lock()
+	conn, age := l.conn, l.node.now()-l.connected
+	l.mutex.Unlock()
+	if conn == nil || age < limit {
+		return
+	}
+	l.node.logger.Info("peer_connection_renewed", "member", l.member.ID, "address", l.member.Address, "age_ms", age.Milliseconds())
+	conn.Close()
+}
+
+// renewSilentLinks replaces connections to members that say nothing, or to a leader that does not
+// hear this node. A connection may stop carrying anything without a reset while new ones work;
+// TCP notices after seconds, or never where a machine in between answers for the other. It is
+// the loop's own.
+func (n *Node) renewSilentLinks() {
+	now := n.now()
+	limit := silentElectionTimeouts * n.settings.Control.ElectionTimeout
+	if now-n.linksChecked < limit/silentLinkChecks {
+		return
+	}
+	n.linksChecked = now
+	status := n.status.Load()
+	switch {
+	case status.Role == raft.Leader:
+		for id, peer := range n.member.Raft.Peers() {
+			if peer.Silent > limit {
+				n.renewLink(id, limit)
+			}
+		}
+	case status.Unheard(now):
+		n.renewLink(status.Leader, limit)
+	case status.Leader == raft.None && now-status.LastContact > limit:
+		for _, link := range n.peers.all() {
+			link.renew(limit)
+		}
+	}
+}
+
+func (n *Node) renewLink(id uint64, limit time.Duration) {
+	if link := n.peers.link(id); link != nil {
+		link.renew(limit)
+	}
+}
+
 // servePeer handles a connection that another member dialled.
 func (n *Node) servePeer(ctx context.Context, conn *wire.Conn) {
 	var workers sync.WaitGroup
