Work out once in a pass what is the same for all machines

Ruled out: looking at a part of the machines or of the wanted replicas only, which changes what is decided; it is not needed yet. Change: what a version has at hand in a pool, whether it fits, the load times, and the machines of a pool are worked out once; a machine that can't be the cheapest is left before victims are looked for; a machine without orders has no queue.

--- a/internal/controller/pass_bench_test.go
+++ b/internal/controller/pass_bench_test.go
@@ -122,6 +122,48 @@
 	return known, heard
 }
 
+// wait makes requests wait for versions of which nothing is loaded.
+func (f *benchFleet) wait(b *testing.B, versions int) {
+	b.Helper()
+	var writes []*wirepb.ObjectWrite
+	report := &wirepb.NodeReport{Node: "router-waiting", Zone: "z0", Incarnation: 1, Sequence: 1, Router: true}
+	for number := range versions {
+		model := fmt.Sprintf("rare-%03d", number)
+		writes = append(writes,
+			&wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindModel), Name: model, Spec: benchJSON(b, &v1.ModelSpec{MaxReplicas: 100})}},
+			&wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindModelVersion), Name: model + "@1", Spec: benchJSON(b, &v1.ModelVersionSpec{
+				Model: model, Checkpoint: model, WeightBytes: 70 << 30, Accelerators: 1, MaxConcurrent: 32, Pool: "pool",
+			})}})
+		report.Demand = append(report.Demand, &wirepb.ModelDemand{
+			Version: model + "@1", Waiting: 2, Arrivals: 3, Work: 27000, OldestWaitMs: 300, TargetMs: 3000,
+		})
+	}
+	f.apply(b, writes)
+	f.controller.Observe(f.state)
+	f.controller.reports.Take(time.Minute, report)
+}
+
+// BenchmarkDecideWaiting is a pass while requests wait for versions of which nothing is loaded,
+// on a fleet whose places are all taken.
+func BenchmarkDecideWaiting(b *testing.B) {
+	for _, machines := range []int{300, 1000, 3000} {
+		for _, waiting := range []int{10, 100, 200} {
+			fleet := newBenchFleet(b, machines)
+			fleet.wait(b, waiting)
+			for _, report := range ReadRegistered(fleet.state).Reports(fleet.stateOf) {
+				fleet.controller.reports.TakeMachine(time.Minute, report)
+			}
+			b.Run(fmt.Sprintf("machines=%d/waiting=%d", machines, waiting), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					decision := fleet.controller.DecideReplicas(time.Minute, time.Unix(60, 0))
+					b.ReportMetric(float64(len(decision.Actions)), "actions")
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkPass times the parts of a leader's pass by the number of machines. What is read
 // after a change of the state and what is looked at in each pass are apart.
 func BenchmarkPass(b *testing.B) {
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -127,13 +127,31 @@
 	return true
 }
 
+// machineSize is what a version asks of a machine.
+type machineSize struct {
+	pool         string
+	accelerators int
+	bytes        int64
+}
+
+// fitsAnywhere reports whether a machine of the pool is large enough for a version.
 func (p *pass) fitsAnywhere(version *Version) bool {
+	size := machineSize{version.Spec.Pool, version.Spec.Accelerators, version.Spec.BytesPerAccelerator()}
+	fits, known := p.largest[size]
+	if known {
+		return fits
+	}
 	for _, machine := range p.input.Machines {
-		if machine.Pool == version.Spec.Pool && machine.Accelerators >= version.Spec.Accelerators && machine.AcceleratorBytes >= version.Spec.BytesPerAccelerator() {
-			return true
+		if machine.Pool == size.pool && machine.Accelerators >= size.accelerators && machine.AcceleratorBytes >= size.bytes {
+			fits = true
+			break
 		}
 	}
-	return false
+	if p.largest == nil {
+		p.largest = map[machineSize]bool{}
+	}
+	p.largest[size] = fits
+	return fits
 }
 
 // cheapestVictims returns the idle replicas of one machine whose eviction
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -22,6 +22,10 @@
 	unloading int
 	// expected counts loads for which room is being made.
 	expected int
+	// changed counts the replicas that the pass has acted on.
+	changed int
+	// work is the rate of work that the machine gets.
+	work float64
 	// promised are the versions that room was made for and that are not there.
 	promised []string
 }
@@ -116,7 +120,7 @@
 			continue
 		}
 		if entry.version.Spec.Pool != "" {
-			p.placeOnRegistered(entry, names)
+			p.placeOnRegistered(entry)
 			continue
 		}
 		chosen, accelerators := p.bestMachine(entry, names)
@@ -152,6 +156,18 @@
 	return names
 }
 
+// rooms returns the machines of a pool that accept replicas, by name.
+func (p *pass) rooms(pool string) []*room {
+	if p.byPool == nil {
+		p.byPool = map[string][]*room{}
+		for _, name := range p.acceptingMachines() {
+			machine := p.machines[name]
+			p.byPool[machine.machine.Pool] = append(p.byPool[machine.machine.Pool], machine)
+		}
+	}
+	return p.byPool[pool]
+}
+
 // serves reports whether a version may be loaded on the machine at all.
 func (r *room) serves(version *Version) bool {
 	return r.machine.Pool == version.Spec.Pool
@@ -254,7 +270,7 @@
 		MaxConcurrent: entry.version.Spec.MaxConcurrent, Phase: v1.ReplicaLoading, Tier: string(tier),
 	}
 	chosen.take(spec)
-	p.spread.load[spec.Machine] += p.planner.work.rates[spec.Version] / float64(max(1, p.spreadOver(entry.version)))
+	chosen.work += p.planner.work.rates[spec.Version] / float64(max(1, p.spreadOver(entry.version)))
 	chosen.loading++
 	chosen.replicas = append(chosen.replicas, &Replica{Spec: spec})
 	delete(p.planner.evicting, entry.version.Name)
@@ -278,10 +294,8 @@
 // of it.
 func (p *pass) bestLoadTime(version *Version) time.Duration {
 	best := p.loadTime(version, TierRemote)
-	for _, machine := range p.input.Machines {
-		if machine.Accepts && machine.Pool == version.Spec.Pool {
-			best = min(best, p.loadTime(version, machine.tierOf(version.Spec.Checkpoint)))
-		}
+	for _, tier := range p.tiersAtHand(version) {
+		best = min(best, p.loadTime(version, tier))
 	}
 	return best
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -81,6 +81,11 @@
 	// worth is what the replicas on each accelerator are worth, by machine.
 	worth  map[string]map[int]float64
 	spread *spread
+	// byPool, atHand and largest are worked out when they are first asked for; see rooms,
+	// tiersAtHand and fitsAnywhere.
+	byPool  map[string][]*room
+	atHand  map[poolCheckpoint][]Tier
+	largest map[machineSize]bool
 	// storeLoads counts the loads that occupy the weight store, storeQueue those
 	// that this pass has put off until it has room.
 	storeLoads, storeQueue int
@@ -90,11 +95,7 @@
 // Decide returns the next changes. The caller must not call again before it
 // has proposed them and seen the outcome in the state.
 func (p *Planner) Decide(input *Input) Decision {
-	current := &pass{
-		planner: p, input: input, machines: map[string]*room{},
-		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
-		worth: map[string]map[int]float64{},
-	}
+	current := p.newPass(input)
 	p.takeHistory(input.Now)
 	current.open()
 	current.learnSpeeds()
@@ -108,6 +109,14 @@
 	return current.decision
 }
 
+func (p *Planner) newPass(input *Input) *pass {
+	return &pass{
+		planner: p, input: input, machines: map[string]*room{},
+		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
+		worth: map[string]map[int]float64{},
+	}
+}
+
 // open builds the free-memory view: every record reserves, whatever its
 // phase, until the engine has confirmed that it is gone.
 func (p *pass) open() {
@@ -131,6 +140,9 @@
 func (p *pass) act(action Action) {
 	if action.Replica != nil {
 		p.changed[action.Replica] = true
+		if room := p.machines[action.Replica.Spec.Machine]; room != nil {
+			room.changed++
+		}
 	}
 	p.decision.Actions = append(p.decision.Actions, action)
 }
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -73,13 +73,11 @@
 	// take replicas.
 	total    map[string]float64
 	machines map[string]int
-	// load is the rate of work by machine.
-	load map[string]float64
 }
 
 func (p *pass) openSpread() {
 	p.planner.work.observe(p.input.Now, p.input.Demand)
-	opened := &spread{total: map[string]float64{}, machines: map[string]int{}, load: map[string]float64{}}
+	opened := &spread{total: map[string]float64{}, machines: map[string]int{}}
 	for name, version := range p.input.Versions {
 		opened.total[version.Spec.Pool] += p.planner.work.rates[name]
 	}
@@ -90,7 +88,7 @@
 	}
 	for name, replicas := range p.byVersion {
 		for _, replica := range replicas {
-			opened.load[replica.Spec.Machine] += p.planner.work.rates[name] / float64(len(replicas))
+			p.machines[replica.Spec.Machine].work += p.planner.work.rates[name] / float64(len(replicas))
 		}
 	}
 	p.spread = opened
@@ -113,14 +111,14 @@
 	return min(p.spread.machines[pool], wanted)
 }
 
-// crowding is what it costs to load where much else is asked for, on the scale
-// of eviction costs.
-func (p *pass) crowding(candidate *room, entry want) float64 {
+// crowdingPerWork is what it costs to load where much else is asked for, for each unit of the
+// machine's rate of work, on the scale of eviction costs.
+func (p *pass) crowdingPerWork(entry want) float64 {
 	pool := entry.version.Spec.Pool
 	if pool == "" || p.spread.total[pool] == 0 {
 		return 0
 	}
-	return p.spread.load[candidate.machine.Name] / p.spread.evenShare(pool) * p.loadTime(entry.version, TierDisk).Seconds() * entry.version.ColdStartWeight
+	return p.loadTime(entry.version, TierDisk).Seconds() * entry.version.ColdStartWeight / p.spread.evenShare(pool)
 }
 
 // hasReplica reports whether the version is loading or loaded on a machine.
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -27,11 +27,11 @@
 
 // placeOnRegistered finds the best machine for a wanted replica of a pool's
 // version, and begins with the first step there if the machine is free for it.
-func (p *pass) placeOnRegistered(entry want, names []string) {
+func (p *pass) placeOnRegistered(entry want) {
 	if p.refuseTooLarge(entry.version) {
 		return
 	}
-	chosen := p.cheapestSwap(entry, names)
+	chosen := p.cheapestSwap(entry)
 	if chosen == nil {
 		return
 	}
@@ -62,66 +62,128 @@
 	p.load(entry, chosen.room, accelerators, chosen.tier)
 }
 
-func (p *pass) cheapestSwap(entry want, names []string) *swap {
+// cheapestSwap looks at every machine of the version's pool. With thousands of them and as many
+// wanted replicas that is most of a pass, so what is the same for all machines is worked out
+// once, and a machine that can't be the cheapest is left early.
+func (p *pass) cheapestSwap(entry want) *swap {
 	var best *swap
-	for _, name := range names {
-		candidate := p.machines[name]
-		if !candidate.serves(entry.version) || candidate.hasReplica(entry.version.Name) || candidate.isPromisedToOthers(entry.version) {
+	costs := p.swapCostsOf(entry)
+	for _, candidate := range p.rooms(entry.version.Spec.Pool) {
+		if candidate.hasReplica(entry.version.Name) || candidate.isPromisedToOthers(entry.version) {
 			continue
 		}
-		option := p.swapOn(entry, candidate)
-		if option != nil && (best == nil || option.cost < best.cost) {
-			best = option
+		option := swap{room: candidate, tier: candidate.machine.tierOf(entry.version.Spec.Checkpoint)}
+		if option.tier == TierRemote && costs.notFromStore {
+			continue
+		}
+		option.readyIn = p.ordersTake(entry, candidate) + costs.loadTime(option.tier)
+		option.cost = costs.of(option.readyIn, candidate.work)
+		if best != nil && option.cost >= best.cost {
+			continue // Making room would only cost more.
+		}
+		if p.makesRoomFor(entry, &option, costs) && (best == nil || option.cost < best.cost) {
+			chosen := option
+			best = &chosen
 		}
 	}
 	return best
 }
 
-// swapOn returns how a replica would get onto a machine; nil where that is not
-// possible, or not worth what it costs.
-func (p *pass) swapOn(entry want, candidate *room) *swap {
+// makesRoomFor adds what has to be evicted to an option, where there is no free room. It returns
+// false where that is not possible, or not worth what it costs.
+func (p *pass) makesRoomFor(entry want, option *swap, costs swapCosts) bool {
 	spec := entry.version.Spec
-	option := &swap{room: candidate, tier: candidate.machine.tierOf(spec.Checkpoint)}
-	if option.tier == TierRemote && entry.isReserve() && p.isAtHand(entry.version) {
-		return nil
-	}
-	option.readyIn = p.ordersTake(entry, candidate) + p.loadTime(entry.version, option.tier)
-	if option.tier == TierRemote {
-		option.readyIn += p.planner.store.delay(p.storeQueue, p.storeLoads, p.loadTime(entry.version, TierRemote))
-	}
-	weight := entry.version.ColdStartWeight
-	if fit(candidate.free, candidate.holds, spec.Accelerators, spec.BytesPerAccelerator()) == nil {
-		if entry.isReserve() {
-			return nil // Nothing is evicted for a replica kept in reserve.
-		}
-		victims, lost := p.victimsOn(entry, candidate)
-		if victims == nil || !p.paysToEvict(entry, victims) {
-			return nil
-		}
-		option.victims = victims
-		option.readyIn += evictionTakes
-		option.cost += lost
+	if fit(option.room.free, option.room.holds, spec.Accelerators, spec.BytesPerAccelerator()) != nil {
+		return true
+	}
+	if entry.isReserve() {
+		return false // Nothing is evicted for a replica kept in reserve.
+	}
+	victims, lost := p.victimsOn(entry, option.room)
+	if victims == nil || !p.paysToEvict(entry, victims) {
+		return false
 	}
-	option.cost += option.readyIn.Seconds() * weight * max(1, entry.gain)
-	option.cost += p.crowding(candidate, entry)
-	return option
+	option.victims = victims
+	option.readyIn += evictionTakes
+	option.cost = lost + costs.of(option.readyIn, option.room.work)
+	return true
+}
+
+// swapCosts is what the cost of a swap depends on besides the machine.
+type swapCosts struct {
+	memory, disk, remote time.Duration
+	// notFromStore is set where a load from the store would only hold up a machine.
+	notFromStore bool
+	// perSecond is what a second until the replica is ready costs, perWork what a unit of
+	// the machine's rate of work does.
+	perSecond, perWork float64
+}
+
+func (p *pass) swapCostsOf(entry want) swapCosts {
+	version := entry.version
+	return swapCosts{
+		memory: p.loadTime(version, TierMemory), disk: p.loadTime(version, TierDisk),
+		remote:       p.loadTime(version, TierRemote) + p.planner.store.delay(p.storeQueue, p.storeLoads, p.loadTime(version, TierRemote)),
+		notFromStore: entry.isReserve() && p.isAtHand(version),
+		perSecond:    version.ColdStartWeight * max(1, entry.gain),
+		perWork:      p.crowdingPerWork(entry),
+	}
+}
+
+func (c swapCosts) loadTime(tier Tier) time.Duration {
+	switch tier {
+	case TierMemory:
+		return c.memory
+	case TierDisk:
+		return c.disk
+	}
+	return c.remote
+}
+
+// of is the cost of a replica that is ready after a time, on a machine with a rate of work.
+func (c swapCosts) of(readyIn time.Duration, work float64) float64 {
+	return readyIn.Seconds()*c.perSecond + work*c.perWork
 }
 
 // isAtHand reports whether a machine has the weights of a version in memory or on
 // disk: a load from there, once it is asked for, is so much faster that one from the
 // store in advance only holds up the machine.
 func (p *pass) isAtHand(version *Version) bool {
-	for _, machine := range p.input.Machines {
-		if machine.Accepts && machine.Pool == version.Spec.Pool && machine.tierOf(version.Spec.Checkpoint) != TierRemote {
-			return true
+	return len(p.tiersAtHand(version)) > 0
+}
+
+// tiersAtHand returns the tiers other than the store in which some machine of the pool has the
+// weights of a version.
+func (p *pass) tiersAtHand(version *Version) []Tier {
+	if p.atHand == nil {
+		p.atHand = map[poolCheckpoint][]Tier{}
+		for _, machine := range p.input.Machines {
+			if machine.Accepts {
+				p.noteAtHand(machine)
+			}
 		}
 	}
-	return false
+	return p.atHand[poolCheckpoint{version.Spec.Pool, version.Spec.Checkpoint}]
 }
 
+func (p *pass) noteAtHand(machine *Machine) {
+	for checkpoint, tier := range machine.Tiers {
+		key := poolCheckpoint{machine.Pool, checkpoint}
+		if tier != TierRemote && !slices.Contains(p.atHand[key], tier) {
+			p.atHand[key] = append(p.atHand[key], tier)
+		}
+	}
+}
+
+// poolCheckpoint names the weights of a version among the machines of a pool.
+type poolCheckpoint struct{ pool, checkpoint string }
+
 // ordersTake is how long the orders take that are under way on a machine, and
 // those that this pass has planned to follow.
 func (p *pass) ordersTake(entry want, candidate *room) time.Duration {
+	if candidate.loading+candidate.unloading+candidate.changed+candidate.expected == 0 {
+		return 0 // So it is on most machines.
+	}
 	total := p.queued(candidate)
 	for _, replica := range candidate.replicas {
 		if replica.Spec.Phase != v1.ReplicaUnloading && !p.changed[replica] {
