Keep the digest that proved a server

A client that changes to its first choice waits for a newer digest there, and dropped it: a server sends it once. A client that held none before held none afterwards, and took the old digest of a server that was cut off for news. Change: the digest goes on with the connection and is taken before the connection is followed. Figures: TestProofOfAServerIsKept fails without the change in client.go and passes.

--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -74,19 +74,21 @@
 	}
 	better := connection{address: address, conn: conn, digests: &DigestReceiver{}}
 	stop := context.AfterFunc(ctx, conn.Close)
-	proved := c.awaitNewer(conn, better.digests)
-	if !stop() || !proved {
+	better.proof = c.awaitNewer(conn, better.digests)
+	if !stop() || better.proof == nil {
 		conn.Close()
 		return connection{}, false
 	}
 	return better, true
 }
 
-func (c *Client) awaitNewer(conn *wire.Conn, digests *DigestReceiver) bool {
+// awaitNewer returns the first digest that is newer than any that the client has, or nil where
+// the connection ends before.
+func (c *Client) awaitNewer(conn *wire.Conn, digests *DigestReceiver) *wirepb.ClusterDigest {
 	for {
 		envelope, err := conn.Receive()
 		if err != nil {
-			return false
+			return nil
 		}
 		body, isDigest := envelope.GetBody().(*wirepb.Envelope_ClusterDigest)
 		if !isDigest {
@@ -97,7 +99,7 @@
 		newer := digest != nil && Newer(digest, c.liveness.newest)
 		c.mutex.Unlock()
 		if newer {
-			return true
+			return digest
 		}
 	}
 }
--- a/internal/feed/balance_test.go
+++ b/internal/feed/balance_test.go
@@ -152,3 +152,35 @@
 	backends[order[0]].mutex.Unlock()
 	await(order[0])
 }
+
+// TestProofOfAServerIsKept: a client that had changed to its first choice dropped the digest that
+// had proved it, which the server sends once. It held none then, and took the digest of a server
+// that was cut off for news.
+func TestProofOfAServerIsKept(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	identity := func(name string) wire.Identity {
+		return wire.Identity{Hello: &wirepb.Hello{ProtocolVersion: wire.ProtocolVersion, Cluster: "c", Node: name}}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &digestBackend{changed: signal.New(), sequence: 7}
+	server := NewServer(backend, identity("server"), slog.New(slog.DiscardHandler), nil)
+	workers.Go(func() { _ = server.Serve(ctx, listener) })
+	client := NewClient([]string{"127.0.0.1:1"}, identity("client"), nullSink{}, slog.New(slog.DiscardHandler))
+	proved, ok := client.prove(ctx, listener.Addr().String())
+	if !ok {
+		t.Fatal("a server with a digest is not proved to a client that holds none")
+	}
+	workers.Go(func() { client.follow(ctx, proved) })
+	<-client.Connected()
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if newest := client.liveness.newest.GetSequence(); newest != 7 {
+		t.Errorf("the client holds digest %d of a server that was proved by digest 7", newest)
+	}
+}
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -124,6 +124,11 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	c.note(c.liveness.Connected)
+	if connected.proof != nil {
+		// The server sends it once: whoever dropped it might hold none, and would take the
+		// oldest one of the next server for news.
+		c.takeDigest(connected.proof)
+	}
 	go c.watchLiveness(conn)
 	go c.rebalance(ctx, connected)
 	request := &wirepb.WatchRequest{AfterRevision: c.sink.Revision(), Lists: true}
@@ -204,9 +209,7 @@
 			}
 		case *wirepb.Envelope_ClusterDigest:
 			if digest := digests.Complete(body.ClusterDigest); digest != nil {
-				held := c.sink.Revision()
-				c.note(func(now time.Time) { c.liveness.Take(now, digest, held) })
-				c.sink.TakeDigest(digest)
+				c.takeDigest(digest)
 			}
 		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply:
 			c.complete(envelope)
@@ -234,6 +237,13 @@
 	return nil
 }
 
+// takeDigest notes a digest and passes it on.
+func (c *Client) takeDigest(digest *wirepb.ClusterDigest) {
+	held := c.sink.Revision()
+	c.note(func(now time.Time) { c.liveness.Take(now, digest, held) })
+	c.sink.TakeDigest(digest)
+}
+
 // noteApplied brings the liveness in step with the sink.
 func (c *Client) noteApplied() {
 	held := c.sink.Revision()
--- a/internal/feed/connect.go
+++ b/internal/feed/connect.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // connectStagger is how long a server has to answer before the next is tried
@@ -22,9 +23,10 @@
 	address string
 	conn    *wire.Conn
 	err     error
-	// digests holds what was received of digests before the connection is followed; nil if
-	// nothing was.
+	// digests holds what was received of digests before the connection is followed, proof the
+	// newest of them; nil if nothing was.
 	digests *DigestReceiver
+	proof   *wirepb.ClusterDigest
 }
 
 // connectAny connects to the first of the servers that answers. Each is tried
