Prove a server only to a client that holds a digest

Cause: the other path of the same: a client that had just connected held no digest yet, and any digest of its first choice was newer than none, also one of a server that is cut off. Change: without a digest of its own a client takes no other server for proved.

--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -96,7 +96,8 @@
 		}
 		digest := digests.Complete(body.ClusterDigest)
 		c.mutex.Lock()
-		newer := digest != nil && Newer(digest, c.liveness.newest)
+		// Who holds no digest yet can't tell an old one from news.
+		newer := digest != nil && c.liveness.newest != nil && Newer(digest, c.liveness.newest)
 		c.mutex.Unlock()
 		if newer {
 			return digest
--- a/internal/feed/balance_test.go
+++ b/internal/feed/balance_test.go
@@ -172,9 +172,13 @@
 	server := NewServer(backend, identity("server"), slog.New(slog.DiscardHandler), nil)
 	workers.Go(func() { _ = server.Serve(ctx, listener) })
 	client := NewClient([]string{"127.0.0.1:1"}, identity("client"), nullSink{}, slog.New(slog.DiscardHandler))
+	if _, ok := client.prove(ctx, listener.Addr().String()); ok {
+		t.Fatal("a digest is taken for news by a client that holds none")
+	}
+	client.liveness.newest = &wirepb.ClusterDigest{Term: 1, Sequence: 6}
 	proved, ok := client.prove(ctx, listener.Addr().String())
 	if !ok {
-		t.Fatal("a server with a digest is not proved to a client that holds none")
+		t.Fatal("a newer digest does not prove its server")
 	}
 	workers.Go(func() { client.follow(ctx, proved) })
 	<-client.Connected()
