List accepting machines once in a pass; say one text and make one identity once

The machines that accept replicas were listed and sorted twice in each pass, once by place and once by rooms; the text of a refusal stood twice in the feed's server; two tests made the same identity. Change: pass.accepting, notServing, identityOf. No decision, bound or assertion changed.

--- a/internal/feed/balance_test.go
+++ b/internal/feed/balance_test.go
@@ -77,6 +77,10 @@
 func (nullSink) Apply(Changes)                    {}
 func (nullSink) TakeDigest(*wirepb.ClusterDigest) {}
 
+func identityOf(name string) wire.Identity {
+	return wire.Identity{Hello: &wirepb.Hello{ProtocolVersion: wire.ProtocolVersion, Cluster: "c", Node: name}}
+}
+
 // TestClientsMoveToTheirFirstChoice once that has shown a newer digest, and not to one that
 // is cut off.
 func TestClientsMoveToTheirFirstChoice(t *testing.T) {
@@ -84,9 +88,6 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	defer cancel()
-	identity := func(name string) wire.Identity {
-		return wire.Identity{Hello: &wirepb.Hello{ProtocolVersion: wire.ProtocolVersion, Cluster: "c", Node: name}}
-	}
 	backends, addresses := map[string]*digestBackend{}, []string{}
 	for number := range 3 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,14 +95,14 @@
 			t.Fatal(err)
 		}
 		backend := &digestBackend{changed: signal.New(), sequence: 1}
-		server := NewServer(backend, identity("server-"+strconv.Itoa(number)), slog.New(slog.DiscardHandler), nil)
+		server := NewServer(backend, identityOf("server-"+strconv.Itoa(number)), slog.New(slog.DiscardHandler), nil)
 		workers.Go(func() { _ = server.Serve(ctx, listener) })
 		backends[listener.Addr().String()] = backend
 		addresses = append(addresses, listener.Addr().String())
 	}
 	order := byPreference("client", addresses)
 	backends[order[0]].stands = true
-	client := NewClient([]string{order[2]}, identity("client"), nullSink{}, slog.New(slog.DiscardHandler))
+	client := NewClient([]string{order[2]}, identityOf("client"), nullSink{}, slog.New(slog.DiscardHandler))
 	client.rebalanceAfter = time.Millisecond
 	var known sync.Map
 	client.Discover(func() []string {
@@ -161,17 +162,14 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	defer cancel()
-	identity := func(name string) wire.Identity {
-		return wire.Identity{Hello: &wirepb.Hello{ProtocolVersion: wire.ProtocolVersion, Cluster: "c", Node: name}}
-	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	backend := &digestBackend{changed: signal.New(), sequence: 7}
-	server := NewServer(backend, identity("server"), slog.New(slog.DiscardHandler), nil)
+	server := NewServer(backend, identityOf("server"), slog.New(slog.DiscardHandler), nil)
 	workers.Go(func() { _ = server.Serve(ctx, listener) })
-	client := NewClient([]string{"127.0.0.1:1"}, identity("client"), nullSink{}, slog.New(slog.DiscardHandler))
+	client := NewClient([]string{"127.0.0.1:1"}, identityOf("client"), nullSink{}, slog.New(slog.DiscardHandler))
 	if _, ok := client.prove(ctx, listener.Addr().String()); ok {
 		t.Fatal("a digest is taken for news by a client that holds none")
 	}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -25,6 +25,9 @@
 	servesInterval = 100 * time.Millisecond
 )
 
+// notServing is why nodes are refused, or sent elsewhere.
+const notServing = "this node holds no state that may be followed"
+
 // Changes is an answer to "what came after this revision".
 type Changes struct {
 	Events   []*wirepb.WatchEvent
@@ -107,7 +110,7 @@
 func NewServer(backend Backend, self wire.Identity, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
 	self.Refuse = func(hello *wirepb.Hello) string {
 		if hello.GetControlId() == 0 && !backend.Serves() {
-			return "this node holds no state that may be followed"
+			return notServing
 		}
 		return ""
 	}
@@ -166,7 +169,7 @@
 			continue
 		}
 		if ended := s.endSessions(); ended > 0 {
-			s.logger.Warn("sessions_ended", "sessions", ended, "reason", "this node holds no state that may be followed")
+			s.logger.Warn("sessions_ended", "sessions", ended, "reason", notServing)
 		}
 	}
 }
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -145,14 +145,19 @@
 	p.estimateLoading()
 }
 
+// acceptingMachines returns the machines that accept replicas, by name.
 func (p *pass) acceptingMachines() []string {
-	var names []string
+	if p.accepting != nil {
+		return p.accepting
+	}
+	names := []string{}
 	for name, machine := range p.input.Machines {
 		if machine.Accepts {
 			names = append(names, name)
 		}
 	}
 	sort.Strings(names)
+	p.accepting = names
 	return names
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -81,11 +81,12 @@
 	// worth is what the replicas on each accelerator are worth, by machine.
 	worth  map[string]map[int]float64
 	spread *spread
-	// byPool, atHand and largest are worked out when they are first asked for; see rooms,
-	// tiersAtHand and fitsAnywhere.
-	byPool  map[string][]*room
-	atHand  map[poolCheckpoint][]Tier
-	largest map[machineSize]bool
+	// accepting, byPool, atHand and largest are worked out when they are first asked for; see
+	// acceptingMachines, rooms, tiersAtHand and fitsAnywhere.
+	accepting []string
+	byPool    map[string][]*room
+	atHand    map[poolCheckpoint][]Tier
+	largest   map[machineSize]bool
 	// storeLoads counts the loads that occupy the weight store, storeQueue those
 	// that this pass has put off until it has room.
 	storeLoads, storeQueue int
