Log which sends are the same request where a machine may have ended

Ruled out: the network address of the caller as a part of the identity (one caller comes from many zones); the model (the users' rule names path, caller and body). No decision changed.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -10,6 +10,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/quarantine"
 )
 
 const (
@@ -191,7 +192,7 @@
 		}
 		end := j.attempt(ctx, grant)
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
-		j.log("attempt", "machine", grant.Target.Machine, "end", end.String(), "sent", j.sent)
+		j.logAttempt(grant, end)
 		j.wanted.Tried = append(j.wanted.Tried, grant.Target.Machine)
 		if end == endAnswered || end == endErrorAnswered || end == endBroken {
 			return end
@@ -330,6 +331,23 @@
 	}
 }
 
+// logAttempt tells how an attempt ended. One that may have ended its machine is told with
+// the identity of its request, by which sends under other ids and at other routers are found.
+func (j *job) logAttempt(grant *dispatch.Grant, end attemptEnd) {
+	fields := []any{"machine", grant.Target.Machine, "end", end.String(), "sent", j.sent}
+	if end == endBroken || end == endFailed {
+		fields = append(fields, "identity", j.identity().String())
+	}
+	j.log("attempt", fields...)
+}
+
+// identity tells the request by what it is. The body must have been read.
+func (j *job) identity() quarantine.Identity {
+	return quarantine.Identify(quarantine.Content{
+		Tenant: j.tenant.name, Method: j.request.Method, Host: j.request.Host, Target: j.request.RequestURI, Body: j.body,
+	})
+}
+
 func (j *job) log(event string, arguments ...any) {
 	route := ""
 	if j.route != nil {
--- /dev/null
+++ b/internal/quarantine/identity_test.go
@@ -0,0 +1,44 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+func TestIdentityTellsRequestsApart(t *testing.T) {
+	base := Content{Tenant: "t", Method: "POST", Host: "a.example", Target: "/x/1?q=2", Body: []byte("body")}
+	if Identify(base) != Identify(base) {
+		t.Fatal("the same request has two identities")
+	}
+	for name, change := range map[string]func(content *Content){
+		"tenant": func(content *Content) { content.Tenant = "u" },
+		"method": func(content *Content) { content.Method = "GET" },
+		"host":   func(content *Content) { content.Host = "b.example" },
+		"target": func(content *Content) { content.Target = "/x/1?q=3" },
+		"body":   func(content *Content) { content.Body = []byte("bodz") },
+		"end of one part at the beginning of the next": func(content *Content) { content.Host, content.Target = "a.example/", "x/1?q=2" },
+		"end of the target at the beginning of the body": func(content *Content) {
+			content.Target, content.Body = "/x/1?q=2b", []byte("ody")
+		},
+	} {
+		changed := base
+		change(&changed)
+		if Identify(changed) == Identify(base) {
+			t.Errorf("%s: two requests have one identity", name)
+		}
+	}
+}
+
+func TestIdentityIsReadBack(t *testing.T) {
+	identity := Identify(Content{Target: "/x"})
+	read, err := ParseIdentity(identity.String())
+	if err != nil || read != identity {
+		t.Errorf("%s is read back as %s (%v)", identity, read, err)
+	}
+	for _, text := range []string{"", "xy", identity.String()[2:], identity.String() + "00"} {
+		if _, err := ParseIdentity(text); fault.FieldOf(err) != "identity" {
+			t.Errorf("%q: %v, not an error of the field", text, err)
+		}
+	}
+}
