--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -201,8 +201,9 @@
 // rawMachine is a machine that answers each request on a connection with what
 // the script says, byte for byte.
 type rawMachine struct {
-	address string
-	mutex   sync.Mutex
+	address  string
+	listener net.Listener
+	mutex    sync.Mutex
 	// seen are the heads and bodies of the requests.
 	seen []seenRequest
 }
@@ -221,7 +222,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	created := &rawMachine{address: listener.Addr().String()}
+	created := &rawMachine{address: listener.Addr().String(), listener: listener}
 	var connections sync.WaitGroup
 	connections.Go(func() {
 		for {
@@ -262,6 +263,11 @@
 	}
 }
 
+// end makes the machine refuse new connections, as one whose process has ended.
+func (m *rawMachine) end() {
+	_ = m.listener.Close()
+}
+
 func (m *rawMachine) requests() []seenRequest {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
