--- a/internal/ingress/errors_test.go
+++ b/internal/ingress/errors_test.go
@@ -13,12 +13,10 @@
 
 // serveStream declares a stream route to machines at addresses.
 func (d *deployment) serveStream(resumable bool, attempts int, addresses ...string) {
-	d.serve(v1.RouteStream, attempts, long, addresses...)
-	d.apply(d.object(v1.KindRoute, "r", &v1.RouteSpec{
+	d.serveRoute(d.object(v1.KindRoute, "r", &v1.RouteSpec{
 		Host: "shop.example", PathPrefix: "/a/", Kind: v1.RouteStream, Timeout: v1.Duration(long), Resumable: resumable,
 		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: attempts,
-	}, nil))
-	d.view.Confirm(d.revision)
+	}, nil), addresses...)
 }
 
 func answerWith(status string, body string) script {
