Measure claims by a clock that counts sleep

Cause: time.Now and timers stand still while a machine is suspended. A leader that slept for 4 s held its lease as before, confirmed revisions and could have given orders, while another led; a router passed on more time than its caller had left. Ruled out: checking at each wake-up only: what runs first after waking may be the answer itself. Change: internal/clock reads CLOCK_BOOTTIME; control nodes measure leases, grants, contact and the age of what they were told by it.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/instances"
@@ -59,6 +60,8 @@
 	// Engines reaches the machines that register by themselves; nil where
 	// agents give the orders.
 	Engines Engines
+	// Clock counts the time that the machine sleeps, like clock.Now, which it is by default.
+	Clock func() time.Duration
 }
 
 // Node is a running control node.
@@ -68,7 +71,10 @@
 	metrics  *Metrics
 	self     wire.Identity
 	id       uint64
-	started  time.Time
+	// clock is what claims of the node towards others are measured by, and started what it
+	// showed when the node was made.
+	clock   func() time.Duration
+	started time.Duration
 
 	// stateMutex guards member.State: the loop writes, everyone reads.
 	stateMutex sync.RWMutex
@@ -122,9 +128,12 @@
 
 // New opens a member over its storage.
 func New(options Options) (*Node, error) {
+	if options.Clock == nil {
+		options.Clock = clock.Now
+	}
 	node := &Node{
 		settings: options.Settings, logger: options.Logger, metrics: options.Metrics,
-		self: options.Self, id: options.ID, started: time.Now(), joins: newJoinTable(),
+		self: options.Self, id: options.ID, clock: options.Clock, started: options.Clock(), joins: newJoinTable(),
 		instances: instances.NewTable(), engines: options.Engines, seeds: options.Seeds,
 		inbox:     make(chan *wirepb.RaftMessage, inboxLength),
 		proposals: make(chan *proposal, inboxLength),
@@ -177,9 +186,10 @@
 	return membership
 }
 
-// now is the monotonic time since the node started.
+// now is the time since the node started, sleeps of its machine included: whatever holds for
+// a time towards others (leases, grants, contact) is over after a sleep.
 func (n *Node) now() time.Duration {
-	return time.Since(n.started)
+	return n.clock() - n.started
 }
 
 // Run drives the member until ctx ends or storage fails.
--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -103,6 +103,8 @@
 	cuts      []*atomic.Bool
 	// links are each node's connections to the others.
 	links [][]*outgoing
+	// clocks are the nodes' own.
+	clocks []*sleepingClock
 }
 
 func listen(t *testing.T) net.Listener {
@@ -173,6 +175,7 @@
 	node, err := New(Options{
 		Settings: configuration, Logger: slog.New(slog.DiscardHandler), Storage: storage, Recovered: member.Recovered{},
 		ID: id, Engines: engines, Metrics: NewMetrics(prometheus.NewRegistry()), Self: identityOf(name, id), Seeds: func() []string { return nil },
+		Clock: c.clockOf(position).now,
 	})
 	if err != nil {
 		c.t.Fatal(err)
@@ -180,6 +183,14 @@
 	return node
 }
 
+// clockOf is a node's clock, which runs on while its test lets the machine sleep.
+func (c *trio) clockOf(position int) *sleepingClock {
+	for len(c.clocks) <= position {
+		c.clocks = append(c.clocks, &sleepingClock{})
+	}
+	return c.clocks[position]
+}
+
 // outgoingAddress is where a node dials another, through what can be cut.
 func (c *trio) outgoingAddress(position int, target string) string {
 	link := &outgoing{listener: listen(c.t), target: target, cut: c.cuts[position]}
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -169,6 +169,20 @@
 	return lost
 }
 
+// Woke begins anew with a server after a sleep of this machine. The clock of the liveness has
+// stood still, so that it would take what it holds for new.
+func (c *Client) Woke() {
+	c.mutex.Lock()
+	conn := c.conn
+	if conn != nil {
+		c.liveness.reason = LostSlept
+	}
+	c.mutex.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
 func (c *Client) attach(conn *wire.Conn) {
 	c.mutex.Lock()
 	c.conn = conn
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -31,6 +31,9 @@
 	// LostBehind is a server that lacks changes its digests tell of: it hears the leader, and
 	// what it holds is not what the leader holds.
 	LostBehind LossReason = "behind"
+	// LostSlept is a sleep of this machine: what came before it is out of date, and the server
+	// may have given the connection up.
+	LostSlept LossReason = "slept"
 	// LostMoved is a change to the client's first choice.
 	LostMoved LossReason = "moved"
 )
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -65,7 +65,7 @@
 	if j.sent == 0 {
 		j.ingress.countFirst(j.pool)
 	}
-	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", time.Until(j.deadline).Milliseconds())
+	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", j.remaining().Milliseconds())
 	tryCtx, cancel := j.tryContext(ctx)
 	defer cancel()
 	outgoing := j.outgoing(grant)
@@ -95,7 +95,7 @@
 	if spec.Kind != v1.RouteRepeatable || j.sent+1 >= spec.MaxAttempts {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Duration(float64(time.Until(j.deadline))*firstTryShare))
+	return context.WithTimeout(ctx, time.Duration(float64(j.remaining())*firstTryShare))
 }
 
 func addressOf(grant *dispatch.Grant) string {
@@ -109,7 +109,7 @@
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body,
 		Prepare: func(header http.Header) error {
 			j.ingress.options.Translator.Prepare(header, Attempt{
-				Machine: grant.Target.Machine, Remains: time.Until(j.deadline), Priority: j.priority(), Tenant: j.tenant.name,
+				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
 			return nil
 		},
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +76,8 @@
 	revision uint64
 	// waits gets a value when a request has to wait for a place.
 	waits chan struct{}
+	// slept is for how long the router's machine has slept, in nanoseconds.
+	slept atomic.Int64
 	// log is what commands go to; nil where there is no control plane.
 	log *replicatedLog
 }
@@ -131,6 +134,7 @@
 		// counts from the start.
 		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() { created.waits <- struct{}{} },
 		Quota: quota.Bound{Window: 8 * time.Second}, Sharing: quota.SharingEqual,
+		Slept: func() time.Duration { return time.Duration(created.slept.Load()) },
 		Propose: func(_ context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 			if created.log == nil {
 				return nil, fault.Unavailable.New("there is no control plane")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -52,6 +53,9 @@
 	Nudge func()
 	// Propose carries a command to the leader. An error leaves open whether it was carried out.
 	Propose func(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
+	// Slept returns for how long the machine has slept in all, like clock.Slept, which it is by
+	// default.
+	Slept func() time.Duration
 }
 
 // Ingress is the callers' HTTP handler of one node.
@@ -82,6 +86,9 @@
 func New(options Options) *Ingress {
 	config := dispatch.Config{MaxWaiting: options.MaxWaiting, SharedSlots: true, PlacedAdapters: true, ByWork: true, Seed: rand.Uint64()}
 	ending, end := context.WithCancel(context.Background())
+	if options.Slept == nil {
+		options.Slept = clock.Slept
+	}
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: defaultMaxIdle, IdleTimeout: idleTimeout})
 	return &Ingress{
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
@@ -168,6 +175,12 @@
 	}
 }
 
+// Woke drops the kept connections after a sleep of this machine: machines close such as have
+// rested for longer than they allow.
+func (i *Ingress) Woke() {
+	i.upstream.Retain(func(string) bool { return false })
+}
+
 // Ready reports whether callers should come here.
 func (i *Ingress) Ready() bool {
 	return !i.stopping.Load() && i.Serves()
@@ -253,11 +266,11 @@
 // ServeHTTP implements http.Handler. The path is taken as the caller wrote it:
 // a router that cleans paths would change what the machine sees.
 func (i *Ingress) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	entry := i.newJob(writer, request)
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
 	if i.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	entry := i.newJob(writer, request)
 	entry.serve()
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -47,6 +47,8 @@
 	version  string
 	body     []byte
 	deadline time.Time
+	// sleptBefore is how long the machine had slept in all when the request came.
+	sleptBefore time.Duration
 	// sent counts the machines that got the request.
 	sent int
 	// reservedFor is the number of machines after which a further one was
@@ -67,7 +69,7 @@
 
 func (i *Ingress) newJob(writer http.ResponseWriter, request *http.Request) *job {
 	return &job{
-		ingress: i, writer: writer, request: request, arrived: time.Now(),
+		ingress: i, writer: writer, request: request, arrived: time.Now(), sleptBefore: i.options.Slept(),
 		attributes: i.options.Translator.Describe(request.Header),
 	}
 }
@@ -195,6 +197,12 @@
 			j.refuse(ctx, refusal)
 			return endNotRun
 		}
+		if j.remaining() <= 0 {
+			// The machine slept beyond the deadline, which no timer has noticed.
+			j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
+			j.giveUp(ctx, endNotRun)
+			return endNotRun
+		}
 		end := j.attempt(ctx, grant)
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.logAttempt(grant, end)
@@ -214,6 +222,12 @@
 	}
 }
 
+// remaining is how much of the request's time is left. A sleep of the machine has used up some
+// of it, though the steady clock has not counted that.
+func (j *job) remaining() time.Duration {
+	return time.Until(j.deadline) - (j.ingress.options.Slept() - j.sleptBefore)
+}
+
 // patience is how long the request waits for a place: a part of its time, and
 // less than its caller waits for a first sign of an answer.
 func (j *job) patience() time.Duration {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/control"
 	"github.com/weldline/weldline/internal/datadir"
 	"github.com/weldline/weldline/internal/fault"
@@ -184,6 +185,7 @@
 		n.workers.Wait()
 		return err
 	}
+	n.workers.Go(func() { clock.Watch(roles, n.logger, n.woke) })
 	n.logger.Info("node_started", "roles", n.settings.Roles)
 	var failure error
 	select {
@@ -205,6 +207,21 @@
 	return failure
 }
 
+// woke puts out of date what was learned before a sleep of this machine. What the control role
+// holds for a time is measured by a clock that counts sleeps.
+func (n *Node) woke(time.Duration) {
+	if n.ingress != nil {
+		n.ingress.client.Woke()
+		n.ingress.ingress.Woke()
+	}
+	if n.router != nil {
+		n.router.client.Woke()
+	}
+	if n.relay != nil {
+		n.relay.client.Woke()
+	}
+}
+
 // drain lets the router finish what is in flight while the control role and
 // the feed still work: answers have to be recorded.
 func (n *Node) drain() {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -11,13 +11,14 @@
 type relay struct {
 	node   *Node
 	cache  *feed.Cache
+	client *feed.Client
 	server *feed.Server
 }
 
 func newRelay(node *Node) *relay {
 	created := &relay{node: node, cache: feed.NewCache()}
-	client := feed.NewClient(node.settings.Relay.Upstreams, node.identity(), created.cache, node.logger)
-	created.cache.Attach(client)
+	created.client = feed.NewClient(node.settings.Relay.Upstreams, node.identity(), created.cache, node.logger)
+	created.cache.Attach(created.client)
 	created.server = feed.NewServer(created.cache, node.identity(), node.logger, nil)
 	return created
 }
