Decide about crashes in a pure core

Cause: what a router makes of broken answers was mixed with its goroutines, so that no simulator could run it. Change: quarantine.Watch and Sign, without clock or I/O; ingress/crashes.go connects, proposes and waits. No decision changed.

--- a/internal/ingress/crashes.go
+++ b/internal/ingress/crashes.go
@@ -26,19 +26,12 @@
 	examineTime = 1500 * time.Millisecond
 	// examinePause is between two looks at a machine that says nothing.
 	examinePause = 100 * time.Millisecond
-	// verdictLifetime is how long a verdict on a machine is kept for requests whose ends are
-	// noticed later, on other connections.
-	verdictLifetime = 10 * time.Second
 	// recordTimeout bounds one try to record a crash, and recordPause is before the next one:
 	// a leader changes within a second or two.
 	recordTimeout = time.Second
 	recordPause   = 100 * time.Millisecond
-	// maxExamined bounds the machines that are looked at, or remembered, at a time. Beyond it
-	// crashes go unrecorded; a router has requests at so many machines only where all of them
-	// end at once, which one request does not do.
-	maxExamined = 256
-	// maxPerCrash bounds the requests recorded of one crash.
-	maxPerCrash = 256
+	// maxTasks bounds what waits to be found out or recorded.
+	maxTasks = 256
 	// quarantineRetryAfter is when the caller of a quarantined request is told to come back.
 	// Only an operator lets the request run again, so soon is of no use.
 	quarantineRetryAfter = 10 * time.Minute
@@ -50,42 +43,6 @@
 // prober tells whether a machine takes connections, or refuses them.
 type prober func(ctx context.Context, machine, address string) (refused bool, err error)
 
-// brokenRun is a request whose answer broke off, or did not come.
-type brokenRun struct {
-	machine, address string
-	identity         quarantine.Identity
-	route, tenant    string
-}
-
-// verdict is what has become of a machine whose answers broke off.
-type verdict int
-
-const (
-	// verdictNone: it is not known yet.
-	verdictNone verdict = iota
-	// verdictEnded: its process ended, and nobody planned that.
-	verdictEnded
-	// verdictAlive: it takes connections, so only those that stood have broken.
-	verdictAlive
-	// verdictPlanned: it was leaving.
-	verdictPlanned
-	// verdictUnknown: it neither takes nor refuses connections: it is cut off, or dark.
-	verdictUnknown
-)
-
-// String names the verdict in logs and metrics.
-func (v verdict) String() string {
-	return [...]string{"none", "ended", "alive", "planned", "unknown"}[v]
-}
-
-// examination is what is found out about one machine.
-type examination struct {
-	verdict verdict
-	// until is when the verdict is forgotten.
-	until time.Time
-	runs  []brokenRun
-}
-
 // crashWatch finds out which machines ended under requests, has that recorded, and tells which
 // requests must not run any more. It is safe for concurrent use.
 type crashWatch struct {
@@ -95,20 +52,15 @@
 	probe   prober
 	propose proposeFunc
 
-	mutex    sync.Mutex
-	examined map[string]*examination
-	// own are the crashes that the view may not hold yet: the machines, by request.
-	own map[quarantine.Identity]map[string]bool
-	// clearing are the requests whose records are being dropped.
-	clearing map[quarantine.Identity]bool
-	tasks    chan func(ctx context.Context)
+	mutex sync.Mutex
+	watch *quarantine.Watch
+	tasks chan func(ctx context.Context)
 }
 
 func newCrashWatch(options Options, probe prober) *crashWatch {
 	return &crashWatch{
 		view: options.View, logger: options.Logger, metrics: options.Metrics, probe: probe, propose: options.Propose,
-		examined: map[string]*examination{}, own: map[quarantine.Identity]map[string]bool{},
-		clearing: map[quarantine.Identity]bool{}, tasks: make(chan func(ctx context.Context), maxExamined),
+		watch: quarantine.NewWatch(), tasks: make(chan func(ctx context.Context), maxTasks),
 	}
 }
 
@@ -138,110 +90,86 @@
 }
 
 // broken takes a request whose answer broke off, or did not come.
-func (w *crashWatch) broken(run brokenRun) {
+func (w *crashWatch) broken(run quarantine.Run) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.forgetVerdicts()
-	held := w.examined[run.machine]
-	switch {
-	case held == nil && len(w.examined) < maxExamined:
-		held = &examination{runs: []brokenRun{run}}
-		if w.start(func(ctx context.Context) { w.examine(ctx, run.machine, run.address) }) {
-			w.examined[run.machine] = held
-		}
-	case held == nil:
-		w.logger.Warn("crash_not_examined", "machine", run.machine, "examined", len(w.examined))
-	case held.verdict == verdictNone && len(held.runs) < maxPerCrash:
-		held.runs = append(held.runs, run)
-	case held.verdict == verdictEnded:
-		w.recordLocked(run.machine, []brokenRun{run})
-	}
-}
-
-// forgetVerdicts drops verdicts whose time has passed; the mutex must be held.
-func (w *crashWatch) forgetVerdicts() {
-	now := time.Now()
-	for machine, held := range w.examined {
-		if held.verdict != verdictNone && now.After(held.until) {
-			delete(w.examined, machine)
+	switch w.watch.Broken(time.Now(), run) {
+	case quarantine.NextExamine:
+		if !w.start(func(ctx context.Context) { w.examine(ctx, run.Machine, run.Address) }) {
+			w.watch.Forget(run.Machine)
 		}
+	case quarantine.NextRecord:
+		w.startRecording(run.Machine, []quarantine.Run{run})
+	case quarantine.NextDropped:
+		w.logger.Warn("crash_not_examined", "machine", run.Machine)
+	case quarantine.NextNothing:
 	}
 }
 
-// examine finds out what has become of a machine, and records a crash.
+// examine finds out what has become of a machine, and has a crash recorded.
 func (w *crashWatch) examine(ctx context.Context, machine, address string) {
-	found := w.judge(ctx, machine, address)
-	w.metrics.crashes.WithLabelValues(found.String()).Inc()
+	verdict := w.judge(ctx, machine, address)
+	w.metrics.crashes.WithLabelValues(verdict.String()).Inc()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	held := w.examined[machine]
-	runs := held.runs
-	held.verdict, held.until, held.runs = found, time.Now().Add(verdictLifetime), nil
-	w.logger.Info("machine_examined", "machine", machine, "verdict", found.String(), "requests", len(runs))
-	if found == verdictEnded {
-		w.recordLocked(machine, runs)
+	runs := w.watch.Judged(time.Now(), machine, verdict)
+	w.logger.Info("machine_examined", "machine", machine, "verdict", verdict.String(), "requests", len(runs))
+	if len(runs) > 0 {
+		w.startRecording(machine, runs)
 	}
 }
 
-// judge tells what has become of a machine whose answers broke off. A process that has ended
-// refuses connections, or another one registers at its address; one whose connections were
-// reset takes new ones; one that is cut off does neither.
-func (w *crashWatch) judge(ctx context.Context, machine, address string) verdict {
+// judge looks at a machine until it is known what has become of it, or the time is over.
+func (w *crashWatch) judge(ctx context.Context, machine, address string) quarantine.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, examineTime)
 	defer cancel()
 	for {
-		known, isKnown := w.view.Machine(machine)
-		switch {
-		case isKnown && w.view.Replaced(machine, known.Spec.Endpoint):
-			return verdictEnded
-		case isKnown && (known.Status.Phase == v1.MachineLeaving || known.Status.Phase == v1.MachineGone):
-			return verdictPlanned
-		}
-		refused, err := w.probe(ctx, machine, address)
-		switch {
-		case err == nil:
-			return verdictAlive
-		case refused:
-			return verdictEnded
+		if verdict := w.look(ctx, machine, address).Judge(); verdict != quarantine.VerdictNone {
+			return verdict
 		}
 		select {
 		case <-ctx.Done():
-			return verdictUnknown
+			return quarantine.VerdictUnknown
 		case <-time.After(examinePause):
 		}
 	}
 }
 
-// recordLocked has a crash recorded; the mutex must be held. This router heeds it at once.
-func (w *crashWatch) recordLocked(machine string, runs []brokenRun) {
-	command := &wirepb.RecordCrashCommand{Machine: machine}
-	for _, run := range runs {
-		if w.own[run.identity] == nil {
-			w.own[run.identity] = map[string]bool{}
-		}
-		w.own[run.identity][machine] = true
-		command.Requests = append(command.Requests, &wirepb.SuspectRequest{
-			Identity: run.identity[:], Route: run.route, Tenant: run.tenant,
-		})
+// look takes what the view tells of a machine, and tries to connect if that does not suffice.
+func (w *crashWatch) look(ctx context.Context, machine, address string) quarantine.Sign {
+	sign := quarantine.Sign{}
+	if known, isKnown := w.view.Machine(machine); isKnown {
+		sign.Replaced = w.view.Replaced(machine, known.Spec.Endpoint)
+		sign.Leaving = known.Status.Phase == v1.MachineLeaving || known.Status.Phase == v1.MachineGone
 	}
+	if sign.Judge() != quarantine.VerdictNone {
+		return sign
+	}
+	refused, err := w.probe(ctx, machine, address)
+	sign.Accepts, sign.Refuses = err == nil, refused
+	return sign
+}
+
+// startRecording has runs recorded; the mutex must be held.
+func (w *crashWatch) startRecording(machine string, runs []quarantine.Run) {
 	w.start(func(ctx context.Context) {
-		w.record(ctx, command)
-		w.forgetOwn(machine, runs)
+		w.record(ctx, machine, runs)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.watch.Recorded(runs)
 	})
 }
 
 // record proposes a crash until it is in the log, however long there is no leader: what is
 // forgotten costs the machines of the next tries.
-func (w *crashWatch) record(ctx context.Context, command *wirepb.RecordCrashCommand) {
+func (w *crashWatch) record(ctx context.Context, machine string, runs []quarantine.Run) {
 	failed := func(reason string) {
-		w.logger.Warn("crash_not_recorded", "machine", command.GetMachine(), "requests", len(command.GetRequests()), "error", reason)
+		w.logger.Warn("crash_not_recorded", "machine", machine, "requests", len(runs), "error", reason)
 	}
-	revision, recorded := w.commit(ctx, &wirepb.Command{Body: &wirepb.Command_RecordCrash{RecordCrash: command}}, failed)
-	if !recorded {
-		return
+	if revision, recorded := w.commit(ctx, quarantine.RecordCommand(machine, runs), failed); recorded {
+		w.logger.Info("crash_recorded", "machine", machine, "requests", len(runs), "revision", revision)
+		w.awaitRevision(ctx, revision)
 	}
-	w.logger.Info("crash_recorded", "machine", command.GetMachine(), "requests", len(command.GetRequests()), "revision", revision)
-	w.awaitRevision(ctx, revision)
 }
 
 // commit proposes a command until there is an answer to it. Failed is told of a refusal, and
@@ -284,71 +212,45 @@
 	}
 }
 
-// forgetOwn drops a crash that the view holds by now.
-func (w *crashWatch) forgetOwn(machine string, runs []brokenRun) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for _, run := range runs {
-		delete(w.own[run.identity], machine)
-		if len(w.own[run.identity]) == 0 {
-			delete(w.own, run.identity)
-		}
-	}
-}
-
 // suspects reports whether machines have ended under any request.
 func (w *crashWatch) suspects() bool {
 	w.mutex.Lock()
-	own := len(w.own)
+	own := w.watch.Suspects()
 	w.mutex.Unlock()
-	return own > 0 || w.view.HasSuspects()
+	return own || w.view.HasSuspects()
 }
 
 // crashed returns the machines that ended under a request, as far as this router knows, and
 // whether it must not run any more.
 func (w *crashWatch) crashed(identity quarantine.Identity) (machines []string, quarantined bool) {
-	if held := w.view.Suspect(identity); held != nil {
-		machines, quarantined = append(machines, held.Machines...), held.Quarantined
-	}
+	held := w.view.Suspect(identity)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	seen := map[string]bool{}
-	for _, machine := range machines {
-		seen[machine] = true
-	}
-	for machine := range w.own[identity] {
-		if !seen[machine] {
-			machines = append(machines, machine)
-		}
-	}
-	return machines, quarantined || len(machines) >= quarantine.CrashesToQuarantine
+	return w.watch.Crashed(identity, held)
 }
 
-// completed takes a request that a machine has run to the end: a machine that ended under it
-// ended for another reason.
+// completed takes a request that a machine has run to the end.
 func (w *crashWatch) completed(identity quarantine.Identity) {
+	recorded := w.view.Suspect(identity) != nil
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	delete(w.own, identity)
-	if w.view.Suspect(identity) == nil || w.clearing[identity] {
+	if !w.watch.Completed(identity, recorded) {
 		return
 	}
-	w.clearing[identity] = true
-	command := &wirepb.Command{Body: &wirepb.Command_ClearSuspects{ClearSuspects: &wirepb.ClearSuspectsCommand{Identities: [][]byte{identity[:]}}}}
-	if !w.start(func(ctx context.Context) { w.clear(ctx, identity, command) }) {
-		delete(w.clearing, identity)
+	if !w.start(func(ctx context.Context) { w.clear(ctx, identity) }) {
+		w.watch.Cleared(identity)
 	}
 }
 
-func (w *crashWatch) clear(ctx context.Context, identity quarantine.Identity, command *wirepb.Command) {
+func (w *crashWatch) clear(ctx context.Context, identity quarantine.Identity) {
 	failed := func(reason string) {
 		w.logger.Warn("suspect_not_cleared", "identity", identity.String(), "error", reason)
 	}
-	if revision, committed := w.commit(ctx, command, failed); committed {
+	if revision, committed := w.commit(ctx, quarantine.ClearCommand(identity), failed); committed {
 		w.logger.Info("suspect_cleared", "identity", identity.String(), "revision", revision)
 		w.awaitRevision(ctx, revision)
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	delete(w.clearing, identity)
+	w.watch.Cleared(identity)
 }
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -46,8 +46,8 @@
 		}
 	case endBroken, endFailed:
 		if ctx.Err() == nil {
-			watch.broken(brokenRun{
-				machine: grant.Target.Machine, address: addressOf(grant), identity: j.identity(), route: j.route.Name, tenant: j.tenant.name,
+			watch.broken(quarantine.Run{
+				Machine: grant.Target.Machine, Address: addressOf(grant), Identity: j.identity(), Route: j.route.Name, Tenant: j.tenant.name,
 			})
 		}
 	}
--- /dev/null
+++ b/internal/quarantine/watch.go
@@ -0,0 +1,239 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// verdictLifetime is how long a verdict on a machine is kept for requests whose ends are
+	// noticed later, on other connections.
+	verdictLifetime = 10 * time.Second
+	// maxExamined bounds the machines that are looked at, or remembered, at a time. Beyond it
+	// crashes go unrecorded; a router has requests at so many machines only where all of them
+	// end at once, which one request does not do.
+	maxExamined = 256
+	// maxRuns bounds the requests remembered of one machine while it is looked at.
+	maxRuns = 256
+)
+
+// Run is a request whose answer from a machine broke off, or did not come.
+type Run struct {
+	// Machine is the machine's name, another one for each life of its process, and Address
+	// where it takes connections.
+	Machine, Address string
+	Identity         Identity
+	Route, Tenant    string
+}
+
+// Verdict is what has become of a machine whose answers broke off.
+type Verdict int
+
+const (
+	// VerdictNone: it is not known yet.
+	VerdictNone Verdict = iota
+	// VerdictEnded: its process ended, and nobody planned that.
+	VerdictEnded
+	// VerdictAlive: it takes connections, so only those that stood have broken.
+	VerdictAlive
+	// VerdictPlanned: it was leaving.
+	VerdictPlanned
+	// VerdictUnknown: it neither takes nor refuses connections: it is cut off, or dark.
+	VerdictUnknown
+)
+
+// String names the verdict in logs and metrics.
+func (v Verdict) String() string {
+	return [...]string{"none", "ended", "alive", "planned", "unknown"}[v]
+}
+
+// Sign is what can be seen of a machine whose answers broke off.
+type Sign struct {
+	// Replaced is set once another live machine stands at its address, Leaving if it had said
+	// that it leaves.
+	Replaced, Leaving bool
+	// Accepts and Refuses tell what it does with a new connection; neither if it says nothing.
+	Accepts, Refuses bool
+}
+
+// Judge tells what has become of a machine; VerdictNone where another look is needed.
+//
+// A process that has ended refuses connections, or another one registers at its address; one
+// whose connections were reset takes new ones; one that is cut off does neither.
+func (s Sign) Judge() Verdict {
+	switch {
+	case s.Replaced:
+		return VerdictEnded
+	case s.Leaving:
+		return VerdictPlanned
+	case s.Accepts:
+		return VerdictAlive
+	case s.Refuses:
+		return VerdictEnded
+	}
+	return VerdictNone
+}
+
+// examination is what is found out about one machine.
+type examination struct {
+	verdict Verdict
+	// until is when the verdict is forgotten.
+	until time.Time
+	runs  []Run
+}
+
+// Watch is what one router knows of machines that ended under its requests, before the log
+// and beside it. It is not safe for concurrent use.
+type Watch struct {
+	examined map[string]*examination
+	// own are the crashes that the router's view may not hold yet: the machines, by request.
+	own map[Identity][]string
+	// clearing are the requests whose records are being dropped.
+	clearing map[Identity]bool
+}
+
+// NewWatch returns a watch that knows nothing.
+func NewWatch() *Watch {
+	return &Watch{examined: map[string]*examination{}, own: map[Identity][]string{}, clearing: map[Identity]bool{}}
+}
+
+// Next is what a router has to do about a broken run.
+type Next int
+
+const (
+	// NextNothing: what is known suffices, or will come.
+	NextNothing Next = iota
+	// NextExamine: it has to find out what has become of the machine.
+	NextExamine
+	// NextRecord: it has to record the run: the machine is known to have ended.
+	NextRecord
+	// NextDropped: so many machines are looked at that this one is not.
+	NextDropped
+)
+
+// Broken takes a run.
+func (w *Watch) Broken(now time.Time, run Run) Next {
+	for machine, held := range w.examined {
+		if held.verdict != VerdictNone && now.After(held.until) {
+			delete(w.examined, machine)
+		}
+	}
+	held := w.examined[run.Machine]
+	switch {
+	case held == nil && len(w.examined) >= maxExamined:
+		return NextDropped
+	case held == nil:
+		w.examined[run.Machine] = &examination{runs: []Run{run}}
+		return NextExamine
+	case held.verdict == VerdictNone && len(held.runs) < maxRuns:
+		held.runs = append(held.runs, run)
+	case held.verdict == VerdictEnded:
+		w.note(run)
+		return NextRecord
+	}
+	return NextNothing
+}
+
+// Forget drops a machine that can't be examined.
+func (w *Watch) Forget(machine string) {
+	delete(w.examined, machine)
+}
+
+// Judged takes the verdict on a machine and returns the runs to be recorded.
+func (w *Watch) Judged(now time.Time, machine string, verdict Verdict) []Run {
+	held := w.examined[machine]
+	if held == nil {
+		return nil
+	}
+	runs := held.runs
+	held.verdict, held.until, held.runs = verdict, now.Add(verdictLifetime), nil
+	if verdict != VerdictEnded {
+		return nil
+	}
+	for _, run := range runs {
+		w.note(run)
+	}
+	return runs
+}
+
+// note makes the router heed a crash at once.
+func (w *Watch) note(run Run) {
+	if !slices.Contains(w.own[run.Identity], run.Machine) {
+		w.own[run.Identity] = append(w.own[run.Identity], run.Machine)
+	}
+}
+
+// Recorded drops runs that the router's view holds by now.
+func (w *Watch) Recorded(runs []Run) {
+	for _, run := range runs {
+		left := slices.DeleteFunc(w.own[run.Identity], func(machine string) bool { return machine == run.Machine })
+		if len(left) == 0 {
+			delete(w.own, run.Identity)
+			continue
+		}
+		w.own[run.Identity] = left
+	}
+}
+
+// Suspects reports whether the router knows of crashes that its view may not hold.
+func (w *Watch) Suspects() bool {
+	return len(w.own) > 0
+}
+
+// Crashed returns the machines that ended under a request, as far as this router knows, and
+// whether it must not run any more. Held is the record in the view; nil if there is none.
+func (w *Watch) Crashed(identity Identity, held *v1.SuspectSpec) (machines []string, quarantined bool) {
+	if held != nil {
+		machines, quarantined = slices.Clone(held.Machines), held.Quarantined
+	}
+	for _, machine := range w.own[identity] {
+		if !slices.Contains(machines, machine) {
+			machines = append(machines, machine)
+		}
+	}
+	return machines, quarantined || len(machines) >= CrashesToQuarantine
+}
+
+// Completed takes a request that a machine has run to the end: a machine that ended under it
+// ended for another reason. It returns whether its record has to be dropped.
+func (w *Watch) Completed(identity Identity, recorded bool) bool {
+	delete(w.own, identity)
+	if !recorded || w.clearing[identity] {
+		return false
+	}
+	w.clearing[identity] = true
+	return true
+}
+
+// Cleared takes that a record was dropped, or could not be.
+func (w *Watch) Cleared(identity Identity) {
+	delete(w.clearing, identity)
+}
+
+// Settled reports whether nothing is being found out or recorded.
+func (w *Watch) Settled() bool {
+	for _, held := range w.examined {
+		if held.verdict == VerdictNone {
+			return false
+		}
+	}
+	return len(w.own) == 0 && len(w.clearing) == 0
+}
+
+// RecordCommand is the command that records runs at one machine.
+func RecordCommand(machine string, runs []Run) *wirepb.Command {
+	command := &wirepb.RecordCrashCommand{Machine: machine}
+	for _, run := range runs {
+		command.Requests = append(command.Requests, &wirepb.SuspectRequest{Identity: run.Identity[:], Route: run.Route, Tenant: run.Tenant})
+	}
+	return &wirepb.Command{Body: &wirepb.Command_RecordCrash{RecordCrash: command}}
+}
+
+// ClearCommand is the command that drops the record of a request.
+func ClearCommand(identity Identity) *wirepb.Command {
+	command := &wirepb.ClearSuspectsCommand{Identities: [][]byte{identity[:]}}
+	return &wirepb.Command{Body: &wirepb.Command_ClearSuspects{ClearSuspects: command}}
+}
