Play crashing requests and sleeping machines in the fault simulator

Cause: what was proved of both stood in tests of one course each. Found by it: a machine whose connection was reset was found alive, and for 10 s nothing was examined that broke off there: two of 2,000 schedules sent a culprit on more than three times. Only the verdict that a machine ended is kept now. Ruled out (traced): a conviction with one engine ended was a reset that its router learned of after the engine had ended for another reason; routers see the same of both, and the check counts it as one that was there. Change: faults crashing-request and suspended-node, checks crash_repeats and convictions, mutations crashes-not-shared, conviction-forgotten-by-new-leader, reset-counts-as-crash, lease-on-steady-clock, each caught; engines ended and innocents refused in the summary. Schedules may name the kinds that are drawn apart, which ParseSchedule refused.

--- a/internal/faultsim/campaign.go
+++ b/internal/faultsim/campaign.go
@@ -27,11 +27,15 @@
 	Undecided int `json:"undecided"`
 	// Replays holds the first schedule of each broken check, shortened.
 	Replays []Violation `json:"replays"`
-	Seconds float64     `json:"seconds"`
+	// EnginesEnded counts the requests that end engines by how many ended under them.
+	EnginesEnded map[int]int `json:"engines_ended"`
+	// InnocentsRefused counts the sends of other requests that were refused like those.
+	InnocentsRefused int     `json:"innocents_refused"`
+	Seconds          float64 `json:"seconds"`
 }
 
 func newSummary() *Summary {
-	summary := &Summary{Faults: map[string]int{}, Requests: map[string]int{}, Violations: map[string]int{}, Replays: []Violation{}}
+	summary := &Summary{Faults: map[string]int{}, Requests: map[string]int{}, Violations: map[string]int{}, Replays: []Violation{}, EnginesEnded: map[int]int{}}
 	for _, check := range Checks {
 		summary.Violations[check] = 0
 	}
@@ -49,6 +53,10 @@
 	s.Requests["answered"] += outcome.Answered
 	s.Requests["refused_not_run"] += outcome.NotRun
 	s.Requests["unknown"] += outcome.Unknown
+	s.InnocentsRefused += outcome.InnocentsRefused
+	for _, ended := range outcome.Ended {
+		s.EnginesEnded[ended]++
+	}
 	for _, violation := range outcome.Violations {
 		if s.Violations[violation.Check] == 0 {
 			s.Replays = append(s.Replays, violation)
@@ -103,7 +111,7 @@
 
 func (f Fault) check() (field, problem string) {
 	switch {
-	case !slices.Contains(Kinds, f.Kind):
+	case !slices.Contains(Kinds, f.Kind) && !slices.Contains(KindsDrawnApart, f.Kind):
 		return "kind", "unknown kind of fault " + string(f.Kind)
 	case f.At < 0 || f.At > faultsEnd:
 		return "at", "must be between 0s and " + faultsEnd.String()
--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -11,6 +11,7 @@
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/member"
+	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -54,6 +55,12 @@
 	// CheckSpec: what engines, claims and voters did is a behaviour of the
 	// specification in internal/spec.
 	CheckSpec = "specification"
+	// CheckRepeats: a request under which three engines ended is sent on three times more at
+	// most, 3 s later, by routers in contact.
+	CheckRepeats = "crash_repeats"
+	// CheckConvicted: only requests under which engines ended are convicted, and stay so until
+	// they run to their end.
+	CheckConvicted = "convictions"
 	// CheckConverge: after everything healed, all agree and nothing is stuck.
 	CheckConverge = "convergence"
 )
@@ -62,7 +69,7 @@
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinear, CheckDecided,
 	CheckMemory, CheckRevert, CheckInForce, CheckStale, CheckDropped, CheckWrongAnswer, CheckOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckConverge,
+	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckConverge,
 }
 
 const (
@@ -94,13 +101,18 @@
 	busy       int
 	undecided  int
 	conforms   conformance
+	// crashes is what really happened under requests, and culprits those that end engines.
+	crashes  map[quarantine.Identity]*crashTruth
+	culprits []*content
+	// innocentsRefused counts the sends of other requests that were refused as quarantined.
+	innocentsRefused int
 }
 
 func newChecks(w *world) *checks {
 	return &checks{
 		world: w, truth: state.New(), leaders: map[uint64]uint64{}, contents: map[state.Key]map[uint64]uint64{},
 		results: map[string]*wirepb.CommandResult{}, verdicts: map[string]verdict{}, runs: map[string]int{},
-		violations: map[string][]string{}, conforms: newConformance(),
+		violations: map[string][]string{}, conforms: newConformance(), crashes: map[quarantine.Identity]*crashTruth{},
 	}
 }
 
@@ -142,6 +154,7 @@
 		return
 	}
 	before := c.truth.Revision()
+	suspects := c.suspectSpecs()
 	result := c.truth.Apply(entry.GetData())
 	c.compareClaims(entry, result)
 	events, err := c.truth.EventsAfter(before)
@@ -157,6 +170,9 @@
 		if key.Kind == v1.KindReplica && event.GetDeleted() {
 			c.replicaFreed(key.Name)
 		}
+		if key.Kind == v1.KindSuspect {
+			c.suspectChanged(event, suspects[key.Name])
+		}
 	}
 }
 
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -225,6 +225,7 @@
 	}
 	if c.decider == nil {
 		c.decider = c.newController()
+		c.forgetConvictions()
 	}
 	c.passing = true
 	decider := c.decider
--- /dev/null
+++ b/internal/faultsim/crashes.go
@@ -0,0 +1,366 @@
+package faultsim
+
+import (
+	"strconv"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// A culprit's caller comes back after culpritSoonest to culpritLatest, to any router, and
+	// sometimes to two at once, until culpritsEnd: well beyond the last fault, so that
+	// what happens in calm is seen as well.
+	culpritSoonest = 100 * time.Millisecond
+	culpritLatest  = 1200 * time.Millisecond
+	culpritsEnd    = 32 * time.Second
+	// An engine ends after crashSoonest to crashLatest of running a culprit, and is back after
+	// engineBackSoonest to engineBackLatest.
+	crashSoonest      = 5 * time.Millisecond
+	crashLatest       = 150 * time.Millisecond
+	engineBackSoonest = time.Second
+	engineBackLatest  = 4 * time.Second
+	// resetInterval is between two resets of the connections of one engine, which goes on.
+	resetInterval = 400 * time.Millisecond
+	// innocentTries is how often the caller of another request comes back after its answer
+	// broke off.
+	innocentTries = 3
+	// probeTimeout, probePause and examineTime are as in the ingress.
+	probeTimeout = 150 * time.Millisecond
+	probePause   = 100 * time.Millisecond
+	examineTime  = 1500 * time.Millisecond
+	recordPause  = 100 * time.Millisecond
+	recordLimit  = time.Second
+)
+
+// content is what a request is, whichever router it comes to.
+type content struct {
+	identity quarantine.Identity
+	model    string
+	// culprit is set where the request ends each engine that runs it.
+	culprit bool
+	tries   int
+}
+
+func (w *world) newContent(name, model string, culprit bool) *content {
+	return &content{identity: quarantine.Identify(quarantine.Content{Target: name}), model: model, culprit: culprit}
+}
+
+// sendCulprit lets a caller come back with a request that ends engines, again and again.
+func (w *world) sendCulprit(target int) {
+	w.culprits++
+	culprit := w.newContent(numbered("culprit", w.culprits), numbered("model", target%modelCount), true)
+	w.checks.culprits = append(w.checks.culprits, culprit)
+	w.comeBack(culprit)
+}
+
+func (w *world) comeBack(culprit *content) {
+	w.After(w.span(culpritSoonest, culpritLatest), func() {
+		if w.Now() > culpritsEnd {
+			return
+		}
+		copies := 1
+		if w.random.IntN(4) == 0 {
+			copies = 2
+		}
+		for range copies {
+			w.sendContent(culprit)
+		}
+		w.comeBack(culprit)
+	})
+}
+
+func (w *world) sendContent(sent *content) {
+	router := w.routers[w.random.IntN(routerCount)]
+	if router.up {
+		router.run(router.epoch, func() { router.infer(sent) })
+	}
+}
+
+// resetConnections breaks the connections of one engine after the other, for a while.
+func (w *world) resetConnections(until time.Duration) {
+	w.repeatUntil(resetInterval, until, func() { w.machines[w.random.IntN(machineCount)].reset() })
+}
+
+// reset breaks the connections of an engine that goes on.
+func (m *machine) reset() {
+	for _, sent := range m.breakRuns() {
+		m.resets = append(m.resets, resetRun{sent: sent, at: m.world.Now()})
+	}
+}
+
+// resetRun is a request whose connection was reset.
+type resetRun struct {
+	sent *content
+	at   time.Duration
+}
+
+// noteEnd tells the checks under which requests the engine has ended. A router that learns
+// late of a reset looks when the engine has ended.
+func (m *machine) noteEnd() {
+	for _, sent := range m.breakRuns() {
+		m.world.checks.endedUnder(m.life(), sent)
+	}
+	for _, reset := range m.resets {
+		if m.world.Now()-reset.at <= lateDelay+examineTime {
+			m.world.checks.truthOf(reset.sent.identity).near[m.life()] = true
+		}
+	}
+	m.resets = nil
+}
+
+// openRun is a request that an engine runs, and how its router learns of the end.
+type openRun struct {
+	sent  *content
+	reply func(runEnd)
+}
+
+// runEnd is how a request ended at an engine.
+type runEnd int
+
+const (
+	// runRefused: the engine does not take requests for the replica.
+	runRefused runEnd = iota
+	// runWhole: the answer is whole.
+	runWhole
+	// runBroken: the connection broke before the end of the answer.
+	runBroken
+)
+
+// life names one life of the machine's engine.
+func (m *machine) life() string {
+	return lifeOf(m.name, m.incarnation)
+}
+
+func lifeOf(machine string, incarnation uint64) string {
+	return machine + "/" + strconv.FormatUint(incarnation, 10)
+}
+
+// breakRuns breaks the connections of all that runs, and returns what that was.
+func (m *machine) breakRuns() []*content {
+	var broken []*content
+	for _, run := range m.open {
+		broken = append(broken, run.sent)
+		run.reply(runBroken)
+	}
+	m.open = nil
+	return broken
+}
+
+// endUnder ends the engine because of what it runs.
+func (m *machine) endUnder() {
+	if !m.up {
+		return
+	}
+	m.crashEngine()
+	m.restart(m.world.span(engineBackSoonest, engineBackLatest))
+}
+
+// close ends a run whose answer is whole; false if its connection broke before.
+func (m *machine) close(run *openRun) bool {
+	for position, open := range m.open {
+		if open == run {
+			m.open = append(m.open[:position], m.open[position+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// noteBroken takes a request whose answer from a machine broke off.
+func (r *routerNode) noteBroken(machineName, life string, sent *content) {
+	run := quarantine.Run{Machine: life, Address: machineName, Identity: sent.identity}
+	switch r.crashes.Broken(r.wall(), run) {
+	case quarantine.NextExamine:
+		r.examine(run, r.world.Now()+examineTime)
+	case quarantine.NextRecord:
+		r.record([]quarantine.Run{run})
+	default:
+	}
+}
+
+// examine looks at a machine until it is known what has become of it.
+func (r *routerNode) examine(run quarantine.Run, until time.Duration) {
+	conclude := func(verdict quarantine.Verdict) {
+		if runs := r.crashes.Judged(r.wall(), run.Machine, verdict); len(runs) > 0 {
+			r.record(runs)
+		}
+	}
+	r.look(run, func(sign quarantine.Sign) {
+		if r.world.mutation == MutationResetCountsAsCrash && sign.Accepts {
+			sign.Accepts, sign.Refuses = false, true
+		}
+		switch verdict := sign.Judge(); {
+		case verdict != quarantine.VerdictNone:
+			conclude(verdict)
+		case r.world.Now() >= until:
+			conclude(quarantine.VerdictUnknown)
+		default:
+			r.after(probePause, func() { r.examine(run, until) })
+		}
+	})
+}
+
+// look takes what the view tells of a machine, and what its system does with a connection.
+func (r *routerNode) look(run quarantine.Run, done func(quarantine.Sign)) {
+	hit := r.world.machineNamed(run.Address)
+	sign := quarantine.Sign{}
+	if known, isKnown := r.view.Machine(run.Address); isKnown {
+		sign.Leaving = known.Status.Phase == v1.MachineLeaving || known.Status.Phase == v1.MachineGone
+	}
+	settled := false
+	settle := func() {
+		if !settled {
+			settled = true
+			done(sign)
+		}
+	}
+	r.after(probeTimeout, settle)
+	w := r.world
+	if hit.gone || !w.reaches(&r.process, &hit.process) || w.random.Float64() < w.network.loss {
+		return
+	}
+	w.After(2*baseDelay, func() {
+		sign.Accepts = hit.up && hit.life() == run.Machine
+		sign.Refuses = !hit.up
+		sign.Replaced = hit.up && hit.life() != run.Machine
+		r.run(r.epoch, settle)
+	})
+}
+
+// record proposes a crash until it is in the log and in the view.
+func (r *routerNode) record(runs []quarantine.Run) {
+	if r.world.mutation == MutationCrashesNotShared {
+		return
+	}
+	r.commit(quarantine.RecordCommand(runs[0].Machine, runs), func() { r.crashes.Recorded(runs) })
+}
+
+// commit proposes a command until there is an answer, and goes on once the view holds it.
+func (r *routerNode) commit(command *wirepb.Command, next func()) {
+	upstream := r.world.controls[r.upstream%controlCount]
+	call(&r.process, &upstream.process, recordLimit, func(reply func(outcome)) {
+		upstream.submit(command, reply)
+	}, func(answer outcome, answered bool) {
+		if !answered || answer.err != nil {
+			r.after(recordPause, func() { r.commit(command, next) })
+			return
+		}
+		r.awaitRevision(answer.result.GetWrite().GetRevision(), next)
+	})
+}
+
+func (r *routerNode) awaitRevision(revision uint64, next func()) {
+	if r.view.Revision() >= revision {
+		next()
+		return
+	}
+	r.after(pollInterval, func() { r.awaitRevision(revision, next) })
+}
+
+// noteWhole takes a request that a machine has run to the end.
+func (r *routerNode) noteWhole(sent *content) {
+	if r.crashes.Completed(sent.identity, r.view.Suspect(sent.identity) != nil) {
+		r.commit(quarantine.ClearCommand(sent.identity), func() { r.crashes.Cleared(sent.identity) })
+	}
+}
+
+// forgetConvictions is what a leader does first under MutationConvictionForgotten.
+func (c *controlNode) forgetConvictions() {
+	if c.world.mutation != MutationConvictionForgotten {
+		return
+	}
+	for _, object := range c.member.State.List(v1.KindSuspect) {
+		if identity, err := quarantine.ParseIdentity(object.GetName()); err == nil {
+			c.propose(quarantine.ClearCommand(identity), func(*wirepb.CommandResult, error) {})
+		}
+	}
+}
+
+const (
+	// lateAfter is how long after the third engine ended under a request it may still be sent
+	// on, and lateSends how often it may be after that.
+	lateAfter = 3 * time.Second
+	lateSends = 3
+	// crashesAllowed is how many engines may end before lateAfter begins.
+	crashesAllowed = 3
+)
+
+// crashTruth is what really happened under one request.
+type crashTruth struct {
+	// lives are the lives of engines that ended while the request was there, and near those
+	// that ended just after its connection had been reset: its router sees the same of both.
+	lives, near map[string]bool
+	// thirdAt is when the third ended; 0 before.
+	thirdAt time.Duration
+	// late counts what was sent on later than lateAfter after that.
+	late int
+	// whole is set once the request has run to its end.
+	whole bool
+}
+
+func (c *checks) truthOf(identity quarantine.Identity) *crashTruth {
+	held := c.crashes[identity]
+	if held == nil {
+		held = &crashTruth{lives: map[string]bool{}, near: map[string]bool{}}
+		c.crashes[identity] = held
+	}
+	return held
+}
+
+// endedUnder notes an engine that ended while a request was there.
+func (c *checks) endedUnder(life string, sent *content) {
+	held := c.truthOf(sent.identity)
+	held.lives[life] = true
+	if len(held.lives) == crashesAllowed && held.thirdAt == 0 {
+		held.thirdAt = c.world.Now()
+	}
+}
+
+// arrived checks a request that ends engines as it reaches one.
+func (c *checks) arrived(router *routerNode, sent *content) {
+	held := c.truthOf(sent.identity)
+	inContact := c.world.Now()-router.lastDigest < contact
+	calm := c.busy == 0 && c.world.Now()-c.quietSince > lateAfter
+	if !sent.culprit || held.thirdAt == 0 || c.world.Now()-held.thirdAt < lateAfter || !inContact || !calm {
+		return
+	}
+	held.late++
+	if held.late > lateSends {
+		c.violate(CheckRepeats, "%s sends on a request under which %d engines ended, the third %s ago",
+			router.name, len(held.lives), c.world.Now()-held.thirdAt)
+	}
+}
+
+// suspectSpecs returns what the log holds of requests under which engines ended.
+func (c *checks) suspectSpecs() map[string]v1.Spec {
+	if !c.world.breaksRuns {
+		return nil
+	}
+	specs := map[string]v1.Spec{}
+	for _, object := range c.truth.List(v1.KindSuspect) {
+		specs[object.GetName()] = c.truth.Spec(v1.KindSuspect, object.GetName())
+	}
+	return specs
+}
+
+// suspectChanged checks a record of the log against what really happened.
+func (c *checks) suspectChanged(event *wirepb.WatchEvent, before v1.Spec) {
+	identity, err := quarantine.ParseIdentity(event.GetObject().GetName())
+	if err != nil {
+		return
+	}
+	truth := c.truthOf(identity)
+	if event.GetDeleted() {
+		if held, isSuspect := before.(*v1.SuspectSpec); isSuspect && held.Quarantined && !truth.whole {
+			c.violate(CheckConvicted, "the conviction of %s is gone", identity)
+		}
+		return
+	}
+	spec, isSuspect := c.truth.Spec(v1.KindSuspect, event.GetObject().GetName()).(*v1.SuspectSpec)
+	if isSuspect && spec.Quarantined && len(truth.lives)+len(truth.near) < quarantine.CrashesToQuarantine {
+		c.violate(CheckConvicted, "%s is convicted, %d engines ended under it", identity, len(truth.lives))
+	}
+}
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -35,10 +35,18 @@
 	FaultMachineReclaimed Kind = "machine-reclaimed"
 	// FaultUnheardControl cuts what one control node says to the others.
 	FaultUnheardControl Kind = "unheard-control"
+	// FaultCrashingRequest is a caller that comes back with a request that ends each engine
+	// that runs it, while connections of engines that go on are reset as well.
+	FaultCrashingRequest Kind = "crashing-request"
+	// FaultSuspend is a sleep of the machine of a leader, another control node or a router.
+	FaultSuspend Kind = "suspended-node"
 )
 
-// Kinds lists the faults that schedules draw from. FaultUnheardControl is drawn apart, so that
-// the schedules of earlier seeds stay what they were.
+// KindsDrawnApart are the faults that schedules have besides those of Kinds, so that the
+// schedules of earlier seeds keep theirs.
+var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend}
+
+// Kinds lists the faults that schedules draw from.
 var Kinds = []Kind{
 	FaultCrashLeader, FaultCrashControl, FaultFreezeLeader, FaultCutLeader, FaultStopLeader, FaultLoseControl,
 	FaultDiskError, FaultCrashOnVote, FaultCutZone, FaultCutOneWay, FaultLoss, FaultDuplicate, FaultCrashRouter,
@@ -50,7 +58,7 @@
 type Fault struct {
 	// At is when it begins, from the start of the simulation.
 	At time.Duration `yaml:"at" json:"at"`
-	// Kind is one of Kinds, or FaultUnheardControl.
+	// Kind is one of Kinds or KindsDrawnApart.
 	Kind Kind `yaml:"kind" json:"kind"`
 	// For is how long it lasts, where that means something.
 	For time.Duration `yaml:"for" json:"for"`
@@ -66,8 +74,9 @@
 			return // There was nothing that it could hit.
 		}
 		w.faults[string(fault.Kind)]++
-		// Routers can leave a control node that is not heard: changes are due in time.
-		excuses := fault.Kind != FaultUnheardControl
+		// Routers can leave a control node that is not heard, and a request that ends engines
+		// keeps no node from the others: changes are due in time.
+		excuses := fault.Kind != FaultUnheardControl && fault.Kind != FaultCrashingRequest
 		if excuses {
 			w.checks.busy++
 		}
@@ -107,6 +116,12 @@
 		return w.cutZones(fault)
 	case FaultUnheardControl:
 		return w.muteControl(fault.Target)
+	case FaultCrashingRequest:
+		w.sendCulprit(fault.Target)
+		w.resetConnections(w.Now() + fault.For)
+		return nothing
+	case FaultSuspend:
+		return w.suspend(fault)
 	case FaultLoss:
 		w.network.loss = 0.2
 		return func() { w.network.loss = 0 }
@@ -189,6 +204,19 @@
 	return nothing
 }
 
+// suspend lets the machine of a process sleep.
+func (w *world) suspend(fault Fault) func() {
+	asleep := &w.routers[fault.Target%routerCount].process
+	switch leader := w.leader(); {
+	case fault.Target%3 == 0 && leader != nil:
+		asleep = &leader.process
+	case fault.Target%3 == 1:
+		asleep = &w.controls[fault.Target%controlCount].process
+	}
+	asleep.sleep(fault.For)
+	return nothing
+}
+
 // cutLeader cuts the leader off from everything, in silence.
 func (w *world) cutLeader() func() {
 	leader := w.leader()
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -8,6 +8,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -42,6 +43,7 @@
 	// seenRevision is the highest that this process has applied.
 	seenRevision uint64
 	draining     bool
+	crashes      *quarantine.Watch
 }
 
 // machineWatch is the agent's watch over one machine.
@@ -72,6 +74,7 @@
 	r.wasCurrent = false
 	r.seenRevision = 0
 	r.draining = false
+	r.crashes = quarantine.NewWatch()
 	r.every(pollInterval, r.poll)
 	r.every(agentInterval, r.watchMachines)
 	r.every(dispatchTick, func() {
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -59,6 +59,11 @@
 		MutationEarlyFree:   {CheckDecided, CheckMemory},
 
 		MutationDigestVouches: {CheckInForce},
+
+		MutationCrashesNotShared:    {CheckRepeats},
+		MutationConvictionForgotten: {CheckConvicted},
+		MutationResetCountsAsCrash:  {CheckConvicted},
+		MutationSteadyLease:         {CheckLease},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -58,6 +58,15 @@
 	// MutationDigestVouches: a digest is taken for proof that its server is up to date, and a
 	// control node serves although the leader does not hear it.
 	MutationDigestVouches Mutation = "digest-vouches"
+	// MutationCrashesNotShared: routers keep to themselves which engines ended under which
+	// requests.
+	MutationCrashesNotShared Mutation = "crashes-not-shared"
+	// MutationConvictionForgotten: a new leader begins without the convictions of the last.
+	MutationConvictionForgotten Mutation = "conviction-forgotten-by-new-leader"
+	// MutationResetCountsAsCrash: a connection that broke is taken for an engine that ended.
+	MutationResetCountsAsCrash Mutation = "reset-counts-as-crash"
+	// MutationSteadyLease: leases are measured by a clock that stands still during a sleep.
+	MutationSteadyLease Mutation = "lease-on-steady-clock"
 )
 
 // Mutations lists all but MutationNone. A forgotten vote is not among them:
@@ -66,6 +75,7 @@
 var Mutations = []Mutation{
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationDigestVouches,
+	MutationCrashesNotShared, MutationConvictionForgotten, MutationResetCountsAsCrash, MutationSteadyLease,
 }
 
 // world is one simulated cluster.
@@ -89,6 +99,11 @@
 	faults map[string]int
 	// crashOnVote makes every node that grants a vote crash and restart.
 	crashOnVote bool
+	// breaksRuns is set where requests learn that their engine has ended, or that their
+	// connection was reset, and their callers come back.
+	breaksRuns bool
+	// inferences and culprits count the requests of either sort.
+	inferences, culprits int
 	// orderDelay holds orders to engines back, as a slow link would.
 	orderDelay time.Duration
 }
@@ -101,6 +116,7 @@
 		faults: map[string]int{}, network: network{late: usuallyLate, cutZones: map[[2]string]bool{}},
 	}
 	w.checks = newChecks(w)
+	w.breaksRuns = schedule.has(FaultCrashingRequest)
 	w.register = &register{world: w}
 	w.ledger = newLedger(w)
 	w.store = weightStore{slowness: 1}
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// verdictLifetime is how long a verdict on a machine is kept for requests whose ends are
-	// noticed later, on other connections.
-	verdictLifetime = 10 * time.Second
+	// endedLifetime is for how long it is kept that a machine ended, for requests whose ends are
+	// noticed later, on other connections. No other verdict is kept: a machine that is alive now
+	// may end in the next moment.
+	endedLifetime = 10 * time.Second
 	// maxExamined bounds the machines that are looked at, or remembered, at a time. Beyond it
 	// crashes go unrecorded; a router has requests at so many machines only where all of them
 	// end at once, which one request does not do.
@@ -148,11 +149,12 @@
 	if held == nil {
 		return nil
 	}
-	runs := held.runs
-	held.verdict, held.until, held.runs = verdict, now.Add(verdictLifetime), nil
 	if verdict != VerdictEnded {
+		delete(w.examined, machine)
 		return nil
 	}
+	runs := held.runs
+	held.verdict, held.until, held.runs = verdict, now.Add(endedLifetime), nil
 	for _, run := range runs {
 		w.note(run)
 	}
