Refuse a quarantined request also where it waits for a place

Cause: a request was looked at when it came, and waited up to seconds for a model; convicted meanwhile, it was sent on. Change: looked at again when the place is granted; 503 not run, or 502 where an earlier attempt may have run.

--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -68,11 +68,7 @@
 	entry := &inference{router: r, id: r.requestID(), sent: sent}
 	deadline := r.world.span(2*time.Second, 8*time.Second)
 	target, known := r.view.Resolve(sent.model)
-	_, quarantined := r.crashes.Crashed(sent.identity, r.view.Suspect(sent.identity))
-	if quarantined && !sent.culprit {
-		r.world.checks.innocentsRefused++
-	}
-	if !r.serving() || !known || quarantined {
+	if !r.serving() || !known || r.isQuarantined(sent) {
 		entry.end(verdictNotRun)
 		return
 	}
@@ -85,6 +81,15 @@
 	r.deliver(r.core.Submit(r.wall(), entry.request))
 }
 
+// isQuarantined reports whether a request must not be sent to any engine.
+func (r *routerNode) isQuarantined(sent *content) bool {
+	_, quarantined := r.crashes.Crashed(sent.identity, r.view.Suspect(sent.identity))
+	if quarantined && !sent.culprit {
+		r.world.checks.innocentsRefused++
+	}
+	return quarantined
+}
+
 func (r *routerNode) requestID() string {
 	return r.name + "/" + strconv.FormatUint(r.incarnation, 10) + "/" + strconv.FormatUint(r.requests, 10)
 }
@@ -114,7 +119,13 @@
 	for _, grant := range outcome.Grants {
 		entry := r.waiting[grant.Request.ID]
 		delete(r.waiting, grant.Request.ID)
-		if entry != nil {
+		switch {
+		case entry == nil:
+		case r.isQuarantined(entry.sent):
+			// It was let in before, and has waited for a place meanwhile.
+			entry.end(verdictNotRun)
+			r.deliver(r.core.Release(r.wall(), grant, dispatch.ResultNotRun))
+		default:
 			r.sendToEngine(entry, grant)
 		}
 	}
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -227,3 +227,26 @@
 		t.Errorf("the request itself is answered with %d %q", got.status, got.body)
 	}
 }
+
+// TestRequestThatWaitsIsRefusedOnceQuarantined: it was let in before, and waits for a machine.
+func TestRequestThatWaitsIsRefusedOnceQuarantined(t *testing.T) {
+	fleet := newCrashFleet(t, 1, 4, v1.RouteStream, 1)
+	waiting := newDeployment(t)
+	waiting.log = fleet.log
+	fleet.log.routers = append(fleet.log.routers, waiting)
+	waiting.serve(v1.RouteStream, 1, 10*time.Second)
+	answered := make(chan reply, 1)
+	go func() { answered <- waiting.ask("POST", "/a/x", "waits", crashBody) }()
+	<-waiting.waits
+	fleet.askCulprit(0, "o")
+	fleet.askCulprit(0, "p")
+	machine := fleet.newMachine(t)
+	waiting.revision = waiting.view.Revision()
+	waiting.apply(waiting.machine("m9", machine.address))
+	if got := <-answered; got.status != 503 || !strings.Contains(got.body, "/quarantined") {
+		t.Errorf("answered with %d %q (%v)", got.status, got.body, got.err)
+	}
+	if seen := machine.requests(); len(seen) != 0 {
+		t.Errorf("the machine got %d requests", len(seen))
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -197,10 +197,8 @@
 			j.refuse(ctx, refusal)
 			return endNotRun
 		}
-		if j.remaining() <= 0 {
-			// The machine slept beyond the deadline, which no timer has noticed.
+		if j.mustNotRun(ctx) {
 			j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
-			j.giveUp(ctx, endNotRun)
 			return endNotRun
 		}
 		end := j.attempt(ctx, grant)
@@ -222,6 +220,25 @@
 	}
 }
 
+// mustNotRun answers a request that has been granted a place and must not be sent there any
+// more: what it waited for took too long.
+func (j *job) mustNotRun(ctx context.Context) bool {
+	document := j.quarantined()
+	switch {
+	case document != nil && !j.mayHaveRun:
+		// It was convicted while it waited.
+		j.fail(document, quarantineRetryAfter)
+	case document != nil:
+		j.giveUp(ctx, endFailed)
+	case j.remaining() <= 0:
+		// The machine slept beyond the deadline, which no timer has noticed.
+		j.giveUp(ctx, endNotRun)
+	default:
+		return false
+	}
+	return true
+}
+
 // remaining is how much of the request's time is left. A sleep of the machine has used up some
 // of it, though the steady clock has not counted that.
 func (j *job) remaining() time.Duration {
