Keep the product's own gateway from sending on what ends engines

Cause: the same class beside the users' path. The gateway sends a request that got no answer to up to three engines, and its caller comes back: one request ended 5 of 10 engines in six sends and went on. Ruled out: a watcher of its own: crashes are watched by one package for both (crashwatch, moved from ingress); machines that start again under the same name are told apart by their incarnation. Change: crashwatch.Watcher, used by ingress and gateway; the gateway looks before each attempt and records what broke once an engine had it. Dials that failed are no crash of this request.

--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -1,7 +1,6 @@
 package faultsim
 
 import (
-	"strconv"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -131,11 +130,7 @@
 
 // life names one life of the machine's engine.
 func (m *machine) life() string {
-	return lifeOf(m.name, m.incarnation)
-}
-
-func lifeOf(machine string, incarnation uint64) string {
-	return machine + "/" + strconv.FormatUint(incarnation, 10)
+	return quarantine.LifeOf(m.name, m.incarnation)
 }
 
 // breakRuns breaks the connections of all that runs, and returns what that was.
@@ -171,7 +166,7 @@
 
 // noteBroken takes a request whose answer from a machine broke off.
 func (r *routerNode) noteBroken(machineName, life string, sent *content) {
-	run := quarantine.Run{Machine: life, Address: machineName, Identity: sent.identity}
+	run := quarantine.Run{Machine: machineName, Life: life, Identity: sent.identity}
 	switch r.crashes.Broken(r.wall(), run) {
 	case quarantine.NextExamine:
 		r.examine(run, r.world.Now()+examineTime)
@@ -184,7 +179,7 @@
 // examine looks at a machine until it is known what has become of it.
 func (r *routerNode) examine(run quarantine.Run, until time.Duration) {
 	conclude := func(verdict quarantine.Verdict) {
-		if runs := r.crashes.Judged(r.wall(), run.Machine, verdict); len(runs) > 0 {
+		if runs := r.crashes.Judged(r.wall(), run.Life, verdict); len(runs) > 0 {
 			r.record(runs)
 		}
 	}
@@ -205,9 +200,9 @@
 
 // look takes what the view tells of a machine, and what its system does with a connection.
 func (r *routerNode) look(run quarantine.Run, done func(quarantine.Sign)) {
-	hit := r.world.machineNamed(run.Address)
+	hit := r.world.machineNamed(run.Machine)
 	sign := quarantine.Sign{}
-	if known, isKnown := r.view.Machine(run.Address); isKnown {
+	if known, isKnown := r.view.Machine(run.Machine); isKnown {
 		sign.Leaving = known.Status.Phase == v1.MachineLeaving || known.Status.Phase == v1.MachineGone
 	}
 	settled := false
@@ -223,9 +218,9 @@
 		return
 	}
 	w.After(2*baseDelay, func() {
-		sign.Accepts = hit.up && hit.life() == run.Machine
+		sign.Accepts = hit.up && hit.life() == run.Life
 		sign.Refuses = !hit.up
-		sign.Replaced = hit.up && hit.life() != run.Machine
+		sign.Replaced = hit.up && hit.life() != run.Life
 		r.run(r.epoch, settle)
 	})
 }
@@ -235,7 +230,7 @@
 	if r.world.mutation == MutationCrashesNotShared {
 		return
 	}
-	r.commit(quarantine.RecordCommand(runs[0].Machine, runs), func() { r.crashes.Recorded(runs) })
+	r.commit(quarantine.RecordCommand(runs[0].Life, runs), func() { r.crashes.Recorded(runs) })
 }
 
 // commit proposes a command until there is an answer, and goes on once the view holds it.
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -7,6 +7,7 @@
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -170,10 +171,10 @@
 	replicas, _ := r.view.ReplicasOn(target.Machine)
 	for _, held := range replicas {
 		if held.Object.GetName() == target.Replica {
-			return lifeOf(target.Machine, held.Spec.Incarnation)
+			return quarantine.LifeOf(target.Machine, held.Spec.Incarnation)
 		}
 	}
-	return lifeOf(target.Machine, 0)
+	return quarantine.LifeOf(target.Machine, 0)
 }
 
 // tryAgain lets the caller of a request that broke off come back, as callers do.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,6 +31,9 @@
 	defer stop()
 	response, err := g.engines.Do(engineRequest(ctx, created, grant, attemptID))
 	if err != nil {
+		if ctx.Err() == nil && !notConnected(err) {
+			g.noteBroken(created, grant)
+		}
 		return failedBy(waiting)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -45,7 +48,7 @@
 		return endFailed
 	}
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), eventStream) {
-		return g.passPlain(waiting, writer, created, response)
+		return g.passPlain(ctx, waiting, writer, created, grant, response)
 	}
 	relay := &streamRelay{gateway: g, writer: writer, created: created, grant: grant, attemptID: attemptID, waiting: waiting}
 	return relay.run(ctx, stop, response)
@@ -78,9 +81,12 @@
 
 // passPlain reads the whole answer before the caller sees any of it, so that
 // a broken one can be tried again.
-func (g *Gateway) passPlain(waiting context.Context, writer http.ResponseWriter, created *job, response *http.Response) attemptEnd {
+func (g *Gateway) passPlain(ctx, waiting context.Context, writer http.ResponseWriter, created *job, grant *dispatch.Grant, response *http.Response) attemptEnd {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainAnswer+1))
 	if err != nil {
+		if ctx.Err() == nil {
+			g.noteBroken(created, grant)
+		}
 		return failedBy(waiting)
 	}
 	if len(body) > maxPlainAnswer {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/weldline/weldline/internal/claims"
+	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/feed"
@@ -51,6 +52,7 @@
 	limits     *limits.Enforcer
 	claims     *claims.Keeper
 	budget     *retryBudget
+	crashes    *crashwatch.Watcher
 	engines    *http.Client
 	// once sends requests that may not be repeated: each on a connection of
 	// its own, so that a failed dial proves that nothing was sent.
@@ -68,6 +70,9 @@
 	gateway := &Gateway{
 		options: options, router: mux.NewRouter(), limits: limits.New(),
 		claims: claims.NewKeeper(options.Propose), budget: newRetryBudget(),
+		crashes: crashwatch.New(crashwatch.Options{
+			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(dialer),
+		}),
 		engines: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerEngine,
 			IdleConnTimeout: idleConnTimeout, DisableCompression: true,
@@ -140,6 +145,7 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	workers.Go(func() { g.claims.Run(ctx) })
+	workers.Go(func() { g.crashes.Run(ctx) })
 	workers.Go(func() { g.dispatcher.Tick(ctx) })
 	workers.Go(func() { g.services.Tick(ctx) })
 	workers.Go(func() { g.dispatcher.FollowDigests(ctx, g.options.View) })
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -74,6 +74,9 @@
 func (g *Gateway) runInference(parent context.Context, writer http.ResponseWriter, created *job) string {
 	ctx, cancel := created.context(parent)
 	defer cancel()
+	if document := g.quarantined(created); document != nil {
+		return g.answerQuarantined(writer, created, document, false)
+	}
 	wanted := &dispatch.Request{
 		Version: created.target.Version, Adapter: created.target.Adapter, Priority: created.spec.Priority,
 		Arrived: created.arrived, Deadline: created.deadline, Prefix: created.prefix,
@@ -84,6 +87,10 @@
 		if refusal != nil {
 			return g.answerRefusal(writer, created, refusal, failures > 0)
 		}
+		if document := g.quarantined(created); document != nil {
+			g.dispatcher.Release(grant, dispatch.ResultNotRun)
+			return g.answerQuarantined(writer, created, document, failures > 0)
+		}
 		if grant.Cold {
 			waited := time.Since(created.arrived)
 			g.options.Metrics.coldWait.Observe(waited.Seconds())
@@ -94,6 +101,7 @@
 		g.options.Metrics.attempts.WithLabelValues(end.String()).Inc()
 		switch end {
 		case endAnswered, endBroken:
+			g.noteCompleted(created, end)
 			return end.String()
 		case endDeadline:
 			g.failUnknown(writer, created, "no answer from the engine before the deadline")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.copyEvents(response, cancel, stop)
+	if !s.finished && !s.callerGone && ctx.Err() == nil {
+		s.gateway.noteBroken(s.created, s.grant)
+	}
 	for resumes := 0; !s.finished && !s.callerGone; resumes++ {
 		if s.passed == 0 {
 			return failedBy(s.waiting)
--- /dev/null
+++ b/internal/gateway/suspect.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/upstream"
+)
+
+// identity tells the request by what it is.
+func (j *job) identity() quarantine.Identity {
+	return quarantine.Identify(quarantine.Content{Tenant: j.caller, Method: http.MethodPost, Target: j.path, Body: j.body})
+}
+
+// quarantined returns the answer to a request that must not run any more; nil for any other.
+// While engines have ended under no request at all, nothing is hashed.
+func (g *Gateway) quarantined(created *job) *problem.Document {
+	if !g.crashes.Suspects() {
+		return nil
+	}
+	identity := created.identity()
+	machines, quarantined := g.crashes.Crashed(identity)
+	if !quarantined {
+		return nil
+	}
+	detail := "request " + identity.String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
+	document := problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
+	document.RetryAfter = quarantine.RetryAfter
+	return document
+}
+
+func (g *Gateway) answerQuarantined(writer http.ResponseWriter, created *job, document *problem.Document, mayHaveRun bool) string {
+	if mayHaveRun {
+		g.failEngine(writer, created)
+		return "failed"
+	}
+	g.refuse(writer, created.id, document)
+	return "refused"
+}
+
+// noteBroken takes a request whose connection broke once the engine had it.
+func (g *Gateway) noteBroken(created *job, grant *dispatch.Grant) {
+	life := grant.Target.Machine
+	replicas, _ := g.options.View.ReplicasOn(grant.Target.Machine)
+	for _, held := range replicas {
+		if held.Object.GetName() == grant.Target.Replica {
+			life = quarantine.LifeOf(grant.Target.Machine, held.Spec.Incarnation)
+		}
+	}
+	g.crashes.Broken(quarantine.Run{
+		Machine: grant.Target.Machine, Life: life, Address: upstream.AddressOf(grant.Target.Endpoint),
+		Identity: created.identity(), Route: created.service, Tenant: created.caller,
+	})
+}
+
+// noteCompleted takes a request that an engine has run to its end.
+func (g *Gateway) noteCompleted(created *job, end attemptEnd) {
+	if end == endAnswered && g.crashes.Suspects() {
+		g.crashes.Completed(created.identity())
+	}
+}
+
+// notConnected reports whether an exchange failed before the engine had anything of it.
+func notConnected(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/clock"
+	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
+	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
@@ -52,7 +54,7 @@
 	// Nudge asks for a report of demand to the control plane soon.
 	Nudge func()
 	// Propose carries a command to the leader. An error leaves open whether it was carried out.
-	Propose func(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
+	Propose feed.ProposeFunc
 	// Slept returns for how long the machine has slept in all, like clock.Slept, which it is by
 	// default.
 	Slept func() time.Duration
@@ -67,7 +69,7 @@
 	upstream   *upstream.Pool
 
 	quotas  *quotas
-	crashes *crashWatch
+	crashes *crashwatch.Watcher
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -94,10 +96,17 @@
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatch(options, pool.Probe),
+		upstream: pool, crashes: newCrashWatcher(options, pool),
 	}
 }
 
+func newCrashWatcher(options Options, pool *upstream.Pool) *crashwatch.Watcher {
+	return crashwatch.New(crashwatch.Options{
+		View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: pool.Probe,
+		Examined: options.Metrics.observeExamined,
+	})
+}
+
 // Run keeps the routes and targets in step with the view until ctx ends.
 func (i *Ingress) Run(ctx context.Context) {
 	var workers sync.WaitGroup
@@ -105,7 +114,7 @@
 	workers.Go(func() { i.dispatcher.Tick(ctx) })
 	workers.Go(func() { i.dispatcher.FollowDigests(ctx, i.options.View) })
 	workers.Go(func() { i.quotas.follow(ctx, i.options.View, i.options.Nudge) })
-	workers.Go(func() { i.crashes.run(ctx) })
+	workers.Go(func() { i.crashes.Run(ctx) })
 	workers.Go(func() { i.retainConnections(ctx) })
 	for {
 		changed := i.options.View.Changed()
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/quarantine"
 )
 
 // Metrics are the ingress's metrics.
@@ -60,6 +61,11 @@
 	m.tenants.WithLabelValues(m.seriesOf(tenant), outcome).Inc()
 }
 
+// observeExamined counts a machine whose answers broke off.
+func (m *Metrics) observeExamined(verdict quarantine.Verdict) {
+	m.crashes.WithLabelValues(verdict.String()).Inc()
+}
+
 func (m *Metrics) seriesOf(tenant string) string {
 	m.seriesMutex.Lock()
 	defer m.seriesMutex.Unlock()
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -24,10 +24,10 @@
 // quarantined returns the answer to a request that must not run any more; nil for any other.
 // While machines have ended under no request at all, nothing is hashed.
 func (j *job) quarantined() *problem.Document {
-	if !j.ingress.crashes.suspects() {
+	if !j.ingress.crashes.Suspects() {
 		return nil
 	}
-	machines, quarantined := j.ingress.crashes.crashed(j.identity())
+	machines, quarantined := j.ingress.crashes.Crashed(j.identity())
 	if !quarantined {
 		return nil
 	}
@@ -41,13 +41,13 @@
 	watch := j.ingress.crashes
 	switch end {
 	case endAnswered, endErrorAnswered, endError:
-		if watch.suspects() {
-			watch.completed(j.identity())
+		if watch.Suspects() {
+			watch.Completed(j.identity())
 		}
 	case endBroken, endFailed:
 		if ctx.Err() == nil {
-			watch.broken(quarantine.Run{
-				Machine: grant.Target.Machine, Address: addressOf(grant), Identity: j.identity(), Route: j.route.Name, Tenant: j.tenant.name,
+			watch.Broken(quarantine.Run{
+				Machine: grant.Target.Machine, Life: grant.Target.Machine, Address: addressOf(grant), Identity: j.identity(), Route: j.route.Name, Tenant: j.tenant.name,
 			})
 		}
 	}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -13,6 +13,10 @@
 // met it again, and one whole run clears them.
 const CrashesToQuarantine = 2
 
+// RetryAfter is when the caller of a quarantined request is told to come back. Only an operator
+// lets the request run again, so soon is of no use.
+const RetryAfter = 10 * time.Minute
+
 // AddCrash returns the record of a request after a machine has ended under it, and whether
 // that is news. Held is nil for a request without a record.
 func AddCrash(held *v1.SuspectSpec, machine string, at time.Time) (*v1.SuspectSpec, bool) {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -19,15 +20,28 @@
 	maxExamined = 256
 	// maxRuns bounds the requests remembered of one machine while it is looked at.
 	maxRuns = 256
+	// firstIncarnation is that of every machine that registers.
+	firstIncarnation = 1
 )
 
 // Run is a request whose answer from a machine broke off, or did not come.
 type Run struct {
-	// Machine is the machine's name, another one for each life of its process, and Address
-	// where it takes connections.
+	// Machine is the machine's name, and Address where it takes connections.
 	Machine, Address string
-	Identity         Identity
-	Route, Tenant    string
+	// Life names the life of the machine's process; see LifeOf.
+	Life          string
+	Identity      Identity
+	Route, Tenant string
+}
+
+// LifeOf names one life of a machine's process: its name, and its incarnation where it starts
+// again under the same name. Machines that register have a new name in each life, and all the
+// first incarnation.
+func LifeOf(machine string, incarnation uint64) string {
+	if incarnation <= firstIncarnation {
+		return machine
+	}
+	return machine + "/" + strconv.FormatUint(incarnation, 10)
 }
 
 // Verdict is what has become of a machine whose answers broke off.
@@ -90,7 +104,7 @@
 // and beside it. It is not safe for concurrent use.
 type Watch struct {
 	examined map[string]*examination
-	// own are the crashes that the router's view may not hold yet: the machines, by request.
+	// own are the crashes that the router's view may not hold yet: the lives, by request.
 	own map[Identity][]string
 	// clearing are the requests whose records are being dropped.
 	clearing map[Identity]bool
@@ -117,17 +131,17 @@
 
 // Broken takes a run.
 func (w *Watch) Broken(now time.Time, run Run) Next {
-	for machine, held := range w.examined {
+	for life, held := range w.examined {
 		if held.verdict != VerdictNone && now.After(held.until) {
-			delete(w.examined, machine)
+			delete(w.examined, life)
 		}
 	}
-	held := w.examined[run.Machine]
+	held := w.examined[run.Life]
 	switch {
 	case held == nil && len(w.examined) >= maxExamined:
 		return NextDropped
 	case held == nil:
-		w.examined[run.Machine] = &examination{runs: []Run{run}}
+		w.examined[run.Life] = &examination{runs: []Run{run}}
 		return NextExamine
 	case held.verdict == VerdictNone && len(held.runs) < maxRuns:
 		held.runs = append(held.runs, run)
@@ -138,19 +152,19 @@
 	return NextNothing
 }
 
-// Forget drops a machine that can't be examined.
-func (w *Watch) Forget(machine string) {
-	delete(w.examined, machine)
+// Forget drops a life that can't be examined.
+func (w *Watch) Forget(life string) {
+	delete(w.examined, life)
 }
 
-// Judged takes the verdict on a machine and returns the runs to be recorded.
-func (w *Watch) Judged(now time.Time, machine string, verdict Verdict) []Run {
-	held := w.examined[machine]
+// Judged takes the verdict on one life of a machine and returns the runs to be recorded.
+func (w *Watch) Judged(now time.Time, life string, verdict Verdict) []Run {
+	held := w.examined[life]
 	if held == nil {
 		return nil
 	}
 	if verdict != VerdictEnded {
-		delete(w.examined, machine)
+		delete(w.examined, life)
 		return nil
 	}
 	runs := held.runs
@@ -163,15 +177,15 @@
 
 // note makes the router heed a crash at once.
 func (w *Watch) note(run Run) {
-	if !slices.Contains(w.own[run.Identity], run.Machine) {
-		w.own[run.Identity] = append(w.own[run.Identity], run.Machine)
+	if !slices.Contains(w.own[run.Identity], run.Life) {
+		w.own[run.Identity] = append(w.own[run.Identity], run.Life)
 	}
 }
 
 // Recorded drops runs that the router's view holds by now.
 func (w *Watch) Recorded(runs []Run) {
 	for _, run := range runs {
-		left := slices.DeleteFunc(w.own[run.Identity], func(machine string) bool { return machine == run.Machine })
+		left := slices.DeleteFunc(w.own[run.Identity], func(life string) bool { return life == run.Life })
 		if len(left) == 0 {
 			delete(w.own, run.Identity)
 			continue
@@ -225,9 +239,9 @@
 	return len(w.own) == 0 && len(w.clearing) == 0
 }
 
-// RecordCommand is the command that records runs at one machine.
-func RecordCommand(machine string, runs []Run) *wirepb.Command {
-	command := &wirepb.RecordCrashCommand{Machine: machine}
+// RecordCommand is the command that records runs at one life of a machine.
+func RecordCommand(life string, runs []Run) *wirepb.Command {
+	command := &wirepb.RecordCrashCommand{Machine: life}
 	for _, run := range runs {
 		command.Requests = append(command.Requests, &wirepb.SuspectRequest{Identity: run.Identity[:], Route: run.Route, Tenant: run.Tenant})
 	}
--- a/internal/quarantine/watch_test.go
+++ b/internal/quarantine/watch_test.go
@@ -30,7 +30,7 @@
 var watchStart = time.Unix(1_000, 0)
 
 func runAt(machine string, number int) Run {
-	return Run{Machine: machine, Identity: Identify(Content{Target: fmt.Sprintf("/x/%d", number)})}
+	return Run{Machine: machine, Life: machine, Identity: Identify(Content{Target: fmt.Sprintf("/x/%d", number)})}
 }
 
 func TestWatchHeedsACrashBeforeTheLogDoes(t *testing.T) {
@@ -122,3 +122,12 @@
 		t.Error("one whose record stayed is not cleared again")
 	}
 }
+
+func TestLifeOf(t *testing.T) {
+	if registered := LifeOf("i-1", 1); registered != "i-1" {
+		t.Errorf("a machine that registered: %s", registered)
+	}
+	if first, second := LifeOf("m", 7), LifeOf("m", 8); first == second || first != "m/7" {
+		t.Errorf("two lives of one machine: %s and %s", first, second)
+	}
+}
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -6,6 +6,7 @@
 package tcpopt
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -33,6 +34,12 @@
 	return failure
 }
 
+// Refused reports whether a connection was refused, as the system of a machine does whose
+// process has ended. One that is cut off lets the time run out.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Apply sets the options on an accepted connection, if it is one of TCP.
 func Apply(connection net.Conn) {
 	accepted, isTCP := connection.(*net.TCPConn)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,10 +16,8 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -102,13 +100,12 @@
 	return network, err
 }
 
-// Probe tells whether a machine takes connections: nil if it does, and whether it refuses
-// them, as the system of a machine does whose process has ended. One that is cut off does
-// neither before the time is over.
+// Probe tells whether a machine takes connections: no error if it does, and whether it refuses
+// them.
 func (p *Pool) Probe(ctx context.Context, machine, address string) (refused bool, err error) {
 	network, err := p.dial(ctx, machine, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
+		return tcpopt.Refused(err), fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
 	_ = network.Close()
 	return false, nil
