Pause loads of a version under which machines ended

A version whose load ends its machine is loaded on the next one as soon as the last is lost, while anybody waits for it: nothing remembers. Ruled out: memory of the leader alone (the next one begins anew); the first crash (may be chance); planned ends (the machine said so). Change: a machine that is gone while it loads is recorded under the version's load, in the log, as requests are; from the second on a pause of 10 s, doubled up to 5 minutes; one that is lost counts before it is known to be gone; a load that succeeds clears it.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -425,7 +425,7 @@
 }
 
 func (n *Node) leave(ctx context.Context, report *wirepb.InstanceReport, phase v1.MachinePhase) error {
-	command := &wirepb.RegisterCommand{Machine: report.GetMachine(), Phase: string(phase), Reason: "said so"}
+	command := &wirepb.RegisterCommand{Machine: report.GetMachine(), Phase: string(phase), Reason: instances.ReasonSaidSo}
 	if report.GetEndpoint() != "" {
 		if registration := instances.Registration(report, nil); registration != nil {
 			command.Spec = registration.GetSpec()
@@ -435,7 +435,7 @@
 	if err != nil {
 		return err
 	}
-	n.logger.Info("machine_"+string(phase), "machine", report.GetMachine(), "reason", "said so", "revision", result.GetWrite().GetRevision())
+	n.logger.Info("machine_"+string(phase), "machine", report.GetMachine(), "reason", instances.ReasonSaidSo, "revision", result.GetWrite().GetRevision())
 	return nil
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -171,12 +171,35 @@
 	l.node.Read(l.controller.Observe)
 	decision := l.controller.DecideReplicas(l.node.now(), started)
 	l.node.metrics.decideSeconds.Observe(time.Since(started).Seconds())
+	for _, command := range decision.Commands {
+		if !l.recordLoad(ctx, command) {
+			return // The records of the replicas stay, and tell the next pass.
+		}
+	}
 	for _, action := range decision.Actions {
 		l.logAction(action)
 	}
 	l.write(ctx, decision.Writes)
 }
 
+// recordLoad commits what came of a load, and reports whether it is in the log.
+func (l *leader) recordLoad(ctx context.Context, command *wirepb.Command) bool {
+	var result *wirepb.CommandResult
+	var err error
+	l.awaitLog(func() { result, err = l.commit(ctx, command) })
+	if err != nil {
+		l.node.logger.Warn("load_not_recorded", "error", fault.Message(err))
+		return false
+	}
+	if result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		l.node.logger.Warn("load_not_recorded", "error", result.GetMessage())
+		return true // The log refuses it, and would again.
+	}
+	crash := command.GetRecordCrash()
+	l.node.logger.Info("load_recorded", "machine", crash.GetMachine(), "ended", crash != nil, "revision", result.GetWrite().GetRevision())
+	return true
+}
+
 func (l *leader) logAction(action placement.Action) {
 	l.node.metrics.decisions.WithLabelValues(string(action.Kind)).Inc()
 	if action.Replica != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -121,6 +121,8 @@
 type ReplicaDecision struct {
 	Actions []placement.Action
 	Writes  []*wirepb.ObjectWrite
+	// Commands record what came of loads; they go before the writes, which drop what tells.
+	Commands []*wirepb.Command
 }
 
 // DecideReplicas returns the next changes of replica records, by the state observed last. The
@@ -137,7 +139,9 @@
 		c.lastDigest = 0
 	}
 	c.estimates = decision.Estimates
-	return ReplicaDecision{Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions)}
+	return ReplicaDecision{
+		Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions), Commands: view.loadCommands(decision.Actions),
+	}
 }
 
 // Work returns the averaged rate of work of each version, in tokens per second.
--- /dev/null
+++ b/internal/controller/loadcrash_test.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+func apply(t *testing.T, machine *state.Machine, commands []*wirepb.Command) {
+	t.Helper()
+	for _, command := range commands {
+		encoded, err := proto.Marshal(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result := machine.Apply(encoded); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+			t.Fatal(result.GetMessage())
+		}
+	}
+}
+
+func loading(machine string) *placement.Replica {
+	return &placement.Replica{Name: "r-" + machine, Spec: &v1.ReplicaSpec{
+		Model: "blue", Version: "blue@1", Machine: machine, Incarnation: state.RegisteredIncarnation, Phase: v1.ReplicaLoading,
+	}}
+}
+
+// TestNextLeaderKnowsLoadsThatEndedMachines: what the log has, a new term begins with.
+func TestNextLeaderKnowsLoadsThatEndedMachines(t *testing.T) {
+	machine := fleetState(t)
+	declareDefault(t, machine, "blue")
+	gone := func(name string) placement.Action {
+		return placement.Action{Kind: placement.ActionRemove, Replica: loading(name), Reason: "machine-gone"}
+	}
+	view := readState(machine)
+	commands := view.loadCommands([]placement.Action{gone("i-1"), gone("i-2"), {Kind: placement.ActionUnload, Replica: loading("i-3")}})
+	if len(commands) != 2 {
+		t.Fatalf("%d commands for two machines that ended", len(commands))
+	}
+	apply(t, machine, commands)
+	apply(t, machine, commands) // Sent again after a lost answer.
+	next := readState(machine)
+	if crashes := next.loadCrashes["blue@1"]; crashes.Count != 2 {
+		t.Errorf("the next leader knows of %d crashes, not 2", crashes.Count)
+	}
+	if crashes := next.loadCrashes["red@1"]; crashes.Count != 0 {
+		t.Errorf("the other version has %d crashes", crashes.Count)
+	}
+	apply(t, machine, next.loadCommands([]placement.Action{{Kind: placement.ActionReady, Replica: loading("i-4")}}))
+	if crashes := readState(machine).loadCrashes["blue@1"]; crashes.Count != 0 {
+		t.Errorf("%d crashes are left once it was loaded", crashes.Count)
+	}
+	if commands := readState(machine).loadCommands([]placement.Action{{Kind: placement.ActionReady, Replica: loading("i-5")}}); len(commands) != 0 {
+		t.Errorf("%d commands for a load like any other", len(commands))
+	}
+}
+
+// declareDefault makes the one version of a model its default, so that it is placed.
+func declareDefault(t *testing.T, machine *state.Machine, model string) {
+	t.Helper()
+	spec := []byte(`{"defaultVersion":"` + model + `@1"}`)
+	apply(t, machine, []*wirepb.Command{{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{
+		Writes: []*wirepb.ObjectWrite{{Object: &wirepb.Object{Kind: string(v1.KindModel), Name: model, Spec: spec}}},
+	}}}})
+}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -28,6 +28,10 @@
 	limits map[string]quota.Limit
 	// placed are the versions that may be loaded.
 	placed map[string]*placement.Version
+	// suspects are what machines ended under, by the name of the record.
+	suspects map[string]*v1.SuspectSpec
+	// loadCrashes are those of them that are loads, by version.
+	loadCrashes map[string]placement.LoadCrashes
 }
 
 type storedReplica struct {
@@ -68,11 +72,13 @@
 	view := &storedView{
 		revision: machine.Revision(), models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{}, pools: map[string]*v1.PoolSpec{}, limits: map[string]quota.Limit{},
+		suspects: map[string]*v1.SuspectSpec{},
 	}
 	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
 		view.add(object, spec, machine.MachineStatus(object.GetName()))
 	})
 	view.placed = view.placementVersions()
+	view.loadCrashes = view.crashesUnderLoads()
 	return view
 }
 
@@ -92,6 +98,8 @@
 		v.machines[object.GetName()] = machines.Declared{Object: object, Spec: typed, Status: status}
 	case *v1.ReplicaSpec:
 		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
+	case *v1.SuspectSpec:
+		v.suspects[object.GetName()] = typed
 	}
 }
 
@@ -110,6 +118,7 @@
 		Now: now, Versions: v.placed, Machines: v.placementMachines(),
 		Demand: v.demand(),
 	}
+	input.LoadCrashes = v.loadCrashes
 	input.StoreLoadsPerSecond, input.StoreConcurrentLoads = v.storeLimits()
 	for _, replica := range v.replicas {
 		input.Replicas = append(input.Replicas, v.placementReplica(replica))
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -233,6 +233,9 @@
 	c.write(decider.MachineWrites(c.clock(), c.world.list.read(&c.process)), func() {
 		decider.Observe(c.member.State)
 		decision := decider.DecideReplicas(c.clock(), c.wall())
+		for _, command := range decision.Commands {
+			c.propose(command, func(*wirepb.CommandResult, error) {})
+		}
 		c.write(c.mutated(decision.Writes), func() { c.finishPass(decider) })
 	})
 }
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -144,6 +144,9 @@
 	return commands
 }
 
+// ReasonSaidSo is the reason for a phase that the machine itself told of: a planned end.
+const ReasonSaidSo = "said so"
+
 // Registration returns the command that records a machine for the first time,
 // or nil while its pool is not declared: the room that it has is the pool's.
 func Registration(report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec) *wirepb.RegisterCommand {
@@ -204,7 +207,7 @@
 	case phase == v1.MachineLeaving:
 		return nil
 	case heard && entry.Report.GetLeaving():
-		return transition(name, v1.MachineLeaving, "said so")
+		return transition(name, v1.MachineLeaving, ReasonSaidSo)
 	case phase == v1.MachineLost:
 		return t.recover(input, name, entry, heard && silent <= lostAfter)
 	case silent > lostAfter:
--- /dev/null
+++ b/internal/placement/loadcrash_test.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// loadUntilCrash plays a minute in which each machine that begins to load the wanted version
+// ends 100 ms later, is lost 900 ms after that, and known to be gone after 3 s more. It returns
+// how many machines ended.
+func loadUntilCrash(planner *Planner, remembers bool) int {
+	const (
+		step     = 100 * time.Millisecond
+		lostIn   = time.Second
+		goneIn   = 4 * time.Second
+		machines = 60
+	)
+	input := placeInput(1)
+	input.Versions["wanted"].MaxReplicas = machines
+	input.Machines = map[string]*Machine{}
+	for number := range machines {
+		name := fmt.Sprintf("m-%02d", number)
+		input.Machines[name] = &Machine{Name: name, Accelerators: 1, AcceleratorBytes: 80 * gibibyte, Incarnation: 1, Accepts: true, Tiers: map[string]Tier{}}
+	}
+	input.LoadCrashes = map[string]LoadCrashes{}
+	began := map[string]time.Time{}
+	for range 600 {
+		input.Now = input.Now.Add(step)
+		input.Demand["wanted"].OldestWait += step
+		for name, at := range began {
+			machine := input.Machines[name]
+			if machine != nil && input.Now.Sub(at) >= lostIn {
+				machine.Lost, machine.Accepts = true, false
+			}
+			if machine != nil && input.Now.Sub(at) >= goneIn {
+				delete(input.Machines, name)
+			}
+		}
+		for _, action := range planner.Decide(input).Actions {
+			switch {
+			case action.Kind == ActionLoad:
+				began[action.Spec.Machine] = input.Now
+				input.Replicas = append(input.Replicas, &Replica{Name: "r-" + action.Spec.Machine, Spec: action.Spec})
+			case action.EndedUnderLoad() && remembers:
+				crashes := input.LoadCrashes["wanted"]
+				input.LoadCrashes["wanted"] = LoadCrashes{Count: crashes.Count + 1, Last: input.Now}
+			}
+			if action.Kind == ActionRemove {
+				input.Replicas = without(input.Replicas, action.Replica.Name)
+			}
+		}
+	}
+	return len(began)
+}
+
+func without(replicas []*Replica, name string) []*Replica {
+	var left []*Replica
+	for _, replica := range replicas {
+		if replica.Name != name {
+			left = append(left, replica)
+		}
+	}
+	return left
+}
+
+func TestLoadThatEndsMachinesIsPaused(t *testing.T) {
+	const most = 5
+	if ended := loadUntilCrash(newTestPlanner(), true); ended > most {
+		t.Errorf("loads of one version ended %d machines in a minute, more than %d", ended, most)
+	}
+}
+
+func TestPauseGrowsWithCrashes(t *testing.T) {
+	last := time.Unix(1_000, 0)
+	for count, pause := range map[int]time.Duration{
+		2: 10 * time.Second, 3: 20 * time.Second, 4: 40 * time.Second, 6: 160 * time.Second, 7: longestLoadPause, 1000: longestLoadPause,
+	} {
+		if resumes := (LoadCrashes{Count: count, Last: last}).resumesAt(); !resumes.Equal(last.Add(pause)) {
+			t.Errorf("after %d crashes a load waits for %s, not %s", count, resumes.Sub(last), pause)
+		}
+	}
+	if !(LoadCrashes{Count: 1, Last: last}).resumesAt().IsZero() {
+		t.Error("one crash, which may be chance, pauses loads")
+	}
+}
+
+func TestOnlyMachinesThatEndWhileTheyLoadCount(t *testing.T) {
+	for _, test := range []struct {
+		phase  v1.ReplicaPhase
+		reason string
+		counts bool
+	}{
+		{v1.ReplicaLoading, reasonMachineGone, true},
+		{v1.ReplicaLoading, reasonEngineRestarted, true},
+		{v1.ReplicaLoading, "load-failed", false},
+		{v1.ReplicaReady, reasonMachineGone, false},
+		{v1.ReplicaUnloading, reasonEngineRestarted, false},
+	} {
+		action := Action{Kind: ActionRemove, Reason: test.reason, Replica: &Replica{Spec: &v1.ReplicaSpec{Phase: test.phase}}}
+		if action.EndedUnderLoad() != test.counts {
+			t.Errorf("%s, %s: counts %t", test.phase, test.reason, !test.counts)
+		}
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -76,6 +76,8 @@
 	// byVersion holds the replicas that count for a version: loading or
 	// ready, on machines that are not lost.
 	byVersion map[string][]*Replica
+	// lostLoads counts, by version, the machines that are lost while they load it.
+	lostLoads map[string]int
 	// changed marks replicas that this pass has acted on.
 	changed map[*Replica]bool
 	// worth is what the replicas on each accelerator are worth, by machine.
@@ -113,7 +115,7 @@
 func (p *Planner) newPass(input *Input) *pass {
 	return &pass{
 		planner: p, input: input, machines: map[string]*room{},
-		byVersion: map[string][]*Replica{}, changed: map[*Replica]bool{},
+		byVersion: map[string][]*Replica{}, lostLoads: map[string]int{}, changed: map[*Replica]bool{},
 		worth: map[string]map[int]float64{},
 	}
 }
@@ -159,6 +161,9 @@
 			continue
 		}
 		machine := p.input.Machines[replica.Spec.Machine]
+		if machine != nil && machine.Lost && replica.Spec.Phase == v1.ReplicaLoading {
+			p.lostLoads[replica.Spec.Version]++
+		}
 		if machine == nil || machine.Lost {
 			continue
 		}
--- a/internal/placement/reconcile.go
+++ b/internal/placement/reconcile.go
@@ -10,6 +10,12 @@
 // load.
 const failedLoadBackoff = time.Second
 
+// The reasons for removing a replica whose machine has ended.
+const (
+	reasonMachineGone     = "machine-gone"
+	reasonEngineRestarted = "engine-restarted"
+)
+
 // reconcile moves each record to where its engine says it is.
 //
 // Invariant: a record is removed, and its memory freed, only when the engine
@@ -25,10 +31,10 @@
 
 func (p *pass) follow(replica *Replica) (Action, bool) {
 	if p.input.Machines[replica.Spec.Machine] == nil {
-		return Action{Kind: ActionRemove, Replica: replica, Reason: "machine-gone"}, true
+		return Action{Kind: ActionRemove, Replica: replica, Reason: reasonMachineGone}, true
 	}
 	if replica.Restarted {
-		return Action{Kind: ActionRemove, Replica: replica, Reason: "engine-restarted"}, true
+		return Action{Kind: ActionRemove, Replica: replica, Reason: reasonEngineRestarted}, true
 	}
 	if !replica.Observed {
 		return Action{}, false
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -120,6 +120,8 @@
 	// limits as declared; 0 leaves the configured ones in force.
 	StoreLoadsPerSecond  float64
 	StoreConcurrentLoads int
+	// LoadCrashes has the versions under whose loads machines ended.
+	LoadCrashes map[string]LoadCrashes
 }
 
 // ActionKind is what to do to a replica record.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -92,7 +92,7 @@
 
 // missing returns how many more replicas a version should have.
 func (p *pass) missing(name string, version *Version) int {
-	if p.input.Now.Before(p.planner.retryAfter[name]) {
+	if p.input.Now.Before(p.planner.retryAfter[name]) || p.isPaused(name) {
 		return 0
 	}
 	desired := version.MinReplicas
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -43,6 +43,11 @@
 	return Identity(digest.Sum(nil)[:identityBytes])
 }
 
+// LoadIdentity is the identity of the loads of a model version, as an order to engines.
+func LoadIdentity(version string) Identity {
+	return Identify(Content{Method: "LOAD", Target: version})
+}
+
 // String is the identity in hexadecimal, as it stands in logs and names of records.
 func (i Identity) String() string {
 	return hex.EncodeToString(i[:])
