--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -186,6 +186,16 @@
 	if revision, recorded := w.commit(ctx, quarantine.RecordCommand(life, runs), failed); recorded {
 		w.options.Logger.Info("crash_recorded", "machine", life, "requests", len(runs), "revision", revision)
 		w.awaitRevision(ctx, revision)
+		w.logQuarantined(runs)
+	}
+}
+
+// logQuarantined tells which of the requests just recorded must not run any more.
+func (w *Watcher) logQuarantined(runs []quarantine.Run) {
+	for _, run := range runs {
+		if held := w.options.View.Suspect(run.Identity); held != nil && held.Quarantined {
+			w.options.Logger.Warn("request_quarantined", "identity", run.Identity.String(), "route", run.Route, "tenant", run.Tenant, "machines", held.Machines)
+		}
 	}
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -42,8 +42,10 @@
 	// replicasOn and replicasOf index the replicas by machine and by model.
 	replicasOn index
 	replicasOf index
-	claims     claimTable
-	requests   requestTable
+	// suspects are the names of the Suspect objects.
+	suspects map[string]bool
+	claims   claimTable
+	requests requestTable
 	// holders are the nodes that were granted orders last, by machine.
 	holders map[string]string
 	// declaration is the newest document that took effect, or nil.
@@ -61,6 +63,7 @@
 		statuses:   map[string]v1.MachineStatus{},
 		replicasOn: index{},
 		replicasOf: index{},
+		suspects:   map[string]bool{},
 		claims:     newClaimTable(),
 		requests:   newRequestTable(),
 		holders:    map[string]string{},
@@ -222,8 +225,11 @@
 func (m *Machine) store(key Key, object *wirepb.Object, spec v1.Spec) {
 	m.objects[key] = object
 	m.specs[key] = spec
-	if key.Kind == v1.KindMachine {
+	switch key.Kind {
+	case v1.KindMachine:
 		m.statuses[key.Name] = statusOf(object)
+	case v1.KindSuspect:
+		m.suspects[key.Name] = true
 	}
 	if replica, isReplica := spec.(*v1.ReplicaSpec); isReplica {
 		m.replicasOn.add(replica.Machine, key.Name)
@@ -238,9 +244,12 @@
 	}
 	delete(m.objects, key)
 	delete(m.specs, key)
-	if key.Kind == v1.KindMachine {
+	switch key.Kind {
+	case v1.KindMachine:
 		delete(m.statuses, key.Name)
 		delete(m.holders, key.Name)
+	case v1.KindSuspect:
+		delete(m.suspects, key.Name)
 	}
 	tombstone := &wirepb.Object{Kind: string(key.Kind), Name: key.Name, Revision: m.revision}
 	m.remember(&wirepb.WatchEvent{Deleted: true, Object: tombstone})
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -65,6 +66,9 @@
 // suspectsGivenUp returns the deletions that keep the records within their bounds once the
 // given ones are written.
 func (m *Machine) suspectsGivenUp(written map[Key]*v1.SuspectSpec) []*wirepb.ObjectWrite {
+	if len(m.suspects)+len(written) <= min(MaxSuspects, MaxQuarantined) {
+		return nil
+	}
 	var suspects, quarantined suspectList
 	for _, object := range m.suspectsByAge() {
 		if spec, isSuspect := m.specs[KeyOf(object)].(*v1.SuspectSpec); isSuspect && written[KeyOf(object)] == nil {
@@ -79,9 +83,12 @@
 
 // suspectsByAge returns the records, the one that was written first at the front.
 func (m *Machine) suspectsByAge() []*wirepb.Object {
-	objects := m.List(v1.KindSuspect)
-	slices.SortStableFunc(objects, func(left, right *wirepb.Object) int {
-		return int(int64(left.GetRevision()) - int64(right.GetRevision()))
+	objects := make([]*wirepb.Object, 0, len(m.suspects))
+	for name := range m.suspects {
+		objects = append(objects, m.Get(v1.KindSuspect, name))
+	}
+	slices.SortFunc(objects, func(left, right *wirepb.Object) int {
+		return cmp.Or(cmp.Compare(left.GetRevision(), right.GetRevision()), cmp.Compare(left.GetName(), right.GetName()))
 	})
 	return objects
 }
@@ -143,11 +150,6 @@
 	for key := range specs {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(left, right Key) int {
-		if left.Name < right.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(keys, func(left, right Key) int { return cmp.Compare(left.Name, right.Name) })
 	return keys
 }
