Let only a whole answer clear a request

Cause: a worker answers 504 also to a request that waited in its queue until the deadline and never ran; that cleared the record of a culprit after its first crash. Ruled out: a worker's 500 as proof: it tells that the run ended, not that it came past what ends others. Change: only an answer that is no failure clears. TestFailureOfAMachineClearsNothing fails without it.

--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -27,8 +27,9 @@
 	ended   atomic.Int64
 	// survive makes machines stay where they would end: only their connection breaks.
 	survive atomic.Bool
-	// complete makes machines run the culprit to its end.
-	complete atomic.Bool
+	// complete makes machines run the culprit to its end, and fail answer it with a failure
+	// of their own.
+	complete, fail atomic.Bool
 }
 
 func newCrashFleet(t *testing.T, routers, machines int, kind v1.RouteKind, attempts int) *crashFleet {
@@ -66,6 +67,9 @@
 		if request.body != crashBody || f.complete.Load() {
 			return write(connection, ok(request, "whole"))
 		}
+		if f.fail.Load() {
+			return write(connection, "HTTP/1.1 504 Late\r\n"+headerID+": "+request.header.Get(headerID)+"\r\nContent-Length: 0\r\n\r\n")
+		}
 		if !f.survive.Load() {
 			f.ended.Add(1)
 			machine.end()
@@ -199,6 +203,21 @@
 	}
 }
 
+// TestFailureOfAMachineClearsNothing: it says that to a request, too, that it never ran.
+func TestFailureOfAMachineClearsNothing(t *testing.T) {
+	fleet := newCrashFleet(t, 2, 6, v1.RouteStream, 1)
+	fleet.askCulprit(0, "q")
+	fleet.fail.Store(true)
+	if got := fleet.askCulprit(1, "r"); got.status != 504 {
+		t.Errorf("answered with %d %q", got.status, got.body)
+	}
+	fleet.fail.Store(false)
+	fleet.askCulprit(1, "s")
+	if specs := fleet.suspects(); len(specs) != 1 || !specs[0].Quarantined {
+		t.Errorf("recorded as %+v", specs)
+	}
+}
+
 // TestCrashIsRecordedOnceThereIsALeader: until then the router that saw it heeds it.
 func TestCrashIsRecordedOnceThereIsALeader(t *testing.T) {
 	fleet := newCrashFleet(t, 2, 6, v1.RouteStream, 1)
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -40,7 +40,9 @@
 func (j *job) noteRun(ctx context.Context, grant *dispatch.Grant, end attemptEnd) {
 	watch := j.ingress.crashes
 	switch end {
-	case endAnswered, endErrorAnswered, endError:
+	case endAnswered:
+		// A machine's own failure proves less: it also gives one to a request that it never
+		// came to run before its deadline.
 		if watch.Suspects() {
 			watch.Completed(j.identity())
 		}
