--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -12,6 +12,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -247,13 +250,25 @@
 	return own || w.options.View.HasSuspects()
 }
 
-// Crashed returns the machines that ended under a request, as far as this router knows, and
-// whether it must not run any more.
-func (w *Watcher) Crashed(identity quarantine.Identity) (machines []string, quarantined bool) {
+// Refusal returns the answer to a request that must not run any more, which is to say "not
+// run"; nil for any other. While machines have ended under no request at all, the identity is
+// not asked for: it takes a hash of the whole request.
+func (w *Watcher) Refusal(identityOf func() quarantine.Identity) *problem.Document {
+	if !w.Suspects() {
+		return nil
+	}
+	identity := identityOf()
 	held := w.options.View.Suspect(identity)
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.watch.Crashed(identity, held)
+	machines, quarantined := w.watch.Crashed(identity, held)
+	w.mutex.Unlock()
+	if !quarantined {
+		return nil
+	}
+	detail := "request " + identity.String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
+	document := problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
+	document.RetryAfter = quarantine.RetryAfter
+	return document
 }
 
 // Completed takes a request that a machine has run to the end.
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -74,7 +74,7 @@
 func (g *Gateway) runInference(parent context.Context, writer http.ResponseWriter, created *job) string {
 	ctx, cancel := created.context(parent)
 	defer cancel()
-	if document := g.quarantined(created); document != nil {
+	if document := g.crashes.Refusal(created.identity); document != nil {
 		return g.answerQuarantined(writer, created, document, false)
 	}
 	wanted := &dispatch.Request{
@@ -87,7 +87,7 @@
 		if refusal != nil {
 			return g.answerRefusal(writer, created, refusal, failures > 0)
 		}
-		if document := g.quarantined(created); document != nil {
+		if document := g.crashes.Refusal(created.identity); document != nil {
 			g.dispatcher.Release(grant, dispatch.ResultNotRun)
 			return g.answerQuarantined(writer, created, document, failures > 0)
 		}
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/problem"
@@ -17,23 +16,7 @@
 	return quarantine.Identify(quarantine.Content{Tenant: j.caller, Method: http.MethodPost, Target: j.path, Body: j.body})
 }
 
-// quarantined returns the answer to a request that must not run any more; nil for any other.
-// While engines have ended under no request at all, nothing is hashed.
-func (g *Gateway) quarantined(created *job) *problem.Document {
-	if !g.crashes.Suspects() {
-		return nil
-	}
-	identity := created.identity()
-	machines, quarantined := g.crashes.Crashed(identity)
-	if !quarantined {
-		return nil
-	}
-	detail := "request " + identity.String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
-	document := problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
-	document.RetryAfter = quarantine.RetryAfter
-	return document
-}
-
+// answerQuarantined answers a request that must not run any more.
 func (g *Gateway) answerQuarantined(writer http.ResponseWriter, created *job, document *problem.Document, mayHaveRun bool) string {
 	if mayHaveRun {
 		g.failEngine(writer, created)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -109,7 +109,7 @@
 		return document, 0
 	}
 	if document := j.quarantined(); document != nil {
-		return document, quarantine.RetryAfter
+		return document, document.RetryAfter
 	}
 	wait := time.Duration(j.route.Spec.Timeout)
 	if j.attributes.Wait > 0 {
@@ -227,7 +227,7 @@
 	switch {
 	case document != nil && !j.mayHaveRun:
 		// It was convicted while it waited.
-		j.fail(document, quarantine.RetryAfter)
+		j.fail(document, document.RetryAfter)
 	case document != nil:
 		j.giveUp(ctx, endFailed)
 	case j.remaining() <= 0:
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"strings"
 
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/problem"
@@ -22,17 +20,8 @@
 }
 
 // quarantined returns the answer to a request that must not run any more; nil for any other.
-// While machines have ended under no request at all, nothing is hashed.
 func (j *job) quarantined() *problem.Document {
-	if !j.ingress.crashes.Suspects() {
-		return nil
-	}
-	machines, quarantined := j.ingress.crashes.Crashed(j.identity())
-	if !quarantined {
-		return nil
-	}
-	detail := "request " + j.identity().String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
-	return problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
+	return j.ingress.crashes.Refusal(j.identity)
 }
 
 // noteRun tells what the end of an attempt says about the request. An end that the caller, the
