Count a crash under a load only where its engine had begun it

A load was decided for a machine that had ended already, which nobody knew yet; where many workers end at once that pauses versions that did nothing. Ruled out: the conviction of a version that is loaded after all is gone for good reason; the simulator's checks knew of requests only, and now know what engines were loading and have loaded. Change: it counts once the machine's engine has reported the load; the same for machines that are lost.

--- a/internal/controller/loadcrash.go
+++ b/internal/controller/loadcrash.go
@@ -33,9 +33,9 @@
 		spec := action.Replica.Spec
 		identity := quarantine.LoadIdentity(spec.Version)
 		switch {
-		case action.EndedUnderLoad() && v.machines[spec.Machine].Status.Reason == instances.ReasonSaidSo:
+		case action.EndedUnderLoad && v.machines[spec.Machine].Status.Reason == instances.ReasonSaidSo:
 			// A planned end.
-		case action.EndedUnderLoad():
+		case action.EndedUnderLoad:
 			run := quarantine.Run{
 				Machine: spec.Machine, Life: quarantine.LifeOf(spec.Machine, spec.Incarnation),
 				Identity: identity, Route: "load of " + spec.Version,
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -102,6 +103,11 @@
 	for _, sent := range m.breakRuns() {
 		m.world.checks.endedUnder(m.life(), sent)
 	}
+	for _, held := range m.engine.Replicas() {
+		if held.Phase == engine.PhaseLoading {
+			m.world.checks.truthOf(quarantine.LoadIdentity(held.Order.Version)).lives[m.life()] = true
+		}
+	}
 	for _, reset := range m.resets {
 		if m.world.Now()-reset.at <= lateDelay+examineTime {
 			m.world.checks.truthOf(reset.sent.identity).near[m.life()] = true
--- a/internal/placement/loadcrash.go
+++ b/internal/placement/loadcrash.go
@@ -51,9 +51,12 @@
 	return p.input.Now.Before(crashes.resumesAt())
 }
 
-// EndedUnderLoad reports whether an action removes a replica whose machine ended while it
-// loaded the version: it is gone, or its engine runs in a later life.
-func (a Action) EndedUnderLoad() bool {
-	ended := a.Reason == reasonMachineGone || a.Reason == reasonEngineRestarted
-	return a.Kind == ActionRemove && ended && a.Replica.Spec.Phase == v1.ReplicaLoading
+// removeEnded removes a replica whose machine is gone, or whose engine runs in a later life. It
+// ended under the load only where its engine had reported that: a load may be decided before
+// it is known that the machine has ended.
+func (p *pass) removeEnded(replica *Replica, reason string) Action {
+	return Action{
+		Kind: ActionRemove, Replica: replica, Reason: reason,
+		EndedUnderLoad: replica.Spec.Phase == v1.ReplicaLoading && p.planner.loadsSeen[replica.Name],
+	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -43,6 +43,8 @@
 	evicting map[string]madeRoom
 	// retryAfter holds back versions whose load failed.
 	retryAfter map[string]time.Time
+	// loadsSeen has the replicas that their engines have reported to be loading.
+	loadsSeen map[string]bool
 	// leavingSince is when a machine stopped to accept.
 	leavingSince map[string]time.Time
 }
@@ -62,6 +64,7 @@
 		arrivals:     map[string]uint64{},
 		evicting:     map[string]madeRoom{},
 		retryAfter:   map[string]time.Time{},
+		loadsSeen:    map[string]bool{},
 		leavingSince: map[string]time.Time{},
 	}
 }
@@ -161,7 +164,7 @@
 			continue
 		}
 		machine := p.input.Machines[replica.Spec.Machine]
-		if machine != nil && machine.Lost && replica.Spec.Phase == v1.ReplicaLoading {
+		if machine != nil && machine.Lost && p.planner.loadsSeen[replica.Name] && replica.Spec.Phase == v1.ReplicaLoading {
 			p.lostLoads[replica.Spec.Version]++
 		}
 		if machine == nil || machine.Lost {
@@ -221,6 +224,11 @@
 			delete(p.loading, name)
 		}
 	}
+	for name := range p.loadsSeen {
+		if !present[name] {
+			delete(p.loadsSeen, name)
+		}
+	}
 	for name := range p.leavingSince {
 		if input.Machines[name] == nil {
 			delete(p.leavingSince, name)
--- a/internal/placement/reconcile.go
+++ b/internal/placement/reconcile.go
@@ -31,15 +31,17 @@
 
 func (p *pass) follow(replica *Replica) (Action, bool) {
 	if p.input.Machines[replica.Spec.Machine] == nil {
-		return Action{Kind: ActionRemove, Replica: replica, Reason: reasonMachineGone}, true
+		return p.removeEnded(replica, reasonMachineGone), true
 	}
 	if replica.Restarted {
-		return Action{Kind: ActionRemove, Replica: replica, Reason: reasonEngineRestarted}, true
+		return p.removeEnded(replica, reasonEngineRestarted), true
 	}
 	if !replica.Observed {
 		return Action{}, false
 	}
 	switch replica.EnginePhase {
+	case EngineLoading:
+		p.planner.loadsSeen[replica.Name] = true
 	case EngineReady:
 		if replica.Spec.Phase == v1.ReplicaLoading {
 			p.planner.readySince[replica.Name] = p.input.Now
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -148,6 +148,8 @@
 	Spec *v1.ReplicaSpec
 	// Reason says why, for logs and metrics.
 	Reason string
+	// EndedUnderLoad is set where the replica's machine ended while it loaded the version.
+	EndedUnderLoad bool
 }
 
 // Estimate tells routers when a version that they wait for may be ready.
