Call one piece of code where the crash watch had two

The life behind a replica was looked up by the same loop in the gateway and the fault simulator; both ways for requests asked whether there are suspects before they told of a whole run; connecting to a machine to see whether it refuses stood in upstream and in crashwatch; and once any crash was on record the leader hashed the name of every version at each change of the state. Ruled out: planner.loading in place of loadsSeen: it has loads that were decided, not those that an engine has reported; one wait for a revision for control nodes and views, which differ in their errors. Change: View.LifeOf, Watcher.Completed asks itself, ProbeBy takes how to connect, and crashes under loads are found from the records, which name their versions. No decision, bound or assertion changed.

--- a/internal/controller/loadcrash.go
+++ b/internal/controller/loadcrash.go
@@ -1,20 +1,24 @@
 package controller
 
 import (
+	"strings"
+
 	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// crashesUnderLoads returns the versions under whose loads machines ended.
+// loadRoute, before the name of a version, is the route of a record that is about its loads.
+const loadRoute = "load of "
+
+// crashesUnderLoads returns the versions under whose loads machines ended. The records name
+// their versions, so that their cost grows with the crashes and not with the versions.
 func (v *storedView) crashesUnderLoads() map[string]placement.LoadCrashes {
-	if len(v.suspects) == 0 {
-		return nil
-	}
 	crashes := map[string]placement.LoadCrashes{}
-	for version := range v.placed {
-		if suspect := v.suspects[quarantine.LoadIdentity(version).String()]; suspect != nil {
+	for name, suspect := range v.suspects {
+		version, isLoad := strings.CutPrefix(suspect.Route, loadRoute)
+		if isLoad && v.placed[version] != nil && quarantine.LoadIdentity(version).String() == name {
 			crashes[version] = placement.LoadCrashes{Count: len(suspect.Machines), Last: suspect.LastCrash}
 		}
 	}
@@ -31,18 +35,17 @@
 			continue
 		}
 		spec := action.Replica.Spec
-		identity := quarantine.LoadIdentity(spec.Version)
 		switch {
 		case action.EndedUnderLoad && v.machines[spec.Machine].Status.Reason == instances.ReasonSaidSo:
 			// A planned end.
 		case action.EndedUnderLoad:
 			run := quarantine.Run{
 				Machine: spec.Machine, Life: quarantine.LifeOf(spec.Machine, spec.Incarnation),
-				Identity: identity, Route: "load of " + spec.Version,
+				Identity: quarantine.LoadIdentity(spec.Version), Route: loadRoute + spec.Version,
 			}
 			commands = append(commands, quarantine.RecordCommand(run.Life, []quarantine.Run{run}))
 		case action.Kind == placement.ActionReady && v.loadCrashes[spec.Version].Count > 0:
-			commands = append(commands, quarantine.ClearCommand(identity))
+			commands = append(commands, quarantine.ClearCommand(quarantine.LoadIdentity(spec.Version)))
 		}
 	}
 	return commands
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -45,10 +45,10 @@
 // Prober tells whether a machine takes connections (no error), or refuses them.
 type Prober func(ctx context.Context, machine, address string) (refused bool, err error)
 
-// ProbeBy returns a prober that connects by a dialer.
-func ProbeBy(dialer *net.Dialer) Prober {
+// ProbeBy returns a prober that connects by a function.
+func ProbeBy(dial func(ctx context.Context, machine, address string) (net.Conn, error)) Prober {
 	return func(ctx context.Context, machine, address string) (bool, error) {
-		connection, err := dialer.DialContext(ctx, "tcp", address)
+		connection, err := dial(ctx, machine, address)
 		if err != nil {
 			return tcpopt.Refused(err), fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 		}
@@ -242,8 +242,9 @@
 	}
 }
 
-// Suspects reports whether machines have ended under any request.
-func (w *Watcher) Suspects() bool {
+// suspects reports whether machines have ended under any request. While there are none, no
+// identity is asked for: it takes a hash of the whole request.
+func (w *Watcher) suspects() bool {
 	w.mutex.Lock()
 	own := w.watch.Suspects()
 	w.mutex.Unlock()
@@ -251,10 +252,9 @@
 }
 
 // Refusal returns the answer to a request that must not run any more, which is to say "not
-// run"; nil for any other. While machines have ended under no request at all, the identity is
-// not asked for: it takes a hash of the whole request.
+// run"; nil for any other.
 func (w *Watcher) Refusal(identityOf func() quarantine.Identity) *problem.Document {
-	if !w.Suspects() {
+	if !w.suspects() {
 		return nil
 	}
 	identity := identityOf()
@@ -272,7 +272,11 @@
 }
 
 // Completed takes a request that a machine has run to the end.
-func (w *Watcher) Completed(identity quarantine.Identity) {
+func (w *Watcher) Completed(identityOf func() quarantine.Identity) {
+	if !w.suspects() {
+		return
+	}
+	identity := identityOf()
 	recorded := w.options.View.Suspect(identity) != nil
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -7,7 +7,6 @@
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -143,7 +142,7 @@
 	target := r.world.machineNamed(grant.Target.Machine)
 	left := grant.Request.Deadline.Sub(r.wall())
 	took := r.world.span(20*time.Millisecond, 800*time.Millisecond)
-	life := r.lifeOf(grant.Target)
+	life := r.view.LifeOf(grant.Target.Machine, grant.Target.Replica)
 	call(&r.process, &target.process, max(left, 0), func(reply func(runEnd)) {
 		target.serve(r, entry, grant.Target.Replica, took, reply)
 	}, func(end runEnd, answered bool) {
@@ -166,17 +165,6 @@
 	})
 }
 
-// lifeOf names the life of the engine that a replica was decided for; no other runs it.
-func (r *routerNode) lifeOf(target dispatch.Target) string {
-	replicas, _ := r.view.ReplicasOn(target.Machine)
-	for _, held := range replicas {
-		if held.Object.GetName() == target.Replica {
-			return quarantine.LifeOf(target.Machine, held.Spec.Incarnation)
-		}
-	}
-	return quarantine.LifeOf(target.Machine, 0)
-}
-
 // tryAgain lets the caller of a request that broke off come back, as callers do.
 func (w *world) tryAgain(sent *content) {
 	sent.tries++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,10 @@
 		options: options, router: mux.NewRouter(), limits: limits.New(),
 		claims: claims.NewKeeper(options.Propose), budget: newRetryBudget(),
 		crashes: crashwatch.New(crashwatch.Options{
-			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(dialer),
+			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(
+				func(ctx context.Context, _, address string) (net.Conn, error) {
+					return dialer.DialContext(ctx, "tcp", address)
+				}),
 		}),
 		engines: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerEngine,
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -28,23 +28,16 @@
 
 // noteBroken takes a request whose connection broke once the engine had it.
 func (g *Gateway) noteBroken(created *job, grant *dispatch.Grant) {
-	life := grant.Target.Machine
-	replicas, _ := g.options.View.ReplicasOn(grant.Target.Machine)
-	for _, held := range replicas {
-		if held.Object.GetName() == grant.Target.Replica {
-			life = quarantine.LifeOf(grant.Target.Machine, held.Spec.Incarnation)
-		}
-	}
 	g.crashes.Broken(quarantine.Run{
-		Machine: grant.Target.Machine, Life: life, Address: upstream.AddressOf(grant.Target.Endpoint),
+		Machine: grant.Target.Machine, Life: g.options.View.LifeOf(grant.Target.Machine, grant.Target.Replica), Address: upstream.AddressOf(grant.Target.Endpoint),
 		Identity: created.identity(), Route: created.service, Tenant: created.caller,
 	})
 }
 
 // noteCompleted takes a request that an engine has run to its end.
 func (g *Gateway) noteCompleted(created *job, end attemptEnd) {
-	if end == endAnswered && g.crashes.Suspects() {
-		g.crashes.Completed(created.identity())
+	if end == endAnswered {
+		g.crashes.Completed(created.identity)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -102,7 +102,7 @@
 
 func newCrashWatcher(options Options, pool *upstream.Pool) *crashwatch.Watcher {
 	return crashwatch.New(crashwatch.Options{
-		View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: pool.Probe,
+		View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(pool.Dial),
 		Examined: options.Metrics.observeExamined,
 	})
 }
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -32,9 +32,7 @@
 	case endAnswered:
 		// A machine's own failure proves less: it also gives one to a request that it never
 		// came to run before its deadline.
-		if watch.Suspects() {
-			watch.Completed(j.identity())
-		}
+		watch.Completed(j.identity)
 	case endBroken, endFailed:
 		if ctx.Err() == nil {
 			watch.Broken(quarantine.Run{
--- a/internal/nodeview/suspects.go
+++ b/internal/nodeview/suspects.go
@@ -31,6 +31,18 @@
 	return v.suspects[identity]
 }
 
+// LifeOf names the life of a machine's engine that a replica was decided for: no other life of it
+// runs the replica. Without a record of the replica it is the machine's name.
+func (v *View) LifeOf(machine, replica string) string {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	held, found := v.replicasOn[machine][replica]
+	if !found {
+		return machine
+	}
+	return quarantine.LifeOf(machine, held.Spec.Incarnation)
+}
+
 // Replaced reports whether another live machine stands at the endpoint of a machine.
 func (v *View) Replaced(name, endpoint string) bool {
 	v.mutex.RLock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,15 +74,15 @@
 		}
 		_ = kept.network.Close()
 	}
-	network, err := p.dial(ctx, machine, address)
+	network, err := p.Dial(ctx, machine, address)
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
 	return &conn{machine: machine, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
-// dial connects to a machine within the time that other connections make likely.
-func (p *Pool) dial(ctx context.Context, machine, address string) (net.Conn, error) {
+// Dial connects to a machine within the time that other connections make likely.
+func (p *Pool) Dial(ctx context.Context, machine, address string) (net.Conn, error) {
 	p.mutex.Lock()
 	limit := p.dials.limit(machine)
 	p.mutex.Unlock()
@@ -100,17 +100,6 @@
 	return network, err
 }
 
-// Probe tells whether a machine takes connections: no error if it does, and whether it refuses
-// them.
-func (p *Pool) Probe(ctx context.Context, machine, address string) (refused bool, err error) {
-	network, err := p.dial(ctx, machine, address)
-	if err != nil {
-		return tcpopt.Refused(err), fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
-	}
-	_ = network.Close()
-	return false, nil
-}
-
 // take returns the connection that was kept last: the others may then expire.
 func (p *Pool) take(machine string) *conn {
 	p.mutex.Lock()
