Agree on places, drains, warming and constraints: types, settings, messages

Cause: two deployments drain zones, have machines that bear little while they warm up, and stand in three regions; nothing in the product names any of these. Change: package places (zones, regions, nearness, constraints on regions; pure), the fields of routes, tenants, pools and heartbeats that carry them, the kind ZoneDrain, settings zones, warming and the losses of zones and regions to be borne, the messages for permits. The platform's words are translated; nothing acts on them yet. Ruled out: a second table of zones in the log. It is the same on all nodes from their settings.

--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -51,6 +51,9 @@
 	FirstByteLimit Duration `json:"firstByteLimit,omitempty"`
 	// PauseTarget is the longest pause between events of a timely stream.
 	PauseTarget Duration `json:"pauseTarget,omitempty"`
+	// AllowedRegions are the only regions whose machines may get requests of the route; empty:
+	// all. Where a tenant has a list too, both bind.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // RouteTarget is a pool's share of a route.
@@ -85,7 +88,7 @@
 	if s.Timeout <= 0 || s.Timeout > maxDeadline {
 		return fault.InvalidField("spec.timeout", "must be above 0s and at most %s", time.Duration(maxDeadline))
 	}
-	return s.validateTargets()
+	return firstError(requireTexts("spec.allowedRegions", s.AllowedRegions), s.validateTargets())
 }
 
 func (s *RouteSpec) validateTargets() error {
@@ -123,6 +126,31 @@
 	MaxConnections int `json:"maxConnections,omitempty"`
 	// Engine is set where the machines hold models that weldline places.
 	Engine *EngineSpec `json:"engine,omitempty"`
+	// Warming is set where machines bear less for a while after their start.
+	Warming *WarmingSpec `json:"warming,omitempty"`
+}
+
+// WarmingSpec says what a machine bears while it warms up: for some time after its start, and
+// whenever it says so.
+type WarmingSpec struct {
+	// StartTime is for how long a machine warms up after its start.
+	StartTime Duration `json:"startTime"`
+	// RequestsPerSecond is how many requests it bears meanwhile, from all routers together.
+	// Required, above 0.
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+}
+
+func (s *WarmingSpec) validate() error {
+	if s == nil {
+		return nil
+	}
+	if s.StartTime < 0 {
+		return fault.InvalidField("spec.warming.startTime", "must not be negative")
+	}
+	if !(s.RequestsPerSecond > 0) {
+		return fault.InvalidField("spec.warming.requestsPerSecond", "must be above 0")
+	}
+	return nil
 }
 
 // EngineSpec describes the engines of a pool's machines.
@@ -142,7 +170,7 @@
 func (s *PoolSpec) setDefaults() {}
 
 func (s *PoolSpec) validate() error {
-	err := requireRange("spec.maxConnections", int64(s.MaxConnections), 0, 1_000_000)
+	err := firstError(requireRange("spec.maxConnections", int64(s.MaxConnections), 0, 1_000_000), s.Warming.validate())
 	if err != nil || s.Engine == nil {
 		return err
 	}
--- a/api/v1/tenant.go
+++ b/api/v1/tenant.go
@@ -68,6 +68,9 @@
 	Unit TenantUnit `json:"unit,omitempty"`
 	// PlainTokens is what a request counts, in tokens, that doesn't name its own.
 	PlainTokens float64 `json:"plainTokens,omitempty"`
+	// AllowedRegions are the only regions whose machines may get the tenant's requests; empty:
+	// all. Where a route has a list too, both bind.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // Cost is what a request with so many tokens counts, in units of the tenant's rate.
@@ -110,6 +113,7 @@
 		requireQuantity("spec.rate", s.Rate),
 		requireQuantity("spec.burst", s.Burst),
 		requireQuantity("spec.plainTokens", s.PlainTokens),
+		requireTexts("spec.allowedRegions", s.AllowedRegions),
 	)
 }
 
--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -31,10 +31,11 @@
 	KindDeclaration  Kind = "Declaration"
 	KindTenant       Kind = "Tenant"
 	KindSuspect      Kind = "Suspect"
+	KindZoneDrain    Kind = "ZoneDrain"
 )
 
 // Kinds lists all kinds; a kind comes after those it may refer to.
-var Kinds = []Kind{KindModel, KindModelVersion, KindAdapter, KindService, KindLimit, KindMachine, KindReplica, KindPool, KindRoute, KindDeclaration, KindTenant, KindSuspect}
+var Kinds = []Kind{KindModel, KindModelVersion, KindAdapter, KindService, KindLimit, KindMachine, KindReplica, KindPool, KindRoute, KindDeclaration, KindTenant, KindSuspect, KindZoneDrain}
 
 // Duration is a time span written as a Go duration string.
 type Duration time.Duration
--- a/api/v1/validate.go
+++ b/api/v1/validate.go
@@ -74,6 +74,8 @@
 		return &TenantSpec{}
 	case KindSuspect:
 		return &SuspectSpec{}
+	case KindZoneDrain:
+		return &ZoneDrainSpec{}
 	}
 	return nil
 }
@@ -145,6 +147,16 @@
 	return nil
 }
 
+// requireTexts checks that no entry of a list is empty.
+func requireTexts(field string, values []string) error {
+	for position, value := range values {
+		if err := requireText(field+"["+strconv.Itoa(position)+"]", value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func requireRange(field string, value, low, high int64) error {
 	if value < low || value > high {
 		return fault.InvalidField(field, "%d is not between %d and %d", value, low, high)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/places"
+)
 
 // Request is a request for a replica.
 type Request struct {
@@ -22,6 +26,8 @@
 	Work, Shared float64
 	// Target is within which the answer should begin; 0 if that is open.
 	Target time.Duration
+	// Allowed says in which regions the request may be served.
+	Allowed places.Constraint
 	// outstanding is the work that the request's machine has not done yet.
 	outstanding float64
 	// Patience is until when the request waits for a place; zero for as long
@@ -39,6 +45,10 @@
 	Max int
 	// Adapters that the replica holds, where these are placed like models.
 	Adapters []string
+	// Region is where the target is served from; empty where that is not known.
+	Region string
+	// Nearness is how near the target is to the router.
+	Nearness places.Nearness
 	// Suspect targets get requests only if there are no others: their machine
 	// has not been heard of for a while.
 	Suspect bool
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -35,7 +35,7 @@
 }
 
 func newIngressRole(node *Node) *ingressRole {
-	created := &ingressRole{node: node, view: nodeview.New(), demand: nodeview.NewDemandNews(), answers: nodeview.NewAnswerNews()}
+	created := &ingressRole{node: node, view: nodeview.NewAt(node.settings.Position()), demand: nodeview.NewDemandNews(), answers: nodeview.NewAnswerNews()}
 	settings := node.settings
 	created.reports = newReporter(settings.Ingress.ReportInterval, created.nodeReport)
 	created.client = feed.NewClient(settings.Formation.Addresses(), node.identity(), created.view, node.logger)
--- a/internal/nodeview/routing.go
+++ b/internal/nodeview/routing.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for name, machine := range v.machines {
-		if target, is := machineTarget(name, machine); is {
+		if target, is := v.machineTarget(name, machine); is {
 			targets = append(targets, target)
 		}
 	}
@@ -88,17 +88,17 @@
 	if !found || replica.Spec.Phase != v1.ReplicaReady || !isInUse(machine) {
 		return dispatch.Target{}, false
 	}
-	target := targetOn(replica.Spec.Machine, machine)
+	target := v.targetOn(replica.Spec.Machine, machine)
 	target.Replica, target.Version, target.Adapters = name, replica.Spec.Version, replica.Adapters
 	return target, true
 }
 
 // machineTarget returns the target that a machine of a pool without engines is.
-func machineTarget(name string, machine Machine) (dispatch.Target, bool) {
+func (v *View) machineTarget(name string, machine Machine) (dispatch.Target, bool) {
 	if machine.Spec.Pool == "" || machine.Spec.Accelerators > 0 || !isInUse(machine) {
 		return dispatch.Target{}, false
 	}
-	target := targetOn(name, machine)
+	target := v.targetOn(name, machine)
 	target.Replica, target.Version = name, PoolVersion(machine.Spec.Pool)
 	return target, true
 }
@@ -144,13 +144,14 @@
 		return v.replicaTarget(name, v.replicas[spec.Version][name])
 	}
 	if machine, isMachine := v.machines[name]; isMachine {
-		return machineTarget(name, machine)
+		return v.machineTarget(name, machine)
 	}
 	return dispatch.Target{}, false
 }
 
-func targetOn(name string, machine Machine) dispatch.Target {
+func (v *View) targetOn(name string, machine Machine) dispatch.Target {
 	return dispatch.Target{
+		Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
 		Machine: name, Endpoint: machine.Spec.Endpoint, Max: max(1, machine.Spec.Slots),
 		Suspect: machine.Status.Phase == v1.MachineLost,
 	}
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -20,6 +20,7 @@
 		targets = append(targets, dispatch.Target{
 			Replica: replica.Object.GetName(), Version: replica.Spec.Version,
 			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
+			Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
 		})
 	})
 	slices.SortFunc(targets, byReplica)
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -14,6 +14,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/state"
@@ -46,6 +47,8 @@
 
 // View implements feed.Sink.
 type View struct {
+	// position is where the node stands.
+	position places.Position
 	mutex    sync.RWMutex
 	revision uint64
 	objects  map[state.Key]*wirepb.Object
@@ -83,9 +86,14 @@
 	digestChanged *signal.Broadcast
 }
 
-// New returns an empty view.
+// New returns an empty view of a node that knows of no zones.
 func New() *View {
-	view := &View{changed: signal.New(), digestChanged: signal.New()}
+	return NewAt(places.Position{})
+}
+
+// NewAt returns an empty view of a node.
+func NewAt(position places.Position) *View {
+	view := &View{position: position, changed: signal.New(), digestChanged: signal.New()}
 	view.clear()
 	return view
 }
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -66,6 +66,10 @@
 	case *ast.ArrayType:
 		name, _ = typeOf(typed.Elt)
 		return name, true
+	case *ast.MapType:
+		key, _ := typeOf(typed.Key)
+		value, _ := typeOf(typed.Value)
+		return "map of " + key + " to " + value, false
 	case *ast.SelectorExpr:
 		return strings.ToLower(typed.Sel.Name), false
 	case *ast.Ident:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/keys"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 )
 
@@ -45,6 +46,9 @@
 	Node string `yaml:"node"`
 	// Zone is where the node stands. Required.
 	Zone string `yaml:"zone"`
+	// Zones maps each zone to the region that it lies in. Places whose region is not told are
+	// far from all others, and no constraint on regions allows them. Default: none.
+	Zones map[string]string `yaml:"zones"`
 	// Roles are the parts it plays: control, router, relay, ingress. Required.
 	Roles []Role `yaml:"roles"`
 	// DataDir is the data folder. Required for control.
@@ -66,6 +70,21 @@
 	Platform  PlatformSettings  `yaml:"platform"`
 	Policy    PolicySettings    `yaml:"policy"`
 	Quota     QuotaSettings     `yaml:"quota"`
+	Warming   WarmingSettings   `yaml:"warming"`
+}
+
+// Position returns where the node stands.
+func (s *Settings) Position() places.Position {
+	return places.Position{Zone: s.Zone, Map: places.NewMap(s.Zones)}
+}
+
+// WarmingSettings bound by how much all routers together may exceed what a pool declares that a
+// machine bears while it warms up. Control and ingress nodes need the same.
+type WarmingSettings struct {
+	// Factor is what the declared rate is multiplied with; at least 1. Default 1.
+	Factor float64 `yaml:"factor"`
+	// Slack is how many requests a machine may get in a second beside that. Default 0.
+	Slack float64 `yaml:"slack"`
 }
 
 // FormationSettings let control nodes find each other, where control.members
@@ -82,6 +101,10 @@
 	First bool `yaml:"first"`
 	// Tolerate is how many control nodes may be lost at once. Default 1.
 	Tolerate int `yaml:"tolerate"`
+	// TolerateZones is how many zones may be lost at once instead. Default 0.
+	TolerateZones int `yaml:"tolerateZones"`
+	// TolerateRegions is how many regions may be lost at once instead. Default 0.
+	TolerateRegions int `yaml:"tolerateRegions"`
 }
 
 // IngressSettings are for the ingress role.
@@ -306,6 +329,7 @@
 	setDefault(&s.Quota.Window, 8*time.Second)
 	setDefault(&s.Quota.Overage, 0.1)
 	setDefault(&s.Quota.Sharing, string(quota.SharingAdaptive))
+	setDefault(&s.Warming.Factor, 1)
 	setDefault(&s.Policy.Name, "adaptive")
 	setDefault(&s.Policy.MachineTimeout, 3*time.Second)
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -13,7 +13,7 @@
 func (s *Settings) validate() error {
 	checks := []func() error{
 		s.validateIdentity, s.validateRoles, s.validateTLS, s.validateFormation, s.validateControl, s.validateRouter,
-		s.validateRelay, s.validateIngress, s.validateQuota, s.validateRanges, s.validateAddresses,
+		s.validateRelay, s.validateIngress, s.validateQuota, s.validateWarming, s.validateRanges, s.validateAddresses,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -119,8 +119,17 @@
 	if s.Formation.PeerPort < 1 || s.Formation.PeerPort > 65535 {
 		return fault.InvalidField("formation.peerPort", "%d is not a port", s.Formation.PeerPort)
 	}
-	if s.Formation.Tolerate < 0 {
-		return fault.InvalidField("formation.tolerate", "must not be negative")
+	for _, tolerated := range []struct {
+		field string
+		count int
+	}{
+		{"formation.tolerate", s.Formation.Tolerate},
+		{"formation.tolerateZones", s.Formation.TolerateZones},
+		{"formation.tolerateRegions", s.Formation.TolerateRegions},
+	} {
+		if tolerated.count < 0 {
+			return fault.InvalidField(tolerated.field, "must not be negative")
+		}
 	}
 	return nil
 }
@@ -155,6 +164,16 @@
 	return nil
 }
 
+func (s *Settings) validateWarming() error {
+	if !(s.Warming.Factor >= 1) {
+		return fault.InvalidField("warming.factor", "must be at least 1")
+	}
+	if !(s.Warming.Slack >= 0) {
+		return fault.InvalidField("warming.slack", "must not be negative")
+	}
+	return nil
+}
+
 func (s *Settings) validateTimeouts() error {
 	if s.Control.HeartbeatInterval*3 > s.Control.ElectionTimeout {
 		return fault.InvalidField("control.heartbeatInterval", "must be at most a third of electionTimeout")
