A first soak of the real processes, judged from outside

Change: internal/soak (plan of faults by seed, loopback proxies, signals, checks; plan and checks are pure), platform/weldsoak (stand-ins for machines, callers and operators in the users' words), scripts/soak.sh, which starts the nodes and starts them again; control.advertise, the address that others reach a control node at, so that a proxy can stand before it. Ruled out: proxies that go by the settings' list of peers; where nodes find each other, they connect to what each tells of itself.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 HANDWRITTEN = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test race demo format lint generate check-generated bench clean
+.PHONY: build test race demo soak format lint generate check-generated bench clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -23,6 +23,11 @@
 demo: build
 	@BIN=$(CURDIR)/$(BIN) scripts/demo.sh
 
+# Real processes under faults from outside; SEED, DURATION and others as in scripts/soak.sh.
+soak: build
+	$(GO) build -o $(BIN)/ ./platform/weldnode ./platform/weldsoak
+	@BIN=$(CURDIR)/$(BIN) scripts/soak.sh
+
 format:
 	$(TOOL) gofumpt -w $(HANDWRITTEN)
 
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -102,7 +102,7 @@
 
 func (n *Node) ownAddress() *wirepb.MemberAddress {
 	return &wirepb.MemberAddress{
-		Id: n.id, Address: n.settings.Control.Listen, Node: n.settings.Node, Zone: n.settings.Zone,
+		Id: n.id, Address: n.settings.Control.Advertise, Node: n.settings.Node, Zone: n.settings.Zone,
 	}
 }
 
@@ -166,7 +166,7 @@
 	running, cancel := context.WithCancel(ctx)
 	var links []*peerLink
 	for _, address := range n.seeds() {
-		if address == n.settings.Control.Listen {
+		if address == n.settings.Control.Advertise {
 			continue
 		}
 		link := newPeerLink(n, settings.Member{Address: address})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	}
 	return datadir.OpenOrForm(n.settings.DataDir, n.settings.Cluster, func() datadir.Identity {
 		identity := datadir.Identity{Cluster: n.settings.Cluster}
-		own := n.settings.Control.Listen
+		own := n.settings.Control.Advertise
 		if seeds := n.settings.Formation.Addresses(); n.settings.Formation.First && slices.Contains(seeds, own) {
 			identity.ControlID, identity.First = membership.FirstID(own), seeds
 			return identity
@@ -154,7 +154,7 @@
 	self := n.identity()
 	self.Hello.ControlId = identity.ControlID
 	if n.settings.Formation.Forms() {
-		self.Hello.Address = n.settings.Control.Listen
+		self.Hello.Address = n.settings.Control.Advertise
 	}
 	n.control, err = control.New(control.Options{
 		Settings: n.settings, Logger: n.logger, Storage: disk, Recovered: recovered, Join: identity.Join,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -177,6 +177,9 @@
 	ID uint64 `yaml:"id"`
 	// Listen is the address for other processes.
 	Listen string `yaml:"listen"`
+	// Advertise is where other processes reach the node, if that is not Listen: before an
+	// address translation, or a proxy. Default: Listen.
+	Advertise string `yaml:"advertise"`
 	// API is the address of the resource API.
 	API string `yaml:"api"`
 	// Members are the control nodes, this one included.
@@ -306,6 +309,7 @@
 	setDefault(&s.Control.ElectionSpread, s.Control.ElectionTimeout)
 	setDefault(&s.Control.HeartbeatInterval, 100*time.Millisecond)
 	setDefault(&s.Control.LeaseMargin, 100*time.Millisecond)
+	setDefault(&s.Control.Advertise, s.Control.Listen)
 	setDefault(&s.Control.CompactEvery, 4096)
 	setDefault(&s.Control.ReplaceAfter, 30*time.Second)
 	setDefault(&s.Router.MaxWaiting, 4096)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -288,6 +288,9 @@
 	for position, member := range s.Control.Members {
 		peers = append(peers, namedAddress{field: "control.members[" + strconv.Itoa(position) + "].address", value: member.Address})
 	}
+	if s.Control.Advertise != "" {
+		peers = append(peers, namedAddress{field: "control.advertise", value: s.Control.Advertise})
+	}
 	for position, upstream := range s.Router.Upstreams {
 		peers = append(peers, namedAddress{field: "router.upstreams[" + strconv.Itoa(position) + "]", value: upstream})
 	}
--- /dev/null
+++ b/internal/soak/checks.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Bounds are what operators were promised.
+type Bounds struct {
+	// Apply is how long after its acknowledgement a configuration may not be in force.
+	Apply time.Duration
+	// Drain is how long after the acknowledgement of a zone's drain requests may still come.
+	Drain time.Duration
+	// Contact is how long after a disturbance a router may not know what the others know.
+	Contact time.Duration
+	// WarmingPerSecond is how many requests a machine that warms up may get in a second.
+	WarmingPerSecond int
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	// Promise names the check.
+	Promise string `json:"promise"`
+	Detail  string `json:"detail"`
+}
+
+// check returns what of a history breaks one promise.
+type check struct {
+	promise string
+	find    func(history *History, bounds Bounds, disturbances []Disturbance) []string
+}
+
+// checks are all promises that are judged.
+var checks = []check{
+	{"whole-answers", wrongAnswers},
+	{"no-denials", denials},
+	{"at-most-once", repeatedRuns},
+	{"not-run", untrueRefusals},
+	{"configuration", oldReads},
+	{"zone-drains", arrivalsInDrainedZones},
+	{"warming-machines", floodedMachines},
+	{"regions", forbiddenRegions},
+	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
+	{"recovery", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Unserved }},
+}
+
+// Judge returns the promises that a history breaks, in the order of the checks. The history must
+// not be recorded to any more.
+func Judge(history *History, bounds Bounds, disturbances []Disturbance) []Violation {
+	var violations []Violation
+	for _, each := range checks {
+		for _, detail := range each.find(history, bounds, disturbances) {
+			violations = append(violations, Violation{Promise: each.promise, Detail: detail})
+		}
+	}
+	return violations
+}
+
+func wrongAnswers(history *History, _ Bounds, _ []Disturbance) []string {
+	var found []string
+	for _, answer := range history.Answers {
+		if answer.Outcome == OutcomeAnswered && !answer.Right {
+			found = append(found, fmt.Sprintf("%s: the answer at %s is not the whole one to it", answer.Request, answer.At))
+		}
+	}
+	return found
+}
+
+// denials are of requests that every configuration allows.
+func denials(history *History, _ Bounds, _ []Disturbance) []string {
+	var found []string
+	for _, answer := range history.Answers {
+		if answer.Outcome == OutcomeDenied {
+			found = append(found, fmt.Sprintf("%s was denied at %s by %s", answer.Request, answer.At, history.Requests[answer.Request].Router))
+		}
+	}
+	return found
+}
+
+// arrivalsOf groups the arrivals by request.
+func (h *History) arrivalsOf() map[string][]Arrival {
+	grouped := map[string][]Arrival{}
+	for _, arrival := range h.Arrivals {
+		grouped[arrival.Request] = append(grouped[arrival.Request], arrival)
+	}
+	return grouped
+}
+
+func repeatedRuns(history *History, _ Bounds, _ []Disturbance) []string {
+	var found []string
+	for id, arrivals := range sortedGroups(history.arrivalsOf()) {
+		if len(arrivals) > 1 && !history.Requests[id].Repeatable {
+			found = append(found, fmt.Sprintf("%s ran %d times: at %s and %s", id, len(arrivals), arrivals[0].Machine, arrivals[1].Machine))
+		}
+	}
+	return found
+}
+
+func untrueRefusals(history *History, _ Bounds, _ []Disturbance) []string {
+	arrivals := history.arrivalsOf()
+	var found []string
+	for _, answer := range history.Answers {
+		if ran := arrivals[answer.Request]; answer.Outcome == OutcomeNotRun && len(ran) > 0 {
+			found = append(found, fmt.Sprintf("%s: said at %s not to have run, but ran at %s at %s", answer.Request, answer.At, ran[0].Machine, ran[0].At))
+		}
+	}
+	return found
+}
+
+func oldReads(history *History, bounds Bounds, _ []Disturbance) []string {
+	var found []string
+	for _, read := range history.Reads {
+		for _, order := range history.Orders {
+			if order.Kind == OrderDeclare && read.Sent > order.Acknowledged+bounds.Apply && read.Version < order.Version {
+				found = append(found, fmt.Sprintf("%s told version %d at %s, %d was acknowledged at %s", read.Node, read.Version, read.Sent, order.Version, order.Acknowledged))
+				break
+			}
+		}
+	}
+	return found
+}
+
+// drain is a span in which a zone was to get nothing.
+type drain struct {
+	zone       string
+	from, till time.Duration
+}
+
+// drains returns the spans between acknowledged drains and the next order that took each back.
+func (h *History) drains(bounds Bounds) []drain {
+	var spans []drain
+	for _, order := range h.Orders {
+		if order.Kind != OrderDrain {
+			continue
+		}
+		span := drain{zone: order.Zone, from: order.Acknowledged + bounds.Drain, till: time.Duration(1<<63 - 1)}
+		for _, later := range h.Orders {
+			if later.Kind == OrderUndrain && later.Zone == order.Zone && later.Sent > order.Sent {
+				span.till = min(span.till, later.Sent)
+			}
+		}
+		spans = append(spans, span)
+	}
+	return spans
+}
+
+func arrivalsInDrainedZones(history *History, bounds Bounds, disturbances []Disturbance) []string {
+	var found []string
+	spans := history.drains(bounds)
+	for _, arrival := range history.Arrivals {
+		for _, span := range spans {
+			if arrival.Place.Zone != span.zone || arrival.At <= span.from || arrival.At >= span.till {
+				continue
+			}
+			router := history.Requests[arrival.Request].Router
+			if !disturbedLately(disturbances, router, arrival.At, bounds.Contact) {
+				found = append(found, fmt.Sprintf("%s reached %s in zone %s at %s by %s, %s too late", arrival.Request, arrival.Machine, span.zone, arrival.At, router, arrival.At-span.from))
+			}
+		}
+	}
+	return found
+}
+
+// disturbedLately reports whether a router, or what all routers depend on, was disturbed shortly
+// before a moment.
+func disturbedLately(disturbances []Disturbance, router string, at, contact time.Duration) bool {
+	return slices.ContainsFunc(disturbances, func(each Disturbance) bool {
+		concerned := each.Everyone || each.Node == router
+		return concerned && each.From <= at && at <= each.Till+contact
+	})
+}
+
+// floodedMachines looks at every span of a second that begins with an arrival.
+func floodedMachines(history *History, bounds Bounds, _ []Disturbance) []string {
+	times := map[string][]time.Duration{}
+	for _, arrival := range history.Arrivals {
+		if arrival.Warming {
+			times[arrival.Machine] = append(times[arrival.Machine], arrival.At)
+		}
+	}
+	var found []string
+	for machine, arrived := range sortedGroups(times) {
+		slices.Sort(arrived)
+		first := 0
+		for last, at := range arrived {
+			for at-arrived[first] >= time.Second {
+				first++
+			}
+			if count := last - first + 1; count > bounds.WarmingPerSecond {
+				found = append(found, fmt.Sprintf("%s got %d requests in the second before %s while it warmed up", machine, count, at))
+				break
+			}
+		}
+	}
+	return found
+}
+
+func forbiddenRegions(history *History, _ Bounds, _ []Disturbance) []string {
+	var found []string
+	for _, arrival := range history.Arrivals {
+		if request := history.Requests[arrival.Request]; !request.Allowed.Allows(arrival.Place.Region) {
+			found = append(found, fmt.Sprintf("%s, %s, reached %s in region %q", arrival.Request, request.Allowed.Key(), arrival.Machine, arrival.Place.Region))
+		}
+	}
+	return found
+}
+
+// sortedGroups visits groups by name, so that the same history is always told alike.
+func sortedGroups[T any](groups map[string][]T) func(yield func(string, []T) bool) {
+	return func(yield func(string, []T) bool) {
+		for _, name := range slices.SortedFunc(maps.Keys(groups), cmp.Compare[string]) {
+			if !yield(name, groups[name]) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/checks_test.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/weldline/weldline/internal/places"
+)
+
+var testBounds = Bounds{Apply: 2 * time.Second, Drain: 2 * time.Second, Contact: time.Second, WarmingPerSecond: 3}
+
+// kept returns a history that breaks nothing.
+func kept() *History {
+	history := NewHistory()
+	history.Requests["once"] = Request{ID: "once", Router: "r1", Allowed: places.Only("north")}
+	history.Requests["again"] = Request{ID: "again", Router: "r1", Repeatable: true}
+	history.Requests["refused"] = Request{ID: "refused", Router: "r2"}
+	north, south := Place{Zone: "n1", Region: "north"}, Place{Zone: "s1", Region: "south"}
+	history.Arrivals = []Arrival{
+		{Request: "once", Machine: "m1", Place: north, At: time.Second, Warming: true},
+		{Request: "again", Machine: "m1", Place: north, At: 1200 * time.Millisecond, Warming: true},
+		{Request: "again", Machine: "m2", Place: south, At: 2 * time.Second},
+	}
+	history.Answers = []Answer{
+		{Request: "once", Outcome: OutcomeAnswered, Right: true},
+		{Request: "again", Outcome: OutcomeUnknown},
+		{Request: "refused", Outcome: OutcomeNotRun},
+	}
+	history.Orders = []Order{
+		{Kind: OrderDeclare, Version: 3, Acknowledged: time.Second},
+		{Kind: OrderDrain, Zone: "s1", Sent: 3 * time.Second, Acknowledged: 4 * time.Second},
+		{Kind: OrderUndrain, Zone: "s1", Sent: 10 * time.Second, Acknowledged: 11 * time.Second},
+	}
+	history.Reads = []Read{{Node: "c1", Version: 2, Sent: 2 * time.Second}, {Node: "c1", Version: 3, Sent: 4 * time.Second}}
+	return history
+}
+
+func TestJudgeFindsNothing(t *testing.T) {
+	if found := Judge(kept(), testBounds, nil); len(found) > 0 {
+		t.Errorf("%v", found)
+	}
+}
+
+// TestEachCheckCanFail breaks one promise at a time.
+func TestEachCheckCanFail(t *testing.T) {
+	late := Arrival{Request: "again", Machine: "m2", Place: Place{Zone: "s1", Region: "south"}, At: 7 * time.Second}
+	breaks := map[string]func(history *History){
+		"whole-answers": func(h *History) { h.Answers[0].Right = false },
+		"no-denials":    func(h *History) { h.Answers[1].Outcome = OutcomeDenied },
+		"at-most-once":  func(h *History) { h.Arrivals[1].Request = "once" },
+		"not-run":       func(h *History) { h.Arrivals[2].Request = "refused" },
+		"configuration": func(h *History) { h.Reads[1].Version = 2 },
+		"zone-drains":   func(h *History) { h.Arrivals = append(h.Arrivals, late) },
+		"warming-machines": func(h *History) {
+			for _, at := range []time.Duration{1500, 1999} {
+				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m1", At: at * time.Millisecond, Warming: true})
+			}
+		},
+		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
+		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
+		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
+	}
+	for _, each := range checks {
+		history := kept()
+		breaks[each.promise](history)
+		found := Judge(history, testBounds, nil)
+		if len(found) != 1 || found[0].Promise != each.promise {
+			t.Errorf("%s: found %v", each.promise, found)
+		}
+	}
+}
+
+// TestDrainsOfThoseWhoCannotKnow: a router that was cut off lately may send what it should not
+// have; one that was not may not.
+func TestDrainsOfThoseWhoCannotKnow(t *testing.T) {
+	history := kept()
+	history.Arrivals = append(history.Arrivals, Arrival{Request: "again", Place: Place{Zone: "s1"}, At: 7 * time.Second})
+	for _, test := range []struct {
+		disturbance Disturbance
+		found       int
+	}{
+		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r1"}, 0},
+		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Everyone: true}, 0},
+		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r2"}, 1},
+		{Disturbance{From: 4 * time.Second, Till: 5 * time.Second, Node: "r1"}, 1},
+		{Disturbance{From: 8 * time.Second, Till: 9 * time.Second, Node: "r1"}, 1},
+	} {
+		if found := Judge(history, testBounds, []Disturbance{test.disturbance}); len(found) != test.found {
+			t.Errorf("%+v: found %v", test.disturbance, found)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestPlan checks what every plan must hold: the same for the same seed, over in time, struck is
+// who exists, and somewhere faults overlap.
+func TestPlan(t *testing.T) {
+	layout := Layout{Control: []string{"c1", "c2", "c3"}, Routers: []string{"r1", "r2"}, Machines: 4}
+	everybody := append(slices.Clone(layout.Control), layout.Routers...)
+	const span = time.Minute
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		plan := NewPlan(seed, layout, span)
+		if !reflect.DeepEqual(plan, NewPlan(seed, layout, span)) {
+			t.Fatal("two plans of one seed differ")
+		}
+		overlaps := false
+		for position, each := range plan {
+			if each.At < calmStart || each.At+each.For > span {
+				t.Fatalf("%s is not within the span", each)
+			}
+			if each.Node != "" && !slices.Contains(everybody, each.Node) || each.Machine >= layout.Machines {
+				t.Fatalf("%s strikes nobody", each)
+			}
+			overlaps = overlaps || position > 0 && each.At < plan[position-1].At+plan[position-1].For
+		}
+		if !overlaps {
+			t.Fatal("no faults overlap")
+		}
+	})
+}
+
+// TestDisturbances: what strikes a control node concerns every router, what strikes a router that
+// one alone, and what strikes a machine nobody.
+func TestDisturbances(t *testing.T) {
+	layout := Layout{Control: []string{"c1"}, Routers: []string{"r1"}, Machines: 1}
+	spans := Disturbances([]Fault{
+		{Kind: FaultKill, At: time.Second, Node: "r1"},
+		{Kind: FaultCutTo, At: 2 * time.Second, For: time.Second, Node: "c1"},
+		{Kind: FaultCrashMachine, At: 3 * time.Second},
+	}, layout)
+	want := []Disturbance{
+		{From: time.Second, Till: time.Second + restartTime, Node: "r1"},
+		{From: 2 * time.Second, Till: 3 * time.Second, Node: "c1", Everyone: true},
+	}
+	if !reflect.DeepEqual(spans, want) {
+		t.Errorf("%+v", spans)
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/weldline/weldline/internal/fault"
+)
+
+// Machines disturbs the stand-ins for machines.
+type Machines interface {
+	// Crash ends a machine; another one that warms up takes its place.
+	Crash(machine int)
+	// Cool makes a machine warm up again.
+	Cool(machine int)
+}
+
+// Injector carries out a plan.
+type Injector struct {
+	Layout    Layout
+	Processes Processes
+	// Proxies stand before the control nodes, by name.
+	Proxies  map[string]*Proxy
+	Machines Machines
+	Logger   *slog.Logger
+}
+
+// addedDelay is by how much a delayed link is slower each way: as a far region's, or a link that
+// is nearly full.
+const addedDelay = 150 * time.Millisecond
+
+// Run carries out the faults at their times, and returns when the last is over or ctx ends; it
+// leaves nothing frozen or cut.
+func (i *Injector) Run(ctx context.Context, plan []Fault, started time.Time) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for _, each := range plan {
+		if !sleepUntil(ctx, started.Add(each.At)) {
+			return
+		}
+		i.Logger.Info("fault", "what", each.String())
+		running.Go(func() { i.inject(ctx, each) })
+	}
+}
+
+func sleepUntil(ctx context.Context, moment time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(moment)):
+		return true
+	}
+}
+
+func (i *Injector) inject(ctx context.Context, each Fault) {
+	proxy := i.Proxies[each.Node]
+	switch each.Kind {
+	case FaultKill:
+		i.signal(each.Node, syscall.SIGKILL)
+	case FaultStop:
+		i.signal(each.Node, syscall.SIGTERM)
+	case FaultKillAll:
+		for _, node := range i.Layout.Control {
+			i.signal(node, syscall.SIGKILL)
+		}
+	case FaultFreeze:
+		i.signal(each.Node, syscall.SIGSTOP)
+		defer i.signal(each.Node, syscall.SIGCONT)
+	case FaultSilenceTo:
+		proxy.Silence(To)
+	case FaultSilenceFrom:
+		proxy.Silence(From)
+	case FaultCutTo:
+		proxy.Cut(To)
+		defer proxy.Heal(To)
+	case FaultCutFrom:
+		proxy.Cut(From)
+		defer proxy.Heal(From)
+	case FaultReset:
+		proxy.Reset()
+	case FaultDelay:
+		proxy.AddDelay(addedDelay)
+		defer proxy.AddDelay(-addedDelay)
+	case FaultCrashMachine:
+		i.Machines.Crash(each.Machine)
+	case FaultCoolMachine:
+		i.Machines.Cool(each.Machine)
+	}
+	sleepUntil(ctx, time.Now().Add(each.For))
+}
+
+// signal signals a node. One that has just ended and is not back yet can't be: that is no fault
+// of the soak's.
+func (i *Injector) signal(node string, signal syscall.Signal) {
+	if err := i.Processes.Signal(node, signal); err != nil {
+		i.Logger.Info("fault_without_effect", "node", node, "signal", signal.String(), "error", fault.Message(err))
+	}
+}
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# A soak: real nodes as processes of their own, callers, operators and machines before them, and
+# faults from outside. The last line of standard output is one JSON object; the exit code is 1
+# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS and MACHINES change it; KEEP_RUN=1
+# keeps the folder with the logs, and so does a promise that was broken.
+#
+# Each node is started here again after it has ended. Only processes that were started here are
+# signalled, by the ids in the run's folder.
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${BIN:-$root/bin}
+run=$(mktemp -d "${TMPDIR:-/tmp}/weldline-soak.XXXXXX")
+control=${CONTROL:-4}
+routers=${ROUTERS:-3}
+declare -a supervisors=()
+
+say() { echo "soak: $*" >&2; }
+
+supervise() { # name
+  while [ -e "$run/keep-running" ]; do
+    WELDLINE_BOOT="$run/$1.yaml" "$bin/weldnode" >>"$run/$1.log" 2>&1 &
+    echo $! >"$run/$1"
+    wait $! || true
+    sleep 0.3
+  done
+}
+
+cleanup() {
+  rm -f "$run/keep-running"
+  for file in "$run"/control-? "$run"/router-?; do
+    if [ -e "$file" ]; then
+      kill -CONT "$(cat "$file")" 2>/dev/null || true
+      kill -KILL "$(cat "$file")" 2>/dev/null || true
+    fi
+  done
+  wait "${supervisors[@]}" 2>/dev/null || true
+  if [ "${KEEP_RUN:-0}" = 1 ] || [ "${result:-1}" != 0 ]; then say "logs kept in $run"; else rm -rf "$run"; fi
+}
+trap cleanup EXIT
+
+touch "$run/keep-running"
+"$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control" --routers "$routers" \
+  --machines "${MACHINES:-12}" --run "$run" 2>"$run/soak.log" &
+soak=$!
+for _ in $(seq 1 200); do
+  if [ -e "$run/ready" ]; then break; fi
+  sleep 0.05
+done
+for number in $(seq 0 $((control - 1))); do supervise "control-$number" & supervisors+=($!); done
+for number in $(seq 0 $((routers - 1))); do supervise "router-$number" & supervisors+=($!); done
+result=0
+wait "$soak" || result=$?
+exit "$result"
