Drain a zone by an order of operators

Cause: operators could take single machines out of use, not a zone; the routers' targets knew no zone.

Change: control nodes take an order to drain a zone, or to end that, and acknowledge it once it is committed. It is written on condition of the revision that it read, also where nothing changes, so that what is still on its way is refused; it reads the state only shortly after it arrived, and a process that was stalled a moment ago takes none. Routers take the targets of drained zones out, look once more right before a request is written, and refuse at once what nothing outside of drained zones can serve in time.

Ruled out: acknowledging an order that finds the zone as it wants it without a write. A write of the opposite order that was given up before could then still take effect.

Conclusion: orders and routers are whole; placement still counts replicas in drained zones as serving.

--- a/api/v1/zonedrain.go
+++ b/api/v1/zonedrain.go
@@ -1,5 +1,7 @@
 package v1
 
+import "time"
+
 // ZoneDrainSpec says whether a zone's machines are to get requests. It is named by the zone.
 // The object of a zone that has ever been drained stays, so that its revision tells an order
 // that was overtaken by a later one, whichever way each of them went.
@@ -8,6 +10,17 @@
 	Drained bool `json:"drained"`
 }
 
+// ReasonZoneDrained begins the reason of whatever does not happen since a zone is drained.
+const ReasonZoneDrained = "zone drained"
+
+// ZoneDrainStatus tells of the newest order about a zone.
+type ZoneDrainStatus struct {
+	// OrderedAt is when the order was taken, by the clock of the control node that took it. An
+	// order that finds the zone as it wants it writes this, too: the new revision overtakes
+	// whatever is still on its way.
+	OrderedAt time.Time `json:"orderedAt"`
+}
+
 func (s *ZoneDrainSpec) setDefaults() {}
 
 func (s *ZoneDrainSpec) validate() error { return nil }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,6 +16,7 @@
 	batchSeconds        prometheus.Histogram
 	decideSeconds       prometheus.Histogram
 	decisions           *prometheus.CounterVec
+	drainOrders         *prometheus.CounterVec
 }
 
 // NewMetrics registers the control node's metrics.
@@ -33,9 +34,20 @@
 		decisions: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_placement_decisions_total", Help: "Replica decisions by kind.",
 		}, []string{"kind"}),
+		drainOrders: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_zone_drain_orders_total", Help: "Acknowledged orders to drain a zone, or to end that, repeated ones included.",
+		}, []string{"order"}),
 	}
 }
 
+func (m *Metrics) observeDrainOrder(drained bool) {
+	order := "undrain"
+	if drained {
+		order = "drain"
+	}
+	m.drainOrders.WithLabelValues(order).Inc()
+}
+
 func (m *Metrics) observeStatus(status *raft.Status) {
 	m.role.Set(float64(status.Role))
 	m.term.Set(float64(status.Term))
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -113,6 +113,8 @@
 	taken takenCounts
 	// linksChecked is when renewSilentLinks last looked; the loop's own.
 	linksChecked time.Duration
+	// stalls tells whether the process was stopped until a moment ago.
+	stalls stallGuard
 }
 
 // proposal is a command on its way through the log.
@@ -200,6 +202,7 @@
 	defer workers.Wait()
 	defer cancel()
 	n.peers.start(ctx, &workers)
+	workers.Go(func() { n.watchStalls(ctx) })
 	workers.Go(func() { n.runLeader(ctx) })
 	if n.settings.Formation.Forms() {
 		workers.Go(func() { n.runJoin(ctx, &workers) })
--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -153,10 +153,15 @@
 }
 
 func (c *trio) newNodeWith(position int, storage member.Storage, engines Engines) *Node {
+	c.t.Helper()
+	return c.newNodeRecovered(position, storage, member.Recovered{}, engines)
+}
+
+func (c *trio) newNodeRecovered(position int, storage member.Storage, recovered member.Recovered, engines Engines) *Node {
 	c.t.Helper()
 	name, id := "control-"+strconv.Itoa(position), uint64(position+1)
 	configuration := &settings.Settings{
-		Cluster: "test", Node: name, Zone: "z", Roles: []settings.Role{settings.RoleControl}, DataDir: c.t.TempDir(),
+		Cluster: "test", Node: name, Zone: "z", Zones: map[string]string{"z": "region"}, Roles: []settings.Role{settings.RoleControl}, DataDir: c.t.TempDir(),
 		Admin: "127.0.0.1:0", LogLevel: "error", Policy: settings.PolicySettings{Name: "resident"},
 		Machines: settings.MachineSettings{HeartbeatInterval: 10 * time.Second, OrderLease: time.Second},
 		Control: settings.ControlSettings{
@@ -173,7 +178,7 @@
 		c.t.Fatal(err)
 	}
 	node, err := New(Options{
-		Settings: configuration, Logger: slog.New(slog.DiscardHandler), Storage: storage, Recovered: member.Recovered{},
+		Settings: configuration, Logger: slog.New(slog.DiscardHandler), Storage: storage, Recovered: recovered,
 		ID: id, Engines: engines, Metrics: NewMetrics(prometheus.NewRegistry()), Self: identityOf(name, id), Seeds: func() []string { return nil },
 		Clock: c.clockOf(position).now,
 	})
--- /dev/null
+++ b/internal/control/stall_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestStallIsSeenBeforeAndAfterTheProcessNotesThatItRuns: a thawed process may read calls before
+// its ticker has run, and while it empties its sockets.
+func TestStallIsSeenBeforeAndAfterTheProcessNotesThatItRuns(t *testing.T) {
+	watch := stallWatch{lastRun: time.Second}
+	if watch.stalled(time.Second + stallGap) {
+		t.Error("a process that ran within the gap counts as stalled")
+	}
+	thawed := time.Second + stallGap + time.Millisecond
+	if !watch.stalled(thawed) {
+		t.Error("a process that did not run for longer than the gap does not count as stalled")
+	}
+	watch.run(thawed)
+	if !watch.stalled(thawed + stallRest - 1) {
+		t.Error("the stall is forgotten at once")
+	}
+	for now := thawed; now <= thawed+stallRest; now += stallLook {
+		watch.run(now)
+	}
+	if watch.stalled(thawed + stallRest) {
+		t.Error("a process that has run since counts as stalled for ever")
+	}
+}
+
+// TestStallWatch checks the invariant for any times at which the process runs.
+func TestStallWatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var watch stallWatch
+		now, longGapEnded := time.Duration(0), -stallRest
+		for range rapid.IntRange(1, 50).Draw(t, "looks") {
+			step := time.Duration(rapid.Int64Range(0, int64(2*stallGap)).Draw(t, "step"))
+			now += step
+			if step > stallGap {
+				longGapEnded = now
+			}
+			if expected := now < longGapEnded+stallRest; watch.stalled(now) != expected {
+				t.Fatalf("at %s, with a gap that ended at %s: stalled is %t", now, longGapEnded, !expected)
+			}
+			watch.run(now)
+		}
+	})
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -33,6 +33,8 @@
 	targets  map[string]*target
 	versions map[string]*versionState
 	waiters  map[uint64]*waiter
+	// drained would be targets if their zones were not drained, by replica.
+	drained map[string]Target
 	// others is the load on each machine that other routers cause, by the
 	// lagged reports.
 	others map[string]int
@@ -67,7 +69,10 @@
 	// adapterRunning counts the requests in flight for each adapter.
 	adapterRunning map[string]int
 	running        int
-	estimate       *Estimate
+	// drained counts the targets in drained zones; fixed is set where such can't be replaced.
+	drained  int
+	fixed    bool
+	estimate *Estimate
 	// turn counts the grants, for round robin.
 	turn int
 }
@@ -89,7 +94,7 @@
 		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
 		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
 		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
-		staleness: usualStaleness, answered: map[string]Answers{},
+		staleness: usualStaleness, answered: map[string]Answers{}, drained: map[string]Target{},
 	}
 }
 
@@ -193,12 +198,15 @@
 	if !now.Before(request.Deadline) {
 		return Refusal{Request: request, Reason: RefusedDeadline, Detail: "the deadline has passed"}, true
 	}
+	if c.isDrainedOnly(version) {
+		return c.refuseDrained(now, version, request)
+	}
 	estimate := version.estimate
 	if estimate == nil || c.hasReady(version) {
 		return Refusal{}, false
 	}
 	if estimate.Refused {
-		return Refusal{Request: request, Reason: RefusedNotLoadable, Detail: estimate.Reason}, true
+		return refusalByLeader(request, estimate), true
 	}
 	if estimate.EarliestAt.After(request.Deadline) {
 		return Refusal{
@@ -325,31 +333,50 @@
 	return outcome
 }
 
+// replaceTargets is SetTargets with those in drained zones beside.
+func (c *Core) replaceTargets(now time.Time, changes TargetChanges) Outcome {
+	c.replaceDrained(changes.Drained)
+	outcome := c.SetTargets(now, changes.Targets)
+	c.refuseWaitingForDrained(now, &outcome)
+	return outcome
+}
+
 // ChangeTargets takes over what is new in the replicas that may get requests. It costs what
 // has changed, where SetTargets costs all that there is.
 func (c *Core) ChangeTargets(now time.Time, changes TargetChanges) Outcome {
 	if changes.Full {
-		return c.SetTargets(now, changes.Targets)
+		return c.replaceTargets(now, changes)
 	}
 	var outcome Outcome
 	for _, next := range changes.Targets {
 		c.putTarget(next)
 	}
 	for _, name := range changes.Removed {
-		held := c.targets[name]
-		if held == nil {
-			continue
-		}
-		c.retire(held)
-		if !c.hasTargetOn(held.Machine) {
-			delete(c.answered, held.Machine)
-		}
+		c.unsetDrained(name)
+		c.removeTarget(name)
+	}
+	for _, next := range changes.Drained {
+		c.setDrained(next)
 	}
 	c.dispatchAll(now, &outcome)
+	c.refuseWaitingForDrained(now, &outcome)
 	return outcome
 }
 
+// removeTarget gives a target nothing new, if there is one of that name.
+func (c *Core) removeTarget(name string) {
+	held := c.targets[name]
+	if held == nil {
+		return
+	}
+	c.retire(held)
+	if !c.hasTargetOn(held.Machine) {
+		delete(c.answered, held.Machine)
+	}
+}
+
 func (c *Core) putTarget(next Target) {
+	c.unsetDrained(next.Replica)
 	if held := c.targets[next.Replica]; held != nil {
 		held.Target = next
 		held.retired = false
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -107,18 +108,26 @@
 	}
 }
 
-// setTargets reads one target a line: replica, version, machine, most at once.
+// setTargets reads one target a line: replica, version, machine, most at once, and words for one
+// in a drained zone and for one that can't be loaded elsewhere.
 func (d *dispatchTable) setTargets(out *strings.Builder, input string) {
-	var targets []Target
+	changes := TargetChanges{Full: true}
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
 		fields := strings.Fields(line)
 		if len(fields) < 4 {
 			continue
 		}
 		most, _ := strconv.Atoi(fields[3])
-		targets = append(targets, Target{Replica: fields[0], Version: fields[1], Machine: fields[2], Max: most})
+		target := Target{
+			Replica: fields[0], Version: fields[1], Machine: fields[2], Max: most, Fixed: slices.Contains(fields, "fixed"),
+		}
+		if slices.Contains(fields, "drained") {
+			changes.Drained = append(changes.Drained, target)
+		} else {
+			changes.Targets = append(changes.Targets, target)
+		}
 	}
-	d.report(out, d.core.SetTargets(d.now, targets))
+	d.report(out, d.core.ChangeTargets(d.now, changes))
 }
 
 func (d *dispatchTable) report(out *strings.Builder, outcome Outcome) {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/places"
 )
 
@@ -45,10 +46,14 @@
 	Max int
 	// Adapters that the replica holds, where these are placed like models.
 	Adapters []string
+	// Zone is where the target's machine stands.
+	Zone string
 	// Region is where the target is served from; empty where that is not known.
 	Region string
 	// Nearness is how near the target is to the router.
 	Nearness places.Nearness
+	// Fixed is set for a machine that serves by itself: no replica of it can be loaded elsewhere.
+	Fixed bool
 	// Suspect targets get requests only if there are no others: their machine
 	// has not been heard of for a while.
 	Suspect bool
@@ -71,6 +76,9 @@
 	RefusedDeadline RefusalReason = "deadline"
 	// RefusedOverload: too many wait, and others come first.
 	RefusedOverload RefusalReason = "overload"
+	// RefusedZoneDrained: what could serve the request stands in drained zones, and nothing
+	// else is expected to in time.
+	RefusedZoneDrained RefusalReason = v1.ReasonZoneDrained
 	// RefusedNotLoadable: no machine can hold the model.
 	RefusedNotLoadable RefusalReason = "not-loadable"
 )
@@ -98,6 +106,9 @@
 	Targets []Target
 	// Removed names the replicas that get nothing any more.
 	Removed []string
+	// Drained would be targets if their zones were not drained. They get nothing; that they are
+	// there tells why a version has no target.
+	Drained []Target
 }
 
 // Estimate is the leader's estimate for a version.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,9 @@
 // The engine's request lives as long as the caller's; waiting for the first
 // byte is bounded by the deadline.
 func (g *Gateway) attempt(parent, waiting context.Context, writer http.ResponseWriter, created *job, grant *dispatch.Grant, number int) attemptEnd {
+	if g.options.View.ZoneDrained(grant.Target.Zone) {
+		return endNotRun // The drain came after the grant.
+	}
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	attemptID := created.id + "." + strconv.Itoa(number)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	claims     *claims.Keeper
 	budget     *retryBudget
 	crashes    *crashwatch.Watcher
+	drains     *nodeview.DrainLog
 	engines    *http.Client
 	// once sends requests that may not be repeated: each on a connection of
 	// its own, so that a failed dial proves that nothing was sent.
@@ -69,6 +70,7 @@
 	dialer := &net.Dialer{Timeout: engineDialTimeout}
 	gateway := &Gateway{
 		options: options, router: mux.NewRouter(), limits: limits.New(),
+		drains: nodeview.NewDrainLog(options.Logger, options.Metrics.drained),
 		claims: claims.NewKeeper(options.Propose), budget: newRetryBudget(),
 		crashes: crashwatch.New(crashwatch.Options{
 			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(
@@ -155,8 +157,10 @@
 	for {
 		changed := g.options.View.Changed()
 		now := time.Now()
-		g.dispatcher.SetTargets(now, g.options.View.ReplicaTargets())
+		drains := g.options.View.ZoneDrains()
+		g.dispatcher.ChangeTargets(now, g.options.View.AllReplicaTargets())
 		g.services.SetTargets(now, g.options.View.ServiceTargets())
+		g.drains.InForce(now, drains)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -138,6 +138,8 @@
 	switch refusal.Reason {
 	case dispatch.RefusedOverload:
 		document = problem.New(problem.TypeOverloaded, http.StatusTooManyRequests, refusal.Detail)
+	case dispatch.RefusedZoneDrained:
+		document = problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, string(refusal.Reason)+": "+refusal.Detail)
 	case dispatch.RefusedNotLoadable:
 		document = problem.New(problem.TypeNotLoadable, http.StatusServiceUnavailable, refusal.Detail)
 	default:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/weldline/weldline/internal/nodeview"
 )
 
 // Metrics are the gateway's metrics.
@@ -14,6 +16,7 @@
 	resumed   prometheus.Counter
 	coldWait  prometheus.Histogram
 	firstByte prometheus.Histogram
+	drained   *prometheus.GaugeVec
 }
 
 // NewMetrics registers the gateway's metrics.
@@ -21,6 +24,7 @@
 	factory := promauto.With(registry)
 	waits := prometheus.ExponentialBuckets(0.001, 2, 16)
 	return &Metrics{
+		drained: nodeview.NewDrainGauge(registry, "weldline_router_zone_drained"),
 		requests: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_requests_total", Help: "Requests by service and how they ended.",
 		}, []string{"service", "result"}),
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/upstream"
 )
 
@@ -34,13 +35,15 @@
 	endSilent
 	// endError: the machine ran it and failed; the route allows repeating.
 	endError
+	// endDrained: the machine's zone was drained before anything was sent there.
+	endDrained
 	// endErrorAnswered: the caller has the machine's own failure, whole.
 	endErrorAnswered
 )
 
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "error_answered"}[e]
+	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "drained", "error_answered"}[e]
 }
 
 // health is what the end says about the machine.
@@ -52,7 +55,7 @@
 		return dispatch.ResultError
 	case endSilent:
 		return dispatch.ResultSilent
-	case endNotRun:
+	case endNotRun, endDrained:
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
@@ -62,6 +65,9 @@
 
 // attempt sends the request to one machine and passes its answer on.
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptEnd {
+	if j.inDrainedZone(grant) {
+		return endDrained
+	}
 	if j.sent == 0 {
 		j.ingress.countFirst(j.pool)
 	}
@@ -70,6 +76,9 @@
 	defer cancel()
 	outgoing := j.outgoing(grant)
 	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
+	if failure == upstream.FailedConnect && fault.Is(err, fault.Refused) {
+		return endDrained
+	}
 	if failure == upstream.FailedConnect {
 		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
 		return endNotConnected
@@ -88,6 +97,12 @@
 	return j.pass(ctx, answer, grant)
 }
 
+// inDrainedZone reports whether the machine of a grant is to get no requests any more. Routers
+// gather changes for a moment, and a connection may take a while, so it is asked until the last.
+func (j *job) inDrainedZone(grant *dispatch.Grant) bool {
+	return j.ingress.options.View.ZoneDrained(grant.Target.Zone)
+}
+
 // tryContext gives a machine a part of the time where another may be tried
 // after it.
 func (j *job) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -111,6 +126,9 @@
 			j.ingress.options.Translator.Prepare(header, Attempt{
 				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
+			if j.inDrainedZone(grant) {
+				return fault.Refused.New("the zone of machine %s is drained", grant.Target.Machine)
+			}
 			return nil
 		},
 		Matches: func(header http.Header) bool {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -43,14 +43,20 @@
 )
 
 // translator is the stand-in for a platform's.
-type translator struct{}
+type translator struct {
+	// beforeSend is called once, if set, right before a request is written to a machine.
+	beforeSend *atomic.Pointer[func()]
+}
 
 func (translator) Describe(header http.Header) ingress.Attributes {
 	wait, _ := time.ParseDuration(header.Get(headerWait))
 	return ingress.Attributes{ID: header.Get(headerID), Wait: wait, Model: header.Get(headerModel), Key: header.Get(headerKey)}
 }
 
-func (translator) Prepare(header http.Header, attempt ingress.Attempt) {
+func (t translator) Prepare(header http.Header, attempt ingress.Attempt) {
+	if call := t.beforeSend.Swap(nil); call != nil {
+		(*call)()
+	}
 	header.Set(headerTarget, attempt.Machine)
 	header.Set(headerTenant, attempt.Tenant)
 	header.Set(headerRank, strconv.Itoa(int(attempt.Priority)))
@@ -78,6 +84,8 @@
 	waits chan struct{}
 	// slept is for how long the router's machine has slept, in nanoseconds.
 	slept atomic.Int64
+	// beforeSend is the translator's.
+	beforeSend atomic.Pointer[func()]
 	// log is what commands go to; nil where there is no control plane.
 	log *replicatedLog
 }
@@ -129,7 +137,7 @@
 	created := &deployment{t: t, view: nodeview.New(), waits: make(chan struct{}, 100)}
 	handler := ingress.New(ingress.Options{
 		View: created.view, Logger: logger, Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
-		Translator: translator{}, MaxWaiting: 100,
+		Translator: translator{beforeSend: &created.beforeSend}, MaxWaiting: 100,
 		// A window of a nanosecond is over at once, so that the whole slack
 		// counts from the start.
 		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() { created.waits <- struct{}{} },
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -70,6 +70,7 @@
 
 	quotas  *quotas
 	crashes *crashwatch.Watcher
+	drains  *nodeview.DrainLog
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -97,6 +98,7 @@
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: pool, crashes: newCrashWatcher(options, pool),
+		drains: nodeview.NewDrainLog(options.Logger, options.Metrics.drained),
 	}
 }
 
@@ -149,7 +151,9 @@
 		i.table.Store(NewTable(routes, i.table.Load()))
 		i.logRoutes(len(routes))
 	}
+	drains := i.options.View.ZoneDrains()
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
+	i.drains.InForce(time.Now(), drains)
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
 		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -282,6 +282,9 @@
 	if ctx.Err() != nil || j.answered {
 		return false
 	}
+	if end == endDrained {
+		return true // Nothing was sent, and no target of the zone is left in a moment.
+	}
 	if end == endNotConnected {
 		return connectFailures < maxConnectFailures
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quarantine"
 )
 
@@ -17,6 +18,7 @@
 	seconds  *prometheus.HistogramVec
 	tenants  *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	drained  *prometheus.GaugeVec
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -48,7 +50,8 @@
 		crashes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
-		series: map[string]bool{},
+		drained: nodeview.NewDrainGauge(registry, "weldline_ingress_zone_drained"),
+		series:  map[string]bool{},
 	}
 }
 
--- a/internal/nodeview/routing.go
+++ b/internal/nodeview/routing.go
@@ -52,29 +52,38 @@
 
 // RegisteredTargets lists what may get requests of routes: the replicas on
 // machines that registered, and the machines of pools without engines. Machines
-// that leave are left out; those that are silent come last.
+// that leave, and those in drained zones, are left out; those that are silent come last.
 func (v *View) RegisteredTargets() []dispatch.Target {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	return v.registeredTargets()
+	targets, _ := v.registeredTargets()
+	return targets
 }
 
-func (v *View) registeredTargets() []dispatch.Target {
-	var targets []dispatch.Target
+// registeredTargets returns those that would be targets but for the drain of their zone apart.
+func (v *View) registeredTargets() (targets, drained []dispatch.Target) {
+	add := func(target dispatch.Target) {
+		if v.zoneDrains[target.Zone].Drained {
+			drained = append(drained, target)
+			return
+		}
+		targets = append(targets, target)
+	}
 	for _, group := range v.replicas {
 		for name, replica := range group {
 			if target, is := v.replicaTarget(name, replica); is {
-				targets = append(targets, target)
+				add(target)
 			}
 		}
 	}
 	for name, machine := range v.machines {
 		if target, is := v.machineTarget(name, machine); is {
-			targets = append(targets, target)
+			add(target)
 		}
 	}
 	slices.SortFunc(targets, byReplica)
-	return targets
+	slices.SortFunc(drained, byReplica)
+	return targets, drained
 }
 
 func byReplica(left, right dispatch.Target) int {
@@ -82,7 +91,7 @@
 }
 
 // replicaTarget returns the target that a replica is; it is none while the replica or its
-// machine takes no requests.
+// machine takes no requests. Whether its zone is drained does not count here.
 func (v *View) replicaTarget(name string, replica Replica) (dispatch.Target, bool) {
 	machine, found := v.machines[replica.Spec.Machine]
 	if !found || replica.Spec.Phase != v1.ReplicaReady || !isInUse(machine) {
@@ -93,13 +102,14 @@
 	return target, true
 }
 
-// machineTarget returns the target that a machine of a pool without engines is.
+// machineTarget returns the target that a machine of a pool without engines is. Whether its zone
+// is drained does not count here.
 func (v *View) machineTarget(name string, machine Machine) (dispatch.Target, bool) {
 	if machine.Spec.Pool == "" || machine.Spec.Accelerators > 0 || !isInUse(machine) {
 		return dispatch.Target{}, false
 	}
 	target := v.targetOn(name, machine)
-	target.Replica, target.Version = name, PoolVersion(machine.Spec.Pool)
+	target.Replica, target.Version, target.Fixed = name, PoolVersion(machine.Spec.Pool), true
 	return target, true
 }
 
@@ -109,13 +119,23 @@
 	case v1.KindReplica:
 		v.dirtyTargets[key.Name] = true
 	case v1.KindMachine:
-		v.dirtyTargets[key.Name] = true
-		for replica := range v.replicasOn[key.Name] {
-			v.dirtyTargets[replica] = true
+		v.markMachine(key.Name)
+	case v1.KindZoneDrain:
+		for name, machine := range v.machines {
+			if machine.Spec.Zone == key.Name {
+				v.markMachine(name)
+			}
 		}
 	}
 }
 
+func (v *View) markMachine(name string) {
+	v.dirtyTargets[name] = true
+	for replica := range v.replicasOn[name] {
+		v.dirtyTargets[replica] = true
+	}
+}
+
 // TakeTargetChanges returns what has changed of RegisteredTargets since the last call, which
 // must be the same caller's.
 func (v *View) TakeTargetChanges() dispatch.TargetChanges {
@@ -124,17 +144,23 @@
 	dirty, all := v.dirtyTargets, v.allTargets
 	v.dirtyTargets, v.allTargets = map[string]bool{}, false
 	if all {
-		return dispatch.TargetChanges{Full: true, Targets: v.registeredTargets()}
+		targets, drained := v.registeredTargets()
+		return dispatch.TargetChanges{Full: true, Targets: targets, Drained: drained}
 	}
 	var changes dispatch.TargetChanges
 	for name := range dirty {
-		if target, is := v.targetNamed(name); is {
-			changes.Targets = append(changes.Targets, target)
-		} else {
+		target, is := v.targetNamed(name)
+		switch {
+		case !is:
 			changes.Removed = append(changes.Removed, name)
+		case v.zoneDrains[target.Zone].Drained:
+			changes.Drained = append(changes.Drained, target)
+		default:
+			changes.Targets = append(changes.Targets, target)
 		}
 	}
 	slices.SortFunc(changes.Targets, byReplica)
+	slices.SortFunc(changes.Drained, byReplica)
 	slices.Sort(changes.Removed)
 	return changes
 }
@@ -151,7 +177,7 @@
 
 func (v *View) targetOn(name string, machine Machine) dispatch.Target {
 	return dispatch.Target{
-		Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
+		Zone: machine.Spec.Zone, Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
 		Machine: name, Endpoint: machine.Spec.Endpoint, Max: max(1, machine.Spec.Slots),
 		Suspect: machine.Status.Phase == v1.MachineLost,
 	}
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -15,16 +15,30 @@
 
 // ReplicaTargets lists the replicas that may get requests, by name.
 func (v *View) ReplicaTargets() []dispatch.Target {
-	var targets []dispatch.Target
-	v.EachReady(func(replica Replica, machine Machine) {
-		targets = append(targets, dispatch.Target{
-			Replica: replica.Object.GetName(), Version: replica.Spec.Version,
+	return v.AllReplicaTargets().Targets
+}
+
+// AllReplicaTargets lists the replicas that may get requests and, apart, those that may not since
+// their zones are drained, both by name.
+func (v *View) AllReplicaTargets() dispatch.TargetChanges {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	all := dispatch.TargetChanges{Full: true}
+	v.eachReady(func(replica Replica, machine Machine) {
+		target := dispatch.Target{
+			Replica: replica.Object.GetName(), Version: replica.Spec.Version, Zone: machine.Spec.Zone,
 			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
 			Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
-		})
+		}
+		if v.isDrained(machine) {
+			all.Drained = append(all.Drained, target)
+			return
+		}
+		all.Targets = append(all.Targets, target)
 	})
-	slices.SortFunc(targets, byReplica)
-	return targets
+	slices.SortFunc(all.Targets, byReplica)
+	slices.SortFunc(all.Drained, byReplica)
+	return all
 }
 
 // ServiceTargets makes a target of each endpoint of each generic service; the
--- a/internal/nodeview/targets_test.go
+++ b/internal/nodeview/targets_test.go
@@ -31,13 +31,17 @@
 	return encoded
 }
 
-// event changes one of a few machines or replicas, or deletes it.
+// event changes one of a few machines, replicas or zones, or deletes it.
 func (c *targetCourse) event() *wirepb.WatchEvent {
 	object := &wirepb.Object{Revision: c.revision}
 	machine := "m" + strconv.Itoa(c.random.IntN(6))
-	if c.random.IntN(3) == 0 {
+	zone := "z" + strconv.Itoa(c.random.IntN(3))
+	if c.random.IntN(8) == 0 {
+		object.Kind, object.Name = string(v1.KindZoneDrain), zone
+		object.Spec = c.encode(&v1.ZoneDrainSpec{Drained: c.random.IntN(2) == 0})
+	} else if c.random.IntN(3) == 0 {
 		phases := []v1.MachinePhase{v1.MachineLive, v1.MachineLive, v1.MachineLost, v1.MachineLeaving, v1.MachineGone}
-		spec := &v1.MachineSpec{Endpoint: "http://10.0.0.1:80", Zone: "z", Pool: "pool", Slots: 4, AcceleratorBytes: 100}
+		spec := &v1.MachineSpec{Endpoint: "http://10.0.0.1:80", Zone: zone, Pool: "pool", Slots: 4, AcceleratorBytes: 100}
 		spec.Accelerators = c.random.IntN(2)
 		object.Kind, object.Name, object.Spec = string(v1.KindMachine), machine, c.encode(spec)
 		object.Status = c.encode(&v1.MachineStatus{Phase: phases[c.random.IntN(len(phases))]})
@@ -62,12 +66,28 @@
 	c.view.Apply(changes)
 }
 
+// drained lists what would be targets if no zone were drained, and checks that no target is
+// among it.
+func (c *targetCourse) drained() map[string]bool {
+	targets, drained := c.view.registeredTargets()
+	for _, target := range targets {
+		if c.view.ZoneDrained(target.Zone) {
+			c.t.Errorf("%s is a target in the drained zone %s", target.Replica, target.Zone)
+		}
+	}
+	names := map[string]bool{}
+	for _, target := range drained {
+		names[target.Replica] = true
+	}
+	return names
+}
+
 // TestTargetChangesAddUp: whatever changes, the changes taken one after the other come to
 // the list of all targets.
 func TestTargetChangesAddUp(t *testing.T) {
 	for seed := range uint64(30) {
 		course := &targetCourse{t: t, random: rand.New(rand.NewPCG(seed, 9)), view: New()}
-		held := map[string]dispatch.Target{}
+		held, drained := map[string]dispatch.Target{}, map[string]bool{}
 		for number := range 400 {
 			course.step()
 			if course.random.IntN(3) == 0 {
@@ -76,12 +96,19 @@
 			changes := course.view.TakeTargetChanges()
 			if changes.Full {
 				clear(held)
+				clear(drained)
 			}
 			for _, target := range changes.Targets {
 				held[target.Replica] = target
+				delete(drained, target.Replica)
 			}
 			for _, name := range changes.Removed {
 				delete(held, name)
+				delete(drained, name)
+			}
+			for _, target := range changes.Drained {
+				delete(held, target.Replica)
+				drained[target.Replica] = true
 			}
 			whole := map[string]dispatch.Target{}
 			for _, target := range course.view.RegisteredTargets() {
@@ -90,6 +117,9 @@
 			if !reflect.DeepEqual(held, whole) {
 				t.Fatalf("seed %d, step %d: %v, wanted %v", seed, number, slices.Sorted(maps.Keys(held)), slices.Sorted(maps.Keys(whole)))
 			}
+			if apart := course.drained(); !maps.Equal(drained, apart) {
+				t.Fatalf("seed %d, step %d: drained are %v, wanted %v", seed, number, drained, apart)
+			}
 		}
 	}
 }
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -72,6 +72,8 @@
 	allTargets   bool
 	// keyHolders are the tenants' names, by the hashes of their keys.
 	keyHolders map[v1.KeyHash]string
+	// zoneDrains are the orders about zones, by zone.
+	zoneDrains map[string]ZoneDrain
 	// suspects are the requests under which machines ended.
 	suspects map[quarantine.Identity]*v1.SuspectSpec
 
@@ -110,6 +112,7 @@
 	v.tenants = map[string]*v1.TenantSpec{}
 	v.keyHolders = map[v1.KeyHash]string{}
 	v.suspects = map[quarantine.Identity]*v1.SuspectSpec{}
+	v.zoneDrains = map[string]ZoneDrain{}
 	v.routes, v.dirtyRoutes = map[string]*v1.RouteSpec{}, true
 	v.dirtyTargets, v.allTargets = map[string]bool{}, true
 }
@@ -232,6 +235,8 @@
 		v.routes[name], v.dirtyRoutes = typed, true
 	case *v1.SuspectSpec:
 		v.addSuspect(name, typed)
+	case *v1.ZoneDrainSpec:
+		v.zoneDrains[name] = zoneDrainOf(object, typed)
 	}
 }
 
@@ -256,6 +261,8 @@
 		v.dirtyRoutes = true
 	case *v1.SuspectSpec:
 		v.removeSuspect(name)
+	case *v1.ZoneDrainSpec:
+		delete(v.zoneDrains, name)
 	}
 }
 
@@ -414,10 +421,19 @@
 }
 
 // EachReady calls visit for every replica that may get requests: ready, on a
-// machine that is neither leaving nor lost.
+// machine that is neither leaving nor lost nor in a drained zone.
 func (v *View) EachReady(visit func(replica Replica, machine Machine)) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
+	v.eachReady(func(replica Replica, machine Machine) {
+		if !v.isDrained(machine) {
+			visit(replica, machine)
+		}
+	})
+}
+
+// eachReady is EachReady with the replicas in drained zones; the mutex must be held.
+func (v *View) eachReady(visit func(replica Replica, machine Machine)) {
 	for _, group := range v.replicas {
 		for _, replica := range group {
 			machine, found := v.machines[replica.Spec.Machine]
