Load elsewhere what only a drained zone held, and keep it there

Cause: placement counted replicas in drained zones as serving.

Change: machines of drained zones accept nothing, and what they hold stays and counts for no version; what is asked for and held nowhere else is wanted like the replicas of leaving machines, by worth and at the store's pace. Adapters that only such machines hold are wanted elsewhere. A replica there goes only where its version is at its declared maximum, requests wait, and another machine could load it.

Ruled out: not counting drained replicas toward the maximum in the state: it would have to be undone at the end of each drain.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -142,6 +142,9 @@
 		if !heard || machine.Status.Phase != v1.MachineLive || pool == nil || pool.Engine == nil {
 			continue
 		}
+		if r.drained[machine.Spec.Zone] {
+			continue // An adapter that is there serves nobody, and is wanted elsewhere.
+		}
 		place := &adapterPlace{machine: name, slots: pool.Engine.AdapterSlots, busy: known.Busy, models: map[string]adapterHolder{}}
 		for _, adapters := range known.Models {
 			place.held += len(adapters)
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -30,6 +30,8 @@
 	// StoreLoadsPerSecond is the rate that the weight stores admit.
 	StoreLoadsPerSecond float64
 	revision            uint64
+	// drained has the zones whose machines are to get no requests.
+	drained map[string]bool
 	// versions maps pool and checkpoint to the declared version.
 	versions map[versionKey]declaredVersion
 	// replicas are the records, by machine.
@@ -52,7 +54,7 @@
 func ReadRegistered(machine *state.Machine) *Registered {
 	registered := &Registered{
 		Machines: map[string]instances.Declared{}, Pools: map[string]*v1.PoolSpec{}, revision: machine.Revision(),
-		versions: map[versionKey]declaredVersion{}, replicas: map[string][]storedReplica{},
+		versions: map[versionKey]declaredVersion{}, replicas: map[string][]storedReplica{}, drained: map[string]bool{},
 	}
 	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
 		registered.add(object, spec, machine.MachineStatus(object.GetName()))
@@ -90,6 +92,8 @@
 		}
 	case *v1.ModelVersionSpec:
 		r.versions[versionKey{typed.Pool, typed.Checkpoint}] = declaredVersion{name: object.GetName(), spec: typed}
+	case *v1.ZoneDrainSpec:
+		r.drained[object.GetName()] = typed.Drained
 	case *v1.ReplicaSpec:
 		r.replicas[typed.Machine] = append(r.replicas[typed.Machine], storedReplica{object: object, spec: typed})
 	}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -26,6 +26,8 @@
 	replicas []storedReplica
 	// limits are the tenants', by name.
 	limits map[string]quota.Limit
+	// drained has the zones whose machines are to get no requests.
+	drained map[string]bool
 	// placed are the versions that may be loaded.
 	placed map[string]*placement.Version
 	// suspects are what machines ended under, by the name of the record.
@@ -72,7 +74,7 @@
 	view := &storedView{
 		revision: machine.Revision(), models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{}, pools: map[string]*v1.PoolSpec{}, limits: map[string]quota.Limit{},
-		suspects: map[string]*v1.SuspectSpec{},
+		suspects: map[string]*v1.SuspectSpec{}, drained: map[string]bool{},
 	}
 	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
 		view.add(object, spec, machine.MachineStatus(object.GetName()))
@@ -100,6 +102,8 @@
 		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
 	case *v1.SuspectSpec:
 		v.suspects[object.GetName()] = typed
+	case *v1.ZoneDrainSpec:
+		v.drained[object.GetName()] = typed.Drained
 	}
 }
 
@@ -163,11 +167,14 @@
 			continue
 		}
 		report := v.reports[name].report
+		live := declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain
+		drained := v.drained[declared.Spec.Zone]
 		machine := &placement.Machine{
 			Name: name, Zone: declared.Spec.Zone,
 			Accelerators: declared.Spec.Accelerators, AcceleratorBytes: declared.Spec.AcceleratorBytes,
 			Incarnation: declared.Status.Incarnation, Fence: report.GetFence(),
-			Accepts: declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain,
+			Accepts: live && !drained,
+			Drained: live && drained,
 			Lost:    declared.Status.Phase == v1.MachineLost,
 			Pool:    declared.Spec.Pool,
 			Tiers:   map[string]placement.Tier{},
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -143,6 +143,7 @@
 		p.load(entry, chosen, accelerators, tier)
 	}
 	p.estimateLoading()
+	p.estimateDrained()
 }
 
 // acceptingMachines returns the machines that accept replicas, by name.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -79,6 +79,12 @@
 	// byVersion holds the replicas that count for a version: loading or
 	// ready, on machines that are not lost.
 	byVersion map[string][]*Replica
+	// drained holds, by version, the replicas on machines whose zones are drained. They count
+	// for no version, so that what only those zones held is loaded elsewhere.
+	drained map[string][]*Replica
+	// poolDrained says, by pool, whether all its machines stand in drained zones; see
+	// isAllDrained.
+	poolDrained map[string]bool
 	// lostLoads counts, by version, the machines that are lost while they load it.
 	lostLoads map[string]int
 	// changed marks replicas that this pass has acted on.
@@ -119,7 +125,7 @@
 	return &pass{
 		planner: p, input: input, machines: map[string]*room{},
 		byVersion: map[string][]*Replica{}, lostLoads: map[string]int{}, changed: map[*Replica]bool{},
-		worth: map[string]map[int]float64{},
+		worth: map[string]map[int]float64{}, drained: map[string][]*Replica{}, poolDrained: map[string]bool{},
 	}
 }
 
@@ -129,7 +135,7 @@
 	for name, machine := range p.input.Machines {
 		p.machines[name] = newRoom(machine)
 		p.largestAccelerator = max(p.largestAccelerator, machine.AcceleratorBytes)
-		if machine.Accepts {
+		if machine.Accepts || machine.Drained {
 			delete(p.planner.leavingSince, name)
 		} else if _, known := p.planner.leavingSince[name]; !known {
 			p.planner.leavingSince[name] = p.input.Now
@@ -170,6 +176,10 @@
 		if machine == nil || machine.Lost {
 			continue
 		}
+		if machine.Drained {
+			p.setAside(replica)
+			continue
+		}
 		p.byVersion[replica.Spec.Version] = append(p.byVersion[replica.Spec.Version], replica)
 		_, known := p.planner.lastUsed[replica.Name]
 		switch {
--- a/internal/placement/retire.go
+++ b/internal/placement/retire.go
@@ -26,19 +26,17 @@
 
 func (p *pass) unload(replica *Replica, reason string) {
 	p.act(Action{Kind: ActionUnload, Replica: replica, Reason: reason})
-	counted := p.byVersion[replica.Spec.Version]
-	for position, other := range counted {
-		if other == replica {
-			p.byVersion[replica.Spec.Version] = append(counted[:position:position], counted[position+1:]...)
-			return
-		}
-	}
+	version := replica.Spec.Version
+	p.byVersion[version] = withoutReplica(p.byVersion[version], replica)
+	p.drained[version] = withoutReplica(p.drained[version], replica)
 }
 
 func (p *pass) retireReason(replica *Replica) string {
 	machine := p.input.Machines[replica.Spec.Machine]
 	version := p.input.Versions[replica.Spec.Version]
 	switch {
+	case machine.Drained:
+		return p.drainedReason(replica, version)
 	case machine.Pool != "" && !machine.Accepts:
 		// A registered machine that leaves takes its models with it, and one
 		// that is silent may still serve: nothing is unloaded there.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -61,6 +61,9 @@
 	Incarnation      uint64
 	// Accepts is set for a live machine that may get new replicas.
 	Accepts bool
+	// Drained is set for a live machine whose zone is drained: it accepts nothing, and keeps
+	// what it holds for the end of the drain.
+	Drained bool
 	// Lost is set for a machine that has been silent too long.
 	Lost bool
 	// Tiers holds the checkpoints that are not only remote.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -18,7 +18,8 @@
 	// waiting is how long the oldest request has waited; 0 for prewarming.
 	waiting time.Duration
 	urgent  bool
-	// replaces is set where the version is served by machines that leave only.
+	// replaces is set where the version is held only by machines that leave or whose zones are
+	// drained.
 	replaces bool
 	// further is set where the version has a replica and needs more to share
 	// its work.
@@ -46,7 +47,7 @@
 			entry.waiting = demand.OldestWait
 			entry.priority = max(demand.Priority, version.Priority)
 		}
-		if version.Spec.Pool != "" && len(p.byVersion[name]) > 0 {
+		if version.Spec.Pool != "" && len(p.byVersion[name])+len(p.drained[name]) > 0 {
 			entry.further = p.usable(version) > 0
 			entry.replaces = !entry.further
 		}
@@ -108,8 +109,8 @@
 		desired = 1
 	}
 	// The state machine counts every replica that is loading or ready, also
-	// on machines that leave.
-	allowed := version.MaxReplicas - len(p.byVersion[name])
+	// on machines that leave or whose zones are drained.
+	allowed := version.MaxReplicas - len(p.byVersion[name]) - len(p.drained[name])
 	return min(desired-usable, allowed)
 }
 
@@ -153,7 +154,8 @@
 	return min(version.MaxReplicas, max(1, (total+slots-1)/slots))
 }
 
-// mustReplace reports whether a replica in use sits on a machine that leaves.
+// mustReplace reports whether a replica in use sits on a machine that leaves, or whose zone is
+// drained.
 func (p *pass) mustReplace(name string) bool {
 	for _, replica := range p.byVersion[name] {
 		leaving := !p.input.Machines[replica.Spec.Machine].Accepts
@@ -161,5 +163,5 @@
 			return true
 		}
 	}
-	return false
+	return p.runsDrained(name)
 }
