Order drains by weldctl and the resource API, and explain them

Cause: a drain of a zone had no interface of the product's own.

Change: weldctl drain zone, undrain zone and get drains; PUT of a ZoneDrain in the resource API is an order like that of any operator, and no other write touches one; explain names the zones that were drained when a request was refused for it, however long before.

Ruled out: a conditional write by weldctl as for machines. Orders that were given up could then come in late.

Conclusion: the tests of the API and of explain hold.

--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -36,7 +36,8 @@
 	Get     getCommand     `cmd:"" help:"Show resources."`
 	Watch   watchCommand   `cmd:"" help:"Show changes as they come."`
 	Delete  deleteCommand  `cmd:"" help:"Delete a resource."`
-	Drain   drainCommand   `cmd:"" help:"Empty a machine, or let it work again."`
+	Drain   drainCommands  `cmd:"" help:"Empty a machine, or send a zone's machines no requests."`
+	Undrain undrainCommand `cmd:"" help:"Send a zone's machines requests again."`
 	Status  statusCommand  `cmd:"" help:"Show the cluster: leader, nodes and the version in force on each."`
 	Explain explainCommand `cmd:"" help:"Tell what happened to a request, and why, from logs."`
 	Version versionCommand `cmd:"" help:"Print the version."`
--- a/cmd/weldctl/show.go
+++ b/cmd/weldctl/show.go
@@ -30,16 +30,12 @@
 	Version string `name:"resource-version" help:"Delete only this version."`
 }
 
-type drainCommand struct {
-	Machine string `arg:"" help:"Machine."`
-	Undo    bool   `help:"Let the machine work again."`
-}
-
 type statusCommand struct {
 	Output string `short:"o" enum:"table,json" default:"table" help:"table or json."`
 }
 
 func (c *getCommand) Run(current *session) error {
+	c.Kind = kindNamed(c.Kind)
 	var resources []v1.Resource
 	var whole any
 	if c.Name != "" {
@@ -122,6 +118,8 @@
 		var status v1.MachineStatus
 		_ = json.Unmarshal(resource.Status, &status)
 		return fmt.Sprintf("%s %s %s", typed.Zone, status.Phase, status.Reason)
+	case *v1.ZoneDrainSpec:
+		return summaryOfDrain(typed, resource.Status)
 	case *v1.ReplicaSpec:
 		return fmt.Sprintf("%s %s on %s", typed.Version, typed.Phase, typed.Machine)
 	}
@@ -153,39 +151,6 @@
 	return nil
 }
 
-// Run sets the machine's desired state, conditionally, and again if another
-// operator was faster.
-func (c *drainCommand) Run(current *session) error {
-	for {
-		resource, err := current.client.Get(current.ctx, string(v1.KindMachine), c.Machine)
-		if err != nil {
-			return err
-		}
-		spec, err := v1.DecodeSpec(v1.KindMachine, resource.Spec)
-		if err != nil {
-			return err
-		}
-		machine, isMachine := spec.(*v1.MachineSpec)
-		if !isMachine {
-			return fault.Internal.New("%s is not a machine", c.Machine)
-		}
-		machine.Drain = !c.Undo
-		if resource.Spec, err = json.Marshal(machine); err != nil {
-			return fault.Internal.Wrap(err, "encoding a machine")
-		}
-		resource.Status = nil
-		_, err = current.client.Put(current.ctx, resource, newKey())
-		if fault.Is(err, fault.Conflict) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		fmt.Printf("Machine/%s drain=%t\n", c.Machine, machine.Drain)
-		return nil
-	}
-}
-
 func (c *statusCommand) Run(current *session) error {
 	status, err := current.client.Status(current.ctx)
 	if err != nil {
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -162,14 +162,14 @@
 }
 
 func (o *drainOrder) logWritten(held *wirepb.Object, revision uint64) {
-	event := "zone_undrained"
-	if o.drained {
-		event = "zone_drained"
-	}
 	before, err := v1.DecodeSpec(v1.KindZoneDrain, held.GetSpec())
 	previous, known := before.(*v1.ZoneDrainSpec)
 	repeated := held != nil && err == nil && known && previous.Drained == o.drained
 	o.node.metrics.observeDrainOrder(o.drained)
-	o.node.logger.Info(event, "zone", o.zone, "revision", revision, "repeated", repeated,
-		"took_ms", (o.node.now() - o.begun).Milliseconds())
+	fields := []any{"zone", o.zone, "revision", revision, "repeated", repeated, "took_ms", (o.node.now() - o.begun).Milliseconds()}
+	if o.drained {
+		o.node.logger.Info("zone_drained", fields...)
+	} else {
+		o.node.logger.Info("zone_undrained", fields...)
+	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,10 +16,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
 )
 
@@ -160,9 +163,16 @@
 var general = map[string]bool{
 	"raft_role": true, "membership_changed": true, "declared": true, "serving": true, "upstream_lost": true,
 	"upstream_connected": true, "node_started": true, "node_stopped": true, "storage_failed": true, "ingress_draining": true,
+	"drain_in_force": true,
 }
 
+// lasting are the events whose effect lasts until the opposite one.
+var lasting = map[string]bool{"zone_drained": true, "zone_undrained": true}
+
 func (s *subject) concerns(line Line) bool {
+	if lasting[line.Event] {
+		return !line.Time.After(s.end)
+	}
 	if line.Time.Before(s.start.Add(-before)) || line.Time.After(s.end.Add(after)) || textOf(line.Fields, "id") != "" {
 		return false
 	}
@@ -248,6 +258,9 @@
 
 func (s *subject) refused(last Line, lines []Line) string {
 	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"])
+	if strings.HasPrefix(textOf(last.Fields, "detail"), v1.ReasonZoneDrained) {
+		return told + drainedBy(lines, last.Time)
+	}
 	if !strings.Contains(textOf(last.Fields, "detail"), "no replica") {
 		return told
 	}
@@ -274,6 +287,29 @@
 	return told
 }
 
+// drainedBy names the zones that were drained at a moment, by orders that were told of in order.
+func drainedBy(lines []Line, moment time.Time) string {
+	since := map[string]time.Time{}
+	for _, line := range lines {
+		zone := textOf(line.Fields, "zone")
+		switch {
+		case line.Time.After(moment):
+		case line.Event == "zone_drained" && since[zone].IsZero():
+			since[zone] = line.Time
+		case line.Event == "zone_undrained":
+			delete(since, zone)
+		}
+	}
+	if len(since) == 0 {
+		return "; the order for a drain is not in these logs"
+	}
+	var told []string
+	for _, zone := range slices.Sorted(maps.Keys(since)) {
+		told = append(told, fmt.Sprintf("%s for %.1f s", zone, moment.Sub(since[zone]).Seconds()))
+	}
+	return "; drained: " + strings.Join(told, ", ")
+}
+
 // orderOf tells of an order: what, when by the request's start, and its outcome.
 func (s *subject) orderOf(line Line) string {
 	name := textOf(line.Fields, "model")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -24,7 +24,8 @@
 
 // TestStories are of real requests: one refused since its model was not loaded
 // in time, one whose machine ended in the middle of the answer. The second log
-// has something before each line.
+// has something before each line. The third is made: a request that was refused
+// long after the zones were drained.
 func TestStories(t *testing.T) {
 	tests := []struct {
 		log, id string
@@ -32,6 +33,7 @@
 	}{
 		{"refused.log", "563295633b4350fd", []string{"refused with 503 after 1687 ms", "adapter a4 of model yezi9fa15", "load yezi9fa15/a4 at +1.8 s accepted", "leader changed to core-hall-b-1"}},
 		{"broken.log", "26f743f49b8cf566", []string{"machine i-9fa8c2ed6f ended in the middle of the answer", "silent"}},
+		{"drained.log", "d1", []string{"refused with 503 after 2 ms: zone drained", "drained: north-a for 60.0 s, north-c for 30.0 s"}},
 	}
 	for _, test := range tests {
 		story, err := Request(test.id, readLog(t, test.log))
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -175,6 +175,18 @@
 	return answer, c.do(ctx, call{method: http.MethodPut, path: path, key: key, body: resource}, answer)
 }
 
+// DrainZone orders that the machines of a zone get no requests, or that they get them again. The
+// same order may be given again, so it needs no key.
+func (c *Client) DrainZone(ctx context.Context, zone string, drained bool) error {
+	spec, err := json.Marshal(v1.ZoneDrainSpec{Drained: drained})
+	if err != nil {
+		return fault.Internal.Wrap(err, "encoding a drain")
+	}
+	order := &v1.Resource{APIVersion: v1.APIVersion, Kind: v1.KindZoneDrain, Metadata: v1.Metadata{Name: zone}, Spec: spec}
+	_, err = c.Put(ctx, order, "")
+	return err
+}
+
 // Delete removes one resource; an empty version makes it unconditional.
 func (c *Client) Delete(ctx context.Context, kind, name, version, key string) error {
 	path := "/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
--- a/internal/resourceapi/api.go
+++ b/internal/resourceapi/api.go
@@ -5,6 +5,7 @@
 //	PUT    /apis/weldline/v1/{kind}/{name}   create or replace, conditionally
 //	DELETE /apis/weldline/v1/{kind}/{name}   delete, conditionally
 //	POST   /apis/weldline/v1/apply           many writes, all or none
+//	PUT    /apis/weldline/v1/zonedrain/{zone}  drain a zone, or end that
 //	GET    /apis/weldline/v1/watch?after=N   changes as JSON lines
 //	GET    /apis/weldline/v1/status          the cluster as the leader sees it
 //
@@ -48,6 +49,8 @@
 	Barrier(ctx context.Context) error
 	// Read calls the function with the state, which it must not keep.
 	Read(func(machine *state.Machine))
+	// DrainZone orders that the machines of a zone get no requests, or that they get them again.
+	DrainZone(ctx context.Context, zone string, drained bool) error
 	// Status returns the leader's view of the cluster.
 	Status(ctx context.Context, request *wirepb.StatusRequest) (*wirepb.StatusReply, error)
 }
--- a/internal/resourceapi/api_test.go
+++ b/internal/resourceapi/api_test.go
@@ -32,7 +32,7 @@
 func serve(t *testing.T) *httptest.Server {
 	t.Helper()
 	configuration := &settings.Settings{
-		Cluster: "test", Node: "control-1", Zone: "z", Admin: "127.0.0.1:0", DataDir: "unused",
+		Cluster: "test", Node: "control-1", Zone: "z", Zones: map[string]string{"z": "region"}, Admin: "127.0.0.1:0", DataDir: "unused",
 		Roles: []settings.Role{settings.RoleControl},
 		Control: settings.ControlSettings{
 			ID: 1, API: "127.0.0.1:0", Members: []settings.Member{{ID: 1, Address: "127.0.0.1:1"}},
--- a/internal/resourceapi/write.go
+++ b/internal/resourceapi/write.go
@@ -61,6 +61,9 @@
 	if resource.Kind != kind || resource.Metadata.Name != name {
 		return fault.InvalidField("metadata.name", "the body names %s %s, the path %s %s", resource.Kind, resource.Metadata.Name, kind, name)
 	}
+	if kind == v1.KindZoneDrain {
+		return a.putZoneDrain(writer, request, &resource)
+	}
 	write, err := putWrite(&resource)
 	if err != nil {
 		return err
@@ -78,8 +81,8 @@
 
 // putWrite checks a resource in full and returns its conditional write.
 func putWrite(resource *v1.Resource) (*wirepb.ObjectWrite, error) {
-	if resource.Kind == v1.KindReplica {
-		return nil, fault.InvalidField("kind", "Replica is written by weldline only")
+	if err := checkGenericKind(resource.Kind); err != nil {
+		return nil, err
 	}
 	if _, err := v1.Normalize(resource); err != nil {
 		return nil, err
@@ -98,8 +101,8 @@
 }
 
 func deleteWrite(kind v1.Kind, name, version string) (*wirepb.ObjectWrite, error) {
-	if kind == v1.KindReplica {
-		return nil, fault.InvalidField("kind", "Replica is written by weldline only")
+	if err := checkGenericKind(kind); err != nil {
+		return nil, err
 	}
 	expected, err := v1.ParseRevision(version)
 	if err != nil {
