Teach the fault simulator drains of zones

Change: the pure rules move to internal/drains; control nodes and the simulator carry out the same. A further kind of fault drains a zone for a while; a further check holds that what was acknowledged stays until the next order, and that routers in contact send nothing to a drained zone. A mutation that takes late orders is caught.

Ruled out: drawing the drains among the earlier kinds: the schedules of earlier seeds would change.

--- a/internal/control/drain_test.go
+++ b/internal/control/drain_test.go
@@ -9,25 +9,21 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
-
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/datadir"
+	"github.com/weldline/weldline/internal/drains"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/storage"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// drainIn returns whether a state holds a zone as drained, and the revision of that.
-func drainIn(machine *state.Machine, zone string) (drained bool, revision uint64) {
-	spec, held := machine.Spec(v1.KindZoneDrain, zone).(*v1.ZoneDrainSpec)
-	return held && spec.Drained, machine.Get(v1.KindZoneDrain, zone).GetRevision()
-}
-
+// drainOf returns whether a node holds a zone as drained, and the revision of that.
 func (n *Node) drainOf(zone string) (drained bool, revision uint64) {
-	n.Read(func(machine *state.Machine) { drained, revision = drainIn(machine, zone) })
+	n.Read(func(machine *state.Machine) {
+		spec, held := machine.Spec(v1.KindZoneDrain, zone).(*v1.ZoneDrainSpec)
+		drained, revision = held && spec.Drained, machine.Get(v1.KindZoneDrain, zone).GetRevision()
+	})
 	return drained, revision
 }
 
@@ -73,33 +69,6 @@
 	})
 }
 
-// TestZoneOfAMachineIsKnown: settings need not list zones, and a node whose settings do not can't
-// call a zone unknown before any machine has come.
-func TestZoneOfAMachineIsKnown(t *testing.T) {
-	empty, held := state.New(), state.New()
-	spec := []byte(`{"endpoint":"http://10.0.0.1:80","zone":"m","pool":"p","slots":1}`)
-	write := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindMachine), Name: "machine", Spec: spec}}
-	pool := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindPool), Name: "p", Spec: []byte(`{}`)}}
-	applyWrites(t, held, pool, write)
-	for _, check := range []struct {
-		machine *state.Machine
-		table   []string
-		zone    string
-		want    zoneKnowledge
-	}{
-		{empty, nil, "m", zonesNotToldYet},
-		{empty, []string{"z"}, "z", zoneKnown},
-		{empty, []string{"z"}, "m", zoneUnknown},
-		{held, nil, "m", zoneKnown},
-		{held, nil, "z", zoneUnknown},
-		{held, nil, "", zoneUnknown},
-	} {
-		if got := zoneKnowledgeOf(check.machine, check.table, check.zone); got != check.want {
-			t.Errorf("zone %q with the table %v: %d, want %d", check.zone, check.table, got, check.want)
-		}
-	}
-}
-
 // TestStalledNodeTakesNoOrder: an order in the buffer of a node that was frozen may be older
 // than one that was acknowledged elsewhere meanwhile.
 func TestStalledNodeTakesNoOrder(t *testing.T) {
@@ -109,14 +78,14 @@
 	cluster.orderUntilTaken("z", true, node)
 	_, before := node.drainOf("z")
 	// Nothing but the stall speaks against the order.
-	node.stalls.doubt(node.now() + time.Hour)
+	node.stalls.doubt(node)
 	if err := node.DrainZone(t.Context(), "z", false); !fault.Is(err, fault.Unavailable) {
 		t.Errorf("a node that was stalled answers %v", err)
 	}
 	if _, after := node.drainOf("z"); after != before {
 		t.Error("a node that was stalled has written")
 	}
-	node.stalls.doubt(0)
+	node.stalls.trust(node)
 	cluster.orderUntilTaken("z", false, node)
 	cluster.eventually("a sleep is noticed", func() bool {
 		cluster.clocks[follower].sleep(2 * time.Second)
@@ -124,10 +93,21 @@
 	})
 }
 
-func (g *stallGuard) doubt(until time.Duration) {
+// doubt makes the guard believe in a stall for longer than a test runs.
+func (g *stallGuard) doubt(node *Node) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.watch.doubtedUntil = until
+	g.watch.Run(node.now() + time.Hour)
+}
+
+// trust makes it believe in none.
+func (g *stallGuard) trust(node *Node) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.watch = drains.StallWatch{}
+	for now := node.now() - time.Minute; now <= node.now(); now += drains.StallLook {
+		g.watch.Run(now)
+	}
 }
 
 // TestOrderOfACallerThatLeftIsNotWritten: the caller turns elsewhere, and may order the opposite.
@@ -149,7 +129,7 @@
 func TestLeaderDiesBetweenCommitAndAnswer(t *testing.T) {
 	cluster := startTrio(t)
 	leader, follower := cluster.leaderAndFollower()
-	write, err := drainWrite("z", true, 0, time.Now())
+	write, err := drains.Write("z", true, 0, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -208,94 +188,3 @@
 		})
 	})
 }
-
-func applyWrites(t interface{ Fatal(...any) }, machine *state.Machine, writes ...*wirepb.ObjectWrite) *wirepb.CommandResult {
-	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return machine.Apply(data)
-}
-
-// TestLateOrdersChangeNothing: an operator gives orders one after the other and may give any of
-// them up. A write of an order that it gave up, or sent a second time, may be committed at any
-// later moment. Once all of them are, the order acknowledged last is in force, also after a
-// restart from a snapshot, and also in a member that was sent one.
-func TestLateOrdersChangeNothing(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		machine := state.New()
-		var late []*wirepb.ObjectWrite
-		acknowledged, any := false, false
-		deliver := func(position int) {
-			applyWrites(t, machine, late[position])
-			late = append(late[:position], late[position+1:]...)
-		}
-		deliverSome := func(label string) {
-			for range rapid.IntRange(0, len(late)).Draw(t, label) {
-				deliver(rapid.IntRange(0, len(late)-1).Draw(t, "which"))
-			}
-		}
-		for range rapid.IntRange(1, 12).Draw(t, "orders") {
-			drained := rapid.Bool().Draw(t, "drained")
-			for {
-				_, revision := drainIn(machine, "z")
-				write, err := drainWrite("z", drained, revision, time.Unix(0, 0))
-				if err != nil {
-					t.Fatal(err)
-				}
-				deliverSome("before the write")
-				if rapid.Bool().Draw(t, "given up") {
-					late = append(late, write)
-					break
-				}
-				if applyWrites(t, machine, write).GetCode() == wirepb.ResultCode_RESULT_CODE_OK {
-					acknowledged, any = drained, true
-					// Sent a second time by the link.
-					late = append(late, write)
-					checkDrained(t, machine, acknowledged)
-					break
-				}
-			}
-			deliverSome("after the order")
-			if rapid.Bool().Draw(t, "restart") {
-				machine = restored(t, machine)
-			}
-		}
-		// What the operator orders and waits for in the end.
-		if any {
-			for {
-				_, revision := drainIn(machine, "z")
-				write, err := drainWrite("z", acknowledged, revision, time.Unix(0, 0))
-				if err != nil {
-					t.Fatal(err)
-				}
-				if applyWrites(t, machine, write).GetCode() == wirepb.ResultCode_RESULT_CODE_OK {
-					break
-				}
-			}
-			for len(late) > 0 {
-				deliver(0)
-				checkDrained(t, machine, acknowledged)
-			}
-			checkDrained(t, restored(t, machine), acknowledged)
-		}
-	})
-}
-
-func checkDrained(t *rapid.T, machine *state.Machine, want bool) {
-	if drained, _ := drainIn(machine, "z"); drained != want {
-		t.Fatalf("drained is %t after an acknowledged order for %t", drained, want)
-	}
-}
-
-func restored(t *rapid.T, machine *state.Machine) *state.Machine {
-	snapshot, err := machine.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	next := state.New()
-	if err := next.Restore(snapshot); err != nil {
-		t.Fatal(err)
-	}
-	return next
-}
--- /dev/null
+++ b/internal/drains/order_test.go
@@ -0,0 +1,137 @@
+package drains
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// drainIn returns whether a state holds a zone as drained, and the revision of that.
+func drainIn(machine *state.Machine, zone string) (drained bool, revision uint64) {
+	spec, held := machine.Spec(v1.KindZoneDrain, zone).(*v1.ZoneDrainSpec)
+	return held && spec.Drained, machine.Get(v1.KindZoneDrain, zone).GetRevision()
+}
+
+// TestZoneOfAMachineIsKnown: settings need not list zones, and a node whose settings do not can't
+// call a zone unknown before any machine has come.
+func TestZoneOfAMachineIsKnown(t *testing.T) {
+	empty, held := state.New(), state.New()
+	spec := []byte(`{"endpoint":"http://10.0.0.1:80","zone":"m","pool":"p","slots":1}`)
+	write := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindMachine), Name: "machine", Spec: spec}}
+	pool := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindPool), Name: "p", Spec: []byte(`{}`)}}
+	applyWrites(t, held, pool, write)
+	for _, check := range []struct {
+		machine *state.Machine
+		table   []string
+		zone    string
+		want    Knowledge
+	}{
+		{empty, nil, "m", NotToldYet},
+		{empty, []string{"z"}, "z", Known},
+		{empty, []string{"z"}, "m", Unknown},
+		{held, nil, "m", Known},
+		{held, nil, "z", Unknown},
+		{held, nil, "", Unknown},
+	} {
+		if got := KnowledgeOf(check.machine, check.table, check.zone); got != check.want {
+			t.Errorf("zone %q with the table %v: %d, want %d", check.zone, check.table, got, check.want)
+		}
+	}
+}
+
+func applyWrites(t interface{ Fatal(...any) }, machine *state.Machine, writes ...*wirepb.ObjectWrite) *wirepb.CommandResult {
+	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return machine.Apply(data)
+}
+
+// TestLateOrdersChangeNothing: an operator gives orders one after the other and may give any of
+// them up. A write of an order that it gave up, or sent a second time, may be committed at any
+// later moment. Once all of them are, the order acknowledged last is in force, also after a
+// restart from a snapshot, and also in a member that was sent one.
+func TestLateOrdersChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := state.New()
+		var late []*wirepb.ObjectWrite
+		acknowledged, any := false, false
+		deliver := func(position int) {
+			applyWrites(t, machine, late[position])
+			late = append(late[:position], late[position+1:]...)
+		}
+		deliverSome := func(label string) {
+			for range rapid.IntRange(0, len(late)).Draw(t, label) {
+				deliver(rapid.IntRange(0, len(late)-1).Draw(t, "which"))
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "orders") {
+			drained := rapid.Bool().Draw(t, "drained")
+			for {
+				_, revision := drainIn(machine, "z")
+				write, err := Write("z", drained, revision, time.Unix(0, 0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				deliverSome("before the write")
+				if rapid.Bool().Draw(t, "given up") {
+					late = append(late, write)
+					break
+				}
+				if applyWrites(t, machine, write).GetCode() == wirepb.ResultCode_RESULT_CODE_OK {
+					acknowledged, any = drained, true
+					// Sent a second time by the link.
+					late = append(late, write)
+					checkDrained(t, machine, acknowledged)
+					break
+				}
+			}
+			deliverSome("after the order")
+			if rapid.Bool().Draw(t, "restart") {
+				machine = restored(t, machine)
+			}
+		}
+		// What the operator orders and waits for in the end.
+		if any {
+			for {
+				_, revision := drainIn(machine, "z")
+				write, err := Write("z", acknowledged, revision, time.Unix(0, 0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if applyWrites(t, machine, write).GetCode() == wirepb.ResultCode_RESULT_CODE_OK {
+					break
+				}
+			}
+			for len(late) > 0 {
+				deliver(0)
+				checkDrained(t, machine, acknowledged)
+			}
+			checkDrained(t, restored(t, machine), acknowledged)
+		}
+	})
+}
+
+func checkDrained(t *rapid.T, machine *state.Machine, want bool) {
+	if drained, _ := drainIn(machine, "z"); drained != want {
+		t.Fatalf("drained is %t after an acknowledged order for %t", drained, want)
+	}
+}
+
+func restored(t *rapid.T, machine *state.Machine) *state.Machine {
+	snapshot, err := machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := state.New()
+	if err := next.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -61,6 +61,9 @@
 	// CheckConvicted: only requests under which engines ended are convicted, and stay so until
 	// they run to their end.
 	CheckConvicted = "convictions"
+	// CheckDrains: an acknowledged drain of a zone, or its end, stays until the next order; while
+	// it is drained, routers in contact send nothing there.
+	CheckDrains = "zone_drains"
 	// CheckConverge: after everything healed, all agree and nothing is stuck.
 	CheckConverge = "convergence"
 )
@@ -69,7 +72,7 @@
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinear, CheckDecided,
 	CheckMemory, CheckRevert, CheckInForce, CheckStale, CheckDropped, CheckWrongAnswer, CheckOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckConverge,
+	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckDrains, CheckConverge,
 }
 
 const (
@@ -106,6 +109,8 @@
 	culprits []*content
 	// innocentsRefused counts the sends of other requests that were refused as quarantined.
 	innocentsRefused int
+	// drains is what the operator was told of each zone.
+	drains map[string]drainTruth
 }
 
 func newChecks(w *world) *checks {
@@ -113,6 +118,7 @@
 		world: w, truth: state.New(), leaders: map[uint64]uint64{}, contents: map[state.Key]map[uint64]uint64{},
 		results: map[string]*wirepb.CommandResult{}, verdicts: map[string]verdict{}, runs: map[string]int{},
 		violations: map[string][]string{}, conforms: newConformance(), crashes: map[quarantine.Identity]*crashTruth{},
+		drains: map[string]drainTruth{},
 	}
 }
 
@@ -205,6 +211,7 @@
 
 // lookAround checks what concerns several processes at once.
 func (c *checks) lookAround() {
+	c.drainsHold()
 	var holder *controlNode
 	for _, node := range c.world.controls {
 		if !node.leads() {
@@ -288,6 +295,9 @@
 	if c.verdicts[id] == verdictNotRun {
 		c.violate(CheckNotRun, "%s runs after it was told not to have run", id)
 	}
+	if m != nil {
+		c.ranInZone(m, router)
+	}
 	if m == nil || m.leavingSince == 0 {
 		return
 	}
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -6,6 +6,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/controller"
+	"github.com/weldline/weldline/internal/drains"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/keepalive"
@@ -39,6 +40,8 @@
 	bootstrap *wirepb.Membership
 	// lost is set once the machine is gone for good, disk and all.
 	lost bool
+	// stalls tells whether the process stood still until a moment ago.
+	stalls drains.StallWatch
 	// muted drops what the node says to other control nodes.
 	muted bool
 }
@@ -70,6 +73,10 @@
 	c.pending = member.NewProposals()
 	c.decider = nil
 	c.passing = false
+	if c.world.drainsZones {
+		c.stalls = drains.StallWatch{}
+		c.every(drains.StallLook, func() { c.stalls.Run(c.clock()) })
+	}
 	c.every(controlTick, func() {
 		c.member.Raft.Tick(c.clock())
 		c.carryOut()
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -40,11 +40,13 @@
 	FaultCrashingRequest Kind = "crashing-request"
 	// FaultSuspend is a sleep of the machine of a leader, another control node or a router.
 	FaultSuspend Kind = "suspended-node"
+	// FaultDrainZone is an operator who drains a zone for a while.
+	FaultDrainZone Kind = "drain-zone"
 )
 
 // KindsDrawnApart are the faults that schedules have besides those of Kinds, so that the
 // schedules of earlier seeds keep theirs.
-var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend}
+var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone}
 
 // Kinds lists the faults that schedules draw from.
 var Kinds = []Kind{
@@ -74,9 +76,9 @@
 			return // There was nothing that it could hit.
 		}
 		w.faults[string(fault.Kind)]++
-		// Routers can leave a control node that is not heard, and a request that ends engines
-		// keeps no node from the others: changes are due in time.
-		excuses := fault.Kind != FaultUnheardControl && fault.Kind != FaultCrashingRequest
+		// Routers can leave a control node that is not heard, and neither a request that ends
+		// engines nor a drain keeps a node from the others: changes are due in time.
+		excuses := fault.Kind != FaultUnheardControl && fault.Kind != FaultCrashingRequest && fault.Kind != FaultDrainZone
 		if excuses {
 			w.checks.busy++
 		}
@@ -122,6 +124,8 @@
 		return nothing
 	case FaultSuspend:
 		return w.suspend(fault)
+	case FaultDrainZone:
+		return w.drainZone(fault.Target)
 	case FaultLoss:
 		w.network.loss = 0.2
 		return func() { w.network.loss = 0 }
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -148,7 +148,7 @@
 		r.view.Apply(changes)
 		r.liveness.Applied(r.wall(), r.view.Revision())
 		r.world.checks.viewChanged(r)
-		r.deliver(r.core.SetTargets(r.wall(), r.view.ReplicaTargets()))
+		r.deliver(r.core.ChangeTargets(r.wall(), r.view.AllReplicaTargets()))
 	}
 	if answer.digest == nil {
 		return
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -58,6 +58,8 @@
 	MutationConvictionForgotten: {FaultCrashingRequest, FaultCrashLeader},
 	MutationResetCountsAsCrash:  {FaultCrashingRequest},
 	MutationSteadyLease:         {FaultSuspend},
+
+	MutationLateDrains: {FaultDrainZone, FaultSuspend},
 }
 
 // RandomSchedule draws a schedule: one to six faults, alone, together or one
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -46,6 +46,28 @@
 	}
 }
 
+// TestDrains runs schedules in which zones are drained and nothing else happens, and others in
+// which control nodes fail meanwhile: no acknowledged order is undone, and drained zones get no
+// requests.
+func TestDrains(t *testing.T) {
+	const last = 24
+	for _, beside := range [][]Kind{nil, {FaultCrashLeader, FaultFreezeLeader, FaultSuspend, FaultCutLeader, FaultLoseControl, FaultCrashControl}} {
+		for seed := uint64(1); seed <= last; seed++ {
+			random := rand.New(rand.NewPCG(seed, 0))
+			schedule := Schedule{Seed: seed}
+			for range 3 {
+				schedule.Faults = append(schedule.Faults, randomFault(random, []Kind{FaultDrainZone}))
+				if beside != nil {
+					schedule.Faults = append(schedule.Faults, randomFault(random, beside))
+				}
+			}
+			for _, violation := range Run(schedule).Violations {
+				t.Errorf("seed %d: %s: %s; replay %+v", seed, violation.Check, violation.Detail, schedule)
+			}
+		}
+	}
+}
+
 // TestMutationsAreCaught breaks one rule at a time; each check named beside it
 // must notice within a few schedules.
 func TestMutationsAreCaught(t *testing.T) {
@@ -64,6 +86,8 @@
 		MutationConvictionForgotten: {CheckConvicted},
 		MutationResetCountsAsCrash:  {CheckConvicted},
 		MutationSteadyLease:         {CheckLease},
+
+		MutationLateDrains: {CheckDrains},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -67,6 +67,9 @@
 	MutationResetCountsAsCrash Mutation = "reset-counts-as-crash"
 	// MutationSteadyLease: leases are measured by a clock that stands still during a sleep.
 	MutationSteadyLease Mutation = "lease-on-steady-clock"
+	// MutationLateDrains: orders about zones are taken however old they are, and written whatever
+	// came in between.
+	MutationLateDrains Mutation = "late-drains"
 )
 
 // Mutations lists all but MutationNone. A forgotten vote is not among them:
@@ -76,6 +79,7 @@
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationDigestVouches,
 	MutationCrashesNotShared, MutationConvictionForgotten, MutationResetCountsAsCrash, MutationSteadyLease,
+	MutationLateDrains,
 }
 
 // world is one simulated cluster.
@@ -91,10 +95,12 @@
 	routers   []*routerNode
 	machines  []*machine
 	operators []*operator
-	ledger    *ledger
-	list      machineList
-	store     weightStore
-	register  *register
+	// drainer drains zones; nil until the first is.
+	drainer  *drainer
+	ledger   *ledger
+	list     machineList
+	store    weightStore
+	register *register
 
 	faults map[string]int
 	// crashOnVote makes every node that grants a vote crash and restart.
@@ -102,6 +108,8 @@
 	// breaksRuns is set where requests learn that their engine has ended, or that their
 	// connection was reset, and their callers come back.
 	breaksRuns bool
+	// drainsZones is set where control nodes watch for stalls of their own.
+	drainsZones bool
 	// inferences and culprits count the requests of either sort.
 	inferences, culprits int
 	// orderDelay holds orders to engines back, as a slow link would.
@@ -117,6 +125,7 @@
 	}
 	w.checks = newChecks(w)
 	w.breaksRuns = schedule.has(FaultCrashingRequest)
+	w.drainsZones = schedule.has(FaultDrainZone)
 	w.register = &register{world: w}
 	w.ledger = newLedger(w)
 	w.store = weightStore{slowness: 1}
