Keep the idle time of drained replicas, and tell of no leader sooner

Cause: replicas of a drained zone came back as if just used, and would have pushed out others; an order waited for a leader for 0.9 s.

Change: idle time stands still during a drain. An order waits for what was committed for as long as it may still be looked at, half a second.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -46,7 +46,7 @@
 
 // tryOnce reads the state and writes by it; written is false if another order came in between.
 func (o *drainOrder) tryOnce(ctx context.Context) (written bool, err error) {
-	if err := o.node.Barrier(ctx); err != nil {
+	if err := o.catchUp(ctx); err != nil {
 		return false, err
 	}
 	held, err := o.look()
@@ -76,6 +76,14 @@
 	return false, fault.Unavailable.New("the order was not written: %s", result.GetMessage())
 }
 
+// catchUp waits until this node holds what was committed when the order came, for as long as
+// there is time to look: where there is no leader, the operator turns to another node sooner.
+func (o *drainOrder) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drains.LookTime-(o.node.now()-o.begun))
+	defer cancel()
+	return o.node.Barrier(ctx)
+}
+
 // look returns the zone's object, nil if there is none.
 func (o *drainOrder) look() (*wirepb.Object, error) {
 	var held *wirepb.Object
--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -10,13 +10,6 @@
 // they hold stays, and costs nothing there; but as nothing is sent to them, it serves nobody: a
 // version that only they hold is wanted elsewhere, by its worth and at the store's pace as any.
 
-// setAside notes a replica that serves nothing since its zone is drained. It does not grow idle
-// meanwhile: nobody could use it.
-func (p *pass) setAside(replica *Replica) {
-	p.drained[replica.Spec.Version] = append(p.drained[replica.Spec.Version], replica)
-	p.planner.lastUsed[replica.Name] = p.input.Now
-}
-
 // drainedReason is why a replica in a drained zone must go after all; empty if it stays. The
 // state counts it as one of its version's replicas: at the declared maximum it would keep
 // requests that wait from being served elsewhere.
--- a/internal/placement/drain_test.go
+++ b/internal/placement/drain_test.go
@@ -65,14 +65,18 @@
 	occupy(input, "fast", 0)
 	planner := newTestPlanner()
 	expect(t, describe(planner.Decide(input)))
+	input.Now = input.Now.Add(30 * time.Minute)
+	expect(t, describe(planner.Decide(input)))
 	drainMachines(input, "fast")
 	for range 5 {
 		input.Now = input.Now.Add(time.Hour)
 		expect(t, describe(planner.Decide(input)))
 	}
 	input.Machines["fast"].Accepts, input.Machines["fast"].Drained = true, false
-	input.Now = input.Now.Add(time.Second)
+	input.Now = input.Now.Add(29 * time.Minute)
 	expect(t, describe(planner.Decide(input)))
+	input.Now = input.Now.Add(2 * time.Minute)
+	expect(t, describe(planner.Decide(input)), "unload other.1 (idle)")
 }
 
 // TestAllZonesDrained: who waits is told so, and nothing changes.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -47,6 +47,8 @@
 	loadsSeen map[string]bool
 	// leavingSince is when a machine stopped to accept.
 	leavingSince map[string]time.Time
+	// decidedAt is the time of the last pass.
+	decidedAt time.Time
 }
 
 // NewPlanner returns a planner without history.
@@ -118,6 +120,7 @@
 	current.retire()
 	current.place()
 	p.forget(input)
+	p.decidedAt = input.Now
 	return current.decision
 }
 
@@ -176,12 +179,16 @@
 		if machine == nil || machine.Lost {
 			continue
 		}
+		used, known := p.planner.lastUsed[replica.Name]
 		if machine.Drained {
-			p.setAside(replica)
+			p.drained[replica.Spec.Version] = append(p.drained[replica.Spec.Version], replica)
+			if known {
+				// It does not grow idle meanwhile: nobody could use it.
+				p.planner.lastUsed[replica.Name] = used.Add(p.input.Now.Sub(p.planner.decidedAt))
+			}
 			continue
 		}
 		p.byVersion[replica.Spec.Version] = append(p.byVersion[replica.Spec.Version], replica)
-		_, known := p.planner.lastUsed[replica.Name]
 		switch {
 		case replica.Running > 0 || replica.Spec.Phase == v1.ReplicaLoading:
 			p.planner.lastUsed[replica.Name] = p.input.Now
