Show drains in force from a package of its own

Cause: the node's view, which is typed lookups, had taken on a log and a gauge.

Change: they move to internal/drainlog.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
+	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/limits"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -53,7 +54,7 @@
 	claims     *claims.Keeper
 	budget     *retryBudget
 	crashes    *crashwatch.Watcher
-	drains     *nodeview.DrainLog
+	drains     *drainlog.Log
 	engines    *http.Client
 	// once sends requests that may not be repeated: each on a connection of
 	// its own, so that a failed dial proves that nothing was sent.
@@ -70,7 +71,7 @@
 	dialer := &net.Dialer{Timeout: engineDialTimeout}
 	gateway := &Gateway{
 		options: options, router: mux.NewRouter(), limits: limits.New(),
-		drains: nodeview.NewDrainLog(options.Logger, options.Metrics.drained),
+		drains: drainlog.New(options.Logger, options.Metrics.drained),
 		claims: claims.NewKeeper(options.Propose), budget: newRetryBudget(),
 		crashes: crashwatch.New(crashwatch.Options{
 			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeBy(
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,7 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
-	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/drainlog"
 )
 
 // Metrics are the gateway's metrics.
@@ -24,7 +24,7 @@
 	factory := promauto.With(registry)
 	waits := prometheus.ExponentialBuckets(0.001, 2, 16)
 	return &Metrics{
-		drained: nodeview.NewDrainGauge(registry, "weldline_router_zone_drained"),
+		drained: drainlog.NewGauge(registry, "weldline_router_zone_drained"),
 		requests: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_requests_total", Help: "Requests by service and how they ended.",
 		}, []string{"service", "result"}),
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
+	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
@@ -70,7 +71,7 @@
 
 	quotas  *quotas
 	crashes *crashwatch.Watcher
-	drains  *nodeview.DrainLog
+	drains  *drainlog.Log
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -98,7 +99,7 @@
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: pool, crashes: newCrashWatcher(options, pool),
-		drains: nodeview.NewDrainLog(options.Logger, options.Metrics.drained),
+		drains: drainlog.New(options.Logger, options.Metrics.drained),
 	}
 }
 
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	v1 "github.com/weldline/weldline/api/v1"
-	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/quarantine"
 )
 
@@ -50,7 +50,7 @@
 		crashes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
-		drained: nodeview.NewDrainGauge(registry, "weldline_ingress_zone_drained"),
+		drained: drainlog.NewGauge(registry, "weldline_ingress_zone_drained"),
 		series:  map[string]bool{},
 	}
 }
--- a/internal/nodeview/zones.go
+++ b/internal/nodeview/zones.go
@@ -2,13 +2,9 @@
 
 import (
 	"encoding/json"
-	"log/slog"
 	"maps"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
-
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -50,39 +46,3 @@
 	defer v.mutex.RUnlock()
 	return maps.Clone(v.zoneDrains)
 }
-
-// DrainLog tells of each drain that comes into force at a node, or ends there, once.
-type DrainLog struct {
-	logger *slog.Logger
-	gauge  *prometheus.GaugeVec
-	held   map[string]ZoneDrain
-}
-
-// NewDrainLog returns a log that has told of nothing. The gauge has the label "zone".
-func NewDrainLog(logger *slog.Logger, gauge *prometheus.GaugeVec) *DrainLog {
-	return &DrainLog{logger: logger, gauge: gauge, held: map[string]ZoneDrain{}}
-}
-
-// NewDrainGauge registers the gauge of the zones that are drained at a node.
-func NewDrainGauge(registry prometheus.Registerer, name string) *prometheus.GaugeVec {
-	return promauto.With(registry).NewGaugeVec(prometheus.GaugeOpts{
-		Name: name, Help: "1 while a zone that has ever been drained is drained, as this node has it in force.",
-	}, []string{"zone"})
-}
-
-// InForce notes that the node acts by these orders from now on.
-func (l *DrainLog) InForce(now time.Time, drains map[string]ZoneDrain) {
-	for zone, drain := range drains {
-		before := l.held[zone]
-		l.held[zone] = drain
-		value := 0.0
-		if drain.Drained {
-			value = 1
-		}
-		l.gauge.WithLabelValues(zone).Set(value)
-		if before.Drained != drain.Drained {
-			l.logger.Info("drain_in_force", "zone", zone, "drained", drain.Drained, "revision", drain.Revision,
-				"age_ms", now.Sub(drain.OrderedAt).Milliseconds())
-		}
-	}
-}
