Read a follower's drain only once it holds what was acknowledged

Traced: the follower was still at revision 0 of the object, 2 after a barrier; the leader acknowledges before followers have applied. The product is right, the test read too soon.

Change: the tests wait behind a barrier and compare revisions, so that a cancelled order that writes anything is seen, also one that writes the same.

Ruled out: that the cancelled order had written: its revision would stand in the object.

Conclusion: none.

--- a/internal/control/drain_test.go
+++ b/internal/control/drain_test.go
@@ -27,6 +27,14 @@
 	return drained, revision
 }
 
+// confirmedDrain is drainOf once the node holds all that is committed: an order that the leader
+// took is acknowledged before a follower has applied it.
+func (c *trio) confirmedDrain(position int, zone string) (drained bool, revision uint64) {
+	c.t.Helper()
+	c.eventually("the node is in step", func() bool { return c.nodes[position].Barrier(c.t.Context()) == nil })
+	return c.nodes[position].drainOf(zone)
+}
+
 // orderUntilTaken gives an order to one node after the other, as operators do.
 func (c *trio) orderUntilTaken(zone string, drained bool, nodes ...*Node) {
 	c.t.Helper()
@@ -76,13 +84,13 @@
 	_, follower := cluster.leaderAndFollower()
 	node := cluster.nodes[follower]
 	cluster.orderUntilTaken("z", true, node)
-	_, before := node.drainOf("z")
+	_, before := cluster.confirmedDrain(follower, "z")
 	// Nothing but the stall speaks against the order.
 	node.stalls.doubt(node)
 	if err := node.DrainZone(t.Context(), "z", false); !fault.Is(err, fault.Unavailable) {
 		t.Errorf("a node that was stalled answers %v", err)
 	}
-	if _, after := node.drainOf("z"); after != before {
+	if _, after := cluster.confirmedDrain(follower, "z"); after != before {
 		t.Error("a node that was stalled has written")
 	}
 	node.stalls.trust(node)
@@ -115,13 +123,14 @@
 	cluster := startTrio(t)
 	_, follower := cluster.leaderAndFollower()
 	cluster.orderUntilTaken("z", true, cluster.nodes[follower])
+	_, before := cluster.confirmedDrain(follower, "z")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if err := cluster.nodes[follower].DrainZone(ctx, "z", false); !fault.Is(err, fault.Unavailable) {
 		t.Errorf("a cancelled order is answered with %v", err)
 	}
-	if drained, _ := cluster.nodes[follower].drainOf("z"); !drained {
-		t.Error("a cancelled order took effect")
+	if drained, after := cluster.confirmedDrain(follower, "z"); !drained || after != before {
+		t.Errorf("after a cancelled order drained is %t at revision %d, not at %d", drained, after, before)
 	}
 }
 
