--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
+	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
@@ -70,6 +71,7 @@
 
 	quotas  *quotas
 	crashes *crashwatch.Watcher
+	drains  *drainlog.Log
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -97,6 +99,7 @@
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: pool, crashes: newCrashWatcher(options, pool),
+		drains: drainlog.New(options.Logger, options.Metrics.drained),
 	}
 }
 
@@ -149,7 +152,9 @@
 		i.table.Store(NewTable(routes, i.table.Load()))
 		i.logRoutes(len(routes))
 	}
+	drains := i.options.View.ZoneDrains()
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
+	i.drains.InForce(time.Now(), drains)
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
 		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
