Let the leader say which machines warm up, and give out permits for them

Cause: heartbeats say that a machine warms up, and nothing took it in. Change: digests carry what each machine said, soon after it changed; the leader keeps its token buckets under its lease; control nodes and relays pass questions for permits on to it. Ruled out: waiting for a leader as proposals do; a permit that comes late is of no use. Conclusion: routers can be taught to ask.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -133,6 +133,7 @@
 		config.SettleTime = registeredSettleTime
 	}
 	n.reports.ForgetMachines()
+	n.permits.Store(newTermPermits(term, n.now(), n.settings.Warming.Bound()))
 	return &leader{
 		node: n, controller: controller.New(n.now(), config, n.reports), list: list, fleet: newFleet(ctx, n, term),
 	}
@@ -155,9 +156,16 @@
 	l.load.time(partDigest, l.spreadDigest)
 }
 
-// spreadDigest tells everyone the soft state, if that is due.
+// spreadDigest tells everyone the soft state, if that is due. What it says of machines that warm
+// up holds as of its revision, so both are read together.
 func (l *leader) spreadDigest() {
-	digest := l.controller.Digest(l.node.now(), l.node.Revision())
+	var revision uint64
+	l.node.Read(func(machine *state.Machine) {
+		l.controller.Observe(machine)
+		revision = machine.Revision()
+	})
+	l.observeWarming()
+	digest := l.controller.Digest(l.node.now(), revision)
 	if digest == nil {
 		return
 	}
@@ -166,6 +174,12 @@
 	l.node.peers.broadcastDigest(digest)
 }
 
+func (l *leader) observeWarming() {
+	for _, change := range l.controller.ObserveWarming(l.node.now(), l.node.instances.Entries()) {
+		l.node.logger.Info("machine_warming", "machine", change.Machine, "remaining_ms", change.Remaining.Milliseconds())
+	}
+}
+
 func (l *leader) placeReplicas(ctx context.Context) {
 	started := time.Now()
 	l.node.Read(l.controller.Observe)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,6 +16,7 @@
 	batchSeconds        prometheus.Histogram
 	decideSeconds       prometheus.Histogram
 	decisions           *prometheus.CounterVec
+	permits             *prometheus.CounterVec
 }
 
 // NewMetrics registers the control node's metrics.
@@ -33,9 +34,20 @@
 		decisions: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_placement_decisions_total", Help: "Replica decisions by kind.",
 		}, []string{"kind"}),
+		permits: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_warming_permits_total", Help: "Permits asked of this node as leader, by whether they were granted.",
+		}, []string{"outcome"}),
 	}
 }
 
+func (m *Metrics) observePermit(granted bool) {
+	outcome := "refused"
+	if granted {
+		outcome = "granted"
+	}
+	m.permits.WithLabelValues(outcome).Inc()
+}
+
 func (m *Metrics) observeStatus(status *raft.Status) {
 	m.role.Set(float64(status.Role))
 	m.term.Set(float64(status.Term))
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -91,6 +91,9 @@
 	// history is what the newest leader handed on of demand.
 	history atomic.Pointer[demandHistory]
 
+	// permits are those of the term that this node led last.
+	permits atomic.Pointer[termPermits]
+
 	peers *peerSet
 	joins *joinTable
 	// membership is the one in force, as applied here.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -350,6 +350,8 @@
 			n.takeJoin(body.JoinRequest.GetMember(), conn.Peer.GetControlId())
 		case *wirepb.Envelope_InstanceReport:
 			n.takeInstance(body.InstanceReport)
+		case *wirepb.Envelope_PermitRequest:
+			workers.Go(func() { n.answerPermit(conn, envelope.GetRequestId(), body.PermitRequest) })
 		case *wirepb.Envelope_StatusRequest:
 			workers.Go(func() { n.answerStatus(conn, envelope.GetRequestId(), body.StatusRequest) })
 		}
--- /dev/null
+++ b/internal/control/permits.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// termPermits are the permits of one term, for concurrent use.
+type termPermits struct {
+	term    uint64
+	mutex   sync.Mutex
+	permits *warming.Permits
+}
+
+func newTermPermits(term uint64, now time.Duration, bound warming.Bound) *termPermits {
+	return &termPermits{term: term, permits: warming.NewPermits(now, bound)}
+}
+
+func (t *termPermits) take(now time.Duration, machine string, perSecond float64) warming.Decision {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.permits.Take(now, machine, perSecond)
+}
+
+// Permit implements feed.Backend: it carries the question to the leader. It does not wait for
+// one: a permit that comes late is of no use.
+func (n *Node) Permit(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+	status := n.status.Load()
+	if status.Leader == status.ID {
+		return n.localPermit(request)
+	}
+	link := n.peers.link(status.Leader)
+	if link == nil {
+		return nil, fault.Unavailable.New("there is no leader")
+	}
+	answer, err := link.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_PermitRequest{PermitRequest: request}})
+	if err != nil {
+		return nil, err
+	}
+	return answer.GetPermitReply(), nil
+}
+
+// localPermit answers as leader. The lease is checked after the token was taken: had another
+// leader begun to give out permits before, the check would fail.
+func (n *Node) localPermit(request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+	permits := n.permits.Load()
+	if permits == nil {
+		return nil, errNoLease()
+	}
+	perSecond, declared := n.rateWhileWarming(request.GetMachine())
+	if !declared {
+		return nil, fault.NotFound.New("machine %s is in no pool whose machines warm up", request.GetMachine())
+	}
+	decision := permits.take(n.now(), request.GetMachine(), perSecond)
+	if status := n.status.Load(); status.Term != permits.term || !status.LeaseHeld(n.now()) {
+		return nil, errNoLease()
+	}
+	n.metrics.observePermit(decision.Granted)
+	return &wirepb.PermitReply{Granted: decision.Granted, RetryAfterMs: uint32(decision.RetryAfter.Milliseconds())}, nil
+}
+
+func errNoLease() error {
+	return fault.Unavailable.New("this node holds no lease")
+}
+
+// rateWhileWarming returns how many requests a second a machine bears while it warms up, by its
+// pool.
+func (n *Node) rateWhileWarming(name string) (perSecond float64, declared bool) {
+	n.Read(func(machine *state.Machine) {
+		spec, known := machine.Spec(v1.KindMachine, name).(*v1.MachineSpec)
+		if !known {
+			return
+		}
+		pool, known := machine.Spec(v1.KindPool, spec.Pool).(*v1.PoolSpec)
+		if known && pool.Warming != nil {
+			perSecond, declared = pool.Warming.RequestsPerSecond, true
+		}
+	})
+	return perSecond, declared
+}
+
+// answerPermit answers a control node that passes a question on.
+func (n *Node) answerPermit(conn *wire.Conn, requestID uint64, request *wirepb.PermitRequest) {
+	reply, err := n.localPermit(request)
+	if err != nil {
+		reply = &wirepb.PermitReply{Unavailable: true}
+	}
+	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_PermitReply{PermitReply: reply}})
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -33,7 +34,8 @@
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
 	// urgentDigestInterval is how often at most it is spread because a tenant's share changes
-	// fast: a link of a router carries a digest in a fraction of that.
+	// fast, or a machine begins to warm up: a link of a router carries a digest in a fraction of
+	// that.
 	urgentDigestInterval = 100 * time.Millisecond
 	// historyInterval is how often control nodes are told of past demand.
 	historyInterval = time.Second
@@ -64,6 +66,9 @@
 	planner   *placement.Planner
 	estimates []placement.Estimate
 	stored    *storedView
+	warming   *warming.Watch
+	// urgent is set while routers have not heard of a machine that began to warm up or is warm.
+	urgent bool
 
 	// control are the addresses of the control nodes.
 	control        []string
@@ -82,7 +87,7 @@
 func New(now time.Duration, config Config, reports *ReportTable) *Controller {
 	reports.BeginQuotas(quota.NewLedger(now, config.Quota, config.Routers))
 	return &Controller{
-		config: config, since: now, reports: reports, lastSweep: now,
+		config: config, since: now, reports: reports, lastSweep: now, warming: warming.NewWatch(now),
 		planner: placement.NewPlanner(config.Planner),
 	}
 }
@@ -165,13 +170,13 @@
 	limits := c.limits()
 	urgent := c.reports.UpdateQuotas(now, limits)
 	interval := digestInterval
-	if urgent {
+	if urgent || c.urgent {
 		interval = urgentDigestInterval
 	}
 	if c.lastDigest != 0 && now-c.lastDigest < interval {
 		return nil
 	}
-	c.lastDigest = now
+	c.lastDigest, c.urgent = now, false
 	c.digestSequence++
 	nodes, reports := c.reports.snapshot(now)
 	loads := loadsOf(now, nodes, reports)
@@ -192,6 +197,7 @@
 	digest.Roster, digest.RosterSequence = c.roster, c.rosterSequence
 	digest.MachineLoads = packed(c.roster, loads)
 	digest.MachineWork = packed(c.roster, workOf(now, nodes))
+	digest.MachineWarming = packed(c.roster, c.warming.Units(now))
 	digest.History = c.history(now)
 	digest.Tenants, digest.TenantsKnown = c.reports.allowances(now, limits)
 	if answered, errors := c.reports.Answers(now); len(errors) > 0 {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -30,10 +30,17 @@
 	placed map[string]*placement.Version
 	// suspects are what machines ended under, by the name of the record.
 	suspects map[string]*v1.SuspectSpec
+	// drains are the newest orders for zones, by zone.
+	drains map[string]storedDrain
 	// loadCrashes are those of them that are loads, by version.
 	loadCrashes map[string]placement.LoadCrashes
 }
 
+type storedDrain struct {
+	revision uint64
+	spec     *v1.ZoneDrainSpec
+}
+
 type storedReplica struct {
 	object *wirepb.Object
 	spec   *v1.ReplicaSpec
@@ -72,7 +79,7 @@
 	view := &storedView{
 		revision: machine.Revision(), models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{}, pools: map[string]*v1.PoolSpec{}, limits: map[string]quota.Limit{},
-		suspects: map[string]*v1.SuspectSpec{},
+		suspects: map[string]*v1.SuspectSpec{}, drains: map[string]storedDrain{},
 	}
 	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
 		view.add(object, spec, machine.MachineStatus(object.GetName()))
@@ -98,6 +105,8 @@
 		v.machines[object.GetName()] = machines.Declared{Object: object, Spec: typed, Status: status}
 	case *v1.ReplicaSpec:
 		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
+	case *v1.ZoneDrainSpec:
+		v.drains[object.GetName()] = storedDrain{revision: object.GetRevision(), spec: typed}
 	case *v1.SuspectSpec:
 		v.suspects[object.GetName()] = typed
 	}
--- /dev/null
+++ b/internal/controller/warming.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/warming"
+)
+
+// ObserveWarming takes what machines said of themselves, beside the state observed last. It
+// returns those that began to warm up, or are warm.
+func (c *Controller) ObserveWarming(now time.Duration, entries map[string]instances.Entry) []warming.Change {
+	drains := make(map[string]warming.Drain, len(c.stored.drains))
+	for zone, drain := range c.stored.drains {
+		drains[zone] = warming.Drain{Revision: drain.revision, Drained: drain.spec.Drained}
+	}
+	machines := make(map[string]warming.Machine, len(c.stored.machines))
+	for name, declared := range c.stored.machines {
+		if declared.Spec.Pool == "" {
+			continue // It is watched by agents, and says nothing of itself.
+		}
+		machine := warming.Machine{
+			Zone: declared.Spec.Zone, Lost: declared.Status.Phase == v1.MachineLost, Declared: c.stored.warmingOf(declared.Spec.Pool) != nil,
+		}
+		if entry, heard := entries[name]; heard {
+			machine.Report = &warming.Report{
+				Received: entry.Received, Remaining: time.Duration(entry.Report.GetWarmingMs()) * time.Millisecond,
+			}
+		}
+		machines[name] = machine
+	}
+	changes, urgent := c.warming.Update(now, drains, machines)
+	c.urgent = c.urgent || urgent
+	return changes
+}
+
+// warmingOf returns what a pool declares of its machines' warming up; nil if nothing.
+func (v *storedView) warmingOf(pool string) *v1.WarmingSpec {
+	if declared := v.pools[pool]; declared != nil {
+		return declared.Warming
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/warming_test.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// put applies a write of an object.
+func put(t *testing.T, machine *state.Machine, kind v1.Kind, name string, spec any) {
+	t.Helper()
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	object := &wirepb.Object{Kind: string(kind), Name: name, Spec: encoded}
+	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: []*wirepb.ObjectWrite{{Object: object}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result := machine.Apply(data); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		t.Fatal(result.GetMessage())
+	}
+}
+
+// TestDigestTellsOfWarmingMachines: what a machine said of itself goes out with the next digest,
+// soon after it has changed; until it has said anything, and from the end of its zone's drain to
+// its next report, nobody vouches for it.
+func TestDigestTellsOfWarmingMachines(t *testing.T) {
+	stored := fleetState(t)
+	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
+		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
+		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
+	})
+	leader := New(0, Config{}, NewReportTable())
+	entries := map[string]instances.Entry{}
+	report := func(now time.Duration, warmingMs uint32) {
+		entries["m"] = instances.Entry{Received: now, Report: &wirepb.InstanceReport{Machine: "m", WarmingMs: warmingMs}}
+	}
+	for _, step := range []struct {
+		name   string
+		at     time.Duration
+		change func(now time.Duration)
+		units  []byte
+	}{
+		{"nothing said", time.Second, func(time.Duration) {}, []byte{warming.Unsaid}},
+		{"warm, told soon", 1100 * time.Millisecond, func(now time.Duration) { report(now, 0) }, nil},
+		{"warms up, told soon", 1200 * time.Millisecond, func(now time.Duration) { report(now, 950) }, []byte{10}},
+		{"lowered by time", 1700 * time.Millisecond, func(time.Duration) {}, []byte{5}},
+		{"drained", 1800 * time.Millisecond, func(time.Duration) {
+			put(t, stored, v1.KindZoneDrain, "z", &v1.ZoneDrainSpec{Drained: true})
+		}, []byte{warming.Unsaid}},
+		{"drained and heard", 2300 * time.Millisecond, func(now time.Duration) { report(now, 0) }, []byte{warming.Unsaid}},
+		{"the drain has ended", 2900 * time.Millisecond, func(time.Duration) {
+			put(t, stored, v1.KindZoneDrain, "z", &v1.ZoneDrainSpec{})
+		}, []byte{warming.Unsaid}},
+		{"heard since", 3 * time.Second, func(now time.Duration) { report(now, 0) }, nil},
+	} {
+		step.change(step.at)
+		leader.Observe(stored)
+		leader.ObserveWarming(step.at, entries)
+		digest := leader.Digest(step.at, stored.Revision())
+		if digest == nil || !bytes.Equal(digest.GetMachineWarming(), step.units) {
+			t.Errorf("%s: %v, wanted %v", step.name, digest.GetMachineWarming(), step.units)
+		}
+	}
+}
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -225,7 +225,7 @@
 			if digest := digests.Complete(body.ClusterDigest); digest != nil {
 				c.takeDigest(digest)
 			}
-		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply:
+		case *wirepb.Envelope_ProposalResult, *wirepb.Envelope_StatusReply, *wirepb.Envelope_PermitReply:
 			c.complete(envelope)
 		}
 	}
--- a/internal/feed/list_test.go
+++ b/internal/feed/list_test.go
@@ -64,6 +64,10 @@
 func (b *listBackend) Report(...*wirepb.NodeReport)   {}
 func (b *listBackend) Serves() bool                   { return true }
 
+func (b *listBackend) Permit(context.Context, *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+	return nil, nil
+}
+
 func (b *listBackend) Status(context.Context, *wirepb.StatusRequest) (*wirepb.StatusReply, error) {
 	return nil, nil
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -84,6 +84,8 @@
 	// Serves reports whether nodes may follow the backend: it holds a state, and that is
 	// kept up to date as far as it knows.
 	Serves() bool
+	// Permit asks the leader whether one request may be sent to a machine that warms up.
+	Permit(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error)
 	// Propose carries a command to the leader and returns its result.
 	Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error)
 }
@@ -225,6 +227,12 @@
 			s.backend.Report(body.NodeReportBatch.GetReports()...)
 		case *wirepb.Envelope_StatusRequest:
 			workers.Go(func() { s.answerStatus(ctx, conn, envelope.GetRequestId(), body.StatusRequest) })
+		case *wirepb.Envelope_PermitRequest:
+			slots <- struct{}{}
+			workers.Go(func() {
+				defer func() { <-slots }()
+				s.answerPermit(ctx, conn, envelope.GetRequestId(), body.PermitRequest)
+			})
 		case *wirepb.Envelope_Proposal:
 			slots <- struct{}{}
 			workers.Go(func() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
+	"github.com/weldline/weldline/internal/warming"
 )
 
 // Role is a part that a node plays.
@@ -87,6 +88,11 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Bound returns what the settings allow.
+func (s WarmingSettings) Bound() warming.Bound {
+	return warming.Bound{Factor: s.Factor, Slack: s.Slack}
+}
+
 // FormationSettings let control nodes find each other, where control.members
 // does not list them.
 type FormationSettings struct {
