Ask for a permit for each request to a machine that warms up

Cause: routers sent to machines that had just started as to any other. Change: a router takes a machine to warm up unless a digest that knew of its record and its zone's drain has vouched for it; the core takes warm targets first and holds those for which there is no permit; the permit is asked for between the grant and the send, and looked at once more when the connection stands. A refused permit is no attempt. Ruled out: to ask when the connection stands; it would keep a connection of the machine while it waits.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -52,6 +52,9 @@
 	answered  map[string]Answers
 	answers   map[string]Answers
 	answersAt time.Time
+	// warming names the machines that warm up, and held says until when a machine gets nothing.
+	warming map[string]bool
+	held    map[string]time.Time
 }
 
 // versionState is what a router knows of one version.
@@ -89,7 +92,7 @@
 		config: config, targets: map[string]*target{}, versions: map[string]*versionState{},
 		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
 		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
-		staleness: usualStaleness, answered: map[string]Answers{},
+		staleness: usualStaleness, answered: map[string]Answers{}, held: map[string]time.Time{},
 	}
 }
 
@@ -254,6 +257,8 @@
 	ResultSilent
 	// ResultUnreachable: no connection came about.
 	ResultUnreachable
+	// ResultNotSent: the router held the request back. It says nothing of the target.
+	ResultNotSent
 )
 
 // Release ends a grant and gives the room to whoever waits.
@@ -427,10 +432,7 @@
 	var outcome Outcome
 	for _, entry := range c.waiters {
 		if !now.Before(entry.request.Deadline) || entry.request.impatient(now) {
-			outcome.Refusals = append(outcome.Refusals, Refusal{
-				Request: entry.request, Reason: RefusedDeadline, Detail: "no replica was ready before the deadline",
-				RetryAfter: shedRetryAfter,
-			})
+			outcome.Refusals = append(outcome.Refusals, c.refusalOfImpatient(now, entry.request))
 		}
 	}
 	sort.Slice(outcome.Refusals, func(i, j int) bool {
@@ -443,6 +445,17 @@
 	return outcome
 }
 
+// refusalOfImpatient refuses a request that got no place in time.
+func (c *Core) refusalOfImpatient(now time.Time, request *Request) Refusal {
+	refusal := Refusal{
+		Request: request, Reason: RefusedDeadline, Detail: "no replica was ready before the deadline", RetryAfter: shedRetryAfter,
+	}
+	if c.waitsForWarming(now, request) {
+		refusal.Reason, refusal.Detail = RefusedWarming, "the machines that could take it warm up"
+	}
+	return refusal
+}
+
 // dispatchAll goes through the versions in order of name, so that the same
 // events always have the same outcome.
 func (c *Core) dispatchAll(now time.Time, outcome *Outcome) {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -89,7 +89,7 @@
 		d.requests[id].Avoid = values["avoid"]
 		d.report(out, d.core.Resubmit(d.now, d.requests[id]))
 	case "release":
-		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "failed": ResultFailed}[values["result"]]
+		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "not-sent": ResultNotSent, "failed": ResultFailed}[values["result"]]
 		d.report(out, d.core.Release(d.now, d.grants[id], result))
 	case "cancel":
 		d.core.Cancel(d.requests[id])
@@ -101,6 +101,10 @@
 			estimate.EarliestAt = seconds("earliest")
 		}
 		d.report(out, d.core.SetEstimates(d.now, map[string]*Estimate{name: estimate}))
+	case "warming":
+		d.core.SetWarming(map[string]bool{name: true})
+	case "hold":
+		d.core.Hold(d.now, name, seconds("until"))
 	case "targets":
 	default:
 		d.t.Fatalf("unknown command %s", command)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -22,7 +22,7 @@
 
 func (h *health) observe(now time.Time, result Result) {
 	switch result {
-	case ResultError:
+	case ResultError, ResultNotSent:
 		return // The machine is there; what its errors say is for answers.go.
 	case ResultOK, ResultNotRun:
 		*h = health{}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -25,21 +25,23 @@
 	if c.config.RoundRobin {
 		return c.pickInTurn(now, version, request)
 	}
-	if chosen := c.pickFrom(now, version, request, false); chosen != nil {
-		return chosen
+	for _, wanted := range []standing{standsWarm, standsWarming, standsSuspect} {
+		if chosen := c.pickFrom(now, version, request, wanted); chosen != nil {
+			return chosen
+		}
 	}
-	if chosen := c.pickFrom(now, version, request, true); chosen != nil || !c.config.ByWork {
-		return chosen
+	if !c.config.ByWork {
+		return nil
 	}
-	return c.pickEjected(version, request)
+	return c.pickEjected(now, version, request)
 }
 
 // pickEjected returns the target whose ejection ends first, where all that could
 // take the request are ejected: trying it is better than waiting.
-func (c *Core) pickEjected(version *versionState, request *Request) *target {
+func (c *Core) pickEjected(now time.Time, version *versionState, request *Request) *target {
 	var best *target
 	for _, candidate := range version.targets {
-		if !c.fits(candidate, request) {
+		if !c.fits(now, candidate, request) {
 			continue
 		}
 		if best == nil || candidate.health.until.Before(best.health.until) {
@@ -49,15 +51,14 @@
 	return best
 }
 
-// pickFrom picks among the targets that are suspect, or among those that are
-// not.
-func (c *Core) pickFrom(now time.Time, version *versionState, request *Request, suspect bool) *target {
+// pickFrom picks among the targets that stand as wanted.
+func (c *Core) pickFrom(now time.Time, version *versionState, request *Request, wanted standing) *target {
 	if c.config.ByWork {
-		return c.pickByWork(now, version, request, suspect)
+		return c.pickByWork(now, version, request, wanted)
 	}
 	least := -1.0
 	for _, candidate := range version.targets {
-		if candidate.Suspect != suspect || !c.usable(now, candidate, request, version) {
+		if c.standingOf(candidate) != wanted || !c.usable(now, candidate, request, version) {
 			continue
 		}
 		if load := c.load(candidate); least < 0 || load < least {
@@ -67,7 +68,7 @@
 	var best *target
 	bestScore := 0.0
 	for _, candidate := range version.targets {
-		if candidate.Suspect != suspect || !c.usable(now, candidate, request, version) {
+		if c.standingOf(candidate) != wanted || !c.usable(now, candidate, request, version) {
 			continue
 		}
 		load := c.load(candidate)
@@ -106,7 +107,7 @@
 }
 
 func (c *Core) usable(now time.Time, candidate *target, request *Request, version *versionState) bool {
-	if !c.fits(candidate, request) {
+	if !c.fits(now, candidate, request) {
 		return false
 	}
 	if len(version.targets) > 1 && candidate.Replica == request.Avoid {
@@ -117,8 +118,8 @@
 }
 
 // fits reports whether a target could take a request, its health apart.
-func (c *Core) fits(candidate *target, request *Request) bool {
-	return c.hasSlot(candidate) && !c.isExcluded(candidate, request)
+func (c *Core) fits(now time.Time, candidate *target, request *Request) bool {
+	return c.hasSlot(candidate) && !c.isHeld(now, candidate.Machine) && !c.isExcluded(candidate, request)
 }
 
 // isExcluded reports whether a target can't take a request, free or not.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -73,6 +73,8 @@
 	RefusedOverload RefusalReason = "overload"
 	// RefusedNotLoadable: no machine can hold the model.
 	RefusedNotLoadable RefusalReason = "not-loadable"
+	// RefusedWarming: the machines that could take it warm up, and get no more for now.
+	RefusedWarming RefusalReason = "warming"
 )
 
 // Refusal ends a request that waited.
--- /dev/null
+++ b/internal/dispatch/warming.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"maps"
+	"time"
+)
+
+// A machine that warms up bears a few requests a second, and answers each of them slowly. It gets
+// requests where no warm one has room; and each of these needs a permit of the leader, for which
+// the router asks once the core has chosen. A machine for which there is none now is held: it is
+// there, and takes nothing for a moment.
+
+// standing orders the targets of a version: those that come first are used up first.
+type standing int
+
+const (
+	standsWarm standing = iota
+	standsWarming
+	// standsSuspect: the machine has not been heard of for a while.
+	standsSuspect
+)
+
+func (c *Core) standingOf(candidate *target) standing {
+	switch {
+	case candidate.Suspect:
+		return standsSuspect
+	case c.warming[candidate.Machine]:
+		return standsWarming
+	}
+	return standsWarm
+}
+
+// SetWarming replaces the machines that warm up.
+func (c *Core) SetWarming(warming map[string]bool) {
+	c.warming = warming
+}
+
+// Hold gives a machine nothing before a time. Tick gives out its room once that has come.
+func (c *Core) Hold(now time.Time, machine string, until time.Time) {
+	maps.DeleteFunc(c.held, func(_ string, ends time.Time) bool { return !now.Before(ends) })
+	c.held[machine] = until
+}
+
+func (c *Core) isHeld(now time.Time, machine string) bool {
+	return now.Before(c.held[machine])
+}
+
+// waitsForWarming reports whether a machine that warms up could take a request, if it were not
+// held or did not have enough to do.
+func (c *Core) waitsForWarming(now time.Time, request *Request) bool {
+	for _, candidate := range c.version(request.Version).targets {
+		if c.isExcluded(candidate, request) {
+			continue
+		}
+		if c.warming[candidate.Machine] || c.isHeld(now, candidate.Machine) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -61,10 +61,10 @@
 // cached. Every router finds the same homes for a beginning, by rendezvous
 // hashing, so that few machines hold each; a busy home is passed over as soon
 // as reading the beginning again costs less than waiting.
-func (c *Core) pickByWork(now time.Time, version *versionState, request *Request, suspect bool) *target {
+func (c *Core) pickByWork(now time.Time, version *versionState, request *Request, wanted standing) *target {
 	var usable []*target
 	for _, candidate := range version.targets {
-		if candidate.Suspect == suspect && c.usable(now, candidate, request, version) {
+		if c.standingOf(candidate) == wanted && c.usable(now, candidate, request, version) {
 			usable = append(usable, candidate)
 		}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -120,6 +120,21 @@
 	d.deliver(d.core.Release(time.Now(), *grant, result))
 }
 
+// Hold gives a machine nothing for a while.
+func (d *Dispatcher) Hold(machine string, span time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	d.core.Hold(now, machine, now.Add(span))
+}
+
+// SetWarming replaces the machines that warm up, which must not be changed afterwards.
+func (d *Dispatcher) SetWarming(warming map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.SetWarming(warming)
+}
+
 // Started notes that the answer to a granted request has begun.
 func (d *Dispatcher) Started(grant *dispatch.Grant) {
 	d.mutex.Lock()
--- a/internal/feed/digest_test.go
+++ b/internal/feed/digest_test.go
@@ -11,9 +11,9 @@
 func digestOf(term, sequence, rosterSequence uint64) *wirepb.ClusterDigest {
 	return &wirepb.ClusterDigest{
 		Term: term, Sequence: sequence, RosterSequence: rosterSequence, MachineLoads: []byte{byte(sequence)},
-		Roster:  &wirepb.Roster{Machines: []string{"machine-0"}, Nodes: []*wirepb.NodeEntry{{Name: "node"}}},
+		Roster:         &wirepb.Roster{Machines: []string{"machine-0"}, Nodes: []*wirepb.NodeEntry{{Name: "node"}}},
 		MachineWarming: []byte{byte(sequence)},
-		Tenants: []*wirepb.TenantAllowance{{Tenant: "t", Offered: 3, Admit: 0.5}}, TenantsKnown: true,
+		Tenants:        []*wirepb.TenantAllowance{{Tenant: "t", Offered: 3, Admit: 0.5}}, TenantsKnown: true,
 		History: []*wirepb.DemandHistory{{Version: "v", Rate: 1200, IdleMs: 40}},
 	}
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,6 +25,8 @@
 	endBroken
 	// endNotConnected: nothing reached the machine.
 	endNotConnected
+	// endNotPermitted: nothing was sent, as the permit to do so was over by then.
+	endNotPermitted
 	// endNotRun: the machine said that it did not run the request.
 	endNotRun
 	// endElsewhere: it did not since it is not the right one.
@@ -40,7 +43,7 @@
 
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "error_answered"}[e]
+	return [...]string{"answered", "broken", "not_connected", "not_permitted", "not_run", "elsewhere", "failed", "silent", "error", "error_answered"}[e]
 }
 
 // health is what the end says about the machine.
@@ -56,6 +59,8 @@
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
+	case endNotPermitted:
+		return dispatch.ResultNotSent
 	}
 	return dispatch.ResultFailed
 }
@@ -70,6 +75,10 @@
 	defer cancel()
 	outgoing := j.outgoing(grant)
 	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
+	if failure == upstream.FailedConnect && errors.Is(err, errNoPermit) {
+		j.ingress.options.Metrics.observePermit(permitExpired)
+		return endNotPermitted
+	}
 	if failure == upstream.FailedConnect {
 		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
 		return endNotConnected
@@ -108,6 +117,10 @@
 		Machine: grant.Target.Machine, Address: addressOf(grant),
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body,
 		Prepare: func(header http.Header) error {
+			if !j.ingress.warming.allows(j.pool, grant.Target.Machine, j.permit) {
+				return errNoPermit
+			}
+			j.permit = permit{} // It is good for one send.
 			j.ingress.options.Translator.Prepare(header, Attempt{
 				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -4,3 +4,8 @@
 func (i *Ingress) CrashesSettled() bool {
 	return i.crashes.Settled()
 }
+
+// WarmingMachines returns the machines that are taken to warm up.
+func (i *Ingress) WarmingMachines() map[string]bool {
+	return i.warming.machines()
+}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
@@ -78,6 +79,8 @@
 	waits chan struct{}
 	// slept is for how long the router's machine has slept, in nanoseconds.
 	slept atomic.Int64
+	// permit answers for the leader; nil where there is none to ask.
+	permit atomic.Pointer[feed.PermitFunc]
 	// log is what commands go to; nil where there is no control plane.
 	log *replicatedLog
 }
@@ -135,6 +138,13 @@
 		Budget: retrybudget.Config{Ratio: 1, Slack: 1000, Window: time.Nanosecond}, Nudge: func() { created.waits <- struct{}{} },
 		Quota: quota.Bound{Window: 8 * time.Second}, Sharing: quota.SharingEqual,
 		Slept: func() time.Duration { return time.Duration(created.slept.Load()) },
+		Now:   func() time.Duration { return clock.Now() + time.Duration(created.slept.Load()) },
+		Permit: func(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+			if permit := created.permit.Load(); permit != nil {
+				return (*permit)(ctx, request)
+			}
+			return nil, fault.Unavailable.New("there is no leader")
+		},
 		Propose: func(_ context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 			if created.log == nil {
 				return nil, fault.Unavailable.New("there is no control plane")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,6 +55,10 @@
 	Nudge func()
 	// Propose carries a command to the leader. An error leaves open whether it was carried out.
 	Propose feed.ProposeFunc
+	// Permit asks the leader whether one request may be sent to a machine that warms up.
+	Permit feed.PermitFunc
+	// Now is a clock that counts the sleep of the machine, clock.Now by default.
+	Now func() time.Duration
 	// Slept returns for how long the machine has slept in all, like clock.Slept, which it is by
 	// default.
 	Slept func() time.Duration
@@ -69,6 +73,7 @@
 	upstream   *upstream.Pool
 
 	quotas  *quotas
+	warming *warmingGuard
 	crashes *crashwatch.Watcher
 
 	budgetMutex sync.Mutex
@@ -91,12 +96,15 @@
 	if options.Slept == nil {
 		options.Slept = clock.Slept
 	}
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: defaultMaxIdle, IdleTimeout: idleTimeout})
 	return &Ingress{
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool),
+		upstream: pool, crashes: newCrashWatcher(options, pool), warming: newWarmingGuard(options),
 	}
 }
 
@@ -113,6 +121,7 @@
 	defer workers.Wait()
 	workers.Go(func() { i.dispatcher.Tick(ctx) })
 	workers.Go(func() { i.dispatcher.FollowDigests(ctx, i.options.View) })
+	workers.Go(func() { i.followWarming(ctx) })
 	workers.Go(func() { i.quotas.follow(ctx, i.options.View, i.options.Nudge) })
 	workers.Go(func() { i.crashes.Run(ctx) })
 	workers.Go(func() { i.retainConnections(ctx) })
@@ -149,6 +158,7 @@
 		i.table.Store(NewTable(routes, i.table.Load()))
 		i.logRoutes(len(routes))
 	}
+	i.dispatcher.SetWarming(i.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
@@ -184,9 +194,10 @@
 	}
 }
 
-// Woke drops the kept connections after a sleep of this machine: machines close such as have
-// rested for longer than they allow.
+// Woke drops, after a sleep of this machine, the kept connections, as machines close such as have
+// rested for longer than they allow, and what was known of machines that warm up.
 func (i *Ingress) Woke() {
+	i.warming.forget()
 	i.upstream.Retain(func(string) bool { return false })
 }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -60,6 +60,8 @@
 	answered bool
 	// wanted is what the dispatcher is asked for.
 	wanted *dispatch.Request
+	// permit is what the next send to a machine that warms up needs.
+	permit permit
 	// content is the request's identity, once it has been asked for.
 	content *quarantine.Identity
 	// kept is a machine's own failure, while another machine is tried; nil if there
@@ -197,6 +199,9 @@
 			j.refuse(ctx, refusal)
 			return endNotRun
 		}
+		if !j.mayBeSent(ctx, grant) {
+			continue
+		}
 		if j.mustNotRun(ctx) {
 			j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
 			return endNotRun
@@ -204,6 +209,9 @@
 		end := j.attempt(ctx, grant)
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.logAttempt(grant, end)
+		if end == endNotPermitted {
+			continue
+		}
 		j.noteRun(ctx, grant, end)
 		j.wanted.Tried = append(j.wanted.Tried, grant.Target.Machine)
 		if end == endAnswered || end == endErrorAnswered || end == endBroken {
@@ -211,6 +219,7 @@
 		}
 		if end == endNotConnected {
 			failures++
+			j.ingress.warming.noteFailure(grant.Target.Machine)
 			j.ingress.options.Nudge()
 		}
 		if !j.mayTryAgain(ctx, end, failures) {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -17,6 +17,7 @@
 	seconds  *prometheus.HistogramVec
 	tenants  *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	permits  *prometheus.CounterVec
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -48,6 +49,9 @@
 		crashes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
+		permits: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_permits_total", Help: "Permits asked for sends to machines that warm up, by what came of them.",
+		}, []string{"outcome"}),
 		series: map[string]bool{},
 	}
 }
@@ -61,6 +65,22 @@
 	m.tenants.WithLabelValues(m.seriesOf(tenant), outcome).Inc()
 }
 
+// permitOutcome is what came of a permit that was asked for.
+type permitOutcome string
+
+const (
+	permitGranted permitOutcome = "granted"
+	permitRefused permitOutcome = "refused"
+	// permitUnanswered: the leader could not be asked, or did not answer in time.
+	permitUnanswered permitOutcome = "unanswered"
+	// permitExpired: it was over before the request could be written.
+	permitExpired permitOutcome = "expired"
+)
+
+func (m *Metrics) observePermit(outcome permitOutcome) {
+	m.permits.WithLabelValues(string(outcome)).Inc()
+}
+
 // observeExamined counts a machine whose answers broke off.
 func (m *Metrics) observeExamined(verdict quarantine.Verdict) {
 	m.crashes.WithLabelValues(verdict.String()).Inc()
--- /dev/null
+++ b/internal/ingress/warming.go
@@ -0,0 +1,165 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// heldWithoutAnswer is for how long a machine is left alone where the leader could not be
+	// asked: about as long as an answer may take.
+	heldWithoutAnswer = warming.PermitLifetime
+	// leastHold is the shortest time for which a machine is left alone once a permit was refused:
+	// the dispatcher looks for places that open by themselves about as often.
+	leastHold = 20 * time.Millisecond
+)
+
+// errNoPermit ends an exchange before anything was written.
+var errNoPermit = fault.Unavailable.New("the machine warms up, and there is no permit for it")
+
+// permit allows one send to one machine. The zero permit allows none.
+type permit struct {
+	machine string
+	// until is when it ends, by the clock that counts sleep.
+	until time.Duration
+}
+
+// warmingGuard knows which machines warm up, and asks for the permits to send to them.
+type warmingGuard struct {
+	options Options
+
+	mutex sync.Mutex
+	state *warming.State
+	// silentUntil is until when the leader is not asked again, after it could not be.
+	silentUntil time.Duration
+}
+
+func newWarmingGuard(options Options) *warmingGuard {
+	return &warmingGuard{options: options, state: warming.NewState()}
+}
+
+func (g *warmingGuard) takeDigest(digest *wirepb.ClusterDigest) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.state.TakeDigest(g.options.Now(), nodeview.WarmingOf(digest))
+}
+
+func (g *warmingGuard) noteFailure(machine string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.state.NoteFailure(g.options.Now(), machine)
+}
+
+// machines returns those that warm up.
+func (g *warmingGuard) machines() map[string]bool {
+	found := map[string]bool{}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.options.Now()
+	g.options.View.EachThatMayWarmUp(func(machine string, changed uint64) {
+		if g.state.Warms(now, machine, changed) {
+			found[machine] = true
+		}
+	})
+	return found
+}
+
+// needsPermit reports whether a send to a machine of a pool needs a permit.
+func (g *warmingGuard) needsPermit(pool, machine string) bool {
+	changed, may := g.options.View.MayWarmUp(pool, machine)
+	if !may {
+		return false
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.state.Warms(g.options.Now(), machine, changed)
+}
+
+// allows reports whether a request may be written to a machine at this moment.
+func (g *warmingGuard) allows(pool, machine string, held permit) bool {
+	if held.machine == machine && g.options.Now() < held.until {
+		return true
+	}
+	return !g.needsPermit(pool, machine)
+}
+
+// forget drops what digests said: this machine has slept since.
+func (g *warmingGuard) forget() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.state = warming.NewState()
+}
+
+// silence is for how long the leader is not to be asked: while it can't be, a request would wait
+// for an answer at one machine after the other.
+func (g *warmingGuard) silence() time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.silentUntil - g.options.Now()
+}
+
+func (g *warmingGuard) noteSilence() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.silentUntil = g.options.Now() + heldWithoutAnswer
+}
+
+// ask asks the leader for a permit. Without one, it returns for how long to leave the machine alone;
+// 0 where the request itself has ended.
+func (g *warmingGuard) ask(ctx context.Context, machine string) (held permit, granted bool, wait time.Duration) {
+	if silence := g.silence(); silence > 0 {
+		return permit{}, false, max(leastHold, silence)
+	}
+	until := g.options.Now() + warming.PermitLifetime
+	reply, err := g.options.Permit(ctx, &wirepb.PermitRequest{Machine: machine})
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return permit{}, false, 0
+	case err != nil:
+		g.noteSilence()
+		g.options.Metrics.observePermit(permitUnanswered)
+		return permit{}, false, heldWithoutAnswer
+	case !reply.GetGranted():
+		g.options.Metrics.observePermit(permitRefused)
+		return permit{}, false, max(leastHold, time.Duration(reply.GetRetryAfterMs())*time.Millisecond)
+	}
+	g.options.Metrics.observePermit(permitGranted)
+	return permit{machine: machine, until: until}, true, 0
+}
+
+// mayBeSent reports whether a granted request may be sent to its machine, and gets the permit where
+// that takes one. Without one the place is given back, and the machine gets nothing for a while.
+func (j *job) mayBeSent(ctx context.Context, grant *dispatch.Grant) bool {
+	machine := grant.Target.Machine
+	guard := j.ingress.warming
+	if !guard.needsPermit(j.pool, machine) {
+		return true
+	}
+	held, granted, wait := guard.ask(ctx, machine)
+	if granted {
+		j.permit = held
+		return true
+	}
+	if wait > 0 {
+		j.ingress.options.Logger.Info("permit_refused", "id", j.attributes.ID, "pool", j.pool, "machine", machine,
+			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", wait.Milliseconds())
+		j.ingress.dispatcher.Hold(machine, wait)
+	}
+	j.ingress.dispatcher.Release(grant, dispatch.ResultNotSent)
+	return false
+}
+
+// followWarming keeps what the dispatcher knows of warming machines up to date until ctx ends.
+func (i *Ingress) followWarming(ctx context.Context) {
+	i.options.View.FollowDigests(ctx, func(digest *wirepb.ClusterDigest) {
+		i.warming.takeDigest(digest)
+		i.dispatcher.SetWarming(i.warming.machines())
+	})
+}
--- /dev/null
+++ b/internal/ingress/warming_test.go
@@ -0,0 +1,223 @@
+package ingress_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// leaderOfPermits answers for the leader and notes what it was asked.
+type leaderOfPermits struct {
+	mutex  sync.Mutex
+	asked  []string
+	answer func(number int, machine string) *wirepb.PermitReply
+}
+
+func (l *leaderOfPermits) permit(_ context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.asked = append(l.asked, request.GetMachine())
+	return l.answer(len(l.asked), request.GetMachine()), nil
+}
+
+func (l *leaderOfPermits) machines() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.asked)
+}
+
+func (d *deployment) askFor(answer func(number int, machine string) *wirepb.PermitReply) *leaderOfPermits {
+	leader := &leaderOfPermits{answer: answer}
+	permit := feed.PermitFunc(leader.permit)
+	d.permit.Store(&permit)
+	return leader
+}
+
+func granted(int, string) *wirepb.PermitReply { return &wirepb.PermitReply{Granted: true} }
+
+// serveWarming is serve for a pool whose machines warm up.
+func (d *deployment) serveWarming(attempts int, addresses ...string) {
+	d.serve(v1.RouteRepeatable, attempts, long, addresses...)
+	d.apply(d.object(v1.KindPool, "pool", &v1.PoolSpec{Warming: &v1.WarmingSpec{RequestsPerSecond: 5}}, nil))
+}
+
+// digest tells the router of its machines, and waits until it has taken that.
+func (d *deployment) digest(sequence uint64, units ...byte) {
+	digest := &wirepb.ClusterDigest{
+		Term: 1, Sequence: sequence, Revision: d.revision, RosterSequence: 1, Roster: &wirepb.Roster{},
+		MachineWarming: units,
+	}
+	for position := range units {
+		digest.Roster.Machines = append(digest.Roster.Machines, "m"+string(rune('0'+position)))
+	}
+	d.view.TakeDigest(digest)
+	warmUp := 0
+	for _, unit := range units {
+		if unit > 0 {
+			warmUp++
+		}
+	}
+	for len(d.handler.WarmingMachines()) != warmUp {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func answering(t *testing.T) *rawMachine {
+	return newRawMachine(t, func(request seenRequest, _ int, connection net.Conn) bool {
+		return write(connection, ok(request, "fine"))
+	})
+}
+
+// TestWarmingMachineGetsNothingWithoutAPermit: a machine that is new to the router, whose drain has
+// ended, that the leader takes to warm up, or that a connection to failed, gets a request only with
+// a permit; the request is refused as not run, in time and with the reason.
+func TestWarmingMachineGetsNothingWithoutAPermit(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before func(d *deployment)
+	}{
+		{"new", func(*deployment) {}},
+		{"said to warm up", func(d *deployment) { d.digest(1, 200) }},
+		{"nobody vouches for it", func(d *deployment) { d.digest(1, warming.Unsaid) }},
+		{"its drain has ended", func(d *deployment) {
+			d.digest(1, 0)
+			d.apply(d.object(v1.KindZoneDrain, "z", &v1.ZoneDrainSpec{}, nil))
+		}},
+		{"its record has changed", func(d *deployment) {
+			d.digest(1, 0)
+			machine, _ := d.view.Machine("m0")
+			d.apply(d.object(v1.KindMachine, "m0", machine.Spec, &v1.MachineStatus{Phase: v1.MachineLive}))
+		}},
+		{"the router has slept", func(d *deployment) {
+			d.digest(1, 0)
+			d.handler.Woke()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			deployment := newDeployment(t)
+			machine := answering(t)
+			deployment.serveWarming(3, machine.address)
+			test.before(deployment)
+			answer := deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "300ms")
+			if answer.status != http.StatusServiceUnavailable || !strings.Contains(answer.body, "warm up") || !strings.Contains(answer.body, "not-run") {
+				t.Errorf("the caller got %d %s", answer.status, answer.body)
+			}
+			if answer.header.Get("Retry-After") == "" {
+				t.Error("the caller does not hear when to come back")
+			}
+			if seen := machine.requests(); len(seen) > 0 {
+				t.Errorf("the machine got %v", seen)
+			}
+			leader := deployment.askFor(granted)
+			if answer := deployment.ask(http.MethodGet, "/a/b", "2", ""); answer.status != http.StatusOK {
+				t.Errorf("with a permit the caller got %d %s", answer.status, answer.body)
+			}
+			if asked := leader.machines(); !slices.Equal(asked, []string{"m0"}) {
+				t.Errorf("permits were asked for %v", asked)
+			}
+		})
+	}
+}
+
+// TestWarmMachineNeedsNoPermit: once the leader vouches for it, and in pools that don't warm up.
+func TestWarmMachineNeedsNoPermit(t *testing.T) {
+	for _, declared := range []bool{false, true} {
+		deployment := newDeployment(t)
+		machine := answering(t)
+		if declared {
+			deployment.serveWarming(1, machine.address)
+			deployment.digest(1, 0)
+		} else {
+			deployment.serve(v1.RouteRepeatable, 1, long, machine.address)
+		}
+		leader := deployment.askFor(granted)
+		if answer := deployment.ask(http.MethodGet, "/a/b", "1", ""); answer.status != http.StatusOK {
+			t.Errorf("declared %v: the caller got %d %s", declared, answer.status, answer.body)
+		}
+		if asked := leader.machines(); len(asked) > 0 {
+			t.Errorf("declared %v: permits were asked for %v", declared, asked)
+		}
+	}
+}
+
+// TestRefusedPermitIsNoAttempt: a request whose machine may get no more goes to another, or waits
+// for as long as the leader said, and has its attempts and retries left.
+func TestRefusedPermitIsNoAttempt(t *testing.T) {
+	deployment := newDeployment(t)
+	first, second := answering(t), answering(t)
+	deployment.serveWarming(1, first.address, second.address)
+	leader := deployment.askFor(func(number int, _ string) *wirepb.PermitReply {
+		return &wirepb.PermitReply{Granted: number > 3, RetryAfterMs: 30}
+	})
+	answer := deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if answer.status != http.StatusOK {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	asked := leader.machines()
+	if len(asked) != 4 || asked[0] == asked[1] {
+		t.Errorf("permits were asked for %v", asked)
+	}
+	if sent := len(first.requests()) + len(second.requests()); sent != 1 {
+		t.Errorf("the request was sent %d times", sent)
+	}
+}
+
+// TestLatePermitIsNotUsed: the permit was over when its answer came; the machine may have got others
+// on its account since. The request asks again.
+func TestLatePermitIsNotUsed(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t)
+	deployment.serveWarming(1, machine.address)
+	sentBefore := -1
+	leader := deployment.askFor(func(number int, _ string) *wirepb.PermitReply {
+		if number == 1 {
+			deployment.slept.Add(int64(warming.PermitLifetime))
+		} else {
+			sentBefore = len(machine.requests())
+		}
+		return &wirepb.PermitReply{Granted: true}
+	})
+	if answer := deployment.ask(http.MethodGet, "/a/b", "1", ""); answer.status != http.StatusOK {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	if asked := leader.machines(); len(asked) != 2 || sentBefore != 0 || len(machine.requests()) != 1 {
+		t.Errorf("permits were asked for %v; sent %d times before the second, %d in all", asked, sentBefore, len(machine.requests()))
+	}
+}
+
+// TestEachSendNeedsAPermitOfItsOwn: a repeated request asks again.
+func TestEachSendNeedsAPermitOfItsOwn(t *testing.T) {
+	deployment := newDeployment(t)
+	failing := func(_ seenRequest, _ int, connection net.Conn) bool { return reset(connection) }
+	first, second := newRawMachine(t, failing), newRawMachine(t, failing)
+	deployment.serveWarming(2, first.address, second.address)
+	leader := deployment.askFor(granted)
+	deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if asked := leader.machines(); len(asked) != 2 || len(first.requests()) != 1 || len(second.requests()) != 1 {
+		t.Errorf("permits were asked for %v, sends %d and %d", asked, len(first.requests()), len(second.requests()))
+	}
+}
+
+// TestFailedConnectionPutsAMachineInDoubt: it may have ended, and be back before the leader hears
+// of that.
+func TestFailedConnectionPutsAMachineInDoubt(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t)
+	deployment.serveWarming(1, machine.address)
+	deployment.digest(1, 0)
+	machine.end()
+	deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "100ms")
+	if warm := deployment.handler.WarmingMachines(); !warm["m0"] {
+		t.Error("the machine is taken to be warm")
+	}
+}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -49,6 +49,7 @@
 		},
 		Quota: settings.Quota.Bound(), Sharing: quota.Sharing(settings.Quota.Sharing),
 		Nudge: created.reports.nudge, Propose: created.client.Propose,
+		Permit: created.client.Permit,
 	})
 	created.server = ingress.NewServer(created.ingress, created.view, node.logger)
 	return created
--- /dev/null
+++ b/internal/nodeview/warming.go
@@ -0,0 +1,72 @@
+package nodeview
+
+import (
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// MayWarmUp reports whether a pool's machines warm up, and the revision of the newest change in
+// the log that puts one of them in doubt: of its record, which tells that it is new or was lost,
+// and of the drain of its zone. A machine that is not known any more is in doubt for good.
+func (v *View) MayWarmUp(pool, machine string) (changed uint64, may bool) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	if !v.poolWarmsUp(pool) {
+		return 0, false
+	}
+	record, known := v.machines[machine]
+	if !known {
+		return warming.InDoubt, true
+	}
+	return v.changedAt(record), true
+}
+
+// EachThatMayWarmUp calls visit for every machine of a pool whose machines warm up; see MayWarmUp.
+func (v *View) EachThatMayWarmUp(visit func(machine string, changed uint64)) {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	warmUp := map[string]bool{}
+	for key := range v.specs {
+		if key.Kind == v1.KindPool && v.poolWarmsUp(key.Name) {
+			warmUp[key.Name] = true
+		}
+	}
+	if len(warmUp) == 0 {
+		return
+	}
+	for name, record := range v.machines {
+		if warmUp[record.Spec.Pool] {
+			visit(name, v.changedAt(record))
+		}
+	}
+}
+
+func (v *View) poolWarmsUp(name string) bool {
+	pool, declared := v.specs[state.Key{Kind: v1.KindPool, Name: name}].(*v1.PoolSpec)
+	return declared && pool.Warming != nil
+}
+
+// changedAt returns when what concerns a machine's warming up last changed. One that is lost, or
+// in a zone that is drained, is in doubt for as long as that lasts.
+func (v *View) changedAt(record Machine) uint64 {
+	changed := record.Object.GetRevision()
+	key := state.Key{Kind: v1.KindZoneDrain, Name: record.Spec.Zone}
+	drain, declared := v.specs[key].(*v1.ZoneDrainSpec)
+	if record.Status.Phase == v1.MachineLost || declared && drain.Drained {
+		return warming.InDoubt
+	}
+	if declared {
+		changed = max(changed, v.objects[key].GetRevision())
+	}
+	return changed
+}
+
+// WarmingOf returns what a digest says of machines that warm up.
+func WarmingOf(digest *wirepb.ClusterDigest) warming.Digest {
+	return warming.Digest{
+		Term: digest.GetTerm(), Revision: digest.GetRevision(),
+		Machines: digest.GetRoster().GetMachines(), Units: digest.GetMachineWarming(),
+	}
+}
--- a/internal/warming/state.go
+++ b/internal/warming/state.go
@@ -16,6 +16,9 @@
 	failureDoubt = 1500 * time.Millisecond
 )
 
+// InDoubt is the revision of a change that no digest can know of.
+const InDoubt = math.MaxUint64
+
 // Units returns a time as a digest carries it, rounded up.
 func Units(remaining time.Duration) uint8 {
 	units := (max(0, remaining) + Unit - 1) / Unit
