Count a warming machine as what it bears; tell of held-back requests in explain

Cause: placement took a replica on a machine that warms up for a whole one, and weldctl explain didn't know why a request had waited for a permit. Ruled out: to load for shorter warming; the replica would be ready when it is of no use.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,7 +139,9 @@
 	}
 	view := c.view(now)
 	c.decidedAt = wall
-	decision := c.planner.Decide(view.placementInput(wall))
+	input := view.placementInput(wall)
+	c.addWarming(now, input.Machines)
+	decision := c.planner.Decide(input)
 	if !sameEstimates(c.estimates, decision.Estimates) {
 		c.lastDigest = 0
 	}
--- a/internal/controller/warming.go
+++ b/internal/controller/warming.go
@@ -5,6 +5,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/warming"
 )
 
@@ -35,6 +36,20 @@
 	return changes
 }
 
+// addWarming tells placement which machines have said that they warm up. One that has said nothing
+// since its leader began may well be warm.
+func (c *Controller) addWarming(now time.Duration, placed map[string]*placement.Machine) {
+	for name, remaining := range c.warming.Remaining(now) {
+		machine := placed[name]
+		if machine == nil {
+			continue
+		}
+		if declared := c.stored.warmingOf(machine.Pool); declared != nil {
+			machine.Warming, machine.BornWhileWarming = remaining, declared.RequestsPerSecond
+		}
+	}
+}
+
 // warmingOf returns what a pool declares of its machines' warming up; nil if nothing.
 func (v *storedView) warmingOf(pool string) *v1.WarmingSpec {
 	if declared := v.pools[pool]; declared != nil {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -247,7 +248,7 @@
 }
 
 func (s *subject) refused(last Line, lines []Line) string {
-	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"])
+	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"]) + s.heldBack()
 	if !strings.Contains(textOf(last.Fields, "detail"), "no replica") {
 		return told
 	}
@@ -274,6 +275,26 @@
 	return told
 }
 
+// heldBack tells how often the request was not sent since there was no permit for a machine that
+// warms up, and of the machines.
+func (s *subject) heldBack() string {
+	times := 0
+	var machines []string
+	for _, line := range s.own {
+		if line.Event != "permit_refused" {
+			continue
+		}
+		times++
+		if machine := textOf(line.Fields, "machine"); !slices.Contains(machines, machine) {
+			machines = append(machines, machine)
+		}
+	}
+	if times == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; held back %d times, as machines warm up: %s", times, strings.Join(machines, ", "))
+}
+
 // orderOf tells of an order: what, when by the request's start, and its outcome.
 func (s *subject) orderOf(line Line) string {
 	name := textOf(line.Fields, "model")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// TestHeldBackRequest: the story names the machines that warmed up.
+func TestHeldBackRequest(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:00Z","msg":"permit_refused","id":"x","machine":"a","age_ms":2}
+{"time":"2026-01-01T00:00:01Z","msg":"permit_refused","id":"x","machine":"b","age_ms":900}
+{"time":"2026-01-01T00:00:01.1Z","msg":"permit_refused","id":"x","machine":"a","age_ms":1000}
+{"time":"2026-01-01T00:00:02Z","msg":"request_refused","id":"x","status":503,"age_ms":1800,"detail":"warming: the machines that could take it warm up"}
+`
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Request("x", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"refused with 503 after 1800 ms", "warming: the machines", "held back 3 times", "a, b"} {
+		if !strings.Contains(story.Cause, part) {
+			t.Errorf("%q does not say %q", story.Cause, part)
+		}
+	}
+}
+
 // TestUnknownRequest, and lines that are none.
 func TestUnknownRequest(t *testing.T) {
 	lines, err := Read(strings.NewReader("no line\n{\"half\n{\"msg\":\"x\"}\n\n"))
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -26,16 +26,20 @@
 type workRates struct {
 	rates map[string]float64
 	// inUse is the averaged number of requests that run or wait, by version.
-	inUse   map[string]float64
-	seen    map[string]uint64
-	begun   time.Time
-	updated time.Time
+	inUse map[string]float64
+	// arrivals are the averaged rates of requests by version, a second.
+	arrivals map[string]float64
+	// seen and seenArrivals are the running totals that were taken last.
+	seen         map[string]uint64
+	seenArrivals map[string]uint64
+	begun        time.Time
+	updated      time.Time
 	// settled is set once the rates are believed where they are low.
 	settled bool
 }
 
 func newWorkRates() *workRates {
-	return &workRates{rates: map[string]float64{}, inUse: map[string]float64{}, seen: map[string]uint64{}}
+	return &workRates{rates: map[string]float64{}, inUse: map[string]float64{}, arrivals: map[string]float64{}, seen: map[string]uint64{}, seenArrivals: map[string]uint64{}}
 }
 
 // observe takes the running totals of work.
@@ -57,12 +61,18 @@
 	for version := range w.inUse {
 		w.inUse[version] *= keep
 	}
+	for version := range w.arrivals {
+		w.arrivals[version] *= keep
+	}
 	for version, entry := range demand {
 		w.inUse[version] += (1 - keep) * float64(entry.Running+entry.Waiting)
 		grown := float64(entry.Work - min(w.seen[version], entry.Work))
 		w.seen[version] = entry.Work
+		came := float64(entry.Arrivals - min(w.seenArrivals[version], entry.Arrivals))
+		w.seenArrivals[version] = entry.Arrivals
 		if !first {
 			w.rates[version] += grown / workMemory.Seconds()
+			w.arrivals[version] += came / workMemory.Seconds()
 		}
 	}
 }
--- a/internal/warming/watch.go
+++ b/internal/warming/watch.go
@@ -124,6 +124,17 @@
 	return units
 }
 
+// Remaining returns for how long the machines that said that they warm up still do.
+func (w *Watch) Remaining(now time.Duration) map[string]time.Duration {
+	found := map[string]time.Duration{}
+	for name, machine := range w.machines {
+		if remaining, said := w.remaining(now, machine); said && remaining > 0 {
+			found[name] = remaining
+		}
+	}
+	return found
+}
+
 // remaining is for how long a machine warms up; said is false where nobody vouches for it. A
 // machine of a pool whose machines don't warm up is passed over unless it says that it does.
 func (w *Watch) remaining(now time.Duration, machine Machine) (remaining time.Duration, said bool) {
