Begin with an empty bucket where a machine was warm until just now

Cause: a machine that begins to warm up by itself, or comes into doubt, got requests without permits until routers heard of it; a full bucket would come on top of these in the same second. Change: the leader empties the bucket of a machine that it vouched for and does no more. Ruled out: to keep all buckets empty until first asked for; new machines would wait for nothing.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -41,7 +41,8 @@
 	controller *controller.Controller
 	list       *atomic.Pointer[platform.MachineList]
 	// fleet gives orders to the machines that registered by themselves.
-	fleet *fleet
+	fleet   *fleet
+	permits *termPermits
 	// committing is how long the present pass has waited for the log.
 	committing time.Duration
 	// load is what passes took since it was last logged.
@@ -133,9 +134,11 @@
 		config.SettleTime = registeredSettleTime
 	}
 	n.reports.ForgetMachines()
-	n.permits.Store(newTermPermits(term, n.now(), n.settings.Warming.Bound()))
+	permits := newTermPermits(term, n.now(), n.settings.Warming.Bound())
+	n.permits.Store(permits)
 	return &leader{
 		node: n, controller: controller.New(n.now(), config, n.reports), list: list, fleet: newFleet(ctx, n, term),
+		permits: permits,
 	}
 }
 
@@ -175,7 +178,9 @@
 }
 
 func (l *leader) observeWarming() {
-	for _, change := range l.controller.ObserveWarming(l.node.now(), l.node.instances.Entries()) {
+	news := l.controller.ObserveWarming(l.node.now(), l.node.instances.Entries())
+	l.permits.empty(l.node.now(), news.Doubted)
+	for _, change := range news.Changes {
 		l.node.logger.Info("machine_warming", "machine", change.Machine, "remaining_ms", change.Remaining.Milliseconds())
 	}
 }
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -30,6 +30,14 @@
 	return t.permits.Take(now, machine, perSecond)
 }
 
+func (t *termPermits) empty(now time.Duration, machines []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, machine := range machines {
+		t.permits.Empty(now, machine)
+	}
+}
+
 // Permit implements feed.Backend: it carries the question to the leader. It does not wait for
 // one: a permit that comes late is of no use.
 func (n *Node) Permit(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
--- a/internal/controller/warming.go
+++ b/internal/controller/warming.go
@@ -9,9 +9,8 @@
 	"github.com/weldline/weldline/internal/warming"
 )
 
-// ObserveWarming takes what machines said of themselves, beside the state observed last. It
-// returns those that began to warm up, or are warm.
-func (c *Controller) ObserveWarming(now time.Duration, entries map[string]instances.Entry) []warming.Change {
+// ObserveWarming takes what machines said of themselves, beside the state observed last.
+func (c *Controller) ObserveWarming(now time.Duration, entries map[string]instances.Entry) warming.News {
 	drains := make(map[string]warming.Drain, len(c.stored.drains))
 	for zone, drain := range c.stored.drains {
 		drains[zone] = warming.Drain{Revision: drain.revision, Drained: drain.spec.Drained}
@@ -31,9 +30,9 @@
 		}
 		machines[name] = machine
 	}
-	changes, urgent := c.warming.Update(now, drains, machines)
-	c.urgent = c.urgent || urgent
-	return changes
+	news := c.warming.Update(now, drains, machines)
+	c.urgent = c.urgent || news.Urgent
+	return news
 }
 
 // addWarming tells placement which machines have said that they warm up. One that has said nothing
--- a/internal/warming/permits.go
+++ b/internal/warming/permits.go
@@ -68,6 +68,14 @@
 	return Decision{RetryAfter: held.promised - now}
 }
 
+// Empty takes away a machine's tokens. A machine that was warm got requests without permits until
+// just now, which count in the same second.
+func (p *Permits) Empty(now time.Duration, machine string) {
+	held := p.bucket(machine)
+	held.level = min(held.level, 0)
+	held.updated = max(held.updated, now)
+}
+
 // bucket returns a machine's bucket. One that has not been asked for has filled up since the
 // term began: dropping a full one, and making it anew, changes nothing.
 func (p *Permits) bucket(machine string) *bucket {
@@ -87,13 +95,17 @@
 	b.updated = now
 }
 
-// sweep drops buckets that are full: most machines warm up once.
+// sweep drops buckets that are full: most machines warm up once. One that was emptied, and not asked
+// for since, is kept for long after what emptied it.
 func (p *Permits) sweep(now time.Duration) {
 	if now-p.swept < sweepInterval {
 		return
 	}
 	p.swept = now
 	maps.DeleteFunc(p.buckets, func(_ string, held *bucket) bool {
+		if held.allowed.rate == 0 {
+			return now-held.updated >= sweepInterval
+		}
 		held.refill(now, held.allowed)
 		return held.level >= held.allowed.burst
 	})
--- a/internal/warming/permits_test.go
+++ b/internal/warming/permits_test.go
@@ -126,6 +126,22 @@
 	}
 }
 
+// TestWarmMachineThatBeginsToWarmUp: what it got without permits just before counts too.
+func TestWarmMachineThatBeginsToWarmUp(t *testing.T) {
+	const full = time.Minute
+	permits := NewPermits(0, Bound{Factor: 1.5, Slack: 5})
+	permits.Empty(full, "m")
+	granted := 0
+	for now := full; now < full+time.Second; now += time.Millisecond {
+		if permits.Take(now, "m", 5).Granted {
+			granted++
+		}
+	}
+	if granted > 5 {
+		t.Errorf("%d permits in the first second", granted)
+	}
+}
+
 // TestNewTermBeginsEmpty: the permits of the leader before may still be used.
 func TestNewTermBeginsEmpty(t *testing.T) {
 	permits := NewPermits(time.Minute, Bound{Factor: 1.5, Slack: 5})
--- a/internal/warming/watch.go
+++ b/internal/warming/watch.go
@@ -38,6 +38,16 @@
 	Remaining time.Duration
 }
 
+// News is what an update of the watch brings.
+type News struct {
+	// Changes are the machines that said that they warm up, or are warm again, by name.
+	Changes []Change
+	// Doubted are those that were warm, and got requests without permits, by name.
+	Doubted []string
+	// Urgent is set where routers should hear at once of how any machine stands.
+	Urgent bool
+}
+
 // Watch is what the leader of one term knows of machines that warm up. It is not safe for
 // concurrent use.
 //
@@ -71,32 +81,39 @@
 	return &Watch{began: now, drains: map[string]seenDrain{}, stood: map[string]standing{}}
 }
 
-// Update takes what the leader holds now, which must not be changed afterwards. It returns the
-// machines that began to warm up, or are warm, by name, and whether routers should hear at once
-// of how any machine stands.
-func (w *Watch) Update(now time.Duration, drains map[string]Drain, machines map[string]Machine) (changes []Change, urgent bool) {
+// Update takes what the leader holds now, which must not be changed afterwards.
+func (w *Watch) Update(now time.Duration, drains map[string]Drain, machines map[string]Machine) News {
 	w.machines = machines
 	for zone, drain := range drains {
 		if held, known := w.drains[zone]; !known || held.Revision != drain.Revision {
 			w.drains[zone] = seenDrain{Drain: drain, seen: now}
 		}
 	}
+	var news News
 	stood := make(map[string]standing, len(machines))
 	for name, machine := range machines {
 		remaining, said := w.remaining(now, machine)
 		stood[name] = standingOf(remaining, said)
-		before := w.stood[name]
-		if before == stood[name] {
-			continue
-		}
-		urgent = true
-		if stood[name] == warms || before == warms && stood[name] == warm {
-			changes = append(changes, Change{Machine: name, Remaining: remaining})
-		}
+		news.add(Change{Machine: name, Remaining: remaining}, w.stood[name], stood[name])
 	}
 	w.stood = stood
-	slices.SortFunc(changes, func(left, right Change) int { return cmp.Compare(left.Machine, right.Machine) })
-	return changes, urgent
+	slices.SortFunc(news.Changes, func(left, right Change) int { return cmp.Compare(left.Machine, right.Machine) })
+	slices.Sort(news.Doubted)
+	return news
+}
+
+// add takes in how a machine stood and stands.
+func (n *News) add(change Change, before, after standing) {
+	if before == after {
+		return
+	}
+	n.Urgent = true
+	if after == warms || before == warms && after == warm {
+		n.Changes = append(n.Changes, change)
+	}
+	if before == warm {
+		n.Doubted = append(n.Doubted, change.Machine)
+	}
 }
 
 func standingOf(remaining time.Duration, said bool) standing {
--- a/internal/warming/watch_test.go
+++ b/internal/warming/watch_test.go
@@ -52,18 +52,25 @@
 		name    string
 		after   time.Duration
 		machine Machine
-		changes []Change
-		urgent  bool
+		news    News
 	}{
-		{"not heard yet", 0, Machine{Declared: true}, nil, false},
-		{"warm", 0, reported(beginning, 0), nil, true},
-		{"still warm", time.Second, reported(beginning+time.Second, 0), nil, false},
-		{"begins to warm up", 2 * time.Second, reported(beginning+2*time.Second, time.Second), []Change{{Machine: "m", Remaining: time.Second}}, true},
-		{"is warm", 3 * time.Second, reported(beginning+2*time.Second, time.Second), []Change{{Machine: "m"}}, true},
+		{"not heard yet", 0, Machine{Declared: true}, News{}},
+		{"warm", 0, reported(beginning, 0), News{Urgent: true}},
+		{"still warm", time.Second, reported(beginning+time.Second, 0), News{}},
+		{
+			"begins to warm up", 2 * time.Second, reported(beginning+2*time.Second, time.Second),
+			News{Changes: []Change{{Machine: "m", Remaining: time.Second}}, Doubted: []string{"m"}, Urgent: true},
+		},
+		{"is warm", 3 * time.Second, reported(beginning+2*time.Second, time.Second), News{Changes: []Change{{Machine: "m"}}, Urgent: true}},
+		{
+			"lost", 4 * time.Second,
+			Machine{Declared: true, Lost: true},
+			News{Doubted: []string{"m"}, Urgent: true},
+		},
 	} {
-		changes, urgent := watch.Update(beginning+step.after, nil, map[string]Machine{"m": step.machine})
-		if !reflect.DeepEqual(changes, step.changes) || urgent != step.urgent {
-			t.Errorf("%s: %+v, urgent %v; wanted %+v, urgent %v", step.name, changes, urgent, step.changes, step.urgent)
+		news := watch.Update(beginning+step.after, nil, map[string]Machine{"m": step.machine})
+		if !reflect.DeepEqual(news, step.news) {
+			t.Errorf("%s: %+v, wanted %+v", step.name, news, step.news)
 		}
 	}
 }
