--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -17,6 +17,7 @@
 	decideSeconds       prometheus.Histogram
 	decisions           *prometheus.CounterVec
 	drainOrders         *prometheus.CounterVec
+	permits             *prometheus.CounterVec
 }
 
 // NewMetrics registers the control node's metrics.
@@ -37,6 +38,9 @@
 		drainOrders: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_zone_drain_orders_total", Help: "Acknowledged orders to drain a zone, or to end that, repeated ones included.",
 		}, []string{"order"}),
+		permits: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_warming_permits_total", Help: "Permits asked of this node as leader, by whether they were granted.",
+		}, []string{"outcome"}),
 	}
 }
 
@@ -48,6 +52,14 @@
 	m.drainOrders.WithLabelValues(order).Inc()
 }
 
+func (m *Metrics) observePermit(granted bool) {
+	outcome := "refused"
+	if granted {
+		outcome = "granted"
+	}
+	m.permits.WithLabelValues(outcome).Inc()
+}
+
 func (m *Metrics) observeStatus(status *raft.Status) {
 	m.role.Set(float64(status.Role))
 	m.term.Set(float64(status.Term))
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -26,16 +26,27 @@
 	replicas []storedReplica
 	// limits are the tenants', by name.
 	limits map[string]quota.Limit
-	// drained has the zones whose machines are to get no requests.
-	drained map[string]bool
 	// placed are the versions that may be loaded.
 	placed map[string]*placement.Version
 	// suspects are what machines ended under, by the name of the record.
 	suspects map[string]*v1.SuspectSpec
+	// drains are the newest orders for zones, by zone.
+	drains map[string]storedDrain
 	// loadCrashes are those of them that are loads, by version.
 	loadCrashes map[string]placement.LoadCrashes
 }
 
+type storedDrain struct {
+	revision uint64
+	spec     *v1.ZoneDrainSpec
+}
+
+// isDrained reports whether a zone's machines are to get no requests.
+func (v *storedView) isDrained(zone string) bool {
+	order, given := v.drains[zone]
+	return given && order.spec.Drained
+}
+
 type storedReplica struct {
 	object *wirepb.Object
 	spec   *v1.ReplicaSpec
@@ -74,7 +85,7 @@
 	view := &storedView{
 		revision: machine.Revision(), models: map[string]*v1.ModelSpec{}, versions: map[string]*v1.ModelVersionSpec{},
 		machines: map[string]machines.Declared{}, pools: map[string]*v1.PoolSpec{}, limits: map[string]quota.Limit{},
-		suspects: map[string]*v1.SuspectSpec{}, drained: map[string]bool{},
+		suspects: map[string]*v1.SuspectSpec{}, drains: map[string]storedDrain{},
 	}
 	machine.Each(func(object *wirepb.Object, spec v1.Spec) {
 		view.add(object, spec, machine.MachineStatus(object.GetName()))
@@ -100,10 +111,10 @@
 		v.machines[object.GetName()] = machines.Declared{Object: object, Spec: typed, Status: status}
 	case *v1.ReplicaSpec:
 		v.replicas = append(v.replicas, storedReplica{object: object, spec: typed})
+	case *v1.ZoneDrainSpec:
+		v.drains[object.GetName()] = storedDrain{revision: object.GetRevision(), spec: typed}
 	case *v1.SuspectSpec:
 		v.suspects[object.GetName()] = typed
-	case *v1.ZoneDrainSpec:
-		v.drained[object.GetName()] = typed.Drained
 	}
 }
 
@@ -168,7 +179,7 @@
 		}
 		report := v.reports[name].report
 		live := declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain
-		drained := v.drained[declared.Spec.Zone]
+		drained := v.isDrained(declared.Spec.Zone)
 		machine := &placement.Machine{
 			Name: name, Zone: declared.Spec.Zone,
 			Accelerators: declared.Spec.Accelerators, AcceleratorBytes: declared.Spec.AcceleratorBytes,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -257,7 +257,7 @@
 }
 
 func (s *subject) refused(last Line, lines []Line) string {
-	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"])
+	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"]) + s.heldBack()
 	if strings.HasPrefix(textOf(last.Fields, "detail"), v1.ReasonZoneDrained) {
 		return told + drainedBy(lines, last.Time)
 	}
@@ -310,6 +310,26 @@
 	return "; drained: " + strings.Join(told, ", ")
 }
 
+// heldBack tells how often the request was not sent since there was no permit for a machine that
+// warms up, and of the machines.
+func (s *subject) heldBack() string {
+	times := 0
+	var machines []string
+	for _, line := range s.own {
+		if line.Event != "permit_refused" {
+			continue
+		}
+		times++
+		if machine := textOf(line.Fields, "machine"); !slices.Contains(machines, machine) {
+			machines = append(machines, machine)
+		}
+	}
+	if times == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; held back %d times, as machines warm up: %s", times, strings.Join(machines, ", "))
+}
+
 // orderOf tells of an order: what, when by the request's start, and its outcome.
 func (s *subject) orderOf(line Line) string {
 	name := textOf(line.Fields, "model")
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,6 +26,8 @@
 	endBroken
 	// endNotConnected: nothing reached the machine.
 	endNotConnected
+	// endNotPermitted: nothing was sent, as the permit to do so was over by then.
+	endNotPermitted
 	// endNotRun: the machine said that it did not run the request.
 	endNotRun
 	// endElsewhere: it did not since it is not the right one.
@@ -43,7 +46,9 @@
 
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "drained", "error_answered"}[e]
+	return [...]string{
+		"answered", "broken", "not_connected", "not_permitted", "not_run", "elsewhere", "failed", "silent", "error", "drained", "error_answered",
+	}[e]
 }
 
 // health is what the end says about the machine.
@@ -59,6 +64,8 @@
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
+	case endNotPermitted:
+		return dispatch.ResultNotSent
 	}
 	return dispatch.ResultFailed
 }
@@ -79,6 +86,10 @@
 	if failure == upstream.FailedConnect && fault.Is(err, fault.Refused) {
 		return endDrained
 	}
+	if failure == upstream.FailedConnect && errors.Is(err, errNoPermit) {
+		j.ingress.options.Metrics.observePermit(permitExpired)
+		return endNotPermitted
+	}
 	if failure == upstream.FailedConnect {
 		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
 		return endNotConnected
@@ -123,6 +134,10 @@
 		Machine: grant.Target.Machine, Address: addressOf(grant),
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body,
 		Prepare: func(header http.Header) error {
+			if !j.ingress.warming.allows(j.pool, grant.Target.Machine, j.permit) {
+				return errNoPermit
+			}
+			j.permit = permit{} // It is good for one send.
 			j.ingress.options.Translator.Prepare(header, Attempt{
 				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -19,6 +19,7 @@
 	tenants  *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
 	drained  *prometheus.GaugeVec
+	permits  *prometheus.CounterVec
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -51,7 +52,10 @@
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
 		drained: drainlog.NewGauge(registry, "weldline_ingress_zone_drained"),
-		series:  map[string]bool{},
+		permits: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_permits_total", Help: "Permits asked for sends to machines that warm up, by what came of them.",
+		}, []string{"outcome"}),
+		series: map[string]bool{},
 	}
 }
 
@@ -64,6 +68,22 @@
 	m.tenants.WithLabelValues(m.seriesOf(tenant), outcome).Inc()
 }
 
+// permitOutcome is what came of a permit that was asked for.
+type permitOutcome string
+
+const (
+	permitGranted permitOutcome = "granted"
+	permitRefused permitOutcome = "refused"
+	// permitUnanswered: the leader could not be asked, or did not answer in time.
+	permitUnanswered permitOutcome = "unanswered"
+	// permitExpired: it was over before the request could be written.
+	permitExpired permitOutcome = "expired"
+)
+
+func (m *Metrics) observePermit(outcome permitOutcome) {
+	m.permits.WithLabelValues(string(outcome)).Inc()
+}
+
 // observeExamined counts a machine whose answers broke off.
 func (m *Metrics) observeExamined(verdict quarantine.Verdict) {
 	m.crashes.WithLabelValues(verdict.String()).Inc()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +24,8 @@
 	// Proxies stand before the control nodes, by name.
 	Proxies  map[string]*Proxy
 	Machines Machines
-	Logger   *slog.Logger
+	// Tell takes a line about each fault, for whoever watches.
+	Tell func(text string)
 }
 
 // addedDelay is by how much a delayed link is slower each way: as a far region's, or a link that
@@ -41,7 +41,7 @@
 		if !sleepUntil(ctx, started.Add(each.At)) {
 			return
 		}
-		i.Logger.Info("fault", "what", each.String())
+		i.Tell("fault: " + each.String())
 		running.Go(func() { i.inject(ctx, each) })
 	}
 }
@@ -96,6 +96,6 @@
 // of the soak's.
 func (i *Injector) signal(node string, signal syscall.Signal) {
 	if err := i.Processes.Signal(node, signal); err != nil {
-		i.Logger.Info("fault_without_effect", "node", node, "signal", signal.String(), "error", fault.Message(err))
+		i.Tell("no effect: " + signal.String() + " to " + node + ": " + fault.Message(err))
 	}
 }
