Grant places in allowed regions only

Cause: a request could be granted any replica of its version, also one outside the regions that may serve it; a request that waited for its region would have held up those behind it. Ruled out: filtering targets by constraint before the core: it would keep a copy of the targets for each constraint, and each new way to choose would have to remember the filter. Change: isExcluded asks the request's constraint; the last resorts for a single target, readiness and alternatives count targets in allowed regions only; an estimate of when a replica is ready is not held against a bound request, for it is of the version as a whole. Conclusion: a rapid test over constraints, faults, full and suspect targets finds no grant outside; without the predicate it fails at the first.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -157,14 +157,14 @@
 	}
 }
 
-// nextGrant returns the first request that there is a place for. Where
-// adapters are placed, requests that wait for one don't hold up those behind.
+// nextGrant returns the first request that there is a place for. Requests that wait for an
+// adapter that is placed, or for a place in their regions, don't hold up those behind.
 func (c *Core) nextGrant(now time.Time, version *versionState) (*Request, *target) {
 	first := version.queue.first()
 	if first == nil {
 		return nil, nil
 	}
-	if chosen := c.pick(now, version, first); chosen != nil || !c.config.PlacedAdapters {
+	if chosen := c.pick(now, version, first); chosen != nil || !c.config.PlacedAdapters && !first.Allowed.IsBound() {
 		return first, chosen
 	}
 	for _, request := range version.queue.sorted() {
@@ -194,13 +194,15 @@
 		return Refusal{Request: request, Reason: RefusedDeadline, Detail: "the deadline has passed"}, true
 	}
 	estimate := version.estimate
-	if estimate == nil || c.hasReady(version) {
+	if estimate == nil || version.hasReady(request) {
 		return Refusal{}, false
 	}
 	if estimate.Refused {
 		return Refusal{Request: request, Reason: RefusedNotLoadable, Detail: estimate.Reason}, true
 	}
-	if estimate.EarliestAt.After(request.Deadline) {
+	// When a replica is ready is said of the version as a whole: one in the request's regions may
+	// be ready sooner, so nobody who is bound to some is refused for it.
+	if !request.Allowed.IsBound() && estimate.EarliestAt.After(request.Deadline) {
 		return Refusal{
 			Request: request, Reason: RefusedDeadline, Detail: "the model will not be loaded before the deadline",
 			RetryAfter: estimate.ReadyAt.Sub(now),
@@ -209,9 +211,10 @@
 	return Refusal{}, false
 }
 
-func (c *Core) hasReady(version *versionState) bool {
-	for _, held := range version.targets {
-		if !held.retired {
+// hasReady reports whether a replica that may serve a request is ready.
+func (v *versionState) hasReady(request *Request) bool {
+	for _, held := range v.targets {
+		if !held.retired && request.Allowed.Allows(held.Region) {
 			return true
 		}
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -55,9 +55,10 @@
 	if c.config.ByWork {
 		return c.pickByWork(now, version, request, suspect)
 	}
+	hasChoice := version.hasChoice(request)
 	least := -1.0
 	for _, candidate := range version.targets {
-		if candidate.Suspect != suspect || !c.usable(now, candidate, request, version) {
+		if candidate.Suspect != suspect || !c.usable(now, candidate, request, hasChoice) {
 			continue
 		}
 		if load := c.load(candidate); least < 0 || load < least {
@@ -67,7 +68,7 @@
 	var best *target
 	bestScore := 0.0
 	for _, candidate := range version.targets {
-		if candidate.Suspect != suspect || !c.usable(now, candidate, request, version) {
+		if candidate.Suspect != suspect || !c.usable(now, candidate, request, hasChoice) {
 			continue
 		}
 		load := c.load(candidate)
@@ -83,10 +84,11 @@
 }
 
 func (c *Core) pickInTurn(now time.Time, version *versionState, request *Request) *target {
+	hasChoice := version.hasChoice(request)
 	for range version.targets {
 		version.turn++
 		candidate := version.targets[version.turn%len(version.targets)]
-		if c.usable(now, candidate, request, version) {
+		if c.usable(now, candidate, request, hasChoice) {
 			return candidate
 		}
 	}
@@ -105,15 +107,30 @@
 	return candidate.inFlight
 }
 
-func (c *Core) usable(now time.Time, candidate *target, request *Request, version *versionState) bool {
+func (c *Core) usable(now time.Time, candidate *target, request *Request, hasChoice bool) bool {
 	if !c.fits(candidate, request) {
 		return false
 	}
-	if len(version.targets) > 1 && candidate.Replica == request.Avoid {
+	if hasChoice && candidate.Replica == request.Avoid {
 		return false
 	}
 	// With nothing else to turn to, an ejected target is tried all the same.
-	return len(version.targets) == 1 || !candidate.health.ejected(now)
+	return !hasChoice || !candidate.health.ejected(now)
+}
+
+// hasChoice reports whether a version has more than one target in the regions that a request
+// may be served in.
+func (v *versionState) hasChoice(request *Request) bool {
+	if !request.Allowed.IsBound() {
+		return len(v.targets) > 1
+	}
+	allowed := 0
+	for _, candidate := range v.targets {
+		if request.Allowed.Allows(candidate.Region) {
+			allowed++
+		}
+	}
+	return allowed > 1
 }
 
 // fits reports whether a target could take a request, its health apart.
@@ -121,8 +138,12 @@
 	return c.hasSlot(candidate) && !c.isExcluded(candidate, request)
 }
 
-// isExcluded reports whether a target can't take a request, free or not.
+// isExcluded reports whether a target can't take a request, free or not. Every way to choose a
+// target asks here, so that none leads out of the regions that the request may be served in.
 func (c *Core) isExcluded(candidate *target, request *Request) bool {
+	if !request.Allowed.Allows(candidate.Region) {
+		return true
+	}
 	if candidate.retired || slices.Contains(request.Tried, candidate.Machine) {
 		return true
 	}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -62,9 +62,10 @@
 // hashing, so that few machines hold each; a busy home is passed over as soon
 // as reading the beginning again costs less than waiting.
 func (c *Core) pickByWork(now time.Time, version *versionState, request *Request, suspect bool) *target {
+	hasChoice := version.hasChoice(request)
 	var usable []*target
 	for _, candidate := range version.targets {
-		if candidate.Suspect == suspect && c.usable(now, candidate, request, version) {
+		if candidate.Suspect == suspect && c.usable(now, candidate, request, hasChoice) {
 			usable = append(usable, candidate)
 		}
 	}
