Hold requests to the regions of their route and tenant

Cause: the regions that routes and tenants allow were declared and translated, but no router acted on them. Ruled out: a 4xx for a request that no region may serve: the caller did nothing wrong, and clients take one for final. A wait for machines that nobody has registered: it only uses up the caller's time. Judging by the route that the request came under: a change would not reach those that wait. Change: a request is bound by the newest of its route and tenant: when it asks for a place, when it has got one, and when its connection stands and nothing is written yet; there also by where the machine stands by then, and whatever else has its address. What no region may serve, or no machine that is registered, is answered at once as no-allowed-region, 503, not run. weldctl get shows the regions, weldctl explain the cause.

--- a/cmd/weldctl/show.go
+++ b/cmd/weldctl/show.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/goccy/go-yaml"
@@ -117,7 +118,9 @@
 	case *v1.LimitSpec:
 		return fmt.Sprintf("%s: %.1f/s, %d at once", typed.Service, typed.RequestsPerSecond, typed.Concurrent)
 	case *v1.TenantSpec:
-		return fmt.Sprintf("%d keys, %.1f %s/s, burst %.1f", len(typed.KeyHashes), typed.Rate, typed.Unit, typed.Burst)
+		return fmt.Sprintf("%d keys, %.1f %s/s, burst %.1f%s", len(typed.KeyHashes), typed.Rate, typed.Unit, typed.Burst, regionsOf(typed.AllowedRegions))
+	case *v1.RouteSpec:
+		return fmt.Sprintf("%s%s, %d pools%s", typed.Host, typed.PathPrefix, len(typed.Targets), regionsOf(typed.AllowedRegions))
 	case *v1.MachineSpec:
 		var status v1.MachineStatus
 		_ = json.Unmarshal(resource.Status, &status)
@@ -128,6 +131,14 @@
 	return ""
 }
 
+// regionsOf adds to a summary which regions alone may serve.
+func regionsOf(allowed []string) string {
+	if len(allowed) == 0 {
+		return ""
+	}
+	return ", only in " + strings.Join(allowed, ", ")
+}
+
 func (c *watchCommand) Run(current *session) error {
 	if c.After == "" {
 		list, err := current.client.List(current.ctx, string(v1.KindLimit))
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/problem"
 )
 
 const (
@@ -248,6 +249,9 @@
 
 func (s *subject) refused(last Line, lines []Line) string {
 	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"])
+	if textOf(last.Fields, "kind") == problem.TypeNoRegion {
+		return fmt.Sprintf("refused: no allowed region after %v ms: %v", last.Fields["age_ms"], last.Fields["detail"])
+	}
 	if !strings.Contains(textOf(last.Fields, "detail"), "no replica") {
 		return told
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// TestNoAllowedRegion: a request that no region may serve is told as such, with what binds it.
+func TestNoAllowedRegion(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"time":"2030-01-01T00:00:00Z","msg":"request_refused","node":"n","id":"x","status":503,` +
+		`"kind":"no-allowed-region","detail":"route r and tenant t allow no region in common","age_ms":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Request("x", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const wanted = "refused: no allowed region after 1 ms: route r and tenant t allow no region in common"
+	if story.Cause != wanted {
+		t.Errorf("%q, not %q", story.Cause, wanted)
+	}
+}
+
 // TestUnknownRequest, and lines that are none.
 func TestUnknownRequest(t *testing.T) {
 	lines, err := Read(strings.NewReader("no line\n{\"half\n{\"msg\":\"x\"}\n\n"))
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/upstream"
 )
 
@@ -34,13 +35,15 @@
 	endSilent
 	// endError: the machine ran it and failed; the route allows repeating.
 	endError
+	// endWithheld: nothing reached the machine, for it may not serve the request.
+	endWithheld
 	// endErrorAnswered: the caller has the machine's own failure, whole.
 	endErrorAnswered
 )
 
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
-	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "error_answered"}[e]
+	return [...]string{"answered", "broken", "not_connected", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered"}[e]
 }
 
 // health is what the end says about the machine.
@@ -52,7 +55,7 @@
 		return dispatch.ResultError
 	case endSilent:
 		return dispatch.ResultSilent
-	case endNotRun:
+	case endNotRun, endWithheld:
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
@@ -70,6 +73,9 @@
 	defer cancel()
 	outgoing := j.outgoing(grant)
 	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
+	if fault.Is(err, fault.Refused) {
+		return endWithheld
+	}
 	if failure == upstream.FailedConnect {
 		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
 		return endNotConnected
@@ -111,7 +117,7 @@
 			j.ingress.options.Translator.Prepare(header, Attempt{
 				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
-			return nil
+			return j.checkRegion(grant)
 		},
 		Matches: func(header http.Header) bool {
 			return j.ingress.options.Translator.Judge(0, header, j.attributes.ID).Own
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/state"
@@ -126,9 +127,15 @@
 
 func newDeploymentWith(t *testing.T, logger *slog.Logger) *deployment {
 	t.Helper()
-	created := &deployment{t: t, view: nodeview.New(), waits: make(chan struct{}, 100)}
-	handler := ingress.New(ingress.Options{
-		View: created.view, Logger: logger, Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
+	return newDeploymentAt(t, places.Position{}, func(options *ingress.Options) { options.Logger = logger })
+}
+
+// newDeploymentAt is a deployment whose router stands somewhere, with options of the test's own.
+func newDeploymentAt(t *testing.T, position places.Position, change func(options *ingress.Options)) *deployment {
+	t.Helper()
+	created := &deployment{t: t, view: nodeview.NewAt(position), waits: make(chan struct{}, 100)}
+	options := ingress.Options{
+		View: created.view, Logger: slog.New(slog.DiscardHandler), Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
 		Translator: translator{}, MaxWaiting: 100,
 		// A window of a nanosecond is over at once, so that the whole slack
 		// counts from the start.
@@ -141,7 +148,9 @@
 			}
 			return created.log.propose(command)
 		},
-	})
+	}
+	change(&options)
+	handler := ingress.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers sync.WaitGroup
 	workers.Go(func() { handler.Run(ctx) })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -68,8 +68,9 @@
 	dispatcher *dispatcher.Dispatcher
 	upstream   *upstream.Pool
 
-	quotas  *quotas
-	crashes *crashwatch.Watcher
+	quotas      *quotas
+	crashes     *crashwatch.Watcher
+	constraints *constraints
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -96,7 +97,7 @@
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool),
+		upstream: pool, crashes: newCrashWatcher(options, pool), constraints: newConstraints(),
 	}
 }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -102,6 +102,9 @@
 	if document := j.identify(); document != nil {
 		return document, 0
 	}
+	if document := j.withoutRegion(j.allowed()); document != nil {
+		return document, 0
+	}
 	if document, retryAfter := j.charge(); document != nil {
 		return document, retryAfter
 	}
@@ -117,6 +120,9 @@
 	}
 	j.deadline = j.arrived.Add(wait)
 	j.pool = j.route.NextPool()
+	if document := j.unservable(j.allowed()); document != nil {
+		return document, document.RetryAfter
+	}
 	return j.findVersion(), 0
 }
 
@@ -189,7 +195,7 @@
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.priority(), Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
 		Target:   time.Duration(j.route.Spec.TargetLatency),
-		Patience: j.arrived.Add(j.patience()),
+		Patience: j.arrived.Add(j.patience()), Allowed: j.allowed(),
 	}
 	for failures := 0; ; {
 		grant, refusal := j.ingress.dispatcher.Acquire(ctx, j.wanted)
@@ -201,7 +207,19 @@
 			j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
 			return endNotRun
 		}
+		if j.withheld(grant) {
+			if j.chooseAnew(ctx, grant) {
+				continue
+			}
+			return endNotRun
+		}
 		end := j.attempt(ctx, grant)
+		if end == endWithheld {
+			if j.chooseAnew(ctx, grant) {
+				continue
+			}
+			return endNotRun
+		}
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.logAttempt(grant, end)
 		j.noteRun(ctx, grant, end)
--- /dev/null
+++ b/internal/ingress/regions_test.go
@@ -0,0 +1,317 @@
+package ingress_test
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// threeRegions has a zone in each of three regions; the router stands in the first.
+var threeRegions = places.Position{Zone: "za", Map: places.NewMap(map[string]string{"za": "a", "zb": "b", "zc": "c"})}
+
+// regional is a deployment with a machine in each of some zones.
+type regional struct {
+	*deployment
+	machines map[string]*rawMachine
+}
+
+func newRegional(t *testing.T, answer script, change func(options *ingress.Options), zones ...string) *regional {
+	created := &regional{deployment: newDeploymentAt(t, threeRegions, change), machines: map[string]*rawMachine{}}
+	for _, zone := range zones {
+		created.machines[zone] = newRawMachine(t, answer)
+	}
+	return created
+}
+
+func asIs(*ingress.Options) {}
+
+// routeIn declares the route with the regions that it allows.
+func (r *regional) routeIn(kind v1.RouteKind, attempts int, regions ...string) *wirepb.WatchEvent {
+	return r.object(v1.KindRoute, "r", &v1.RouteSpec{
+		Host: "shop.example", PathPrefix: "/a/", Kind: kind, Timeout: v1.Duration(long), AllowedRegions: regions,
+		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: attempts,
+	}, nil)
+}
+
+func (r *regional) machineIn(zone string, slots int) *wirepb.WatchEvent {
+	return r.object(v1.KindMachine, "m-"+zone,
+		&v1.MachineSpec{Endpoint: "http://" + r.machines[zone].address, Zone: zone, Pool: "pool", Slots: slots}, &v1.MachineStatus{Phase: v1.MachineLive})
+}
+
+// declare declares a route and all machines, and makes the view current.
+func (r *regional) declare(route *wirepb.WatchEvent, slots int) {
+	events := append(r.declaration(), route)
+	for zone := range r.machines {
+		events = append(events, r.machineIn(zone, slots))
+	}
+	r.apply(events...)
+	r.view.Confirm(r.revision)
+}
+
+// served lists the zones whose machines got requests.
+func (r *regional) served() string {
+	var zones []string
+	for _, zone := range []string{"za", "zb", "zc", "nowhere"} {
+		if machine := r.machines[zone]; machine != nil && len(machine.requests()) > 0 {
+			zones = append(zones, zone)
+		}
+	}
+	return strings.Join(zones, " ")
+}
+
+// kindOf is the problem type of an answer.
+func kindOf(t *testing.T, got reply) (kind, outcome string) {
+	t.Helper()
+	document := struct{ Type, Outcome string }{}
+	if err := json.Unmarshal([]byte(got.body), &document); err != nil {
+		t.Fatalf("%d %q: %v", got.status, got.body, err)
+	}
+	return document.Type[strings.LastIndex(document.Type, "/")+1:], document.Outcome
+}
+
+func (r *regional) expectNoRegion(got reply, mayComeBack bool) {
+	r.t.Helper()
+	kind, outcome := kindOf(r.t, got)
+	if got.status != http.StatusServiceUnavailable || kind != "no-allowed-region" || outcome != "not-run" {
+		r.t.Errorf("%d %s %s", got.status, kind, outcome)
+	}
+	if told := got.header.Get("Retry-After") != ""; told != mayComeBack {
+		r.t.Errorf("a time to come back is told: %t", told)
+	}
+}
+
+// TestRouteAndTenantBothBind tables declarations against where requests go.
+func TestRouteAndTenantBothBind(t *testing.T) {
+	tests := []struct {
+		name          string
+		route, tenant []string
+		machines      []string
+		served        string
+		mayComeBack   bool
+	}{
+		{name: "nothing declared", machines: []string{"za"}, served: "za"},
+		{name: "nothing declared, place not known", machines: []string{"nowhere"}, served: "nowhere"},
+		{name: "route", route: []string{"b"}, machines: []string{"za", "zb", "zc", "nowhere"}, served: "zb"},
+		{name: "tenant", tenant: []string{"c"}, machines: []string{"za", "zb", "zc", "nowhere"}, served: "zc"},
+		{name: "both", route: []string{"a", "b"}, tenant: []string{"b", "c"}, machines: []string{"za", "zb", "zc", "nowhere"}, served: "zb"},
+		{name: "nothing in common", route: []string{"a"}, tenant: []string{"b"}, machines: []string{"za", "zb"}},
+		{name: "no machine there", route: []string{"c"}, machines: []string{"za", "zb", "nowhere"}, mayComeBack: true},
+		{name: "a region that no zone is in", route: []string{"d"}, machines: []string{"za", "nowhere"}, mayComeBack: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRegional(t, answersOK, asIs, test.machines...)
+			tenant := r.tenant("blue", nil, "key")
+			tenant.spec.AllowedRegions = test.tenant
+			r.declareTenants(tenant)
+			r.declare(r.routeIn(v1.RouteUnrepeatable, 1, test.route...), 4)
+			for range 12 {
+				got := r.ask(http.MethodPost, "/a/x", "id", "body", headerKey, "key")
+				if test.served == "" {
+					r.expectNoRegion(got, test.mayComeBack)
+				} else if got.status != http.StatusOK {
+					t.Fatalf("%d %s", got.status, got.body)
+				}
+			}
+			if served := r.served(); served != test.served {
+				t.Errorf("served by %q, not %q", served, test.served)
+			}
+		})
+	}
+}
+
+// TestFailuresLeadNowhereElse: a request that may run again fails in its region rather than be
+// tried in another.
+func TestFailuresLeadNowhereElse(t *testing.T) {
+	for _, failure := range []struct {
+		name   string
+		answer script
+	}{
+		{"reset", func(_ seenRequest, _ int, connection net.Conn) bool { return reset(connection) }},
+		{"own failure", func(request seenRequest, _ int, connection net.Conn) bool {
+			return write(connection, "HTTP/1.1 500 Failed\r\n"+headerID+": "+request.header.Get(headerID)+"\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{"not run", func(request seenRequest, _ int, connection net.Conn) bool {
+			return write(connection, "HTTP/1.1 503 Busy\r\n"+headerID+": "+request.header.Get(headerID)+"\r\n"+headerNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+		}},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			r := newRegional(t, failure.answer, asIs, "za", "zb", "nowhere")
+			r.declare(r.routeIn(v1.RouteRepeatable, 3, "a"), 4)
+			if got := r.ask(http.MethodPost, "/a/x", "id", "body", headerWait, "2s"); got.status < 500 {
+				t.Errorf("%d %s", got.status, got.body)
+			}
+			if served := r.served(); served != "za" {
+				t.Errorf("tried in %q", served)
+			}
+		})
+	}
+	t.Run("not connected", func(t *testing.T) {
+		r := newRegional(t, answersOK, asIs, "za", "zb")
+		r.machines["za"].end()
+		r.declare(r.routeIn(v1.RouteRepeatable, 3, "a"), 4)
+		if got := r.ask(http.MethodPost, "/a/x", "id", "body", headerWait, "2s"); got.status != http.StatusServiceUnavailable {
+			t.Errorf("%d %s", got.status, got.body)
+		}
+		if served := r.served(); served != "" {
+			t.Errorf("served by %q", served)
+		}
+	})
+}
+
+// holding answers once it is released; begun gets a value for each request.
+func holding() (answer script, begun chan struct{}, release chan struct{}) {
+	begun, release = make(chan struct{}, 10), make(chan struct{})
+	return func(request seenRequest, _ int, connection net.Conn) bool {
+		begun <- struct{}{}
+		<-release
+		return write(connection, ok(request, "done"))
+	}, begun, release
+}
+
+// TestNarrowedWhileWaiting: a request waits for the one machine that may serve it. What its route
+// or tenant allow is narrowed meanwhile; when the machine has room, the newest binds.
+func TestNarrowedWhileWaiting(t *testing.T) {
+	tests := []struct {
+		name          string
+		route, tenant []string
+		served        string
+	}{
+		{"route, to a free machine", []string{"b"}, nil, "za zb"},
+		{"tenant, to a free machine", []string{"a", "b"}, []string{"b"}, "za zb"},
+		{"nothing in common any more", []string{"a"}, []string{"b"}, "za"},
+		{"no machine in what is left", []string{"c"}, nil, "za"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			answer, begun, release := holding()
+			r := newRegional(t, answer, asIs, "za", "zb")
+			declare := func(regions []string) {
+				tenant := r.tenant("blue", nil, "key")
+				tenant.spec.AllowedRegions = regions
+				r.declareTenants(tenant)
+			}
+			declare(nil)
+			r.declare(r.routeIn(v1.RouteUnrepeatable, 1, "a"), 1)
+			answers := make(chan reply, 2)
+			ask := func(id string) { answers <- r.ask(http.MethodPost, "/a/x", id, "body", headerKey, "key") }
+			go ask("first")
+			<-begun
+			go ask("second")
+			<-r.waits
+			r.apply(r.routeIn(v1.RouteUnrepeatable, 1, test.route...))
+			declare(test.tenant)
+			close(release)
+			first, second := <-answers, <-answers
+			if second.status == http.StatusOK && first.status != http.StatusOK {
+				first, second = second, first
+			}
+			if first.status != http.StatusOK {
+				t.Fatalf("%d %s", first.status, first.body)
+			}
+			if served := r.served(); served != test.served {
+				t.Errorf("served by %q, not %q", served, test.served)
+			}
+			if len(r.machines["za"].requests()) != 1 {
+				t.Error("a machine got a request that may not be served there any more")
+			}
+			if test.served == "za" {
+				if kind, outcome := kindOf(t, second); kind != "no-allowed-region" || outcome != "not-run" {
+					t.Errorf("%s %s", kind, outcome)
+				}
+			}
+		})
+	}
+}
+
+// lastMoment calls a function just before a request is written.
+type lastMoment struct {
+	translator
+	call func()
+}
+
+func (l *lastMoment) Prepare(header http.Header, attempt ingress.Attempt) {
+	l.call()
+	l.translator.Prepare(header, attempt)
+}
+
+// TestLastCheckBeforeTheSend: a connection stands when the machine is found to be elsewhere, its
+// address to be another's, or its request to be bound. Nothing is written.
+func TestLastCheckBeforeTheSend(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(r *regional) *wirepb.WatchEvent
+	}{
+		{"the machine is elsewhere", func(r *regional) *wirepb.WatchEvent {
+			return r.object(v1.KindMachine, "m-za", &v1.MachineSpec{
+				Endpoint: "http://" + r.machines["za"].address, Zone: "zc", Pool: "pool", Slots: 4,
+			}, &v1.MachineStatus{Phase: v1.MachineLive})
+		}},
+		{"its zone is in no region", func(r *regional) *wirepb.WatchEvent {
+			return r.object(v1.KindMachine, "m-za", &v1.MachineSpec{
+				Endpoint: "http://" + r.machines["za"].address, Zone: "nowhere", Pool: "pool", Slots: 4,
+			}, &v1.MachineStatus{Phase: v1.MachineLive})
+		}},
+		{"its address is another's", func(r *regional) *wirepb.WatchEvent {
+			return r.object(v1.KindMachine, "other", &v1.MachineSpec{
+				Endpoint: "http://" + r.machines["za"].address, Zone: "zc", Pool: "pool", Slots: 4,
+			}, &v1.MachineStatus{Phase: v1.MachineLive})
+		}},
+		{"the route allows less", func(r *regional) *wirepb.WatchEvent { return r.routeIn(v1.RouteUnrepeatable, 1, "b") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			moment := &lastMoment{}
+			r := newRegional(t, answersOK, func(options *ingress.Options) { options.Translator = moment }, "za")
+			moment.call = func() { r.apply(test.change(r)) }
+			r.declare(r.routeIn(v1.RouteUnrepeatable, 1, "a", "b"), 4)
+			got := r.ask(http.MethodPost, "/a/x", "id", "body", headerWait, "300ms")
+			if _, outcome := kindOf(t, got); got.status != http.StatusServiceUnavailable || outcome != "not-run" {
+				t.Errorf("%d %s", got.status, outcome)
+			}
+			if served := r.served(); served != "" {
+				t.Errorf("served by %q", served)
+			}
+		})
+	}
+}
+
+// TestBoundRequestDoesNotHoldUpOthers: one that waits for its full region lets those behind it go
+// where there is room.
+func TestBoundRequestDoesNotHoldUpOthers(t *testing.T) {
+	answer, begun, release := holding()
+	r := newRegional(t, answer, asIs, "za", "zb")
+	free := r.object(v1.KindRoute, "free", &v1.RouteSpec{
+		Host: "shop.example", PathPrefix: "/free/", Kind: v1.RouteUnrepeatable, Timeout: v1.Duration(long),
+		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: 1,
+	}, nil)
+	r.apply(free)
+	r.declare(r.routeIn(v1.RouteUnrepeatable, 1, "a"), 1)
+	answers := make(chan reply, 3)
+	ask := func(path, id string) { answers <- r.ask(http.MethodPost, path, id, "body") }
+	go ask("/a/x", "first")
+	<-begun
+	go ask("/a/x", "second")
+	<-r.waits
+	go ask("/free/x", "third")
+	<-begun
+	if served := r.served(); served != "za zb" {
+		t.Errorf("served by %q", served)
+	}
+	close(release)
+	for range 3 {
+		if got := <-answers; got.status != http.StatusOK {
+			t.Errorf("%d %s", got.status, got.body)
+		}
+	}
+	if len(r.machines["zb"].requests()) != 1 {
+		t.Error("the bound request did not wait for its region")
+	}
+}
--- /dev/null
+++ b/internal/nodeview/regions_test.go
@@ -0,0 +1,66 @@
+package nodeview
+
+import (
+	"encoding/json"
+	"flag"
+	"maps"
+	"os"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// TestMain fixes the seed, so that the verdict is the same on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var testPosition = places.Position{Zone: "za", Map: places.NewMap(map[string]string{"za": "a", "zb": "b"})}
+
+// TestHasMachineInFollowsMachines: whatever comes, moves, leaves and goes, the counts by region
+// say what the machines say.
+func TestHasMachineInFollowsMachines(t *testing.T) {
+	phases := []v1.MachinePhase{v1.MachineLive, v1.MachineLost, v1.MachineGone}
+	rapid.Check(t, func(t *rapid.T) {
+		view := NewAt(testPosition)
+		present := map[string]v1.MachineSpec{}
+		for revision := range uint64(rapid.IntRange(1, 20).Draw(t, "events")) {
+			name := "m" + strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "machine"))
+			spec := v1.MachineSpec{
+				Endpoint: "http://10.0.0.1:80", Slots: 1, Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"),
+				Zone: rapid.SampledFrom([]string{"za", "zb", "nowhere"}).Draw(t, "zone"),
+			}
+			status := v1.MachineStatus{Phase: rapid.SampledFrom(phases).Draw(t, "phase")}
+			deleted := rapid.Bool().Draw(t, "deleted")
+			delete(present, name)
+			if !deleted && status.Phase != v1.MachineGone {
+				present[name] = spec
+			}
+			encodedSpec, _ := json.Marshal(spec)
+			encodedStatus, _ := json.Marshal(status)
+			object := &wirepb.Object{Kind: string(v1.KindMachine), Name: name, Revision: revision + 1, Spec: encodedSpec, Status: encodedStatus}
+			view.Apply(feed.Changes{Revision: revision + 1, Events: []*wirepb.WatchEvent{{Object: object, Deleted: deleted}}})
+			for _, pool := range []string{"p", "q"} {
+				for _, allowed := range []places.Constraint{{}, places.Only("a"), places.Only("b"), places.Only("a", "b")} {
+					wanted := false
+					for machine := range maps.Values(present) {
+						wanted = wanted || machine.Pool == pool && allowed.Allows(testPosition.Map.Region(machine.Zone))
+					}
+					if view.HasMachineIn(pool, allowed) != wanted {
+						t.Fatalf("pool %s, constraint %q: %t", pool, allowed.Key(), !wanted)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -54,6 +54,8 @@
 	objects  map[state.Key]*wirepb.Object
 	specs    map[state.Key]v1.Spec
 	machines map[string]Machine
+	// regions counts the machines of each pool by region.
+	regions regionCounts
 	// replicas are grouped by version; replicasOn by machine.
 	replicas   map[string]map[string]Replica
 	replicasOn map[string]map[string]Replica
@@ -102,6 +104,7 @@
 	v.objects = map[state.Key]*wirepb.Object{}
 	v.specs = map[state.Key]v1.Spec{}
 	v.machines = map[string]Machine{}
+	v.regions = regionCounts{}
 	v.replicas = map[string]map[string]Replica{}
 	v.replicasOn = map[string]map[string]Replica{}
 	v.decidedFor = map[string]uint64{}
@@ -215,6 +218,7 @@
 			machine.Status = v1.MachineStatus{Phase: v1.MachineLost}
 		}
 		v.machines[name] = machine
+		v.countMachine(machine, 1)
 	case *v1.ReplicaSpec:
 		replica := Replica{Object: object, Spec: typed, Adapters: v1.ReplicaAdapters(object.GetStatus())}
 		addTo(v.replicas, typed.Version, name, replica)
@@ -239,6 +243,7 @@
 	name := held.GetName()
 	switch typed := v.specs[key].(type) {
 	case *v1.MachineSpec:
+		v.countMachine(v.machines[name], -1)
 		delete(v.machines, name)
 	case *v1.ReplicaSpec:
 		removeFrom(v.replicas, typed.Version, name)
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -65,6 +65,7 @@
 	TypeNotLoadable   = "not-loadable"
 	TypeStopping      = "stopping"
 	TypeQuarantined   = "quarantined"
+	TypeNoRegion      = "no-allowed-region"
 	TypeInternalError = "internal"
 )
 
@@ -88,6 +89,7 @@
 	TypeNotLoadable:   "The model can't be loaded",
 	TypeStopping:      "This node is stopping",
 	TypeQuarantined:   "Machines have ended each time that they ran this request",
+	TypeNoRegion:      "No machine in an allowed region may serve the request",
 	TypeInternalError: "An internal error",
 }
 
