Place replicas for requests that are bound to regions

Cause: a request that is bound to regions waits for a replica there, and the planner counted replicas anywhere: it waited until its deadline beside a replica that may not serve it. Ruled out: splitting versions by region: work, history and worth would be told apart where nobody is bound. Counting a replica's own requests by region: registered machines do not report them. Change: routers report demand by constraint beside their version's; a version gets a replica where bound requests wait and may be served, the narrowest constraint first; the only one that may serve what was asked for lately is no surplus, and no victim of a further replica of another version.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -52,6 +53,8 @@
 	Planner    placement.Config
 	// Quota is by how much tenants may exceed their limits.
 	Quota quota.Bound
+	// Places tells in which regions machines stand.
+	Places places.Map
 	// Routers is how many the term before had, as far as that is known.
 	Routers int
 }
--- /dev/null
+++ b/internal/controller/regions_test.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// TestBoundDemandIsPartOfItsVersions: what routers tell of constraints is added up by constraint,
+// whatever the order of the regions, and counts once in the version's demand.
+func TestBoundDemandIsPartOfItsVersions(t *testing.T) {
+	table := NewReportTable()
+	take := func(node string, received time.Duration, regions ...string) {
+		taken := report(node, 1, 1, 7)
+		taken.Demand[0].Waiting, taken.Demand[0].Running, taken.Demand[0].Work = 4, 2, 100
+		taken.Demand = append(taken.Demand, &wirepb.ModelDemand{
+			Version: "v", Regions: regions, Arrivals: 3, Waiting: 2, Running: 1, OldestWaitMs: 500, Priority: 9,
+		})
+		table.Take(received, taken)
+	}
+	take("one", 10*time.Second, "b", "a")
+	take("two", 9*time.Second, "a", "b")
+	take("three", 10*time.Second, "c")
+	take("silent", 0, "d")
+	nodes, reports := table.snapshot(10 * time.Second)
+	view := &clusterView{now: 10 * time.Second, nodes: nodes, reports: reports, arrivals: table.arrivalCounts()}
+	demand := view.demand()["v"]
+	if demand.Waiting != 12 || demand.Running != 6 || demand.Arrivals != 28 {
+		t.Errorf("%+v", demand)
+	}
+	found := map[string]int{}
+	for _, bound := range demand.Bound {
+		found[bound.Allowed.Key()] = bound.Waiting
+		if bound.Allowed.Key() == places.Only("a", "b").Key() {
+			if bound.Waiting != 4 || bound.Running != 2 || bound.OldestWait != 1500*time.Millisecond || bound.Priority != 9 {
+				t.Errorf("%+v", bound)
+			}
+		}
+	}
+	if len(found) != 2 || found[places.Only("c").Key()] != 2 {
+		t.Errorf("%v", found)
+	}
+}
+
+// TestBoundWaitIsNoNewsBesideItsVersions: a part that is told beside the whole must not make each
+// report look as if more waited.
+func TestBoundWaitIsNoNewsBesideItsVersions(t *testing.T) {
+	waiting := report("one", 1, 1, 7)
+	waiting.Demand[0].Waiting = 4
+	waiting.Demand = append(waiting.Demand, &wirepb.ModelDemand{Version: "v", Regions: []string{"a"}, Waiting: 1})
+	if demandGrew(waiting, waiting) {
+		t.Error("the same report again is news")
+	}
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -98,12 +98,18 @@
 	targetMs uint32
 }
 
+// isPart reports whether an entry tells of a part of its version's demand, which is told as a whole
+// beside it.
+func isPart(demand *wirepb.ModelDemand) bool {
+	return demand.GetAdapter() != "" || len(demand.GetRegions()) > 0
+}
+
 // countArrivals adds what is new to the fleet's counts. Reports leave out versions
 // without news.
 func (t *ReportTable) countArrivals(held, report *wirepb.NodeReport) {
 	counted, isNews := t.counted.of(held, report)
 	for _, demand := range report.GetDemand() {
-		if demand.GetAdapter() != "" {
+		if isPart(demand) {
 			continue // Counted with its version.
 		}
 		if target := demand.GetTargetMs(); target > 0 {
@@ -139,10 +145,12 @@
 func demandGrew(held, report *wirepb.NodeReport) bool {
 	waiting := map[string]uint32{}
 	for _, demand := range held.GetDemand() {
-		waiting[demand.GetVersion()] = demand.GetWaiting()
+		if len(demand.GetRegions()) == 0 { // Else they count with their version's.
+			waiting[demand.GetVersion()] = demand.GetWaiting()
+		}
 	}
 	for _, demand := range report.GetDemand() {
-		if demand.GetWaiting() > waiting[demand.GetVersion()] {
+		if len(demand.GetRegions()) == 0 && demand.GetWaiting() > waiting[demand.GetVersion()] {
 			return true
 		}
 	}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -9,6 +9,7 @@
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -43,6 +44,7 @@
 // reports beside them.
 type clusterView struct {
 	*storedView
+	places   places.Map
 	now      time.Duration
 	nodes    map[string]nodeEntry
 	reports  map[string]machineEntry
@@ -64,7 +66,7 @@
 func (c *Controller) view(now time.Duration) *clusterView {
 	nodes, machineReports := c.reports.snapshot(now)
 	return &clusterView{
-		storedView: c.stored, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
+		storedView: c.stored, places: c.config.Places, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
 	}
 }
 
@@ -164,7 +166,7 @@
 		}
 		report := v.reports[name].report
 		machine := &placement.Machine{
-			Name: name, Zone: declared.Spec.Zone,
+			Name: name, Zone: declared.Spec.Zone, Region: v.places.Region(declared.Spec.Zone),
 			Accelerators: declared.Spec.Accelerators, AcceleratorBytes: declared.Spec.AcceleratorBytes,
 			Incarnation: declared.Status.Incarnation, Fence: report.GetFence(),
 			Accepts: declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain,
@@ -255,7 +257,7 @@
 			continue
 		}
 		for _, reported := range entry.report.GetDemand() {
-			if reported.GetAdapter() != "" {
+			if isPart(reported) {
 				continue // Part of its version's.
 			}
 			demand := total[reported.GetVersion()]
@@ -272,9 +274,44 @@
 			}
 		}
 	}
+	v.addBound(total)
 	return total
 }
 
+// addBound adds up what live routers report by constraint.
+func (v *clusterView) addBound(total map[string]*placement.Demand) {
+	for _, entry := range v.nodes {
+		age := v.now - entry.received
+		if age > NodeTimeout {
+			continue
+		}
+		for _, reported := range entry.report.GetDemand() {
+			demand := total[reported.GetVersion()]
+			if len(reported.GetRegions()) == 0 || reported.GetAdapter() != "" || demand == nil {
+				continue
+			}
+			bound := boundBy(demand, places.Only(reported.GetRegions()...))
+			bound.Waiting += int(reported.GetWaiting())
+			bound.Running += int(reported.GetRunning())
+			bound.Priority = max(bound.Priority, reported.GetPriority())
+			if reported.GetWaiting() > 0 {
+				bound.OldestWait = max(bound.OldestWait, time.Duration(reported.GetOldestWaitMs())*time.Millisecond+age)
+			}
+		}
+	}
+}
+
+// boundBy returns a version's demand under a constraint, which is added if there is none.
+func boundBy(demand *placement.Demand, allowed places.Constraint) *placement.BoundDemand {
+	for position := range demand.Bound {
+		if demand.Bound[position].Allowed.Key() == allowed.Key() {
+			return &demand.Bound[position]
+		}
+	}
+	demand.Bound = append(demand.Bound, placement.BoundDemand{Allowed: allowed})
+	return &demand.Bound[len(demand.Bound)-1]
+}
+
 // replicaWrites turns actions into conditional writes of replica records.
 func replicaWrites(revision uint64, actions []placement.Action) []*wirepb.ObjectWrite {
 	writes := make([]*wirepb.ObjectWrite, 0, len(actions))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -67,7 +67,9 @@
 	// adapterRunning counts the requests in flight for each adapter.
 	adapterRunning map[string]int
 	running        int
-	estimate       *Estimate
+	// bound is what is asked of the version under each constraint, by the constraint's key.
+	bound    map[string]*boundDemand
+	estimate *Estimate
 	// turn counts the grants, for round robin.
 	turn int
 }
@@ -114,6 +116,7 @@
 	if request.Adapter != "" && c.config.PlacedAdapters {
 		version.countAdapter(request.Adapter)
 	}
+	version.countBound(request)
 	return c.enqueue(now, version, request)
 }
 
@@ -152,6 +155,7 @@
 		c.addWork(chosen.Machine, request)
 		version.running++
 		version.runAdapter(request.Adapter, 1)
+		version.runBound(request, 1)
 		chosen.remember(now, request)
 		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
 	}
@@ -265,6 +269,7 @@
 	version := c.version(grant.Target.Version)
 	version.running--
 	version.runAdapter(grant.Request.Adapter, -1)
+	version.runBound(grant.Request, -1)
 	c.leaveMachine(grant.Target.Machine)
 	c.finishWork(grant.Target.Machine, grant.Request, 0)
 	c.countAnswer(grant.Target.Machine, result)
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -3,8 +3,46 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/weldline/weldline/internal/places"
 )
 
+// boundDemand is what is asked of a version under one constraint.
+type boundDemand struct {
+	allowed  places.Constraint
+	arrivals uint64
+	running  int
+}
+
+// boundBy returns what is asked under a request's constraint; nil for a request that may go
+// anywhere, which costs nothing more.
+func (v *versionState) boundBy(request *Request) *boundDemand {
+	if !request.Allowed.IsBound() {
+		return nil
+	}
+	if v.bound == nil {
+		v.bound = map[string]*boundDemand{}
+	}
+	key := request.Allowed.Key()
+	if v.bound[key] == nil {
+		v.bound[key] = &boundDemand{allowed: request.Allowed}
+	}
+	return v.bound[key]
+}
+
+func (v *versionState) countBound(request *Request) {
+	if bound := v.boundBy(request); bound != nil {
+		bound.arrivals++
+	}
+}
+
+// runBound counts a request in flight under its constraint.
+func (v *versionState) runBound(request *Request, change int) {
+	if bound := v.boundBy(request); bound != nil {
+		bound.running += change
+	}
+}
+
 func (v *versionState) countAdapter(adapter string) {
 	if v.adapterArrivals == nil {
 		v.adapterArrivals = map[string]uint64{}
@@ -43,16 +81,22 @@
 		}
 		demands = append(demands, demand)
 		demands = append(demands, version.adapterDemand(now, name)...)
+		demands = append(demands, version.boundDemand(now, name)...)
 	}
-	sort.Slice(demands, func(i, j int) bool {
-		if demands[i].Version != demands[j].Version {
-			return demands[i].Version < demands[j].Version
-		}
-		return demands[i].Adapter < demands[j].Adapter
-	})
+	sort.Slice(demands, func(i, j int) bool { return demands[i].before(demands[j]) })
 	return demands
 }
 
+func (d Demand) before(other Demand) bool {
+	switch {
+	case d.Version != other.Version:
+		return d.Version < other.Version
+	case d.Adapter != other.Adapter:
+		return d.Adapter < other.Adapter
+	}
+	return d.Allowed.Key() < other.Allowed.Key()
+}
+
 // adapterDemand returns what is asked of a version's adapters.
 func (v *versionState) adapterDemand(now time.Time, name string) []Demand {
 	byAdapter := map[string]*Demand{}
@@ -75,3 +119,28 @@
 	}
 	return demands
 }
+
+// boundDemand returns what is asked of a version under each constraint. A request that waits under
+// another one than it came with counts there.
+func (v *versionState) boundDemand(now time.Time, name string) []Demand {
+	waiting := map[*boundDemand]Demand{}
+	for _, entry := range v.queue.waiting {
+		bound := v.boundBy(entry.request)
+		if bound == nil {
+			continue
+		}
+		demand := waiting[bound]
+		demand.Waiting++
+		demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
+		demand.Priority = max(demand.Priority, entry.request.Priority)
+		waiting[bound] = demand
+	}
+	demands := make([]Demand, 0, len(v.bound))
+	for _, bound := range v.bound {
+		demand := waiting[bound]
+		demand.Version, demand.Allowed = name, bound.allowed
+		demand.Arrivals, demand.Running = bound.arrivals, bound.running
+		demands = append(demands, demand)
+	}
+	return demands
+}
--- a/internal/dispatch/regions_test.go
+++ b/internal/dispatch/regions_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -217,3 +219,35 @@
 		t.Errorf("kept by a replica elsewhere though nothing can hold the model: %+v", outcome)
 	}
 }
+
+// TestDemandIsToldApartByConstraint: what is bound is part of its version's demand, and told
+// again by constraint; a request that comes again under a narrower one waits under that.
+func TestDemandIsToldApartByConstraint(t *testing.T) {
+	core := New(Config{MaxWaiting: 10})
+	core.SetTargets(beginning, []Target{{Replica: "r-a", Version: "v", Machine: "m-a", Max: 1, Region: "a"}})
+	running := core.Submit(beginning, bound(1, "a", "b")).Grants[0]
+	core.Submit(beginning, bound(2, "c"))
+	core.Submit(beginning, &Request{ID: 3, Version: "v", Arrived: beginning, Deadline: beginning.Add(time.Minute)})
+	tell := func() string {
+		var told []string
+		for _, demand := range core.Demand(beginning.Add(time.Second)) {
+			told = append(told, fmt.Sprintf("%s%v: %d waiting, %d running, %d so far, oldest %s",
+				demand.Version, demand.Allowed.Regions(), demand.Waiting, demand.Running, demand.Arrivals, demand.OldestWait))
+		}
+		return strings.Join(told, "\n")
+	}
+	const before = "v[]: 2 waiting, 1 running, 3 so far, oldest 1s\n" +
+		"v[a b]: 0 waiting, 1 running, 1 so far, oldest 0s\nv[c]: 1 waiting, 0 running, 1 so far, oldest 1s"
+	if told := tell(); told != before {
+		t.Errorf("%s", told)
+	}
+	core.Cancel(&Request{ID: 3, Version: "v"})
+	core.Release(beginning, running, ResultNotRun)
+	running.Request.Allowed = places.Only("b")
+	core.Resubmit(beginning, running.Request)
+	const after = "v[]: 2 waiting, 0 running, 3 so far, oldest 1s\nv[a b]: 0 waiting, 0 running, 1 so far, oldest 0s\n" +
+		"v[b]: 1 waiting, 0 running, 0 so far, oldest 1s\nv[c]: 1 waiting, 0 running, 1 so far, oldest 1s"
+	if told := tell(); told != after {
+		t.Errorf("%s", told)
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -109,10 +109,13 @@
 	Reason  string
 }
 
-// Demand is what a router reports of one version, or of one of its adapters.
+// Demand is what a router reports of one version, of one of its adapters, or of the requests for
+// it under one constraint; these are parts of the version's.
 type Demand struct {
-	Version  string
-	Adapter  string
+	Version string
+	Adapter string
+	// Allowed binds the requests that are told of, where it binds any.
+	Allowed  places.Constraint
 	Waiting  int
 	Running  int
 	Arrivals uint64
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -131,9 +131,8 @@
 	return messages
 }
 
-// adapterSeparator stands between a version and an adapter in keys; names have
-// none.
-const adapterSeparator = "\x00"
+// keySeparator stands between a version, an adapter and a constraint in keys; names have none.
+const keySeparator = "\x00"
 
 // DemandNews turns a router's demand into report entries and leaves out
 // versions that nobody has asked for since the last report and nobody uses.
@@ -150,7 +149,7 @@
 func (n *DemandNews) Messages(demands []dispatch.Demand) []*wirepb.ModelDemand {
 	var messages []*wirepb.ModelDemand
 	for _, demand := range demands {
-		key := demand.Version + adapterSeparator + demand.Adapter
+		key := demand.Version + keySeparator + demand.Adapter + keySeparator + demand.Allowed.Key()
 		news := demand.Waiting > 0 || demand.Running > 0 || demand.Arrivals != n.reported[key]
 		n.reported[key] = demand.Arrivals
 		if news {
@@ -165,5 +164,6 @@
 		Version: demand.Version, Adapter: demand.Adapter, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
 		Arrivals: demand.Arrivals, Work: demand.Work,
 		TargetMs: uint32(demand.Target.Milliseconds()), OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
+		Regions: demand.Allowed.Regions(),
 	}
 }
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -38,7 +38,7 @@
 	bestMachine, bestTime := "", time.Duration(float64(readyIn)*worthEvicting)
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) {
+		if !entry.mayUse(candidate) {
 			continue
 		}
 		tier := candidate.machine.tierOf(entry.version.Spec.Checkpoint)
@@ -83,7 +83,7 @@
 		return false
 	}
 	target := p.machines[made.machine]
-	if target == nil || !target.machine.Accepts {
+	if target == nil || !target.machine.Accepts || !entry.mayUse(target) {
 		return false
 	}
 	bytes := entry.version.Spec.BytesPerAccelerator()
@@ -160,7 +160,7 @@
 	var bestCost float64
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) {
+		if !entry.mayUse(candidate) {
 			continue
 		}
 		victims, cost := p.victimsOn(entry, candidate)
@@ -179,7 +179,7 @@
 // victimsOn evicts idle replicas of one machine, cheapest first, until the
 // wanted one fits, then spares those that turned out not to be needed.
 func (p *pass) victimsOn(entry want, candidate *room) ([]*Replica, float64) {
-	idle := p.idleOn(candidate)
+	idle := p.idleOn(candidate, entry.further)
 	free := append([]int64(nil), candidate.free...)
 	bytes := entry.version.Spec.BytesPerAccelerator()
 	count := entry.version.Spec.Accelerators
@@ -217,7 +217,7 @@
 	}
 }
 
-func (p *pass) idleOn(candidate *room) []*Replica {
+func (p *pass) idleOn(candidate *room, further bool) []*Replica {
 	var idle []*Replica
 	for _, replica := range candidate.replicas {
 		if replica.Spec.Phase != v1.ReplicaReady || p.changed[replica] || !p.mayEvict(replica) {
@@ -227,6 +227,9 @@
 		if version != nil && len(p.byVersion[version.Name]) <= version.MinReplicas {
 			continue
 		}
+		if further && version != nil && p.isOnlyAllowed(replica, version) {
+			continue // Others that share the load of a version can't stand in for it.
+		}
 		idle = append(idle, replica)
 	}
 	sort.Slice(idle, func(i, j int) bool {
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -199,7 +199,7 @@
 	bytes := entry.version.Spec.BytesPerAccelerator()
 	for _, name := range names {
 		candidate := p.machines[name]
-		if !candidate.serves(entry.version) {
+		if !entry.mayUse(candidate) {
 			continue
 		}
 		readyIn := p.readyIn(entry, candidate)
@@ -280,15 +280,19 @@
 	chosen.replicas = append(chosen.replicas, &Replica{Spec: spec})
 	delete(p.planner.evicting, entry.version.Name)
 	reason := "demand"
-	if !entry.urgent {
+	switch {
+	case !entry.urgent:
 		reason = "reserve"
+	case entry.allowed.IsBound():
+		reason = "demand-in-region"
 	}
 	p.act(Action{Kind: ActionLoad, Spec: spec, Reason: reason})
 	p.estimate(entry, p.loadTime(entry.version, tier))
 }
 
 func (p *pass) estimate(entry want, readyIn time.Duration) {
-	if entry.urgent {
+	// What is said of a version must hold for all who wait for it, bound or not.
+	if entry.urgent && !entry.allowed.IsBound() {
 		p.decision.Estimates = append(p.decision.Estimates, Estimate{
 			Version: entry.version.Name, ReadyIn: readyIn, EarliestIn: min(readyIn, p.bestLoadTime(entry.version)),
 		})
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -39,6 +39,8 @@
 	// lastAsked is when a version was last asked for.
 	lastAsked map[string]time.Time
 	arrivals  map[string]uint64
+	// bound is when versions were last asked for under constraints, by the constraint's key.
+	bound map[string]map[string]askedUnder
 	// evicting maps a version to the room that is made for it.
 	evicting map[string]madeRoom
 	// retryAfter holds back versions whose load failed.
@@ -62,6 +64,7 @@
 		lastUsed:     map[string]time.Time{},
 		lastAsked:    map[string]time.Time{},
 		arrivals:     map[string]uint64{},
+		bound:        map[string]map[string]askedUnder{},
 		evicting:     map[string]madeRoom{},
 		retryAfter:   map[string]time.Time{},
 		loadsSeen:    map[string]bool{},
@@ -108,6 +111,7 @@
 	p.memory.observe(input)
 	current.reconcile()
 	current.observeUse()
+	current.observeBound()
 	current.openSpread()
 	current.retire()
 	current.place()
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -54,8 +54,10 @@
 
 // Machine is a declared machine as observed.
 type Machine struct {
-	Name             string
-	Zone             string
+	Name string
+	Zone string
+	// Region is that of the zone; empty where it is not known.
+	Region           string
 	Accelerators     int
 	AcceleratorBytes int64
 	Incarnation      uint64
@@ -107,6 +109,8 @@
 	Target     time.Duration
 	OldestWait time.Duration
 	Priority   int32
+	// Bound is the part of it that is bound to regions, by constraint.
+	Bound []BoundDemand
 }
 
 // Input is everything that a decision depends on.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/places"
 )
 
 // prewarmMargin is by how much loading ahead must be worth more than keeping:
@@ -23,6 +24,8 @@
 	// further is set where the version has a replica and needs more to share
 	// its work.
 	further bool
+	// allowed says where the replica must be; requests wait for one there.
+	allowed places.Constraint
 	// gain is what the replica of a pool's version would be worth.
 	gain     float64
 	priority int32
@@ -37,7 +40,8 @@
 	var wanted []want
 	for name, version := range p.input.Versions {
 		missing := p.missing(name, version)
-		if missing <= 0 {
+		wanted = append(wanted, missing.bound...)
+		if missing.anywhere <= 0 {
 			continue
 		}
 		entry := want{version: version, loadTime: p.loadTime(version, TierDisk)}
@@ -50,7 +54,7 @@
 			entry.further = p.usable(version) > 0
 			entry.replaces = !entry.further
 		}
-		for range missing {
+		for range missing.anywhere {
 			if version.Spec.Pool != "" {
 				entry.gain = p.gain(entry)
 			}
@@ -79,8 +83,10 @@
 		return w.priority > other.priority
 	case w.score() != other.score():
 		return w.score() > other.score()
+	case w.version.Name != other.version.Name:
+		return w.version.Name < other.version.Name
 	}
-	return w.version.Name < other.version.Name
+	return w.allowed.Key() < other.allowed.Key()
 }
 
 // score is the response ratio: the time waited and to wait, over the time
@@ -90,10 +96,18 @@
 	return (w.waiting.Seconds() + load) / load
 }
 
-// missing returns how many more replicas a version should have.
-func (p *pass) missing(name string, version *Version) int {
+// missingReplicas are those that a version should have beside its own.
+type missingReplicas struct {
+	// bound are those that requests wait for which are bound to regions.
+	bound []want
+	// anywhere is how many more there should be, wherever they are.
+	anywhere int
+}
+
+// missing returns which more replicas a version should have.
+func (p *pass) missing(name string, version *Version) missingReplicas {
 	if p.input.Now.Before(p.planner.retryAfter[name]) || p.isPaused(name) {
-		return 0
+		return missingReplicas{}
 	}
 	desired := version.MinReplicas
 	usable := p.usable(version)
@@ -109,8 +123,10 @@
 	}
 	// The state machine counts every replica that is loading or ready, also
 	// on machines that leave.
-	allowed := version.MaxReplicas - len(p.byVersion[name])
-	return min(desired-usable, allowed)
+	allowed := max(0, version.MaxReplicas-len(p.byVersion[name]))
+	bound := p.boundWants(version, p.input.Demand[name])
+	bound = bound[:min(len(bound), allowed)]
+	return missingReplicas{bound: bound, anywhere: min(desired-usable, allowed) - len(bound)}
 }
 
 // usable counts the replicas of a version that are there to stay.
--- a/internal/placement/worth.go
+++ b/internal/placement/worth.go
@@ -87,7 +87,7 @@
 	count := max(1, p.ready(version))
 	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name]).Seconds()
 	worth := (max(leastRecent, 1/(1+idle)) + rate/float64(count)/minimumRate) * p.urgency(version)
-	if p.isSurplus(version) {
+	if p.isSpare(replica, version) {
 		return surplusWorth * worth
 	}
 	return worth + p.interrupted(version)
@@ -115,11 +115,14 @@
 		return false
 	}
 	demand := p.input.Demand[replica.Spec.Version]
-	return demand == nil || demand.Waiting == 0 || p.isSurplus(version)
+	return demand == nil || demand.Waiting == 0 || p.isSpare(replica, version)
 }
 
 // gain is what a wanted replica is worth, on the scale of replicaWorth.
 func (p *pass) gain(entry want) float64 {
+	if entry.allowed.IsBound() {
+		return entry.gain
+	}
 	served := p.planner.work.rates[entry.version.Name] / minimumRate
 	if entry.further {
 		return reserveValue * served / float64(len(p.byVersion[entry.version.Name])+1)
