--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -283,7 +283,7 @@
 	switch {
 	case !entry.urgent:
 		reason = "reserve"
-	case entry.allowed.IsBound():
+	case entry.bound != nil:
 		reason = "demand-in-region"
 	}
 	p.act(Action{Kind: ActionLoad, Spec: spec, Reason: reason})
@@ -292,7 +292,7 @@
 
 func (p *pass) estimate(entry want, readyIn time.Duration) {
 	// What is said of a version must hold for all who wait for it, bound or not.
-	if entry.urgent && !entry.allowed.IsBound() {
+	if entry.urgent && entry.bound == nil {
 		p.decision.Estimates = append(p.decision.Estimates, Estimate{
 			Version: entry.version.Name, ReadyIn: readyIn, EarliestIn: min(readyIn, p.bestLoadTime(entry.version)),
 		})
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -71,7 +71,7 @@
 
 // mayUse reports whether a wanted replica may be loaded on the machine at all.
 func (w *want) mayUse(candidate *room) bool {
-	return candidate.serves(w.version) && w.allowed.Allows(candidate.machine.Region)
+	return candidate.serves(w.version) && (w.bound == nil || w.bound.Allowed.Allows(candidate.machine.Region))
 }
 
 // boundWants lists the replicas that requests wait for which no replica may serve, loading ones
@@ -91,13 +91,14 @@
 		return left.Key() < right.Key()
 	})
 	var wanted []want
-	for _, entry := range waiting {
-		if slices.ContainsFunc(wanted, func(other want) bool { return implies(other.allowed, entry.Allowed) }) {
+	for position := range waiting {
+		entry := &waiting[position]
+		if slices.ContainsFunc(wanted, func(other want) bool { return implies(other.bound.Allowed, entry.Allowed) }) {
 			continue
 		}
 		wanted = append(wanted, want{
-			version: version, loadTime: p.loadTime(version, TierDisk), urgent: true, allowed: entry.Allowed,
-			waiting: entry.OldestWait, priority: max(entry.Priority, version.Priority), gain: p.boundGain(version, demand, entry),
+			version: version, loadTime: p.loadTime(version, TierDisk), urgent: true, bound: entry,
+			waiting: entry.OldestWait, priority: max(entry.Priority, version.Priority), gain: p.boundGain(version, demand, *entry),
 		})
 	}
 	return wanted
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -68,9 +68,8 @@
 func (p *pass) cheapestSwap(entry want) *swap {
 	var best *swap
 	costs := p.swapCostsOf(entry)
-	isBound := entry.allowed.IsBound()
 	for _, candidate := range p.rooms(entry.version.Spec.Pool) {
-		if isBound && !entry.mayUse(candidate) || candidate.hasReplica(entry.version.Name) || candidate.isPromisedToOthers(entry.version) {
+		if entry.bound != nil && !entry.mayUse(candidate) || candidate.hasReplica(entry.version.Name) || candidate.isPromisedToOthers(entry.version) {
 			continue
 		}
 		option := swap{room: candidate, tier: candidate.machine.tierOf(entry.version.Spec.Checkpoint)}
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -5,7 +5,6 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
-	"github.com/weldline/weldline/internal/places"
 )
 
 // prewarmMargin is by how much loading ahead must be worth more than keeping:
@@ -24,8 +23,8 @@
 	// further is set where the version has a replica and needs more to share
 	// its work.
 	further bool
-	// allowed says where the replica must be; requests wait for one there.
-	allowed places.Constraint
+	// bound is what waits for the replica where that is bound to regions, else nil.
+	bound *BoundDemand
 	// gain is what the replica of a pool's version would be worth.
 	gain     float64
 	priority int32
@@ -86,7 +85,7 @@
 	case w.version.Name != other.version.Name:
 		return w.version.Name < other.version.Name
 	}
-	return w.allowed.Key() < other.allowed.Key()
+	return w.bound != nil && other.bound != nil && w.bound.Allowed.Key() < other.bound.Allowed.Key()
 }
 
 // score is the response ratio: the time waited and to wait, over the time
--- a/internal/placement/worth.go
+++ b/internal/placement/worth.go
@@ -120,7 +120,7 @@
 
 // gain is what a wanted replica is worth, on the scale of replicaWorth.
 func (p *pass) gain(entry want) float64 {
-	if entry.allowed.IsBound() {
+	if entry.bound != nil {
 		return entry.gain
 	}
 	served := p.planner.work.rates[entry.version.Name] / minimumRate
