Load adapters where requests that are bound may be served

Cause: an adapter that a machine in another region holds counted as being there, so requests that are bound waited for it until their deadline. Ruled out: loading it at every machine of the allowed regions; adapters take places from others. Change: routers tell what waits for an adapter under each constraint; the leader looks for a place among machines of the allowed regions for that, and counts it nowhere else.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -81,6 +81,7 @@
 	created := &fleet{
 		node: node, term: term, since: node.now(), cancel: cancel, nudge: make(chan struct{}, 1),
 		core: orders.NewCore(pacer), pacer: pacer, taken: map[string]uint64{}, granted: map[string]time.Duration{},
+		registered: controller.RegisteredCache{Places: node.settings.Position().Map},
 	}
 	if node.engines != nil {
 		created.workers.Go(func() { created.run(running) })
--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -8,14 +8,17 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/orders"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // AdapterDemand is what all routers together ask of one adapter.
 type AdapterDemand struct {
 	Version, Adapter string
-	Waiting          int
-	OldestWait       time.Duration
+	// Allowed binds the requests that wait. What waits under a constraint counts there only.
+	Allowed    places.Constraint
+	Waiting    int
+	OldestWait time.Duration
 	// LastUsed is when a router last reported a request for it.
 	LastUsed time.Duration
 	// Now is when the demand was read.
@@ -27,6 +30,13 @@
 // takes no other order meanwhile.
 const adapterIdle = 2500 * time.Millisecond
 
+// boundUse tells what waits for an adapter apart by constraint; the key is empty for what may go
+// anywhere.
+type boundUse struct {
+	adapterUse
+	constraint string
+}
+
 // adapterUse remembers when adapters were last asked for.
 type adapterUse struct {
 	version, adapter string
@@ -36,9 +46,9 @@
 func (t *ReportTable) AdapterDemand(now time.Duration) []AdapterDemand {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	total := map[adapterUse]*AdapterDemand{}
+	total := map[boundUse]*AdapterDemand{}
 	for use, last := range t.adapterUsed {
-		total[use] = &AdapterDemand{Version: use.version, Adapter: use.adapter, LastUsed: last, Now: now}
+		total[boundUse{use, ""}] = &AdapterDemand{Version: use.version, Adapter: use.adapter, LastUsed: last, Now: now}
 	}
 	for _, entry := range t.nodes {
 		if !entry.isLive(now) {
@@ -46,11 +56,21 @@
 		}
 		for _, reported := range entry.report.GetDemand() {
 			use := adapterUse{reported.GetVersion(), reported.GetAdapter()}
-			if reported.GetAdapter() == "" || total[use] == nil {
+			whole := total[boundUse{use, ""}]
+			if reported.GetAdapter() == "" || whole == nil {
 				continue
 			}
-			total[use].Waiting += int(reported.GetWaiting())
-			total[use].OldestWait = max(total[use].OldestWait, time.Duration(reported.GetOldestWaitMs())*time.Millisecond)
+			demand := whole
+			if allowed := places.Only(reported.GetRegions()...); allowed.IsBound() {
+				key := boundUse{use, allowed.Key()}
+				if total[key] == nil {
+					total[key] = &AdapterDemand{Version: use.version, Adapter: use.adapter, Allowed: allowed, LastUsed: whole.LastUsed, Now: now}
+				}
+				demand = total[key]
+				whole.Waiting -= int(reported.GetWaiting())
+			}
+			demand.Waiting += int(reported.GetWaiting())
+			demand.OldestWait = max(demand.OldestWait, time.Duration(reported.GetOldestWaitMs())*time.Millisecond)
 		}
 	}
 	demands := make([]AdapterDemand, 0, len(total))
@@ -67,8 +87,10 @@
 		return d.OldestWait > other.OldestWait
 	case d.Version != other.Version:
 		return d.Version < other.Version
+	case d.Adapter != other.Adapter:
+		return d.Adapter < other.Adapter
 	}
-	return d.Adapter < other.Adapter
+	return d.Allowed.Key() < other.Allowed.Key()
 }
 
 // noteAdapters remembers which adapters a report asks for; the mutex must be
@@ -98,14 +120,18 @@
 	places := r.adapterPlaces(stateOf)
 	tasks := map[string][]orders.AdapterTask{}
 	for _, entry := range demand {
-		if entry.Waiting == 0 {
+		if entry.Waiting <= 0 {
 			continue
 		}
 		chosen := chooseAdapterPlace(places, entry, lastUsed)
 		if chosen == nil {
 			continue
 		}
-		tasks[chosen.machine] = append(tasks[chosen.machine], chosen.take(entry, lastUsed)...)
+		for _, task := range chosen.take(entry, lastUsed) {
+			if !slices.Contains(tasks[chosen.machine], task) { // Else another constraint asked for it.
+				tasks[chosen.machine] = append(tasks[chosen.machine], task)
+			}
+		}
 	}
 	for machine, task := range r.prefetchTasks(places, lastUsed, work) {
 		if len(tasks[machine]) == 0 {
@@ -118,6 +144,7 @@
 // adapterPlace is the room for adapters on one machine.
 type adapterPlace struct {
 	machine string
+	region  string
 	slots   int
 	// models maps a ready version to the name of its model and its adapters.
 	models map[string]adapterHolder
@@ -142,7 +169,7 @@
 		if !heard || machine.Status.Phase != v1.MachineLive || pool == nil || pool.Engine == nil {
 			continue
 		}
-		place := &adapterPlace{machine: name, slots: pool.Engine.AdapterSlots, busy: known.Busy, models: map[string]adapterHolder{}}
+		place := &adapterPlace{machine: name, region: r.places.Region(machine.Spec.Zone), slots: pool.Engine.AdapterSlots, busy: known.Busy, models: map[string]adapterHolder{}}
 		for _, adapters := range known.Models {
 			place.held += len(adapters)
 		}
@@ -162,13 +189,13 @@
 	return places
 }
 
-// chooseAdapterPlace returns the machine with the fewest adapters that holds
-// the version, or nil where one holds the adapter already.
+// chooseAdapterPlace returns the machine with the fewest adapters that holds the version and may
+// serve the requests, or nil where one of these holds the adapter already.
 func chooseAdapterPlace(places []*adapterPlace, demand AdapterDemand, lastUsed map[adapterUse]time.Duration) *adapterPlace {
 	var best *adapterPlace
 	for _, place := range places {
 		holder, held := place.models[demand.Version]
-		if !held || place.slots == 0 {
+		if !held || place.slots == 0 || !demand.Allowed.Allows(place.region) {
 			continue
 		}
 		if slices.Contains(holder.adapters, demand.Adapter) || slices.Contains(holder.coming, demand.Adapter) {
--- a/internal/controller/regions_test.go
+++ b/internal/controller/regions_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -54,3 +55,38 @@
 		t.Error("the same report again is news")
 	}
 }
+
+// TestAdapterGoesWhereItsRequestsMayBeServed: one that is held elsewhere does not help requests
+// that are bound, and is not loaded elsewhere for them.
+func TestAdapterGoesWhereItsRequestsMayBeServed(t *testing.T) {
+	const now = time.Minute
+	table := NewReportTable()
+	table.Take(now, &wirepb.NodeReport{Node: "one", Incarnation: 1, Sequence: 1, Demand: []*wirepb.ModelDemand{
+		{Version: "red@1", Adapter: "x", Waiting: 2, OldestWaitMs: 100},
+		{Version: "red@1", Adapter: "x", Waiting: 1, OldestWaitMs: 100, Regions: []string{"b"}},
+		{Version: "red@1", Adapter: "y", Waiting: 3, OldestWaitMs: 50},
+		{Version: "red@1", Adapter: "y", Waiting: 3, OldestWaitMs: 50, Regions: []string{"b"}},
+	}})
+	red := func(region string, adapters ...string) *adapterPlace {
+		return &adapterPlace{
+			machine: "m-" + region, region: region, slots: 4, held: len(adapters),
+			models: map[string]adapterHolder{"red@1": {model: "red", adapters: adapters}},
+		}
+	}
+	chosen := map[string]string{}
+	for _, demand := range table.AdapterDemand(now) {
+		if demand.Waiting <= 0 {
+			continue
+		}
+		place := chooseAdapterPlace([]*adapterPlace{red("a", "x"), red("b", "p", "q")}, demand, nil)
+		name := demand.Adapter + " " + demand.Allowed.Key()
+		chosen[name] = ""
+		if place != nil {
+			chosen[name] = place.machine
+		}
+	}
+	wanted := map[string]string{"x ": "", "x only b": "m-b", "y only b": "m-b"}
+	if !maps.Equal(chosen, wanted) {
+		t.Errorf("%v, not %v", chosen, wanted)
+	}
+}
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -12,6 +12,7 @@
 	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/orders"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -34,6 +35,8 @@
 	versions map[versionKey]declaredVersion
 	// replicas are the records, by machine.
 	replicas map[string][]storedReplica
+	// places tells in which regions the machines stand.
+	places places.Map
 }
 
 type versionKey struct {
@@ -63,8 +66,10 @@
 // RegisteredCache reads the state once for each revision of it. Every change of
 // an object has a revision of its own, and what was read is never written to.
 type RegisteredCache struct {
-	mutex sync.Mutex
-	held  *Registered
+	// Places tells in which regions machines stand.
+	Places places.Map
+	mutex  sync.Mutex
+	held   *Registered
 }
 
 // Read is ReadRegistered, read anew only where the revision is another.
@@ -73,6 +78,7 @@
 	defer c.mutex.Unlock()
 	if c.held == nil || c.held.revision != machine.Revision() {
 		c.held = ReadRegistered(machine)
+		c.held.places = c.Places
 	}
 	return c.held
 }
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -72,12 +72,11 @@
 			continue
 		}
 		demand := Demand{
-			Version: name, Waiting: len(version.queue.waiting), Running: version.running, Arrivals: version.arrivals,
+			Version: name, Running: version.running, Arrivals: version.arrivals,
 			Work: uint64(version.work), Target: version.target,
 		}
 		for _, entry := range version.queue.waiting {
-			demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
-			demand.Priority = max(demand.Priority, entry.request.Priority)
+			demand.addWaiting(now, entry.request)
 		}
 		demands = append(demands, demand)
 		demands = append(demands, version.adapterDemand(now, name)...)
@@ -87,6 +86,13 @@
 	return demands
 }
 
+// addWaiting counts a request that waits.
+func (d *Demand) addWaiting(now time.Time, request *Request) {
+	d.Waiting++
+	d.OldestWait = max(d.OldestWait, now.Sub(request.Arrived))
+	d.Priority = max(d.Priority, request.Priority)
+}
+
 func (d Demand) before(other Demand) bool {
 	switch {
 	case d.Version != other.Version:
@@ -97,7 +103,8 @@
 	return d.Allowed.Key() < other.Allowed.Key()
 }
 
-// adapterDemand returns what is asked of a version's adapters.
+// adapterDemand returns what is asked of a version's adapters, and what waits for each under each
+// constraint.
 func (v *versionState) adapterDemand(now time.Time, name string) []Demand {
 	byAdapter := map[string]*Demand{}
 	for adapter, arrivals := range v.adapterArrivals {
@@ -105,18 +112,30 @@
 			Version: name, Adapter: adapter, Arrivals: arrivals, Running: v.adapterRunning[adapter],
 		}
 	}
+	type boundAdapter struct{ adapter, constraint string }
+	byBoth := map[boundAdapter]*Demand{}
 	for _, entry := range v.queue.waiting {
 		demand := byAdapter[entry.request.Adapter]
 		if demand == nil {
 			continue
 		}
-		demand.Waiting++
-		demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
+		demand.addWaiting(now, entry.request)
+		if !entry.request.Allowed.IsBound() {
+			continue
+		}
+		both := boundAdapter{entry.request.Adapter, entry.request.Allowed.Key()}
+		if byBoth[both] == nil {
+			byBoth[both] = &Demand{Version: name, Adapter: both.adapter, Allowed: entry.request.Allowed}
+		}
+		byBoth[both].addWaiting(now, entry.request)
 	}
-	demands := make([]Demand, 0, len(byAdapter))
+	demands := make([]Demand, 0, len(byAdapter)+len(byBoth))
 	for _, demand := range byAdapter {
 		demands = append(demands, *demand)
 	}
+	for _, demand := range byBoth {
+		demands = append(demands, *demand)
+	}
 	return demands
 }
 
@@ -130,9 +149,7 @@
 			continue
 		}
 		demand := waiting[bound]
-		demand.Waiting++
-		demand.OldestWait = max(demand.OldestWait, now.Sub(entry.request.Arrived))
-		demand.Priority = max(demand.Priority, entry.request.Priority)
+		demand.addWaiting(now, entry.request)
 		waiting[bound] = demand
 	}
 	demands := make([]Demand, 0, len(v.bound))
