--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -17,6 +17,7 @@
 	seconds  *prometheus.HistogramVec
 	tenants  *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	withheld prometheus.Counter
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -48,6 +49,9 @@
 		crashes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
+		withheld: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_withheld_total", Help: "Places that were given back since the request may not be served there any more.",
+		}),
 		series: map[string]bool{},
 	}
 }
--- a/internal/ingress/regions.go
+++ b/internal/ingress/regions.go
@@ -134,6 +134,7 @@
 	if j.ingress.options.View.MayServe(grant.Target.Machine, grant.Target.Endpoint, allowed) {
 		return false
 	}
+	j.ingress.options.Metrics.withheld.Inc()
 	j.log("withheld", "machine", grant.Target.Machine, "region", grant.Target.Region, "allowed", allowed.Regions())
 	return true
 }
