--- /dev/null
+++ b/internal/dispatch/release.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Result is how a granted request ended, as far as the target is concerned.
+type Result int
+
+// The results of a granted request.
+const (
+	ResultOK Result = iota
+	// ResultError: the engine answered with a failure of its own.
+	ResultError
+	// ResultNotRun: the engine said that the replica does not take requests.
+	ResultNotRun
+	// ResultFailed: the engine failed or could not be reached.
+	ResultFailed
+	// ResultSilent: there was no whole answer in time. An engine with too much to do
+	// is as silent as one that fails.
+	ResultSilent
+	// ResultUnreachable: no connection came about.
+	ResultUnreachable
+)
+
+// Release ends a grant and gives the room to whoever waits.
+func (c *Core) Release(now time.Time, grant Grant, result Result) Outcome {
+	var outcome Outcome
+	version := c.version(grant.Target.Version)
+	version.running--
+	version.runAdapter(grant.Request.Adapter, -1)
+	version.runBound(grant.Request, -1)
+	c.leaveMachine(grant.Target.Machine)
+	c.finishWork(grant.Target.Machine, grant.Request, 0)
+	c.countAnswer(grant.Target.Machine, result)
+	held := c.targets[grant.Target.Replica]
+	if held != nil {
+		held.inFlight--
+		held.health.observe(now, result)
+		if held.retired && held.inFlight == 0 {
+			c.forget(held)
+		}
+	}
+	c.dispatch(now, version, &outcome, nil)
+	return outcome
+}
+
+func (c *Core) leaveMachine(machine string) {
+	c.onMachine[machine]--
+	if c.onMachine[machine] <= 0 {
+		delete(c.onMachine, machine)
+	}
+}
+
+// Unreachable returns the machines that no connection came about to lately, by
+// name.
+func (c *Core) Unreachable(now time.Time) []string {
+	var names []string
+	for _, held := range c.targets {
+		if now.Before(held.health.unreachableUntil) && !slices.Contains(names, held.Machine) {
+			names = append(names, held.Machine)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/dispatch/submit.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import "time"
+
+// Submit asks for a replica. The request is granted, refused, or waits.
+func (c *Core) Submit(now time.Time, request *Request) Outcome {
+	version := c.version(request.Version)
+	version.arrivals++
+	version.work += request.Work
+	version.rate.add(now, request.Work)
+	if request.Target > 0 && (version.target == 0 || request.Target < version.target) {
+		version.target = request.Target
+	}
+	if request.Adapter != "" && c.config.PlacedAdapters {
+		version.countAdapter(request.Adapter)
+	}
+	version.countBound(request)
+	return c.enqueue(now, version, request)
+}
+
+// Resubmit asks again for a request whose replica turned out not to run it.
+func (c *Core) Resubmit(now time.Time, request *Request) Outcome {
+	return c.enqueue(now, c.version(request.Version), request)
+}
+
+func (c *Core) enqueue(now time.Time, version *versionState, request *Request) Outcome {
+	var outcome Outcome
+	c.waiters[request.ID] = version.queue.push(request)
+	c.dispatch(now, version, &outcome, request)
+	if c.waiters[request.ID] == nil {
+		return outcome
+	}
+	if refusal, refused := c.refuseEarly(now, version, request); refused {
+		c.drop(request)
+		outcome.Refusals = append(outcome.Refusals, refusal)
+		return outcome
+	}
+	c.shed(&outcome)
+	return outcome
+}
+
+// dispatch grants waiting requests of a version, first come first, as long as
+// there is room. Fresh is the request that has just come, if any.
+func (c *Core) dispatch(now time.Time, version *versionState, outcome *Outcome, fresh *Request) {
+	for {
+		request, chosen := c.nextGrant(now, version)
+		if chosen == nil {
+			return
+		}
+		c.drop(request)
+		chosen.inFlight++
+		c.onMachine[chosen.Machine]++
+		c.addWork(chosen.Machine, request)
+		version.running++
+		version.runAdapter(request.Adapter, 1)
+		version.runBound(request, 1)
+		chosen.remember(now, request)
+		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
+	}
+}
+
+// nextGrant returns the first request that there is a place for. Requests that wait for an
+// adapter that is placed, or for a place in their regions, don't hold up those behind.
+func (c *Core) nextGrant(now time.Time, version *versionState) (*Request, *target) {
+	first := version.queue.first()
+	if first == nil {
+		return nil, nil
+	}
+	if chosen := c.pick(now, version, first); chosen != nil || !c.config.PlacedAdapters && !first.Allowed.IsBound() {
+		return first, chosen
+	}
+	for _, request := range version.queue.sorted() {
+		if request == first {
+			continue
+		}
+		if chosen := c.pick(now, version, request); chosen != nil {
+			return request, chosen
+		}
+	}
+	return nil, nil
+}
+
+func (c *Core) drop(request *Request) {
+	entry := c.waiters[request.ID]
+	if entry == nil {
+		return
+	}
+	c.versions[request.Version].queue.remove(entry)
+	delete(c.waiters, request.ID)
+}
+
+// Cancel takes a waiting request out of its queue.
+func (c *Core) Cancel(request *Request) {
+	c.drop(request)
+}
--- /dev/null
+++ b/internal/dispatch/targets.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import "time"
+
+// target is a Target with its load.
+type target struct {
+	Target
+	inFlight int
+	// retired targets get nothing new and are dropped when idle.
+	retired  bool
+	health   health
+	adapters map[string]time.Time
+	prefixes prefixCache
+}
+
+// SetTargets replaces the replicas that may get requests.
+func (c *Core) SetTargets(now time.Time, targets []Target) Outcome {
+	var outcome Outcome
+	listed := make(map[string]bool, len(targets))
+	for _, next := range targets {
+		listed[next.Replica] = true
+		c.putTarget(next)
+	}
+	for name, held := range c.targets {
+		if !listed[name] {
+			c.retire(held)
+		}
+	}
+	c.forgetAnswers()
+	c.dispatchAll(now, &outcome)
+	return outcome
+}
+
+// ChangeTargets takes over what is new in the replicas that may get requests. It costs what
+// has changed, where SetTargets costs all that there is.
+func (c *Core) ChangeTargets(now time.Time, changes TargetChanges) Outcome {
+	if changes.Full {
+		return c.SetTargets(now, changes.Targets)
+	}
+	var outcome Outcome
+	for _, next := range changes.Targets {
+		c.putTarget(next)
+	}
+	for _, name := range changes.Removed {
+		held := c.targets[name]
+		if held == nil {
+			continue
+		}
+		c.retire(held)
+		if !c.hasTargetOn(held.Machine) {
+			delete(c.answered, held.Machine)
+		}
+	}
+	c.dispatchAll(now, &outcome)
+	return outcome
+}
+
+func (c *Core) putTarget(next Target) {
+	if held := c.targets[next.Replica]; held != nil {
+		held.Target = next
+		held.retired = false
+		return
+	}
+	added := &target{Target: next, adapters: map[string]time.Time{}}
+	c.targets[next.Replica] = added
+	version := c.version(next.Version)
+	version.targets = append(version.targets, added)
+}
+
+// retire gives a target nothing new; it is dropped once it is idle.
+func (c *Core) retire(held *target) {
+	held.retired = true
+	if held.inFlight == 0 {
+		c.forget(held)
+	}
+}
+
+func (c *Core) hasTargetOn(machine string) bool {
+	for _, held := range c.targets {
+		if held.Machine == machine {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) forget(held *target) {
+	delete(c.targets, held.Replica)
+	version := c.version(held.Version)
+	for position, other := range version.targets {
+		if other == held {
+			version.targets = append(version.targets[:position], version.targets[position+1:]...)
+			return
+		}
+	}
+}
