Bind requests that wait anew when what binds them changes

Cause: a request that waited for a region which was then not allowed any more waited on there, beside a machine that it might use; one whose last machine left used up its patience. Ruled out: telling the core a function that asks what binds: the core decides by values. Looking at the change when a place is granted alone (as before): it is kept for those that a change misses. Change: the router goes over the requests that wait when it takes a change over, and binds them anew or ends their wait.

--- a/internal/dispatch/regions_test.go
+++ b/internal/dispatch/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -107,6 +108,16 @@
 	r.take(r.core.Resubmit(r.now, request))
 }
 
+// rebind changes what binds a request that waits.
+func (r *regionTrial) rebind() {
+	ids := slices.Sorted(maps.Keys(r.waiting))
+	if len(ids) == 0 {
+		return
+	}
+	request := r.waiting[rapid.SampledFrom(ids).Draw(r.t, "rebound")]
+	r.take(r.core.Rebind(r.now, request, r.constraint("now")))
+}
+
 func (r *regionTrial) pass() {
 	r.now = r.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(r.t, "ms")) * time.Millisecond)
 	r.take(r.core.Tick(r.now))
@@ -144,7 +155,7 @@
 		trial := newRegionTrial(t)
 		trial.targets()
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
-			switch rapid.SampledFrom([]string{"submit", "submit", "submit", "end", "end", "targets", "pass", "loads"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"submit", "submit", "submit", "end", "end", "targets", "pass", "loads", "rebind"}).Draw(t, "event") {
 			case "submit":
 				trial.submit()
 			case "end":
@@ -153,6 +164,8 @@
 				trial.targets()
 			case "pass":
 				trial.pass()
+			case "rebind":
+				trial.rebind()
 			case "loads":
 				trial.loads()
 			}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/places"
+)
 
 // Submit asks for a replica. The request is granted, refused, or waits.
 func (c *Core) Submit(now time.Time, request *Request) Outcome {
@@ -93,3 +97,14 @@
 func (c *Core) Cancel(request *Request) {
 	c.drop(request)
 }
+
+// Rebind changes in which regions a waiting request may be served.
+func (c *Core) Rebind(now time.Time, request *Request, allowed places.Constraint) Outcome {
+	var outcome Outcome
+	if c.waiters[request.ID] == nil {
+		return outcome
+	}
+	request.Allowed = allowed
+	c.dispatch(now, c.version(request.Version), &outcome, nil)
+	return outcome
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -73,6 +73,8 @@
 	RefusedOverload RefusalReason = "overload"
 	// RefusedNotLoadable: no machine can hold the model.
 	RefusedNotLoadable RefusalReason = "not-loadable"
+	// RefusedRegion: no machine may serve the request any more.
+	RefusedRegion RefusalReason = "no-allowed-region"
 )
 
 // Refusal ends a request that waited.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -113,6 +114,25 @@
 	return d.core.HasAlternative(request, machine)
 }
 
+// Rebind changes in which regions a request may be served, if it still waits.
+func (d *Dispatcher) Rebind(request *dispatch.Request, allowed places.Constraint) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.waiting[request.ID] != nil {
+		d.deliver(d.core.Rebind(time.Now(), request, allowed))
+	}
+}
+
+// Refuse ends the wait of a request, if it still waits.
+func (d *Dispatcher) Refuse(request *dispatch.Request, reason dispatch.RefusalReason) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.waiting[request.ID] != nil {
+		d.core.Cancel(request)
+		d.deliver(dispatch.Outcome{Refusals: []dispatch.Refusal{{Request: request, Reason: reason}}})
+	}
+}
+
 // Release ends a grant.
 func (d *Dispatcher) Release(grant *dispatch.Grant, result dispatch.Result) {
 	d.mutex.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -71,6 +71,7 @@
 	quotas      *quotas
 	crashes     *crashwatch.Watcher
 	constraints *constraints
+	waiting     *waitingJobs
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -97,7 +98,7 @@
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool), constraints: newConstraints(),
+		upstream: pool, crashes: newCrashWatcher(options, pool), constraints: newConstraints(), waiting: newWaitingJobs(),
 	}
 }
 
@@ -151,6 +152,7 @@
 		i.logRoutes(len(routes))
 	}
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
+	i.waiting.each((*job).rebind)
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
 		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -198,7 +198,7 @@
 		Patience: j.arrived.Add(j.patience()), Allowed: j.allowed(),
 	}
 	for failures := 0; ; {
-		grant, refusal := j.ingress.dispatcher.Acquire(ctx, j.wanted)
+		grant, refusal := j.acquire(ctx)
 		if refusal != nil {
 			j.refuse(ctx, refusal)
 			return endNotRun
@@ -337,6 +337,10 @@
 		j.giveUp(ctx, endFailed)
 		return
 	}
+	if document := j.unservable(j.allowed()); document != nil && refusal.Reason == dispatch.RefusedRegion {
+		j.fail(document, document.RetryAfter)
+		return
+	}
 	retryAfter := retryAfterBusy
 	if refusal.RetryAfter > 0 {
 		retryAfter = refusal.RetryAfter
--- a/internal/ingress/regions_test.go
+++ b/internal/ingress/regions_test.go
@@ -231,6 +231,56 @@
 	}
 }
 
+// TestChangeReachesThoseThatWait: a request waits for the one machine that may serve it, which
+// stays busy. A change lets it go elsewhere, or ends its wait, at once.
+func TestChangeReachesThoseThatWait(t *testing.T) {
+	gone := func(r *regional) *wirepb.WatchEvent {
+		return r.object(v1.KindMachine, "m-za", &v1.MachineSpec{
+			Endpoint: "http://" + r.machines["za"].address, Zone: "za", Pool: "pool", Slots: 1,
+		}, &v1.MachineStatus{Phase: v1.MachineGone})
+	}
+	route := func(regions ...string) func(r *regional) *wirepb.WatchEvent {
+		return func(r *regional) *wirepb.WatchEvent { return r.routeIn(v1.RouteUnrepeatable, 1, regions...) }
+	}
+	tests := []struct {
+		name   string
+		change func(r *regional) *wirepb.WatchEvent
+		served string
+	}{
+		{"another region", route("b"), "za zb"},
+		{"a further region", route("a", "b"), "za zb"},
+		{"all regions", route(), "za zb"},
+		{"a region without machines", route("c"), "za"},
+		{"its last machine goes", gone, "za"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			answer, begun, release := holding()
+			r := newRegional(t, answer, asIs, "za", "zb")
+			r.declare(r.routeIn(v1.RouteUnrepeatable, 1, "a"), 1)
+			answers := make(chan reply, 2)
+			ask := func(id string) { answers <- r.ask(http.MethodPost, "/a/x", id, "body") }
+			go ask("first")
+			<-begun
+			go ask("second")
+			<-r.waits
+			r.apply(test.change(r))
+			if test.served == "za" {
+				r.expectNoRegion(<-answers, true)
+			} else {
+				<-begun
+			}
+			if served := r.served(); served != test.served {
+				t.Errorf("served by %q, not %q", served, test.served)
+			}
+			close(release)
+			if got := <-answers; got.status != http.StatusOK {
+				t.Errorf("%d %s", got.status, got.body)
+			}
+		})
+	}
+}
+
 // lastMoment calls a function just before a request is written.
 type lastMoment struct {
 	translator
