--- a/internal/dispatch/drained.go
+++ b/internal/dispatch/drained.go
@@ -44,9 +44,10 @@
 	}
 }
 
-// isDrainedOnly reports whether a version has targets, all in drained zones.
-func (c *Core) isDrainedOnly(version *versionState) bool {
-	return version.drained > 0 && !c.hasReady(version)
+// isDrainedOnly reports whether a version has targets in drained zones, and none besides that may
+// serve a request.
+func (v *versionState) isDrainedOnly(request *Request) bool {
+	return v.drained > 0 && !v.hasReady(request)
 }
 
 // refuseDrained refuses a request of a version that has targets in drained zones only, if nothing
@@ -61,7 +62,7 @@
 		return Refusal{}, false // The leader has not been heard on this yet.
 	case estimate.Refused:
 		return refusalByLeader(request, estimate), true
-	case estimate.EarliestAt.After(request.Deadline):
+	case !request.Allowed.IsBound() && estimate.EarliestAt.After(request.Deadline):
 		refusal.Detail = "the model will not be loaded elsewhere before the deadline"
 		refusal.RetryAfter = estimate.ReadyAt.Sub(now)
 	default:
@@ -74,7 +75,7 @@
 func (c *Core) refuseWaitingForDrained(now time.Time, outcome *Outcome) {
 	var names []string
 	for name, version := range c.versions {
-		if len(version.queue.waiting) > 0 && c.isDrainedOnly(version) {
+		if len(version.queue.waiting) > 0 && version.drained > 0 {
 			names = append(names, name)
 		}
 	}
@@ -82,6 +83,9 @@
 	for _, name := range names {
 		version := c.versions[name]
 		for _, request := range version.queue.sorted() {
+			if !version.isDrainedOnly(request) {
+				continue
+			}
 			if refusal, refused := c.refuseDrained(now, version, request); refused {
 				c.drop(request)
 				outcome.Refusals = append(outcome.Refusals, refusal)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -24,6 +24,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/problem"
 )
 
 const (
@@ -257,6 +258,9 @@
 }
 
 func (s *subject) refused(last Line, lines []Line) string {
+	if textOf(last.Fields, "kind") == problem.TypeNoRegion {
+		return fmt.Sprintf("refused: no allowed region after %v ms: %v", last.Fields["age_ms"], last.Fields["detail"])
+	}
 	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"]) + s.heldBack()
 	if strings.HasPrefix(textOf(last.Fields, "detail"), v1.ReasonZoneDrained) {
 		return told + drainedBy(lines, last.Time)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// TestNoAllowedRegion: a request that no region may serve is told as such, with what binds it.
+func TestNoAllowedRegion(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"time":"2030-01-01T00:00:00Z","msg":"request_refused","node":"n","id":"x","status":503,` +
+		`"kind":"no-allowed-region","detail":"route r and tenant t allow no region in common","age_ms":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Request("x", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const wanted = "refused: no allowed region after 1 ms: route r and tenant t allow no region in common"
+	if story.Cause != wanted {
+		t.Errorf("%q, not %q", story.Cause, wanted)
+	}
+}
+
 // TestHeldBackRequest: the story names the machines that warmed up.
 func TestHeldBackRequest(t *testing.T) {
 	const log = `{"time":"2026-01-01T00:00:00Z","msg":"permit_refused","id":"x","machine":"a","age_ms":2}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -38,8 +38,8 @@
 	endSilent
 	// endError: the machine ran it and failed; the route allows repeating.
 	endError
-	// endDrained: the machine's zone was drained before anything was sent there.
-	endDrained
+	// endWithheld: nothing reached the machine, for it may not serve the request.
+	endWithheld
 	// endErrorAnswered: the caller has the machine's own failure, whole.
 	endErrorAnswered
 )
@@ -47,7 +47,7 @@
 // String names the end in logs and metrics.
 func (e attemptEnd) String() string {
 	return [...]string{
-		"answered", "broken", "not_connected", "not_permitted", "not_run", "elsewhere", "failed", "silent", "error", "drained", "error_answered",
+		"answered", "broken", "not_connected", "not_permitted", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered",
 	}[e]
 }
 
@@ -60,7 +60,7 @@
 		return dispatch.ResultError
 	case endSilent:
 		return dispatch.ResultSilent
-	case endNotRun, endDrained:
+	case endNotRun, endWithheld:
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
@@ -72,9 +72,6 @@
 
 // attempt sends the request to one machine and passes its answer on.
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptEnd {
-	if j.inDrainedZone(grant) {
-		return endDrained
-	}
 	if j.sent == 0 {
 		j.ingress.countFirst(j.pool)
 	}
@@ -83,10 +80,10 @@
 	defer cancel()
 	outgoing := j.outgoing(grant)
 	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
-	if failure == upstream.FailedConnect && fault.Is(err, fault.Refused) {
-		return endDrained
-	}
-	if failure == upstream.FailedConnect && errors.Is(err, errNoPermit) {
+	switch {
+	case failure == upstream.FailedConnect && fault.Is(err, fault.Refused):
+		return endWithheld
+	case failure == upstream.FailedConnect && errors.Is(err, errNoPermit):
 		j.ingress.options.Metrics.observePermit(permitExpired)
 		return endNotPermitted
 	}
@@ -108,12 +105,6 @@
 	return j.pass(ctx, answer, grant)
 }
 
-// inDrainedZone reports whether the machine of a grant is to get no requests any more. Routers
-// gather changes for a moment, and a connection may take a while, so it is asked until the last.
-func (j *job) inDrainedZone(grant *dispatch.Grant) bool {
-	return j.ingress.options.View.ZoneDrained(grant.Target.Zone)
-}
-
 // tryContext gives a machine a part of the time where another may be tried
 // after it.
 func (j *job) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -141,10 +132,7 @@
 			j.ingress.options.Translator.Prepare(header, Attempt{
 				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
 			})
-			if j.inDrainedZone(grant) {
-				return fault.Refused.New("the zone of machine %s is drained", grant.Target.Machine)
-			}
-			return nil
+			return j.checkWithheld(grant)
 		},
 		Matches: func(header http.Header) bool {
 			return j.ingress.options.Translator.Judge(0, header, j.attributes.ID).Own
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -73,10 +73,12 @@
 	dispatcher *dispatcher.Dispatcher
 	upstream   *upstream.Pool
 
-	quotas  *quotas
-	warming *warmingGuard
-	crashes *crashwatch.Watcher
-	drains  *drainlog.Log
+	quotas      *quotas
+	warming     *warmingGuard
+	crashes     *crashwatch.Watcher
+	drains      *drainlog.Log
+	constraints *constraints
+	waiting     *waitingJobs
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -107,7 +109,8 @@
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
 		upstream: pool, crashes: newCrashWatcher(options, pool), warming: newWarmingGuard(options),
-		drains: drainlog.New(options.Logger, options.Metrics.drained),
+		drains:      drainlog.New(options.Logger, options.Metrics.drained),
+		constraints: newConstraints(), waiting: newWaitingJobs(),
 	}
 }
 
@@ -165,6 +168,7 @@
 	i.dispatcher.SetWarming(i.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
 	i.drains.InForce(time.Now(), drains)
+	i.waiting.each((*job).rebind)
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
 		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -104,6 +104,9 @@
 	if document := j.identify(); document != nil {
 		return document, 0
 	}
+	if document := j.withoutRegion(j.allowed()); document != nil {
+		return document, 0
+	}
 	if document, retryAfter := j.charge(); document != nil {
 		return document, retryAfter
 	}
@@ -119,6 +122,9 @@
 	}
 	j.deadline = j.arrived.Add(wait)
 	j.pool = j.route.NextPool()
+	if document := j.unservable(j.allowed()); document != nil {
+		return document, document.RetryAfter
+	}
 	return j.findVersion(), 0
 }
 
@@ -191,22 +197,21 @@
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.priority(), Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
 		Target:   time.Duration(j.route.Spec.TargetLatency),
-		Patience: j.arrived.Add(j.patience()),
+		Patience: j.arrived.Add(j.patience()), Allowed: j.allowed(),
 	}
 	for failures := 0; ; {
-		grant, refusal := j.ingress.dispatcher.Acquire(ctx, j.wanted)
+		grant, refusal := j.acquire(ctx)
 		if refusal != nil {
 			j.refuse(ctx, refusal)
 			return endNotRun
 		}
-		if !j.mayBeSent(ctx, grant) {
-			continue
-		}
-		if j.mustNotRun(ctx) {
-			j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
+		end, checked := j.tryPlace(ctx, grant)
+		if checked == answeredAlready {
 			return endNotRun
 		}
-		end := j.attempt(ctx, grant)
+		if checked == chooseAgain {
+			continue
+		}
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.logAttempt(grant, end)
 		if end == endNotPermitted {
@@ -291,9 +296,6 @@
 	if ctx.Err() != nil || j.answered {
 		return false
 	}
-	if end == endDrained {
-		return true // Nothing was sent, and no target of the zone is left in a moment.
-	}
 	if end == endNotConnected {
 		return connectFailures < maxConnectFailures
 	}
@@ -331,6 +333,10 @@
 		j.giveUp(ctx, endFailed)
 		return
 	}
+	if document := j.unservable(j.allowed()); document != nil && refusal.Reason == dispatch.RefusedRegion {
+		j.fail(document, document.RetryAfter)
+		return
+	}
 	retryAfter := retryAfterBusy
 	if refusal.RetryAfter > 0 {
 		retryAfter = refusal.RetryAfter
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -20,6 +20,7 @@
 	crashes  *prometheus.CounterVec
 	drained  *prometheus.GaugeVec
 	permits  *prometheus.CounterVec
+	withheld prometheus.Counter
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -55,6 +56,9 @@
 		permits: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_permits_total", Help: "Permits asked for sends to machines that warm up, by what came of them.",
 		}, []string{"outcome"}),
+		withheld: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_withheld_total", Help: "Places that were given back since the request may not be served there any more.",
+		}),
 		series: map[string]bool{},
 	}
 }
