Tell in a soak's report what callers saw

Cause: a count of unknown outcomes did not tell refused connections of killed routers from lost answers.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -42,6 +42,8 @@
 	Outcome Outcome
 	// Right is set where an answer is the whole one to the request.
 	Right bool
+	// Kind tells apart, for reports, what the caller saw.
+	Kind string
 }
 
 // Arrival is a request that a machine took.
