Test that an order read too late is not written

Cause: the test of a cancelled order passes without the check of the caller and of the time, since a cancelled wait for the leader ends the order, too.

Change: what follows the reading is a function of its own, with a test for a caller who left and a process that was stopped just then.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return false, err
 	}
+	return o.write(ctx, held)
+}
+
+// write proposes the order by what was read.
+func (o *drainOrder) write(ctx context.Context, held *wirepb.Object) (written bool, err error) {
 	// Looked at after the reading: a process may be stopped at any point before it.
 	if ctx.Err() != nil || o.node.now()-o.begun > drains.LookTime {
 		return false, fault.Unavailable.New("the order could not be looked at in time")
--- a/internal/control/drain_test.go
+++ b/internal/control/drain_test.go
@@ -134,6 +134,34 @@
 	}
 }
 
+// TestOrderReadTooLateIsNotWritten: its caller left, or the process was stopped, between the
+// reading and the write, when nothing else would keep it from being proposed.
+func TestOrderReadTooLateIsNotWritten(t *testing.T) {
+	cluster := startTrio(t)
+	_, follower := cluster.leaderAndFollower()
+	node := cluster.nodes[follower]
+	cluster.orderUntilTaken("z", true, node)
+	_, before := cluster.confirmedDrain(follower, "z")
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	for _, late := range []struct {
+		ctx context.Context
+		age time.Duration
+	}{{left, 0}, {t.Context(), drains.LookTime + time.Minute}} {
+		order := &drainOrder{node: node, zone: "z", begun: node.now() - late.age}
+		held, err := order.look()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if written, err := order.write(late.ctx, held); written || !fault.Is(err, fault.Unavailable) {
+			t.Errorf("read %s after it came: written is %t, %v", late.age, written, err)
+		}
+	}
+	if _, after := cluster.confirmedDrain(follower, "z"); after != before {
+		t.Errorf("the zone is at revision %d, not at %d", after, before)
+	}
+}
+
 // TestLeaderDiesBetweenCommitAndAnswer: the same order again is acknowledged and changes nothing.
 func TestLeaderDiesBetweenCommitAndAnswer(t *testing.T) {
 	cluster := startTrio(t)
