Test that a machine that was warm until now begins without tokens; plainer names

Cause: the wiring of the emptied bucket had no test; BornWhileWarming read oddly. Change: a control node whose bucket had time to fill hears of a machine that turns; the test fails without the wiring.

--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 )
 
 // declareWarming declares a pool whose machines warm up, and records one of them.
-func (c *trio) declareWarming(leader int, machine string) {
+func (c *trio) declareWarming(leader int, machine string, perSecond float64) {
 	c.t.Helper()
 	encode := func(value any) []byte {
 		encoded, err := json.Marshal(value)
@@ -24,7 +25,7 @@
 		}
 		return encoded
 	}
-	pool := &wirepb.Object{Kind: string(v1.KindPool), Name: "p", Spec: encode(v1.PoolSpec{Warming: &v1.WarmingSpec{RequestsPerSecond: 20}})}
+	pool := &wirepb.Object{Kind: string(v1.KindPool), Name: "p", Spec: encode(v1.PoolSpec{Warming: &v1.WarmingSpec{RequestsPerSecond: perSecond}})}
 	version := c.nodes[leader].Revision() + 100
 	declared := &wirepb.DeclareCommand{Version: version, Document: []byte("1"), Objects: []*wirepb.Object{pool}}
 	if err := c.nodes[leader].Declare(c.t.Context(), declared); err != nil {
@@ -45,7 +46,7 @@
 func TestPermitsComeFromTheLeader(t *testing.T) {
 	cluster := startTrio(t)
 	leader, follower := cluster.leaderAndFollower()
-	cluster.declareWarming(leader, "m")
+	cluster.declareWarming(leader, "m", 20)
 	ask := func(node int, machine string) bool {
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
@@ -72,7 +73,7 @@
 func TestSleptLeaderPermitsNothing(t *testing.T) {
 	cluster := startTrio(t)
 	leader, _ := cluster.leaderAndFollower()
-	cluster.declareWarming(leader, "m")
+	cluster.declareWarming(leader, "m", 20)
 	cluster.eventually("an answer", func() bool {
 		_, err := cluster.nodes[leader].localPermit(&wirepb.PermitRequest{Machine: "m"})
 		return err == nil
@@ -89,7 +90,7 @@
 func TestRoutersAskOverTheirConnection(t *testing.T) {
 	cluster := startTrio(t)
 	leader, follower := cluster.leaderAndFollower()
-	cluster.declareWarming(leader, "m")
+	cluster.declareWarming(leader, "m", 20)
 	router := feed.NewClient([]string{cluster.addresses[follower]}, identityOf("router", 0), nodeview.New(), slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	var workers sync.WaitGroup
@@ -109,3 +110,37 @@
 		return err != nil
 	})
 }
+
+// TestMachineThatWasWarmBeginsWithoutTokens: it got requests without permits until just now, which
+// count in the same second.
+func TestMachineThatWasWarmBeginsWithoutTokens(t *testing.T) {
+	// filling is longer than the bucket takes to fill up at one token in 100 s.
+	const filling = 200 * time.Second
+	cluster := &trio{t: t, addresses: []string{"127.0.0.1:1"}, cuts: []*atomic.Bool{{}}}
+	node := cluster.newNodeWith(0, memoryStorage{}, silentEngines{})
+	node.settings.Warming.Slack = 10
+	cluster.nodes = []*Node{node}
+	ctx, cancel := context.WithCancel(t.Context())
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	workers.Go(func() { _ = node.Run(ctx) })
+	cluster.eventually("a term", func() bool { return node.leads() && node.permits.Load() != nil })
+	cluster.clocks[0].sleep(filling)
+	cluster.eventually("a lease again", node.leads)
+	cluster.declareWarming(0, "m", 0.01)
+	says := func(sequence uint64, remaining time.Duration, units int) {
+		node.takeInstance(&wirepb.InstanceReport{
+			Machine: "m", Pool: "p", Endpoint: "http://10.0.0.1:80", Zone: "z", Slots: 1, Sequence: sequence, WarmingMs: uint32(remaining.Milliseconds()),
+		})
+		cluster.eventually("a digest that tells of it", func() bool {
+			return len(node.Digest().GetRoster().GetMachines()) == 1 && len(node.Digest().GetMachineWarming()) == units
+		})
+	}
+	says(1, 0, 0)
+	says(2, time.Hour, 1)
+	reply, err := node.localPermit(&wirepb.PermitRequest{Machine: "m"})
+	if err != nil || reply.GetGranted() {
+		t.Errorf("the first answer is %v, %v", reply, err)
+	}
+}
--- a/internal/controller/warming.go
+++ b/internal/controller/warming.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		if declared := c.stored.warmingOf(machine.Pool); declared != nil {
-			machine.Warming, machine.BornWhileWarming = remaining, declared.RequestsPerSecond
+			machine.Warming, machine.WarmingRate = remaining, declared.RequestsPerSecond
 		}
 	}
 }
--- a/internal/placement/warming.go
+++ b/internal/placement/warming.go
@@ -27,8 +27,8 @@
 		version := replica.Spec.Version
 		asked += p.planner.work.arrivals[version] / float64(max(1, len(p.byVersion[version])))
 	}
-	if asked <= machine.BornWhileWarming {
+	if asked <= machine.WarmingRate {
 		return 1
 	}
-	return machine.BornWhileWarming / asked
+	return machine.WarmingRate / asked
 }
