--- a/internal/nodeview/regions.go
+++ b/internal/nodeview/regions.go
@@ -51,8 +51,10 @@
 		return false
 	}
 	for other, candidate := range v.machines {
-		isElsewhere := !allowed.Allows(v.position.Map.Region(candidate.Spec.Zone))
-		if isElsewhere && other != name && candidate.Spec.Endpoint == endpoint && candidate.Status.Phase == v1.MachineLive {
+		if candidate.Spec.Endpoint != endpoint || other == name || candidate.Status.Phase != v1.MachineLive {
+			continue
+		}
+		if !allowed.Allows(v.position.Map.Region(candidate.Spec.Zone)) {
 			return false
 		}
 	}
