Count bytes between processes by kind and nearness

Cause: bytes between zones and regions are paid for, and the counters of traffic told the kind of message only, with all messages of the log as one. Ruled out: counting at the kernel, which can't tell kinds apart. Conclusion: TestTrafficIsCountedByNearness shows that both sides count alike.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -56,7 +56,7 @@
 }
 
 func newTrafficCollector(counters *wire.Counters) *trafficCollector {
-	labels := []string{"kind", "direction"}
+	labels := []string{"kind", "nearness", "direction"}
 	return &trafficCollector{
 		counters: counters,
 		bytes:    prometheus.NewDesc("weldline_wire_bytes_total", "Bytes exchanged with other processes.", labels, nil),
@@ -72,13 +72,13 @@
 
 // Collect implements prometheus.Collector.
 func (c *trafficCollector) Collect(metrics chan<- prometheus.Metric) {
-	send := func(description *prometheus.Desc, value uint64, kind, direction string) {
-		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), kind, direction)
+	send := func(description *prometheus.Desc, value uint64, traffic wire.KindTraffic, direction string) {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), traffic.Kind, traffic.Nearness.String(), direction)
 	}
 	for _, traffic := range c.counters.Traffic() {
-		send(c.bytes, traffic.BytesSent, traffic.Kind, "sent")
-		send(c.bytes, traffic.BytesReceived, traffic.Kind, "received")
-		send(c.messages, traffic.MessagesSent, traffic.Kind, "sent")
-		send(c.messages, traffic.MessagesReceived, traffic.Kind, "received")
+		send(c.bytes, traffic.BytesSent, traffic, "sent")
+		send(c.bytes, traffic.BytesReceived, traffic, "received")
+		send(c.messages, traffic.MessagesSent, traffic, "sent")
+		send(c.messages, traffic.MessagesReceived, traffic, "received")
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	created := &Node{
 		extensions: extensions,
 		settings:   configuration, logger: logger, registry: prometheus.NewRegistry(),
-		counters: &wire.Counters{}, incarnation: uint64(time.Now().UnixNano()), failed: make(chan error, 8),
+		counters: wire.NewCounters(configuration.Position()), incarnation: uint64(time.Now().UnixNano()), failed: make(chan error, 8),
 	}
 	created.seeds.Store(&configuration.Formation)
 	created.registry.MustRegister(
@@ -185,6 +185,9 @@
 		n.workers.Wait()
 		return err
 	}
+	if n.control != nil {
+		n.workers.Go(func() { logTraffic(roles, n.counters, n.logger) })
+	}
 	n.workers.Go(func() { clock.Watch(roles, n.logger, n.woke) })
 	n.logger.Info("node_started", "roles", n.settings.Roles)
 	var failure error
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -39,6 +39,8 @@
 	done     chan struct{}
 	once     sync.Once
 	counters *Counters
+	// traffic counts what goes over this connection.
+	traffic *placeCounters
 	// Peer is what the other side said of itself.
 	Peer *wirepb.Hello
 }
@@ -74,6 +76,7 @@
 		_ = network.Close()
 		return nil, err
 	}
+	conn.traffic = conn.counters.with(conn.Peer.GetZone())
 	go conn.writeLoop()
 	return conn, nil
 }
@@ -89,6 +92,7 @@
 		_ = network.Close()
 		return nil, err
 	}
+	conn.traffic = conn.counters.with(conn.Peer.GetZone())
 	go conn.writeLoop()
 	return conn, nil
 }
@@ -122,7 +126,9 @@
 	if reply.GetRefusal() != "" {
 		return fault.Protocol.New("refused by %s: %s", reply.GetNode(), reply.GetRefusal())
 	}
-	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId()}
+	c.Peer = &wirepb.Hello{
+		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
+	}
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -146,6 +152,7 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
+		Zone: self.Hello.GetZone(),
 	}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
@@ -212,7 +219,7 @@
 		c.Close()
 		return nil, err
 	}
-	c.counters.received(envelope, size)
+	c.traffic.received(envelope, size)
 	return envelope, nil
 }
 
@@ -258,7 +265,7 @@
 		if err != nil {
 			return false
 		}
-		c.counters.sent(envelope, size)
+		c.traffic.sent(envelope, size)
 		select {
 		case envelope = <-c.outbox:
 			continue
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -8,6 +8,7 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/keys/keystest"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -125,6 +126,28 @@
 	}
 }
 
+// TestTrafficIsCountedByNearness: bytes between zones and regions are paid for, so both sides
+// count where they go.
+func TestTrafficIsCountedByNearness(t *testing.T) {
+	regions := places.NewMap(map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	for zone, wanted := range map[string]places.Nearness{
+		"a1": places.SameZone, "a2": places.SameRegion, "b1": places.Further, "unknown": places.Further,
+	} {
+		server, client := identity(t, "server", nil), identity(t, "client", nil)
+		server.Hello.Zone, client.Hello.Zone = "a1", zone
+		server.Counters = wire.NewCounters(places.Position{Zone: "a1", Map: regions})
+		client.Counters = wire.NewCounters(places.Position{Zone: zone, Map: regions})
+		if serverErr, clientErr := connect(t, server, client); serverErr != nil || clientErr != nil {
+			t.Fatal(serverErr, clientErr)
+		}
+		for side, counters := range map[string]*wire.Counters{"server": server.Counters, "client": client.Counters} {
+			if listed := counters.Traffic(); len(listed) != 1 || listed[0].Nearness != wanted {
+				t.Errorf("%s, client in %s: %+v", side, zone, listed)
+			}
+		}
+	}
+}
+
 // TestDialerLearnsTheIdentity: whoever dials is told which control node answers,
 // which may be another one than was there before.
 func TestDialerLearnsTheIdentity(t *testing.T) {
--- a/internal/wire/counters.go
+++ b/internal/wire/counters.go
@@ -1,19 +1,39 @@
 package wire
 
 import (
+	"strings"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// maxKinds is more than the largest field number of an envelope's body.
-const maxKinds = 32
+const (
+	// maxBodies is more than the largest field number of an envelope's body.
+	maxBodies = 32
+	// maxRaftTypes is more than the largest type of a raft message.
+	maxRaftTypes = 16
+	maxKinds     = maxBodies + maxRaftTypes
+	nearnesses   = int(places.Further) + 1
+)
 
-// Counters counts traffic by kind of message; one may be shared by many
-// connections.
+// Counters counts traffic by kind of message and by how near the other side is: bytes between
+// zones and regions are paid for. One may be shared by many connections; the zero value is a
+// process's that knows of no zones.
 type Counters struct {
+	position places.Position
+	near     [nearnesses]placeCounters
+}
+
+// NewCounters returns the counters of a process that stands somewhere.
+func NewCounters(position places.Position) *Counters {
+	return &Counters{position: position}
+}
+
+// placeCounters counts the traffic with processes of one nearness.
+type placeCounters struct {
 	kinds [maxKinds]kindCounters
 }
 
@@ -22,54 +42,74 @@
 	messagesSent, messagesReceived atomic.Uint64
 }
 
-// KindTraffic is the traffic of one kind of message since the start.
+// KindTraffic is the traffic of one kind of message with processes of one nearness, since the
+// start.
 type KindTraffic struct {
-	// Kind is the name of the envelope's body, such as "node_report".
+	// Kind is the name of the envelope's body, such as "node_report"; messages of the log are
+	// told apart by their type, such as "raft_heartbeat".
 	Kind                           string
+	Nearness                       places.Nearness
 	BytesSent, BytesReceived       uint64
 	MessagesSent, MessagesReceived uint64
 }
 
 var bodyField = (&wirepb.Envelope{}).ProtoReflect().Descriptor().Oneofs().ByName("body")
 
-func (c *Counters) of(envelope *wirepb.Envelope) *kindCounters {
+// with returns the counters for connections to a zone.
+func (c *Counters) with(zone string) *placeCounters {
+	return &c.near[c.position.To(zone)]
+}
+
+func (c *placeCounters) of(envelope *wirepb.Envelope) *kindCounters {
+	if raft := envelope.GetRaft(); raft != nil && raft.GetType() < maxRaftTypes {
+		return &c.kinds[maxBodies+int(raft.GetType())]
+	}
 	field := envelope.ProtoReflect().WhichOneof(bodyField)
-	if field == nil || field.Number() >= maxKinds {
+	if field == nil || field.Number() >= maxBodies {
 		return &c.kinds[0]
 	}
 	return &c.kinds[field.Number()]
 }
 
-func (c *Counters) sent(envelope *wirepb.Envelope, size int) {
+func (c *placeCounters) sent(envelope *wirepb.Envelope, size int) {
 	counters := c.of(envelope)
 	counters.bytesSent.Add(uint64(size))
 	counters.messagesSent.Add(1)
 }
 
-func (c *Counters) received(envelope *wirepb.Envelope, size int) {
+func (c *placeCounters) received(envelope *wirepb.Envelope, size int) {
 	counters := c.of(envelope)
 	counters.bytesReceived.Add(uint64(size))
 	counters.messagesReceived.Add(1)
 }
 
-// Traffic lists the kinds of messages that were sent or received.
+// Traffic lists the kinds of messages that were sent or received, those of the nearest first.
 func (c *Counters) Traffic() []KindTraffic {
 	var listed []KindTraffic
-	for number := range c.kinds {
-		counters := &c.kinds[number]
-		traffic := KindTraffic{
-			Kind:      kindName(number),
-			BytesSent: counters.bytesSent.Load(), BytesReceived: counters.bytesReceived.Load(),
-			MessagesSent: counters.messagesSent.Load(), MessagesReceived: counters.messagesReceived.Load(),
-		}
-		if traffic.MessagesSent+traffic.MessagesReceived > 0 {
+	for nearness := range c.near {
+		for number := range c.near[nearness].kinds {
+			traffic := c.near[nearness].kinds[number].read()
+			if traffic.MessagesSent+traffic.MessagesReceived == 0 {
+				continue
+			}
+			traffic.Kind, traffic.Nearness = kindName(number), places.Nearness(nearness)
 			listed = append(listed, traffic)
 		}
 	}
 	return listed
 }
 
+func (c *kindCounters) read() KindTraffic {
+	return KindTraffic{
+		BytesSent: c.bytesSent.Load(), BytesReceived: c.bytesReceived.Load(),
+		MessagesSent: c.messagesSent.Load(), MessagesReceived: c.messagesReceived.Load(),
+	}
+}
+
 func kindName(number int) string {
+	if number >= maxBodies {
+		return strings.ToLower(strings.Replace(wirepb.RaftMessageType(number-maxBodies).String(), "RAFT_MESSAGE_TYPE", "RAFT", 1))
+	}
 	field := bodyField.Fields().ByNumber(protoreflect.FieldNumber(number))
 	if field == nil {
 		return "other"
