Let routers follow a control node of their zone, else of their region

Cause: a router hashed its name over all control nodes, so with four zones three streams of four crossed zones, and with three regions two of three crossed regions. Ruled out: refusing nodes at a server above its share (after a loss some would find no server at all). A router with listed upstreams keeps their order: the operator chose it. Change: the leader fills Roster.control_zones; clients order servers by nearness and hash within equals; a client moves to any server it prefers, not to its first choice only, and passes over one with twice its fair share (HelloReply.followers). Servers that were left come last until another has been followed for 5 s, so that freshness goes before nearness.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -86,14 +86,10 @@
 	})
 }
 
-// controlAddresses are where the members listen; empty where the settings of
-// all nodes list them.
-func (n *Node) controlAddresses() []string {
-	var addresses []string
-	for _, held := range n.membership.Load().GetAddresses() {
-		addresses = append(addresses, held.GetAddress())
-	}
-	return addresses
+// members are where the control nodes listen and stand; empty where the settings of all nodes
+// list them.
+func (n *Node) members() []*wirepb.MemberAddress {
+	return n.membership.Load().GetAddresses()
 }
 
 func joinEnvelope(member *wirepb.MemberAddress) *wirepb.Envelope {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,8 +65,8 @@
 	estimates []placement.Estimate
 	stored    *storedView
 
-	// control are the addresses of the control nodes.
-	control        []string
+	// control are the control nodes.
+	control        []*wirepb.MemberAddress
 	digestSequence uint64
 	// roster is what the digests carry, since rosterSequence.
 	roster         *wirepb.Roster
@@ -259,7 +259,10 @@
 		}
 	}
 	sort.Strings(roster.Machines)
-	roster.Control = c.control
+	for _, node := range c.control {
+		roster.Control = append(roster.Control, node.GetAddress())
+		roster.ControlZones = append(roster.ControlZones, node.GetZone())
+	}
 	return roster
 }
 
@@ -296,9 +299,9 @@
 	return loads
 }
 
-// SetControl sets the addresses of the control nodes that digests carry.
-func (c *Controller) SetControl(addresses []string) {
-	c.control = addresses
+// SetControl sets the control nodes that digests tell nodes of.
+func (c *Controller) SetControl(control []*wirepb.MemberAddress) {
+	c.control = control
 }
 
 // workOf returns the outstanding work at each machine, in units of a digest.
--- a/internal/controller/roster_test.go
+++ b/internal/controller/roster_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -60,3 +61,14 @@
 		}
 	}
 }
+
+// TestRosterTellsWhereControlNodesStand: routers follow the nearest.
+func TestRosterTellsWhereControlNodesStand(t *testing.T) {
+	controller := New(0, Config{}, NewReportTable())
+	controller.Observe(fleetState(t))
+	controller.SetControl([]*wirepb.MemberAddress{{Address: "10.0.0.1:7400", Zone: "east"}, {Address: "10.0.0.2:7400"}})
+	roster := controller.Digest(digestInterval, 1).GetRoster()
+	if !slices.Equal(roster.GetControl(), []string{"10.0.0.1:7400", "10.0.0.2:7400"}) || !slices.Equal(roster.GetControlZones(), []string{"east", ""}) {
+		t.Errorf("the roster lists %v in %v", roster.GetControl(), roster.GetControlZones())
+	}
+}
--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -1,14 +1,11 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -22,21 +19,8 @@
 	proveLimit = 1200 * time.Millisecond
 )
 
-// byPreference orders servers for a client, each client its own way (rendezvous hashing), so
-// that clients spread evenly and those of a server that is lost spread over all others. At a
-// first start the first server that is up gets all clients; when it was cut off, all of them
-// were without digests until they found out, and then moved on to the same next.
-func byPreference(client string, servers []string) []string {
-	ordered := slices.Clone(servers)
-	weight := func(server string) uint64 { return xxhash.Sum64String(client + "\x00" + server) }
-	slices.SortStableFunc(ordered, func(left, right string) int {
-		return cmp.Compare(weight(right), weight(left))
-	})
-	return ordered
-}
-
-// rebalance changes over to the client's first choice among the servers once that proves to
-// hear from a leader, if the client follows another.
+// rebalance changes over to a server that the client prefers to the one it follows, once that
+// proves to hear from a leader.
 func (c *Client) rebalance(ctx context.Context, current connection) {
 	if c.discover == nil {
 		return
@@ -49,11 +33,7 @@
 			return
 		case <-time.After(c.rebalanceAfter + rand.N(c.rebalanceAfter)):
 		}
-		first := c.servers()[0]
-		if first == current.address {
-			continue
-		}
-		if better, proved := c.prove(ctx, first); proved {
+		if better, proved := c.proveAny(ctx, c.preferredTo(current.address)); proved {
 			c.mutex.Lock()
 			c.handover = &better
 			c.liveness.reason = LostMoved
@@ -64,7 +44,28 @@
 	}
 }
 
-// prove connects to a server and waits for a digest that is newer than any before.
+// preferredTo returns the servers that the client prefers to an address.
+func (c *Client) preferredTo(address string) []Upstream {
+	servers := c.servers()
+	position := slices.IndexFunc(servers, func(server Upstream) bool { return server.Address == address })
+	if position < 0 {
+		return servers
+	}
+	return servers[:position]
+}
+
+// proveAny returns a connection to the first of the servers that proves itself.
+func (c *Client) proveAny(ctx context.Context, servers []Upstream) (connection, bool) {
+	for _, server := range servers {
+		if better, proved := c.prove(ctx, server.Address); proved {
+			return better, true
+		}
+	}
+	return connection{}, false
+}
+
+// prove connects to a server and waits for a digest that is newer than any before. A server that
+// has more than its share of all nodes is left to them.
 func (c *Client) prove(ctx context.Context, address string) (connection, bool) {
 	ctx, cancel := context.WithTimeout(ctx, proveLimit)
 	defer cancel()
@@ -72,6 +73,10 @@
 	if err != nil {
 		return connection{}, false
 	}
+	if c.isCrowded(conn) {
+		conn.Close()
+		return connection{}, false
+	}
 	better := connection{address: address, conn: conn, digests: &DigestReceiver{}}
 	stop := context.AfterFunc(ctx, conn.Close)
 	better.proof = c.awaitNewer(conn, better.digests)
@@ -82,6 +87,14 @@
 	return better, true
 }
 
+// isCrowded reports whether the server at the other end has more than its share of all nodes.
+func (c *Client) isCrowded(conn *wire.Conn) bool {
+	c.mutex.Lock()
+	routers := c.liveness.newest.GetRouters()
+	c.mutex.Unlock()
+	return crowded(conn.Followers, routers, len(c.servers()))
+}
+
 // awaitNewer returns the first digest that is newer than any that the client has, or nil where
 // the connection ends before.
 func (c *Client) awaitNewer(conn *wire.Conn, digests *DigestReceiver) *wirepb.ClusterDigest {
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -29,10 +29,12 @@
 	// name is the node's; it decides which servers are tried first.
 	name      string
 	upstreams []string
-	// rebalanceAfter is how long the client stays with a server that is not its first choice.
+	// position decides which servers are near.
+	position places.Position
+	// rebalanceAfter is how long the client stays with a server while it prefers another.
 	rebalanceAfter time.Duration
 	// discover returns further servers that are known by now; may be nil.
-	discover  func() []string
+	discover  func() []Upstream
 	dial      dialFunc
 	sink      Sink
 	logger    *slog.Logger
@@ -43,7 +45,9 @@
 	nextID  uint64
 	waiting map[uint64]chan *wirepb.Envelope
 	// last is the server connected to last.
-	last     string
+	last string
+	// left remembers the servers that were of no use.
+	left     departures
 	liveness Liveness
 	// handover is a connection to a better server, to be followed next.
 	handover *connection
@@ -54,7 +58,7 @@
 	dial := func(ctx context.Context, address string) (*wire.Conn, error) { return wire.Dial(ctx, address, self) }
 	return &Client{
 		name: self.Hello.GetNode(), upstreams: upstreams, dial: dial, sink: sink, logger: logger, rebalanceAfter: rebalanceAfter,
-		connected: signal.New(), waiting: map[uint64]chan *wirepb.Envelope{},
+		connected: signal.New(), waiting: map[uint64]chan *wirepb.Envelope{}, left: departures{},
 	}
 }
 
@@ -64,9 +68,11 @@
 	for ctx.Err() == nil {
 		if connected, err := c.connect(ctx); err == nil {
 			c.last = connected.address
-			c.logger.Info("upstream_connected", "address", connected.address)
+			c.logger.Info("upstream_connected", "address", connected.address, "zone", connected.conn.Peer.GetZone(),
+				"nearness", c.position.To(connected.conn.Peer.GetZone()).String())
+			since := time.Now()
 			c.follow(ctx, connected)
-			c.logLost(connected.address)
+			c.leave(connected.address, since)
 			lost = time.Now()
 		}
 		select {
@@ -76,10 +82,14 @@
 	}
 }
 
-// logLost tells why a server is followed no more, and how far what it sent reaches.
-func (c *Client) logLost(address string) {
+// leave notes that a server, followed since a time, is followed no more, and logs why and how far
+// what it sent reaches.
+func (c *Client) leave(address string, since time.Time) {
 	c.mutex.Lock()
 	reason, newest := c.liveness.reason, c.liveness.newest
+	if reason != LostMoved {
+		c.left.note(time.Now(), since, address)
+	}
 	c.mutex.Unlock()
 	c.logger.Info("upstream_lost", "address", address, "reason", string(reason),
 		"revision", c.sink.Revision(), "leader_term", newest.GetTerm(), "leader_revision", newest.GetRevision())
@@ -88,34 +98,38 @@
 // Discover makes the client try further servers, which the function returns;
 // call it before Run. Nodes that are told a few servers to begin with learn of
 // the others from the feed.
-func (c *Client) Discover(discover func() []string) {
+func (c *Client) Discover(discover func() []Upstream) {
 	c.discover = discover
 }
 
+// Prefer makes the client prefer servers that are near a position; call it before Run.
+func (c *Client) Prefer(position places.Position) {
+	c.position = position
+}
+
 // connect returns the connection to a better server, if one stands ready, or tries the
-// servers from the one after the last.
+// servers in turn. Fresh state goes before nearness: whichever answers is followed.
 func (c *Client) connect(ctx context.Context) (connection, error) {
+	servers := c.servers()
 	c.mutex.Lock()
 	handover := c.handover
 	c.handover = nil
+	servers = c.left.inTurn(servers)
 	c.mutex.Unlock()
 	if handover != nil {
 		return *handover, nil
 	}
-	return connectAny(ctx, inTurn(c.servers(), c.last), c.dial)
+	return connectAny(ctx, servers, c.dial)
 }
 
-func (c *Client) servers() []string {
-	servers := slices.Clone(c.upstreams)
+// servers returns the servers known by now: in the order of preference, or as listed where no
+// others can become known.
+func (c *Client) servers() []Upstream {
+	servers := Upstreams(c.upstreams)
 	if c.discover == nil {
 		return servers
 	}
-	for _, address := range c.discover() {
-		if !slices.Contains(servers, address) {
-			servers = append(servers, address)
-		}
-	}
-	return byPreference(c.name, servers)
+	return byPreference(c.name, c.position, merge(append(servers, c.discover()...)))
 }
 
 func (c *Client) follow(ctx context.Context, connected connection) {
--- a/internal/feed/connect.go
+++ b/internal/feed/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -31,7 +30,7 @@
 
 // connectAny connects to the first of the servers that answers. Each is tried
 // when the one before has failed, or has not answered for connectStagger.
-func connectAny(ctx context.Context, servers []string, dial dialFunc) (connection, error) {
+func connectAny(ctx context.Context, servers []Upstream, dial dialFunc) (connection, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan connection, len(servers))
@@ -41,7 +40,7 @@
 	for failed < len(servers) {
 		select {
 		case <-next.C:
-			address := servers[started]
+			address := servers[started].Address
 			started++
 			go func() {
 				conn, err := dial(ctx, address)
@@ -72,10 +71,3 @@
 		}
 	}
 }
-
-// inTurn returns the servers in the order in which to try them: from the one
-// after the last, which comes at the end.
-func inTurn(servers []string, last string) []string {
-	position := slices.Index(servers, last) + 1
-	return append(slices.Clone(servers[position:]), servers[:position]...)
-}
--- /dev/null
+++ b/internal/feed/preference.go
@@ -0,0 +1,114 @@
+package feed
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// Upstream is where a control node or a relay listens for nodes.
+type Upstream struct {
+	Address string
+	// Zone is where it stands; empty while that is not known.
+	Zone string
+}
+
+// Upstreams returns servers of which only the addresses are known.
+func Upstreams(addresses []string) []Upstream {
+	servers := make([]Upstream, 0, len(addresses))
+	for _, address := range addresses {
+		servers = append(servers, Upstream{Address: address})
+	}
+	return servers
+}
+
+// UpstreamsOf returns the control nodes that a roster lists.
+func UpstreamsOf(roster *wirepb.Roster) []Upstream {
+	servers := Upstreams(roster.GetControl())
+	for position, zone := range roster.GetControlZones() {
+		if position < len(servers) {
+			servers[position].Zone = zone
+		}
+	}
+	return servers
+}
+
+// byPreference orders servers for a client: the nearest first, because each stream that leaves a
+// zone or a region is paid for; among those equally near each client has its own order
+// (rendezvous hashing), so that clients spread evenly and those of a server that is lost spread
+// over all that are next. At a first start the first server that is up gets all clients; when it
+// was cut off, all of them were without digests until they found out, and then moved on to the
+// same next.
+func byPreference(client string, position places.Position, servers []Upstream) []Upstream {
+	ordered := slices.Clone(servers)
+	weight := func(server Upstream) uint64 { return xxhash.Sum64String(client + "\x00" + server.Address) }
+	slices.SortStableFunc(ordered, func(left, right Upstream) int {
+		return cmp.Or(
+			cmp.Compare(position.To(left.Zone), position.To(right.Zone)),
+			cmp.Compare(weight(right), weight(left)),
+		)
+	})
+	return ordered
+}
+
+// merge returns the servers without repetition, each with its zone where any mention has one.
+func merge(servers []Upstream) []Upstream {
+	var merged []Upstream
+	for _, server := range servers {
+		position := slices.IndexFunc(merged, func(other Upstream) bool { return other.Address == server.Address })
+		switch {
+		case position < 0:
+			merged = append(merged, server)
+		case server.Zone != "":
+			merged[position].Zone = server.Zone
+		}
+	}
+	return merged
+}
+
+// settledAfter is how long a client must have followed a server for what it learned of others
+// before to count no more: several times what it takes to find out that a server is of no use.
+const settledAfter = 5 * time.Second
+
+// departures remembers when a client left servers since it last followed one for settledAfter.
+type departures map[string]time.Time
+
+// note notes that a server is left that was followed since a time.
+func (d departures) note(now, since time.Time, address string) {
+	if now.Sub(since) >= settledAfter {
+		clear(d)
+	}
+	d[address] = now
+}
+
+// inTurn returns the servers in the order in which to try them: those that were left come at the
+// end, the one that was left last behind all others. So a client whose near servers are all cut
+// off reaches one that is not before it tries any of them again.
+func (d departures) inTurn(servers []Upstream) []Upstream {
+	ordered := slices.Clone(servers)
+	slices.SortStableFunc(ordered, func(left, right Upstream) int {
+		return d[left.Address].Compare(d[right.Address])
+	})
+	return ordered
+}
+
+// crowdedShare is how many times its fair share of all nodes a server may have before a client
+// passes it over for the sake of nearness alone. Twice lets a zone have half of the nodes and a
+// quarter of the control nodes; beyond, the zone's server would be the bottleneck of all its
+// nodes, and its loss theirs.
+const crowdedShare = 2
+
+// crowded reports whether a server has so many followers that nearness is no reason to become
+// one more.
+func crowded(followers, nodes uint32, servers int) bool {
+	if nodes == 0 || servers == 0 {
+		return false
+	}
+	fair := (nodes + uint32(servers) - 1) / uint32(servers)
+	return followers >= crowdedShare*fair
+}
--- /dev/null
+++ b/internal/feed/preference_test.go
@@ -0,0 +1,135 @@
+package feed
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// TestClientsSpreadOverServers: at a first start all 81 routers followed the one control node
+// that was up first, and when it was cut off all of them moved on to the same next.
+func TestClientsSpreadOverServers(t *testing.T) {
+	const clients, servers = 300, 8
+	known := make([]Upstream, 0, servers)
+	for number := range servers {
+		known = append(known, Upstream{Address: "10." + strconv.Itoa(number) + ".0.5:7400"})
+	}
+	first, next := map[string]int{}, map[string]map[string]int{}
+	for number := range clients {
+		order := byPreference("node-"+strconv.Itoa(number), places.Position{}, known)
+		if len(order) != servers {
+			t.Fatalf("%v", order)
+		}
+		lost := order[0].Address
+		first[lost]++
+		if next[lost] == nil {
+			next[lost] = map[string]int{}
+		}
+		left := departures{lost: time.Unix(100, 0)}
+		next[lost][left.inTurn(order)[0].Address]++
+	}
+	for _, server := range known {
+		if first[server.Address] < clients/servers/2 || first[server.Address] > 2*clients/servers {
+			t.Errorf("%s is the first choice of %d clients of %d", server.Address, first[server.Address], clients)
+		}
+		if len(next[server.Address]) < servers/2 {
+			t.Errorf("the clients of %s move on to %v", server.Address, next[server.Address])
+		}
+	}
+}
+
+// fourZones are two control nodes in each of four zones, two to a region, and their map.
+func fourZones() (places.Map, []Upstream) {
+	var servers []Upstream
+	for number := range 8 {
+		zone := "zone-" + strconv.Itoa(number%4)
+		servers = append(servers, Upstream{Address: "10.0.0." + strconv.Itoa(number) + ":7400", Zone: zone})
+	}
+	return places.NewMap(map[string]string{"zone-0": "east", "zone-1": "east", "zone-2": "west", "zone-3": "west"}), servers
+}
+
+// TestNearestServersComeFirst: a router that hashed its name over all control nodes followed one
+// in another zone in most cases, and each stream that leaves a zone is paid for. Clients of a
+// zone still spread over its servers, and those of one that is lost over the next nearest.
+func TestNearestServersComeFirst(t *testing.T) {
+	regions, servers := fourZones()
+	position := places.Position{Zone: "zone-1", Map: regions}
+	first, third := map[string]int{}, map[string]int{}
+	for number := range 200 {
+		order := byPreference("node-"+strconv.Itoa(number), position, servers)
+		for step, server := range order {
+			if wanted := []places.Nearness{0, 0, 1, 1, 2, 2, 2, 2}[step]; position.To(server.Zone) != wanted {
+				t.Fatalf("choice %d stands in %s", step, server.Zone)
+			}
+		}
+		first[order[0].Address]++
+		third[order[2].Address]++
+	}
+	for _, chosen := range []map[string]int{first, third} {
+		if len(chosen) != 2 {
+			t.Fatalf("the choice is %v", chosen)
+		}
+		for address, count := range chosen {
+			if count < 70 {
+				t.Errorf("%s is the choice of %d clients of 200", address, count)
+			}
+		}
+	}
+}
+
+// TestNoServerIsTriedAgainBeforeTheOthers: a client whose near servers lag, or are cut off with
+// it, reaches a further one instead of changing to and fro between the near ones.
+func TestNoServerIsTriedAgainBeforeTheOthers(t *testing.T) {
+	regions, servers := fourZones()
+	order := byPreference("node", places.Position{Zone: "zone-3", Map: regions}, servers)
+	left, now := departures{}, time.Unix(100, 0)
+	for step := range order {
+		next := left.inTurn(order)[0]
+		if next != order[step] {
+			t.Fatalf("after %d servers the client turns to %v, not to %v", step, next, order[step])
+		}
+		left.note(now.Add(settledAfter/2), now, next.Address)
+		now = now.Add(settledAfter)
+	}
+	if again := left.inTurn(order)[0]; again != order[0] {
+		t.Errorf("once all were left, the client turns to %v", again)
+	}
+	left.note(now.Add(settledAfter), now, order[4].Address)
+	if next := left.inTurn(order); next[0] != order[0] || next[len(next)-1] != order[4] {
+		t.Errorf("a client that had settled with a further server turns to %v", next)
+	}
+}
+
+// TestAddressesGetTheirZones: the settings name some control nodes without their zones.
+func TestAddressesGetTheirZones(t *testing.T) {
+	roster := &wirepb.Roster{Control: []string{"a", "b", "c"}, ControlZones: []string{"east", ""}}
+	merged := merge(append(Upstreams([]string{"b", "a"}), UpstreamsOf(roster)...))
+	wanted := []Upstream{{Address: "b"}, {Address: "a", Zone: "east"}, {Address: "c"}}
+	if !slices.Equal(merged, wanted) {
+		t.Errorf("merged %v", merged)
+	}
+}
+
+// TestCrowded tables the share of a server.
+func TestCrowded(t *testing.T) {
+	for _, test := range []struct {
+		followers, nodes uint32
+		servers          int
+		crowded          bool
+	}{
+		{followers: 20, nodes: 80, servers: 8, crowded: true},
+		{followers: 19, nodes: 80, servers: 8},
+		{followers: 40, nodes: 81, servers: 4},
+		{followers: 42, nodes: 81, servers: 4, crowded: true},
+		{followers: 300, nodes: 0, servers: 4},
+		{followers: 1, nodes: 1, servers: 3},
+	} {
+		if crowded(test.followers, test.nodes, test.servers) != test.crowded {
+			t.Errorf("%+v", test)
+		}
+	}
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -115,6 +115,7 @@
 		return ""
 	}
 	server := &Server{backend: backend, self: self, logger: logger, peer: peer, sessions: map[*wire.Conn]struct{}{}}
+	server.self.Followers = server.followers
 	server.confirmations = newBatcher(server.confirm)
 	return server
 }
@@ -184,6 +185,13 @@
 	return len(s.sessions)
 }
 
+// followers is how many nodes follow this server.
+func (s *Server) followers() uint32 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return uint32(len(s.sessions))
+}
+
 func (s *Server) addSession(conn *wire.Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -39,7 +39,8 @@
 	settings := node.settings
 	created.reports = newReporter(settings.Ingress.ReportInterval, created.nodeReport)
 	created.client = feed.NewClient(settings.Formation.Addresses(), node.identity(), created.view, node.logger)
-	created.client.Discover(created.controlAddresses)
+	created.client.Discover(created.controlNodes)
+	created.client.Prefer(settings.Position())
 	created.reports.client = created.client
 	created.ingress = ingress.New(ingress.Options{
 		View: created.view, Logger: node.logger, Metrics: ingress.NewMetrics(node.registry),
@@ -54,9 +55,9 @@
 	return created
 }
 
-// controlAddresses are the control nodes known by now besides the first seeds.
-func (r *ingressRole) controlAddresses() []string {
-	return append(r.node.seeds.Load().Addresses(), r.view.Digest().GetRoster().GetControl()...)
+// controlNodes are the control nodes known by now besides the first seeds.
+func (r *ingressRole) controlNodes() []feed.Upstream {
+	return append(feed.Upstreams(r.node.seeds.Load().Addresses()), feed.UpstreamsOf(r.view.Digest().GetRoster())...)
 }
 
 func (r *ingressRole) start(ctx context.Context) error {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -43,6 +43,9 @@
 	traffic *placeCounters
 	// Peer is what the other side said of itself.
 	Peer *wirepb.Hello
+	// Followers is how many nodes followed the other side when it took this connection; see
+	// HelloReply.
+	Followers uint32
 }
 
 // Identity is what a process shows of itself on every connection.
@@ -54,6 +57,8 @@
 	// Refuse returns why a server takes no connection of a peer, or an empty
 	// text; nil takes all.
 	Refuse func(hello *wirepb.Hello) string
+	// Followers returns how many nodes follow a server; nil where none do.
+	Followers func() uint32
 }
 
 // Dial connects, shakes hands and starts the writer.
@@ -129,6 +134,7 @@
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
 	}
+	c.Followers = reply.GetFollowers()
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -154,6 +160,9 @@
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
 		Zone: self.Hello.GetZone(),
 	}
+	if self.Followers != nil {
+		reply.Followers = self.Followers()
+	}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
 	}
