Compress the stream of frames between processes

Change: both hellos say whether DEFLATE is taken; then all frames of a connection are one text, flushed with each burst. Older processes get frames as before. A metric and wire_traffic tell bytes on the network beside those of messages. A copy of a digest without its roster kept no machine_warming; it does now.

--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -57,7 +57,7 @@
 		Estimates: digest.GetEstimates(), Revision: digest.GetRevision(), RosterSequence: digest.GetRosterSequence(),
 		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
 		History: digest.GetHistory(), MachineAnswers: digest.GetMachineAnswers(), MachineErrors: digest.GetMachineErrors(),
-		Tenants: digest.GetTenants(), TenantsKnown: digest.GetTenantsKnown(),
+		Tenants: digest.GetTenants(), TenantsKnown: digest.GetTenantsKnown(), MachineWarming: digest.GetMachineWarming(),
 	}
 }
 
--- a/internal/feed/digest_test.go
+++ b/internal/feed/digest_test.go
@@ -10,7 +10,7 @@
 
 func digestOf(term, sequence, rosterSequence uint64) *wirepb.ClusterDigest {
 	return &wirepb.ClusterDigest{
-		Term: term, Sequence: sequence, RosterSequence: rosterSequence, MachineLoads: []byte{byte(sequence)},
+		Term: term, Sequence: sequence, RosterSequence: rosterSequence, MachineLoads: []byte{byte(sequence)}, MachineWarming: []byte{byte(sequence), 9},
 		Roster:  &wirepb.Roster{Machines: []string{"machine-0"}, Nodes: []*wirepb.NodeEntry{{Name: "node"}}},
 		Tenants: []*wirepb.TenantAllowance{{Tenant: "t", Offered: 3, Admit: 0.5}}, TenantsKnown: true,
 		History: []*wirepb.DemandHistory{{Version: "v", Rate: 1200, IdleMs: 40}},
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -53,14 +53,17 @@
 	counters *wire.Counters
 	bytes    *prometheus.Desc
 	messages *prometheus.Desc
+	network  *prometheus.Desc
 }
 
 func newTrafficCollector(counters *wire.Counters) *trafficCollector {
 	labels := []string{"kind", "nearness", "direction"}
 	return &trafficCollector{
 		counters: counters,
-		bytes:    prometheus.NewDesc("weldline_wire_bytes_total", "Bytes exchanged with other processes.", labels, nil),
+		bytes:    prometheus.NewDesc("weldline_wire_bytes_total", "Bytes of messages exchanged with other processes, before they are compressed.", labels, nil),
 		messages: prometheus.NewDesc("weldline_wire_messages_total", "Messages exchanged with other processes.", labels, nil),
+		network: prometheus.NewDesc("weldline_wire_network_bytes_total", "Bytes exchanged with other processes as they go over the network.",
+			[]string{"nearness", "direction"}, nil),
 	}
 }
 
@@ -68,6 +71,7 @@
 func (c *trafficCollector) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- c.bytes
 	descriptions <- c.messages
+	descriptions <- c.network
 }
 
 // Collect implements prometheus.Collector.
@@ -81,4 +85,9 @@
 		send(c.messages, traffic.MessagesSent, traffic, "sent")
 		send(c.messages, traffic.MessagesReceived, traffic, "received")
 	}
+	for _, traffic := range c.counters.Network() {
+		nearness := traffic.Nearness.String()
+		metrics <- prometheus.MustNewConstMetric(c.network, prometheus.CounterValue, float64(traffic.Sent), nearness, "sent")
+		metrics <- prometheus.MustNewConstMetric(c.network, prometheus.CounterValue, float64(traffic.Received), nearness, "received")
+	}
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -24,15 +24,17 @@
 	ticker := time.NewTicker(trafficLogInterval)
 	defer ticker.Stop()
 	var before []wire.KindTraffic
+	networkBefore := counters.Network()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		now := counters.Traffic()
-		logger.Info("wire_traffic", "span_s", trafficLogInterval.Seconds(), slog.Group("bytes", largestSince(before, now)...))
-		before = now
+		now, network := counters.Traffic(), counters.Network()
+		logger.Info("wire_traffic", "span_s", trafficLogInterval.Seconds(),
+			slog.Group("network", networkSince(networkBefore, network)...), slog.Group("bytes", largestSince(before, now)...))
+		before, networkBefore = now, network
 	}
 }
 
@@ -61,3 +63,14 @@
 	}
 	return attributes
 }
+
+// networkSince returns how many bytes went over the network each way by nearness since the counts
+// before, which list the same.
+func networkSince(before, now []wire.NetworkTraffic) []any {
+	var attributes []any
+	for position, traffic := range now {
+		attributes = append(attributes, slog.Group(traffic.Nearness.String(),
+			"sent", traffic.Sent-before[position].Sent, "received", traffic.Received-before[position].Received))
+	}
+	return attributes
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/tcpopt"
@@ -34,13 +36,16 @@
 // state may be lost but must not hold up the sender.
 type Conn struct {
 	network  net.Conn
+	metered  *meteredConn
 	reader   *bufio.Reader
 	outbox   chan *wirepb.Envelope
 	done     chan struct{}
 	once     sync.Once
 	counters *Counters
-	// traffic counts what goes over this connection.
+	// traffic counts what goes over this connection by kind.
 	traffic *placeCounters
+	// deflate is set where both sides take compressed streams.
+	deflate bool
 	// Peer is what the other side said of itself.
 	Peer *wirepb.Hello
 	// Followers is how many nodes followed the other side when it took this connection; see
@@ -81,8 +86,7 @@
 		_ = network.Close()
 		return nil, err
 	}
-	conn.traffic = conn.counters.with(conn.Peer.GetZone())
-	go conn.writeLoop()
+	conn.start()
 	return conn, nil
 }
 
@@ -97,8 +101,7 @@
 		_ = network.Close()
 		return nil, err
 	}
-	conn.traffic = conn.counters.with(conn.Peer.GetZone())
-	go conn.writeLoop()
+	conn.start()
 	return conn, nil
 }
 
@@ -106,16 +109,30 @@
 	if counters == nil {
 		counters = &Counters{}
 	}
+	metered := &meteredConn{Conn: network}
 	return &Conn{
 		network:  network,
-		reader:   bufio.NewReaderSize(network, bufferBytes),
+		metered:  metered,
+		reader:   bufio.NewReaderSize(metered, bufferBytes),
 		outbox:   make(chan *wirepb.Envelope, sendQueueLength),
 		done:     make(chan struct{}),
 		counters: counters,
 	}
 }
 
-func (c *Conn) greet(hello *wirepb.Hello) error {
+// start begins the stream of frames behind the handshake.
+func (c *Conn) start() {
+	c.traffic = c.counters.with(c.Peer.GetZone())
+	c.metered.traffic = c.traffic
+	if c.deflate {
+		c.reader = inflate(c.reader)
+	}
+	go c.writeLoop()
+}
+
+func (c *Conn) greet(own *wirepb.Hello) error {
+	hello := proto.CloneOf(own)
+	hello.Deflate = true
 	_ = c.network.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}}); err != nil {
 		return err
@@ -134,7 +151,7 @@
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
 	}
-	c.Followers = reply.GetFollowers()
+	c.Followers, c.deflate = reply.GetFollowers(), reply.GetDeflate()
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -152,13 +169,13 @@
 	if refusal == "" && self.Refuse != nil {
 		refusal = self.Refuse(hello)
 	}
-	c.Peer = hello
+	c.Peer, c.deflate = hello, hello.GetDeflate()
 	if err := c.checkName(); refusal == "" && err != nil {
 		refusal = fault.Message(err)
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
-		Zone: self.Hello.GetZone(),
+		Zone: self.Hello.GetZone(), Deflate: true,
 	}
 	if self.Followers != nil {
 		reply.Followers = self.Followers()
@@ -252,13 +269,13 @@
 
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	writer := bufio.NewWriterSize(c.network, bufferBytes)
+	out := newOutStream(c.metered, c.deflate)
 	for {
 		select {
 		case <-c.done:
 			return
 		case envelope := <-c.outbox:
-			if !c.writeBurst(writer, envelope) {
+			if !c.writeBurst(out, envelope) {
 				return
 			}
 		}
@@ -266,11 +283,11 @@
 }
 
 // writeBurst writes an envelope and all queued behind it with one flush.
-func (c *Conn) writeBurst(writer *bufio.Writer, envelope *wirepb.Envelope) bool {
+func (c *Conn) writeBurst(out *outStream, envelope *wirepb.Envelope) bool {
 	for {
 		// Each frame has its own time: a long queue on a slow link is no silence.
 		_ = c.network.SetWriteDeadline(time.Now().Add(writeTimeout))
-		size, err := WriteFrame(writer, envelope)
+		size, err := WriteFrame(out.frames, envelope)
 		if err != nil {
 			return false
 		}
@@ -280,6 +297,6 @@
 			continue
 		default:
 		}
-		return writer.Flush() == nil
+		return out.flush() == nil
 	}
 }
--- a/internal/wire/counters.go
+++ b/internal/wire/counters.go
@@ -35,6 +35,8 @@
 // placeCounters counts the traffic with processes of one nearness.
 type placeCounters struct {
 	kinds [maxKinds]kindCounters
+	// networkSent and networkReceived count bytes as they go over the network.
+	networkSent, networkReceived atomic.Uint64
 }
 
 type kindCounters struct {
@@ -42,8 +44,28 @@
 	messagesSent, messagesReceived atomic.Uint64
 }
 
+// NetworkTraffic is how many bytes went over the network, compressed, to and from processes of
+// one nearness since the start.
+type NetworkTraffic struct {
+	Nearness       places.Nearness
+	Sent, Received uint64
+}
+
+// Network lists the traffic by nearness.
+func (c *Counters) Network() []NetworkTraffic {
+	listed := make([]NetworkTraffic, 0, nearnesses)
+	for nearness := range c.near {
+		counters := &c.near[nearness]
+		listed = append(listed, NetworkTraffic{
+			Nearness: places.Nearness(nearness),
+			Sent:     counters.networkSent.Load(), Received: counters.networkReceived.Load(),
+		})
+	}
+	return listed
+}
+
 // KindTraffic is the traffic of one kind of message with processes of one nearness, since the
-// start.
+// start. Bytes are those of the messages before they are compressed.
 type KindTraffic struct {
 	// Kind is the name of the envelope's body, such as "node_report"; messages of the log are
 	// told apart by their type, such as "raft_heartbeat".
--- /dev/null
+++ b/internal/wire/stream.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"bufio"
+	"compress/flate"
+	"io"
+	"net"
+)
+
+// deflateLevel is the lowest level that finds the same text in messages before the last one:
+// digests and changes differ little from those before, and come by turns. Higher levels take
+// longer and gain next to nothing.
+const deflateLevel = 4
+
+// outStream is the stream of frames to another process. Most of what is sent repeats what was
+// sent before (names of machines and models in digests, reports and changes), so all frames of a
+// connection are one compressed text, flushed with each burst.
+type outStream struct {
+	// frames takes frames.
+	frames *bufio.Writer
+	// deflate is nil where the other side takes frames as they are; network is behind it.
+	deflate *flate.Writer
+	network *bufio.Writer
+}
+
+func newOutStream(network io.Writer, compressed bool) *outStream {
+	if !compressed {
+		return &outStream{frames: bufio.NewWriterSize(network, bufferBytes)}
+	}
+	out := &outStream{network: bufio.NewWriterSize(network, bufferBytes)}
+	out.deflate, _ = flate.NewWriter(out.network, deflateLevel) // The level is a valid one.
+	out.frames = bufio.NewWriterSize(out.deflate, bufferBytes)
+	return out
+}
+
+// flush sends all that was written.
+func (s *outStream) flush() error {
+	if err := s.frames.Flush(); err != nil || s.deflate == nil {
+		return err
+	}
+	if err := s.deflate.Flush(); err != nil {
+		return err
+	}
+	return s.network.Flush()
+}
+
+// inflate returns the frames of a compressed stream.
+func inflate(network *bufio.Reader) *bufio.Reader {
+	return bufio.NewReaderSize(flate.NewReader(network), bufferBytes)
+}
+
+// meteredConn counts the bytes of a connection, as they go over the network.
+type meteredConn struct {
+	net.Conn
+	// traffic is nil during the handshake.
+	traffic *placeCounters
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(into []byte) (int, error) {
+	count, err := c.Conn.Read(into)
+	if c.traffic != nil {
+		c.traffic.networkReceived.Add(uint64(count))
+	}
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(from []byte) (int, error) {
+	count, err := c.Conn.Write(from)
+	if c.traffic != nil {
+		c.traffic.networkSent.Add(uint64(count))
+	}
+	return count, err
+}
--- /dev/null
+++ b/internal/wire/stream_test.go
@@ -0,0 +1,126 @@
+package wire_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/weldline/weldline/internal/wire"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// digestEnvelope is soft state as it is several times a second: little differs from the one
+// before.
+func digestEnvelope(sequence uint64) *wirepb.Envelope {
+	digest := &wirepb.ClusterDigest{Term: 3, Sequence: sequence, Leader: "control-1", MachineLoads: make([]byte, 140)}
+	for number := range 400 {
+		digest.Estimates = append(digest.Estimates, &wirepb.ReplicaEstimate{
+			Version: fmt.Sprintf("model-%06d", number*7919), ReadyInMs: 6000 + uint32(sequence), EarliestInMs: 6000,
+		})
+	}
+	digest.MachineLoads[sequence%140] = byte(sequence)
+	return &wirepb.Envelope{Body: &wirepb.Envelope_ClusterDigest{ClusterDigest: digest}}
+}
+
+// oldServer is a process that knows nothing of compressed streams. It returns what it receives
+// behind the handshake.
+func oldServer(t *testing.T, listener net.Listener, received chan<- *wirepb.Envelope) {
+	t.Helper()
+	network, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = network.Close() }()
+	if _, _, err := wire.ReadFrame(network); err != nil {
+		t.Error(err)
+		return
+	}
+	reply := &wirepb.HelloReply{ProtocolVersion: wire.ProtocolVersion, Node: "server"}
+	if _, err := network.Write(frame(t, &wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}})); err != nil {
+		t.Error(err)
+		return
+	}
+	for {
+		envelope, _, err := wire.ReadFrame(network)
+		if err != nil {
+			return
+		}
+		received <- envelope
+	}
+}
+
+// exchange sends digests over a new connection to a listener whose server passes on what comes,
+// and checks that all of them arrive whole.
+func exchange(t *testing.T, address string, client wire.Identity, received <-chan *wirepb.Envelope) {
+	t.Helper()
+	conn, err := wire.Dial(t.Context(), address, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for sequence := range uint64(digestsSent) {
+		if err := conn.Send(digestEnvelope(sequence)); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-received; !proto.Equal(got, digestEnvelope(sequence)) {
+			t.Fatalf("digest %d arrived as %v", sequence, got)
+		}
+	}
+}
+
+const digestsSent = 20
+
+// TestRepeatedTextIsSentOnce: digests of some kilobytes went to every node twice a second, and
+// differed from those before by a few bytes; with changes and reports they were most of what
+// deployments over several zones paid for.
+func TestRepeatedTextIsSentOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	server, client := identity(t, "server", nil), identity(t, "client", nil)
+	received := make(chan *wirepb.Envelope)
+	go func() {
+		network, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		conn, err := wire.Accept(network, server)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		for {
+			envelope, err := conn.Receive()
+			if err != nil {
+				return
+			}
+			received <- envelope
+		}
+	}()
+	exchange(t, listener.Addr().String(), client, received)
+	for side, counters := range map[string]*wire.Counters{"server": server.Counters, "client": client.Counters} {
+		messages := counters.Traffic()[0]
+		network := counters.Network()[0]
+		before, after := messages.BytesSent+messages.BytesReceived, network.Sent+network.Received
+		if after == 0 || before < 6*after {
+			t.Errorf("%s: %d bytes of messages took %d on the network", side, before, after)
+		}
+	}
+}
+
+// TestStreamsToOldProcessesAreNotCompressed: processes are replaced one after the other.
+func TestStreamsToOldProcessesAreNotCompressed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	received := make(chan *wirepb.Envelope)
+	go oldServer(t, listener, received)
+	exchange(t, listener.Addr().String(), identity(t, "client", nil), received)
+}
