Choose voters so that the loss of zones and regions leaves a quorum

Cause: 2 f + 1 voters by machines alone; a learner was chosen by its zone, but the first voters stayed where the seeds stood, so a zone could hold the majority (TestZoneIsLost: no leader after the loss of a zone). Change: membership.Policy has the zones and regions to bear and the map of places. The number of voters is the least that bears all of it where the members stand; a learner takes the place of a voter where that bears more of what is asked for, learner first, one change at a time; shrink takes the voter without which the others bear most. voters_bear, voters_bear_too_little and a gauge tell. Fixed lists of members name no zones and stay as they were.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -80,12 +80,35 @@
 func (n *Node) nextFormed(node *raft.Node) *wirepb.Membership {
 	return membership.Next(membership.Input{
 		Status: node.Status(), Current: node.Membership(), Peers: node.Peers(), Joins: n.joins.recent(n.now()),
-		Policy: membership.Policy{
-			Voters: n.settings.Formation.Voters(), ReplaceAfter: n.settings.Control.ReplaceAfter, ForgetAfter: forgetLearnerAfter,
-		},
+		Policy: n.membershipPolicy(),
 	})
 }
 
+func (n *Node) membershipPolicy() membership.Policy {
+	formation := n.settings.Formation
+	return membership.Policy{
+		Voters: formation.Voters(), Zones: formation.TolerateZones, Regions: formation.TolerateRegions,
+		Places: n.settings.Position().Map, ReplaceAfter: n.settings.Control.ReplaceAfter, ForgetAfter: forgetLearnerAfter,
+	}
+}
+
+// logTolerance tells, for each membership that comes into force, what its voters bear, and
+// whether that is less than what they should.
+func (n *Node) logTolerance(current *wirepb.Membership) {
+	if !n.settings.Formation.Forms() || len(current.GetVoters()) == 0 {
+		return
+	}
+	formation := n.settings.Formation
+	borne := membership.Bears(current, n.membershipPolicy())
+	n.metrics.observeTolerance(borne)
+	n.logger.Info("voters_bear", "voters", len(current.GetVoters()),
+		"machines", borne.Machines, "zones", borne.Zones, "regions", borne.Regions)
+	if borne.Machines < formation.Tolerate || borne.Zones < formation.TolerateZones || borne.Regions < formation.TolerateRegions {
+		n.logger.Warn("voters_bear_too_little", "machines_asked", formation.Tolerate,
+			"zones_asked", formation.TolerateZones, "regions_asked", formation.TolerateRegions)
+	}
+}
+
 // members are where the control nodes listen and stand; empty where the settings of all nodes
 // list them.
 func (n *Node) members() []*wirepb.MemberAddress {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/weldline/weldline/internal/membership"
 	"github.com/weldline/weldline/internal/raft"
 )
 
@@ -16,6 +17,7 @@
 	batchSeconds        prometheus.Histogram
 	decideSeconds       prometheus.Histogram
 	decisions           *prometheus.CounterVec
+	tolerance           *prometheus.GaugeVec
 }
 
 // NewMetrics registers the control node's metrics.
@@ -33,9 +35,18 @@
 		decisions: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_placement_decisions_total", Help: "Replica decisions by kind.",
 		}, []string{"kind"}),
+		tolerance: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "weldline_raft_tolerance", Help: "How many machines, zones or regions may be lost at once, each taken alone, before the log stops.",
+		}, []string{"lost"}),
 	}
 }
 
+func (m *Metrics) observeTolerance(borne membership.Tolerance) {
+	m.tolerance.WithLabelValues("machines").Set(float64(borne.Machines))
+	m.tolerance.WithLabelValues("zones").Set(float64(borne.Zones))
+	m.tolerance.WithLabelValues("regions").Set(float64(borne.Regions))
+}
+
 func (m *Metrics) observeStatus(status *raft.Status) {
 	m.role.Set(float64(status.Role))
 	m.term.Set(float64(status.Term))
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -308,6 +308,7 @@
 		n.membership.Store(current)
 		n.peers.sync(current)
 		n.logger.Info("membership_in_force", "voters", current.GetVoters(), "learners", current.GetLearners())
+		n.logTolerance(current)
 	}
 	previous := n.status.Swap(&status)
 	n.logContact(&status)
--- a/internal/membership/formation_test.go
+++ b/internal/membership/formation_test.go
@@ -56,9 +56,11 @@
 	seeds    []string
 	machines []*machine
 	voters   int
-	nextID   uint64
-	joins    map[string]*wirepb.MemberAddress
-	mail     []letter
+	// zones is how many zones may be lost.
+	zones  int
+	nextID uint64
+	joins  map[string]*wirepb.MemberAddress
+	mail   []letter
 	// commits are the entries that were acknowledged, by value.
 	commits []string
 }
@@ -218,7 +220,7 @@
 	node := leading.member.Raft
 	next := membership.Next(membership.Input{
 		Status: node.Status(), Current: node.Membership(), Peers: node.Peers(), Joins: joins,
-		Policy: membership.Policy{Voters: c.voters, ReplaceAfter: replaceAfter, ForgetAfter: 30 * time.Second},
+		Policy: membership.Policy{Voters: c.voters, Zones: c.zones, ReplaceAfter: replaceAfter, ForgetAfter: 30 * time.Second},
 	})
 	if next != nil {
 		_ = node.ProposeMembership(c.now, next)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,7 +11,8 @@
 // with an empty disk takes a new identity and asks to join; the old one at the
 // same address can never vote again and is removed. Joiners become learners. A
 // voter that is dead or has been silent too long gives its place to a learner
-// that has caught up. Every step changes one voter, so quorums of the sets
+// that has caught up, from the zone where it helps most; where the voters could not bear
+// the loss of as many zones or regions as asked for, a learner takes the place of one of them. Every step changes one voter, so quorums of the sets
 // before and after meet. The functions are pure: the leader proposes one step
 // at a time and asks again.
 package membership
@@ -19,9 +20,9 @@
 import (
 	"hash/fnv"
 	"slices"
-	"sort"
 	"time"
 
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -32,8 +33,13 @@
 
 // Policy tunes the repair.
 type Policy struct {
-	// Voters is how many voters are aimed at.
+	// Voters is how many voters are aimed at; what zones and regions must bear may ask for
+	// more.
 	Voters int
+	// Zones and Regions are how many of each may be lost at once.
+	Zones, Regions int
+	// Places tells the regions of zones.
+	Places places.Map
 	// ReplaceAfter is how long a voter may be silent before a learner takes
 	// its place.
 	ReplaceAfter time.Duration
@@ -78,7 +84,7 @@
 // Next returns the next step, or nil if there is nothing to do.
 func Next(input Input) *wirepb.Membership {
 	steps := []func(Input) *wirepb.Membership{
-		removeDead, admit, shrink, replaceSilent, grow, forgetLearner,
+		removeDead, admit, shrink, replaceSilent, grow, balance, forgetLearner,
 	}
 	for _, step := range steps {
 		if next := step(input); next != nil {
@@ -143,17 +149,21 @@
 	return left.GetAddress() == right.GetAddress() && left.GetNode() == right.GetNode() && left.GetZone() == right.GetZone()
 }
 
-// shrink removes a voter above the number aimed at: the most silent one, or
-// the newest.
+// shrink removes a voter above the number aimed at: the most silent one, or the one without which
+// the others bear most; of those the newest.
 func shrink(input Input) *wirepb.Membership {
 	voters := input.Current.GetVoters()
-	if len(voters) <= input.Policy.Voters {
+	if len(voters) <= input.voters() {
 		return nil
 	}
-	chosen := silentVoter(input)
-	for position := len(voters) - 1; chosen == raft.None && position >= 0; position-- {
-		if voters[position] != input.Status.ID {
-			chosen = voters[position]
+	if silent := silentVoter(input); silent != raft.None {
+		return without(input.Current, silent)
+	}
+	chosen, best := raft.None, spread{}
+	for _, voter := range slices.Backward(voters) {
+		rest := input.spreadOf(removed(voters, voter))
+		if voter != input.Status.ID && (chosen == raft.None || rest.less(best)) {
+			chosen, best = voter, rest
 		}
 	}
 	if chosen == raft.None {
@@ -178,7 +188,7 @@
 
 // grow makes a voter of a learner while there are too few.
 func grow(input Input) *wirepb.Membership {
-	if len(input.Current.GetVoters()) >= input.Policy.Voters {
+	if len(input.Current.GetVoters()) >= input.voters() {
 		return nil
 	}
 	ready := readyLearner(input)
@@ -191,7 +201,7 @@
 func promote(input Input, id uint64) *wirepb.Membership {
 	next := clone(input.Current)
 	next.Voters = append(next.Voters, id)
-	next.Learners = slices.DeleteFunc(next.Learners, func(other uint64) bool { return other == id })
+	next.Learners = removed(next.Learners, id)
 	return next
 }
 
@@ -215,10 +225,21 @@
 	return silent
 }
 
-// readyLearner returns a learner that has caught up, one of a zone without a
-// live voter first.
+// readyLearner returns the learner that has caught up with which the live voters bear most.
 func readyLearner(input Input) uint64 {
-	zones := voterZones(input)
+	live := liveVoters(input)
+	chosen, best := raft.None, spread{}
+	for _, learner := range readyLearners(input) {
+		with := input.spreadOf(append(slices.Clone(live), learner))
+		if chosen == raft.None || with.less(best) {
+			chosen, best = learner, with
+		}
+	}
+	return chosen
+}
+
+// readyLearners returns the learners that have caught up.
+func readyLearners(input Input) []uint64 {
 	var ready []uint64
 	for _, id := range input.Current.GetLearners() {
 		peer := input.Peers[id]
@@ -226,24 +247,18 @@
 			ready = append(ready, id)
 		}
 	}
-	if len(ready) == 0 {
-		return raft.None
-	}
-	sort.SliceStable(ready, func(i, j int) bool {
-		return zones[zoneOf(input.Current, ready[i])] < zones[zoneOf(input.Current, ready[j])]
-	})
-	return ready[0]
+	return ready
 }
 
-// voterZones counts the live voters by zone.
-func voterZones(input Input) map[string]int {
-	zones := map[string]int{}
+// liveVoters returns the voters that are not silent for too long.
+func liveVoters(input Input) []uint64 {
+	var live []uint64
 	for _, id := range input.Current.GetVoters() {
 		if id == input.Status.ID || input.Peers[id].Silent <= input.Policy.ReplaceAfter {
-			zones[zoneOf(input.Current, id)]++
+			live = append(live, id)
 		}
 	}
-	return zones
+	return live
 }
 
 func zoneOf(current *wirepb.Membership, id uint64) string {
@@ -265,9 +280,13 @@
 
 func without(current *wirepb.Membership, id uint64) *wirepb.Membership {
 	next := clone(current)
-	isRemoved := func(other uint64) bool { return other == id }
-	next.Voters = slices.DeleteFunc(next.Voters, isRemoved)
-	next.Learners = slices.DeleteFunc(next.Learners, isRemoved)
+	next.Voters = removed(next.Voters, id)
+	next.Learners = removed(next.Learners, id)
 	next.Addresses = slices.DeleteFunc(next.Addresses, func(held *wirepb.MemberAddress) bool { return held.GetId() == id })
 	return next
 }
+
+// removed returns the ids without one.
+func removed(ids []uint64, id uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(ids), func(other uint64) bool { return other == id })
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -188,6 +188,35 @@
 	})
 }
 
+// TestZoneIsLost: three first voters of five stood in one zone, and with it the log was lost. Now
+// the voters spread out, and what was committed outlives any zone.
+func TestZoneIsLost(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, 0, 0, 5)
+		c.zones = 1
+		for position := range 3 {
+			c.seeds = append(c.seeds, addressOf(position))
+		}
+		for position, zone := range []string{"a", "a", "a", "b", "b", "c", "c"} {
+			c.add(addressOf(position), zone)
+		}
+		for _, target := range c.machines {
+			c.start(target, true)
+		}
+		c.run(2 * settle)
+		c.commit()
+		c.check(5)
+		lost := []string{"a", "b", "c"}[seed%3]
+		for _, target := range c.machines {
+			if target.zone == lost {
+				c.kill(target)
+			}
+		}
+		c.run(2 * time.Second)
+		c.commit()
+	})
+}
+
 // TestNext tables single steps.
 func TestNext(t *testing.T) {
 	address := func(id uint64, address string) *wirepb.MemberAddress {
