Ask followers for more patience where round trips are long

Cause: election timeout, lease and spread are made for links of a millisecond. Change: a leader measures the round trips of its heartbeats as TCP does and asks its followers to wait two of a quorum's longer, twice the settings at most. A follower stores the longest promise, says in each reply what it promised, and the leader counts its lease by what a quorum has promised. So nodes with other settings, and older ones, are safe. At 1 ms nothing changes.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -59,7 +59,8 @@
 		"follow_ms", l.parts[partFollow].Milliseconds(), "place_ms", l.parts[partPlace].Milliseconds(),
 		"digest_ms", l.parts[partDigest].Milliseconds(), "reports", node.taken.reports.Swap(0),
 		"heartbeats", node.taken.heartbeats.Swap(0), "entries", node.taken.entries.Swap(0),
-		"log_ms", time.Duration(node.taken.processing.Swap(0)).Milliseconds(), "inbox", len(node.inbox), "proposals", len(node.proposals))
+		"log_ms", time.Duration(node.taken.processing.Swap(0)).Milliseconds(), "inbox", len(node.inbox), "proposals", len(node.proposals),
+		"election_timeout_ms", node.status.Load().ElectionTimeout.Milliseconds())
 	*l = passLoad{since: now}
 }
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -13,6 +13,7 @@
 // Metrics are the control node's metrics.
 type Metrics struct {
 	role, term, applied prometheus.Gauge
+	electionTimeout     prometheus.Gauge
 	batchEntries        prometheus.Histogram
 	batchSeconds        prometheus.Histogram
 	decideSeconds       prometheus.Histogram
@@ -24,9 +25,12 @@
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	factory := promauto.With(registry)
 	return &Metrics{
-		role:         factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_role", Help: "0 follower, 1 pre-candidate, 2 candidate, 3 leader."}),
-		term:         factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_term", Help: "Present term."}),
-		applied:      factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_applied_index", Help: "Last applied log index."}),
+		role:    factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_role", Help: "0 follower, 1 pre-candidate, 2 candidate, 3 leader."}),
+		term:    factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_term", Help: "Present term."}),
+		applied: factory.NewGauge(prometheus.GaugeOpts{Name: "weldline_raft_applied_index", Help: "Last applied log index."}),
+		electionTimeout: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_raft_election_timeout_seconds", Help: "For how long followers wait for a leader: longer than set where round trips are long.",
+		}),
 		batchEntries: factory.NewHistogram(prometheus.HistogramOpts{Name: "weldline_raft_batch_entries", Help: "Entries applied by one pass of the loop.", Buckets: prometheus.ExponentialBuckets(1, 2, 10)}),
 		batchSeconds: factory.NewHistogram(prometheus.HistogramOpts{Name: "weldline_raft_batch_seconds", Help: "Time to persist and apply one pass of the loop.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14)}),
 		decideSeconds: factory.NewHistogram(prometheus.HistogramOpts{
@@ -51,6 +55,7 @@
 	m.role.Set(float64(status.Role))
 	m.term.Set(float64(status.Term))
 	m.applied.Set(float64(status.Applied))
+	m.electionTimeout.Set(status.ElectionTimeout.Seconds())
 }
 
 func (m *Metrics) observeBatch(entries int, took time.Duration) {
--- a/internal/raft/contact.go
+++ b/internal/raft/contact.go
@@ -47,5 +47,5 @@
 }
 
 func (n *Node) heardUntil() time.Duration {
-	return n.contact.heard + unheardElectionTimeouts*n.config.ElectionTimeout
+	return n.contact.heard + unheardElectionTimeouts*n.promise
 }
--- a/internal/raft/contact_test.go
+++ b/internal/raft/contact_test.go
@@ -12,7 +12,7 @@
 		interval = 100 * time.Millisecond
 		timeout  = 250 * time.Millisecond
 	)
-	node := &Node{config: Config{ID: 2, ElectionTimeout: timeout}, leader: 1}
+	node := &Node{config: Config{ID: 2, ElectionTimeout: timeout}, promise: timeout, leader: 1}
 	held := &node.contact
 	now := time.Duration(0)
 	status := func() Status { return Status{ID: 2, Leader: 1, HeardUntil: node.heardUntil(), LeaderHearsQuorum: true} }
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -20,9 +20,11 @@
 // Step 3 before step 4 is what makes a vote or an acknowledgement a promise.
 //
 // The lease: a follower that heard from a leader refuses to vote for another
-// during ElectionTimeout, and so does a node that just started, which may
-// have forgotten. A leader counts its lease from the moment at which it sent
-// a heartbeat that a quorum has answered, and stops LeaseMargin earlier than
-// the followers do. Clocks may differ in value but not in rate by more than
-// LeaseMargin in ElectionTimeout.
+// for as long as it has promised, at least ElectionTimeout, and so does a node
+// that just started, which may have forgotten. A leader counts its lease from
+// the moment at which it sent a heartbeat that a quorum has answered, for as
+// long as these have promised in their answers, and stops LeaseMargin earlier
+// than the followers do. Clocks may differ in value but not in rate by more than
+// LeaseMargin in a promise. Over long links a leader asks for longer promises;
+// see patience.go.
 package raft
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -77,7 +77,7 @@
 		return true
 	}
 	free := n.isReleased() || allIdle != None && n.term <= allIdle
-	return !free && n.now < n.lastContact+n.config.ElectionTimeout
+	return !free && n.now < n.promisedUntil
 }
 
 func (n *Node) becomeFollower(term, leader uint64) {
@@ -97,8 +97,9 @@
 		n.electionDeadline = n.now + n.releasedWait()
 		return
 	}
-	spread := n.config.Random(int64(n.config.ElectionSpread))
-	n.electionDeadline = n.now + n.config.ElectionTimeout + time.Duration(spread)
+	// Where messages take longer, so does it until a candidate is known.
+	spread := n.config.Random(int64(n.config.ElectionSpread + n.promise - n.config.ElectionTimeout))
+	n.electionDeadline = n.now + n.promise + time.Duration(spread)
 }
 
 // campaign asks whether an election could be won, without raising the term:
@@ -231,6 +232,7 @@
 	n.role = Leader
 	n.leader = n.config.ID
 	n.led = n.term
+	n.asked = n.config.ElectionTimeout
 	n.lease = newLease()
 	n.progress = map[uint64]*progress{}
 	n.syncProgress()
@@ -259,7 +261,7 @@
 		if peer == n.config.ID || state == nil {
 			continue
 		}
-		if state.match == n.log.lastIndex() && n.now-state.lastActive < n.config.ElectionTimeout {
+		if state.match == n.log.lastIndex() && n.now-state.lastActive < n.patience() {
 			best = peer
 		}
 	}
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -1,25 +1,27 @@
 package raft
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const maxRoundsKept = 64
 
-// lease remembers when heartbeat rounds were sent and which of them each
-// voter has answered.
+// lease remembers when heartbeat rounds were sent, which of them each voter has answered, and
+// until when each has promised to elect no other leader.
 type lease struct {
 	round    uint64
 	sentAt   map[uint64]time.Duration
 	answered map[uint64]uint64
-	// start is when the newest round answered by a quorum was sent.
-	start time.Duration
+	promised map[uint64]time.Duration
+	// until is the time up to which a quorum has promised.
+	until time.Duration
 	held  bool
 }
 
 func newLease() lease {
-	return lease{sentAt: map[uint64]time.Duration{}, answered: map[uint64]uint64{}}
+	return lease{sentAt: map[uint64]time.Duration{}, answered: map[uint64]uint64{}, promised: map[uint64]time.Duration{}}
 }
 
 func (l *lease) nextRound(now time.Duration) uint64 {
@@ -29,24 +31,30 @@
 	return l.round
 }
 
-// answer records a voter's reply. The lease counts from when the round was
-// sent, because the voter's promise began no earlier than that.
-func (l *lease) answer(voter, round uint64, voters []uint64, self uint64, quorum int) {
+// answer records a voter's reply and what it promised with it. The promise counts from when the
+// round was sent, because the voter's began no earlier than that. The leader itself elects no
+// other while it leads.
+func (l *lease) answer(voter, round uint64, promise time.Duration, voters []uint64, self uint64, quorum int) {
 	if l.answered == nil || round <= l.answered[voter] {
 		return
 	}
 	l.answered[voter] = round
-	l.answered[self] = l.round
-	rounds := make([]uint64, 0, len(voters))
+	sent, known := l.sentAt[round]
+	if !known {
+		return
+	}
+	l.promised[voter] = max(l.promised[voter], sent+promise)
+	until := make([]time.Duration, 0, len(voters))
 	for _, peer := range voters {
-		rounds = append(rounds, l.answered[peer])
+		if peer == self {
+			until = append(until, math.MaxInt64)
+		} else {
+			until = append(until, l.promised[peer])
+		}
 	}
-	slices.Sort(rounds)
-	agreed := rounds[len(rounds)-quorum]
-	sent, known := l.sentAt[agreed]
-	if known && (!l.held || sent > l.start) {
-		l.start = sent
-		l.held = true
+	slices.Sort(until)
+	if agreed := until[len(until)-quorum]; agreed > l.until {
+		l.until, l.held = agreed, true
 	}
 }
 
@@ -60,7 +68,7 @@
 	if !n.lease.held {
 		return 0
 	}
-	return n.lease.start + n.config.ElectionTimeout - n.config.LeaseMargin
+	return n.lease.until - n.config.LeaseMargin
 }
 
 // LeaseValid advances the clock and reports whether the lease is held then.
--- /dev/null
+++ b/internal/raft/patience.go
@@ -0,0 +1,125 @@
+package raft
+
+import (
+	"slices"
+	"time"
+)
+
+// The election timeout of the settings is made for short links. Where a round trip takes a good
+// part of it, a late or repeated packet costs the leader its lease, and the followers their
+// leader. So a leader measures the round trips of its heartbeats and asks its followers for more
+// patience.
+//
+// It is safe whatever each node uses: a follower promises at least the election timeout of its
+// own settings, says in each reply what it has promised, and has stored the longest promise before
+// it says so; the leader counts its lease by what a quorum has promised, not by what it asked for.
+
+const (
+	// maxStretch is by how much more than the settings say a leader may ask for: a leader that is
+	// lost is missed for as long. Round trips of half of the election timeout fit in.
+	maxStretch = 2
+	// nearShare is the part of the heartbeat interval up to which a round trip counts as short.
+	nearShare = 4
+	// roundTripsSpared is how many round trips the patience is longer by: one for the reply that
+	// the lease waits for, one for a packet sent again.
+	roundTripsSpared = 2
+	// patienceSteps is how many steps the election timeout of the settings has: the patience
+	// changes by whole steps only, since a longer promise has to be stored.
+	patienceSteps = 8
+	// deviationsSpared is how many mean deviations a round trip may take longer, as TCP has it
+	// (RFC 6298).
+	deviationsSpared = 4
+)
+
+// roundTrip estimates what round trips to a peer take, as TCP does (RFC 6298).
+type roundTrip struct {
+	mean, deviation time.Duration
+}
+
+func (r *roundTrip) add(sample time.Duration) {
+	const meanShare, deviationShare = 8, 4
+	if r.mean == 0 {
+		r.mean, r.deviation = sample, sample/2
+		return
+	}
+	r.deviation += ((sample - r.mean).Abs() - r.deviation) / deviationShare
+	r.mean += (sample - r.mean) / meanShare
+}
+
+// most is what nearly all round trips take less than.
+func (r *roundTrip) most() time.Duration {
+	return r.mean + deviationsSpared*r.deviation
+}
+
+// patienceFor returns for how long followers should wait for a leader, where a round trip to a
+// quorum takes so long. It changes from what is asked for now by whole steps, and back only over
+// two.
+func (c *Config) patienceFor(roundTrip, asked time.Duration) time.Duration {
+	wanted := c.ElectionTimeout
+	if roundTrip > c.HeartbeatInterval/nearShare {
+		wanted += roundTripsSpared * roundTrip
+	}
+	step := max(c.ElectionTimeout/patienceSteps, time.Millisecond)
+	steps := (wanted - c.ElectionTimeout + step - 1) / step
+	wanted = min(c.ElectionTimeout+steps*step, maxStretch*c.ElectionTimeout)
+	if wanted < asked && asked-wanted < 2*step {
+		return asked
+	}
+	return wanted
+}
+
+// patience is for how long this node's part in its term holds without news: as leader what it
+// asked for, else what it promised.
+func (n *Node) patience() time.Duration {
+	if n.role == Leader {
+		return n.asked
+	}
+	return n.promise
+}
+
+// measure notes what a heartbeat's round trip took, and asks for as much patience as a quorum's
+// round trips need.
+func (n *Node) measure(state *progress, round uint64) {
+	sent, known := n.lease.sentAt[round]
+	if !known {
+		return
+	}
+	state.roundTrip.add(n.now - sent)
+	trips := make([]time.Duration, 0, len(n.membership.GetVoters()))
+	for _, peer := range n.membership.GetVoters() {
+		measured := n.progress[peer]
+		if peer == n.config.ID || measured == nil || measured.roundTrip.mean == 0 {
+			continue
+		}
+		trips = append(trips, measured.roundTrip.most())
+	}
+	others := n.quorum() - 1
+	if others == 0 || len(trips) < others {
+		return
+	}
+	slices.Sort(trips)
+	n.asked = n.config.patienceFor(trips[others-1], n.asked)
+}
+
+// hearAsked takes what a leader asks for, as far as it is allowed.
+func (n *Node) hearAsked(asked time.Duration) {
+	n.promise = min(max(asked, n.config.ElectionTimeout), maxStretch*n.config.ElectionTimeout)
+	n.longestPromise = max(n.longestPromise, n.promise)
+}
+
+// keepPromise begins the time of a promise anew.
+func (n *Node) keepPromise() {
+	n.promisedUntil = max(n.promisedUntil, n.now+n.promise)
+}
+
+// storedPromise is the longest promise as it is stored; 0 where it is that of the settings.
+func (n *Node) storedPromise() uint32 {
+	if n.longestPromise <= n.config.ElectionTimeout {
+		return 0
+	}
+	return uint32(n.longestPromise.Milliseconds())
+}
+
+func milliseconds(count uint32) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
--- /dev/null
+++ b/internal/raft/patience_test.go
@@ -0,0 +1,59 @@
+package raft
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPatience tables how long followers are asked to wait.
+func TestPatience(t *testing.T) {
+	const ms = time.Millisecond
+	config := &Config{ElectionTimeout: 400 * ms, HeartbeatInterval: 80 * ms}
+	for _, test := range []struct {
+		roundTrip, asked, wanted time.Duration
+	}{
+		{roundTrip: 0, asked: 400 * ms, wanted: 400 * ms},
+		{roundTrip: 20 * ms, asked: 400 * ms, wanted: 400 * ms},
+		{roundTrip: 21 * ms, asked: 400 * ms, wanted: 450 * ms},
+		{roundTrip: 60 * ms, asked: 400 * ms, wanted: 550 * ms},
+		{roundTrip: 60 * ms, asked: 600 * ms, wanted: 600 * ms},
+		{roundTrip: 60 * ms, asked: 650 * ms, wanted: 550 * ms},
+		{roundTrip: time.Second, asked: 400 * ms, wanted: 800 * ms},
+	} {
+		if got := config.patienceFor(test.roundTrip, test.asked); got != test.wanted {
+			t.Errorf("round trip %s, asked for %s before: %s, not %s", test.roundTrip, test.asked, got, test.wanted)
+		}
+	}
+}
+
+// TestPromiseOutlivesARestart: what was promised for longer than the settings say binds a node
+// that has started anew.
+func TestPromiseOutlivesARestart(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	config := Config{
+		ID: 1, ElectionTimeout: timeout, HeartbeatInterval: timeout / 5, LeaseMargin: timeout / 5,
+		Random: func(int64) int64 { return 0 },
+	}
+	node, err := New(config, Stored{}, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := node.HardState()
+	node.hearAsked(timeout + timeout/2)
+	node.hearAsked(timeout)
+	if stored := node.HardState(); samePromises(before, stored) {
+		t.Error("a longer promise need not be stored")
+	}
+	restarted, err := New(config, Stored{HardState: node.HardState()}, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restarted.advanceClock(timeout + timeout/4)
+	if !restarted.promisedToLeader(None) {
+		t.Error("a restart has shortened a promise")
+	}
+	restarted.advanceClock(timeout + timeout/2)
+	if restarted.promisedToLeader(None) {
+		t.Error("a promise does not end")
+	}
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -30,7 +30,8 @@
 type Config struct {
 	// ID is the node's id, not None.
 	ID uint64
-	// ElectionTimeout is how long a follower waits for a leader.
+	// ElectionTimeout is how long a follower waits for a leader, and promises not to help another,
+	// where links are short; see patience.go for long ones.
 	ElectionTimeout time.Duration
 	// ElectionSpread is by how much more, at random, it waits, so that two
 	// seldom stand at once; 0 stands for ElectionTimeout.
@@ -64,8 +65,8 @@
 type Ready struct {
 	// HardState is nil if unchanged.
 	HardState *wirepb.HardState
-	// TermChanged is set where the term, the vote or the term led changed:
-	// these must be durable, while a lost commit index is learned again.
+	// TermChanged is set where the term, the vote, the term led or the longest promise
+	// changed: these must be durable, while a lost commit index is learned again.
 	TermChanged bool
 	// Entries must be appended; they replace stored ones of the same index
 	// and all that follow those.
@@ -96,7 +97,14 @@
 
 	now time.Duration
 	// lastContact is when this node last heard from a leader, or started.
-	lastContact      time.Duration
+	lastContact time.Duration
+	// promise is for how long this node promises its leader not to help another, from each
+	// contact; promisedUntil is until when it is bound by any promise.
+	promise, promisedUntil time.Duration
+	// longestPromise is the longest ever made, which a restart has to assume.
+	longestPromise time.Duration
+	// asked is for how long this node, as leader, asks its followers to promise it that.
+	asked            time.Duration
 	electionDeadline time.Duration
 	heartbeatDue     time.Duration
 	// led is the newest term in which this node was leader.
@@ -159,6 +167,9 @@
 	}
 	node.persisted = node.hardState()
 	node.lastContact = now
+	node.asked, node.promise = config.ElectionTimeout, config.ElectionTimeout
+	node.longestPromise = max(config.ElectionTimeout, milliseconds(stored.HardState.GetPromiseMs()))
+	node.promisedUntil = now + node.longestPromise
 	node.releaseOwnLease()
 	node.becomeFollower(node.term, None)
 	node.scheduleProbe()
@@ -166,7 +177,7 @@
 }
 
 func (n *Node) hardState() *wirepb.HardState {
-	return &wirepb.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed, Led: n.led}
+	return &wirepb.HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed, Led: n.led, PromiseMs: n.storedPromise()}
 }
 
 // Tick advances time: it starts elections and sends heartbeats that are due.
@@ -243,7 +254,8 @@
 }
 
 func samePromises(left, right *wirepb.HardState) bool {
-	return left.GetTerm() == right.GetTerm() && left.GetVote() == right.GetVote() && left.GetLed() == right.GetLed()
+	return left.GetTerm() == right.GetTerm() && left.GetVote() == right.GetVote() && left.GetLed() == right.GetLed() &&
+		left.GetPromiseMs() == right.GetPromiseMs()
 }
 
 // Advance tells the node that a Ready has been carried out.
@@ -316,6 +328,9 @@
 	LastContact time.Duration
 	// HeardUntil is until when a follower may take its leader to hear it; see contact.
 	HeardUntil time.Duration
+	// ElectionTimeout is for how long a leader asks its followers to elect no other, or a
+	// follower promises that.
+	ElectionTimeout time.Duration
 	// LeaderHearsQuorum is whether a follower's leader heard a quorum lately, by its newest
 	// heartbeat.
 	LeaderHearsQuorum bool
@@ -363,6 +378,7 @@
 		Voters: n.membership.GetVoters(), Learners: n.membership.GetLearners(),
 		LeaseUntil: n.leaseUntil(), CommittedOwnTerm: n.log.term(n.log.committed) == n.term, FirstHeld: n.log.offset + 1,
 		LastContact: n.lastContact, HeardUntil: n.heardUntil(), LeaderHearsQuorum: n.contact.quorumHeard,
+		ElectionTimeout: n.patience(),
 	}
 }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -35,6 +35,7 @@
 	// paused is set while a probe is unanswered.
 	paused         bool
 	lastActive     time.Duration
+	roundTrip      roundTrip
 	snapshotSentAt time.Duration
 }
 
@@ -91,7 +92,7 @@
 			active++
 			continue
 		}
-		if state := n.progress[peer]; state != nil && n.now-state.lastActive < n.config.ElectionTimeout {
+		if state := n.progress[peer]; state != nil && n.now-state.lastActive < n.asked {
 			active++
 		}
 	}
@@ -106,6 +107,7 @@
 		n.send(&wirepb.RaftMessage{
 			Type: heartbeatType, To: peer, Round: round,
 			Commit: min(n.log.committed, n.progress[peer].match), HeardRound: n.lease.answered[peer], QuorumHeard: quorumHeard,
+			PromiseMs: uint32(n.asked.Milliseconds()),
 		})
 	}
 }
@@ -169,6 +171,7 @@
 	}
 	n.leader = message.GetFrom()
 	n.lastContact = n.now
+	n.keepPromise()
 	n.resetElectionDeadline()
 }
 
@@ -205,6 +208,7 @@
 }
 
 func (n *Node) handleHeartbeat(message *wirepb.RaftMessage) {
+	n.hearAsked(milliseconds(message.GetPromiseMs()))
 	n.hearLeader(message)
 	// The leader caps the commit index at what it knows to match here.
 	n.log.commitTo(message.GetCommit())
@@ -213,6 +217,7 @@
 	n.contact.quorumHeard = message.GetQuorumHeard()
 	n.send(&wirepb.RaftMessage{
 		Type: wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_REPLY, To: message.GetFrom(), Round: message.GetRound(),
+		PromiseMs: uint32(n.promise.Milliseconds()),
 	})
 }
 
@@ -241,7 +246,14 @@
 	if state == nil {
 		return
 	}
-	n.lease.answer(message.GetFrom(), message.GetRound(), n.membership.GetVoters(), n.config.ID, n.quorum())
+	if message.GetRound() > n.lease.answered[message.GetFrom()] {
+		n.measure(state, message.GetRound())
+	}
+	promise := milliseconds(message.GetPromiseMs())
+	if promise == 0 {
+		promise = n.config.ElectionTimeout // Of a process that promises what the settings say.
+	}
+	n.lease.answer(message.GetFrom(), message.GetRound(), promise, n.membership.GetVoters(), n.config.ID, n.quorum())
 	state.paused = false
 	if state.state == snapshotting && n.now-state.snapshotSentAt > snapshotResend*n.config.ElectionTimeout {
 		state.state = probing
