Gather changes for a node, and leave a router's reports within a zone uncompressed

Ruled out: no compression within a zone (a router's digests and changes are some 50 KB/s before it, and links of routers are narrow). Change: a server sends a node changes at least 20 ms apart, the first at once; a dialling router compresses only what leaves its zone, a rule that both sides see alike.

--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -23,6 +23,10 @@
 	// servesInterval is how often a server looks whether it may be followed: a small part of
 	// the 2 s in which nodes must have changed to another.
 	servesInterval = 100 * time.Millisecond
+	// changesGap is the least time between two batches of changes to a node: a leader's pass
+	// commits many, and each batch costs the node and the server more than what it holds. The
+	// first of them goes at once; a load, which they tell of, takes seconds.
+	changesGap = 20 * time.Millisecond
 )
 
 // notServing is why nodes are refused, or sent elsewhere.
@@ -326,6 +330,9 @@
 				return
 			}
 			after = changes.Revision
+			if !pauseBetween(ctx, conn) {
+				return
+			}
 		}
 		select {
 		case <-changed:
@@ -337,6 +344,18 @@
 	}
 }
 
+// pauseBetween waits for changesGap; it returns false where the connection ends before.
+func pauseBetween(ctx context.Context, conn *wire.Conn) bool {
+	select {
+	case <-time.After(changesGap):
+		return true
+	case <-conn.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // sendList sends the whole state, or one of a moment ago, and returns its revision. Where it
 // can't, the connection is closed and listed is false.
 func (s *Server) sendList(conn *wire.Conn) (revision uint64, listed bool) {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -44,8 +44,8 @@
 	counters *Counters
 	// traffic counts what goes over this connection by kind.
 	traffic *placeCounters
-	// deflate is set where both sides take compressed streams.
-	deflate bool
+	// deflateOut and deflateIn are set where the stream of that direction is compressed.
+	deflateOut, deflateIn bool
 	// Peer is what the other side said of itself.
 	Peer *wirepb.Hello
 	// Followers is how many nodes followed the other side when it took this connection; see
@@ -124,7 +124,7 @@
 func (c *Conn) start() {
 	c.traffic = c.counters.with(c.Peer.GetZone())
 	c.metered.traffic = c.traffic
-	if c.deflate {
+	if c.deflateIn {
 		c.reader = inflate(c.reader)
 	}
 	go c.writeLoop()
@@ -151,7 +151,8 @@
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
 	}
-	c.Followers, c.deflate = reply.GetFollowers(), reply.GetDeflate()
+	c.Followers = reply.GetFollowers()
+	c.deflateIn, c.deflateOut = reply.GetDeflate(), reply.GetDeflate() && dialerCompresses(hello, reply)
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -169,7 +170,7 @@
 	if refusal == "" && self.Refuse != nil {
 		refusal = self.Refuse(hello)
 	}
-	c.Peer, c.deflate = hello, hello.GetDeflate()
+	c.Peer = hello
 	if err := c.checkName(); refusal == "" && err != nil {
 		refusal = fault.Message(err)
 	}
@@ -177,6 +178,7 @@
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
 		Zone: self.Hello.GetZone(), Deflate: true,
 	}
+	c.deflateOut, c.deflateIn = hello.GetDeflate(), hello.GetDeflate() && dialerCompresses(hello, reply)
 	if self.Followers != nil {
 		reply.Followers = self.Followers()
 	}
@@ -269,7 +271,7 @@
 
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	out := newOutStream(c.metered, c.deflate)
+	out := newOutStream(c.metered, c.deflateOut)
 	for {
 		select {
 		case <-c.done:
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -5,6 +5,8 @@
 	"compress/flate"
 	"io"
 	"net"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // deflateLevel is the lowest level that finds the same text in messages before the last one:
@@ -12,6 +14,13 @@
 // longer and gain next to nothing.
 const deflateLevel = 4
 
+// dialerCompresses reports whether the stream of the dialling side is compressed, where both sides
+// take that; the other always is. A router sends reports of a kilobyte a second and has a small
+// machine; within a zone that is not worth the compressor's memory.
+func dialerCompresses(hello *wirepb.Hello, reply *wirepb.HelloReply) bool {
+	return hello.GetControlId() != 0 || hello.GetZone() != reply.GetZone()
+}
+
 // outStream is the stream of frames to another process. Most of what is sent repeats what was
 // sent before (names of machines and models in digests, reports and changes), so all frames of a
 // connection are one compressed text, flushed with each burst.
