Pass on only a sign of life of machines that say nothing new

Ruled out: a counter for what changed (a machine may turn to any control node, so that two have different parts); whole reports every so often (a machine whose content the leader lacks would count as silent meanwhile). Change: a hash of the content; what has been sent on a connection is left out, and the leader completes it from what it holds of the same hash, or asks for the whole, which comes at once. Older control nodes get whole reports.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -388,6 +388,7 @@
 // leader.
 func (n *Node) takeInstance(report *wirepb.InstanceReport) {
 	n.taken.heartbeats.Add(1)
+	report = instances.WithContent(report)
 	status := n.status.Load()
 	if status.Leader == status.ID {
 		if n.instances.Take(n.now(), report) {
@@ -396,7 +397,7 @@
 		return
 	}
 	if link := n.peers.link(status.Leader); link != nil {
-		_ = link.send(&wirepb.Envelope{Body: &wirepb.Envelope_InstanceReport{InstanceReport: report}})
+		link.sendInstance(report)
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/raft"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/wire"
@@ -53,6 +54,7 @@
 	// connected is when conn came about.
 	connected time.Duration
 	digests   *feed.DigestSender
+	instances *instances.Condenser
 	nextID    uint64
 	waiting   map[uint64]chan *wirepb.Envelope
 }
@@ -186,6 +188,28 @@
 	}
 }
 
+// sendInstance passes on what a machine says of itself, without what the member has.
+func (l *peerLink) sendInstance(report *wirepb.InstanceReport) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.conn == nil {
+		return
+	}
+	if l.conn.UnchangedInstances {
+		report = l.instances.Next(report)
+	}
+	_ = l.conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_InstanceReport{InstanceReport: report}})
+}
+
+// sendWhole sends the newest report of a machine with all that was left out.
+func (l *peerLink) sendWhole(machine string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if report := l.instances.Whole(machine); report != nil && l.conn != nil {
+		_ = l.conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_InstanceReport{InstanceReport: report}})
+	}
+}
+
 func (l *peerLink) run(ctx context.Context) {
 	lost := time.Now()
 	for ctx.Err() == nil {
@@ -210,6 +234,7 @@
 	l.conn = conn
 	l.connected = l.node.now()
 	l.digests = &feed.DigestSender{}
+	l.instances = instances.NewCondenser()
 	l.mutex.Unlock()
 	defer l.detach()
 	for {
@@ -217,6 +242,10 @@
 		if err != nil {
 			return
 		}
+		if wanted := envelope.GetInstanceWanted(); wanted != nil {
+			l.sendWhole(wanted.GetMachine())
+			continue
+		}
 		l.mutex.Lock()
 		reply := l.waiting[envelope.GetRequestId()]
 		delete(l.waiting, envelope.GetRequestId())
@@ -349,13 +378,24 @@
 		case *wirepb.Envelope_JoinRequest:
 			n.takeJoin(body.JoinRequest.GetMember(), conn.Peer.GetControlId())
 		case *wirepb.Envelope_InstanceReport:
-			n.takeInstance(body.InstanceReport)
+			n.takePassedOn(conn, body.InstanceReport)
 		case *wirepb.Envelope_StatusRequest:
 			workers.Go(func() { n.answerStatus(conn, envelope.GetRequestId(), body.StatusRequest) })
 		}
 	}
 }
 
+// takePassedOn takes a machine's report that another control node passes on, and asks for what was
+// left out of it where this node lacks that.
+func (n *Node) takePassedOn(conn *wire.Conn, report *wirepb.InstanceReport) {
+	if whole, known := n.instances.Complete(report); known {
+		n.takeInstance(whole)
+		return
+	}
+	wanted := &wirepb.InstanceWanted{Machine: report.GetMachine()}
+	_ = conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_InstanceWanted{InstanceWanted: wanted}})
+}
+
 // noteSuccessor tells the member that another has ended for good, where a new
 // identity answers at its machine: the one before lived with its disk. The member
 // was known to be there before this node dialled, so whoever answers is not from
--- /dev/null
+++ b/internal/instances/condense_test.go
@@ -0,0 +1,122 @@
+package instances
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// beatOf is what a machine says that holds a number of models.
+func beatOf(sequence uint64, models int) *wirepb.InstanceReport {
+	report := &wirepb.InstanceReport{
+		Machine: "m", Pool: "p", Endpoint: "http://10.0.0.1:80", Zone: "z", Slots: 12, Sequence: sequence,
+		AgeMs: uint32(sequence), WarmingMs: uint32(sequence) * 100,
+	}
+	for number := range models {
+		report.Models = append(report.Models, &wirepb.LoadedModel{Model: fmt.Sprintf("model-%d", number), Adapters: []string{"a"}})
+		report.Checkpoints = append(report.Checkpoints, &wirepb.CachedCheckpoint{Checkpoint: fmt.Sprintf("model-%d", number), Tier: "disk"})
+	}
+	return report
+}
+
+// TestUnchangedReportsAreShort and mean the same.
+func TestUnchangedReportsAreShort(t *testing.T) {
+	sender, table := NewCondenser(), NewTable()
+	for sequence := uint64(1); sequence <= 10; sequence++ {
+		report := WithContent(beatOf(sequence, 5))
+		sent := sender.Next(report)
+		if sequence > 1 && proto.Size(sent) > 40 {
+			t.Errorf("report %d, without news, takes %d bytes of %d", sequence, proto.Size(sent), proto.Size(report))
+		}
+		completed, whole := table.Complete(sent)
+		if !whole || !proto.Equal(completed, report) {
+			t.Fatalf("report %d came as %v", sequence, completed)
+		}
+		table.Take(time.Duration(sequence), completed)
+	}
+	if other := WithContent(beatOf(11, 4)); sender.Next(other) != other {
+		t.Error("a report with news is not whole")
+	}
+	leaving := beatOf(12, 4)
+	leaving.Leaving = true
+	if leaving = WithContent(leaving); sender.Next(leaving) != leaving {
+		t.Error("a machine that leaves is no news")
+	}
+}
+
+// TestNoOtherContentStandsIn: the table may hold what came by way of another control node, or
+// nothing.
+func TestNoOtherContentStandsIn(t *testing.T) {
+	sender, table := NewCondenser(), NewTable()
+	sender.Next(WithContent(beatOf(1, 2)))
+	short := sender.Next(WithContent(beatOf(2, 2)))
+	if completed, whole := table.Complete(short); whole {
+		t.Errorf("completed from nothing: %v", completed)
+	}
+	table.Take(0, WithContent(beatOf(1, 3)))
+	if completed, whole := table.Complete(short); whole {
+		t.Errorf("completed from another content: %v", completed)
+	}
+	whole := sender.Whole("m")
+	if whole.GetSequence() != 2 || len(whole.GetModels()) != 2 {
+		t.Errorf("the whole report is %v", whole)
+	}
+	table.Take(0, whole)
+	if _, held := table.Complete(sender.Next(WithContent(beatOf(3, 2)))); !held {
+		t.Error("still lacking after the whole report")
+	}
+}
+
+// TestLeaderLearnsTheNewestContent: a machine turns to one control node after the other while
+// what it holds changes to and fro; connections break, and the leader forgets. Each report that
+// arrives after the answer to it is the newest that the leader holds, with what it said.
+func TestLeaderLearnsTheNewestContent(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		table, models := NewTable(), 1
+		senders := []*Condenser{NewCondenser(), NewCondenser(), NewCondenser()}
+		for sequence := uint64(1); sequence <= 200; sequence++ {
+			if random.IntN(5) == 0 {
+				models = 1 + random.IntN(3)
+			}
+			way := random.IntN(len(senders))
+			switch random.IntN(20) {
+			case 0:
+				senders[way] = NewCondenser()
+			case 1:
+				table = NewTable()
+			}
+			report := WithContent(beatOf(sequence, models))
+			sent := senders[way].Next(report)
+			completed, whole := table.Complete(sent)
+			if !whole {
+				completed, whole = table.Complete(senders[way].Whole("m"))
+			}
+			if !whole {
+				t.Fatalf("seed %d: report %d is not whole when asked for", seed, sequence)
+			}
+			table.Take(time.Duration(sequence), completed)
+			if held := table.Entries()["m"].Report; !proto.Equal(held, report) {
+				t.Fatalf("seed %d: the leader holds %v, the machine said %v", seed, held, report)
+			}
+		}
+	}
+}
+
+// TestCondenserIsBounded where machines come and go.
+func TestCondenserIsBounded(t *testing.T) {
+	sender := NewCondenser()
+	for number := range 3 * maxCondensed {
+		report := beatOf(1, 0)
+		report.Machine = fmt.Sprint("m", number)
+		sender.Next(report)
+		if len(sender.sent) > maxCondensed {
+			t.Fatalf("%d machines are remembered", len(sender.sent))
+		}
+	}
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -51,6 +51,9 @@
 	// Followers is how many nodes followed the other side when it took this connection; see
 	// HelloReply.
 	Followers uint32
+	// UnchangedInstances is whether the dialled side takes reports of machines without what it
+	// has; see HelloReply.
+	UnchangedInstances bool
 }
 
 // Identity is what a process shows of itself on every connection.
@@ -151,7 +154,7 @@
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
 	}
-	c.Followers = reply.GetFollowers()
+	c.Followers, c.UnchangedInstances = reply.GetFollowers(), reply.GetUnchangedInstances()
 	c.deflateIn, c.deflateOut = reply.GetDeflate(), reply.GetDeflate() && dialerCompresses(hello, reply)
 	if err := c.checkName(); err != nil {
 		return err
@@ -176,7 +179,7 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
-		Zone: self.Hello.GetZone(), Deflate: true,
+		Zone: self.Hello.GetZone(), Deflate: true, UnchangedInstances: true,
 	}
 	c.deflateOut, c.deflateIn = hello.GetDeflate(), hello.GetDeflate() && dialerCompresses(hello, reply)
 	if self.Followers != nil {
