Ask for one round trip more of patience, by the mean alone

Cause: with two round trips and four deviations a lost leader was missed for longer where nothing was gained. Change: as said.

--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// rebalanceAfter is how long a client stays with a server that is not its first choice,
+	// rebalanceAfter is how long a client stays with a server while it prefers another,
 	// up to twice as long by chance. It is several times what an outage of a server takes.
 	rebalanceAfter = 5 * time.Second
 	// proveLimit is how long a better server has to send a digest newer than what is known:
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -34,7 +34,7 @@
 	// LostSlept is a sleep of this machine: what came before it is out of date, and the server
 	// may have given the connection up.
 	LostSlept LossReason = "slept"
-	// LostMoved is a change to the client's first choice.
+	// LostMoved is a change to a server that the client prefers.
 	LostMoved LossReason = "moved"
 )
 
--- a/internal/raft/patience.go
+++ b/internal/raft/patience.go
@@ -20,44 +20,31 @@
 	maxStretch = 2
 	// nearShare is the part of the heartbeat interval up to which a round trip counts as short.
 	nearShare = 4
-	// roundTripsSpared is how many round trips the patience is longer by: one for the reply that
-	// the lease waits for, one for a packet sent again.
-	roundTripsSpared = 2
 	// patienceSteps is how many steps the election timeout of the settings has: the patience
 	// changes by whole steps only, since a longer promise has to be stored.
 	patienceSteps = 8
-	// deviationsSpared is how many mean deviations a round trip may take longer, as TCP has it
-	// (RFC 6298).
-	deviationsSpared = 4
+	// roundTripShare is the weight of a new sample in the estimate of a round trip, as TCP has it
+	// (RFC 6298). Deviations are left out: they are those of lost packets, whose time does not
+	// grow with the link, and a lossy short link would make lost leaders be missed for longer.
+	roundTripShare = 8
 )
 
-// roundTrip estimates what round trips to a peer take, as TCP does (RFC 6298).
-type roundTrip struct {
-	mean, deviation time.Duration
-}
-
-func (r *roundTrip) add(sample time.Duration) {
-	const meanShare, deviationShare = 8, 4
-	if r.mean == 0 {
-		r.mean, r.deviation = sample, sample/2
-		return
+// smoothed returns the estimate of a round trip with one more sample; 0 stands for none yet.
+func smoothed(estimate, sample time.Duration) time.Duration {
+	if estimate == 0 {
+		return sample
 	}
-	r.deviation += ((sample - r.mean).Abs() - r.deviation) / deviationShare
-	r.mean += (sample - r.mean) / meanShare
-}
-
-// most is what nearly all round trips take less than.
-func (r *roundTrip) most() time.Duration {
-	return r.mean + deviationsSpared*r.deviation
+	return estimate + (sample-estimate)/roundTripShare
 }
 
 // patienceFor returns for how long followers should wait for a leader, where a round trip to a
-// quorum takes so long. It changes from what is asked for now by whole steps, and back only over
+// quorum takes so long: longer by one, by which the replies come later that the lease counts on. It
+// changes from what is asked for now by whole steps, and back only over
 // two.
 func (c *Config) patienceFor(roundTrip, asked time.Duration) time.Duration {
 	wanted := c.ElectionTimeout
 	if roundTrip > c.HeartbeatInterval/nearShare {
-		wanted += roundTripsSpared * roundTrip
+		wanted += roundTrip
 	}
 	step := max(c.ElectionTimeout/patienceSteps, time.Millisecond)
 	steps := (wanted - c.ElectionTimeout + step - 1) / step
@@ -84,14 +71,14 @@
 	if !known {
 		return
 	}
-	state.roundTrip.add(n.now - sent)
+	state.roundTrip = smoothed(state.roundTrip, n.now-sent)
 	trips := make([]time.Duration, 0, len(n.membership.GetVoters()))
 	for _, peer := range n.membership.GetVoters() {
 		measured := n.progress[peer]
-		if peer == n.config.ID || measured == nil || measured.roundTrip.mean == 0 {
+		if peer == n.config.ID || measured == nil || measured.roundTrip == 0 {
 			continue
 		}
-		trips = append(trips, measured.roundTrip.most())
+		trips = append(trips, measured.roundTrip)
 	}
 	others := n.quorum() - 1
 	if others == 0 || len(trips) < others {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -33,9 +33,10 @@
 	state       progressState
 	inflight    int
 	// paused is set while a probe is unanswered.
-	paused         bool
-	lastActive     time.Duration
-	roundTrip      roundTrip
+	paused     bool
+	lastActive time.Duration
+	// roundTrip is what heartbeats to the peer and back take; 0 while that is not known.
+	roundTrip      time.Duration
 	snapshotSentAt time.Duration
 }
 
