Put off an election for another's that is granted a pre-vote

Ruled out: a longer spread before round trips are known (every first election pays for it). Change: a member that grants a pre-vote puts off its own election, once; of two that ask for pre-votes at a time the one with the lower id goes on.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -84,6 +84,7 @@
 	if term > n.term {
 		n.term = term
 		n.vote = None
+		n.gaveWay = false
 	}
 	n.role = Follower
 	n.leader = leader
@@ -113,6 +114,23 @@
 	n.askForPreVotes()
 }
 
+// giveWay puts off this node's own election for another's, whose pre-vote it grants. Over long links
+// several stand before they hear of each other; the votes split, and an election timeout is lost.
+// Of two that ask for pre-votes at a time the one with the lower id goes on: each hears of the
+// other before its own pre-votes are back. It gives way once only until an election or a leader
+// comes of it: one that nobody else hears must not hold up the rest.
+func (n *Node) giveWay(other uint64) {
+	stands := n.role == PreCandidate
+	if n.gaveWay || n.isReleased() || n.role != Follower && !stands || stands && other > n.config.ID {
+		return
+	}
+	n.gaveWay = true
+	if stands {
+		n.role = Follower
+	}
+	n.resetElectionDeadline()
+}
+
 func (n *Node) hasUnappliedMembership() bool {
 	for _, entry := range n.log.unapplied() {
 		if entry.GetKind() == wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP {
@@ -125,6 +143,7 @@
 func (n *Node) startElection(round uint64) {
 	allIdle := n.allIdle()
 	n.role = Candidate
+	n.gaveWay = false
 	n.term++
 	n.vote = n.config.ID
 	n.leader = None
@@ -173,6 +192,9 @@
 		if upToDate {
 			n.scheduleProbe()
 		}
+		if !reply.Reject {
+			n.giveWay(message.GetFrom())
+		}
 		n.send(reply)
 		return
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -119,6 +119,8 @@
 	// idleSince is since when all voters are known to be idle up to the term.
 	idleSince time.Duration
 
+	// gaveWay is set while this node has put off its election for another's.
+	gaveWay bool
 	// contact is what this node knows of whether the leader hears it.
 	contact  contact
 	votes    map[uint64]bool
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -171,6 +171,7 @@
 		n.becomeFollower(message.GetTerm(), message.GetFrom())
 	}
 	n.leader = message.GetFrom()
+	n.gaveWay = false
 	n.lastContact = n.now
 	n.keepPromise()
 	n.resetElectionDeadline()
