Bound the compressors of a server

Ruled out: one compressor for all followers (they join at different moments). Change: beyond 64 compressed streams, nodes that connect get frames as they are; links between control nodes always are compressed. Conclusion: TestCompressorsAreBounded.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -179,9 +179,11 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
-		Zone: self.Hello.GetZone(), Deflate: true, UnchangedInstances: true,
+		Zone: self.Hello.GetZone(), UnchangedInstances: true,
+		Deflate: hello.GetControlId() != 0 || c.counters.compressors.Load() < maxCompressors,
 	}
-	c.deflateOut, c.deflateIn = hello.GetDeflate(), hello.GetDeflate() && dialerCompresses(hello, reply)
+	c.deflateOut = hello.GetDeflate() && reply.GetDeflate()
+	c.deflateIn = c.deflateOut && dialerCompresses(hello, reply)
 	if self.Followers != nil {
 		reply.Followers = self.Followers()
 	}
@@ -275,6 +277,10 @@
 func (c *Conn) writeLoop() {
 	defer c.Close()
 	out := newOutStream(c.metered, c.deflateOut)
+	if c.deflateOut {
+		c.counters.compressors.Add(1)
+		defer c.counters.compressors.Add(-1)
+	}
 	for {
 		select {
 		case <-c.done:
--- a/internal/wire/counters.go
+++ b/internal/wire/counters.go
@@ -25,6 +25,8 @@
 type Counters struct {
 	position places.Position
 	near     [nearnesses]placeCounters
+	// compressors counts the compressed streams that go out at present.
+	compressors atomic.Int64
 }
 
 // NewCounters returns the counters of a process that stands somewhere.
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -14,6 +14,11 @@
 // longer and gain next to nothing.
 const deflateLevel = 2
 
+// maxCompressors bounds the memory for compressors, 0.8 MB each and as much again until it is
+// collected: control nodes run on small machines. Nodes that connect beyond it get frames as they
+// are.
+const maxCompressors = 64
+
 // dialerCompresses reports whether the stream of the dialling side is compressed, where both sides
 // take that; the other always is. A router sends reports of a kilobyte a second and has a small
 // machine; within a zone that is not worth the compressor's memory.
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -150,6 +150,53 @@
 	}
 }
 
+// TestCompressorsAreBounded: a server on a small machine has a thousand followers.
+func TestCompressorsAreBounded(t *testing.T) {
+	server := identity(t, "server", nil)
+	for number := range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted := make(chan *wire.Conn, 1)
+		go func() {
+			network, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn, err := wire.Accept(network, server)
+			if err != nil {
+				t.Error(err)
+			}
+			accepted <- conn
+		}()
+		client := identity(t, "client", nil)
+		conn, err := wire.Dial(t.Context(), listener.Addr().String(), client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		served := <-accepted
+		defer served.Close()
+		for sequence := range uint64(2) {
+			if err := served.Send(digestEnvelope(sequence)); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := conn.Receive(); err != nil || !proto.Equal(got, digestEnvelope(sequence)) {
+				t.Fatalf("follower %d: digest %d came as %v, %v", number, sequence, got, err)
+			}
+		}
+		compressed := client.Counters.Network()[0].Received < client.Counters.Traffic()[0].BytesReceived
+		if compressed != (number < compressors) {
+			t.Errorf("follower %d: compressed %t", number, compressed)
+		}
+		_ = listener.Close()
+	}
+}
+
+// compressors is how many followers a server compresses for.
+const compressors = 64
+
 // TestStreamsToOldProcessesAreNotCompressed: processes are replaced one after the other.
 func TestStreamsToOldProcessesAreNotCompressed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
