--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -77,13 +77,14 @@
 		return true
 	}
 	free := n.isReleased() || allIdle != None && n.term <= allIdle
-	return !free && n.now < n.lastContact+n.config.ElectionTimeout
+	return !free && n.now < n.promisedUntil
 }
 
 func (n *Node) becomeFollower(term, leader uint64) {
 	if term > n.term {
 		n.term = term
 		n.vote = None
+		n.gaveWay = false
 	}
 	n.role = Follower
 	n.leader = leader
@@ -97,8 +98,9 @@
 		n.electionDeadline = n.now + n.releasedWait()
 		return
 	}
-	spread := n.config.Random(int64(n.config.ElectionSpread))
-	n.electionDeadline = n.now + n.config.ElectionTimeout + time.Duration(spread)
+	// Where messages take longer, so does it until a candidate is known.
+	spread := n.config.Random(int64(n.config.ElectionSpread + n.promise - n.config.ElectionTimeout))
+	n.electionDeadline = n.now + n.promise + time.Duration(spread)
 }
 
 // campaign asks whether an election could be won, without raising the term:
@@ -112,6 +114,23 @@
 	n.askForPreVotes()
 }
 
+// giveWay puts off this node's own election for another's, whose pre-vote it grants. Over long links
+// several stand before they hear of each other; the votes split, and an election timeout is lost.
+// Of two that ask for pre-votes at a time the one with the lower id goes on: each hears of the
+// other before its own pre-votes are back. It gives way once only until an election or a leader
+// comes of it: one that nobody else hears must not hold up the rest.
+func (n *Node) giveWay(other uint64) {
+	stands := n.role == PreCandidate
+	if n.gaveWay || n.isReleased() || n.role != Follower && !stands || stands && other > n.config.ID {
+		return
+	}
+	n.gaveWay = true
+	if stands {
+		n.role = Follower
+	}
+	n.resetElectionDeadline()
+}
+
 func (n *Node) hasUnappliedMembership() bool {
 	for _, entry := range n.log.unapplied() {
 		if entry.GetKind() == wirepb.EntryKind_ENTRY_KIND_MEMBERSHIP {
@@ -124,6 +143,7 @@
 func (n *Node) startElection(round uint64) {
 	allIdle := n.allIdle()
 	n.role = Candidate
+	n.gaveWay = false
 	n.term++
 	n.vote = n.config.ID
 	n.leader = None
@@ -172,6 +192,9 @@
 		if upToDate {
 			n.scheduleProbe()
 		}
+		if !reply.Reject {
+			n.giveWay(message.GetFrom())
+		}
 		n.send(reply)
 		return
 	}
@@ -231,6 +254,7 @@
 	n.role = Leader
 	n.leader = n.config.ID
 	n.led = n.term
+	n.asked = n.config.ElectionTimeout
 	n.lease = newLease()
 	n.progress = map[uint64]*progress{}
 	n.syncProgress()
@@ -259,7 +283,7 @@
 		if peer == n.config.ID || state == nil {
 			continue
 		}
-		if state.match == n.log.lastIndex() && n.now-state.lastActive < n.config.ElectionTimeout {
+		if state.match == n.log.lastIndex() && n.now-state.lastActive < n.patience() {
 			best = peer
 		}
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/tcpopt"
@@ -34,13 +36,24 @@
 // state may be lost but must not hold up the sender.
 type Conn struct {
 	network  net.Conn
+	metered  *meteredConn
 	reader   *bufio.Reader
 	outbox   chan *wirepb.Envelope
 	done     chan struct{}
 	once     sync.Once
 	counters *Counters
+	// traffic counts what goes over this connection by kind.
+	traffic *placeCounters
+	// deflateOut and deflateIn are set where the stream of that direction is compressed.
+	deflateOut, deflateIn bool
 	// Peer is what the other side said of itself.
 	Peer *wirepb.Hello
+	// Followers is how many nodes followed the other side when it took this connection; see
+	// HelloReply.
+	Followers uint32
+	// UnchangedInstances is whether the dialled side takes reports of machines without what it
+	// has; see HelloReply.
+	UnchangedInstances bool
 }
 
 // Identity is what a process shows of itself on every connection.
@@ -52,6 +65,8 @@
 	// Refuse returns why a server takes no connection of a peer, or an empty
 	// text; nil takes all.
 	Refuse func(hello *wirepb.Hello) string
+	// Followers returns how many nodes follow a server; nil where none do.
+	Followers func() uint32
 }
 
 // Dial connects, shakes hands and starts the writer.
@@ -74,7 +89,7 @@
 		_ = network.Close()
 		return nil, err
 	}
-	go conn.writeLoop()
+	conn.start()
 	return conn, nil
 }
 
@@ -89,7 +104,7 @@
 		_ = network.Close()
 		return nil, err
 	}
-	go conn.writeLoop()
+	conn.start()
 	return conn, nil
 }
 
@@ -97,16 +112,30 @@
 	if counters == nil {
 		counters = &Counters{}
 	}
+	metered := &meteredConn{Conn: network}
 	return &Conn{
 		network:  network,
-		reader:   bufio.NewReaderSize(network, bufferBytes),
+		metered:  metered,
+		reader:   bufio.NewReaderSize(metered, bufferBytes),
 		outbox:   make(chan *wirepb.Envelope, sendQueueLength),
 		done:     make(chan struct{}),
 		counters: counters,
 	}
 }
 
-func (c *Conn) greet(hello *wirepb.Hello) error {
+// start begins the stream of frames behind the handshake.
+func (c *Conn) start() {
+	c.traffic = c.counters.with(c.Peer.GetZone())
+	c.metered.traffic = c.traffic
+	if c.deflateIn {
+		c.reader = inflate(c.reader)
+	}
+	go c.writeLoop()
+}
+
+func (c *Conn) greet(own *wirepb.Hello) error {
+	hello := proto.CloneOf(own)
+	hello.Deflate = true
 	_ = c.network.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}}); err != nil {
 		return err
@@ -122,7 +151,11 @@
 	if reply.GetRefusal() != "" {
 		return fault.Protocol.New("refused by %s: %s", reply.GetNode(), reply.GetRefusal())
 	}
-	c.Peer = &wirepb.Hello{Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId()}
+	c.Peer = &wirepb.Hello{
+		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
+	}
+	c.Followers, c.UnchangedInstances = reply.GetFollowers(), reply.GetUnchangedInstances()
+	c.deflateIn, c.deflateOut = reply.GetDeflate(), reply.GetDeflate() && dialerCompresses(hello, reply)
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -146,6 +179,13 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
+		Zone: self.Hello.GetZone(), UnchangedInstances: true,
+		Deflate: hello.GetControlId() != 0 || c.counters.compressors.Load() < maxCompressors,
+	}
+	c.deflateOut = hello.GetDeflate() && reply.GetDeflate()
+	c.deflateIn = c.deflateOut && dialerCompresses(hello, reply)
+	if self.Followers != nil {
+		reply.Followers = self.Followers()
 	}
 	if err := c.writeNow(&wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: reply}}); err != nil {
 		return err
@@ -212,7 +252,7 @@
 		c.Close()
 		return nil, err
 	}
-	c.counters.received(envelope, size)
+	c.traffic.received(envelope, size)
 	return envelope, nil
 }
 
@@ -236,13 +276,17 @@
 
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	writer := bufio.NewWriterSize(c.network, bufferBytes)
+	out := newOutStream(c.metered, c.deflateOut)
+	if c.deflateOut {
+		c.counters.compressors.Add(1)
+		defer c.counters.compressors.Add(-1)
+	}
 	for {
 		select {
 		case <-c.done:
 			return
 		case envelope := <-c.outbox:
-			if !c.writeBurst(writer, envelope) {
+			if !c.writeBurst(out, envelope) {
 				return
 			}
 		}
@@ -250,20 +294,20 @@
 }
 
 // writeBurst writes an envelope and all queued behind it with one flush.
-func (c *Conn) writeBurst(writer *bufio.Writer, envelope *wirepb.Envelope) bool {
+func (c *Conn) writeBurst(out *outStream, envelope *wirepb.Envelope) bool {
 	for {
 		// Each frame has its own time: a long queue on a slow link is no silence.
 		_ = c.network.SetWriteDeadline(time.Now().Add(writeTimeout))
-		size, err := WriteFrame(writer, envelope)
+		size, err := WriteFrame(out.frames, envelope)
 		if err != nil {
 			return false
 		}
-		c.counters.sent(envelope, size)
+		c.traffic.sent(envelope, size)
 		select {
 		case envelope = <-c.outbox:
 			continue
 		default:
 		}
-		return writer.Flush() == nil
+		return out.flush() == nil
 	}
 }
