Let a swap of models wait for fewer commits

A pass of the leader waited for two of them, one for adapters that came and went and one for what it decided, so it looked at demand seven times a second; what had been unloaded was taken out of the records in one pass and its room used in the next; and each order waited for the commit of its grant before it so much as dialled the machine.

Ruled out: the reports' interval (the first waiting request nudges its router's report, and the report wakes the leader), the rests between passes (worked_ms was 0), queue lengths or ages in placement.

Change: changes of adapters share the commit of the decisions; room of a removed replica is used in the same pass, both writes in one command, the removal first; the connection for an order is made beside the commit of its grant, and nothing is written to it before the grant stands.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -133,13 +133,25 @@
 	return registered
 }
 
-// adopt returns the writes that bring the records in step with what engines hold.
+// adopt returns the writes that make records of what engines hold without one.
 func (f *fleet) adopt(registered *controller.Registered) []*wirepb.ObjectWrite {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return registered.Adopt(f.stateOf())
 }
 
+// withAdapters adds the writes that bring the adapters of records up to date; see
+// controller.Registered.
+func (f *fleet) withAdapters(writes []*wirepb.ObjectWrite) []*wirepb.ObjectWrite {
+	if f.node.engines == nil {
+		return writes
+	}
+	registered := f.read()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return registered.WithAdapters(writes, f.stateOf())
+}
+
 // passOn tells placement what engines hold, and the pacer what the weight stores admit.
 func (f *fleet) passOn(registered *controller.Registered) {
 	f.mutex.Lock()
@@ -361,10 +373,7 @@
 
 func (f *fleet) order(ctx context.Context, order orders.Order) {
 	started := f.node.now()
-	outcome := orders.NotSent
-	if err := f.grant(ctx, order.Machine); err == nil {
-		outcome = f.send(ctx, order)
-	}
+	outcome := f.send(ctx, order, f.beginGrant(ctx, order.Machine))
 	f.node.logger.Info("order", "machine", order.Machine, "operation", string(order.Operation), "model", order.Model,
 		"adapter", order.Adapter, "expected", order.Expected, "fence", f.term, "outcome", outcome.String(),
 		"took_ms", (f.node.now() - started).Milliseconds())
@@ -377,10 +386,28 @@
 	f.node.wakeLeader()
 }
 
-func (f *fleet) send(ctx context.Context, order orders.Order) orders.Outcome {
+// beginGrant asks the log for a grant and returns the channel that tells how that ended. The
+// connection to the machine is made meanwhile: with voters and machines in several regions each
+// of the two takes tens of milliseconds, and requests wait for the order.
+func (f *fleet) beginGrant(ctx context.Context, machine string) <-chan error {
+	granted := make(chan error, 1)
+	f.workers.Go(func() { granted <- f.grant(ctx, machine) })
+	return granted
+}
+
+// send sends an order once a connection stands and the grant is in the log; without the grant
+// nothing is written to the machine.
+func (f *fleet) send(ctx context.Context, order orders.Order, granted <-chan error) orders.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	permitted := func() bool { return f.mayOrder(order.Machine) }
+	permitted := func() bool {
+		select {
+		case err := <-granted:
+			return err == nil && f.mayOrder(order.Machine)
+		case <-ctx.Done():
+			return false
+		}
+	}
 	return f.node.engines.Order(ctx, order, f.node.settings.Node, f.term, permitted)
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -179,7 +179,7 @@
 	for _, action := range decision.Actions {
 		l.logAction(action)
 	}
-	l.write(ctx, decision.Writes)
+	l.write(ctx, l.fleet.withAdapters(decision.Writes))
 }
 
 // recordLoad commits what came of a load, and reports whether it is in the log.
--- a/internal/controller/registered.go
+++ b/internal/controller/registered.go
@@ -107,9 +107,8 @@
 	return names
 }
 
-// Adopt returns the writes that make records of what engines hold without one,
-// and that bring the adapters of records up to date. A machine holds models
-// before anything was decided; they are used, not unloaded.
+// Adopt returns the writes that make records of what engines hold without one. A machine
+// holds models before anything was decided; they are used, not unloaded.
 func (r *Registered) Adopt(stateOf StateOf) []*wirepb.ObjectWrite {
 	var writes []*wirepb.ObjectWrite
 	for _, name := range r.names() {
@@ -127,10 +126,8 @@
 }
 
 func (r *Registered) adoptModel(machine, model string, adapters []string) *wirepb.ObjectWrite {
-	for _, replica := range r.replicas[machine] {
-		if replica.spec.Checkpoint == model {
-			return adapterWrite(replica, adapters)
-		}
+	if r.hasRecord(machine, model) {
+		return nil
 	}
 	version, declared := r.versions[versionKey{r.Machines[machine].Spec.Pool, model}]
 	if !declared {
@@ -160,6 +157,38 @@
 	}
 }
 
+func (r *Registered) hasRecord(machine, model string) bool {
+	return slices.ContainsFunc(r.replicas[machine], func(replica storedReplica) bool { return replica.spec.Checkpoint == model })
+}
+
+// WithAdapters returns the writes, followed by those that bring the adapters of records up to
+// date. Nothing is decided by what records say of adapters, so these share a commit with the
+// decisions: with voters in several regions a commit takes tens of milliseconds, and adapters
+// come and go many times a second. A record that is written to anyway is left for the next
+// time, since the two writes would name different revisions of it.
+func (r *Registered) WithAdapters(writes []*wirepb.ObjectWrite, stateOf StateOf) []*wirepb.ObjectWrite {
+	written := make(map[string]bool, len(writes))
+	for _, write := range writes {
+		written[write.GetObject().GetName()] = true
+	}
+	for _, name := range r.names() {
+		known, heard := stateOf(name)
+		if !heard {
+			continue
+		}
+		for _, replica := range r.replicas[name] {
+			adapters, held := known.Models[replica.spec.Checkpoint]
+			if !held || written[replica.object.GetName()] {
+				continue
+			}
+			if write := adapterWrite(replica, adapters); write != nil {
+				writes = append(writes, write)
+			}
+		}
+	}
+	return writes
+}
+
 func adapterWrite(replica storedReplica, adapters []string) *wirepb.ObjectWrite {
 	if slices.Equal(v1.ReplicaAdapters(replica.object.GetStatus()), adapters) {
 		return nil
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -240,3 +240,40 @@
 		t.Errorf("with %d on their way: %v", maxPrefetches, tasks)
 	}
 }
+
+// TestAdaptersShareACommit: each change of adapters had a commit of its own, for which the
+// decisions of the pass waited.
+func TestAdaptersShareACommit(t *testing.T) {
+	machine := fleetState(t)
+	registered := ReadRegistered(machine)
+	held := knows(orders.State{Models: map[string][]string{"red": {"a1"}}})
+	if writes := registered.Adopt(held); len(writes) != 0 {
+		t.Errorf("adapters of a known replica are written apart: %v", writes)
+	}
+	other := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindModel), Name: "green", Spec: []byte("{}")}}
+	writes := registered.WithAdapters([]*wirepb.ObjectWrite{other}, held)
+	if len(writes) != 2 || writes[0] != other || writes[1].GetObject().GetName() != "record" {
+		t.Fatalf("%d writes: %v", len(writes), writes)
+	}
+	data, err := proto.Marshal(&wirepb.Command{Body: &wirepb.Command_Write{Write: &wirepb.WriteCommand{Writes: writes}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result := machine.Apply(data); result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		t.Error(result.GetMessage())
+	}
+	if writes = ReadRegistered(machine).WithAdapters(nil, held); len(writes) != 0 {
+		t.Errorf("written again: %v", writes)
+	}
+}
+
+// TestAdaptersWaitForTheDecision: two writes to one record would name the same revision of it,
+// and the log would refuse all writes of the pass.
+func TestAdaptersWaitForTheDecision(t *testing.T) {
+	registered := ReadRegistered(fleetState(t))
+	unload := &wirepb.ObjectWrite{Object: &wirepb.Object{Kind: string(v1.KindReplica), Name: "record"}}
+	writes := registered.WithAdapters([]*wirepb.ObjectWrite{unload}, knows(orders.State{Models: map[string][]string{"red": {"a1"}}}))
+	if len(writes) != 1 {
+		t.Errorf("%d writes to one record: %v", len(writes), writes)
+	}
+}
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -49,6 +49,30 @@
 	}
 }
 
+// release frees the room of a replica whose record is removed. What is decided later in the same
+// pass may take it: all changes of a pass are written to the log as one, the removal first, and
+// a load need not wait for the next pass, and its commit.
+func (r *room) release(replica *Replica) {
+	position := slices.Index(r.replicas, replica)
+	if position < 0 {
+		return
+	}
+	r.replicas = slices.Delete(r.replicas, position, position+1)
+	release(r.free, replica, 1)
+	for _, accelerator := range replica.Spec.Accelerators {
+		if accelerator < len(r.holds) {
+			r.holds[accelerator]--
+		}
+	}
+	r.changed--
+	switch replica.Spec.Phase {
+	case v1.ReplicaLoading:
+		r.loading--
+	case v1.ReplicaUnloading:
+		r.unloading--
+	}
+}
+
 // hasOrders reports whether orders are under way on a registered machine, which
 // carries them out one after the other. What is decided for it before they are done
 // only waits there: a load that could begin elsewhere, a replica that could serve.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -148,6 +148,9 @@
 		p.changed[action.Replica] = true
 		if room := p.machines[action.Replica.Spec.Machine]; room != nil {
 			room.changed++
+			if action.Kind == ActionRemove {
+				room.release(action.Replica)
+			}
 		}
 	}
 	p.decision.Actions = append(p.decision.Actions, action)
