Prepare orders beside commits, send and place near, spare replicas in use

Ruled out: keeping connections to engines for long (they may lead to a process that has ended; and descriptors, with thousands of machines). A grant ahead of time for a machine that another leader may still order: the log would forget who was before, so such machines are not prepared (test).

Sends are logged and counted by nearness.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -44,6 +44,8 @@
 // Engines gives orders to machines and asks them what they hold, in whatever
 // protocol they speak.
 type Engines interface {
+	// Connect makes a connection for an order that is about to be given.
+	Connect(ctx context.Context, machine, endpoint string) error
 	// Order sends an order. Permitted is asked once a connection stands, just
 	// before anything is written: a leader whose lease has run out meanwhile
 	// must not order any more.
@@ -323,16 +325,13 @@
 func (f *fleet) pass(ctx context.Context) {
 	registered := f.read()
 	wanted := f.wanted(registered)
-	holders := map[string]string{}
-	f.node.Read(func(machine *state.Machine) {
-		for name := range registered.Machines {
-			holders[name] = machine.Holder(name)
-		}
-	})
-	now := f.node.now()
+	names := make([]string, 0, len(wanted))
+	for _, entry := range wanted {
+		names = append(names, entry.Machine)
+	}
+	free := f.freeOf(names)
 	for position := range wanted {
-		name := wanted[position].Machine
-		wanted[position].Held = !f.node.grants.Free(now, name, holders[name])
+		wanted[position].Held = !free[wanted[position].Machine]
 	}
 	f.mutex.Lock()
 	plan := f.core.Plan(f.node.now(), wanted)
@@ -386,6 +385,55 @@
 	f.node.wakeLeader()
 }
 
+// freeOf tells which machines nobody else may still give orders to. The others get no grant
+// either: once the log names this node as the holder, who was before is forgotten.
+func (f *fleet) freeOf(machines []string) map[string]bool {
+	holders := make(map[string]string, len(machines))
+	f.node.Read(func(machine *state.Machine) {
+		for _, name := range machines {
+			holders[name] = machine.Holder(name)
+		}
+	})
+	now := f.node.now()
+	free := make(map[string]bool, len(machines))
+	for _, name := range machines {
+		free[name] = f.node.grants.Free(now, name, holders[name])
+	}
+	return free
+}
+
+// prepare asks for the grants of machines, and connects to them, while the decisions that they
+// will get orders for are being committed. Whatever does not come about in time is made for the
+// order itself.
+func (f *fleet) prepare(ctx context.Context, machines []string) {
+	if f.node.engines == nil {
+		return
+	}
+	registered := f.read()
+	free := f.freeOf(machines)
+	for _, machine := range machines {
+		declared, known := registered.Machines[machine]
+		if !known || !free[machine] {
+			continue
+		}
+		granted := f.beginGrant(ctx, machine)
+		f.workers.Go(func() {
+			if err := <-granted; err != nil {
+				f.node.logger.Info("machine_not_prepared", "machine", machine, "error", fault.Message(err))
+			}
+		})
+		f.workers.Go(func() { f.connect(ctx, machine, declared.Spec.Endpoint) })
+	}
+}
+
+func (f *fleet) connect(ctx context.Context, machine, endpoint string) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := f.node.engines.Connect(ctx, machine, endpoint); err != nil {
+		f.node.logger.Info("machine_not_prepared", "machine", machine, "error", fault.Message(err))
+	}
+}
+
 // beginGrant asks the log for a grant and returns the channel that tells how that ended. The
 // connection to the machine is made meanwhile: with voters and machines in several regions each
 // of the two takes tens of milliseconds, and requests wait for the order.
--- a/internal/control/grant_test.go
+++ b/internal/control/grant_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/orders"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -73,3 +74,59 @@
 		t.Error("the order was permitted without a grant in the log")
 	}
 }
+
+// countedEngines count the connections that are made for orders to come.
+type countedEngines struct {
+	silentEngines
+	connected chan string
+}
+
+func (e *countedEngines) Connect(_ context.Context, machine, _ string) error {
+	e.connected <- machine
+	return nil
+}
+
+// TestMachineOfAnotherLeaderIsNotPrepared: a grant that is asked for before the time of the last
+// holder is over would make the log forget that holder, and two leaders could order in turns.
+func TestMachineOfAnotherLeaderIsNotPrepared(t *testing.T) {
+	engines := &countedEngines{connected: make(chan string, 2)}
+	cluster := &trio{t: t, addresses: []string{"127.0.0.1:1"}, cuts: []*atomic.Bool{{}}}
+	node := cluster.newNodeWith(0, memoryStorage{}, engines)
+	cluster.nodes = []*Node{node}
+	ctx, cancel := context.WithCancel(t.Context())
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer cancel()
+	workers.Go(func() { _ = node.Run(ctx) })
+	cluster.eventually("a leader", node.leads)
+	pool := &wirepb.Object{Kind: string(v1.KindPool), Name: "p", Spec: []byte("{}")}
+	if err := node.Declare(ctx, &wirepb.DeclareCommand{Version: 1, Document: []byte("1"), Objects: []*wirepb.Object{pool}}); err != nil {
+		t.Fatal(err)
+	}
+	holders := map[string]string{"another": "another leader", "own": node.holder}
+	for name, holder := range holders {
+		node.takeInstance(&wirepb.InstanceReport{Machine: name, Pool: "p", Endpoint: "http://10.0.0.1:1", Zone: "z", Slots: 1, Sequence: 1})
+		cluster.eventually("the machine recorded", func() bool {
+			listed := false
+			node.Read(func(machine *state.Machine) {
+				listed = len(machine.List(v1.KindMachine)) > 0 && machine.MachineStatus(name).Phase != ""
+			})
+			return listed
+		})
+		grant := &wirepb.Command{Body: &wirepb.Command_Grant{Grant: &wirepb.GrantCommand{Holder: holder, Machines: []string{name}}}}
+		if _, err := node.Propose(ctx, grant); err != nil {
+			t.Fatal(err)
+		}
+	}
+	given := newFleet(ctx, node, node.status.Load().Term)
+	defer given.stop()
+	given.prepare(ctx, []string{"another", "own"})
+	if machine := <-engines.connected; machine != "own" {
+		t.Errorf("connected to %s, which another leader may still order", machine)
+	}
+	holder := ""
+	node.Read(func(machine *state.Machine) { holder = machine.Holder("another") })
+	if holder != "another leader" {
+		t.Errorf("the machine was granted to %s before the last holder's time was over", holder)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -120,7 +120,7 @@
 	n.logger.Info("term_begun", "term", term, "versions_known", len(history), "history_age_ms", historyAge.Milliseconds())
 	config := controller.Config{
 		Node: n.settings.Node, Term: term, MachineTimeout: n.settings.Policy.MachineTimeout,
-		Quota: n.settings.Quota.Bound(), Routers: int(n.digest.Load().GetRouters()),
+		Quota: n.settings.Quota.Bound(), Routers: int(n.digest.Load().GetRouters()), Places: n.settings.Position().Map,
 		Planner: placement.Config{
 			Speeds:               placement.DefaultTierSpeeds,
 			StoreLoadsPerSecond:  platformSettings.StoreLoadsPerSecond,
@@ -179,9 +179,24 @@
 	for _, action := range decision.Actions {
 		l.logAction(action)
 	}
+	l.fleet.prepare(ctx, ordered(decision.Actions))
 	l.write(ctx, l.fleet.withAdapters(decision.Writes))
 }
 
+// ordered returns the machines that actions mean orders for.
+func ordered(actions []placement.Action) []string {
+	var machines []string
+	for _, action := range actions {
+		switch action.Kind {
+		case placement.ActionLoad:
+			machines = append(machines, action.Spec.Machine)
+		case placement.ActionUnload:
+			machines = append(machines, action.Replica.Spec.Machine)
+		}
+	}
+	return machines
+}
+
 // recordLoad commits what came of a load, and reports whether it is in the log.
 func (l *leader) recordLoad(ctx context.Context, command *wirepb.Command) bool {
 	var result *wirepb.CommandResult
--- a/internal/control/register_test.go
+++ b/internal/control/register_test.go
@@ -34,6 +34,10 @@
 	return orders.NotSent
 }
 
+func (silentEngines) Connect(context.Context, string, string) error {
+	return fault.Engine.New("no answer")
+}
+
 func (silentEngines) Report(context.Context, string, string) (orders.Report, error) {
 	return orders.Report{}, fault.Engine.New("no answer")
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -54,6 +55,8 @@
 	Quota quota.Bound
 	// Routers is how many the term before had, as far as that is known.
 	Routers int
+	// Places tells the regions of machines and routers.
+	Places places.Map
 }
 
 // Controller decides for one term. It is not safe for concurrent use.
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -9,6 +9,7 @@
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -43,6 +44,7 @@
 // reports beside them.
 type clusterView struct {
 	*storedView
+	places   places.Map
 	now      time.Duration
 	nodes    map[string]nodeEntry
 	reports  map[string]machineEntry
@@ -64,7 +66,7 @@
 func (c *Controller) view(now time.Duration) *clusterView {
 	nodes, machineReports := c.reports.snapshot(now)
 	return &clusterView{
-		storedView: c.stored, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
+		storedView: c.stored, places: c.config.Places, now: now, nodes: nodes, reports: machineReports, arrivals: c.reports.arrivalCounts(),
 	}
 }
 
@@ -164,7 +166,7 @@
 		}
 		report := v.reports[name].report
 		machine := &placement.Machine{
-			Name: name, Zone: declared.Spec.Zone,
+			Name: name, Zone: declared.Spec.Zone, Region: v.places.Region(declared.Spec.Zone),
 			Accelerators: declared.Spec.Accelerators, AcceleratorBytes: declared.Spec.AcceleratorBytes,
 			Incarnation: declared.Status.Incarnation, Fence: report.GetFence(),
 			Accepts: declared.Status.Phase == v1.MachineLive && !declared.Spec.Drain,
@@ -265,6 +267,7 @@
 			}
 			demand.Waiting += int(reported.GetWaiting())
 			demand.Running += int(reported.GetRunning())
+			v.addRegion(demand, entry.report.GetZone(), reported)
 			demand.Priority = max(demand.Priority, reported.GetPriority())
 			if reported.GetWaiting() > 0 {
 				oldest := time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
@@ -275,6 +278,19 @@
 	return total
 }
 
+// addRegion counts requests by where they come from, as far as that is known.
+func (v *clusterView) addRegion(demand *placement.Demand, zone string, reported *wirepb.ModelDemand) {
+	region := v.places.Region(zone)
+	requests := reported.GetWaiting() + reported.GetRunning()
+	if region == "" || requests == 0 {
+		return
+	}
+	if demand.Regions == nil {
+		demand.Regions = map[string]float64{}
+	}
+	demand.Regions[region] += float64(requests)
+}
+
 // replicaWrites turns actions into conditional writes of replica records.
 func replicaWrites(revision uint64, actions []placement.Action) []*wirepb.ObjectWrite {
 	writes := make([]*wirepb.ObjectWrite, 0, len(actions))
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -24,6 +24,9 @@
 	// Work is what the request asks of a machine, in tokens; Shared is the
 	// part of it that is spared where the prompt's beginning is cached.
 	Work, Shared float64
+	// Detour is how much less work a target in another region must have before it to be
+	// preferred, in tokens.
+	Detour float64
 	// Target is within which the answer should begin; 0 if that is open.
 	Target time.Duration
 	// Allowed says in which regions the request may be served.
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/weldline/weldline/internal/places"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// prompt's beginning hold it.
 	firstHomeShare  = 0.9
 	secondHomeShare = 0.45
+	// zoneShare is what a target in another zone of the region costs, as a part of what one in
+	// another region does: the way is short, and its bytes are paid for all the same.
+	zoneShare = 0.25
 )
 
 // addWork counts a request's work at a machine.
@@ -69,13 +74,13 @@
 		}
 	}
 	usable = c.withoutFailing(now, request, usable)
-	first, second := homes(usable, request.Prefix)
+	first, second := homes(nearby(usable), request.Prefix)
 	level := c.levelOfOthers(now, version, usable)
 	var best *target
 	var bestCost, bestTie float64
 	for _, candidate := range usable {
 		load := c.machineWork(candidate)
-		cost := max(load, level)
+		cost := max(load, level) + request.crossing(candidate.Nearness)
 		cost += request.Shared * (1 - candidate.cachedShare(now, request, first, second))
 		tie := weightedRank(c.config.Seed+request.ID, candidate.Machine, level-load)
 		if best == nil || cost < bestCost || cost == bestCost && tie > bestTie {
@@ -100,6 +105,31 @@
 	return 0
 }
 
+// crossing is the work that a further target must have less before it.
+func (r *Request) crossing(nearness places.Nearness) float64 {
+	switch nearness {
+	case places.SameZone:
+		return 0
+	case places.SameRegion:
+		return r.Detour * zoneShare
+	}
+	return r.Detour
+}
+
+// nearby returns the targets in the router's region, or all where there is none.
+func nearby(targets []*target) []*target {
+	var near []*target
+	for _, candidate := range targets {
+		if candidate.Nearness < places.Further {
+			near = append(near, candidate)
+		}
+	}
+	if len(near) == 0 {
+		return targets
+	}
+	return near
+}
+
 // homes returns the two targets that rank highest for a prefix.
 func homes(targets []*target, prefix uint64) (first, second *target) {
 	if prefix == 0 {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -65,7 +65,8 @@
 	if j.sent == 0 {
 		j.ingress.countFirst(j.pool)
 	}
-	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", j.remaining().Milliseconds())
+	j.ingress.options.Metrics.observeSent(grant.Target.Nearness)
+	j.log("sent", "machine", grant.Target.Machine, "nearness", grant.Target.Nearness.String(), "waited", grant.Cold, "remains_ms", j.remaining().Milliseconds())
 	tryCtx, cancel := j.tryContext(ctx)
 	defer cancel()
 	outgoing := j.outgoing(grant)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -188,6 +188,7 @@
 	j.wanted = &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.priority(), Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
+		Detour:   j.detour(),
 		Target:   time.Duration(j.route.Spec.TargetLatency),
 		Patience: j.arrived.Add(j.patience()),
 	}
@@ -255,8 +256,24 @@
 	return patience
 }
 
-// plainWork is the work of a request without tokens.
-const plainWork = 1000
+const (
+	// plainWork is the work of a request without tokens.
+	plainWork = 1000
+	// plainDetour is what another region costs such a request: two round trips, one of them for
+	// the connection, take longer than a few like it at the nearest machine.
+	plainDetour = 3 * plainWork
+	// tokenDetour is the same for a request to an engine, which is answered later anyway: it
+	// goes further rather than wait for a prompt before it, or join a crowded batch.
+	tokenDetour = 300
+)
+
+// detour is by how much the nearest machines are preferred.
+func (j *job) detour() float64 {
+	if j.attributes.PromptTokens+j.attributes.OutputTokens > 0 {
+		return tokenDetour
+	}
+	return plainDetour
+}
 
 func (j *job) work() float64 {
 	if work := j.attributes.PromptTokens + j.attributes.OutputTokens; work > 0 {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
 )
 
@@ -17,6 +18,7 @@
 	seconds  *prometheus.HistogramVec
 	tenants  *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	sends    *prometheus.CounterVec
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -48,6 +50,9 @@
 		crashes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_machines_examined_total", Help: "Machines whose answers broke off, by what had become of them.",
 		}, []string{"verdict"}),
+		sends: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_sends_total", Help: "Requests sent to machines, by how near these are.",
+		}, []string{"nearness"}),
 		series: map[string]bool{},
 	}
 }
@@ -66,6 +71,11 @@
 	m.crashes.WithLabelValues(verdict.String()).Inc()
 }
 
+// observeSent counts a request that goes to a machine.
+func (m *Metrics) observeSent(nearness places.Nearness) {
+	m.sends.WithLabelValues(nearness.String()).Inc()
+}
+
 func (m *Metrics) seriesOf(tenant string) string {
 	m.seriesMutex.Lock()
 	defer m.seriesMutex.Unlock()
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -25,6 +25,12 @@
 	// worthEvicting is the share of the load time elsewhere below which a load
 	// in evicted room must be: a small gain is not worth another's replica.
 	worthEvicting = 0.6
+	// usualRun is about how long the requests that run on a replica go on: streams last a second
+	// or two, and several of them run at once.
+	usualRun = 1500 * time.Millisecond
+	// inUse is how many requests must run for each replica of a version for all of them to be
+	// taken to be in use: engines don't tell what they run of which model.
+	inUse = 0.5
 )
 
 // evictForSpeed makes room on a machine that has the checkpoint in a faster
@@ -248,9 +254,19 @@
 		return 0
 	}
 	if version.Spec.Pool != "" {
-		return p.loadTime(version, TierDisk).Seconds() * version.ColdStartWeight * p.replicaWorth(replica, version)
+		return version.ColdStartWeight * (p.loadTime(version, TierDisk).Seconds()*p.replicaWorth(replica, version) + p.runsTake(version).Seconds())
 	}
 	idle := p.input.Now.Sub(p.planner.lastUsed[replica.Name])
 	load := p.loadTime(version, TierDisk).Seconds()
 	return load * version.ColdStartWeight / (1 + idle.Seconds())
 }
+
+// runsTake is about how long it takes until nothing runs any more on a replica of a version. An
+// engine unloads a model only then, and takes no other order meanwhile: what waits for the room
+// waits for these runs, also where the version can do without the replica.
+func (p *pass) runsTake(version *Version) time.Duration {
+	if p.interrupted(version) < inUse*float64(max(1, p.ready(version))) {
+		return 0
+	}
+	return usualRun
+}
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
 )
@@ -36,3 +37,33 @@
 		}
 	}
 }
+
+// TestIdleVictimIsPreferred: a replica that its version could do without was evicted while it ran
+// four requests; its machine took no other order until they were done, though the next machine had
+// an idle one.
+func TestIdleVictimIsPreferred(t *testing.T) {
+	input := poolInput(2)
+	input.Replicas = nil
+	poolVersion(input, "wanted")
+	poolReplica(input, "v0", "m0")
+	poolReplica(input, "v0", "m1")
+	poolReplica(input, "v1", "m0")
+	poolReplica(input, "v2", "m1")
+	input.Machines["m0"].Tiers["wanted"] = TierDisk
+	input.Machines["m1"].Tiers["wanted"] = TierDisk
+	input.Demand["v0"] = &Demand{Running: 8}
+	input.Demand["v1"] = &Demand{Running: 1}
+	planner := newPoolPlanner()
+	planner.work.settled = true
+	planner.lastUsed["v2.m1"] = input.Now.Add(-20 * time.Second)
+	wait(input, "wanted", 1)
+	decided := planner.Decide(input)
+	for _, action := range decided.Actions {
+		if action.Kind == ActionUnload && action.Replica.Spec.Version != "v2" {
+			t.Errorf("evicts %s, which is in use: %v", action.Replica.Name, describe(decided))
+		}
+	}
+	if !unloadedVersions(decided)["v2"] {
+		t.Errorf("the idle replica does not make room: %v", describe(decided))
+	}
+}
--- a/internal/placement/swap.go
+++ b/internal/placement/swap.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		option.readyIn = p.ordersTake(entry, candidate) + costs.loadTime(option.tier)
-		option.cost = costs.of(option.readyIn, candidate.work)
+		option.cost = costs.of(option.readyIn, candidate)
 		if best != nil && option.cost >= best.cost {
 			continue // Making room would only cost more.
 		}
@@ -105,7 +105,7 @@
 	}
 	option.victims = victims
 	option.readyIn += evictionTakes
-	option.cost = lost + costs.of(option.readyIn, option.room.work)
+	option.cost = lost + costs.of(option.readyIn, option.room)
 	return true
 }
 
@@ -117,16 +117,20 @@
 	// perSecond is what a second until the replica is ready costs, perWork what a unit of
 	// the machine's rate of work does.
 	perSecond, perWork float64
+	// detours are what the requests of other regions cost.
+	detours detours
 }
 
 func (p *pass) swapCostsOf(entry want) swapCosts {
 	version := entry.version
+	perSecond := version.ColdStartWeight * max(1, entry.gain)
 	return swapCosts{
 		memory: p.loadTime(version, TierMemory), disk: p.loadTime(version, TierDisk),
 		remote:       p.loadTime(version, TierRemote) + p.planner.store.delay(p.storeQueue, p.storeLoads, p.loadTime(version, TierRemote)),
 		notFromStore: entry.isReserve() && p.isAtHand(version),
-		perSecond:    version.ColdStartWeight * max(1, entry.gain),
+		perSecond:    perSecond,
 		perWork:      p.crowdingPerWork(entry),
+		detours:      p.detoursOf(version, perSecond),
 	}
 }
 
@@ -140,9 +144,9 @@
 	return c.remote
 }
 
-// of is the cost of a replica that is ready after a time, on a machine with a rate of work.
-func (c swapCosts) of(readyIn time.Duration, work float64) float64 {
-	return readyIn.Seconds()*c.perSecond + work*c.perWork
+// of is the cost of a replica that is ready on a machine after a time.
+func (c swapCosts) of(readyIn time.Duration, room *room) float64 {
+	return readyIn.Seconds()*c.perSecond + room.work*c.perWork + c.detours.of(room.machine.Region)
 }
 
 // isAtHand reports whether a machine has the weights of a version in memory or on
--- a/internal/placement/swap_reference_test.go
+++ b/internal/placement/swap_reference_test.go
@@ -66,9 +66,35 @@
 	if pool := spec.Pool; p.spread.total[pool] != 0 {
 		option.cost += candidate.work / p.spread.evenShare(pool) * p.loadTime(entry.version, TierDisk).Seconds() * entry.version.ColdStartWeight
 	}
+	option.cost += referenceDetour(p, entry, candidate) * entry.version.ColdStartWeight * max(1, entry.gain)
 	return option
 }
 
+// referenceDetour is by how much a replica on a machine is as if it were ready later.
+func referenceDetour(p *pass, entry want, candidate *room) float64 {
+	demand := p.input.Demand[entry.version.Name]
+	if demand == nil {
+		return 0
+	}
+	unserved := func(region string) float64 {
+		served := 1.0
+		for _, replica := range p.byVersion[entry.version.Name] {
+			if machine := p.input.Machines[replica.Spec.Machine]; machine.Accepts && machine.Region == region {
+				served++
+			}
+		}
+		return demand.Regions[region] / served
+	}
+	total := 0.0
+	for region := range demand.Regions {
+		total += unserved(region)
+	}
+	if total == 0 {
+		return 0
+	}
+	return regionDetour.Seconds() * (1 - unserved(candidate.machine.Region)/total)
+}
+
 func referenceIsAtHand(p *pass, version *Version) bool {
 	for _, machine := range p.input.Machines {
 		if machine.Accepts && machine.Pool == version.Spec.Pool && machine.tierOf(version.Spec.Checkpoint) != TierRemote {
@@ -128,6 +154,7 @@
 			input.Demand[name(number)] = &Demand{
 				Waiting: rapid.IntRange(0, 4).Draw(t, "waiting"), Running: rapid.IntRange(0, 20).Draw(t, "running"), Arrivals: 5,
 				Work: uint64(rapid.IntRange(0, 50_000).Draw(t, "work")), Target: time.Second, OldestWait: time.Second / 4,
+				Regions: drawRegions(t),
 			}
 		}
 	}
@@ -136,6 +163,7 @@
 		machine := &Machine{
 			Name: fmt.Sprintf("machine-%02d", number), Accelerators: 1, AcceleratorBytes: int64(rapid.IntRange(1, 3).Draw(t, "places")) * weights,
 			Incarnation: 1, Accepts: rapid.IntRange(0, 5).Draw(t, "accepts") > 0, Tiers: map[string]Tier{}, Pool: pool(number),
+			Region: rapid.SampledFrom([]string{"", "region-0", "region-1"}).Draw(t, "region"),
 		}
 		input.Machines[machine.Name] = machine
 		for model := range models {
@@ -159,6 +187,17 @@
 	return input
 }
 
+// drawRegions draws where requests come from; regions that no machine is in are among them.
+func drawRegions(t *rapid.T) map[string]float64 {
+	regions := map[string]float64{}
+	for _, region := range []string{"region-0", "region-1", "region-2"} {
+		if requests := rapid.IntRange(-2, 4).Draw(t, "from"); requests >= 0 {
+			regions[region] = float64(requests)
+		}
+	}
+	return regions
+}
+
 // TestCheapestSwapIsTheReference: what is worked out once and left early changes no choice.
 func TestCheapestSwapIsTheReference(t *testing.T) {
 	const tolerance = 1e-9
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -54,8 +54,10 @@
 
 // Machine is a declared machine as observed.
 type Machine struct {
-	Name             string
-	Zone             string
+	Name string
+	Zone string
+	// Region is where the zone lies; empty where that is not known.
+	Region           string
 	Accelerators     int
 	AcceleratorBytes int64
 	Incarnation      uint64
@@ -107,6 +109,9 @@
 	Target     time.Duration
 	OldestWait time.Duration
 	Priority   int32
+	// Regions are the requests that wait or run, by the region of their routers; nil where no
+	// region is known.
+	Regions map[string]float64
 }
 
 // Input is everything that a decision depends on.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,6 +81,16 @@
 	return &conn{machine: machine, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
+// Open connects to a machine and keeps the connection for a request that is about to come.
+func (p *Pool) Open(ctx context.Context, machine, address string) error {
+	opened, err := p.acquire(ctx, machine, address, true)
+	if err != nil {
+		return err
+	}
+	p.keep(opened, 0)
+	return nil
+}
+
 // Dial connects to a machine within the time that other connections make likely.
 func (p *Pool) Dial(ctx context.Context, machine, address string) (net.Conn, error) {
 	p.mutex.Lock()
