Prefer nothing near where a router does not know its region

Cause: a zone that the table does not name is far from all others, so a router in one would have sent short calls and the beginnings of prompts to the machines of its own zone only.

Ruled out: taking unknown places to be near; constraints on regions need them to be far.

Change: a request has a detour only where its router's region is known, and the homes of a beginning are kept in the region only then.

--- a/internal/dispatch/near_test.go
+++ b/internal/dispatch/near_test.go
@@ -54,9 +54,29 @@
 func TestHomesAreInTheRegion(t *testing.T) {
 	for prefix := uint64(1); prefix <= 20; prefix++ {
 		core, now := placedCore(Config{}, places.Further, places.Further, places.Further, places.SameRegion, places.SameRegion)
-		granted := grantOf(t, core.Submit(now, request(now, 1000, 900, prefix)))
-		if granted.Target.Nearness == places.Further {
+		asked := request(now, 1000, 900, prefix)
+		asked.Detour = 1
+		if granted := grantOf(t, core.Submit(now, asked)); granted.Target.Nearness == places.Further {
 			t.Errorf("the beginning %d has its home in another region", prefix)
 		}
 	}
 }
+
+// TestUnknownPlacesAreAlike: a router that does not know its region takes all other zones to be
+// far, and would send everything to the machines of its own.
+func TestUnknownPlacesAreAlike(t *testing.T) {
+	core, now := placedCore(Config{}, places.Further, places.SameZone)
+	core.SetWork(now, map[string]float64{"m1": 100})
+	homes := map[places.Nearness]bool{}
+	for prefix := uint64(1); prefix <= 20; prefix++ {
+		granted := grantOf(t, core.Submit(now, request(now, 1000, 900, prefix)))
+		homes[granted.Target.Nearness] = true
+		core.Release(now, granted, ResultOK)
+	}
+	if !homes[places.Further] || !homes[places.SameZone] {
+		t.Errorf("all beginnings have their homes on one side: %v", homes)
+	}
+	if granted := grantOf(t, core.Submit(now, request(now, 1000, 0, 0))); granted.Target.Nearness != places.Further {
+		t.Error("the busier machine is preferred for its place")
+	}
+}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -25,7 +25,7 @@
 	// part of it that is spared where the prompt's beginning is cached.
 	Work, Shared float64
 	// Detour is how much less work a target in another region must have before it to be
-	// preferred, in tokens.
+	// preferred, in tokens; 0 where places don't matter.
 	Detour float64
 	// Target is within which the answer should begin; 0 if that is open.
 	Target time.Duration
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -74,7 +74,7 @@
 		}
 	}
 	usable = c.withoutFailing(now, request, usable)
-	first, second := homes(nearby(usable), request.Prefix)
+	first, second := homes(request.nearby(usable), request.Prefix)
 	level := c.levelOfOthers(now, version, usable)
 	var best *target
 	var bestCost, bestTie float64
@@ -116,8 +116,12 @@
 	return r.Detour
 }
 
-// nearby returns the targets in the router's region, or all where there is none.
-func nearby(targets []*target) []*target {
+// nearby returns the targets in the router's region, or all where there is none or places don't
+// matter: a beginning that is read in each region is not read across regions.
+func (r *Request) nearby(targets []*target) []*target {
+	if r.Detour == 0 {
+		return targets
+	}
 	var near []*target
 	for _, candidate := range targets {
 		if candidate.Nearness < places.Further {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/state"
@@ -126,7 +127,8 @@
 
 func newDeploymentWith(t *testing.T, logger *slog.Logger) *deployment {
 	t.Helper()
-	created := &deployment{t: t, view: nodeview.New(), waits: make(chan struct{}, 100)}
+	position := places.Position{Zone: "z", Map: places.NewMap(map[string]string{"z": "north", "far": "south"})}
+	created := &deployment{t: t, view: nodeview.NewAt(position), waits: make(chan struct{}, 100)}
 	handler := ingress.New(ingress.Options{
 		View: created.view, Logger: logger, Metrics: ingress.NewMetrics(prometheus.NewRegistry()),
 		Translator: translator{}, MaxWaiting: 100,
@@ -187,8 +189,12 @@
 }
 
 func (d *deployment) machine(name, address string) *wirepb.WatchEvent {
+	return d.machineIn("z", name, address)
+}
+
+func (d *deployment) machineIn(zone, name, address string) *wirepb.WatchEvent {
 	return d.object(v1.KindMachine, name,
-		&v1.MachineSpec{Endpoint: "http://" + address, Zone: "z", Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
+		&v1.MachineSpec{Endpoint: "http://" + address, Zone: zone, Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
 }
 
 func (d *deployment) declaration() []*wirepb.WatchEvent {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -267,8 +267,12 @@
 	tokenDetour = 300
 )
 
-// detour is by how much the nearest machines are preferred.
+// detour is by how much the nearest machines are preferred; not at all where this node does not
+// know its region, and would take all other zones to be far.
 func (j *job) detour() float64 {
+	if j.ingress.options.View.Region() == "" {
+		return 0
+	}
 	if j.attributes.PromptTokens+j.attributes.OutputTokens > 0 {
 		return tokenDetour
 	}
--- /dev/null
+++ b/internal/ingress/near_test.go
@@ -0,0 +1,31 @@
+package ingress_test
+
+import (
+	"net"
+	"strconv"
+	"testing"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// TestShortCallsStayNear: calls that take some milliseconds went to the machines of all regions
+// alike, and most waited for the links between them.
+func TestShortCallsStayNear(t *testing.T) {
+	answer := func(request seenRequest, _ int, connection net.Conn) bool {
+		return write(connection, ok(request, "fine"))
+	}
+	const calls = 20
+	near, far := newRawMachine(t, answer), newRawMachine(t, answer)
+	created := newDeployment(t)
+	events := append(created.declaration(), created.route(v1.RouteUnrepeatable, 1, long))
+	created.apply(append(events, created.machineIn("far", "a", far.address), created.machineIn("z", "b", near.address))...)
+	created.view.Confirm(created.revision)
+	for call := range calls {
+		if answered := created.ask("POST", "/a/b", "id-"+strconv.Itoa(call), "x"); answered.status != 200 {
+			t.Fatalf("%+v", answered)
+		}
+	}
+	if here, there := len(near.requests()), len(far.requests()); here != calls || there != 0 {
+		t.Errorf("%d calls went to the near machine and %d to the far one", here, there)
+	}
+}
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -91,6 +91,11 @@
 	return NewAt(places.Position{})
 }
 
+// Region is where the node stands; empty where that is not known.
+func (v *View) Region() string {
+	return v.position.Map.Region(v.position.Zone)
+}
+
 // NewAt returns an empty view of a node.
 func NewAt(position places.Position) *View {
 	view := &View{position: position, changed: signal.New(), digestChanged: signal.New()}
