Spread new estimates at most ten times a second

Cause: each pass whose estimates named other versions than the one before sent a digest to every router.

Ruled out: no digest for new estimates; routers refuse by them what can't be served in time.

Change: new estimates make a digest urgent, as quotas do, and no longer due at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,7 +34,8 @@
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
 	// urgentDigestInterval is how often at most it is spread because a tenant's share changes
-	// fast: a link of a router carries a digest in a fraction of that.
+	// fast, or other versions are waited for: a link of a router carries a digest in a fraction of
+	// that, and each crosses zones and regions to every router.
 	urgentDigestInterval = 100 * time.Millisecond
 	// historyInterval is how often control nodes are told of past demand.
 	historyInterval = time.Second
@@ -75,8 +76,11 @@
 	roster         *wirepb.Roster
 	rosterSequence uint64
 	lastDigest     time.Duration
-	lastHistory    time.Duration
-	lastSweep      time.Duration
+	// newEstimates is set where the last digest lacks a version that is waited for now, or has
+	// one that is not.
+	newEstimates bool
+	lastHistory  time.Duration
+	lastSweep    time.Duration
 	// decidedAt is the time of day of the last decision.
 	decidedAt time.Time
 }
@@ -138,9 +142,7 @@
 	view := c.view(now)
 	c.decidedAt = wall
 	decision := c.planner.Decide(view.placementInput(wall))
-	if !sameEstimates(c.estimates, decision.Estimates) {
-		c.lastDigest = 0
-	}
+	c.newEstimates = c.newEstimates || !sameEstimates(c.estimates, decision.Estimates)
 	c.estimates = decision.Estimates
 	return ReplicaDecision{
 		Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions), Commands: view.loadCommands(decision.Actions),
@@ -168,13 +170,13 @@
 	limits := c.limits()
 	urgent := c.reports.UpdateQuotas(now, limits)
 	interval := digestInterval
-	if urgent {
+	if urgent || c.newEstimates {
 		interval = urgentDigestInterval
 	}
 	if c.lastDigest != 0 && now-c.lastDigest < interval {
 		return nil
 	}
-	c.lastDigest = now
+	c.lastDigest, c.newEstimates = now, false
 	c.digestSequence++
 	nodes, reports := c.reports.snapshot(now)
 	loads := loadsOf(now, nodes, reports)
