--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -44,6 +44,8 @@
 // Engines gives orders to machines and asks them what they hold, in whatever
 // protocol they speak.
 type Engines interface {
+	// Connect makes a connection for an order that is about to be given.
+	Connect(ctx context.Context, machine, endpoint string) error
 	// Order sends an order. Permitted is asked once a connection stands, just
 	// before anything is written: a leader whose lease has run out meanwhile
 	// must not order any more.
@@ -134,13 +136,25 @@
 	return registered
 }
 
-// adopt returns the writes that bring the records in step with what engines hold.
+// adopt returns the writes that make records of what engines hold without one.
 func (f *fleet) adopt(registered *controller.Registered) []*wirepb.ObjectWrite {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return registered.Adopt(f.stateOf())
 }
 
+// withAdapters adds the writes that bring the adapters of records up to date; see
+// controller.Registered.
+func (f *fleet) withAdapters(writes []*wirepb.ObjectWrite) []*wirepb.ObjectWrite {
+	if f.node.engines == nil {
+		return writes
+	}
+	registered := f.read()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return registered.WithAdapters(writes, f.stateOf())
+}
+
 // passOn tells placement what engines hold, and the pacer what the weight stores admit.
 func (f *fleet) passOn(registered *controller.Registered) {
 	f.mutex.Lock()
@@ -312,16 +326,13 @@
 func (f *fleet) pass(ctx context.Context) {
 	registered := f.read()
 	wanted := f.wanted(registered)
-	holders := map[string]string{}
-	f.node.Read(func(machine *state.Machine) {
-		for name := range registered.Machines {
-			holders[name] = machine.Holder(name)
-		}
-	})
-	now := f.node.now()
+	names := make([]string, 0, len(wanted))
+	for _, entry := range wanted {
+		names = append(names, entry.Machine)
+	}
+	free := f.freeOf(names)
 	for position := range wanted {
-		name := wanted[position].Machine
-		wanted[position].Held = !f.node.grants.Free(now, name, holders[name])
+		wanted[position].Held = !free[wanted[position].Machine]
 	}
 	f.mutex.Lock()
 	plan := f.core.Plan(f.node.now(), wanted)
@@ -362,10 +373,7 @@
 
 func (f *fleet) order(ctx context.Context, order orders.Order) {
 	started := f.node.now()
-	outcome := orders.NotSent
-	if err := f.grant(ctx, order.Machine); err == nil {
-		outcome = f.send(ctx, order)
-	}
+	outcome := f.send(ctx, order, f.beginGrant(ctx, order.Machine))
 	f.node.logger.Info("order", "machine", order.Machine, "operation", string(order.Operation), "model", order.Model,
 		"adapter", order.Adapter, "expected", order.Expected, "fence", f.term, "outcome", outcome.String(),
 		"took_ms", (f.node.now() - started).Milliseconds())
@@ -378,10 +386,77 @@
 	f.node.wakeLeader()
 }
 
-func (f *fleet) send(ctx context.Context, order orders.Order) orders.Outcome {
+// freeOf tells which machines nobody else may still give orders to. The others get no grant
+// either: once the log names this node as the holder, who was before is forgotten.
+func (f *fleet) freeOf(machines []string) map[string]bool {
+	holders := make(map[string]string, len(machines))
+	f.node.Read(func(machine *state.Machine) {
+		for _, name := range machines {
+			holders[name] = machine.Holder(name)
+		}
+	})
+	now := f.node.now()
+	free := make(map[string]bool, len(machines))
+	for _, name := range machines {
+		free[name] = f.node.grants.Free(now, name, holders[name])
+	}
+	return free
+}
+
+// prepare asks for the grants of machines, and connects to them, while the decisions that they
+// will get orders for are being committed. Whatever does not come about in time is made for the
+// order itself.
+func (f *fleet) prepare(ctx context.Context, machines []string) {
+	if f.node.engines == nil {
+		return
+	}
+	registered := f.read()
+	free := f.freeOf(machines)
+	for _, machine := range machines {
+		declared, known := registered.Machines[machine]
+		if !known || !free[machine] {
+			continue
+		}
+		granted := f.beginGrant(ctx, machine)
+		f.workers.Go(func() {
+			if err := <-granted; err != nil {
+				f.node.logger.Info("machine_not_prepared", "machine", machine, "error", fault.Message(err))
+			}
+		})
+		f.workers.Go(func() { f.connect(ctx, machine, declared.Spec.Endpoint) })
+	}
+}
+
+func (f *fleet) connect(ctx context.Context, machine, endpoint string) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	permitted := func() bool { return f.mayOrder(order.Machine) }
+	if err := f.node.engines.Connect(ctx, machine, endpoint); err != nil {
+		f.node.logger.Info("machine_not_prepared", "machine", machine, "error", fault.Message(err))
+	}
+}
+
+// beginGrant asks the log for a grant and returns the channel that tells how that ended. The
+// connection to the machine is made meanwhile: with voters and machines in several regions each
+// of the two takes tens of milliseconds, and requests wait for the order.
+func (f *fleet) beginGrant(ctx context.Context, machine string) <-chan error {
+	granted := make(chan error, 1)
+	f.workers.Go(func() { granted <- f.grant(ctx, machine) })
+	return granted
+}
+
+// send sends an order once a connection stands and the grant is in the log; without the grant
+// nothing is written to the machine.
+func (f *fleet) send(ctx context.Context, order orders.Order, granted <-chan error) orders.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	permitted := func() bool {
+		select {
+		case err := <-granted:
+			return err == nil && f.mayOrder(order.Machine)
+		case <-ctx.Done():
+			return false
+		}
+	}
 	return f.node.engines.Order(ctx, order, f.node.settings.Node, f.term, permitted)
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -198,7 +198,22 @@
 	for _, action := range decision.Actions {
 		l.logAction(action)
 	}
-	l.write(ctx, decision.Writes)
+	l.fleet.prepare(ctx, ordered(decision.Actions))
+	l.write(ctx, l.fleet.withAdapters(decision.Writes))
+}
+
+// ordered returns the machines that actions mean orders for.
+func ordered(actions []placement.Action) []string {
+	var machines []string
+	for _, action := range actions {
+		switch action.Kind {
+		case placement.ActionLoad:
+			machines = append(machines, action.Spec.Machine)
+		case placement.ActionUnload:
+			machines = append(machines, action.Replica.Spec.Machine)
+		}
+	}
+	return machines
 }
 
 // recordLoad commits what came of a load, and reports whether it is in the log.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,8 +35,8 @@
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
 	// urgentDigestInterval is how often at most it is spread because a tenant's share changes
-	// fast, or a machine begins to warm up: a link of a router carries a digest in a fraction of
-	// that.
+	// fast, a machine begins to warm up, or other versions are waited for: a link of a router
+	// carries a digest in a fraction of that, and each crosses zones and regions to every router.
 	urgentDigestInterval = 100 * time.Millisecond
 	// historyInterval is how often control nodes are told of past demand.
 	historyInterval = time.Second
@@ -55,7 +55,7 @@
 	Planner    placement.Config
 	// Quota is by how much tenants may exceed their limits.
 	Quota quota.Bound
-	// Places tells in which regions machines stand.
+	// Places tells in which regions machines and routers stand.
 	Places places.Map
 	// Routers is how many the term before had, as far as that is known.
 	Routers int
@@ -70,7 +70,8 @@
 	estimates []placement.Estimate
 	stored    *storedView
 	warming   *warming.Watch
-	// urgent is set while routers have not heard of a machine that began to warm up or is warm.
+	// urgent is set while routers have not heard of a machine that began to warm up or is warm, or
+	// of a version that is waited for, or no longer is.
 	urgent bool
 
 	// control are the control nodes.
@@ -145,9 +146,7 @@
 	input := view.placementInput(wall)
 	c.addWarming(now, input.Machines)
 	decision := c.planner.Decide(input)
-	if !sameEstimates(c.estimates, decision.Estimates) {
-		c.lastDigest = 0
-	}
+	c.urgent = c.urgent || !sameEstimates(c.estimates, decision.Estimates)
 	c.estimates = decision.Estimates
 	return ReplicaDecision{
 		Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions), Commands: view.loadCommands(decision.Actions),
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -285,6 +285,7 @@
 			}
 			demand.Waiting += int(reported.GetWaiting())
 			demand.Running += int(reported.GetRunning())
+			v.addRegion(demand, entry.report.GetZone(), reported)
 			demand.Priority = max(demand.Priority, reported.GetPriority())
 			if reported.GetWaiting() > 0 {
 				oldest := time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
@@ -330,6 +331,19 @@
 	return &demand.Bound[len(demand.Bound)-1]
 }
 
+// addRegion counts requests by where they come from, as far as that is known.
+func (v *clusterView) addRegion(demand *placement.Demand, zone string, reported *wirepb.ModelDemand) {
+	region := v.places.Region(zone)
+	requests := reported.GetWaiting() + reported.GetRunning()
+	if region == "" || requests == 0 {
+		return
+	}
+	if demand.Regions == nil {
+		demand.Regions = map[string]float64{}
+	}
+	demand.Regions[region] += float64(requests)
+}
+
 // replicaWrites turns actions into conditional writes of replica records.
 func replicaWrites(revision uint64, actions []placement.Action) []*wirepb.ObjectWrite {
 	writes := make([]*wirepb.ObjectWrite, 0, len(actions))
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -16,12 +16,6 @@
 	return d.object(v1.KindZoneDrain, zone, &v1.ZoneDrainSpec{Drained: drained}, &v1.ZoneDrainStatus{OrderedAt: time.Now()})
 }
 
-// machineIn is machine in a zone.
-func (d *deployment) machineIn(zone, name, address string) *wirepb.WatchEvent {
-	return d.object(v1.KindMachine, name,
-		&v1.MachineSpec{Endpoint: "http://" + address, Zone: zone, Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
-}
-
 func answering(t *testing.T, body string) *rawMachine {
 	return newRawMachine(t, func(request seenRequest, _ int, connection net.Conn) bool {
 		return write(connection, ok(request, body))
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -138,7 +138,8 @@
 
 func newDeploymentWith(t *testing.T, logger *slog.Logger) *deployment {
 	t.Helper()
-	return newDeploymentAt(t, places.Position{}, func(options *ingress.Options) { options.Logger = logger })
+	position := places.Position{Zone: "z", Map: places.NewMap(map[string]string{"z": "north", "far": "south"})}
+	return newDeploymentAt(t, position, func(options *ingress.Options) { options.Logger = logger })
 }
 
 // newDeploymentAt is a deployment whose router stands somewhere, with options of the test's own.
@@ -214,8 +215,12 @@
 }
 
 func (d *deployment) machine(name, address string) *wirepb.WatchEvent {
+	return d.machineIn("z", name, address)
+}
+
+func (d *deployment) machineIn(zone, name, address string) *wirepb.WatchEvent {
 	return d.object(v1.KindMachine, name,
-		&v1.MachineSpec{Endpoint: "http://" + address, Zone: "z", Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
+		&v1.MachineSpec{Endpoint: "http://" + address, Zone: zone, Pool: "pool", Slots: 4}, &v1.MachineStatus{Phase: v1.MachineLive})
 }
 
 func (d *deployment) declaration() []*wirepb.WatchEvent {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -196,6 +196,7 @@
 	j.wanted = &dispatch.Request{
 		Version: j.version, Adapter: j.attributes.Adapter, Priority: j.priority(), Prefix: j.attributes.Prefix,
 		Arrived: j.arrived, Deadline: j.deadline, Work: j.work(), Shared: j.attributes.SharedTokens,
+		Detour:   j.detour(),
 		Target:   time.Duration(j.route.Spec.TargetLatency),
 		Patience: j.arrived.Add(j.patience()), Allowed: j.allowed(),
 	}
@@ -269,8 +270,28 @@
 	return patience
 }
 
-// plainWork is the work of a request without tokens.
-const plainWork = 1000
+const (
+	// plainWork is the work of a request without tokens.
+	plainWork = 1000
+	// plainDetour is what another region costs such a request: two round trips, one of them for
+	// the connection, take longer than a few like it at the nearest machine.
+	plainDetour = 3 * plainWork
+	// tokenDetour is the same for a request to an engine, which is answered later anyway: it
+	// goes further rather than wait for a prompt before it, or join a crowded batch.
+	tokenDetour = 300
+)
+
+// detour is by how much the nearest machines are preferred; not at all where this node does not
+// know its region, and would take all other zones to be far.
+func (j *job) detour() float64 {
+	if j.ingress.options.View.Region() == "" {
+		return 0
+	}
+	if j.attributes.PromptTokens+j.attributes.OutputTokens > 0 {
+		return tokenDetour
+	}
+	return plainDetour
+}
 
 func (j *job) work() float64 {
 	if work := j.attributes.PromptTokens + j.attributes.OutputTokens; work > 0 {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/drainlog"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
 )
 
@@ -21,6 +22,7 @@
 	drained  *prometheus.GaugeVec
 	permits  *prometheus.CounterVec
 	withheld prometheus.Counter
+	sends    *prometheus.CounterVec
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -59,6 +61,9 @@
 		withheld: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_withheld_total", Help: "Places that were given back since the request may not be served there any more.",
 		}),
+		sends: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_sends_total", Help: "Requests sent to machines, by how near these are.",
+		}, []string{"nearness"}),
 		series: map[string]bool{},
 	}
 }
@@ -93,6 +98,11 @@
 	m.crashes.WithLabelValues(verdict.String()).Inc()
 }
 
+// observeSent counts a request that goes to a machine.
+func (m *Metrics) observeSent(nearness places.Nearness) {
+	m.sends.WithLabelValues(nearness.String()).Inc()
+}
+
 func (m *Metrics) seriesOf(tenant string) string {
 	m.seriesMutex.Lock()
 	defer m.seriesMutex.Unlock()
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -56,7 +56,7 @@
 type Machine struct {
 	Name string
 	Zone string
-	// Region is that of the zone; empty where it is not known.
+	// Region is where the zone lies; empty where that is not known.
 	Region           string
 	Accelerators     int
 	AcceleratorBytes int64
@@ -118,6 +118,9 @@
 	Priority   int32
 	// Bound is the part of it that is bound to regions, by constraint.
 	Bound []BoundDemand
+	// Regions are the requests that wait or run, by the region of their routers; nil where no
+	// region is known.
+	Regions map[string]float64
 }
 
 // Input is everything that a decision depends on.
