--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,8 +34,7 @@
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
 	// urgentDigestInterval is how often at most it is spread because a tenant's share changes
-	// fast, or other versions are waited for: a link of a router carries a digest in a fraction of
-	// that, and each crosses zones and regions to every router.
+	// fast: a link of a router carries a digest in a fraction of that.
 	urgentDigestInterval = 100 * time.Millisecond
 	// historyInterval is how often control nodes are told of past demand.
 	historyInterval = time.Second
@@ -76,11 +75,8 @@
 	roster         *wirepb.Roster
 	rosterSequence uint64
 	lastDigest     time.Duration
-	// newEstimates is set where the last digest lacks a version that is waited for now, or has
-	// one that is not.
-	newEstimates bool
-	lastHistory  time.Duration
-	lastSweep    time.Duration
+	lastHistory    time.Duration
+	lastSweep      time.Duration
 	// decidedAt is the time of day of the last decision.
 	decidedAt time.Time
 }
@@ -142,7 +138,9 @@
 	view := c.view(now)
 	c.decidedAt = wall
 	decision := c.planner.Decide(view.placementInput(wall))
-	c.newEstimates = c.newEstimates || !sameEstimates(c.estimates, decision.Estimates)
+	if !sameEstimates(c.estimates, decision.Estimates) {
+		c.lastDigest = 0
+	}
 	c.estimates = decision.Estimates
 	return ReplicaDecision{
 		Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions), Commands: view.loadCommands(decision.Actions),
@@ -170,13 +168,13 @@
 	limits := c.limits()
 	urgent := c.reports.UpdateQuotas(now, limits)
 	interval := digestInterval
-	if urgent || c.newEstimates {
+	if urgent {
 		interval = urgentDigestInterval
 	}
 	if c.lastDigest != 0 && now-c.lastDigest < interval {
 		return nil
 	}
-	c.lastDigest, c.newEstimates = now, false
+	c.lastDigest = now
 	c.digestSequence++
 	nodes, reports := c.reports.snapshot(now)
 	loads := loadsOf(now, nodes, reports)
