--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,8 +35,8 @@
 	// digestInterval is how often soft state is spread without a reason.
 	digestInterval = 500 * time.Millisecond
 	// urgentDigestInterval is how often at most it is spread because a tenant's share changes
-	// fast, a machine begins to warm up, or other versions are waited for: a link of a router
-	// carries a digest in a fraction of that, and each crosses zones and regions to every router.
+	// fast, or a machine begins to warm up: a link of a router carries a digest in a fraction of
+	// that.
 	urgentDigestInterval = 100 * time.Millisecond
 	// historyInterval is how often control nodes are told of past demand.
 	historyInterval = time.Second
@@ -70,8 +70,7 @@
 	estimates []placement.Estimate
 	stored    *storedView
 	warming   *warming.Watch
-	// urgent is set while routers have not heard of a machine that began to warm up or is warm, or
-	// of a version that is waited for, or no longer is.
+	// urgent is set while routers have not heard of a machine that began to warm up or is warm.
 	urgent bool
 
 	// control are the control nodes.
@@ -146,7 +145,9 @@
 	input := view.placementInput(wall)
 	c.addWarming(now, input.Machines)
 	decision := c.planner.Decide(input)
-	c.urgent = c.urgent || !sameEstimates(c.estimates, decision.Estimates)
+	if !sameEstimates(c.estimates, decision.Estimates) {
+		c.lastDigest = 0
+	}
 	c.estimates = decision.Estimates
 	return ReplicaDecision{
 		Actions: decision.Actions, Writes: replicaWrites(view.revision, decision.Actions), Commands: view.loadCommands(decision.Actions),
