Take out a drained zone's targets in linear time

Cause: for each target that is taken out, removeTarget looked through all targets for another one on its machine. A drain takes out a whole zone's at once, under the dispatcher's lock: quadratic. Ruled out: a count of targets for each machine, which would have to follow a replica whose machine changes. Change: counts of machines without targets are forgotten once after all changes, as SetTargets does. The new test fails without the forgetting.

--- /dev/null
+++ b/internal/dispatch/drained_bench_test.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDrainZone is a quarter of a fleet that is drained at once: a router has a fifth of a
+// core, and grants nothing meanwhile.
+func BenchmarkDrainZone(b *testing.B) {
+	for _, machines := range []int{300, 3000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			const replicasOnEach = 3
+			now := time.Unix(0, 0)
+			for b.Loop() {
+				b.StopTimer()
+				core := New(Config{ByWork: true, SharedSlots: true})
+				var targets []Target
+				for machine := range machines {
+					for replica := range replicasOnEach {
+						targets = append(targets, Target{
+							Replica: fmt.Sprintf("m%d-r%d", machine, replica), Version: fmt.Sprintf("v%d", (machine+replica)%(machines/3)),
+							Machine: fmt.Sprintf("m%d", machine), Max: 4,
+						})
+					}
+				}
+				core.SetTargets(now, targets)
+				b.StartTimer()
+				core.ChangeTargets(now, TargetChanges{Drained: targets[:len(targets)/4]})
+			}
+		})
+	}
+}
--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -56,6 +56,9 @@
 	for _, next := range changes.Drained {
 		c.setDrained(next)
 	}
+	if len(changes.Removed) > 0 || len(changes.Drained) > 0 {
+		c.forgetAnswers() // Once for all of them: a drain takes out a whole zone's.
+	}
 	c.dispatchAll(now, &outcome)
 	c.refuseWaitingForDrained(now, &outcome)
 	return outcome
@@ -63,13 +66,8 @@
 
 // removeTarget gives a target nothing new, if there is one of that name.
 func (c *Core) removeTarget(name string) {
-	held := c.targets[name]
-	if held == nil {
-		return
-	}
-	c.retire(held)
-	if !c.hasTargetOn(held.Machine) {
-		delete(c.answered, held.Machine)
+	if held := c.targets[name]; held != nil {
+		c.retire(held)
 	}
 }
 
@@ -94,15 +92,6 @@
 	}
 }
 
-func (c *Core) hasTargetOn(machine string) bool {
-	for _, held := range c.targets {
-		if held.Machine == machine {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Core) forget(held *target) {
 	delete(c.targets, held.Replica)
 	version := c.version(held.Version)
--- a/internal/dispatch/targets_test.go
+++ b/internal/dispatch/targets_test.go
@@ -86,3 +86,25 @@
 		}
 	}
 }
+
+// TestAnswersOfMachinesWithoutTargetsAreForgotten: what a machine answered counts for as long as it
+// has a target, whether the last one was taken away or stands in a drained zone.
+func TestAnswersOfMachinesWithoutTargetsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := New(Config{MaxWaiting: 100})
+	var targets []Target
+	for _, machine := range []string{"stays", "shrinks", "drained", "removed"} {
+		targets = append(targets, Target{Replica: machine + "-1", Version: machine, Machine: machine, Max: 1})
+	}
+	targets = append(targets, Target{Replica: "shrinks-2", Version: "other", Machine: "shrinks", Max: 1})
+	core.SetTargets(now, targets)
+	for number, target := range targets[:4] {
+		request := Request{ID: uint64(number + 1), Version: target.Version, Arrived: now, Deadline: now.Add(time.Hour)}
+		core.Release(now, core.Submit(now, &request).Grants[0], ResultOK)
+	}
+	core.ChangeTargets(now, TargetChanges{Removed: []string{"removed-1", "shrinks-1"}, Drained: targets[2:3]})
+	held := slices.Sorted(maps.Keys(core.Answers()))
+	if !slices.Equal(held, []string{"shrinks", "stays"}) {
+		t.Errorf("the answers of %v are held", held)
+	}
+}
