Find the machines at an address without looking at all of them

Cause: MayServe, which is asked twice before each send of a bound request, went through all machines to see whether another one has the same address by now. Ruled out: to look at this less often, as it is the last check before a send. Change: the view keeps its machines by endpoint. The new property test fails where a machine that has gone stays listed.

--- a/internal/nodeview/regions.go
+++ b/internal/nodeview/regions.go
@@ -50,8 +50,8 @@
 	if !known || !allowed.Allows(v.position.Map.Region(machine.Spec.Zone)) {
 		return false
 	}
-	for other, candidate := range v.machines {
-		if candidate.Spec.Endpoint != endpoint || other == name || candidate.Status.Phase != v1.MachineLive {
+	for other, candidate := range v.atEndpoint[endpoint] {
+		if other == name || candidate.Status.Phase != v1.MachineLive {
 			continue
 		}
 		if !allowed.Allows(v.position.Map.Region(candidate.Spec.Zone)) {
--- a/internal/nodeview/regions_test.go
+++ b/internal/nodeview/regions_test.go
@@ -64,3 +64,45 @@
 		}
 	})
 }
+
+// TestMayServeFollowsMachines: whatever comes, moves, leaves and goes, a machine may serve if its
+// region is allowed, and that of each live machine that has the same address.
+func TestMayServeFollowsMachines(t *testing.T) {
+	phases := []v1.MachinePhase{v1.MachineLive, v1.MachineLost}
+	endpoints := []string{"http://10.0.0.1:80", "http://10.0.0.2:80"}
+	rapid.Check(t, func(t *rapid.T) {
+		view := NewAt(testPosition)
+		present := map[string]v1.MachineSpec{}
+		live := map[string]bool{}
+		for revision := range uint64(rapid.IntRange(1, 20).Draw(t, "events")) {
+			name := "m" + strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "machine"))
+			spec := v1.MachineSpec{
+				Endpoint: rapid.SampledFrom(endpoints).Draw(t, "endpoint"), Slots: 1, Pool: "p",
+				Zone: rapid.SampledFrom([]string{"za", "zb", "nowhere"}).Draw(t, "zone"),
+			}
+			status := v1.MachineStatus{Phase: rapid.SampledFrom(phases).Draw(t, "phase")}
+			deleted := rapid.Bool().Draw(t, "deleted")
+			delete(present, name)
+			if !deleted {
+				present[name], live[name] = spec, status.Phase == v1.MachineLive
+			}
+			encodedSpec, _ := json.Marshal(spec)
+			encodedStatus, _ := json.Marshal(status)
+			object := &wirepb.Object{Kind: string(v1.KindMachine), Name: name, Revision: revision + 1, Spec: encodedSpec, Status: encodedStatus}
+			view.Apply(feed.Changes{Revision: revision + 1, Events: []*wirepb.WatchEvent{{Object: object, Deleted: deleted}}})
+			allowed := places.Only("a")
+			for asked, own := range present {
+				for _, endpoint := range endpoints {
+					wanted := allowed.Allows(testPosition.Map.Region(own.Zone))
+					for other, machine := range present {
+						stands := other != asked && live[other] && machine.Endpoint == endpoint
+						wanted = wanted && (!stands || allowed.Allows(testPosition.Map.Region(machine.Zone)))
+					}
+					if view.MayServe(asked, endpoint, allowed) != wanted {
+						t.Fatalf("machine %s at %s: %t", asked, endpoint, !wanted)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -54,6 +54,8 @@
 	objects  map[state.Key]*wirepb.Object
 	specs    map[state.Key]v1.Spec
 	machines map[string]Machine
+	// atEndpoint are the machines by their endpoints, then by name: addresses are used again.
+	atEndpoint map[string]map[string]Machine
 	// regions counts the machines of each pool by region.
 	regions regionCounts
 	// replicas are grouped by version; replicasOn by machine.
@@ -106,6 +108,7 @@
 	v.objects = map[state.Key]*wirepb.Object{}
 	v.specs = map[state.Key]v1.Spec{}
 	v.machines = map[string]Machine{}
+	v.atEndpoint = map[string]map[string]Machine{}
 	v.regions = regionCounts{}
 	v.replicas = map[string]map[string]Replica{}
 	v.replicasOn = map[string]map[string]Replica{}
@@ -221,6 +224,7 @@
 			machine.Status = v1.MachineStatus{Phase: v1.MachineLost}
 		}
 		v.machines[name] = machine
+		addTo(v.atEndpoint, typed.Endpoint, name, machine)
 		v.countMachine(machine, 1)
 	case *v1.ReplicaSpec:
 		replica := Replica{Object: object, Spec: typed, Adapters: v1.ReplicaAdapters(object.GetStatus())}
@@ -250,6 +254,7 @@
 	case *v1.MachineSpec:
 		v.countMachine(v.machines[name], -1)
 		delete(v.machines, name)
+		removeFrom(v.atEndpoint, typed.Endpoint, name)
 	case *v1.ReplicaSpec:
 		removeFrom(v.replicas, typed.Version, name)
 		removeFrom(v.replicasOn, typed.Machine, name)
