Know which pools warm up without a look at all objects

Cause: with each digest and each rebuild a router went through all objects to find the pools whose machines warm up, also where there is none; and what it knows of drains was read in two ways. Ruled out: to ask only where a pool warms up, which takes the same search. Change: the view keeps the names of those pools, and reads drains from where targets read them.

--- a/internal/nodeview/list_bench_test.go
+++ b/internal/nodeview/list_bench_test.go
@@ -41,7 +41,7 @@
 	return events
 }
 
-func encoded(b *testing.B, value any) []byte {
+func encoded(b testing.TB, value any) []byte {
 	b.Helper()
 	content, err := json.Marshal(value)
 	if err != nil {
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -76,6 +76,8 @@
 	allTargets   bool
 	// keyHolders are the tenants' names, by the hashes of their keys.
 	keyHolders map[v1.KeyHash]string
+	// warmingPools has the pools whose machines warm up.
+	warmingPools map[string]bool
 	// zoneDrains are the orders about zones, by zone.
 	zoneDrains map[string]ZoneDrain
 	// suspects are the requests under which machines ended.
@@ -119,6 +121,7 @@
 	v.keyHolders = map[v1.KeyHash]string{}
 	v.suspects = map[quarantine.Identity]*v1.SuspectSpec{}
 	v.zoneDrains = map[string]ZoneDrain{}
+	v.warmingPools = map[string]bool{}
 	v.routes, v.dirtyRoutes = map[string]*v1.RouteSpec{}, true
 	v.dirtyTargets, v.allTargets = map[string]bool{}, true
 }
@@ -245,6 +248,10 @@
 		v.addSuspect(name, typed)
 	case *v1.ZoneDrainSpec:
 		v.zoneDrains[name] = zoneDrainOf(object, typed)
+	case *v1.PoolSpec:
+		if typed.Warming != nil {
+			v.warmingPools[name] = true
+		}
 	}
 }
 
@@ -273,6 +280,8 @@
 		v.removeSuspect(name)
 	case *v1.ZoneDrainSpec:
 		delete(v.zoneDrains, name)
+	case *v1.PoolSpec:
+		delete(v.warmingPools, name)
 	}
 }
 
--- a/internal/nodeview/warming.go
+++ b/internal/nodeview/warming.go
@@ -2,7 +2,6 @@
 
 import (
 	v1 "github.com/weldline/weldline/api/v1"
-	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -13,7 +12,7 @@
 func (v *View) MayWarmUp(pool, machine string) (changed uint64, may bool) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	if !v.poolWarmsUp(pool) {
+	if !v.warmingPools[pool] {
 		return 0, false
 	}
 	record, known := v.machines[machine]
@@ -27,40 +26,23 @@
 func (v *View) EachThatMayWarmUp(visit func(machine string, changed uint64)) {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
-	warmUp := map[string]bool{}
-	for key := range v.specs {
-		if key.Kind == v1.KindPool && v.poolWarmsUp(key.Name) {
-			warmUp[key.Name] = true
-		}
-	}
-	if len(warmUp) == 0 {
+	if len(v.warmingPools) == 0 {
 		return
 	}
 	for name, record := range v.machines {
-		if warmUp[record.Spec.Pool] {
+		if v.warmingPools[record.Spec.Pool] {
 			visit(name, v.changedAt(record))
 		}
 	}
 }
 
-func (v *View) poolWarmsUp(name string) bool {
-	pool, declared := v.specs[state.Key{Kind: v1.KindPool, Name: name}].(*v1.PoolSpec)
-	return declared && pool.Warming != nil
-}
-
 // changedAt returns when what concerns a machine's warming up last changed. One that is lost, or
 // in a zone that is drained, is in doubt for as long as that lasts.
 func (v *View) changedAt(record Machine) uint64 {
-	changed := record.Object.GetRevision()
-	key := state.Key{Kind: v1.KindZoneDrain, Name: record.Spec.Zone}
-	drain, declared := v.specs[key].(*v1.ZoneDrainSpec)
-	if record.Status.Phase == v1.MachineLost || declared && drain.Drained {
+	if record.Status.Phase == v1.MachineLost || v.isDrained(record) {
 		return warming.InDoubt
 	}
-	if declared {
-		changed = max(changed, v.objects[key].GetRevision())
-	}
-	return changed
+	return max(record.Object.GetRevision(), v.zoneDrains[record.Spec.Zone].Revision)
 }
 
 // WarmingOf returns what a digest says of machines that warm up.
