Count a request toward the budget of retries once, when it is written

Cause: a request counted as sent a first time at each attempt before the first that reached a machine. Places that were given back and permits that ended made several of one, each of which earned retries. Ruled out: counting when the answer begins, as retries would lack the requests that are running. Change: it counts once, right before it is written. That holds for failed connections as well.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -72,9 +72,6 @@
 
 // attempt sends the request to one machine and passes its answer on.
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptEnd {
-	if j.sent == 0 {
-		j.ingress.countFirst(j.pool)
-	}
 	j.log("sent", "machine", grant.Target.Machine, "waited", grant.Cold, "remains_ms", j.remaining().Milliseconds())
 	tryCtx, cancel := j.tryContext(ctx)
 	defer cancel()
@@ -124,18 +121,30 @@
 	return &upstream.Request{
 		Machine: grant.Target.Machine, Address: addressOf(grant),
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body,
-		Prepare: func(header http.Header) error {
-			if !j.ingress.warming.allows(j.pool, grant.Target.Machine, j.permit) {
-				return errNoPermit
-			}
-			j.permit = permit{} // It is good for one send.
-			j.ingress.options.Translator.Prepare(header, Attempt{
-				Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
-			})
-			return j.checkWithheld(grant)
-		},
+		Prepare: func(header http.Header) error { return j.prepareWrite(header, grant) },
 		Matches: func(header http.Header) bool {
 			return j.ingress.options.Translator.Judge(0, header, j.attributes.ID).Own
 		},
 	}
 }
+
+// prepareWrite is what is done once a connection stands, just before anything is written to the
+// machine. An error ends the attempt as not sent.
+func (j *job) prepareWrite(header http.Header, grant *dispatch.Grant) error {
+	if !j.ingress.warming.allows(j.pool, grant.Target.Machine, j.permit) {
+		return errNoPermit
+	}
+	j.permit = permit{} // It is good for one send.
+	j.ingress.options.Translator.Prepare(header, Attempt{
+		Machine: grant.Target.Machine, Remains: j.remaining(), Priority: j.priority(), Tenant: j.tenant.name,
+	})
+	if err := j.checkWithheld(grant); err != nil {
+		return err
+	}
+	if !j.counted {
+		// Once for each request that is written: what was tried and not sent earns no retries.
+		j.counted = true
+		j.ingress.countFirst(j.pool)
+	}
+	return nil
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -51,6 +51,8 @@
 	sleptBefore time.Duration
 	// sent counts the machines that got the request.
 	sent int
+	// counted is set once the request counts as sent in the budget of retries.
+	counted bool
 	// reservedFor is the number of machines after which a further one was
 	// taken from the budget.
 	reservedFor int
--- a/internal/ingress/warming_test.go
+++ b/internal/ingress/warming_test.go
@@ -12,6 +12,9 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -215,3 +218,24 @@
 		t.Error("the machine is taken to be warm")
 	}
 }
+
+// TestUnsentRequestEarnsNoRetries: retries are a share of the requests that were sent. One that was
+// tried three times, and sent once, counts once.
+func TestUnsentRequestEarnsNoRetries(t *testing.T) {
+	deployment := newDeploymentAt(t, places.Position{}, func(options *ingress.Options) {
+		options.Budget = retrybudget.Config{Ratio: 1, Window: time.Hour}
+	})
+	failing := func(_ seenRequest, _ int, connection net.Conn) bool { return reset(connection) }
+	first, second := newRawMachine(t, failing), newRawMachine(t, failing)
+	deployment.serveWarming(2, first.address, second.address)
+	leader := deployment.askFor(func(number int, _ string) *wirepb.PermitReply {
+		if number <= 2 {
+			deployment.slept.Add(int64(warming.PermitLifetime))
+		}
+		return &wirepb.PermitReply{Granted: true}
+	})
+	deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if sent := len(first.requests()) + len(second.requests()); sent != 1 || len(leader.machines()) != 3 {
+		t.Errorf("sent %d times, permits were asked for %v", sent, leader.machines())
+	}
+}
