Bound permits that end unused, and keep health out of what was not sent

Cause: a permit that ended before the connection stood was followed by the next one without a bound until the deadline, each at the cost of others; and a place that was given back since the request's time was over, or since it was quarantined, counted as a good word for its machine, which ended an ejection and a report of a machine that can't be connected to. Ruled out: to pass the machine over, as another attempt is usually in time. Change: permits that end unused share the bound of failed connections; such places are released as not sent.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -60,11 +60,11 @@
 		return dispatch.ResultError
 	case endSilent:
 		return dispatch.ResultSilent
-	case endNotRun, endWithheld:
+	case endNotRun:
 		return dispatch.ResultNotRun
 	case endNotConnected:
 		return dispatch.ResultUnreachable
-	case endNotPermitted:
+	case endNotPermitted, endWithheld:
 		return dispatch.ResultNotSent
 	}
 	return dispatch.ResultFailed
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -20,8 +20,8 @@
 	// firstBytePatience is the share of the time that a caller waits for the
 	// first byte after which the request no longer waits for a place.
 	firstBytePatience = 0.7
-	// maxConnectFailures bounds the machines that are tried without any of
-	// them having got the request.
+	// maxConnectFailures bounds the attempts that end before the request was written: those
+	// whose machine could not be connected to, and those whose permit was over by then.
 	maxConnectFailures = 4
 	// maxStartWait bounds the wait for a node that has just started.
 	maxStartWait = 2 * time.Second
@@ -217,7 +217,11 @@
 		j.ingress.dispatcher.Release(grant, j.healthAfter(ctx, end))
 		j.logAttempt(grant, end)
 		if end == endNotPermitted {
-			continue
+			if failures++; failures < maxConnectFailures {
+				continue
+			}
+			j.giveUp(ctx, end)
+			return end
 		}
 		j.noteRun(ctx, grant, end)
 		j.wanted.Tried = append(j.wanted.Tried, grant.Target.Machine)
@@ -285,6 +289,8 @@
 // the caller left. An answer that the deadline cut short was late, whatever for.
 func (j *job) healthAfter(ctx context.Context, end attemptEnd) dispatch.Result {
 	switch {
+	case end == endNotPermitted:
+		return dispatch.ResultNotSent
 	case j.request.Context().Err() != nil:
 		return dispatch.ResultNotRun
 	case end == endBroken && ctx.Err() != nil:
--- a/internal/ingress/warming_test.go
+++ b/internal/ingress/warming_test.go
@@ -239,3 +239,45 @@
 		t.Errorf("sent %d times, permits were asked for %v", sent, leader.machines())
 	}
 }
+
+// TestPermitsThatEndTooEarlyAreNotAskedForEndlessly: where connecting to a machine takes longer than a
+// permit lasts, the next permit ends as well, and so does what others could have sent with it.
+func TestPermitsThatEndTooEarlyAreNotAskedForEndlessly(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t, "fine")
+	deployment.serveWarming(1, machine.address)
+	leader := deployment.askFor(func(int, string) *wirepb.PermitReply {
+		deployment.slept.Add(int64(warming.PermitLifetime))
+		return &wirepb.PermitReply{Granted: true}
+	})
+	answer := deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if answer.status != http.StatusServiceUnavailable || !strings.Contains(answer.body, "not-run") {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	if asked := len(leader.machines()); asked > 4 || len(machine.requests()) > 0 {
+		t.Errorf("%d permits were asked for, the machine got %v", asked, machine.requests())
+	}
+}
+
+// TestRequestThatIsNotSentSaysNothingOfItsMachine: its time was over when the permit came. The machine
+// still counts as one that could not be connected to.
+func TestRequestThatIsNotSentSaysNothingOfItsMachine(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t, "fine")
+	deployment.serveWarming(1, machine.address)
+	machine.end()
+	before := time.Now()
+	deployment.askFor(granted)
+	deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "100ms")
+	if found := deployment.handler.Unreachable(before); !slices.Equal(found, []string{"m0"}) {
+		t.Fatalf("after a failed connection, %v can't be connected to", found)
+	}
+	deployment.askFor(func(int, string) *wirepb.PermitReply {
+		deployment.slept.Add(int64(2 * long))
+		return &wirepb.PermitReply{Granted: true}
+	})
+	deployment.ask(http.MethodGet, "/a/b", "2", "")
+	if found := deployment.handler.Unreachable(before); !slices.Equal(found, []string{"m0"}) {
+		t.Errorf("after a request that was not sent, %v can't be connected to", found)
+	}
+}
--- a/internal/ingress/withheld.go
+++ b/internal/ingress/withheld.go
@@ -28,7 +28,7 @@
 	case !j.mayBeSent(ctx, grant):
 		return chooseAgain
 	case j.mustNotRun(ctx):
-		j.ingress.dispatcher.Release(grant, dispatch.ResultNotRun)
+		j.ingress.dispatcher.Release(grant, dispatch.ResultNotSent)
 		return answeredAlready
 	}
 	return sendNow
