Ask for permits for lost machines only where no other machine is left

Cause: a lost target was the last resort of each request whose other targets were full or held. Meanwhile the request had no place in the queue, and the refusal named warming machines where a warm one was merely full. Ruled out: to try them once a request's patience is over, as it is then about to be refused; to leave them out altogether, as all machines count as lost where control nodes can't hear them. Change: targets that are lost and take a permit come last, and only where a request has no other.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -113,7 +113,7 @@
 }
 
 // setTargets reads one target a line: replica, version, machine, most at once, and words for one
-// in a drained zone and for one that can't be loaded elsewhere.
+// in a drained zone, for one that can't be loaded elsewhere and for one that is suspect.
 func (d *dispatchTable) setTargets(out *strings.Builder, input string) {
 	changes := TargetChanges{Full: true}
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
@@ -124,6 +124,7 @@
 		most, _ := strconv.Atoi(fields[3])
 		target := Target{
 			Replica: fields[0], Version: fields[1], Machine: fields[2], Max: most, Fixed: slices.Contains(fields, "fixed"),
+			Suspect: slices.Contains(fields, "suspect"),
 		}
 		if slices.Contains(fields, "drained") {
 			changes.Drained = append(changes.Drained, target)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -30,18 +30,24 @@
 			return chosen
 		}
 	}
+	noneInTouch := c.hasNoneInTouch(version, request)
+	if noneInTouch {
+		if chosen := c.pickFrom(now, version, request, standsInDoubt); chosen != nil {
+			return chosen
+		}
+	}
 	if !c.config.ByWork {
 		return nil
 	}
-	return c.pickEjected(now, version, request)
+	return c.pickEjected(now, version, request, noneInTouch)
 }
 
 // pickEjected returns the target whose ejection ends first, where all that could
 // take the request are ejected: trying it is better than waiting.
-func (c *Core) pickEjected(now time.Time, version *versionState, request *Request) *target {
+func (c *Core) pickEjected(now time.Time, version *versionState, request *Request, noneInTouch bool) *target {
 	var best *target
 	for _, candidate := range version.targets {
-		if !c.fits(now, candidate, request) {
+		if !c.fits(now, candidate, request) || !noneInTouch && c.standingOf(candidate) == standsInDoubt {
 			continue
 		}
 		if best == nil || candidate.health.until.Before(best.health.until) {
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -18,10 +18,16 @@
 	standsWarming
 	// standsSuspect: the machine has not been heard of for a while.
 	standsSuspect
+	// standsInDoubt: the same, and it takes a permit, as it may have started anew. It gets requests
+	// only where no other machine could take them: the permits are few, mostly for a machine that is
+	// down, and a request that asks for one loses its turn where it waits.
+	standsInDoubt
 )
 
 func (c *Core) standingOf(candidate *target) standing {
 	switch {
+	case candidate.Suspect && c.warming[candidate.Machine]:
+		return standsInDoubt
 	case candidate.Suspect:
 		return standsSuspect
 	case c.warming[candidate.Machine]:
@@ -30,6 +36,16 @@
 	return standsWarm
 }
 
+// hasNoneInTouch reports whether all targets that could take a request, free or not, are in doubt.
+func (c *Core) hasNoneInTouch(version *versionState, request *Request) bool {
+	for _, candidate := range version.targets {
+		if c.standingOf(candidate) != standsInDoubt && !c.isExcluded(candidate, request) {
+			return false
+		}
+	}
+	return true
+}
+
 // SetWarming replaces the machines that warm up.
 func (c *Core) SetWarming(warming map[string]bool) {
 	c.warming = warming
@@ -48,8 +64,10 @@
 // waitsForWarming reports whether a machine that warms up could take a request, if it were not
 // held or did not have enough to do.
 func (c *Core) waitsForWarming(now time.Time, request *Request) bool {
-	for _, candidate := range c.version(request.Version).targets {
-		if c.isExcluded(candidate, request) {
+	version := c.version(request.Version)
+	noneInTouch := c.hasNoneInTouch(version, request)
+	for _, candidate := range version.targets {
+		if c.isExcluded(candidate, request) || !noneInTouch && c.standingOf(candidate) == standsInDoubt {
 			continue
 		}
 		if c.warming[candidate.Machine] || c.isHeld(now, candidate.Machine) {
