Hold all machines that warm up while the leader can't be asked

Cause: without a leader a request went from one machine that warms up to the next, each chosen, given back, held and logged by itself: a router with thousands of them logs as many lines four times a second, and goes through all targets for each. Ruled out: not to log such refusals, which hides what callers wait for. Change: what could not be answered for one machine holds all that warm up, for as long as the leader is not asked again.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -53,9 +53,11 @@
 	answered  map[string]Answers
 	answers   map[string]Answers
 	answersAt time.Time
-	// warming names the machines that warm up, and held says until when a machine gets nothing.
-	warming map[string]bool
-	held    map[string]time.Time
+	// warming names the machines that warm up, and held says until when a machine gets nothing;
+	// warmingHeld says so of all that warm up.
+	warming     map[string]bool
+	held        map[string]time.Time
+	warmingHeld time.Time
 }
 
 // versionState is what a router knows of one version.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -104,6 +104,8 @@
 		d.report(out, d.core.SetEstimates(d.now, map[string]*Estimate{name: estimate}))
 	case "warming":
 		d.core.SetWarming(map[string]bool{name: true})
+	case "hold-warming":
+		d.core.HoldWarming(seconds("until"))
 	case "hold":
 		d.core.Hold(d.now, name, seconds("until"))
 	case "targets":
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -57,8 +57,14 @@
 	c.held[machine] = until
 }
 
+// HoldWarming gives nothing to any machine that warms up before a time. A request would else go from
+// one to the next, however many there are, where there is a permit for none.
+func (c *Core) HoldWarming(until time.Time) {
+	c.warmingHeld = until
+}
+
 func (c *Core) isHeld(now time.Time, machine string) bool {
-	return now.Before(c.held[machine])
+	return now.Before(c.held[machine]) || now.Before(c.warmingHeld) && c.warming[machine]
 }
 
 // waitsForWarming reports whether a machine that warms up could take a request, if it were not
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -148,6 +148,13 @@
 	d.core.Hold(now, machine, now.Add(span))
 }
 
+// HoldWarming gives nothing to any machine that warms up for a while.
+func (d *Dispatcher) HoldWarming(span time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.HoldWarming(time.Now().Add(span))
+}
+
 // SetWarming replaces the machines that warm up, which must not be changed afterwards.
 func (d *Dispatcher) SetWarming(warming map[string]bool) {
 	d.mutex.Lock()
--- a/internal/ingress/warming.go
+++ b/internal/ingress/warming.go
@@ -111,48 +111,60 @@
 	g.silentUntil = g.options.Now() + heldWithoutAnswer
 }
 
-// ask asks the leader for a permit. Without one, it returns for how long to leave the machine alone;
-// 0 where the request itself has ended.
-func (g *warmingGuard) ask(ctx context.Context, machine string) (held permit, granted bool, wait time.Duration) {
+// permitAnswer is what came of asking for a permit.
+type permitAnswer struct {
+	outcome permitOutcome
+	// held is the permit, where it was granted.
+	held permit
+	// wait is for how long not to ask again, where it was not; 0 where the request itself has ended.
+	wait time.Duration
+}
+
+// ask asks the leader for a permit.
+func (g *warmingGuard) ask(ctx context.Context, machine string) permitAnswer {
 	if silence := g.silence(); silence > 0 {
-		return permit{}, false, max(leastHold, silence)
+		return permitAnswer{outcome: permitUnanswered, wait: max(leastHold, silence)}
 	}
 	until := g.options.Now() + warming.PermitLifetime
 	reply, err := g.options.Permit(ctx, &wirepb.PermitRequest{Machine: machine})
+	answer := permitAnswer{outcome: permitGranted, held: permit{machine: machine, until: until}}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return permit{}, false, 0
+		return permitAnswer{outcome: permitUnanswered}
 	case err != nil:
 		g.noteSilence()
-		g.options.Metrics.observePermit(permitUnanswered)
-		return permit{}, false, heldWithoutAnswer
+		answer = permitAnswer{outcome: permitUnanswered, wait: heldWithoutAnswer}
 	case !reply.GetGranted():
-		g.options.Metrics.observePermit(permitRefused)
-		return permit{}, false, max(leastHold, time.Duration(reply.GetRetryAfterMs())*time.Millisecond)
+		retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
+		answer = permitAnswer{outcome: permitRefused, wait: max(leastHold, retryAfter)}
 	}
-	g.options.Metrics.observePermit(permitGranted)
-	return permit{machine: machine, until: until}, true, 0
+	g.options.Metrics.observePermit(answer.outcome)
+	return answer
 }
 
 // mayBeSent reports whether a granted request may be sent to its machine, and gets the permit where
-// that takes one. Without one the place is given back, and the machine gets nothing for a while.
+// that takes one. Without one the place is given back, and the machine gets nothing for a while; nor
+// does any other that warms up, where the leader could not be asked.
 func (j *job) mayBeSent(ctx context.Context, grant *dispatch.Grant) bool {
 	machine := grant.Target.Machine
-	guard := j.ingress.warming
+	guard, dispatcher := j.ingress.warming, j.ingress.dispatcher
 	if !guard.needsPermit(j.pool, machine) {
 		return true
 	}
-	held, granted, wait := guard.ask(ctx, machine)
-	if granted {
-		j.permit = held
+	answer := guard.ask(ctx, machine)
+	if answer.outcome == permitGranted {
+		j.permit = answer.held
 		return true
 	}
-	if wait > 0 {
+	if answer.wait > 0 {
 		j.ingress.options.Logger.Info("permit_refused", "id", j.attributes.ID, "pool", j.pool, "machine", machine,
-			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", wait.Milliseconds())
-		j.ingress.dispatcher.Hold(machine, wait)
+			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", answer.wait.Milliseconds())
+		dispatcher.Hold(machine, answer.wait)
+	}
+	if answer.wait > 0 && answer.outcome == permitUnanswered {
+		dispatcher.HoldWarming(answer.wait)
 	}
-	j.ingress.dispatcher.Release(grant, dispatch.ResultNotSent)
+	dispatcher.Release(grant, dispatch.ResultNotSent)
 	return false
 }
 
--- a/internal/ingress/warming_test.go
+++ b/internal/ingress/warming_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -281,3 +282,28 @@
 		t.Errorf("after a request that was not sent, %v can't be connected to", found)
 	}
 }
+
+// TestRequestsDoNotGoRoundWithoutALeader: while the leader can't be asked, no machine that warms up is
+// worth a try, however many there are.
+func TestRequestsDoNotGoRoundWithoutALeader(t *testing.T) {
+	lines := &lockedBuffer{}
+	deployment := newDeploymentWith(t, slog.New(slog.NewTextHandler(lines, nil)))
+	var addresses []string
+	for range 9 {
+		addresses = append(addresses, answering(t, "fine").address)
+	}
+	deployment.serveWarming(1, addresses...)
+	// What is told of this order shows that the router acts by all that came before it.
+	deployment.apply(deployment.drain("elsewhere", true))
+	for !strings.Contains(lines.String(), "drain_in_force") {
+		time.Sleep(time.Millisecond)
+	}
+	// It waits for less than until the leader is asked again.
+	answer := deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "50ms")
+	if answer.status != http.StatusServiceUnavailable {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	if tries := strings.Count(lines.String(), "permit_refused"); tries != 1 {
+		t.Errorf("%d machines were tried", tries)
+	}
+}
