Refuse permits for machines that the leader doesn't know, instead of giving no answer

Cause: the leader's answer for a machine that is gone, or whose pool warms up no more, was an error, which routers can't tell from a leader that can't be asked: they asked for no machine for 0.25 s. Ruled out: a reply of its own for unknown machines: a router treats it as any refusal. Change: such a machine bears nothing as far as the leader knows, so its permit is refused.

--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -63,11 +63,7 @@
 	if permits == nil {
 		return nil, errNoLease()
 	}
-	perSecond, declared := n.rateWhileWarming(request.GetMachine())
-	if !declared {
-		return nil, fault.NotFound.New("machine %s is in no pool whose machines warm up", request.GetMachine())
-	}
-	decision := permits.take(n.now(), request.GetMachine(), perSecond)
+	decision := permits.take(n.now(), request.GetMachine(), n.rateWhileWarming(request.GetMachine()))
 	if status := n.status.Load(); status.Term != permits.term || !status.LeaseHeld(n.now()) {
 		return nil, errNoLease()
 	}
@@ -80,8 +76,9 @@
 }
 
 // rateWhileWarming returns how many requests a second a machine bears while it warms up, by its
-// pool.
-func (n *Node) rateWhileWarming(name string) (perSecond float64, declared bool) {
+// pool. It is 0, for which nothing is permitted, where a machine or its pool is not known, or not any
+// more: that is an answer, as a router that gets none asks for no other machine for a while, either.
+func (n *Node) rateWhileWarming(name string) (perSecond float64) {
 	n.Read(func(machine *state.Machine) {
 		spec, known := machine.Spec(v1.KindMachine, name).(*v1.MachineSpec)
 		if !known {
@@ -89,10 +86,10 @@
 		}
 		pool, known := machine.Spec(v1.KindPool, spec.Pool).(*v1.PoolSpec)
 		if known && pool.Warming != nil {
-			perSecond, declared = pool.Warming.RequestsPerSecond, true
+			perSecond = pool.Warming.RequestsPerSecond
 		}
 	})
-	return perSecond, declared
+	return perSecond
 }
 
 // answerPermit answers a control node that passes a question on.
