Forget failed connections to machines that are gone

Cause: a failure was dropped only by a digest that names its machine; those of machines that were gone by then stayed for as long as the router runs. Ruled out: a bound on their number, which would drop the newest as well. Change: a digest drops all that are older than they count.

--- a/internal/warming/state.go
+++ b/internal/warming/state.go
@@ -1,6 +1,7 @@
 package warming
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -42,7 +43,7 @@
 // is cut off goes on serving with the machines that it knows to be warm.
 type State struct {
 	statements map[string]statement
-	// failed is when a connection to a machine last did not come about.
+	// failed is when a connection to a machine last did not come about, where that was lately.
 	failed map[string]time.Duration
 }
 
@@ -67,6 +68,7 @@
 // as machines take to report. What has put a machine in doubt since the statement is in the log;
 // and one that begins to warm up by itself finds no other leader to report to than the new one.
 func (s *State) TakeDigest(now time.Duration, digest Digest) {
+	s.forgetFailures(now)
 	next := make(map[string]statement, len(digest.Machines))
 	for position, machine := range digest.Machines {
 		said := statement{term: digest.Term, revision: digest.Revision, until: now}
@@ -77,24 +79,18 @@
 		if held, known := s.statements[machine]; said.unsaid && known && held.term < digest.Term {
 			said = held
 		}
-		said.unsaid = said.unsaid || s.failedLately(now, machine)
+		if _, failed := s.failed[machine]; failed {
+			said.unsaid = true
+		}
 		next[machine] = said
 	}
 	s.statements = next
 }
 
-// failedLately reports whether a machine's newest failure is too young for a digest to vouch for
-// the machine, and forgets the failure if not.
-func (s *State) failedLately(now time.Duration, machine string) bool {
-	failed, known := s.failed[machine]
-	if !known {
-		return false
-	}
-	if now-failed < failureDoubt {
-		return true
-	}
-	delete(s.failed, machine)
-	return false
+// forgetFailures drops the failures that are too old to keep a digest from vouching for their
+// machines, which may be gone by now.
+func (s *State) forgetFailures(now time.Duration) {
+	maps.DeleteFunc(s.failed, func(_ string, failed time.Duration) bool { return now-failed >= failureDoubt })
 }
 
 // NoteFailure notes that a connection to a machine did not come about.
--- a/internal/warming/state_test.go
+++ b/internal/warming/state_test.go
@@ -65,3 +65,17 @@
 	}
 	return digest
 }
+
+// TestFailuresOfMachinesThatAreGoneAreForgotten: machines come and go under names of their own.
+func TestFailuresOfMachinesThatAreGoneAreForgotten(t *testing.T) {
+	state := NewState()
+	state.NoteFailure(0, "gone")
+	state.NoteFailure(failureDoubt, "new")
+	state.TakeDigest(failureDoubt, Digest{Machines: []string{"new"}, Units: []byte{0}})
+	if _, held := state.failed["new"]; !held || len(state.failed) != 1 {
+		t.Errorf("failures of %v are held", state.failed)
+	}
+	if len(state.statements) != 1 || !state.Warms(failureDoubt, "new", 0) {
+		t.Errorf("held are %v", state.statements)
+	}
+}
