Let drained replicas give way to requests that are bound to regions

Cause: a replica in a drained zone counts toward its version's maximum and gives way only where no replica is usable. One that is usable in a region that the waiting requests don't allow kept it there, and no other was loaded for them. Ruled out: not to count drained replicas, which the state would refuse; to let one give way wherever bound requests wait, which gains nothing without a machine that may serve them. Change: it gives way, too, where requests wait that no replica may serve and a machine may.

--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -14,7 +14,7 @@
 // state counts it as one of its version's replicas: at the declared maximum it would keep
 // requests that wait from being served elsewhere.
 func (p *pass) drainedReason(replica *Replica, version *Version) string {
-	if version == nil || replica.Running > 0 || p.usable(version) > 0 || p.isAllDrained(version.Spec.Pool) {
+	if version == nil || replica.Running > 0 || p.isAllDrained(version.Spec.Pool) {
 		return ""
 	}
 	demand := p.input.Demand[version.Name]
@@ -22,9 +22,25 @@
 	if demand == nil || demand.Waiting == 0 || held < version.MaxReplicas {
 		return ""
 	}
+	if p.usable(version) > 0 && !p.mayServeBound(version, demand) {
+		return ""
+	}
 	return "drained-at-maximum"
 }
 
+// mayServeBound reports whether requests wait that no replica of a version may serve, and a machine
+// is there that may once it holds one.
+func (p *pass) mayServeBound(version *Version, demand *Demand) bool {
+	for _, entry := range p.boundWants(version, demand) {
+		for _, candidate := range p.machines {
+			if candidate.machine.Accepts && entry.mayUse(candidate) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isAllDrained reports whether a pool has machines, and all that are not lost stand in drained
 // zones.
 func (p *pass) isAllDrained(pool string) bool {
--- a/internal/placement/drain_test.go
+++ b/internal/placement/drain_test.go
@@ -129,3 +129,28 @@
 	drainMachines(input, "fast")
 	expect(t, describe(planner.Decide(input)), "load other on slow")
 }
+
+// TestDrainedReplicaGivesWayToBoundRequests: a replica that is ready elsewhere may not serve them, and
+// the one that might stands in a drained zone and counts toward the maximum.
+func TestDrainedReplicaGivesWayToBoundRequests(t *testing.T) {
+	for _, test := range []struct {
+		regions []string
+		wanted  []string
+	}{
+		{[]string{"a", "b", "b"}, []string{"unload v0.m1 (drained-at-maximum)", "load v0 on m2"}},
+		// Nothing is gained by it where no other machine may serve them.
+		{[]string{"a", "b", "a"}, nil},
+	} {
+		input := regionInput(test.regions...)
+		dropFrom(input, "m1")
+		dropFrom(input, "m2")
+		poolReplica(input, "v0", "m1")
+		input.Versions["v0"].MaxReplicas = 2
+		planner := newPoolPlanner()
+		planner.Decide(input)
+		drainMachines(input, "m1")
+		waitBound(input, "v0", 1, "b")
+		input.Now = input.Now.Add(100 * time.Millisecond)
+		expect(t, describe(planner.Decide(input)), test.wanted...)
+	}
+}
