Test that warm machines come first once a digest tells of others

Cause: no test failed when the dispatcher was not told what digests say of machines that warm up. Ruled out: to read the dispatcher's set, which nobody else needs. Change: a test with three machines.

--- a/internal/ingress/warming_test.go
+++ b/internal/ingress/warming_test.go
@@ -307,3 +307,27 @@
 		t.Errorf("%d machines were tried", tries)
 	}
 }
+
+// TestWarmMachinesComeFirst: the leader says that a machine warms up, and nothing else changes.
+func TestWarmMachinesComeFirst(t *testing.T) {
+	deployment := newDeployment(t)
+	var addresses []string
+	for range 3 {
+		addresses = append(addresses, answering(t, "fine").address)
+	}
+	deployment.serveWarming(1, addresses...)
+	const forLong = warming.Unsaid - 1
+	deployment.digest(1, 0, 0, 0)
+	deployment.digest(2, forLong, 0, 0)
+	// Digests are taken one by one: once this one is taken, requests go by the one before.
+	deployment.digest(3, forLong, forLong, 0)
+	leader := deployment.askFor(granted)
+	for range 12 {
+		if answer := deployment.ask(http.MethodGet, "/a/b", "1", ""); answer.status != http.StatusOK {
+			t.Errorf("the caller got %d %s", answer.status, answer.body)
+		}
+	}
+	if asked := leader.machines(); slices.Contains(asked, "m0") {
+		t.Errorf("permits were asked for %v", asked)
+	}
+}
