--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -142,9 +142,7 @@
 	}
 	view := c.view(now)
 	c.decidedAt = wall
-	input := view.placementInput(wall)
-	c.addWarming(now, input.Machines)
-	decision := c.planner.Decide(input)
+	decision := c.planner.Decide(c.placementInput(view, wall))
 	if !sameEstimates(c.estimates, decision.Estimates) {
 		c.lastDigest = 0
 	}
@@ -154,6 +152,13 @@
 	}
 }
 
+// placementInput is what placement decides on.
+func (c *Controller) placementInput(view *clusterView, wall time.Time) *placement.Input {
+	input := view.placementInput(wall)
+	c.addWarming(view.now, input.Machines)
+	return input
+}
+
 // Work returns the averaged rate of work of each version, in tokens per second.
 func (c *Controller) Work() map[string]float64 {
 	return c.planner.Work()
--- a/internal/controller/regions_test.go
+++ b/internal/controller/regions_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/weldline/weldline/internal/orders"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -90,3 +91,13 @@
 		t.Errorf("%v, not %v", chosen, wanted)
 	}
 }
+
+// TestAdapterPlacesStandInRegions: by the table that the cache was given.
+func TestAdapterPlacesStandInRegions(t *testing.T) {
+	cache := RegisteredCache{Places: places.NewMap(map[string]string{"z": "a"})}
+	known := orders.State{Models: map[string][]string{"red": {}}}
+	found := cache.Read(fleetState(t)).adapterPlaces(func(string) (orders.State, bool) { return known, true })
+	if len(found) != 1 || found[0].region != "a" {
+		t.Errorf("the places are %+v", found)
+	}
+}
--- a/internal/controller/warming_test.go
+++ b/internal/controller/warming_test.go
@@ -74,3 +74,21 @@
 		}
 	}
 }
+
+// TestPlacementHearsOfWarmingMachines: of those that told that they warm up, and of their pool's rate.
+func TestPlacementHearsOfWarmingMachines(t *testing.T) {
+	const now = time.Minute
+	stored := fleetState(t)
+	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
+		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
+		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
+	})
+	leader := New(0, Config{}, NewReportTable())
+	leader.Observe(stored)
+	entries := map[string]instances.Entry{"m": {Received: now, Report: &wirepb.InstanceReport{Machine: "m", WarmingMs: 3000}}}
+	leader.ObserveWarming(now, entries)
+	input := leader.placementInput(leader.view(now+time.Second), time.Unix(60, 0))
+	if machine := input.Machines["m"]; machine.Warming != 2*time.Second || machine.WarmingRate != 5 {
+		t.Errorf("placement is told %s at %.1f a second", machine.Warming, machine.WarmingRate)
+	}
+}
--- a/internal/warming/permits_test.go
+++ b/internal/warming/permits_test.go
@@ -173,3 +173,19 @@
 		}
 	}
 }
+
+// TestSweptBucketsAreFull: a bucket that was used lately stays as empty as it is when others are
+// dropped.
+func TestSweptBucketsAreFull(t *testing.T) {
+	permits := NewPermits(0, Bound{Factor: 1.5, Slack: 5})
+	for permits.Take(sweepInterval-time.Millisecond, "used", 5).Granted {
+	}
+	permits.Take(sweepInterval, "another", 5)
+	if permits.Take(sweepInterval, "used", 5).Granted {
+		t.Error("the bucket is full again")
+	}
+	permits.Take(2*sweepInterval, "another", 5)
+	if _, held := permits.buckets["used"]; held || len(permits.buckets) != 1 {
+		t.Errorf("%d buckets are held", len(permits.buckets))
+	}
+}
