--- a/internal/ingress/warming_test.go
+++ b/internal/ingress/warming_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -12,6 +13,9 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -215,3 +219,115 @@
 		t.Error("the machine is taken to be warm")
 	}
 }
+
+// TestUnsentRequestEarnsNoRetries: retries are a share of the requests that were sent. One that was
+// tried three times, and sent once, counts once.
+func TestUnsentRequestEarnsNoRetries(t *testing.T) {
+	deployment := newDeploymentAt(t, places.Position{}, func(options *ingress.Options) {
+		options.Budget = retrybudget.Config{Ratio: 1, Window: time.Hour}
+	})
+	failing := func(_ seenRequest, _ int, connection net.Conn) bool { return reset(connection) }
+	first, second := newRawMachine(t, failing), newRawMachine(t, failing)
+	deployment.serveWarming(2, first.address, second.address)
+	leader := deployment.askFor(func(number int, _ string) *wirepb.PermitReply {
+		if number <= 2 {
+			deployment.slept.Add(int64(warming.PermitLifetime))
+		}
+		return &wirepb.PermitReply{Granted: true}
+	})
+	deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if sent := len(first.requests()) + len(second.requests()); sent != 1 || len(leader.machines()) != 3 {
+		t.Errorf("sent %d times, permits were asked for %v", sent, leader.machines())
+	}
+}
+
+// TestPermitsThatEndTooEarlyAreNotAskedForEndlessly: where connecting to a machine takes longer than a
+// permit lasts, the next permit ends as well, and so does what others could have sent with it.
+func TestPermitsThatEndTooEarlyAreNotAskedForEndlessly(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t, "fine")
+	deployment.serveWarming(1, machine.address)
+	leader := deployment.askFor(func(int, string) *wirepb.PermitReply {
+		deployment.slept.Add(int64(warming.PermitLifetime))
+		return &wirepb.PermitReply{Granted: true}
+	})
+	answer := deployment.ask(http.MethodGet, "/a/b", "1", "")
+	if answer.status != http.StatusServiceUnavailable || !strings.Contains(answer.body, "not-run") {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	if asked := len(leader.machines()); asked > 4 || len(machine.requests()) > 0 {
+		t.Errorf("%d permits were asked for, the machine got %v", asked, machine.requests())
+	}
+}
+
+// TestRequestThatIsNotSentSaysNothingOfItsMachine: its time was over when the permit came. The machine
+// still counts as one that could not be connected to.
+func TestRequestThatIsNotSentSaysNothingOfItsMachine(t *testing.T) {
+	deployment := newDeployment(t)
+	machine := answering(t, "fine")
+	deployment.serveWarming(1, machine.address)
+	machine.end()
+	before := time.Now()
+	deployment.askFor(granted)
+	deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "100ms")
+	if found := deployment.handler.Unreachable(before); !slices.Equal(found, []string{"m0"}) {
+		t.Fatalf("after a failed connection, %v can't be connected to", found)
+	}
+	deployment.askFor(func(int, string) *wirepb.PermitReply {
+		deployment.slept.Add(int64(2 * long))
+		return &wirepb.PermitReply{Granted: true}
+	})
+	deployment.ask(http.MethodGet, "/a/b", "2", "")
+	if found := deployment.handler.Unreachable(before); !slices.Equal(found, []string{"m0"}) {
+		t.Errorf("after a request that was not sent, %v can't be connected to", found)
+	}
+}
+
+// TestRequestsDoNotGoRoundWithoutALeader: while the leader can't be asked, no machine that warms up is
+// worth a try, however many there are.
+func TestRequestsDoNotGoRoundWithoutALeader(t *testing.T) {
+	lines := &lockedBuffer{}
+	deployment := newDeploymentWith(t, slog.New(slog.NewTextHandler(lines, nil)))
+	var addresses []string
+	for range 9 {
+		addresses = append(addresses, answering(t, "fine").address)
+	}
+	deployment.serveWarming(1, addresses...)
+	// What is told of this order shows that the router acts by all that came before it.
+	deployment.apply(deployment.drain("elsewhere", true))
+	for !strings.Contains(lines.String(), "drain_in_force") {
+		time.Sleep(time.Millisecond)
+	}
+	// It waits for less than until the leader is asked again.
+	answer := deployment.ask(http.MethodGet, "/a/b", "1", "", headerWait, "50ms")
+	if answer.status != http.StatusServiceUnavailable {
+		t.Errorf("the caller got %d %s", answer.status, answer.body)
+	}
+	if tries := strings.Count(lines.String(), "permit_refused"); tries != 1 {
+		t.Errorf("%d machines were tried", tries)
+	}
+}
+
+// TestWarmMachinesComeFirst: the leader says that a machine warms up, and nothing else changes.
+func TestWarmMachinesComeFirst(t *testing.T) {
+	deployment := newDeployment(t)
+	var addresses []string
+	for range 3 {
+		addresses = append(addresses, answering(t, "fine").address)
+	}
+	deployment.serveWarming(1, addresses...)
+	const forLong = warming.Unsaid - 1
+	deployment.digest(1, 0, 0, 0)
+	deployment.digest(2, forLong, 0, 0)
+	// Digests are taken one by one: once this one is taken, requests go by the one before.
+	deployment.digest(3, forLong, forLong, 0)
+	leader := deployment.askFor(granted)
+	for range 12 {
+		if answer := deployment.ask(http.MethodGet, "/a/b", "1", ""); answer.status != http.StatusOK {
+			t.Errorf("the caller got %d %s", answer.status, answer.body)
+		}
+	}
+	if asked := leader.machines(); slices.Contains(asked, "m0") {
+		t.Errorf("permits were asked for %v", asked)
+	}
+}
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -54,6 +54,8 @@
 	objects  map[state.Key]*wirepb.Object
 	specs    map[state.Key]v1.Spec
 	machines map[string]Machine
+	// atEndpoint are the machines by their endpoints, then by name: addresses are used again.
+	atEndpoint map[string]map[string]Machine
 	// regions counts the machines of each pool by region.
 	regions regionCounts
 	// replicas are grouped by version; replicasOn by machine.
@@ -74,6 +76,8 @@
 	allTargets   bool
 	// keyHolders are the tenants' names, by the hashes of their keys.
 	keyHolders map[v1.KeyHash]string
+	// warmingPools has the pools whose machines warm up.
+	warmingPools map[string]bool
 	// zoneDrains are the orders about zones, by zone.
 	zoneDrains map[string]ZoneDrain
 	// suspects are the requests under which machines ended.
@@ -111,6 +115,7 @@
 	v.objects = map[state.Key]*wirepb.Object{}
 	v.specs = map[state.Key]v1.Spec{}
 	v.machines = map[string]Machine{}
+	v.atEndpoint = map[string]map[string]Machine{}
 	v.regions = regionCounts{}
 	v.replicas = map[string]map[string]Replica{}
 	v.replicasOn = map[string]map[string]Replica{}
@@ -121,6 +126,7 @@
 	v.keyHolders = map[v1.KeyHash]string{}
 	v.suspects = map[quarantine.Identity]*v1.SuspectSpec{}
 	v.zoneDrains = map[string]ZoneDrain{}
+	v.warmingPools = map[string]bool{}
 	v.routes, v.dirtyRoutes = map[string]*v1.RouteSpec{}, true
 	v.dirtyTargets, v.allTargets = map[string]bool{}, true
 }
@@ -226,6 +232,7 @@
 			machine.Status = v1.MachineStatus{Phase: v1.MachineLost}
 		}
 		v.machines[name] = machine
+		addTo(v.atEndpoint, typed.Endpoint, name, machine)
 		v.countMachine(machine, 1)
 	case *v1.ReplicaSpec:
 		replica := Replica{Object: object, Spec: typed, Adapters: v1.ReplicaAdapters(object.GetStatus())}
@@ -246,6 +253,10 @@
 		v.addSuspect(name, typed)
 	case *v1.ZoneDrainSpec:
 		v.zoneDrains[name] = zoneDrainOf(object, typed)
+	case *v1.PoolSpec:
+		if typed.Warming != nil {
+			v.warmingPools[name] = true
+		}
 	}
 }
 
@@ -255,6 +266,7 @@
 	case *v1.MachineSpec:
 		v.countMachine(v.machines[name], -1)
 		delete(v.machines, name)
+		removeFrom(v.atEndpoint, typed.Endpoint, name)
 	case *v1.ReplicaSpec:
 		removeFrom(v.replicas, typed.Version, name)
 		removeFrom(v.replicasOn, typed.Machine, name)
@@ -273,6 +285,8 @@
 		v.removeSuspect(name)
 	case *v1.ZoneDrainSpec:
 		delete(v.zoneDrains, name)
+	case *v1.PoolSpec:
+		delete(v.warmingPools, name)
 	}
 }
 
