Test that a leader uses the buckets of its own term only

Cause: no test failed when permits of an earlier term were given out by a node that leads again. Ruled out: a test of three terms, which takes seconds and depends on who is elected. Change: the buckets of the term before are put in place of the leader's. Conclusion: it fails without the check of the term, and passes with it.

--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -55,6 +55,13 @@
 	}
 	cluster.eventually("a permit through the leader", func() bool { return ask(leader, "m") })
 	cluster.eventually("a permit through a follower", func() bool { return ask(follower, "m") })
+	held := cluster.nodes[leader].permits.Load()
+	cluster.nodes[leader].permits.Store(newTermPermits(held.term-1, 0, cluster.nodes[leader].settings.Warming.Bound()))
+	if _, err := cluster.nodes[leader].localPermit(&wirepb.PermitRequest{Machine: "m"}); err == nil {
+		t.Error("the leader gives out tokens of an earlier term: another one led in between")
+	}
+	cluster.nodes[leader].permits.Store(held)
+
 	// For a machine that it does not know, or does not know any more, the leader answers as well: a
 	// router that gets no answer asks for no other machine, either, for a while.
 	cluster.eventually("a refusal for an unknown machine", func() bool {
