Let no lease of an only voter last once there are others

Cause: a leader counts itself as promising for ever. Where it was the only voter and a learner answered a heartbeat, the agreed time was that of its own promise, and it was kept: after voters were added the lease never ended until the leader stepped down, which a leader that was suspended does only after it has told that it holds the lease. Others may have elected another meanwhile. Ruled out: taking the answers of learners from the lease altogether; they change nothing with two voters or more. Change: an answer that no other voter's promise stands behind is not counted. Conclusion: TestLeaseOfOneVoterEndsWithOthers failed before (a lease of 292 years) and passes.

--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -53,7 +53,11 @@
 		}
 	}
 	slices.Sort(until)
-	if agreed := until[len(until)-quorum]; agreed > l.until {
+	agreed := until[len(until)-quorum]
+	if agreed == math.MaxInt64 {
+		return // The only voter: nobody's promise holds once there are others.
+	}
+	if agreed > l.until {
 		l.until, l.held = agreed, true
 	}
 }
