Store promises that are no longer than the settings

Cause: a promise was stored only where it was longer than the election timeout of the settings. A follower that started anew with a shorter setting forgot what it had promised under the longer one, by which the leader counts its lease. Ruled out: writing at each start: a node that never heard a leader has promised nothing. Change: the longest promise is stored with the first heartbeat that is answered, whatever the settings say; one more write in a node's first life. What is stored is read before it is compared, which spares a write at each later start. Conclusion: TestPromiseOutlivesAShorterSetting failed before and passes.

--- a/internal/raft/patience.go
+++ b/internal/raft/patience.go
@@ -99,11 +99,9 @@
 	n.promisedUntil = max(n.promisedUntil, n.now+n.promise)
 }
 
-// storedPromise is the longest promise as it is stored; 0 where it is that of the settings.
+// storedPromise is the longest promise as it is stored. One that is no longer than the settings say
+// is stored too: the settings may be shorter at the next start.
 func (n *Node) storedPromise() uint32 {
-	if n.longestPromise <= n.config.ElectionTimeout {
-		return 0
-	}
 	return uint32(n.longestPromise.Milliseconds())
 }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -101,7 +101,8 @@
 	// promise is for how long this node promises its leader not to help another, from each
 	// contact; promisedUntil is until when it is bound by any promise.
 	promise, promisedUntil time.Duration
-	// longestPromise is the longest ever made, which a restart has to assume.
+	// longestPromise is the longest ever made to a leader, 0 if none was; a restart has to
+	// assume it.
 	longestPromise time.Duration
 	// asked is for how long this node, as leader, asks its followers to promise it that.
 	asked            time.Duration
@@ -167,11 +168,11 @@
 		}
 		node.log.committed = commit
 	}
+	node.longestPromise = milliseconds(stored.HardState.GetPromiseMs())
 	node.persisted = node.hardState()
 	node.lastContact = now
 	node.asked, node.promise = config.ElectionTimeout, config.ElectionTimeout
-	node.longestPromise = max(config.ElectionTimeout, milliseconds(stored.HardState.GetPromiseMs()))
-	node.promisedUntil = now + node.longestPromise
+	node.promisedUntil = now + max(config.ElectionTimeout, node.longestPromise)
 	node.releaseOwnLease()
 	node.becomeFollower(node.term, None)
 	node.scheduleProbe()
