Use kept connections only for the address they lead to

Cause: connections are kept by the machine's name. Orders go over prepared ones since lately, and a machine that came back at another address under its name got its order at the process before, where that was still there: nothing but the name is expected of the receiver. Routers had the same for the time that a connection is kept. Ruled out: keeping by name and address; connections to the old address would stay until they expire. Change: a kept connection to another address is closed instead of used. Conclusion: TestKeptConnectionsLeadToTheAddress failed before (a request went to the old address) and passes.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,6 +47,8 @@
 // conn is one connection to a machine.
 type conn struct {
 	machine string
+	// address is where the machine was when the connection was made.
+	address string
 	network net.Conn
 	reader  *bufio.Reader
 	// until is when the connection must not be used any more.
@@ -62,14 +64,15 @@
 	return &Pool{config: config, idle: map[string][]*conn{}, dials: newDialLimits(config.DialTimeout)}
 }
 
-// acquire returns a kept connection to a machine, or a new one.
+// acquire returns a kept connection to a machine, or a new one. A machine that is at another address
+// now is another process; what was kept leads to the one before.
 func (p *Pool) acquire(ctx context.Context, machine, address string, fresh bool) (*conn, error) {
 	for !fresh {
 		kept := p.take(machine)
 		if kept == nil {
 			break
 		}
-		if time.Now().Before(kept.until) && kept.isQuiet() {
+		if kept.address == address && time.Now().Before(kept.until) && kept.isQuiet() {
 			return kept, nil
 		}
 		_ = kept.network.Close()
@@ -78,7 +81,7 @@
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
-	return &conn{machine: machine, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
+	return &conn{machine: machine, address: address, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
 // Open connects to a machine and keeps the connection for a request that is about to come.
