Count a compressor before the other side is told of it

Cause: the bound on compressors was looked at during the handshake, and a compressor was counted only when its stream began. All nodes connect in the same moment after a server's start, so any number of them passed the bound, at 0.8 MB each and as much again. Ruled out: refusing compression at the stream's begin: the other side has been told by then. Change: the server takes its place among the compressors before it answers, and gives it back with the connection's end or a failed handshake. Conclusion: TestCompressorsAreBoundedAtOnce fails where the bound is only looked at (128 streams instead of 64) and passes.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -86,6 +87,7 @@
 		err = fault.Unavailable.Wrap(ctx.Err(), "connecting to %s", address)
 	}
 	if err != nil {
+		conn.releaseCompressor()
 		_ = network.Close()
 		return nil, err
 	}
@@ -101,6 +103,7 @@
 	}
 	conn := newConn(network, self.Counters)
 	if err := conn.welcome(self); err != nil {
+		conn.releaseCompressor()
 		_ = network.Close()
 		return nil, err
 	}
@@ -155,7 +158,8 @@
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
 	}
 	c.Followers, c.UnchangedInstances = reply.GetFollowers(), reply.GetUnchangedInstances()
-	c.deflateIn, c.deflateOut = reply.GetDeflate(), reply.GetDeflate() && dialerCompresses(hello, reply)
+	c.deflateIn = reply.GetDeflate()
+	c.deflateOut = reply.GetDeflate() && dialerCompresses(hello, reply) && c.counters.takeCompressor(math.MaxInt64)
 	if err := c.checkName(); err != nil {
 		return err
 	}
@@ -180,9 +184,9 @@
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
 		Zone: self.Hello.GetZone(), UnchangedInstances: true,
-		Deflate: hello.GetControlId() != 0 || c.counters.compressors.Load() < maxCompressors,
 	}
-	c.deflateOut = hello.GetDeflate() && reply.GetDeflate()
+	c.deflateOut = refusal == "" && hello.GetDeflate() && c.counters.takeCompressor(compressorsFor(hello))
+	reply.Deflate = c.deflateOut
 	c.deflateIn = c.deflateOut && dialerCompresses(hello, reply)
 	if self.Followers != nil {
 		reply.Followers = self.Followers()
@@ -276,11 +280,8 @@
 
 func (c *Conn) writeLoop() {
 	defer c.Close()
+	defer c.releaseCompressor()
 	out := newOutStream(c.metered, c.deflateOut)
-	if c.deflateOut {
-		c.counters.compressors.Add(1)
-		defer c.counters.compressors.Add(-1)
-	}
 	for {
 		select {
 		case <-c.done:
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"compress/flate"
 	"io"
+	"math"
 	"net"
 
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -19,6 +20,32 @@
 // are.
 const maxCompressors = 64
 
+// compressorsFor is how many compressors a server may have for one of them to go to a peer. Control
+// nodes are few, and always get one.
+func compressorsFor(hello *wirepb.Hello) int64 {
+	if hello.GetControlId() != 0 {
+		return math.MaxInt64
+	}
+	return maxCompressors
+}
+
+// takeCompressor counts one compressor more, unless there are as many as there may be. It is
+// counted before the other side is told: all nodes may connect in the same moment.
+func (c *Counters) takeCompressor(most int64) bool {
+	if c.compressors.Add(1) <= most {
+		return true
+	}
+	c.compressors.Add(-1)
+	return false
+}
+
+// releaseCompressor counts the connection's compressor no more; it is called once, at its end.
+func (c *Conn) releaseCompressor() {
+	if c.deflateOut {
+		c.counters.compressors.Add(-1)
+	}
+}
+
 // dialerCompresses reports whether the stream of the dialling side is compressed, where both sides
 // take that; the other always is. A router sends reports of a kilobyte a second and has a small
 // machine; within a zone that is not worth the compressor's memory.
