Prepare each machine once in a pass

Cause: a swap unloads and loads on one machine, and the machine was listed for each: as many connections, of which all but one were closed at once, and as many grants in the log. Ruled out: bounding the goroutines of a pass; each decision gets an order, which has one and a grant as well. Change: machines are listed once. TestMachineOfAnotherLeaderIsNotPrepared looked at the first connection only, and at the holder while grants might still be on their way; it now looks once all of them are over, which is stricter. Conclusion: TestMachinesArePreparedOnce fails without the change and passes.

--- a/internal/control/grant_test.go
+++ b/internal/control/grant_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/orders"
+	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -119,10 +121,10 @@
 		}
 	}
 	given := newFleet(ctx, node, node.status.Load().Term)
-	defer given.stop()
 	given.prepare(ctx, []string{"another", "own"})
-	if machine := <-engines.connected; machine != "own" {
-		t.Errorf("connected to %s, which another leader may still order", machine)
+	given.stop()
+	if machine := <-engines.connected; machine != "own" || len(engines.connected) > 0 {
+		t.Errorf("connected to %s and %d more; another leader may still order one", machine, len(engines.connected))
 	}
 	holder := ""
 	node.Read(func(machine *state.Machine) { holder = machine.Holder("another") })
@@ -130,3 +132,17 @@
 		t.Errorf("the machine was granted to %s before the last holder's time was over", holder)
 	}
 }
+
+// TestMachinesArePreparedOnce: a swap unloads and loads on one machine, and each connection and
+// grant more is work for the machine and an entry of the log.
+func TestMachinesArePreparedOnce(t *testing.T) {
+	on := func(machine string) *v1.ReplicaSpec { return &v1.ReplicaSpec{Machine: machine} }
+	machines := ordered([]placement.Action{
+		{Kind: placement.ActionUnload, Replica: &placement.Replica{Spec: on("b")}},
+		{Kind: placement.ActionUnload, Replica: &placement.Replica{Spec: on("a")}},
+		{Kind: placement.ActionLoad, Spec: on("b")},
+	})
+	if !slices.Equal(machines, []string{"a", "b"}) {
+		t.Errorf("connections and grants are made for %v", machines)
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -202,7 +203,8 @@
 	l.write(ctx, l.fleet.withAdapters(decision.Writes))
 }
 
-// ordered returns the machines that actions mean orders for.
+// ordered returns the machines that actions mean orders for, each once: one connection and one
+// grant serve all orders to a machine.
 func ordered(actions []placement.Action) []string {
 	var machines []string
 	for _, action := range actions {
@@ -213,7 +215,8 @@
 			machines = append(machines, action.Replica.Spec.Machine)
 		}
 	}
-	return machines
+	slices.Sort(machines)
+	return slices.Compact(machines)
 }
 
 // recordLoad commits what came of a load, and reports whether it is in the log.
