Test that shorter promises and left-out fields lose nothing

Change: two tests. The one on reports fails once a report gets a field that it does not fill in, so completing it isn't forgotten.

--- a/internal/instances/condense_test.go
+++ b/internal/instances/condense_test.go
@@ -120,3 +120,23 @@
 		}
 	}
 }
+
+// TestNothingIsLostOnTheWay: what a report gets in later releases is completed as well.
+func TestNothingIsLostOnTheWay(t *testing.T) {
+	report := beatOf(1, 1)
+	report.Leaving = true
+	fields := report.ProtoReflect().Descriptor().Fields()
+	for position := range fields.Len() {
+		field := fields.Get(position)
+		if name := field.Name(); name != "content" && name != "unchanged" && !report.ProtoReflect().Has(field) {
+			t.Errorf("the report has no %s; fill it in here", name)
+		}
+	}
+	sender, table := NewCondenser(), NewTable()
+	report = WithContent(report)
+	table.Take(0, sender.Next(report))
+	completed, whole := table.Complete(sender.Next(report))
+	if !whole || !proto.Equal(completed, report) {
+		t.Errorf("%v came as %v", report, completed)
+	}
+}
--- a/internal/raft/promise_test.go
+++ b/internal/raft/promise_test.go
@@ -76,3 +76,30 @@
 		t.Error("no vote was given to whom the leader asked to stand")
 	}
 }
+
+// TestPromiseOutlivesAShorterOne: a leader that asks for less patience than before still counts on
+// what was promised to it last.
+func TestPromiseOutlivesAShorterOne(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	config := Config{
+		ID: 2, ElectionTimeout: timeout, HeartbeatInterval: timeout / 5, LeaseMargin: timeout / 5,
+		Random: func(int64) int64 { return 0 },
+	}
+	node, err := New(config, Stored{}, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for round, asked := range []time.Duration{2 * timeout, timeout} {
+		node.Step(timeout, &wirepb.RaftMessage{
+			Type: heartbeatType, From: 1, To: 2, Term: 5, Round: uint64(round + 1), PromiseMs: uint32(asked.Milliseconds()),
+		})
+	}
+	node.advanceClock(3*timeout - 1)
+	if !node.promisedToLeader(None) {
+		t.Error("a shorter promise has shortened the one before")
+	}
+	node.advanceClock(3 * timeout)
+	if node.promisedToLeader(None) {
+		t.Error("a promise does not end")
+	}
+}
