Ask a leader that loses its term again, in the test of silent connections

Cause: TestSilentConnectionsBetweenControlNodesAreReplaced failed now and then with "another leader's command took its place". It silences all of the leader's connections and declares at once at that leader, whose lease still holds: the others hear nothing, one of them is elected 0.3 to 0.7 s later, and the command, which only the old leader held, is overtaken. The leader says so, and callers ask again, as the error tells them. Ruled out: a command that is acknowledged and lost, or refused and carried out: in the failing trace the refused version is nowhere. Change: the test declares as operators do, again where it is told that the outcome is not known; any other refusal fails. It asks more than before: each of the three nodes has a declaration accepted, which takes its own connections, and all three are in step, not one; a leader's single connection to a follower is a case of its own, since no test noticed when leaders renewed none. Conclusion: the product was right.

--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -232,7 +233,7 @@
 		return leader >= 0
 	})
 	follower = (leader + 1) % len(c.nodes)
-	c.declare(leader, c.nodes[leader].Revision()+1)
+	c.declareAgain(leader, c.nodes[leader].Revision()+1)
 	c.eventually("the follower in step", func() bool {
 		return c.nodes[follower].Revision() >= c.nodes[leader].Revision() && c.nodes[follower].Digest() != nil
 	})
@@ -241,6 +242,14 @@
 
 // declare makes the nodes accept a version, and returns the revision that holds it.
 func (c *trio) declare(position int, version uint64) uint64 {
+	c.t.Helper()
+	if err := c.tryDeclare(position, version); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.nodes[position].Revision()
+}
+
+func (c *trio) tryDeclare(position int, version uint64) error {
 	c.t.Helper()
 	spec, err := json.Marshal(v1.DeclarationSpec{Version: version})
 	if err != nil {
@@ -248,10 +257,42 @@
 	}
 	declared := &wirepb.Object{Kind: string(v1.KindDeclaration), Name: state.DeclarationName, Spec: spec}
 	command := &wirepb.DeclareCommand{Version: version, Document: spec, Objects: []*wirepb.Object{declared}}
-	if err := c.nodes[position].Declare(c.t.Context(), command); err != nil {
-		c.t.Fatal(err)
+	ctx, cancel := context.WithTimeout(c.t.Context(), declareTry)
+	defer cancel()
+	return c.nodes[position].Declare(ctx, command)
+}
+
+// declareTry bounds one try: a node without a leader waits for one as long as its caller does.
+const declareTry = 2 * time.Second
+
+// declareAgain declares a version at a node, as operators do, until it is acknowledged: a leader
+// that is about to lose its term says that it does not know what came of a command. Any other
+// refusal is wrong.
+func (c *trio) declareAgain(position int, version uint64) {
+	c.t.Helper()
+	c.eventually("a declaration at "+c.nodes[position].settings.Node, func() bool {
+		err := c.tryDeclare(position, version)
+		if err != nil && !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Deadline) {
+			c.t.Fatal(err)
+		}
+		return err == nil
+	})
+}
+
+// expectAllInStep checks that each node has a declaration accepted, which takes its connections
+// to the leader and the leader's to the others, and that all hold what was accepted.
+func (c *trio) expectAllInStep(version uint64) {
+	c.t.Helper()
+	for position := range c.nodes {
+		c.declareAgain(position, version+uint64(position))
+	}
+	accepted := uint64(0)
+	for _, node := range c.nodes {
+		accepted = max(accepted, node.Revision())
+	}
+	for _, node := range c.nodes {
+		c.eventually(node.settings.Node+" in step", func() bool { return node.Revision() >= accepted })
 	}
-	return c.nodes[position].Revision()
 }
 
 // versionsSentAhead is more than a leader sends ahead to a member that does not answer.
@@ -305,31 +346,21 @@
 		link.silence()
 	}
 	for version := range uint64(versionsSentAhead) {
-		cluster.declare(leader, version+2)
+		cluster.declareAgain(leader, version+2)
 	}
-	inStep := func() bool { return cluster.nodes[follower].Revision() >= cluster.nodes[leader].Revision() }
-	cluster.eventually("the follower whose connections fell silent in step", inStep)
+	cluster.expectAllInStep(versionsSentAhead + 2)
 
-	// The same in the other direction: the leader's own connections.
+	// The same in the other direction: the leader's connection to one follower, which it goes on
+	// leading without.
 	leader, follower = cluster.leaderAndFollower()
+	cluster.links[leader][follower].silence()
+	cluster.expectAllInStep(4 * versionsSentAhead)
+
+	// All of the leader's connections. It may lose its term by that, and with it what it was told
+	// meanwhile.
+	leader, _ = cluster.leaderAndFollower()
 	for _, link := range cluster.links[leader] {
 		link.silence()
 	}
-	cluster.eventually("a leader that all nodes follow", func() bool {
-		for position, node := range cluster.nodes {
-			if node.leads() {
-				leader = position
-			}
-		}
-		status := cluster.nodes[leader].status.Load()
-		for _, node := range cluster.nodes {
-			if node.status.Load().Leader != status.ID {
-				return false
-			}
-		}
-		return cluster.nodes[leader].leads()
-	})
-	follower = (leader + 1) % len(cluster.nodes)
-	cluster.declare(leader, 10*versionsSentAhead)
-	cluster.eventually("all in step after the leader's connections fell silent", inStep)
+	cluster.expectAllInStep(10 * versionsSentAhead)
 }
