Bound each try and all tries of a declaration in the test of silent connections

Cause: with leaderless renewal of connections taken out, the test failed only after minutes: a node without a leader waits as long as its caller does, and the test let it. Ruled out: nothing. Change: 2 s for a try, 15 s for all tries at a node.

--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -262,21 +262,31 @@
 	return c.nodes[position].Declare(ctx, command)
 }
 
-// declareTry bounds one try: a node without a leader waits for one as long as its caller does.
-const declareTry = 2 * time.Second
+const (
+	// declareTry bounds one try: a node without a leader waits for one as long as its caller does.
+	declareTry = 2 * time.Second
+	// declareLimit is many times what it takes to find connections silent and to make new ones.
+	declareLimit = 15 * time.Second
+)
 
 // declareAgain declares a version at a node, as operators do, until it is acknowledged: a leader
 // that is about to lose its term says that it does not know what came of a command. Any other
 // refusal is wrong.
 func (c *trio) declareAgain(position int, version uint64) {
 	c.t.Helper()
-	c.eventually("a declaration at "+c.nodes[position].settings.Node, func() bool {
+	ctx, cancel := context.WithTimeout(c.t.Context(), declareLimit)
+	defer cancel()
+	for ctx.Err() == nil {
 		err := c.tryDeclare(position, version)
-		if err != nil && !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Deadline) {
+		if err == nil {
+			return
+		}
+		if !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Deadline) {
 			c.t.Fatal(err)
 		}
-		return err == nil
-	})
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("no declaration is acknowledged at %s", c.nodes[position].settings.Node)
 }
 
 // expectAllInStep checks that each node has a declaration accepted, which takes its connections
