Know in the simulator's check of loads that are over and not reported

Traces: it is the record of a load, not of a request, proposed by the leader as it removed a replica for reason engine-restarted. Ruled out: a report of the end of the load that was overlooked: none was asked for between the two; a record written twice or for another life: lives and replicas are the right ones. The leader can't know more: a machine that ends while its engine was last heard to load is what a version that ends machines looks like. The pause begins with the second and is lifted by the next whole load. Change: engines keep the loads that are over and not reported yet; their end counts, as that just after a reset does for requests. Only a report that its asker has got clears one. Conclusion: the check was wrong, not the product.

--- a/internal/faultsim/crashchecks.go
+++ b/internal/faultsim/crashchecks.go
@@ -20,7 +20,8 @@
 // crashTruth is what really happened under one request.
 type crashTruth struct {
 	// lives are the lives of engines that ended while the request was there, and near those
-	// that ended just after its connection had been reset: its router sees the same of both.
+	// that ended just after its connection had been reset, or after a load was over and before
+	// anybody was told so: what can be seen of both is the same.
 	lives, near map[string]bool
 	// thirdAt is when the third ended; 0 before.
 	thirdAt time.Duration
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -108,6 +108,9 @@
 			m.world.checks.truthOf(quarantine.LoadIdentity(held.Order.Version)).lives[m.life()] = true
 		}
 	}
+	for _, version := range m.unseenEnds {
+		m.world.checks.truthOf(quarantine.LoadIdentity(version)).near[m.life()] = true
+	}
 	for _, reset := range m.resets {
 		if m.world.Now()-reset.at <= lateDelay+examineTime {
 			m.world.checks.truthOf(reset.sent.identity).near[m.life()] = true
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -33,6 +33,9 @@
 	open []*openRun
 	// resets are the requests whose connections were reset in this life of the engine.
 	resets []resetRun
+	// unseenEnds are the loads of this life that are over, by replica, while every report that
+	// somebody has got says that they go on.
+	unseenEnds map[string]string
 }
 
 // weightStore slows loads down while it is slow.
@@ -53,6 +56,7 @@
 func (m *machine) startEngine() {
 	m.begin()
 	m.incarnation++
+	m.unseenEnds = map[string]string{}
 	m.engine.Restart(m.incarnation)
 }
 
@@ -97,12 +101,22 @@
 	}
 	m.after(took, func() {
 		m.engine.FinishLoad(loading, reason)
+		m.unseenEnds[loading.Order.Replica] = loading.Order.Version
 		if reason == "" {
 			m.world.checks.truthOf(quarantine.LoadIdentity(loading.Order.Version)).whole = true
 		}
 	})
 }
 
+// seen takes that somebody has got a report of the engine.
+func (m *machine) seen(report engine.Report) {
+	for _, held := range report.Replicas {
+		if held.Phase != engine.PhaseLoading {
+			delete(m.unseenEnds, held.Replica)
+		}
+	}
+}
+
 // serve runs a request on a replica, if it takes requests.
 func (m *machine) serve(router *routerNode, entry *inference, replica string, took time.Duration, reply func(runEnd)) {
 	m.world.checks.arrived(router, entry.sent)
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -224,6 +224,7 @@
 			watch.report = &wirepb.MachineReport{Machine: watch.machine.name}
 			return
 		}
+		watch.machine.seen(report)
 		next(report)
 	})
 }
