Let the soak learn more faults and a promise about plain requests

Change: as many models by default as one drained zone leaves room for (MODELS for others). Requests that need no model have to be answered wherever their own router and the machines are undisturbed: what strikes control nodes must not be felt. Links to machines and of callers to routers reset, silent, slow; a zone's control nodes cut off; control nodes or routers stopped one after the other; one disk lost; a burst of callers.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -39,6 +39,7 @@
 	{"no-denials", denials},
 	{"at-most-once", repeatedRuns},
 	{"not-run", untrueRefusals},
+	{"plain-requests", unansweredPlain},
 	{"configuration", oldReads},
 	{"zone-drains", arrivalsInDrainedZones},
 	{"warming-machines", floodedMachines},
@@ -110,6 +111,44 @@
 	return found
 }
 
+// unansweredPlain are requests that need no model and were not answered, by routers that were not
+// disturbed, while no machine ended: what strikes control nodes must not be felt by them.
+func unansweredPlain(history *History, bounds Bounds, disturbances []Disturbance) []string {
+	var found []string
+	for _, answer := range history.Answers {
+		request := history.Requests[answer.Request]
+		if answer.Outcome == OutcomeAnswered || !request.Plain || feels(disturbances, request, answer.At, bounds.Contact) {
+			continue
+		}
+		found = append(found, fmt.Sprintf("%s at %s, sent at %s: %s at %s", answer.Request, request.Router, request.Sent, answer.Kind, answer.At))
+	}
+	return found
+}
+
+// feels reports whether a fault explains why a request was not answered by a moment: its router
+// was disturbed, or a machine.
+func feels(disturbances []Disturbance, request Request, answered, contact time.Duration) bool {
+	return slices.ContainsFunc(disturbances, func(each Disturbance) bool {
+		concerned := !each.Everyone && (each.Node == request.Router || each.Node == "")
+		return concerned && each.From <= answered && request.Sent <= heldUp(disturbances, each, contact)
+	})
+}
+
+// heldUp is until when somebody who was disturbed may lack what it needs: one that starts again
+// gets it from the control nodes, and waits for these as long as they are disturbed.
+func heldUp(disturbances []Disturbance, own Disturbance, contact time.Duration) time.Duration {
+	till := own.Till + contact
+	for changed := true; changed; {
+		changed = false
+		for _, each := range disturbances {
+			if each.Everyone && each.From <= till && each.Till >= own.From && each.Till+contact > till {
+				till, changed = each.Till+contact, true
+			}
+		}
+	}
+	return till
+}
+
 func oldReads(history *History, bounds Bounds, _ []Disturbance) []string {
 	var found []string
 	for _, read := range history.Reads {
@@ -168,7 +207,7 @@
 // before a moment.
 func disturbedLately(disturbances []Disturbance, router string, at, contact time.Duration) bool {
 	return slices.ContainsFunc(disturbances, func(each Disturbance) bool {
-		concerned := each.Everyone || each.Node == router
+		concerned := !each.Requests && (each.Everyone || each.Node == router)
 		return concerned && each.From <= at && at <= each.Till+contact
 	})
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -15,6 +15,7 @@
 	history.Requests["once"] = Request{ID: "once", Router: "r1", Allowed: places.Only("north")}
 	history.Requests["again"] = Request{ID: "again", Router: "r1", Repeatable: true}
 	history.Requests["refused"] = Request{ID: "refused", Router: "r2"}
+	history.Requests["plain"] = Request{ID: "plain", Router: "r2", Plain: true, Sent: 2 * time.Second}
 	north, south := Place{Zone: "n1", Region: "north"}, Place{Zone: "s1", Region: "south"}
 	history.Arrivals = []Arrival{
 		{Request: "once", Machine: "m1", Place: north, At: time.Second, Warming: true},
@@ -25,6 +26,7 @@
 		{Request: "once", Outcome: OutcomeAnswered, Right: true},
 		{Request: "again", Outcome: OutcomeUnknown},
 		{Request: "refused", Outcome: OutcomeNotRun},
+		{Request: "plain", Outcome: OutcomeAnswered, Right: true, At: 3 * time.Second},
 	}
 	history.Orders = []Order{
 		{Kind: OrderDeclare, Version: 3, Acknowledged: time.Second},
@@ -45,12 +47,13 @@
 func TestEachCheckCanFail(t *testing.T) {
 	late := Arrival{Request: "again", Machine: "m2", Place: Place{Zone: "s1", Region: "south"}, At: 7 * time.Second}
 	breaks := map[string]func(history *History){
-		"whole-answers": func(h *History) { h.Answers[0].Right = false },
-		"no-denials":    func(h *History) { h.Answers[1].Outcome = OutcomeDenied },
-		"at-most-once":  func(h *History) { h.Arrivals[1].Request = "once" },
-		"not-run":       func(h *History) { h.Arrivals[2].Request = "refused" },
-		"configuration": func(h *History) { h.Reads[1].Version = 2 },
-		"zone-drains":   func(h *History) { h.Arrivals = append(h.Arrivals, late) },
+		"whole-answers":  func(h *History) { h.Answers[0].Right = false },
+		"no-denials":     func(h *History) { h.Answers[1].Outcome = OutcomeDenied },
+		"at-most-once":   func(h *History) { h.Arrivals[1].Request = "once" },
+		"not-run":        func(h *History) { h.Arrivals[2].Request = "refused" },
+		"plain-requests": func(h *History) { h.Answers[3].Outcome = OutcomeNotRun },
+		"configuration":  func(h *History) { h.Reads[1].Version = 2 },
+		"zone-drains":    func(h *History) { h.Arrivals = append(h.Arrivals, late) },
 		"warming-machines": func(h *History) {
 			for _, at := range []time.Duration{1500, 1999} {
 				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m1", At: at * time.Millisecond, Warming: true})
@@ -84,9 +87,50 @@
 		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r2"}, 1},
 		{Disturbance{From: 4 * time.Second, Till: 5 * time.Second, Node: "r1"}, 1},
 		{Disturbance{From: 8 * time.Second, Till: 9 * time.Second, Node: "r1"}, 1},
+		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r1", Requests: true}, 1},
 	} {
 		if found := Judge(history, testBounds, []Disturbance{test.disturbance}); len(found) != test.found {
 			t.Errorf("%+v: found %v", test.disturbance, found)
 		}
 	}
 }
+
+// TestPlainRequestsThatFaultsExplain: a request may fail where its own router or a machine was
+// disturbed while it was under way, or a router that started again could not learn what is in
+// force. What strikes control nodes alone explains nothing.
+func TestPlainRequestsThatFaultsExplain(t *testing.T) {
+	history := kept()
+	history.Answers[3].Outcome = OutcomeUnknown // Sent at 2 s, over at 3 s.
+	span := func(from, till time.Duration) Disturbance {
+		return Disturbance{From: from * time.Millisecond, Till: till * time.Millisecond}
+	}
+	of := func(node string, span Disturbance) Disturbance {
+		span.Node = node
+		return span
+	}
+	everyone := func(span Disturbance) Disturbance {
+		span.Everyone = true
+		return span
+	}
+	requests := func(span Disturbance) Disturbance {
+		span.Requests = true
+		return span
+	}
+	for _, test := range []struct {
+		disturbances []Disturbance
+		found        int
+	}{
+		{[]Disturbance{of("r2", span(2500, 2600))}, 0},
+		{[]Disturbance{of("r2", span(500, 1200))}, 0},
+		{[]Disturbance{of("r2", span(500, 900))}, 1},
+		{[]Disturbance{of("r2", span(500, 900)), everyone(span(1000, 1500))}, 0},
+		{[]Disturbance{of("r2", span(3100, 3200))}, 1},
+		{[]Disturbance{of("r1", span(2500, 2600))}, 1},
+		{[]Disturbance{requests(span(2500, 2600))}, 0},
+		{[]Disturbance{everyone(span(1500, 2600))}, 1},
+	} {
+		if found := Judge(history, testBounds, test.disturbances); len(found) != test.found {
+			t.Errorf("%+v: found %v", test.disturbances, found)
+		}
+	}
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -16,6 +16,8 @@
 	Sent   time.Duration
 	// Repeatable is set where the request may run more than once.
 	Repeatable bool
+	// Plain is set where any machine of a pool without models can serve it.
+	Plain bool
 	// Allowed says in which regions it may be served.
 	Allowed places.Constraint
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -35,12 +36,33 @@
 	FaultCrashMachine FaultKind = "crash-machine"
 	// FaultCoolMachine makes a machine warm up again, without a restart.
 	FaultCoolMachine FaultKind = "cool-machine"
+	// FaultResetMachine, FaultSilenceMachine and FaultDelayMachine strike the links to a machine.
+	// A silent one says nothing any more on connections that stand.
+	FaultResetMachine   FaultKind = "reset-machine"
+	FaultSilenceMachine FaultKind = "silence-machine"
+	FaultDelayMachine   FaultKind = "delay-machine"
+	// FaultResetCallers, FaultSilenceCallers and FaultDelayCallers strike what callers have open to
+	// a router.
+	FaultResetCallers   FaultKind = "reset-callers"
+	FaultSilenceCallers FaultKind = "silence-callers"
+	FaultDelayCallers   FaultKind = "delay-callers"
+	// FaultCutZone cuts all links of a zone's control nodes, both ways.
+	FaultCutZone FaultKind = "cut-zone"
+	// FaultRollControl and FaultRollRouters stop all of them, one after the other, as an update does.
+	FaultRollControl FaultKind = "roll-control"
+	FaultRollRouters FaultKind = "roll-routers"
+	// FaultLoseDisk ends a control node, which comes back with an empty data folder.
+	FaultLoseDisk FaultKind = "lose-disk"
+	// FaultBurst lets many more callers come for a while.
+	FaultBurst FaultKind = "burst"
 )
 
 // Layout is what there is to be disturbed.
 type Layout struct {
 	Control, Routers []string
-	Machines         int
+	// Zones lists the control nodes by zone.
+	Zones    [][]string
+	Machines int
 }
 
 // Fault is a disturbance from a time on.
@@ -52,6 +74,8 @@
 	// Node is the process, Machine the number of the machine that it strikes.
 	Node    string `json:"node,omitempty"`
 	Machine int    `json:"machine,omitempty"`
+	// Zone is the number of the zone that it strikes.
+	Zone int `json:"zone,omitempty"`
 }
 
 // String tells the fault in reports.
@@ -63,7 +87,7 @@
 	if f.Node != "" {
 		return f.Node
 	}
-	return fmt.Sprintf("machine %d", f.Machine)
+	return fmt.Sprintf("machine %d, zone %d", f.Machine, f.Zone)
 }
 
 // Disturbance is a span in which a fault keeps somebody from knowing what the others know.
@@ -72,6 +96,9 @@
 	// Node is whom it concerns; Everyone is set where routers may lack it as well.
 	Node     string
 	Everyone bool
+	// Requests is set where only requests are held up, those of a node or of all: nobody lacks
+	// knowledge by that.
+	Requests bool
 }
 
 const (
@@ -83,6 +110,14 @@
 	shortestFault = 200 * time.Millisecond
 	// restartTime is what a process that ended takes to be back, and whoever supervises it.
 	restartTime = 2 * time.Second
+	// silentTime is for how long requests may meet a connection that fell silent: as long as callers
+	// wait for an answer, twice, as a request may meet one silent connection after another.
+	silentTime = 10 * time.Second
+	// rollTime is between two stops of a series: a node that stops lets go of its requests first.
+	rollTime = 1500 * time.Millisecond
+	// mostDisksLost is how many disks are lost in one soak: what the deployment tolerates at once,
+	// and nothing says from outside when the replicated log has replaced a node.
+	mostDisksLost = 1
 )
 
 // kinds lists each kind as often as it is to come.
@@ -90,18 +125,31 @@
 	FaultKill, FaultKill, FaultStop, FaultFreeze, FaultFreeze, FaultKillAll,
 	FaultSilenceTo, FaultSilenceFrom, FaultCutTo, FaultCutFrom, FaultReset, FaultDelay,
 	FaultCrashMachine, FaultCrashMachine, FaultCoolMachine, FaultCoolMachine,
+	FaultResetMachine, FaultSilenceMachine, FaultDelayMachine,
+	FaultResetCallers, FaultSilenceCallers, FaultDelayCallers,
+	FaultCutZone, FaultRollControl, FaultRollRouters, FaultLoseDisk, FaultBurst,
 }
 
 // NewPlan draws the faults of a soak; all are over by the end of the span.
 func NewPlan(seed uint64, layout Layout, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
+	disksLost := 0
 	for at := calmStart; ; {
 		at += time.Duration(random.ExpFloat64() * float64(meanPause))
 		drawn := drawFault(random, layout, at)
-		if at+drawn.For+restartTime > span {
+		if at+restartTime > span {
 			return plan
 		}
+		if at+drawn.For+restartTime > span {
+			continue // Too long; shorter ones still have time.
+		}
+		if drawn.Kind == FaultLoseDisk {
+			if disksLost == mostDisksLost {
+				continue
+			}
+			disksLost++
+		}
 		plan = append(plan, drawn)
 	}
 }
@@ -111,13 +159,27 @@
 	span := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
 	everybody := append(append([]string{}, layout.Control...), layout.Routers...)
 	switch drawn.Kind {
-	case FaultCrashMachine, FaultCoolMachine:
+	case FaultCrashMachine, FaultCoolMachine, FaultResetMachine, FaultSilenceMachine:
 		drawn.Machine = random.IntN(layout.Machines)
+	case FaultDelayMachine:
+		drawn.Machine, drawn.For = random.IntN(layout.Machines), span
+	case FaultResetCallers, FaultSilenceCallers:
+		drawn.Node = layout.Routers[random.IntN(len(layout.Routers))]
+	case FaultDelayCallers:
+		drawn.Node, drawn.For = layout.Routers[random.IntN(len(layout.Routers))], span
+	case FaultCutZone:
+		drawn.Zone, drawn.For = random.IntN(len(layout.Zones)), span
+	case FaultRollControl:
+		drawn.For = rollTime * time.Duration(len(layout.Control))
+	case FaultRollRouters:
+		drawn.For = rollTime * time.Duration(len(layout.Routers))
+	case FaultBurst:
+		drawn.For = span
 	case FaultKill, FaultStop:
 		drawn.Node = everybody[random.IntN(len(everybody))]
 	case FaultFreeze:
 		drawn.Node, drawn.For = everybody[random.IntN(len(everybody))], span
-	case FaultReset:
+	case FaultReset, FaultLoseDisk:
 		drawn.Node = layout.Control[random.IntN(len(layout.Control))]
 	case FaultKillAll:
 	default:
@@ -126,25 +188,47 @@
 	return drawn
 }
 
-// Disturbances returns whom the faults of a plan keep from knowing, and for how long. What
-// strikes a control node may keep anybody from it; what strikes a machine concerns nobody.
+// Disturbances returns whom the faults of a plan keep from knowing, or from being served, and for
+// how long. What strikes a control node may keep anybody from it; what strikes a machine is felt by
+// whoever has requests there.
 func Disturbances(plan []Fault, layout Layout) []Disturbance {
 	var spans []Disturbance
 	for _, fault := range plan {
-		span := Disturbance{From: fault.At, Till: fault.At + fault.For, Node: fault.Node}
-		switch fault.Kind {
-		case FaultCrashMachine, FaultCoolMachine:
-			continue
-		case FaultKill, FaultStop, FaultKillAll:
-			span.Till += restartTime
-		}
-		span.Everyone = true
-		for _, router := range layout.Routers {
-			if router == fault.Node {
-				span.Everyone = false
-			}
-		}
-		spans = append(spans, span)
+		spans = append(spans, fault.disturbances(layout)...)
+	}
+	return spans
+}
+
+func (f Fault) disturbances(layout Layout) []Disturbance {
+	span := Disturbance{From: f.At, Till: f.At + f.For, Node: f.Node}
+	switch f.Kind {
+	case FaultCoolMachine, FaultBurst:
+		return nil
+	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
+		span.Till += restartTime
+		span.Requests = true
+	case FaultResetCallers, FaultDelayCallers:
+		span.Requests = true
+	case FaultSilenceMachine, FaultSilenceCallers:
+		span.Till += silentTime
+		span.Requests = true
+	case FaultRollRouters:
+		return rollOf(span, layout.Routers)
+	case FaultKill, FaultStop, FaultKillAll, FaultRollControl, FaultLoseDisk:
+		span.Till += restartTime
+		span.Everyone = !slices.Contains(layout.Routers, f.Node)
+	default:
+		span.Everyone = !slices.Contains(layout.Routers, f.Node)
+	}
+	return []Disturbance{span}
+}
+
+// rollOf returns the disturbances of nodes that stop one after the other.
+func rollOf(whole Disturbance, nodes []string) []Disturbance {
+	var spans []Disturbance
+	for position, node := range nodes {
+		from := whole.From + rollTime*time.Duration(position)
+		spans = append(spans, Disturbance{From: from, Till: from + rollTime + restartTime, Node: node})
 	}
 	return spans
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -12,7 +12,7 @@
 // TestPlan checks what every plan must hold: the same for the same seed, over in time, struck is
 // who exists, and somewhere faults overlap.
 func TestPlan(t *testing.T) {
-	layout := Layout{Control: []string{"c1", "c2", "c3"}, Routers: []string{"r1", "r2"}, Machines: 4}
+	layout := Layout{Control: []string{"c1", "c2", "c3"}, Routers: []string{"r1", "r2"}, Zones: [][]string{{"c1", "c3"}, {"c2"}}, Machines: 4}
 	everybody := append(slices.Clone(layout.Control), layout.Routers...)
 	const span = time.Minute
 	rapid.Check(t, func(t *rapid.T) {
@@ -21,7 +21,7 @@
 		if !reflect.DeepEqual(plan, NewPlan(seed, layout, span)) {
 			t.Fatal("two plans of one seed differ")
 		}
-		overlaps := false
+		overlaps, disksLost := false, 0
 		for position, each := range plan {
 			if each.At < calmStart || each.At+each.For > span {
 				t.Fatalf("%s is not within the span", each)
@@ -29,8 +29,14 @@
 			if each.Node != "" && !slices.Contains(everybody, each.Node) || each.Machine >= layout.Machines {
 				t.Fatalf("%s strikes nobody", each)
 			}
+			if each.Kind == FaultLoseDisk {
+				disksLost++
+			}
 			overlaps = overlaps || position > 0 && each.At < plan[position-1].At+plan[position-1].For
 		}
+		if disksLost > mostDisksLost {
+			t.Fatalf("%d disks are lost", disksLost)
+		}
 		if !overlaps {
 			t.Fatal("no faults overlap")
 		}
@@ -38,7 +44,7 @@
 }
 
 // TestDisturbances: what strikes a control node concerns every router, what strikes a router that
-// one alone, and what strikes a machine nobody.
+// one alone, and what strikes a machine no node's knowledge.
 func TestDisturbances(t *testing.T) {
 	layout := Layout{Control: []string{"c1"}, Routers: []string{"r1"}, Machines: 1}
 	spans := Disturbances([]Fault{
@@ -46,9 +52,19 @@
 		{Kind: FaultCutTo, At: 2 * time.Second, For: time.Second, Node: "c1"},
 		{Kind: FaultCrashMachine, At: 3 * time.Second},
 	}, layout)
+	spans = append(spans, Disturbances([]Fault{
+		{Kind: FaultRollRouters, At: time.Second, For: rollTime},
+		{Kind: FaultCutZone, At: time.Second, For: time.Second},
+		{Kind: FaultSilenceCallers, At: time.Second, Node: "r1"},
+		{Kind: FaultBurst, At: time.Second, For: time.Second},
+	}, layout)...)
 	want := []Disturbance{
 		{From: time.Second, Till: time.Second + restartTime, Node: "r1"},
 		{From: 2 * time.Second, Till: 3 * time.Second, Node: "c1", Everyone: true},
+		{From: 3 * time.Second, Till: 3*time.Second + restartTime, Requests: true},
+		{From: time.Second, Till: time.Second + rollTime + restartTime, Node: "r1"},
+		{From: time.Second, Till: 2 * time.Second, Everyone: true},
+		{From: time.Second, Till: time.Second + silentTime, Node: "r1", Requests: true},
 	}
 	if !reflect.DeepEqual(spans, want) {
 		t.Errorf("%+v", spans)
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -17,6 +17,15 @@
 	Folder string
 }
 
+// LoseDisk makes a node find an empty data folder when it is started next: whoever starts it moves
+// the folder away where it finds this mark.
+func (p Processes) LoseDisk(node string) error {
+	if err := os.WriteFile(filepath.Join(p.Folder, "lose-"+node), nil, 0o644); err != nil {
+		return fault.Storage.Wrap(err, "marking the disk of %s as lost", node)
+	}
+	return nil
+}
+
 // Signal sends a signal to the process of a node, if it runs at present.
 func (p Processes) Signal(node string, signal syscall.Signal) error {
 	content, err := os.ReadFile(filepath.Join(p.Folder, node))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,6 +15,16 @@
 	Crash(machine int)
 	// Cool makes a machine warm up again.
 	Cool(machine int)
+	// Proxy stands before the machine that is there at present; nil while none is.
+	Proxy(machine int) *Proxy
+}
+
+// Callers are those who send requests.
+type Callers interface {
+	// Burst lets many more of them come, for a while.
+	Burst(ctx context.Context, span time.Duration)
+	// CallerProxy stands between callers and a router.
+	CallerProxy(router string) *Proxy
 }
 
 // Injector carries out a plan.
@@ -24,6 +34,7 @@
 	// Proxies stand before the control nodes, by name.
 	Proxies  map[string]*Proxy
 	Machines Machines
+	Callers  Callers
 	// Tell takes a line about each fault, for whoever watches.
 	Tell func(text string)
 }
@@ -84,6 +95,29 @@
 	case FaultDelay:
 		proxy.AddDelay(addedDelay)
 		defer proxy.AddDelay(-addedDelay)
+	case FaultCutZone:
+		for _, node := range i.Layout.Zones[each.Zone] {
+			defer cutOff(i.Proxies[node])()
+		}
+	case FaultRollControl:
+		i.roll(ctx, i.Layout.Control)
+		return
+	case FaultRollRouters:
+		i.roll(ctx, i.Layout.Routers)
+		return
+	case FaultLoseDisk:
+		if err := i.Processes.LoseDisk(each.Node); err != nil {
+			i.Tell("no effect: " + fault.Message(err))
+			return
+		}
+		i.signal(each.Node, syscall.SIGKILL)
+	case FaultBurst:
+		i.Callers.Burst(ctx, each.For)
+		return
+	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
+		defer strike(each.Kind, i.Machines.Proxy(each.Machine))()
+	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
+		defer strike(each.Kind, i.Callers.CallerProxy(each.Node))()
 	case FaultCrashMachine:
 		i.Machines.Crash(each.Machine)
 	case FaultCoolMachine:
@@ -92,6 +126,44 @@
 	sleepUntil(ctx, time.Now().Add(each.For))
 }
 
+// cutOff cuts both ways, and returns what heals that.
+func cutOff(proxy *Proxy) func() {
+	proxy.Cut(To)
+	proxy.Cut(From)
+	return func() {
+		proxy.Heal(To)
+		proxy.Heal(From)
+	}
+}
+
+// strike strikes the links through a proxy, and returns what ends that.
+func strike(kind FaultKind, proxy *Proxy) func() {
+	nothing := func() {}
+	if proxy == nil {
+		return nothing // The machine is down.
+	}
+	switch kind {
+	case FaultResetMachine, FaultResetCallers:
+		proxy.Reset()
+	case FaultSilenceMachine, FaultSilenceCallers:
+		proxy.Silence(From)
+	case FaultDelayMachine, FaultDelayCallers:
+		proxy.AddDelay(addedDelay)
+		return func() { proxy.AddDelay(-addedDelay) }
+	}
+	return nothing
+}
+
+// roll stops nodes one after the other.
+func (i *Injector) roll(ctx context.Context, nodes []string) {
+	for _, node := range nodes {
+		i.signal(node, syscall.SIGTERM)
+		if !sleepUntil(ctx, time.Now().Add(rollTime)) {
+			return
+		}
+	}
+}
+
 // signal signals a node. One that has just ended and is not back yet can't be: that is no fault
 // of the soak's.
 func (i *Injector) signal(node string, signal syscall.Signal) {
--- /dev/null
+++ b/internal/soak/run_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// surroundings are machines and callers of which only the links count.
+type surroundings struct {
+	machine, callers *Proxy
+}
+
+func (s *surroundings) Crash(int) {}
+
+func (s *surroundings) Cool(int) {}
+
+func (s *surroundings) Proxy(int) *Proxy { return s.machine }
+
+func (s *surroundings) Burst(context.Context, time.Duration) {}
+
+func (s *surroundings) CallerProxy(string) *Proxy { return s.callers }
+
+// works reports whether what is sent comes back in the time in which nothing should.
+func works(connection net.Conn) bool {
+	_ = connection.SetDeadline(time.Now().Add(silentFor))
+	defer func() { _ = connection.SetDeadline(time.Time{}) }()
+	if _, err := io.WriteString(connection, "x"); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(connection, make([]byte, 1))
+	return err == nil
+}
+
+// TestLinkFaults: each fault breaks the connections that stand on the links that it names, and
+// no others; once it is over, new connections work everywhere.
+func TestLinkFaults(t *testing.T) {
+	around := &surroundings{machine: newProxy(t), callers: newProxy(t)}
+	control := map[string]*Proxy{"c1": newProxy(t), "c2": newProxy(t)}
+	links := map[string]*Proxy{"machine": around.machine, "r1": around.callers, "c1": control["c1"], "c2": control["c2"]}
+	injector := &Injector{
+		Layout:  Layout{Control: []string{"c1", "c2"}, Routers: []string{"r1"}, Zones: [][]string{{"c1"}, {"c2"}}, Machines: 1},
+		Proxies: control, Machines: around, Callers: around, Tell: func(string) {},
+	}
+	for _, test := range []struct {
+		fault  Fault
+		broken string
+	}{
+		{Fault{Kind: FaultResetMachine}, "machine"},
+		{Fault{Kind: FaultSilenceMachine}, "machine"},
+		{Fault{Kind: FaultDelayMachine}, ""},
+		{Fault{Kind: FaultResetCallers, Node: "r1"}, "r1"},
+		{Fault{Kind: FaultSilenceCallers, Node: "r1"}, "r1"},
+		{Fault{Kind: FaultDelayCallers, Node: "r1"}, ""},
+		{Fault{Kind: FaultSilenceTo, Node: "c1"}, "c1"},
+		{Fault{Kind: FaultReset, Node: "c2"}, "c2"},
+		{Fault{Kind: FaultCutFrom, Node: "c1"}, ""},
+		{Fault{Kind: FaultCutZone, Zone: 1}, ""},
+	} {
+		open := map[string]net.Conn{}
+		for name, proxy := range links {
+			open[name] = connect(t, proxy)
+			send(t, open[name], "a")
+			expect(t, open[name], "a")
+		}
+		injector.inject(t.Context(), test.fault)
+		for name, proxy := range links {
+			if name != test.broken {
+				send(t, open[name], "b")
+				expect(t, open[name], "b")
+			} else if works(open[name]) {
+				t.Errorf("%s: the open connection to %s works on", test.fault.Kind, name)
+			}
+			fresh := connect(t, proxy)
+			send(t, fresh, "c")
+			expect(t, fresh, "c")
+		}
+	}
+}
+
+// TestCutZoneWhileItLasts: nothing passes to or from the zone's control nodes, and all else does.
+func TestCutZoneWhileItLasts(t *testing.T) {
+	inside, outside := newProxy(t), newProxy(t)
+	held, free := connect(t, inside), connect(t, outside)
+	heal := cutOff(inside)
+	send(t, held, "a")
+	expectNothing(t, held)
+	send(t, free, "b")
+	expect(t, free, "b")
+	heal()
+	expect(t, held, "a")
+}
+
+// TestLostDisk: the mark is what whoever starts the node looks for.
+func TestLostDisk(t *testing.T) {
+	processes := Processes{Folder: t.TempDir()}
+	if err := processes.LoseDisk("c1"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(filepath.Join(processes.Folder, "lose-c1")); err != nil {
+		t.Error(err)
+	}
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A soak: real nodes as processes of their own, callers, operators and machines before them, and
 # faults from outside. The last line of standard output is one JSON object; the exit code is 1
-# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS and MACHINES change it; KEEP_RUN=1
+# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES and MODELS change it; KEEP_RUN=1
 # keeps the folder with the logs, and so does a promise that was broken.
 #
 # Each node is started here again after it has ended. Only processes that were started here are
@@ -19,6 +19,10 @@
 
 supervise() { # name
   while [ -e "$run/keep-running" ]; do
+    if [ -e "$run/lose-$1" ]; then # The soak's mark that the node's disk is lost.
+      mv "$run/data-$1" "$run/lost-$1"
+      rm -f "$run/lose-$1"
+    fi
     WELDLINE_BOOT="$run/$1.yaml" "$bin/weldnode" >>"$run/$1.log" 2>&1 &
     echo $! >"$run/$1"
     wait $! || true
@@ -41,7 +45,7 @@
 
 touch "$run/keep-running"
 "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control" --routers "$routers" \
-  --machines "${MACHINES:-12}" --run "$run" 2>"$run/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" 2>"$run/soak.log" &
 soak=$!
 for _ in $(seq 1 200); do
   if [ -e "$run/ready" ]; then break; fi
