--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -40,6 +40,7 @@
 	{"at-most-once", repeatedRuns},
 	{"not-run", untrueRefusals},
 	{"plain-requests", unansweredPlain},
+	{"orders", ignoredOrders},
 	{"configuration", oldReads},
 	{"zone-drains", arrivalsInDrainedZones},
 	{"warming-machines", floodedMachines},
@@ -135,9 +136,10 @@
 }
 
 // heldUp is until when somebody who was disturbed may lack what it needs: one that starts again
-// gets it from the control nodes, and waits for these as long as they are disturbed.
+// gets it from the control nodes, and waits for these as long as they are disturbed, and for a
+// contact with them.
 func heldUp(disturbances []Disturbance, own Disturbance, contact time.Duration) time.Duration {
-	till := own.Till + contact
+	till := own.Till
 	for changed := true; changed; {
 		changed = false
 		for _, each := range disturbances {
@@ -162,6 +164,21 @@
 	return found
 }
 
+// ignoredOrders are those that nobody acknowledged though no control node was disturbed while they
+// were sent, or shortly before.
+func ignoredOrders(history *History, bounds Bounds, disturbances []Disturbance) []string {
+	var found []string
+	for _, order := range history.Ignored {
+		explained := slices.ContainsFunc(disturbances, func(each Disturbance) bool {
+			return each.Everyone && each.From <= order.Acknowledged && order.Sent <= each.Till+bounds.Contact
+		})
+		if !explained {
+			found = append(found, fmt.Sprintf("nobody acknowledged an order (%d, version %d, zone %q) from %s to %s", order.Kind, order.Version, order.Zone, order.Sent, order.Acknowledged))
+		}
+	}
+	return found
+}
+
 // drain is a span in which a zone was to get nothing.
 type drain struct {
 	zone       string
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -33,16 +33,20 @@
 		{Kind: OrderDrain, Zone: "s1", Sent: 3 * time.Second, Acknowledged: 4 * time.Second},
 		{Kind: OrderUndrain, Zone: "s1", Sent: 10 * time.Second, Acknowledged: 11 * time.Second},
 	}
+	history.Ignored = []Order{{Kind: OrderDrain, Zone: "n1", Sent: 12 * time.Second, Acknowledged: 17 * time.Second}}
 	history.Reads = []Read{{Node: "c1", Version: 2, Sent: 2 * time.Second}, {Node: "c1", Version: 3, Sent: 4 * time.Second}}
 	return history
 }
 
 func TestJudgeFindsNothing(t *testing.T) {
-	if found := Judge(kept(), testBounds, nil); len(found) > 0 {
+	if found := Judge(kept(), testBounds, explained); len(found) > 0 {
 		t.Errorf("%v", found)
 	}
 }
 
+// explained explains the order that nobody acknowledged, and nothing else.
+var explained = []Disturbance{{From: 10 * time.Second, Till: 11500 * time.Millisecond, Everyone: true}}
+
 // TestEachCheckCanFail breaks one promise at a time.
 func TestEachCheckCanFail(t *testing.T) {
 	late := Arrival{Request: "again", Machine: "m2", Place: Place{Zone: "s1", Region: "south"}, At: 7 * time.Second}
@@ -52,6 +56,7 @@
 		"at-most-once":   func(h *History) { h.Arrivals[1].Request = "once" },
 		"not-run":        func(h *History) { h.Arrivals[2].Request = "refused" },
 		"plain-requests": func(h *History) { h.Answers[3].Outcome = OutcomeNotRun },
+		"orders":         func(h *History) { h.Ignored[0].Sent += time.Second },
 		"configuration":  func(h *History) { h.Reads[1].Version = 2 },
 		"zone-drains":    func(h *History) { h.Arrivals = append(h.Arrivals, late) },
 		"warming-machines": func(h *History) {
@@ -66,7 +71,7 @@
 	for _, each := range checks {
 		history := kept()
 		breaks[each.promise](history)
-		found := Judge(history, testBounds, nil)
+		found := Judge(history, testBounds, explained)
 		if len(found) != 1 || found[0].Promise != each.promise {
 			t.Errorf("%s: found %v", each.promise, found)
 		}
@@ -89,7 +94,7 @@
 		{Disturbance{From: 8 * time.Second, Till: 9 * time.Second, Node: "r1"}, 1},
 		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r1", Requests: true}, 1},
 	} {
-		if found := Judge(history, testBounds, []Disturbance{test.disturbance}); len(found) != test.found {
+		if found := Judge(history, testBounds, append([]Disturbance{test.disturbance}, explained...)); len(found) != test.found {
 			t.Errorf("%+v: found %v", test.disturbance, found)
 		}
 	}
@@ -121,15 +126,16 @@
 		found        int
 	}{
 		{[]Disturbance{of("r2", span(2500, 2600))}, 0},
-		{[]Disturbance{of("r2", span(500, 1200))}, 0},
-		{[]Disturbance{of("r2", span(500, 900))}, 1},
-		{[]Disturbance{of("r2", span(500, 900)), everyone(span(1000, 1500))}, 0},
+		{[]Disturbance{of("r2", span(500, 2000))}, 0},
+		{[]Disturbance{of("r2", span(500, 1900))}, 1},
+		{[]Disturbance{of("r2", span(500, 900)), everyone(span(800, 1500))}, 0},
+		{[]Disturbance{of("r2", span(500, 900)), everyone(span(1000, 1500))}, 1},
 		{[]Disturbance{of("r2", span(3100, 3200))}, 1},
 		{[]Disturbance{of("r1", span(2500, 2600))}, 1},
 		{[]Disturbance{requests(span(2500, 2600))}, 0},
 		{[]Disturbance{everyone(span(1500, 2600))}, 1},
 	} {
-		if found := Judge(history, testBounds, test.disturbances); len(found) != test.found {
+		if found := Judge(history, testBounds, append(test.disturbances, explained...)); len(found) != test.found {
 			t.Errorf("%+v: found %v", test.disturbances, found)
 		}
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -99,7 +99,10 @@
 	Answers  []Answer
 	Arrivals []Arrival
 	Orders   []Order
-	Reads    []Read
+	// Ignored are orders that nobody acknowledged, though each was sent again and again; Acknowledged
+	// is when the operator gave up.
+	Ignored []Order
+	Reads   []Read
 	// Overcommits tells of loads for which a machine had no memory.
 	Overcommits []string
 	// Unserved tells of what did not come back after the last fault.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -110,6 +110,8 @@
 	shortestFault = 200 * time.Millisecond
 	// restartTime is what a process that ended takes to be back, and whoever supervises it.
 	restartTime = 2 * time.Second
+	// stopTime is what one takes that is asked to end, and finishes what it has first.
+	stopTime = 5 * time.Second
 	// silentTime is for how long requests may meet a connection that fell silent: as long as callers
 	// wait for an answer, twice, as a request may meet one silent connection after another.
 	silentTime = 10 * time.Second
@@ -214,7 +216,10 @@
 		span.Requests = true
 	case FaultRollRouters:
 		return rollOf(span, layout.Routers)
-	case FaultKill, FaultStop, FaultKillAll, FaultRollControl, FaultLoseDisk:
+	case FaultStop:
+		span.Till += stopTime
+		span.Everyone = !slices.Contains(layout.Routers, f.Node)
+	case FaultKill, FaultKillAll, FaultRollControl, FaultLoseDisk:
 		span.Till += restartTime
 		span.Everyone = !slices.Contains(layout.Routers, f.Node)
 	default:
@@ -228,7 +233,7 @@
 	var spans []Disturbance
 	for position, node := range nodes {
 		from := whole.From + rollTime*time.Duration(position)
-		spans = append(spans, Disturbance{From: from, Till: from + rollTime + restartTime, Node: node})
+		spans = append(spans, Disturbance{From: from, Till: from + stopTime, Node: node})
 	}
 	return spans
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -62,7 +62,7 @@
 		{From: time.Second, Till: time.Second + restartTime, Node: "r1"},
 		{From: 2 * time.Second, Till: 3 * time.Second, Node: "c1", Everyone: true},
 		{From: 3 * time.Second, Till: 3*time.Second + restartTime, Requests: true},
-		{From: time.Second, Till: time.Second + rollTime + restartTime, Node: "r1"},
+		{From: time.Second, Till: time.Second + stopTime, Node: "r1"},
 		{From: time.Second, Till: 2 * time.Second, Everyone: true},
 		{From: time.Second, Till: time.Second + silentTime, Node: "r1", Requests: true},
 	}
