Excuse less in the soak's judge

Change: only what is beyond the deployment's tolerance excuses others than the struck router: more control nodes than tolerated at the same time. The same for orders that nobody acknowledged and for routers that start.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -16,6 +16,8 @@
 	Drain time.Duration
 	// Contact is how long after a disturbance a router may not know what the others know.
 	Contact time.Duration
+	// Tolerated is how many control nodes may be disturbed at once without anybody's feeling it.
+	Tolerated int
 	// WarmingPerSecond is how many requests a machine that warms up may get in a second.
 	WarmingPerSecond int
 }
@@ -118,7 +120,7 @@
 	var found []string
 	for _, answer := range history.Answers {
 		request := history.Requests[answer.Request]
-		if answer.Outcome == OutcomeAnswered || !request.Plain || feels(disturbances, request, answer.At, bounds.Contact) {
+		if answer.Outcome == OutcomeAnswered || !request.Plain || bounds.feels(disturbances, request, answer.At) {
 			continue
 		}
 		found = append(found, fmt.Sprintf("%s at %s, sent at %s: %s at %s", answer.Request, request.Router, request.Sent, answer.Kind, answer.At))
@@ -128,29 +130,56 @@
 
 // feels reports whether a fault explains why a request was not answered by a moment: its router
 // was disturbed, or a machine.
-func feels(disturbances []Disturbance, request Request, answered, contact time.Duration) bool {
+func (b Bounds) feels(disturbances []Disturbance, request Request, answered time.Duration) bool {
 	return slices.ContainsFunc(disturbances, func(each Disturbance) bool {
-		concerned := !each.Everyone && (each.Node == request.Router || each.Node == "")
-		return concerned && each.From <= answered && request.Sent <= heldUp(disturbances, each, contact)
+		concerned := each.Node == request.Router || each.Node == ""
+		return concerned && each.From <= answered && request.Sent <= b.heldUp(disturbances, each)
 	})
 }
 
 // heldUp is until when somebody who was disturbed may lack what it needs: one that starts again
-// gets it from the control nodes, and waits for these as long as they are disturbed, and for a
-// contact with them.
-func heldUp(disturbances []Disturbance, own Disturbance, contact time.Duration) time.Duration {
+// gets it from the control nodes, and waits for these as long as more of them are disturbed than are
+// tolerated, and for a contact with them.
+func (b Bounds) heldUp(disturbances []Disturbance, own Disturbance) time.Duration {
 	till := own.Till
-	for changed := true; changed; {
-		changed = false
+	for b.intolerable(disturbances, own.From, till) {
+		before := till
 		for _, each := range disturbances {
-			if each.Everyone && each.From <= till && each.Till >= own.From && each.Till+contact > till {
-				till, changed = each.Till+contact, true
+			if each.Control && each.From <= till && each.Till+b.Contact >= own.From {
+				till = max(till, each.Till+b.Contact)
 			}
 		}
+		if till == before {
+			break
+		}
 	}
 	return till
 }
 
+// settleTime is how long after a disturbance a control node may still be behind, so that the next
+// one's comes on top.
+const settleTime = time.Second
+
+// intolerable reports whether, during a span or shortly before, more control nodes were disturbed at
+// the same time than are tolerated.
+func (b Bounds) intolerable(disturbances []Disturbance, from, till time.Duration) bool {
+	for _, newest := range disturbances {
+		if !newest.Control || newest.From > till || from > newest.Till+b.Contact {
+			continue
+		}
+		struck := map[string]bool{}
+		for _, other := range disturbances {
+			if other.Control && other.From <= newest.From && newest.From <= other.Till+settleTime {
+				struck[other.Node] = true
+			}
+		}
+		if len(struck) > b.Tolerated {
+			return true
+		}
+	}
+	return false
+}
+
 func oldReads(history *History, bounds Bounds, _ []Disturbance) []string {
 	var found []string
 	for _, read := range history.Reads {
@@ -164,15 +193,12 @@
 	return found
 }
 
-// ignoredOrders are those that nobody acknowledged though no control node was disturbed while they
-// were sent, or shortly before.
+// ignoredOrders are those that nobody acknowledged though no more control nodes were disturbed than
+// are tolerated.
 func ignoredOrders(history *History, bounds Bounds, disturbances []Disturbance) []string {
 	var found []string
 	for _, order := range history.Ignored {
-		explained := slices.ContainsFunc(disturbances, func(each Disturbance) bool {
-			return each.Everyone && each.From <= order.Acknowledged && order.Sent <= each.Till+bounds.Contact
-		})
-		if !explained {
+		if !bounds.intolerable(disturbances, order.Sent, order.Acknowledged) {
 			found = append(found, fmt.Sprintf("nobody acknowledged an order (%d, version %d, zone %q) from %s to %s", order.Kind, order.Version, order.Zone, order.Sent, order.Acknowledged))
 		}
 	}
@@ -212,7 +238,7 @@
 				continue
 			}
 			router := history.Requests[arrival.Request].Router
-			if !disturbedLately(disturbances, router, arrival.At, bounds.Contact) {
+			if !bounds.mayNotKnow(disturbances, router, arrival.At) {
 				found = append(found, fmt.Sprintf("%s reached %s in zone %s at %s by %s, %s too late", arrival.Request, arrival.Machine, span.zone, arrival.At, router, arrival.At-span.from))
 			}
 		}
@@ -220,13 +246,13 @@
 	return found
 }
 
-// disturbedLately reports whether a router, or what all routers depend on, was disturbed shortly
-// before a moment.
-func disturbedLately(disturbances []Disturbance, router string, at, contact time.Duration) bool {
-	return slices.ContainsFunc(disturbances, func(each Disturbance) bool {
-		concerned := !each.Requests && (each.Everyone || each.Node == router)
-		return concerned && each.From <= at && at <= each.Till+contact
+// mayNotKnow reports whether a router may lack what all are to know: it was disturbed itself shortly
+// before, or more control nodes were than are tolerated.
+func (b Bounds) mayNotKnow(disturbances []Disturbance, router string, at time.Duration) bool {
+	own := slices.ContainsFunc(disturbances, func(each Disturbance) bool {
+		return each.Node == router && !each.Requests && each.From <= at && at <= each.Till+b.Contact
 	})
+	return own || b.intolerable(disturbances, at, at)
 }
 
 // floodedMachines looks at every span of a second that begins with an arrival.
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -7,7 +7,7 @@
 	"github.com/weldline/weldline/internal/places"
 )
 
-var testBounds = Bounds{Apply: 2 * time.Second, Drain: 2 * time.Second, Contact: time.Second, WarmingPerSecond: 3}
+var testBounds = Bounds{Apply: 2 * time.Second, Drain: 2 * time.Second, Contact: time.Second, Tolerated: 1, WarmingPerSecond: 3}
 
 // kept returns a history that breaks nothing.
 func kept() *History {
@@ -45,7 +45,10 @@
 }
 
 // explained explains the order that nobody acknowledged, and nothing else.
-var explained = []Disturbance{{From: 10 * time.Second, Till: 11500 * time.Millisecond, Everyone: true}}
+var explained = []Disturbance{
+	{From: 10 * time.Second, Till: 11500 * time.Millisecond, Node: "c1", Control: true},
+	{From: 11 * time.Second, Till: 11500 * time.Millisecond, Node: "c2", Control: true},
+}
 
 // TestEachCheckCanFail breaks one promise at a time.
 func TestEachCheckCanFail(t *testing.T) {
@@ -88,7 +91,7 @@
 		found       int
 	}{
 		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r1"}, 0},
-		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Everyone: true}, 0},
+		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "c1", Control: true}, 1},
 		{Disturbance{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "r2"}, 1},
 		{Disturbance{From: 4 * time.Second, Till: 5 * time.Second, Node: "r1"}, 1},
 		{Disturbance{From: 8 * time.Second, Till: 9 * time.Second, Node: "r1"}, 1},
@@ -113,8 +116,8 @@
 		span.Node = node
 		return span
 	}
-	everyone := func(span Disturbance) Disturbance {
-		span.Everyone = true
+	control := func(node string, span Disturbance) Disturbance {
+		span.Node, span.Control = node, true
 		return span
 	}
 	requests := func(span Disturbance) Disturbance {
@@ -128,15 +131,44 @@
 		{[]Disturbance{of("r2", span(2500, 2600))}, 0},
 		{[]Disturbance{of("r2", span(500, 2000))}, 0},
 		{[]Disturbance{of("r2", span(500, 1900))}, 1},
-		{[]Disturbance{of("r2", span(500, 900)), everyone(span(800, 1500))}, 0},
-		{[]Disturbance{of("r2", span(500, 900)), everyone(span(1000, 1500))}, 1},
+		{[]Disturbance{of("r2", span(500, 900)), control("c1", span(800, 1500)), control("c2", span(800, 1500))}, 0},
+		{[]Disturbance{of("r2", span(500, 900)), control("c1", span(800, 1500))}, 1},
+		{[]Disturbance{of("r2", span(500, 900)), control("c1", span(1000, 1500)), control("c2", span(1000, 1500))}, 1},
 		{[]Disturbance{of("r2", span(3100, 3200))}, 1},
 		{[]Disturbance{of("r1", span(2500, 2600))}, 1},
 		{[]Disturbance{requests(span(2500, 2600))}, 0},
-		{[]Disturbance{everyone(span(1500, 2600))}, 1},
+		{[]Disturbance{control("c1", span(1500, 2600)), control("c2", span(1500, 2600))}, 1},
 	} {
 		if found := Judge(history, testBounds, append(test.disturbances, explained...)); len(found) != test.found {
 			t.Errorf("%+v: found %v", test.disturbances, found)
 		}
 	}
 }
+
+// TestIntolerableFaultsExplainArrivals: routers can't learn of a drain while more control nodes
+// are disturbed than are tolerated.
+func TestIntolerableFaultsExplainArrivals(t *testing.T) {
+	history := kept()
+	history.Arrivals = append(history.Arrivals, Arrival{Request: "again", Place: Place{Zone: "s1"}, At: 7 * time.Second})
+	both := append([]Disturbance{
+		{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "c1", Control: true},
+		{From: 5 * time.Second, Till: 6500 * time.Millisecond, Node: "c2", Control: true},
+	}, explained...)
+	if found := Judge(history, testBounds, both); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+}
+
+// TestFaultsOneAfterTheOtherAreTolerated: two control nodes are too many only at the same time.
+func TestFaultsOneAfterTheOtherAreTolerated(t *testing.T) {
+	first := Disturbance{From: 5 * time.Second, Till: 6 * time.Second, Node: "c1", Control: true}
+	second := Disturbance{Till: 9 * time.Second, Node: "c2", Control: true}
+	for from, intolerable := range map[time.Duration]bool{
+		5500 * time.Millisecond: true, 6500 * time.Millisecond: true, 7500 * time.Millisecond: false,
+	} {
+		second.From = from
+		if testBounds.intolerable([]Disturbance{first, second}, 8*time.Second, 8*time.Second) != intolerable {
+			t.Errorf("a second fault at %s: intolerable is not %t", from, intolerable)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -93,9 +93,10 @@
 // Disturbance is a span in which a fault keeps somebody from knowing what the others know.
 type Disturbance struct {
 	From, Till time.Duration
-	// Node is whom it concerns; Everyone is set where routers may lack it as well.
-	Node     string
-	Everyone bool
+	// Node is whom it concerns; Control is set for a control node, from which routers may lack what
+	// they are to know.
+	Node    string
+	Control bool
 	// Requests is set where only requests are held up, those of a node or of all: nobody lacks
 	// knowledge by that.
 	Requests bool
@@ -112,6 +113,9 @@
 	restartTime = 2 * time.Second
 	// stopTime is what one takes that is asked to end, and finishes what it has first.
 	stopTime = 5 * time.Second
+	// replaceTime is what it takes until a control node that lost its disk counts again, or another
+	// in its place.
+	replaceTime = 6 * time.Second
 	// silentTime is for how long requests may meet a connection that fell silent: as long as callers
 	// wait for an answer, twice, as a request may meet one silent connection after another.
 	silentTime = 10 * time.Second
@@ -191,8 +195,7 @@
 }
 
 // Disturbances returns whom the faults of a plan keep from knowing, or from being served, and for
-// how long. What strikes a control node may keep anybody from it; what strikes a machine is felt by
-// whoever has requests there.
+// how long. What strikes a machine is felt by whoever has requests there.
 func Disturbances(plan []Fault, layout Layout) []Disturbance {
 	var spans []Disturbance
 	for _, fault := range plan {
@@ -202,7 +205,7 @@
 }
 
 func (f Fault) disturbances(layout Layout) []Disturbance {
-	span := Disturbance{From: f.At, Till: f.At + f.For, Node: f.Node}
+	span := Disturbance{From: f.At, Till: f.At + f.For, Node: f.Node, Control: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
 	case FaultCoolMachine, FaultBurst:
 		return nil
@@ -214,21 +217,42 @@
 	case FaultSilenceMachine, FaultSilenceCallers:
 		span.Till += silentTime
 		span.Requests = true
+	case FaultCutZone:
+		return ofEach(span, layout.Zones[f.Zone])
+	case FaultKillAll:
+		span.Till += restartTime
+		return ofEach(span, layout.Control)
+	case FaultRollControl:
+		return ofEach(rolled(span), layout.Control)
 	case FaultRollRouters:
 		return rollOf(span, layout.Routers)
 	case FaultStop:
 		span.Till += stopTime
-		span.Everyone = !slices.Contains(layout.Routers, f.Node)
-	case FaultKill, FaultKillAll, FaultRollControl, FaultLoseDisk:
+	case FaultKill:
 		span.Till += restartTime
-		span.Everyone = !slices.Contains(layout.Routers, f.Node)
-	default:
-		span.Everyone = !slices.Contains(layout.Routers, f.Node)
+	case FaultLoseDisk:
+		span.Till += replaceTime
 	}
 	return []Disturbance{span}
 }
 
-// rollOf returns the disturbances of nodes that stop one after the other.
+// rolled is how long control nodes are disturbed that stop one after the other.
+func rolled(span Disturbance) Disturbance {
+	span.Till += stopTime
+	return span
+}
+
+// ofEach returns the disturbance of each of some control nodes.
+func ofEach(span Disturbance, nodes []string) []Disturbance {
+	var spans []Disturbance
+	for _, node := range nodes {
+		span.Node, span.Control = node, true
+		spans = append(spans, span)
+	}
+	return spans
+}
+
+// rollOf returns the disturbances of routers that stop one after the other.
 func rollOf(whole Disturbance, nodes []string) []Disturbance {
 	var spans []Disturbance
 	for position, node := range nodes {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -43,10 +43,10 @@
 	})
 }
 
-// TestDisturbances: what strikes a control node concerns every router, what strikes a router that
-// one alone, and what strikes a machine no node's knowledge.
+// TestDisturbances: each fault disturbs the nodes that it strikes, all of them where it strikes
+// several, and what strikes a machine or callers' links keeps nobody from knowing.
 func TestDisturbances(t *testing.T) {
-	layout := Layout{Control: []string{"c1"}, Routers: []string{"r1"}, Machines: 1}
+	layout := Layout{Control: []string{"c1"}, Zones: [][]string{{"c1"}}, Routers: []string{"r1"}, Machines: 1}
 	spans := Disturbances([]Fault{
 		{Kind: FaultKill, At: time.Second, Node: "r1"},
 		{Kind: FaultCutTo, At: 2 * time.Second, For: time.Second, Node: "c1"},
@@ -60,10 +60,10 @@
 	}, layout)...)
 	want := []Disturbance{
 		{From: time.Second, Till: time.Second + restartTime, Node: "r1"},
-		{From: 2 * time.Second, Till: 3 * time.Second, Node: "c1", Everyone: true},
+		{From: 2 * time.Second, Till: 3 * time.Second, Node: "c1", Control: true},
 		{From: 3 * time.Second, Till: 3*time.Second + restartTime, Requests: true},
 		{From: time.Second, Till: time.Second + stopTime, Node: "r1"},
-		{From: time.Second, Till: 2 * time.Second, Everyone: true},
+		{From: time.Second, Till: 2 * time.Second, Node: "c1", Control: true},
 		{From: time.Second, Till: time.Second + silentTime, Node: "r1", Requests: true},
 	}
 	if !reflect.DeepEqual(spans, want) {
