Replace connections to the leader that carry no answers

Followers dial the leader for their messages and calls; entries and heartbeats come on connections that the leader dials. Where only answers are lost, the leader hears the follower and the follower the leader, so no sign by which connections are replaced was there. TCP would have taken as long as the cut. Ruled out: the leader (it answered others meanwhile), a node that is behind (it held the log). Change: a link knows since when calls on it are without anything that came back. A caller that gives up after two election timeouts of that makes the connection anew. Callers that still wait are not failed before; short calls count together.

--- a/internal/control/oneway_test.go
+++ b/internal/control/oneway_test.go
@@ -43,6 +43,17 @@
 	// open holds, for each connection, whether it has fallen silent: what the dialler sends
 	// on it is dropped, while new connections work.
 	open []*atomic.Bool
+	// answers holds the same for what the dialler is sent.
+	answers []*atomic.Bool
+}
+
+// silenceAnswers makes all connections that are open carry nothing back.
+func (o *outgoing) silenceAnswers() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, silent := range o.answers {
+		silent.Store(true)
+	}
 }
 
 // silence makes all connections that are open fall silent.
@@ -54,12 +65,12 @@
 	}
 }
 
-func (o *outgoing) opened() *atomic.Bool {
+func (o *outgoing) opened() (sent, answers *atomic.Bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	silent := &atomic.Bool{}
-	o.open = append(o.open, silent)
-	return silent
+	sent, answers = &atomic.Bool{}, &atomic.Bool{}
+	o.open, o.answers = append(o.open, sent), append(o.answers, answers)
+	return sent, answers
 }
 
 func (o *outgoing) serve() {
@@ -79,8 +90,9 @@
 		return
 	}
 	defer func() { _ = reached.Close() }()
-	go func() { _, _ = io.Copy(dialled, reached) }()
-	_, _ = io.Copy(&droppingWriter{to: reached, cut: o.cut, silent: o.opened()}, dialled)
+	sent, answers := o.opened()
+	go func() { _, _ = io.Copy(&droppingWriter{to: dialled, cut: &atomic.Bool{}, silent: answers}, reached) }()
+	_, _ = io.Copy(&droppingWriter{to: reached, cut: o.cut, silent: sent}, dialled)
 }
 
 // droppingWriter passes bytes on until its direction is cut or its connection falls silent.
@@ -374,3 +386,14 @@
 	}
 	cluster.expectAllInStep(10 * versionsSentAhead)
 }
+
+// TestConnectionsWithoutAnswersAreReplaced: where only answers are lost, the leader hears a follower
+// and the follower gets the log, on a connection of the leader's. No call passed on to the leader was
+// answered, for as long as TCP took the connection to be sound.
+func TestConnectionsWithoutAnswersAreReplaced(t *testing.T) {
+	cluster := startTrio(t)
+	leader, follower := cluster.leaderAndFollower()
+	cluster.declareAgain(follower, versionsSentAhead)
+	cluster.links[follower][leader].silenceAnswers()
+	cluster.declareAgain(follower, versionsSentAhead+1)
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -52,9 +52,13 @@
 	conn  *wire.Conn
 	// connected is when conn came about.
 	connected time.Duration
-	digests   *feed.DigestSender
-	nextID    uint64
-	waiting   map[uint64]chan *wirepb.Envelope
+	// unanswered is set from the first call on conn after which nothing has come back, and
+	// unansweredSince is when that was.
+	unanswered      bool
+	unansweredSince time.Duration
+	digests         *feed.DigestSender
+	nextID          uint64
+	waiting         map[uint64]chan *wirepb.Envelope
 }
 
 func newPeerSet(node *Node) *peerSet {
@@ -209,6 +213,7 @@
 	l.mutex.Lock()
 	l.conn = conn
 	l.connected = l.node.now()
+	l.unanswered = false
 	l.digests = &feed.DigestSender{}
 	l.mutex.Unlock()
 	defer l.detach()
@@ -218,6 +223,7 @@
 			return
 		}
 		l.mutex.Lock()
+		l.unanswered = false
 		reply := l.waiting[envelope.GetRequestId()]
 		delete(l.waiting, envelope.GetRequestId())
 		l.mutex.Unlock()
@@ -254,6 +260,9 @@
 	l.nextID++
 	envelope.RequestId = l.nextID
 	l.waiting[envelope.RequestId] = reply
+	if !l.unanswered {
+		l.unanswered, l.unansweredSince = true, l.node.now()
+	}
 	l.mutex.Unlock()
 	defer func() {
 		l.mutex.Lock()
@@ -270,10 +279,25 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
+		l.renewUnanswered()
 		return nil, fault.Deadline.New("no answer from the leader in time")
 	}
 }
 
+// renewUnanswered replaces a connection on which nothing has come back for longer than an election
+// takes, once a caller has given up. Only answers come back on it: where these alone are lost, the
+// leader hears this node, and this node gets the log on a connection of the leader's, so nothing else
+// tells.
+func (l *peerLink) renewUnanswered() {
+	limit := silentElectionTimeouts * l.node.settings.Control.ElectionTimeout
+	l.mutex.Lock()
+	overdue := l.unanswered && l.node.now()-l.unansweredSince >= limit
+	l.mutex.Unlock()
+	if overdue {
+		l.renew(limit)
+	}
+}
+
 // renew closes a connection that has stood for longer than a limit; another is dialled.
 func (l *peerLink) renew(limit time.Duration) {
 	l.mutex.Lock()
