--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -53,10 +53,14 @@
 	conn  *wire.Conn
 	// connected is when conn came about.
 	connected time.Duration
-	digests   *feed.DigestSender
-	instances *instances.Condenser
-	nextID    uint64
-	waiting   map[uint64]chan *wirepb.Envelope
+	// unanswered is set from the first call on conn after which nothing has come back, and
+	// unansweredSince is when that was.
+	unanswered      bool
+	unansweredSince time.Duration
+	digests         *feed.DigestSender
+	instances       *instances.Condenser
+	nextID          uint64
+	waiting         map[uint64]chan *wirepb.Envelope
 }
 
 func newPeerSet(node *Node) *peerSet {
@@ -188,6 +192,13 @@
 	}
 }
 
+// noteAnswer notes that something has come back on the connection.
+func (l *peerLink) noteAnswer() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.unanswered = false
+}
+
 // sendInstance passes on what a machine says of itself, without what the member has.
 func (l *peerLink) sendInstance(report *wirepb.InstanceReport) {
 	l.mutex.Lock()
@@ -233,6 +244,7 @@
 	l.mutex.Lock()
 	l.conn = conn
 	l.connected = l.node.now()
+	l.unanswered = false
 	l.digests = &feed.DigestSender{}
 	l.instances = instances.NewCondenser()
 	l.mutex.Unlock()
@@ -242,6 +254,7 @@
 		if err != nil {
 			return
 		}
+		l.noteAnswer()
 		if wanted := envelope.GetInstanceWanted(); wanted != nil {
 			l.sendWhole(wanted.GetMachine())
 			continue
@@ -283,6 +296,9 @@
 	l.nextID++
 	envelope.RequestId = l.nextID
 	l.waiting[envelope.RequestId] = reply
+	if !l.unanswered {
+		l.unanswered, l.unansweredSince = true, l.node.now()
+	}
 	l.mutex.Unlock()
 	defer func() {
 		l.mutex.Lock()
@@ -299,10 +315,25 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
+		l.renewUnanswered()
 		return nil, fault.Deadline.New("no answer from the leader in time")
 	}
 }
 
+// renewUnanswered replaces a connection on which nothing has come back for longer than an election
+// takes, once a caller has given up. Only answers come back on it: where these alone are lost, the
+// leader hears this node, and this node gets the log on a connection of the leader's, so nothing else
+// tells.
+func (l *peerLink) renewUnanswered() {
+	limit := silentElectionTimeouts * l.node.settings.Control.ElectionTimeout
+	l.mutex.Lock()
+	overdue := l.unanswered && l.node.now()-l.unansweredSince >= limit
+	l.mutex.Unlock()
+	if overdue {
+		l.renew(limit)
+	}
+}
+
 // renew closes a connection that has stood for longer than a limit; another is dialled.
 func (l *peerLink) renew(limit time.Duration) {
 	l.mutex.Lock()
