Answer questions for permits in one place, and log why there is none

Cause: the feed's server and a leader's peers answered the same question by two copies of the same code, and both dropped the error that kept a permit from being asked for. Change: feed.AnswerPermit answers for both, as feed.AnswerProposal does, and logs the reason at debug level (permit_unavailable): routers ask four times a second while there is no leader. Conclusion: one piece of code; replies are as before.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -380,7 +380,9 @@
 		case *wirepb.Envelope_InstanceReport:
 			n.takePassedOn(conn, body.InstanceReport)
 		case *wirepb.Envelope_PermitRequest:
-			workers.Go(func() { n.answerPermit(conn, envelope.GetRequestId(), body.PermitRequest) })
+			workers.Go(func() {
+				feed.AnswerPermit(ctx, conn, envelope.GetRequestId(), body.PermitRequest, n.permitLocally, n.logger)
+			})
 		case *wirepb.Envelope_StatusRequest:
 			workers.Go(func() { n.answerStatus(conn, envelope.GetRequestId(), body.StatusRequest) })
 		}
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -9,7 +9,6 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/warming"
-	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -71,6 +70,11 @@
 	return &wirepb.PermitReply{Granted: decision.Granted, RetryAfterMs: uint32(decision.RetryAfter.Milliseconds())}, nil
 }
 
+// permitLocally is localPermit as a feed.PermitFunc, for control nodes that pass a question on.
+func (n *Node) permitLocally(_ context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
+	return n.localPermit(request)
+}
+
 func errNoLease() error {
 	return fault.Unavailable.New("this node holds no lease")
 }
@@ -91,12 +95,3 @@
 	})
 	return perSecond
 }
-
-// answerPermit answers a control node that passes a question on.
-func (n *Node) answerPermit(conn *wire.Conn, requestID uint64, request *wirepb.PermitRequest) {
-	reply, err := n.localPermit(request)
-	if err != nil {
-		reply = &wirepb.PermitReply{Unavailable: true}
-	}
-	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_PermitReply{PermitReply: reply}})
-}
--- a/internal/feed/permit.go
+++ b/internal/feed/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/warming"
@@ -34,13 +35,24 @@
 	return c.client.Permit(ctx, request)
 }
 
-// answerPermit asks the backend for a permit; without an answer there is none.
-func (s *Server) answerPermit(ctx context.Context, conn *wire.Conn, requestID uint64, request *wirepb.PermitRequest) {
+// AnswerPermit asks for the permit that a request on a connection is about, and sends the reply
+// back under the same request id. Without an answer there is no permit; why, is logged here, since
+// the reply does not carry it.
+func AnswerPermit(ctx context.Context, conn *wire.Conn, requestID uint64, request *wirepb.PermitRequest, ask PermitFunc, logger *slog.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, warming.PermitLifetime)
 	defer cancel()
-	reply, err := s.backend.Permit(ctx, request)
+	reply, err := ask(ctx, request)
 	if err != nil || reply == nil {
+		logger.Debug("permit_unavailable", "machine", request.GetMachine(), "error", reasonOf(err))
 		reply = &wirepb.PermitReply{Unavailable: true}
 	}
 	_ = conn.Send(&wirepb.Envelope{RequestId: requestID, Body: &wirepb.Envelope_PermitReply{PermitReply: reply}})
 }
+
+// reasonOf tells why a permit could not be asked for.
+func reasonOf(err error) string {
+	if err == nil {
+		return "the answer was empty"
+	}
+	return fault.Message(err)
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -243,7 +243,7 @@
 			slots <- struct{}{}
 			workers.Go(func() {
 				defer func() { <-slots }()
-				s.answerPermit(ctx, conn, envelope.GetRequestId(), body.PermitRequest)
+				AnswerPermit(ctx, conn, envelope.GetRequestId(), body.PermitRequest, s.backend.Permit, s.logger)
 			})
 		case *wirepb.Envelope_Proposal:
 			slots <- struct{}{}
