Log why a router got no permit

Cause: permit_refused is logged both where the leader refused and where it could not be asked, and the error of the latter was dropped, so the line did not say which it was. Conclusion: fields are added, none has changed.

--- a/internal/ingress/warming.go
+++ b/internal/ingress/warming.go
@@ -118,12 +118,14 @@
 	held permit
 	// wait is for how long not to ask again, where it was not; 0 where the request itself has ended.
 	wait time.Duration
+	// reason tells, for logs, why the leader gave no answer.
+	reason string
 }
 
 // ask asks the leader for a permit.
 func (g *warmingGuard) ask(ctx context.Context, machine string) permitAnswer {
 	if silence := g.silence(); silence > 0 {
-		return permitAnswer{outcome: permitUnanswered, wait: max(leastHold, silence)}
+		return permitAnswer{outcome: permitUnanswered, wait: max(leastHold, silence), reason: "the leader could not be asked a moment ago"}
 	}
 	until := g.options.Now() + warming.PermitLifetime
 	reply, err := g.options.Permit(ctx, &wirepb.PermitRequest{Machine: machine})
@@ -133,7 +135,7 @@
 		return permitAnswer{outcome: permitUnanswered}
 	case err != nil:
 		g.noteSilence()
-		answer = permitAnswer{outcome: permitUnanswered, wait: heldWithoutAnswer}
+		answer = permitAnswer{outcome: permitUnanswered, wait: heldWithoutAnswer, reason: fault.Message(err)}
 	case !reply.GetGranted():
 		retryAfter := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 		answer = permitAnswer{outcome: permitRefused, wait: max(leastHold, retryAfter)}
@@ -158,7 +160,8 @@
 	}
 	if answer.wait > 0 {
 		j.ingress.options.Logger.Info("permit_refused", "id", j.attributes.ID, "pool", j.pool, "machine", machine,
-			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", answer.wait.Milliseconds())
+			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", answer.wait.Milliseconds(),
+			"outcome", string(answer.outcome), "error", answer.reason)
 		dispatcher.Hold(machine, answer.wait)
 	}
 	if answer.wait > 0 && answer.outcome == permitUnanswered {
