Call a grant that had to wait what it is

Cause: Grant.Cold meant that the request had waited for a replica; everything that reads it (the log's field waited, the histogram weldline_replica_wait_seconds) says so by another name, and elsewhere cold stands for the start of a model or machine. Change: Grant.Waited, and replicaWait for the gateway's histogram. The tables of tests keep their text. Conclusion: names only.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -140,7 +140,7 @@
 func (d *dispatchTable) report(out *strings.Builder, outcome Outcome) {
 	for _, grant := range outcome.Grants {
 		d.grants[grant.Request.ID] = grant
-		fmt.Fprintf(out, "%d goes to %s cold=%t\n", grant.Request.ID, grant.Target.Replica, grant.Cold)
+		fmt.Fprintf(out, "%d goes to %s cold=%t\n", grant.Request.ID, grant.Target.Replica, grant.Waited)
 	}
 	for _, refusal := range outcome.Refusals {
 		fmt.Fprintf(out, "%d refused: %s (%s) come back in %s\n", refusal.Request.ID, refusal.Reason, refusal.Detail, refusal.RetryAfter)
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -59,7 +59,7 @@
 		version.runAdapter(request.Adapter, 1)
 		version.runBound(request, 1)
 		chosen.remember(now, request)
-		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Cold: request != fresh})
+		outcome.Grants = append(outcome.Grants, Grant{Request: request, Target: chosen.Target, Waited: request != fresh})
 	}
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -66,8 +66,8 @@
 type Grant struct {
 	Request *Request
 	Target  Target
-	// Cold is set where the request had to wait for a replica.
-	Cold bool
+	// Waited is set where the request had to wait for a replica.
+	Waited bool
 }
 
 // RefusalReason says why a request is refused. All are "not run".
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -91,9 +91,9 @@
 			g.dispatcher.Release(grant, dispatch.ResultNotRun)
 			return g.answerQuarantined(writer, created, document, failures > 0)
 		}
-		if grant.Cold {
+		if grant.Waited {
 			waited := time.Since(created.arrived)
-			g.options.Metrics.coldWait.Observe(waited.Seconds())
+			g.options.Metrics.replicaWait.Observe(waited.Seconds())
 			writer.Header().Set(HeaderReplicaWait, strconv.FormatInt(waited.Milliseconds(), 10))
 		}
 		end := g.attempt(parent, ctx, writer, created, grant, attempt)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,14 +9,14 @@
 
 // Metrics are the gateway's metrics.
 type Metrics struct {
-	requests  *prometheus.CounterVec
-	problems  *prometheus.CounterVec
-	attempts  *prometheus.CounterVec
-	discarded prometheus.Counter
-	resumed   prometheus.Counter
-	coldWait  prometheus.Histogram
-	firstByte prometheus.Histogram
-	drained   *prometheus.GaugeVec
+	requests    *prometheus.CounterVec
+	problems    *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
+	discarded   prometheus.Counter
+	resumed     prometheus.Counter
+	replicaWait prometheus.Histogram
+	firstByte   prometheus.Histogram
+	drained     *prometheus.GaugeVec
 }
 
 // NewMetrics registers the gateway's metrics.
@@ -40,7 +40,7 @@
 		resumed: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_streams_resumed_total", Help: "Broken streams that were resumed.",
 		}),
-		coldWait: factory.NewHistogram(prometheus.HistogramOpts{
+		replicaWait: factory.NewHistogram(prometheus.HistogramOpts{
 			Name: "weldline_replica_wait_seconds", Help: "Wait for a replica, of requests that waited.", Buckets: waits,
 		}),
 		firstByte: factory.NewHistogram(prometheus.HistogramOpts{
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -73,7 +73,7 @@
 // attempt sends the request to one machine and passes its answer on.
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptEnd {
 	j.ingress.options.Metrics.observeSent(grant.Target.Nearness)
-	j.log("sent", "machine", grant.Target.Machine, "nearness", grant.Target.Nearness.String(), "waited", grant.Cold, "remains_ms", j.remaining().Milliseconds())
+	j.log("sent", "machine", grant.Target.Machine, "nearness", grant.Target.Nearness.String(), "waited", grant.Waited, "remains_ms", j.remaining().Milliseconds())
 	tryCtx, cancel := j.tryContext(ctx)
 	defer cancel()
 	outgoing := j.outgoing(grant)
