Name the divisors of the leader's patience as such

Cause: nearShare (4) and roundTripShare (8) were described as a part and a weight and are what one divides by; maxStretch (2) was described as an addition and is a factor; the comment of patienceFor broke off in a line of its own. Change: nearDivisor, sampleDivisor, and comments that say what the code does. Conclusion: names and comments only.

--- a/internal/raft/patience.go
+++ b/internal/raft/patience.go
@@ -15,18 +15,20 @@
 // it says so; the leader counts its lease by what a quorum has promised, not by what it asked for.
 
 const (
-	// maxStretch is by how much more than the settings say a leader may ask for: a leader that is
-	// lost is missed for as long. Round trips of half of the election timeout fit in.
+	// maxStretch is how many times the election timeout of the settings a leader may ask for: one
+	// that is lost is missed for as long. A round trip of up to that timeout is granted whole.
 	maxStretch = 2
-	// nearShare is the part of the heartbeat interval up to which a round trip counts as short.
-	nearShare = 4
+	// nearDivisor is by what the heartbeat interval is divided for the longest round trip that
+	// counts as short.
+	nearDivisor = 4
 	// patienceSteps is how many steps the election timeout of the settings has: the patience
 	// changes by whole steps only, since a longer promise has to be stored.
 	patienceSteps = 8
-	// roundTripShare is the weight of a new sample in the estimate of a round trip, as TCP has it
-	// (RFC 6298). Deviations are left out: they are those of lost packets, whose time does not
-	// grow with the link, and a lossy short link would make lost leaders be missed for longer.
-	roundTripShare = 8
+	// sampleDivisor is the inverse of the weight of a new sample in the estimate of a round trip,
+	// as TCP has it (RFC 6298). Deviations are left out: they are those of lost packets, whose time
+	// does not grow with the link, and a lossy short link would make lost leaders be missed for
+	// longer.
+	sampleDivisor = 8
 )
 
 // smoothed returns the estimate of a round trip with one more sample; 0 stands for none yet.
@@ -34,16 +36,16 @@
 	if estimate == 0 {
 		return sample
 	}
-	return estimate + (sample-estimate)/roundTripShare
+	return estimate + (sample-estimate)/sampleDivisor
 }
 
 // patienceFor returns for how long followers should wait for a leader, where a round trip to a
-// quorum takes so long: longer by one, by which the replies come later that the lease counts on. It
-// changes from what is asked for now by whole steps, and back only over
-// two.
+// quorum takes so long: longer by one round trip, by which the replies come later that the lease
+// counts on. It changes from what is asked for now by whole steps, and goes back only by two or
+// more.
 func (c *Config) patienceFor(roundTrip, asked time.Duration) time.Duration {
 	wanted := c.ElectionTimeout
-	if roundTrip > c.HeartbeatInterval/nearShare {
+	if roundTrip > c.HeartbeatInterval/nearDivisor {
 		wanted += roundTrip
 	}
 	step := max(c.ElectionTimeout/patienceSteps, time.Millisecond)
