Mend comments that a newcomer stumbles on

Cause: comments told how something went wrong once (the order of servers), named a constant that is not there (FaultCut), did not say why a count is taken off another (adapters under a constraint), or could not be understood (settledAfter, restartTime, rolled, prove); drainlog's told no problem. Change: each says what holds and why. Conclusion: comments only.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// drainOrder is one call of an operator.
+// drainOrder is one call of an operator; begun is when it arrived, by the clock that counts sleep.
 type drainOrder struct {
 	node    *Node
 	zone    string
@@ -106,6 +106,8 @@
 	return nil, fault.InvalidField("zone", "%q is not a zone of this cluster", o.zone)
 }
 
+// logWritten tells that an order was committed. An earlier one that can't be decoded counts as
+// another order: only the line in the log says less.
 func (o *drainOrder) logWritten(held *wirepb.Object, revision uint64) {
 	before, err := v1.DecodeSpec(v1.KindZoneDrain, held.GetSpec())
 	previous, known := before.(*v1.ZoneDrainSpec)
--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -30,8 +30,8 @@
 // takes no other order meanwhile.
 const adapterIdle = 2500 * time.Millisecond
 
-// boundUse tells what waits for an adapter apart by constraint; the key is empty for what may go
-// anywhere.
+// boundUse is the use of an adapter under one constraint, named by its key, which is empty where
+// any region may serve.
 type boundUse struct {
 	adapterUse
 	constraint string
@@ -67,7 +67,7 @@
 					total[key] = &AdapterDemand{Version: use.version, Adapter: use.adapter, Allowed: allowed, LastUsed: whole.LastUsed, Now: now}
 				}
 				demand = total[key]
-				whole.Waiting -= int(reported.GetWaiting())
+				whole.Waiting -= int(reported.GetWaiting()) // The report's entry for the adapter counts these, too.
 			}
 			demand.Waiting += int(reported.GetWaiting())
 			demand.OldestWait = max(demand.OldestWait, time.Duration(reported.GetOldestWaitMs())*time.Millisecond)
--- a/internal/drainlog/drainlog.go
+++ b/internal/drainlog/drainlog.go
@@ -1,4 +1,10 @@
 // Package drainlog shows operators which drains of zones a router acts by.
+//
+// The problem: an order is acknowledged once it is in the log, while each router acts by it only
+// when it has come there. Who looks for a late request must see when that was.
+//
+// The mechanism: each router logs an order when it comes into force there, with its age, and shows
+// the zones that are drained in a metric.
 package drainlog
 
 import (
--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -64,8 +64,8 @@
 	return connection{}, false
 }
 
-// prove connects to a server and waits for a digest that is newer than any before. A server that
-// has more than its share of all nodes is left to them.
+// prove connects to a server and waits for a digest that is newer than any before. A crowded
+// server is passed over.
 func (c *Client) prove(ctx context.Context, address string) (connection, bool) {
 	ctx, cancel := context.WithTimeout(ctx, proveLimit)
 	defer cancel()
@@ -87,7 +87,7 @@
 	return better, true
 }
 
-// isCrowded reports whether the server at the other end has more than its share of all nodes.
+// isCrowded reports whether the server at the other end has too many followers; see crowded.
 func (c *Client) isCrowded(conn *wire.Conn) bool {
 	c.mutex.Lock()
 	routers := c.liveness.newest.GetRouters()
--- a/internal/feed/preference.go
+++ b/internal/feed/preference.go
@@ -41,9 +41,8 @@
 // byPreference orders servers for a client: the nearest first, because each stream that leaves a
 // zone or a region is paid for; among those equally near each client has its own order
 // (rendezvous hashing), so that clients spread evenly and those of a server that is lost spread
-// over all that are next. At a first start the first server that is up gets all clients; when it
-// was cut off, all of them were without digests until they found out, and then moved on to the
-// same next.
+// over all that are next. With one order for all clients, a single server that is cut off would
+// leave all of them without digests, and they would move on to the same next one.
 func byPreference(client string, position places.Position, servers []Upstream) []Upstream {
 	ordered := slices.Clone(servers)
 	weight := func(server Upstream) uint64 { return xxhash.Sum64String(client + "\x00" + server.Address) }
@@ -71,8 +70,8 @@
 	return merged
 }
 
-// settledAfter is how long a client must have followed a server for what it learned of others
-// before to count no more: several times what it takes to find out that a server is of no use.
+// settledAfter is how long a client must have followed a server before it forgets which others it
+// left earlier: several times what it takes to find out that a server is of no use.
 const settledAfter = 5 * time.Second
 
 // departure is one loss of a server.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,10 +11,11 @@
 // with an empty disk takes a new identity and asks to join; the old one at the
 // same address can never vote again and is removed. Joiners become learners. A
 // voter that is dead or has been silent too long gives its place to a learner
-// that has caught up, from the zone where it helps most; where the voters could not bear
-// the loss of as many zones or regions as asked for, a learner takes the place of one of them. Every step changes one voter, so quorums of the sets
-// before and after meet. The functions are pure: the leader proposes one step
-// at a time and asks again.
+// that has caught up, from the zone where it helps most. Where the voters could
+// not bear the loss of as many zones or regions as asked for, a learner takes
+// the place of one of them. Every step changes one voter, so quorums of the
+// sets before and after meet. The functions are pure: the leader proposes one
+// step at a time and asks again.
 package membership
 
 import (
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,7 +24,7 @@
 	// connections that stand; new ones work.
 	FaultSilenceTo   FaultKind = "silence-to"
 	FaultSilenceFrom FaultKind = "silence-from"
-	// FaultCut lets nothing through between a control node and everybody else, one way, on
+	// FaultCutTo and FaultCutFrom let nothing through between a control node and everybody else, one way, on
 	// connections old and new.
 	FaultCutTo   FaultKind = "cut-to"
 	FaultCutFrom FaultKind = "cut-from"
@@ -109,7 +109,8 @@
 	meanPause     = 900 * time.Millisecond
 	longestFault  = 4 * time.Second
 	shortestFault = 200 * time.Millisecond
-	// restartTime is what a process that ended takes to be back, and whoever supervises it.
+	// restartTime is what it takes until a process that ended is back: whoever supervises it has
+	// to notice that first.
 	restartTime = 2 * time.Second
 	// stopTime is what one takes that is asked to end, and finishes what it has first.
 	stopTime = 5 * time.Second
@@ -236,7 +237,8 @@
 	return []Disturbance{span}
 }
 
-// rolled is how long control nodes are disturbed that stop one after the other.
+// rolled is the span in which control nodes that stop one after the other are disturbed: it
+// lasts until the last of them has stopped.
 func rolled(span Disturbance) Disturbance {
 	span.Till += stopTime
 	return span
