Split the soak's injection of faults

Cause: Injector.inject was a function of 58 lines that mixed what strikes processes, links and machines, each with its own end. Change: begin brings a fault about and returns what ends it; strike knows all faults of links. A control node without a proxy is an error of the soak as before, a machine without one is down. Conclusion: the faults and their ends are the same.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,8 +66,23 @@
 	}
 }
 
+// inject brings a fault about, and ends it when its time is over.
 func (i *Injector) inject(ctx context.Context, each Fault) {
-	proxy := i.Proxies[each.Node]
+	switch each.Kind {
+	case FaultRollControl:
+		i.roll(ctx, i.Layout.Control)
+	case FaultRollRouters:
+		i.roll(ctx, i.Layout.Routers)
+	case FaultBurst:
+		i.Callers.Burst(ctx, each.For)
+	default:
+		defer i.begin(each)()
+		sleepUntil(ctx, time.Now().Add(each.For))
+	}
+}
+
+// begin brings about a fault that lasts until it is ended, and returns what ends it.
+func (i *Injector) begin(each Fault) func() {
 	switch each.Kind {
 	case FaultKill:
 		i.signal(each.Node, syscall.SIGKILL)
@@ -79,51 +94,48 @@
 		}
 	case FaultFreeze:
 		i.signal(each.Node, syscall.SIGSTOP)
-		defer i.signal(each.Node, syscall.SIGCONT)
-	case FaultSilenceTo:
-		proxy.Silence(To)
-	case FaultSilenceFrom:
-		proxy.Silence(From)
-	case FaultCutTo:
-		proxy.Cut(To)
-		defer proxy.Heal(To)
-	case FaultCutFrom:
-		proxy.Cut(From)
-		defer proxy.Heal(From)
-	case FaultReset:
-		proxy.Reset()
-	case FaultDelay:
-		proxy.AddDelay(addedDelay)
-		defer proxy.AddDelay(-addedDelay)
-	case FaultCutZone:
-		for _, node := range i.Layout.Zones[each.Zone] {
-			defer cutOff(i.Proxies[node])()
-		}
-	case FaultRollControl:
-		i.roll(ctx, i.Layout.Control)
-		return
-	case FaultRollRouters:
-		i.roll(ctx, i.Layout.Routers)
-		return
+		return func() { i.signal(each.Node, syscall.SIGCONT) }
 	case FaultLoseDisk:
-		if err := i.Processes.LoseDisk(each.Node); err != nil {
-			i.Tell("no effect: " + fault.Message(err))
-			return
-		}
-		i.signal(each.Node, syscall.SIGKILL)
-	case FaultBurst:
-		i.Callers.Burst(ctx, each.For)
-		return
-	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
-		defer strike(each.Kind, i.Machines.Proxy(each.Machine))()
-	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
-		defer strike(each.Kind, i.Callers.CallerProxy(each.Node))()
+		i.loseDisk(each.Node)
+	case FaultCutZone:
+		return i.cutOffZone(each.Zone)
 	case FaultCrashMachine:
 		i.Machines.Crash(each.Machine)
 	case FaultCoolMachine:
 		i.Machines.Cool(each.Machine)
+	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
+		return strikeIfThere(each.Kind, i.Machines.Proxy(each.Machine))
+	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
+		return strikeIfThere(each.Kind, i.Callers.CallerProxy(each.Node))
+	default:
+		return strike(each.Kind, i.Proxies[each.Node])
+	}
+	return nothing
+}
+
+// nothing ends a fault that is over at once.
+func nothing() {}
+
+// loseDisk ends a control node whose disk is lost.
+func (i *Injector) loseDisk(node string) {
+	if err := i.Processes.LoseDisk(node); err != nil {
+		i.Tell("no effect: " + fault.Message(err))
+		return
+	}
+	i.signal(node, syscall.SIGKILL)
+}
+
+// cutOffZone cuts off the control nodes of a zone, and returns what heals that.
+func (i *Injector) cutOffZone(zone int) func() {
+	var heals []func()
+	for _, node := range i.Layout.Zones[zone] {
+		heals = append(heals, cutOff(i.Proxies[node]))
+	}
+	return func() {
+		for _, heal := range heals {
+			heal()
+		}
 	}
-	sleepUntil(ctx, time.Now().Add(each.For))
 }
 
 // cutOff cuts both ways, and returns what heals that.
@@ -136,18 +148,30 @@
 	}
 }
 
-// strike strikes the links through a proxy, and returns what ends that.
-func strike(kind FaultKind, proxy *Proxy) func() {
-	nothing := func() {}
+// strikeIfThere is strike where there may be no proxy at present, as while a machine is down.
+func strikeIfThere(kind FaultKind, proxy *Proxy) func() {
 	if proxy == nil {
-		return nothing // The machine is down.
+		return nothing
 	}
+	return strike(kind, proxy)
+}
+
+// strike strikes the links through a proxy, and returns what ends that.
+func strike(kind FaultKind, proxy *Proxy) func() {
 	switch kind {
-	case FaultResetMachine, FaultResetCallers:
+	case FaultReset, FaultResetMachine, FaultResetCallers:
 		proxy.Reset()
-	case FaultSilenceMachine, FaultSilenceCallers:
+	case FaultSilenceTo:
+		proxy.Silence(To)
+	case FaultSilenceFrom, FaultSilenceMachine, FaultSilenceCallers:
 		proxy.Silence(From)
-	case FaultDelayMachine, FaultDelayCallers:
+	case FaultCutTo:
+		proxy.Cut(To)
+		return func() { proxy.Heal(To) }
+	case FaultCutFrom:
+		proxy.Cut(From)
+		return func() { proxy.Heal(From) }
+	case FaultDelay, FaultDelayMachine, FaultDelayCallers:
 		proxy.AddDelay(addedDelay)
 		return func() { proxy.AddDelay(-addedDelay) }
 	}
