Mend comments on grants, permits, detours and promises

Cause: what follows where a machine is not free for a grant, where the log knows no machine for a permit, for a region that no request comes from, and when a node may give way again could not be understood from the comments, or was not said. Change: said.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -386,8 +386,8 @@
 	f.node.wakeLeader()
 }
 
-// freeOf tells which machines nobody else may still give orders to. The others get no grant
-// either: once the log names this node as the holder, who was before is forgotten.
+// freeOf tells which machines nobody else may still give orders to. For the others no grant may
+// be asked: it would make the log forget the holder before, whose time is not over.
 func (f *fleet) freeOf(machines []string) map[string]bool {
 	holders := make(map[string]string, len(machines))
 	f.node.Read(func(machine *state.Machine) {
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -80,8 +80,8 @@
 }
 
 // rateWhileWarming returns how many requests a second a machine bears while it warms up, by its
-// pool. It is 0, for which nothing is permitted, where a machine or its pool is not known, or not any
-// more: that is an answer, as a router that gets none asks for no other machine for a while, either.
+// pool. It is 0, for which nothing is permitted, where the log has no such machine or pool (any
+// more). That is a refusal and no error: after an error a router asks for no machine for a while.
 func (n *Node) rateWhileWarming(name string) (perSecond float64) {
 	n.Read(func(machine *state.Machine) {
 		spec, known := machine.Spec(v1.KindMachine, name).(*v1.MachineSpec)
--- a/internal/placement/near.go
+++ b/internal/placement/near.go
@@ -12,8 +12,9 @@
 // for the requests that come while the replica stays.
 const regionDetour = 250 * time.Millisecond
 
-// detours are what a replica costs for the requests that come from other regions, by its own; nil
-// where all places are alike.
+// detours are what a replica costs for the requests that come from other regions, by its own
+// region; the empty region stands for all that no request comes from. Nil where all places are
+// alike.
 type detours map[string]float64
 
 // detoursOf weighs where a version is asked for. Where it has replicas, requests next to them
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -19,8 +19,8 @@
 		n.meetLowerTerm(message)
 		return false
 	}
-	// The term may have become known by the way, before this request came: the promise binds
-	// all the same.
+	// The term may have become known by another message, before this request came: the promise
+	// binds all the same.
 	return message.GetType() != wirepb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE || n.mayVoteFor(message)
 }
 
@@ -123,8 +123,8 @@
 // giveWay puts off this node's own election for another's, whose pre-vote it grants. Over long links
 // several stand before they hear of each other; the votes split, and an election timeout is lost.
 // Of two that ask for pre-votes at a time the one with the lower id goes on: each hears of the
-// other before its own pre-votes are back. It gives way once only until an election or a leader
-// comes of it: one that nobody else hears must not hold up the rest.
+// other before its own pre-votes are back. It gives way once only, until there is an
+// election, a newer term or a leader: one that nobody else hears must not hold up the rest.
 func (n *Node) giveWay(other uint64) {
 	stands := n.role == PreCandidate
 	if n.gaveWay || n.isReleased() || n.role != Follower && !stands || stands && other > n.config.ID {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -104,7 +104,7 @@
 	// longestPromise is the longest ever made to a leader, 0 if none was; a restart has to
 	// assume it.
 	longestPromise time.Duration
-	// asked is for how long this node, as leader, asks its followers to promise it that.
+	// asked is the length of the promise that this node, as leader, asks its followers for.
 	asked            time.Duration
 	electionDeadline time.Duration
 	heartbeatDue     time.Duration
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// start begins the stream of frames behind the handshake.
+// start begins the stream of frames after the handshake.
 func (c *Conn) start() {
 	c.traffic = c.counters.with(c.Peer.GetZone())
 	c.metered.traffic = c.traffic
--- a/internal/wire/counters.go
+++ b/internal/wire/counters.go
@@ -29,7 +29,7 @@
 	compressors atomic.Int64
 }
 
-// NewCounters returns the counters of a process that stands somewhere.
+// NewCounters returns the counters of a process at a position, which are all zero.
 func NewCounters(position places.Position) *Counters {
 	return &Counters{position: position}
 }
