Name two numbers of the drains' checks

Cause: the share of answers that the simulator's operator loses, and the end of a drain that is not taken back, were bare numbers. Change: drainAnswersLost and math.MaxInt64, the same values.

--- a/internal/faultsim/drains.go
+++ b/internal/faultsim/drains.go
@@ -12,7 +12,11 @@
 	// drainPatience is how long the operator of drains waits for an answer: for longer than a
 	// message may be late, a process stalled unnoticed, and an order looked at.
 	drainPatience = answerTimeout
+	// maxDrainTries is how often the operator gives an order before giving it up.
 	maxDrainTries = 5
+	// drainAnswersLost is the one of how many answers that gets lost on its way to the operator,
+	// so that orders are given again though they were taken.
+	drainAnswersLost = 4
 	// drainGrace is how long after the acknowledgement of a drain requests may still arrive.
 	drainGrace = inForceWithin
 )
@@ -71,7 +75,7 @@
 	call(&d.process, &target.process, drainPatience, func(reply func(bool)) {
 		target.drainZone(order, reply)
 	}, func(taken, answered bool) {
-		lost := d.world.random.IntN(4) == 0
+		lost := d.world.random.IntN(drainAnswersLost) == 0
 		if !answered || !taken || lost {
 			d.after(resendDelay, func() { d.send(order, tries-1) })
 			return
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -218,7 +219,7 @@
 		if order.Kind != OrderDrain {
 			continue
 		}
-		span := drain{zone: order.Zone, from: order.Acknowledged + bounds.Drain, till: time.Duration(1<<63 - 1)}
+		span := drain{zone: order.Zone, from: order.Acknowledged + bounds.Drain, till: math.MaxInt64}
 		for _, later := range h.Orders {
 			if later.Kind == OrderUndrain && later.Zone == order.Zone && later.Sent > order.Sent {
 				span.till = min(span.till, later.Sent)
