Age the oldest wait of a report in one place

Cause: a version's demand and its parts by constraint each added a report's age to the longest wait. Change: oldestWait, used by both. Conclusion: the same sums: where nothing waits, 0 changes no maximum of waits.

--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -287,16 +287,22 @@
 			demand.Running += int(reported.GetRunning())
 			v.addRegion(demand, entry.report.GetZone(), reported)
 			demand.Priority = max(demand.Priority, reported.GetPriority())
-			if reported.GetWaiting() > 0 {
-				oldest := time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
-				demand.OldestWait = max(demand.OldestWait, oldest)
-			}
+			demand.OldestWait = max(demand.OldestWait, oldestWait(reported, age))
 		}
 	}
 	v.addBound(total)
 	return total
 }
 
+// oldestWait is how long the request has waited by now that waits longest, by a report of some age;
+// 0 where none waits.
+func oldestWait(reported *wirepb.ModelDemand, age time.Duration) time.Duration {
+	if reported.GetWaiting() == 0 {
+		return 0
+	}
+	return time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
+}
+
 // addBound adds up what live routers report by constraint.
 func (v *clusterView) addBound(total map[string]*placement.Demand) {
 	for _, entry := range v.nodes {
@@ -313,9 +319,7 @@
 			bound.Waiting += int(reported.GetWaiting())
 			bound.Running += int(reported.GetRunning())
 			bound.Priority = max(bound.Priority, reported.GetPriority())
-			if reported.GetWaiting() > 0 {
-				bound.OldestWait = max(bound.OldestWait, time.Duration(reported.GetOldestWaitMs())*time.Millisecond+age)
-			}
+			bound.OldestWait = max(bound.OldestWait, oldestWait(reported, age))
 		}
 	}
 }
