Fill in a target's machine in one place

Cause: two lists of targets each copied zone, region, nearness and endpoint from the machine. Change: both use targetOn. The replicas of this list stand on live machines, so Suspect stays unset, and their bound is the record's as before. Conclusion: the same targets.

--- a/internal/nodeview/routing.go
+++ b/internal/nodeview/routing.go
@@ -60,7 +60,8 @@
 	return targets
 }
 
-// registeredTargets returns those that would be targets but for the drain of their zone apart.
+// registeredTargets lists the RegisteredTargets and, apart, those that would be among them but for
+// the drain of their zone; the mutex must be held.
 func (v *View) registeredTargets() (targets, drained []dispatch.Target) {
 	add := func(target dispatch.Target) {
 		if v.zoneDrains[target.Zone].Drained {
@@ -175,6 +176,7 @@
 	return dispatch.Target{}, false
 }
 
+// targetOn returns what a target has from its machine.
 func (v *View) targetOn(name string, machine Machine) dispatch.Target {
 	return dispatch.Target{
 		Zone: machine.Spec.Zone, Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -25,11 +25,8 @@
 	defer v.mutex.RUnlock()
 	all := dispatch.TargetChanges{Full: true}
 	v.eachReady(func(replica Replica, machine Machine) {
-		target := dispatch.Target{
-			Replica: replica.Object.GetName(), Version: replica.Spec.Version, Zone: machine.Spec.Zone,
-			Machine: replica.Spec.Machine, Endpoint: machine.Spec.Endpoint, Max: replica.Spec.MaxConcurrent,
-			Region: v.position.Map.Region(machine.Spec.Zone), Nearness: v.position.To(machine.Spec.Zone),
-		}
+		target := v.targetOn(replica.Spec.Machine, machine)
+		target.Replica, target.Version, target.Max = replica.Object.GetName(), replica.Spec.Version, replica.Spec.MaxConcurrent
 		if v.isDrained(machine) {
 			all.Drained = append(all.Drained, target)
 			return
