Say what a pool's startTime is for, and what refuses NaN

Cause: startTime is declared, checked and then read by nothing, which its comment did not say; and three conditions written as a negation look like a slip. Change: comments. Conclusion: comments only.

--- a/api/v1/routing.go
+++ b/api/v1/routing.go
@@ -133,7 +133,8 @@
 // WarmingSpec says what a machine bears while it warms up: for some time after its start, and
 // whenever it says so.
 type WarmingSpec struct {
-	// StartTime is for how long a machine warms up after its start.
+	// StartTime is for how long a machine warms up after its start. It is for whoever reads the
+	// declaration: a machine says itself for how long it still warms up, and that is what counts.
 	StartTime Duration `json:"startTime"`
 	// RequestsPerSecond is how many requests it bears meanwhile, from all routers together.
 	// Required, above 0.
@@ -147,7 +148,7 @@
 	if s.StartTime < 0 {
 		return fault.InvalidField("spec.warming.startTime", "must not be negative")
 	}
-	if !(s.RequestsPerSecond > 0) {
+	if !(s.RequestsPerSecond > 0) { // Not a number, too.
 		return fault.InvalidField("spec.warming.requestsPerSecond", "must be above 0")
 	}
 	return nil
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -165,10 +165,10 @@
 }
 
 func (s *Settings) validateWarming() error {
-	if !(s.Warming.Factor >= 1) {
+	if !(s.Warming.Factor >= 1) { // Not a number, too.
 		return fault.InvalidField("warming.factor", "must be at least 1")
 	}
-	if !(s.Warming.Slack >= 0) {
+	if !(s.Warming.Slack >= 0) { // Not a number, too.
 		return fault.InvalidField("warming.slack", "must not be negative")
 	}
 	return nil
