Let the comments of tests say what must hold

Change: they say what holds, or what would happen else; heartbeatOf. Conclusion: comments and one name; no assertion has changed.

--- a/internal/control/grant_test.go
+++ b/internal/control/grant_test.go
@@ -43,8 +43,9 @@
 	return orders.Accepted
 }
 
-// TestOrderIsDialledBesideItsGrant: a connection to the machine was made only once the grant had
-// been committed. Nothing may be written to the machine before.
+// TestOrderIsDialledBesideItsGrant: the connection to the machine is made while the grant is being
+// committed, so that requests wait for the longer of the two only. Nothing may be written to the
+// machine before the commit.
 func TestOrderIsDialledBesideItsGrant(t *testing.T) {
 	storage, engines := &gatedStorage{}, &dialledEngines{dialled: make(chan struct{})}
 	cluster := &trio{t: t, addresses: []string{"127.0.0.1:1"}, cuts: []*atomic.Bool{{}}}
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -241,8 +241,7 @@
 	}
 }
 
-// TestAdaptersShareACommit: each change of adapters had a commit of its own, for which the
-// decisions of the pass waited.
+// TestAdaptersShareACommit: the decisions of a pass wait for no commit of changed adapters.
 func TestAdaptersShareACommit(t *testing.T) {
 	machine := fleetState(t)
 	registered := ReadRegistered(machine)
--- a/internal/dispatch/near_test.go
+++ b/internal/dispatch/near_test.go
@@ -22,8 +22,8 @@
 	return core, now
 }
 
-// TestNearestThatIsNotBusyFirst tables which machine a request goes to, by the work before it:
-// every machine counted the same, and most requests crossed regions.
+// TestNearestThatIsNotBusyFirst tables which machine a request goes to, by the work before it: if
+// every machine counted the same, most requests would cross regions.
 func TestNearestThatIsNotBusyFirst(t *testing.T) {
 	const detour = 1000
 	tests := []struct {
@@ -49,8 +49,8 @@
 	}
 }
 
-// TestHomesAreInTheRegion: a prompt's beginning had two homes in all, so most routers sent its
-// requests to another region.
+// TestHomesAreInTheRegion: with two homes in all for a prompt's beginning, most routers would send
+// its requests to another region.
 func TestHomesAreInTheRegion(t *testing.T) {
 	for prefix := uint64(1); prefix <= 20; prefix++ {
 		core, now := placedCore(Config{}, places.Further, places.Further, places.Further, places.SameRegion, places.SameRegion)
--- a/internal/feed/preference_test.go
+++ b/internal/feed/preference_test.go
@@ -11,8 +11,8 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// TestClientsSpreadOverServers: at a first start all 81 routers followed the one control node
-// that was up first, and when it was cut off all of them moved on to the same next.
+// TestClientsSpreadOverServers: clients that all follow the one control node that is up first
+// would, when it is cut off, all be without digests and move on to the same next.
 func TestClientsSpreadOverServers(t *testing.T) {
 	const clients, servers = 300, 8
 	known := make([]Upstream, 0, servers)
@@ -53,9 +53,8 @@
 	return places.NewMap(map[string]string{"zone-0": "east", "zone-1": "east", "zone-2": "west", "zone-3": "west"}), servers
 }
 
-// TestNearestServersComeFirst: a router that hashed its name over all control nodes followed one
-// in another zone in most cases, and each stream that leaves a zone is paid for. Clients of a
-// zone still spread over its servers, and those of one that is lost over the next nearest.
+// TestNearestServersComeFirst: each stream that leaves a zone is paid for. Clients of a zone still
+// spread over its servers, and those of one that is lost over the next nearest.
 func TestNearestServersComeFirst(t *testing.T) {
 	regions, servers := fourZones()
 	position := places.Position{Zone: "zone-1", Map: regions}
--- a/internal/feed/server_test.go
+++ b/internal/feed/server_test.go
@@ -35,8 +35,8 @@
 	b.changed.Notify()
 }
 
-// TestChangesInQuickSuccessionShareBatches: a leader's pass commits many changes, and each went
-// to each router in a frame of its own.
+// TestChangesInQuickSuccessionShareBatches: a leader's pass commits many changes, and a frame for
+// each of them to each router would cost more than what it holds.
 func TestChangesInQuickSuccessionShareBatches(t *testing.T) {
 	const changes = 400
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/ingress/near_test.go
+++ b/internal/ingress/near_test.go
@@ -8,8 +8,8 @@
 	v1 "github.com/weldline/weldline/api/v1"
 )
 
-// TestShortCallsStayNear: calls that take some milliseconds went to the machines of all regions
-// alike, and most waited for the links between them.
+// TestShortCallsStayNear: calls that take some milliseconds would, if they went to the machines of
+// all regions alike, mostly wait for the links between them.
 func TestShortCallsStayNear(t *testing.T) {
 	answer := func(request seenRequest, _ int, connection net.Conn) bool {
 		return write(connection, ok(request, "fine"))
--- a/internal/instances/condense_test.go
+++ b/internal/instances/condense_test.go
@@ -11,8 +11,8 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// beatOf is what a machine says that holds a number of models.
-func beatOf(sequence uint64, models int) *wirepb.InstanceReport {
+// heartbeatOf is what a machine says that holds a number of models.
+func heartbeatOf(sequence uint64, models int) *wirepb.InstanceReport {
 	report := &wirepb.InstanceReport{
 		Machine: "m", Pool: "p", Endpoint: "http://10.0.0.1:80", Zone: "z", Slots: 12, Sequence: sequence,
 		AgeMs: uint32(sequence), WarmingMs: uint32(sequence) * 100,
@@ -28,7 +28,7 @@
 func TestUnchangedReportsAreShort(t *testing.T) {
 	sender, table := NewCondenser(), NewTable()
 	for sequence := uint64(1); sequence <= 10; sequence++ {
-		report := WithContent(beatOf(sequence, 5))
+		report := WithContent(heartbeatOf(sequence, 5))
 		sent := sender.Next(report)
 		if sequence > 1 && proto.Size(sent) > 40 {
 			t.Errorf("report %d, without news, takes %d bytes of %d", sequence, proto.Size(sent), proto.Size(report))
@@ -39,10 +39,10 @@
 		}
 		table.Take(time.Duration(sequence), completed)
 	}
-	if other := WithContent(beatOf(11, 4)); sender.Next(other) != other {
+	if other := WithContent(heartbeatOf(11, 4)); sender.Next(other) != other {
 		t.Error("a report with news is not whole")
 	}
-	leaving := beatOf(12, 4)
+	leaving := heartbeatOf(12, 4)
 	leaving.Leaving = true
 	if leaving = WithContent(leaving); sender.Next(leaving) != leaving {
 		t.Error("a machine that leaves is no news")
@@ -53,12 +53,12 @@
 // nothing.
 func TestNoOtherContentStandsIn(t *testing.T) {
 	sender, table := NewCondenser(), NewTable()
-	sender.Next(WithContent(beatOf(1, 2)))
-	short := sender.Next(WithContent(beatOf(2, 2)))
+	sender.Next(WithContent(heartbeatOf(1, 2)))
+	short := sender.Next(WithContent(heartbeatOf(2, 2)))
 	if completed, whole := table.Complete(short); whole {
 		t.Errorf("completed from nothing: %v", completed)
 	}
-	table.Take(0, WithContent(beatOf(1, 3)))
+	table.Take(0, WithContent(heartbeatOf(1, 3)))
 	if completed, whole := table.Complete(short); whole {
 		t.Errorf("completed from another content: %v", completed)
 	}
@@ -67,7 +67,7 @@
 		t.Errorf("the whole report is %v", whole)
 	}
 	table.Take(0, whole)
-	if _, held := table.Complete(sender.Next(WithContent(beatOf(3, 2)))); !held {
+	if _, held := table.Complete(sender.Next(WithContent(heartbeatOf(3, 2)))); !held {
 		t.Error("still lacking after the whole report")
 	}
 }
@@ -91,7 +91,7 @@
 			case 1:
 				table = NewTable()
 			}
-			report := WithContent(beatOf(sequence, models))
+			report := WithContent(heartbeatOf(sequence, models))
 			sent := senders[way].Next(report)
 			completed, whole := table.Complete(sent)
 			if !whole {
@@ -112,7 +112,7 @@
 func TestCondenserIsBounded(t *testing.T) {
 	sender := NewCondenser()
 	for number := range 3 * maxCondensed {
-		report := beatOf(1, 0)
+		report := heartbeatOf(1, 0)
 		report.Machine = fmt.Sprint("m", number)
 		sender.Next(report)
 		if len(sender.sent) > maxCondensed {
@@ -123,7 +123,7 @@
 
 // TestNothingIsLostOnTheWay: what a report gets in later releases is completed as well.
 func TestNothingIsLostOnTheWay(t *testing.T) {
-	report := beatOf(1, 1)
+	report := heartbeatOf(1, 1)
 	report.Leaving = true
 	fields := report.ProtoReflect().Descriptor().Fields()
 	for position := range fields.Len() {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -188,8 +188,8 @@
 	})
 }
 
-// TestZoneIsLost: three first voters of five stood in one zone, and with it the log was lost. Now
-// the voters spread out, and what was committed outlives any zone.
+// TestZoneIsLost: where three of five first voters stand in one zone, the log would be lost with
+// it. The voters spread out, and what is committed outlives any zone.
 func TestZoneIsLost(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		c := newCluster(t, seed, 0, 0, 5)
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -7,8 +7,8 @@
 	v1 "github.com/weldline/weldline/api/v1"
 )
 
-// TestRoomOfWhatIsGoneIsUsedAtOnce: a machine that had unloaded a model to make room waited for
-// another pass, and its commit, before it was told what to load.
+// TestRoomOfWhatIsGoneIsUsedAtOnce: a machine that has unloaded a model to make room is told in the
+// same pass what to load, and waits for no further commit.
 func TestRoomOfWhatIsGoneIsUsedAtOnce(t *testing.T) {
 	input := poolInput(1)
 	poolVersion(input, "wanted")
@@ -38,9 +38,8 @@
 	}
 }
 
-// TestIdleVictimIsPreferred: a replica that its version could do without was evicted while it ran
-// four requests; its machine took no other order until they were done, though the next machine had
-// an idle one.
+// TestIdleVictimIsPreferred: a replica that its version can do without stays while it runs requests
+// and another machine has an idle one: its machine takes no other order until they are done.
 func TestIdleVictimIsPreferred(t *testing.T) {
 	input := poolInput(2)
 	input.Replicas = nil
--- a/internal/raft/links_test.go
+++ b/internal/raft/links_test.go
@@ -131,8 +131,8 @@
 	return found
 }
 
-// TestLeaseHoldsOverLongLinks: with time-outs made for links of a millisecond, a packet lost
-// between regions cost the leader its lease, and the followers their leader.
+// TestLeaseHoldsOverLongLinks: with timeouts made for links of a millisecond, a packet lost between
+// regions would cost the leader its lease, and the followers their leader.
 func TestLeaseHoldsOverLongLinks(t *testing.T) {
 	const span = 60 * time.Second
 	for _, test := range []struct {
@@ -170,7 +170,7 @@
 	}
 }
 
-// TestShortLinksKeepTheSettings: whoever loses a leader misses it for as long as the time-out.
+// TestShortLinksKeepTheSettings: whoever loses a leader misses it for as long as the timeout.
 func TestShortLinksKeepTheSettings(t *testing.T) {
 	const timeout = 400 * time.Millisecond
 	for _, test := range []struct {
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -25,7 +25,7 @@
 }
 
 // oldServer is a process that knows nothing of compressed streams. It returns what it receives
-// behind the handshake.
+// after the handshake.
 func oldServer(t *testing.T, listener net.Listener, received chan<- *wirepb.Envelope) {
 	t.Helper()
 	network, err := listener.Accept()
@@ -94,9 +94,9 @@
 
 const digestsSent = 20
 
-// TestRepeatedTextIsSentOnce: digests of some kilobytes went to every node twice a second, and
-// differed from those before by a few bytes; with changes and reports they were most of what
-// deployments over several zones paid for.
+// TestRepeatedTextIsSentOnce: digests of some kilobytes go to every node twice a second, and differ
+// from those before by a few bytes; as they are, they would be most of what deployments over several
+// zones pay for.
 func TestRepeatedTextIsSentOnce(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
