Look once at what binds a withheld request, and judge an unwritten attempt in one place

Cause: on reading the change again, the last look before a send worked out the request's constraint twice where it withheld it, and three branches asked whether a connection had come about. Change: the constraint is read once; endUnwritten says how an attempt ended that wrote nothing. The same ends, logs and counters as before. Ruled out: one piece for the two readings of drains in the controller (Registered and storedView): they are read at different moments of a pass, and need a shared reader of the state. Conclusion: behaviour is the same.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -78,16 +78,8 @@
 	defer cancel()
 	outgoing := j.outgoing(grant)
 	answer, failure, err := j.ingress.upstream.Do(tryCtx, outgoing)
-	switch {
-	case failure == upstream.FailedConnect && fault.Is(err, fault.Refused):
-		return endWithheld
-	case failure == upstream.FailedConnect && errors.Is(err, errNoPermit):
-		j.ingress.options.Metrics.observePermit(permitExpired)
-		return endNotPermitted
-	}
 	if failure == upstream.FailedConnect {
-		j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
-		return endNotConnected
+		return j.endUnwritten(grant, err)
 	}
 	j.sent++
 	if failure != upstream.FailedNone {
@@ -103,6 +95,19 @@
 	return j.pass(ctx, answer, grant)
 }
 
+// endUnwritten is how an attempt ended that wrote nothing to its machine.
+func (j *job) endUnwritten(grant *dispatch.Grant, err error) attemptEnd {
+	switch {
+	case fault.Is(err, fault.Refused):
+		return endWithheld
+	case errors.Is(err, errNoPermit):
+		j.ingress.options.Metrics.observePermit(permitExpired)
+		return endNotPermitted
+	}
+	j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
+	return endNotConnected
+}
+
 // tryContext gives a machine a part of the time where another may be tried
 // after it.
 func (j *job) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/ingress/withheld.go
+++ b/internal/ingress/withheld.go
@@ -52,9 +52,9 @@
 // the place was chosen. Routers gather changes for a moment, and a connection may take a while, so
 // it is asked until the last.
 func (j *job) withheld(grant *dispatch.Grant) bool {
-	view := j.ingress.options.View
+	view, allowed := j.ingress.options.View, j.allowed()
 	reason := ""
-	switch allowed := j.allowed(); {
+	switch {
 	case view.ZoneDrained(grant.Target.Zone):
 		reason = "zone-drained"
 	case !view.MayServe(grant.Target.Machine, grant.Target.Endpoint, allowed):
@@ -63,7 +63,7 @@
 		return false
 	}
 	j.ingress.options.Metrics.withheld.Inc()
-	j.log("withheld", "machine", grant.Target.Machine, "reason", reason, "region", grant.Target.Region, "allowed", j.allowed().Regions())
+	j.log("withheld", "machine", grant.Target.Machine, "reason", reason, "region", grant.Target.Region, "allowed", allowed.Regions())
 	return true
 }
 
