Let routers learn of a bounded subset of the machines and replicas

Cause: each router held, read and refreshed all machines and replicas.

Change: nodes that ask for it in their hello get the configuration whole, and of each version, adapter and pool a bounded number of members, the nearest first, more once their requests wait. internal/subset is pure; the feed's server filters changes and cuts digests by it. Routers of the release before get all.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -261,7 +261,7 @@
 
 // NewServer returns the server of this node's feed.
 func (n *Node) NewServer() *feed.Server {
-	return feed.NewServer(n, n.self, n.logger, n.servePeer)
+	return feed.NewServer(n, n.self, n.settings.Position().Map, n.logger, n.servePeer)
 }
 
 // Read calls the function with the state, which it must not keep or change.
--- a/internal/feed/balance_test.go
+++ b/internal/feed/balance_test.go
@@ -66,7 +66,7 @@
 			t.Fatal(err)
 		}
 		backend := &digestBackend{changed: signal.New(), sequence: 1}
-		server := NewServer(backend, identityOf("server-"+strconv.Itoa(number)), slog.New(slog.DiscardHandler), nil)
+		server := NewServer(backend, identityOf("server-"+strconv.Itoa(number)), places.Map{}, slog.New(slog.DiscardHandler), nil)
 		workers.Go(func() { _ = server.Serve(ctx, listener) })
 		backends[listener.Addr().String()] = backend
 		addresses = append(addresses, listener.Addr().String())
@@ -141,7 +141,7 @@
 		t.Fatal(err)
 	}
 	backend := &digestBackend{changed: signal.New(), sequence: 7}
-	server := NewServer(backend, identityOf("server"), slog.New(slog.DiscardHandler), nil)
+	server := NewServer(backend, identityOf("server"), places.Map{}, slog.New(slog.DiscardHandler), nil)
 	workers.Go(func() { _ = server.Serve(ctx, listener) })
 	client := NewClient([]string{"127.0.0.1:1"}, identityOf("client"), nullSink{}, slog.New(slog.DiscardHandler))
 	if _, ok := client.prove(ctx, listener.Addr().String()); ok {
@@ -173,7 +173,7 @@
 		t.Fatal(err)
 	}
 	backend := &digestBackend{changed: signal.New(), sequence: 7}
-	server := NewServer(backend, identityOf("server"), slog.New(slog.DiscardHandler), nil)
+	server := NewServer(backend, identityOf("server"), places.Map{}, slog.New(slog.DiscardHandler), nil)
 	workers.Go(func() { _ = server.Serve(ctx, listener) })
 	address := listener.Addr().String()
 	follower, err := wire.Dial(ctx, address, identityOf("follower"))
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -259,6 +259,12 @@
 		return nil
 	}
 	changes := Changes{Events: batch.GetEvents(), Revision: batch.GetRevision()}
+	if batch.GetAdded() {
+		if changes.Revision >= c.sink.Revision() {
+			c.sink.Apply(changes)
+		}
+		return nil
+	}
 	if fresh, any := Fresh(c.sink.Revision(), changes); any {
 		c.sink.Apply(fresh)
 		c.noteApplied()
--- a/internal/feed/permit_test.go
+++ b/internal/feed/permit_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -38,7 +39,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := NewServer(backend, identityOf(name), slog.New(slog.DiscardHandler), nil)
+		server := NewServer(backend, identityOf(name), places.Map{}, slog.New(slog.DiscardHandler), nil)
 		workers.Go(func() { _ = server.Serve(ctx, listener) })
 		return listener.Addr().String()
 	}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -105,22 +106,24 @@
 	confirmations *batcher[*wirepb.StatusReply]
 	// lists are whole states for watchers that hold nothing.
 	lists listCache
+	// subsets are for watchers that know a part of the machines only.
+	subsets *subsets
 
 	mutex sync.Mutex
 	// sessions are the connections of nodes that follow this server.
 	sessions map[*wire.Conn]struct{}
 }
 
-// NewServer returns a server. The peer function takes over connections whose
-// hello carries a control id.
-func NewServer(backend Backend, self wire.Identity, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
+// NewServer returns a server in a place whose zones are known. The peer function takes over
+// connections whose hello carries a control id.
+func NewServer(backend Backend, self wire.Identity, zones places.Map, logger *slog.Logger, peer func(context.Context, *wire.Conn)) *Server {
 	self.Refuse = func(hello *wirepb.Hello) string {
 		if hello.GetControlId() == 0 && !backend.Serves() {
 			return notServing
 		}
 		return ""
 	}
-	server := &Server{backend: backend, self: self, logger: logger, peer: peer, sessions: map[*wire.Conn]struct{}{}}
+	server := &Server{backend: backend, self: self, logger: logger, peer: peer, sessions: map[*wire.Conn]struct{}{}, subsets: newSubsets(backend, zones)}
 	server.self.Followers = server.followers
 	server.confirmations = newBatcher(server.confirm)
 	return server
@@ -218,7 +221,11 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	defer cancel()
-	workers.Go(func() { s.sendDigests(ctx, conn) })
+	var session *subsetSession
+	if conn.Peer.GetSubset() {
+		session = s.subsets.session(conn.Peer.GetZone())
+	}
+	workers.Go(func() { s.sendDigests(ctx, conn, session) })
 	slots := make(chan struct{}, maxProposalsPerSession)
 	watching := false
 	for {
@@ -232,8 +239,11 @@
 				continue
 			}
 			watching = true
-			workers.Go(func() { s.sendChanges(ctx, conn, body.WatchRequest) })
+			workers.Go(func() { s.watch(ctx, conn, body.WatchRequest, session) })
 		case *wirepb.Envelope_NodeReport:
+			if session != nil {
+				session.noteDemand(body.NodeReport.GetDemand())
+			}
 			s.backend.Report(body.NodeReport)
 		case *wirepb.Envelope_NodeReportBatch:
 			s.backend.Report(body.NodeReportBatch.GetReports()...)
@@ -298,11 +308,23 @@
 	})
 }
 
-func (s *Server) sendDigests(ctx context.Context, conn *wire.Conn) {
+// watch sends a watcher what changes; the session is nil for one that learns of everything.
+func (s *Server) watch(ctx context.Context, conn *wire.Conn, request *wirepb.WatchRequest, session *subsetSession) {
+	if session != nil {
+		s.sendSubset(ctx, conn, request, session)
+		return
+	}
+	s.sendChanges(ctx, conn, request)
+}
+
+func (s *Server) sendDigests(ctx context.Context, conn *wire.Conn, session *subsetSession) {
 	sender := &DigestSender{}
 	for {
 		changed := s.backend.DigestChanged()
 		if digest := s.backend.Digest(); digest != nil {
+			if session != nil {
+				digest = session.digest(digest)
+			}
 			if conn.Send(sender.Envelope(digest)) != nil {
 				return
 			}
--- a/internal/feed/server_test.go
+++ b/internal/feed/server_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -48,7 +49,7 @@
 		t.Fatal(err)
 	}
 	backend := &changingBackend{changed: signal.New()}
-	server := NewServer(backend, identityOf("server"), slog.New(slog.DiscardHandler), nil)
+	server := NewServer(backend, identityOf("server"), places.Map{}, slog.New(slog.DiscardHandler), nil)
 	workers.Go(func() { _ = server.Serve(ctx, listener) })
 	conn, err := wire.Dial(ctx, listener.Addr().String(), identityOf("client"))
 	if err != nil {
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -38,7 +38,10 @@
 	created := &ingressRole{node: node, view: nodeview.NewAt(node.settings.Position()), demand: nodeview.NewDemandNews(), answers: nodeview.NewAnswerNews()}
 	settings := node.settings
 	created.reports = newReporter(settings.Ingress.ReportInterval, created.nodeReport)
-	created.client = feed.NewClient(settings.Formation.Addresses(), node.identity(), created.view, node.logger)
+	identity := node.identity()
+	// It gives no orders to machines: it needs those that its requests may go to.
+	identity.Hello.Subset = true
+	created.client = feed.NewClient(settings.Formation.Addresses(), identity, created.view, node.logger)
 	created.client.Discover(created.controlNodes)
 	created.client.Prefer(settings.Position())
 	created.reports.client = created.client
