--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -7,7 +7,6 @@
 
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
-	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
@@ -119,6 +118,6 @@
 		Unreachable: r.ingress.Unreachable(now),
 		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
 		Answers: r.answers.Messages(r.ingress.Answers()),
-		Level:   uint32(level.Supported), Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
+		Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,6 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/keys"
-	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/membership"
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
@@ -170,7 +169,7 @@
 	return wire.Identity{
 		Hello: &wirepb.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
-			Node: n.settings.Node, Zone: n.settings.Zone, Level: uint32(level.Supported),
+			Node: n.settings.Node, Zone: n.settings.Zone,
 		},
 		Keys: n.keys, Counters: n.counters,
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -156,7 +156,6 @@
 	}
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
-		Level: reply.GetLevel(),
 	}
 	c.Followers, c.UnchangedInstances = reply.GetFollowers(), reply.GetUnchangedInstances()
 	c.deflateIn = reply.GetDeflate()
@@ -184,7 +183,7 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
-		Zone: self.Hello.GetZone(), UnchangedInstances: true, Level: self.Hello.GetLevel(),
+		Zone: self.Hello.GetZone(), UnchangedInstances: true,
 	}
 	c.deflateOut = refusal == "" && hello.GetDeflate() && c.counters.takeCompressor(compressorsFor(hello))
 	reply.Deflate = c.deflateOut
