Give each start of a machine a record of its own, behind a level of the cluster

Cause: a worker may start again under its id. The table dropped its reports until its count had caught up, so its models, orders, grants, warmth and connections of before were believed, and are gone. Reports by other writers under a worker's id replaced its own; one that drains and names another service would have ended the record of a sound worker.

Ruled out: a field that resets what hangs on the name (every reader must know); names with the start for all (routers of the release before send the name where the worker expects its id).

Change: the first start's record has the id for its name, later ones id.start-<ms>, so whatever is kept by name belongs to one start. Later starts are newer whatever the sequences; earlier ones that come late change nothing; a start before the one in use waits until that is lost.

The record of a start is new in the log, and builds of two releases share it.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -195,6 +195,9 @@
 	Pool string `json:"pool,omitempty"`
 	// Slots is how many requests a registered machine runs at once.
 	Slots int `json:"slots,omitempty"`
+	// StartedMs is when a registered machine started, in Unix milliseconds by its own clock; 0 if
+	// it did not say.
+	StartedMs int64 `json:"startedMs,omitempty"`
 }
 
 // MachinePhase tells whether a machine may get work.
--- a/cmd/weldctl/show.go
+++ b/cmd/weldctl/show.go
@@ -170,12 +170,12 @@
 	if c.Output == "json" {
 		return printJSON(status)
 	}
-	fmt.Printf("leader %s, term %d, version %s, voters %v, learners %v\n",
-		status.Leader, status.Term, status.ResourceVersion, status.Voters, status.Learners)
+	fmt.Printf("leader %s, term %d, version %s, voters %v, learners %v, level %d\n",
+		status.Leader, status.Term, status.ResourceVersion, status.Voters, status.Learners, status.Level)
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "NODE\tZONE\tLIVE\tIN FORCE\tREPORT AGE")
+	fmt.Fprintln(table, "NODE\tZONE\tLIVE\tIN FORCE\tREPORT AGE\tLEVEL")
 	for _, node := range status.Nodes {
-		fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d ms\n", node.Name, node.Zone, node.Live, node.ResourceVersion, node.ReportAgeMillis)
+		fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d ms\t%d\n", node.Name, node.Zone, node.Live, node.ResourceVersion, node.ReportAgeMillis, node.Level)
 	}
 	if err := table.Flush(); err != nil {
 		return fault.Internal.Wrap(err, "writing a table")
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -74,9 +74,16 @@
 }
 
 // Report implements feed.Backend: the leader keeps the reports, a follower
-// passes them on, as many in one message as came in one.
+// passes them on.
 func (n *Node) Report(reports ...*wirepb.NodeReport) {
 	n.takeReports(reports)
+	if status := n.status.Load(); status.Leader != status.ID {
+		n.reportsOut.add(reports)
+	}
+}
+
+// sendReports passes reports on to the leader; they are lost where there is none, as reports may be.
+func (n *Node) sendReports(reports []*wirepb.NodeReport) {
 	status := n.status.Load()
 	if link := n.peers.link(status.Leader); link != nil {
 		batch := &wirepb.NodeReportBatch{Reports: reports}
@@ -251,7 +258,7 @@
 	}
 	reply := &wirepb.StatusReply{
 		Term: status.Term, Leader: n.settings.Node, Revision: revision,
-		Voters: status.Voters, Learners: status.Learners,
+		Voters: status.Voters, Learners: status.Learners, Level: uint32(n.Level()),
 	}
 	if !request.GetRevisionOnly() {
 		reply.Nodes = n.reports.States(n.now())
@@ -261,7 +268,9 @@
 
 // NewServer returns the server of this node's feed.
 func (n *Node) NewServer() *feed.Server {
-	return feed.NewServer(n, n.self, n.settings.Position().Map, n.logger, n.servePeer)
+	self := n.self
+	self.Refuse = n.refuseLevel
+	return feed.NewServer(n, self, n.settings.Position().Map, n.logger, n.servePeer)
 }
 
 // Read calls the function with the state, which it must not keep or change.
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -67,8 +67,8 @@
 	mutex sync.Mutex
 	core  *orders.Core
 	pacer *orders.Pacer
-	// taken is the sequence of the report that the core took last, by machine.
-	taken map[string]uint64
+	// taken is the report that the core took last, by machine.
+	taken map[string]takenReport
 	// granted is until when orders may be given, by machine.
 	granted map[string]time.Duration
 	// work is the rate of work by version, in tokens per second.
@@ -81,7 +81,7 @@
 	running, cancel := context.WithCancel(ctx)
 	created := &fleet{
 		node: node, term: term, since: node.now(), cancel: cancel, nudge: make(chan struct{}, 1),
-		core: orders.NewCore(pacer), pacer: pacer, taken: map[string]uint64{}, granted: map[string]time.Duration{},
+		core: orders.NewCore(pacer), pacer: pacer, taken: map[string]takenReport{}, granted: map[string]time.Duration{},
 		registered: controller.RegisteredCache{Places: node.settings.Position().Map},
 	}
 	if node.engines != nil {
@@ -204,6 +204,7 @@
 	return instances.Input{
 		Unreachable: f.node.reports.Unreachable(f.node.now()), Routers: f.node.reports.Routers(f.node.now()),
 		Now: f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
+		RecordStarts: f.node.recordsStarts(),
 		Policy: instances.Policy{
 			LostAfter:    lostAfterHeartbeats * interval,
 			SuspectAfter: time.Duration(suspectAfterHeartbeats * float64(interval)),
@@ -214,6 +215,12 @@
 	}
 }
 
+// takenReport tells a machine's reports apart: each start counts its own.
+type takenReport struct {
+	startedMs int64
+	sequence  uint64
+}
+
 // observe passes new heartbeats on to the core.
 func (f *fleet) observe(registered *controller.Registered) {
 	f.mutex.Lock()
@@ -226,10 +233,11 @@
 		if _, known := registered.Machines[name]; !known {
 			continue
 		}
-		if entry.Report.GetSequence() <= f.taken[name] || entry.Received < f.since {
+		report := takenReport{startedMs: entry.Report.GetStartedMs(), sequence: entry.Report.GetSequence()}
+		if report == f.taken[name] || entry.Received < f.since {
 			continue
 		}
-		f.taken[name] = entry.Report.GetSequence()
+		f.taken[name] = report
 		f.core.Take(f.node.now(), name, reportOf(entry.Report))
 	}
 	f.core.Forget(listed)
@@ -324,6 +332,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := f.node.engines.Report(ctx, machine, endpoint)
+	if err == nil {
+		err = f.checkStart(machine, report)
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if err != nil {
@@ -334,3 +345,13 @@
 	f.core.Take(f.node.now(), machine, report)
 	f.node.wakeLeader()
 }
+
+// checkStart returns an error where another start than the recorded one has answered: it has the
+// same id, and another record.
+func (f *fleet) checkStart(machine string, report orders.Report) error {
+	record, known := f.read().Machines[machine]
+	if !known || record.Spec.StartedMs == 0 || report.StartedMs == 0 || record.Spec.StartedMs == report.StartedMs {
+		return nil
+	}
+	return fault.Engine.New("machine %s has started again", machine)
+}
--- /dev/null
+++ b/internal/control/instances.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/level"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// recordsStarts reports whether records of machines tell when these started.
+func (n *Node) recordsStarts() bool {
+	return n.Level() >= level.MachineStarts
+}
+
+// instanceName returns the name of the record of the machine that a report comes from, by the
+// records that this node has applied.
+func (n *Node) instanceName(report *wirepb.InstanceReport) string {
+	name := report.GetMachine()
+	n.Read(func(machine *state.Machine) {
+		if machine.Level() >= level.MachineStarts {
+			name = instances.NameOf(report.GetMachine(), report.GetStartedMs(), recordsOf(machine))
+		}
+	})
+	return name
+}
+
+func recordsOf(machine *state.Machine) instances.Records {
+	return func(name string) *v1.MachineSpec {
+		spec, _ := machine.Spec(v1.KindMachine, name).(*v1.MachineSpec)
+		return spec
+	}
+}
+
+// newestInstance returns the name of the newest record under an id; the id if there is none.
+func (n *Node) newestInstance(id string) string {
+	newest, created := id, uint64(0)
+	n.Read(func(machine *state.Machine) {
+		machine.Each(func(object *wirepb.Object, spec v1.Spec) {
+			_, isMachine := spec.(*v1.MachineSpec)
+			if isMachine && instances.IDOf(object.GetName()) == id && object.GetCreateRevision() > created {
+				newest, created = object.GetName(), object.GetCreateRevision()
+			}
+		})
+	})
+	return newest
+}
+
+// isEarlierStart reports whether a report that has no record under a name comes from a start before
+// one that is in use under its id.
+func (n *Node) isEarlierStart(name string, report *wirepb.InstanceReport) bool {
+	if report.GetStartedMs() == 0 || name == report.GetMachine() {
+		return false
+	}
+	newest, earlier := n.newestInstance(report.GetMachine()), false
+	n.Read(func(machine *state.Machine) {
+		held := recordsOf(machine)(newest)
+		phase := machine.MachineStatus(newest).Phase
+		earlier = machine.Get(v1.KindMachine, name) == nil && held != nil && held.StartedMs > report.GetStartedMs() &&
+			(phase == v1.MachineLive || phase == v1.MachineLeaving)
+	})
+	return earlier
+}
+
+// awaitRecords waits until this node has applied the records that the leader has: by them a start
+// is told from another, and what is acknowledged to one must be recorded of that one.
+func (n *Node) awaitRecords(ctx context.Context) error {
+	if !n.recordsStarts() {
+		return nil
+	}
+	return n.Barrier(ctx)
+}
+
+// checkInstance refuses a report that can't be of the machine under whose id it comes: it was
+// written by another. It names the field.
+func (n *Node) checkInstance(report *wirepb.InstanceReport) error {
+	if !instances.IsID(report.GetMachine()) {
+		return fault.InvalidField("machine", "%q can't be the id of a machine", report.GetMachine())
+	}
+	name := n.instanceName(report)
+	var failure error
+	n.Read(func(machine *state.Machine) {
+		held := recordsOf(machine)(name)
+		switch {
+		case held == nil || held.Pool == "":
+		case held.Pool != report.GetPool():
+			failure = fault.InvalidField("pool", "machine %s is of pool %s, not of %q", name, held.Pool, report.GetPool())
+		case machine.Level() >= level.MachineStarts && held.StartedMs != 0 && report.GetStartedMs() == 0:
+			failure = fault.InvalidField("started", "machine %s tells when it started, the report does not", name)
+		}
+	})
+	return failure
+}
+
+// keepInstance keeps a machine's report as the leader.
+func (n *Node) keepInstance(report *wirepb.InstanceReport) {
+	if err := n.checkInstance(report); err != nil {
+		n.logger.Warn("report_refused", "machine", report.GetMachine(), "field", fault.FieldOf(err), "error", fault.Message(err))
+		return
+	}
+	if n.instances.Take(n.now(), n.instanceName(report), report) {
+		n.wakeLeader()
+	}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -156,6 +156,7 @@
 	l.fleet.wake()
 	l.sweep(ctx)
 	l.repairMembership(ctx)
+	l.raiseLevel(ctx)
 	l.controller.SetControl(l.node.members())
 	l.load.time(partDigest, l.spreadDigest)
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -99,6 +99,8 @@
 	// membership is the one in force, as applied here.
 	membership atomic.Pointer[wirepb.Membership]
 	reports    *controller.ReportTable
+	// reportsOut are those that are passed on to the leader.
+	reportsOut *reportQueue
 	// instances is what machines said of themselves lately.
 	instances *instances.Table
 	engines   Engines
@@ -167,6 +169,7 @@
 	node.holder = strconv.FormatUint(options.ID, 10)
 	node.grants = orders.NewGrants(node.holder, grantLifetime+node.settings.Machines.OrderLease)
 	node.reports = controller.NewReportTable()
+	node.reportsOut = newReportQueue(node.sendReports)
 	node.peers = newPeerSet(node)
 	node.publishStatus()
 	return node, nil
@@ -236,12 +239,21 @@
 		}
 		n.drainQueues()
 		if err := n.process(); err != nil {
-			n.logger.Error("storage_failed", "error", fault.Message(err))
+			n.logEnd(err)
 			return err
 		}
 	}
 }
 
+// logEnd tells why the member can't go on.
+func (n *Node) logEnd(err error) {
+	if n.member.State.Unsupported() != nil {
+		n.logger.Error("release_too_old", "error", fault.Message(err))
+		return
+	}
+	n.logger.Error("storage_failed", "error", fault.Message(err))
+}
+
 // compactInCalm takes a snapshot while the disk is quick and all is well, so that
 // a restart finds little to replay: until it is done, the node helps nobody.
 func (n *Node) compactInCalm() error {
@@ -273,6 +285,11 @@
 }
 
 func (n *Node) propose(entry *proposal) {
+	if entry.command.GetBody() == nil {
+		// Of a later release: in the log it would stop every member that does not know it.
+		entry.reply <- proposalReply{err: fault.InvalidField("body", "this release does not know the command")}
+		return
+	}
 	entry.command.ProposedUnixMs = time.Now().UnixMilli()
 	index, term, err := n.member.Propose(n.now(), entry.command)
 	if err != nil {
--- a/internal/control/operatorcalls.go
+++ b/internal/control/operatorcalls.go
@@ -17,9 +17,7 @@
 	report = instances.WithContent(report)
 	status := n.status.Load()
 	if status.Leader == status.ID {
-		if n.instances.Take(n.now(), report) {
-			n.wakeLeader()
-		}
+		n.keepInstance(report)
 		return
 	}
 	if link := n.peers.link(status.Leader); link != nil {
@@ -31,8 +29,11 @@
 // known or the leader does not hear this node, and for a machine that leaves until
 // that is committed: what was acknowledged must not be forgotten.
 func (n *Node) Heartbeat(ctx context.Context, report *wirepb.InstanceReport) error {
+	if err := n.checkInstance(report); err != nil {
+		return err
+	}
 	if report.GetLeaving() {
-		if err := n.leave(ctx, report, v1.MachineLeaving); err != nil {
+		if err := n.leave(ctx, report); err != nil {
 			return err
 		}
 	}
@@ -46,15 +47,32 @@
 	return nil
 }
 
-// Deregister records that a machine is gone.
-func (n *Node) Deregister(ctx context.Context, machine string) error {
-	return n.leave(ctx, &wirepb.InstanceReport{Machine: machine}, v1.MachineGone)
+// Deregister records that a machine is gone. The call names no start: it is that of the newest.
+func (n *Node) Deregister(ctx context.Context, id string) error {
+	if err := n.awaitRecords(ctx); err != nil {
+		return err
+	}
+	return n.recordPhase(ctx, n.newestInstance(id), &wirepb.InstanceReport{Machine: id}, v1.MachineGone)
+}
+
+// leave records that a machine leaves.
+func (n *Node) leave(ctx context.Context, report *wirepb.InstanceReport) error {
+	if err := n.awaitRecords(ctx); err != nil {
+		return err
+	}
+	name := n.instanceName(report)
+	if n.isEarlierStart(name, report) {
+		// What was held up on its way asks for nothing any more; a machine whose clock was set
+		// back is heard once the later start is lost.
+		return fault.Unavailable.New("a later start of %s is in use", report.GetMachine())
+	}
+	return n.recordPhase(ctx, name, report, v1.MachineLeaving)
 }
 
-func (n *Node) leave(ctx context.Context, report *wirepb.InstanceReport, phase v1.MachinePhase) error {
-	command := &wirepb.RegisterCommand{Machine: report.GetMachine(), Phase: string(phase), Reason: instances.ReasonSaidSo}
+func (n *Node) recordPhase(ctx context.Context, name string, report *wirepb.InstanceReport, phase v1.MachinePhase) error {
+	command := &wirepb.RegisterCommand{Machine: name, Phase: string(phase), Reason: instances.ReasonSaidSo}
 	if report.GetEndpoint() != "" {
-		if registration := instances.Registration(report, nil); registration != nil {
+		if registration := instances.Registration(name, report, nil, n.recordsStarts()); registration != nil {
 			command.Spec = registration.GetSpec()
 		}
 	}
@@ -62,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	n.logger.Info("machine_"+string(phase), "machine", report.GetMachine(), "reason", instances.ReasonSaidSo, "revision", result.GetWrite().GetRevision())
+	n.logger.Info("machine_"+string(phase), "machine", name, "reason", instances.ReasonSaidSo, "revision", result.GetWrite().GetRevision())
 	return nil
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -225,7 +225,9 @@
 	lost := time.Now()
 	for ctx.Err() == nil {
 		conn, err := wire.Dial(ctx, l.member.Address, l.node.self)
-		if err == nil {
+		if err == nil && l.isTooOld(conn) {
+			conn.Close()
+		} else if err == nil {
 			l.node.noteSuccessor(ctx, l.member, conn.Peer)
 			l.receive(ctx, conn)
 			lost = time.Now()
@@ -423,7 +425,7 @@
 // takePassedOn takes a machine's report that another control node passes on, and asks for what was
 // left out of it where this node lacks that.
 func (n *Node) takePassedOn(conn *wire.Conn, report *wirepb.InstanceReport) {
-	if whole, known := n.instances.Complete(report); known {
+	if whole, known := n.instances.Complete(n.instanceName(report), report); known {
 		n.takeInstance(whole)
 		return
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -207,6 +208,19 @@
 	return int(liveRouters(now, t.nodes))
 }
 
+// Levels returns the levels that the live nodes understand.
+func (t *ReportTable) Levels(now time.Duration) []level.Level {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var levels []level.Level
+	for _, entry := range t.nodes {
+		if entry.isLive(now) {
+			levels = append(levels, level.Level(entry.report.GetLevel()))
+		}
+	}
+	return levels
+}
+
 // ForgetMachines drops what an earlier term learned of machines.
 func (t *ReportTable) ForgetMachines() {
 	t.mutex.Lock()
@@ -247,7 +261,7 @@
 		age := now - entry.received
 		states = append(states, &wirepb.NodeState{
 			Name: name, Zone: entry.report.GetZone(), AppliedRevision: entry.report.GetAppliedRevision(),
-			ReportAgeMs: uint32(age.Milliseconds()), Live: age < NodeTimeout,
+			ReportAgeMs: uint32(age.Milliseconds()), Live: age < NodeTimeout, Level: entry.report.GetLevel(),
 		})
 	}
 	sort.Slice(states, func(i, j int) bool { return states[i].GetName() < states[j].GetName() })
--- a/internal/instances/condense.go
+++ b/internal/instances/condense.go
@@ -50,7 +50,7 @@
 	c.sent[report.GetMachine()] = report
 	if known && report.GetContent() != 0 && last.GetContent() == report.GetContent() {
 		return &wirepb.InstanceReport{
-			Machine: report.GetMachine(), Sequence: report.GetSequence(), AgeMs: report.GetAgeMs(),
+			Machine: report.GetMachine(), StartedMs: report.GetStartedMs(), Sequence: report.GetSequence(), AgeMs: report.GetAgeMs(),
 			WarmingMs: report.GetWarmingMs(), Content: report.GetContent(), Unchanged: true,
 		}
 	}
@@ -62,20 +62,22 @@
 	return c.sent[machine]
 }
 
-// Complete returns a report with what was left out of it; whole is false where the table does not
-// hold that. What it holds of another content, by way of another control node, is no stand-in.
-func (t *Table) Complete(report *wirepb.InstanceReport) (completed *wirepb.InstanceReport, whole bool) {
+// Complete returns a report with what was left out of it, by the name of the machine's record; whole
+// is false where the table does not hold that. What it holds of another content, by way of another
+// control node, is no stand-in.
+func (t *Table) Complete(name string, report *wirepb.InstanceReport) (completed *wirepb.InstanceReport, whole bool) {
 	if !report.GetUnchanged() {
 		return report, true
 	}
 	t.mutex.Lock()
-	held := t.entries[report.GetMachine()].Report
+	held := t.entries[name].Report
 	t.mutex.Unlock()
 	if held == nil || held.GetContent() != report.GetContent() {
 		return nil, false
 	}
 	return &wirepb.InstanceReport{
-		Machine: report.GetMachine(), Sequence: report.GetSequence(), AgeMs: report.GetAgeMs(), WarmingMs: report.GetWarmingMs(),
+		Machine: report.GetMachine(), StartedMs: report.GetStartedMs(),
+		Sequence: report.GetSequence(), AgeMs: report.GetAgeMs(), WarmingMs: report.GetWarmingMs(),
 		Content: report.GetContent(), Pool: held.GetPool(), Endpoint: held.GetEndpoint(), Zone: held.GetZone(), Slots: held.GetSlots(),
 		Models: held.GetModels(), Checkpoints: held.GetCheckpoints(), Leaving: held.GetLeaving(),
 	}, true
--- /dev/null
+++ b/internal/instances/identity.go
@@ -0,0 +1,49 @@
+package instances
+
+import (
+	"strconv"
+	"strings"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// startMark stands between the id of a machine that started again under it and the time of that
+// start, in the name of its record.
+const startMark = ".start-"
+
+// Records finds the stored record of a machine by name; nil if there is none.
+type Records func(name string) *v1.MachineSpec
+
+// IDOf returns the id by which a machine calls itself, from the name of its record.
+func IDOf(name string) string {
+	id, _, _ := strings.Cut(name, startMark)
+	return id
+}
+
+// IsID reports whether an id can be told from names of records.
+func IsID(id string) bool {
+	return id != "" && !strings.Contains(id, startMark)
+}
+
+// nameOfStart is the name of the record of a start under an id that another start has used.
+func nameOfStart(id string, startedMs int64) string {
+	return id + startMark + strconv.FormatInt(startedMs, 10)
+}
+
+// NameOf returns the name of a machine's record. The first start under an id has the id for its
+// name, each later one a name of its own: whatever is kept by name (replicas, orders, grants,
+// evidence of crashes, warming, connections) then belongs to one start. A record that does not
+// tell when its machine started is that of whichever start is heard of first.
+func NameOf(id string, startedMs int64, records Records) string {
+	if startedMs == 0 {
+		return id
+	}
+	own := nameOfStart(id, startedMs)
+	if records(own) != nil {
+		return own
+	}
+	if held := records(id); held != nil && held.StartedMs != 0 && held.StartedMs != startedMs {
+		return own
+	}
+	return id
+}
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -6,6 +6,10 @@
 // used again; and one that said that it leaves must never come back into use,
 // whichever node it told.
 //
+// A machine may also start again under the id that it had. It knows nothing of before, and counts
+// its reports anew; so each start has a record of its own (see NameOf). The order of two starts is
+// that of the times they tell, and what an earlier one said that comes late changes nothing.
+//
 // The mechanism: heartbeats are soft state of the leader. What must survive
 // (that a machine exists, that it leaves, that it is gone) goes through the
 // replicated log, where its phase can only move on. A machine that is silent
@@ -30,8 +34,8 @@
 	Received time.Duration
 }
 
-// Table holds the newest report of each machine. It is safe for concurrent
-// use.
+// Table holds the newest report of each machine, by the name of its record. It is safe for
+// concurrent use.
 type Table struct {
 	mutex   sync.Mutex
 	entries map[string]Entry
@@ -46,20 +50,29 @@
 	return &Table{entries: map[string]Entry{}, goneSince: map[string]time.Duration{}, lostSince: map[string]time.Duration{}}
 }
 
-// Take keeps a report unless a newer one is held, and returns whether it is
-// news that the leader should act on at once.
-func (t *Table) Take(now time.Duration, report *wirepb.InstanceReport) bool {
+// Take keeps a report under the name of the machine's record unless a newer one is held, and
+// returns whether it is news that the leader should act on at once.
+func (t *Table) Take(now time.Duration, name string, report *wirepb.InstanceReport) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	held := t.entries[report.GetMachine()].Report
-	if held != nil && report.GetSequence() <= held.GetSequence() {
+	held := t.entries[name].Report
+	if held != nil && !isLater(report, held) {
 		return false
 	}
 	received := now - time.Duration(report.GetAgeMs())*time.Millisecond
-	t.entries[report.GetMachine()] = Entry{Report: report, Received: received}
+	t.entries[name] = Entry{Report: report, Received: received}
 	return held == nil || held.GetLeaving() != report.GetLeaving() || !sameModels(held, report)
 }
 
+// isLater reports whether a report was made after another one of the same id. Sequences are counted
+// by one start; where either does not tell its start they are all that there is.
+func isLater(report, held *wirepb.InstanceReport) bool {
+	if report.GetStartedMs() != held.GetStartedMs() && report.GetStartedMs() != 0 && held.GetStartedMs() != 0 {
+		return report.GetStartedMs() > held.GetStartedMs()
+	}
+	return report.GetSequence() > held.GetSequence()
+}
+
 func sameModels(left, right *wirepb.InstanceReport) bool {
 	if len(left.GetModels()) != len(right.GetModels()) {
 		return false
@@ -115,11 +128,14 @@
 	Unreachable map[string]int
 	Routers     int
 	Policy      Policy
+	// RecordStarts is set where records tell when their machines started.
+	RecordStarts bool
 }
 
 // Reconcile returns the commands that bring the records in step, by name.
 func (t *Table) Reconcile(input Input) []*wirepb.RegisterCommand {
 	entries := t.Entries()
+	newest := newestOf(input.Declared)
 	var commands []*wirepb.RegisterCommand
 	for name, entry := range entries {
 		if _, exists := input.Declared[name]; exists {
@@ -129,14 +145,16 @@
 			t.forget(name)
 			continue
 		}
-		if command := Registration(entry.Report, input.Pools); command != nil {
+		if isSuperseded(input, newest, entry) {
+			continue
+		}
+		if command := Registration(name, entry.Report, input.Pools, input.RecordStarts); command != nil {
 			commands = append(commands, command)
 		}
 	}
-	successors := successorsByEndpoint(input.Declared)
 	for name, declared := range input.Declared {
 		entry, heard := entries[name]
-		if command := t.follow(input, name, declared, entry, heard, successors); command != nil {
+		if command := t.follow(input, name, declared, entry, heard, newest); command != nil {
 			commands = append(commands, command)
 		}
 	}
@@ -148,8 +166,9 @@
 const ReasonSaidSo = "said so"
 
 // Registration returns the command that records a machine for the first time,
-// or nil while its pool is not declared: the room that it has is the pool's.
-func Registration(report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec) *wirepb.RegisterCommand {
+// or nil while its pool is not declared: the room that it has is the pool's. The record tells when
+// the machine started where that is asked for.
+func Registration(name string, report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec, recordStart bool) *wirepb.RegisterCommand {
 	pool := pools[report.GetPool()]
 	if pool == nil && !report.GetLeaving() {
 		return nil
@@ -157,6 +176,9 @@
 	spec := &v1.MachineSpec{
 		Endpoint: report.GetEndpoint(), Zone: report.GetZone(), Pool: report.GetPool(), Slots: int(report.GetSlots()),
 	}
+	if recordStart {
+		spec.StartedMs = report.GetStartedMs()
+	}
 	if pool != nil && pool.Engine != nil {
 		spec.Accelerators = 1
 		spec.AcceleratorBytes = pool.Engine.MemoryBytes
@@ -169,23 +191,44 @@
 	if report.GetLeaving() {
 		phase = v1.MachineLeaving
 	}
-	return &wirepb.RegisterCommand{Machine: report.GetMachine(), Spec: encoded, Phase: string(phase), Reason: "registered"}
+	return &wirepb.RegisterCommand{Machine: name, Spec: encoded, Phase: string(phase), Reason: "registered"}
+}
+
+// newestRecords names the machine that was recorded last, at each endpoint and under each id. The
+// records before it are of machines that are no more: an address and an id belong to one at a time.
+type newestRecords struct {
+	byEndpoint, byID map[string]string
 }
 
-// successorsByEndpoint returns, by endpoint, the machine that registered there
-// last.
-func successorsByEndpoint(declared map[string]Declared) map[string]string {
-	newest := map[string]string{}
+func newestOf(declared map[string]Declared) newestRecords {
+	newest := newestRecords{byEndpoint: map[string]string{}, byID: map[string]string{}}
 	for name, machine := range declared {
-		other, taken := newest[machine.Spec.Endpoint]
-		if !taken || declared[other].Object.GetCreateRevision() < machine.Object.GetCreateRevision() {
-			newest[machine.Spec.Endpoint] = name
-		}
+		note(newest.byEndpoint, machine.Spec.Endpoint, name, declared)
+		note(newest.byID, IDOf(name), name, declared)
 	}
 	return newest
 }
 
-func (t *Table) follow(input Input, name string, declared Declared, entry Entry, heard bool, successors map[string]string) *wirepb.RegisterCommand {
+func note(newest map[string]string, key, name string, declared map[string]Declared) {
+	other, taken := newest[key]
+	if !taken || declared[other].Object.GetCreateRevision() < declared[name].Object.GetCreateRevision() {
+		newest[key] = name
+	}
+}
+
+// isSuperseded reports whether a report without a record comes from a start before one that has a
+// record under the same id: it was held up on its way. If it is the other way round, since a clock
+// was set back, the later one falls silent, and the machine goes on to report.
+func isSuperseded(input Input, newest newestRecords, entry Entry) bool {
+	held, recorded := input.Declared[newest.byID[entry.Report.GetMachine()]]
+	if !recorded || entry.Report.GetStartedMs() == 0 || held.Spec.StartedMs <= entry.Report.GetStartedMs() {
+		return false
+	}
+	isUsed := held.Status.Phase == v1.MachineLive || held.Status.Phase == v1.MachineLeaving
+	return isUsed || input.Now-entry.Received > input.Policy.LostAfter
+}
+
+func (t *Table) follow(input Input, name string, declared Declared, entry Entry, heard bool, newest newestRecords) *wirepb.RegisterCommand {
 	phase := declared.Status.Phase
 	if phase == v1.MachineGone {
 		return t.sweep(input, name)
@@ -200,8 +243,10 @@
 	silent := input.Now - silentSince
 	lostAfter := input.lostAfter(name)
 	switch {
-	case successors[declared.Spec.Endpoint] != name:
+	case newest.byEndpoint[declared.Spec.Endpoint] != name:
 		return transition(name, v1.MachineGone, "another machine has its address")
+	case newest.byID[IDOf(name)] != name:
+		return transition(name, v1.MachineGone, "it has started again")
 	case silent > input.Policy.GoneAfter:
 		return transition(name, v1.MachineGone, "silent for too long")
 	case phase == v1.MachineLeaving:
@@ -214,7 +259,21 @@
 		t.setLost(name, input.Now)
 		return transition(name, v1.MachineLost, "silent")
 	}
-	return nil
+	return recordStart(input, name, declared, entry)
+}
+
+// recordStart returns the command that adds to a record when its machine started, where it does not
+// tell: it is from before records did.
+func recordStart(input Input, name string, declared Declared, entry Entry) *wirepb.RegisterCommand {
+	if !input.RecordStarts || declared.Spec.StartedMs != 0 || entry.Report.GetStartedMs() == 0 {
+		return nil
+	}
+	command := Registration(name, entry.Report, input.Pools, true)
+	if command == nil {
+		return nil
+	}
+	command.Phase, command.Reason = string(declared.Status.Phase), declared.Status.Reason
+	return command
 }
 
 // recover makes a lost machine Live again, if it was heard of since it was lost:
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -142,8 +142,8 @@
 	return m.Raft.Propose(now, data)
 }
 
-// Process carries out everything outstanding. An error means that storage
-// failed; the member must not be used any more.
+// Process carries out everything outstanding. An error means that storage failed, or that the log
+// needs a later release; the member must not be used any more.
 func (m *Member) Process() (Output, error) {
 	var output Output
 	for {
@@ -162,6 +162,9 @@
 		}
 		output.Messages = append(output.Messages, ready.Messages...)
 		output.Applied = append(output.Applied, m.applyAll(ready.Committed)...)
+		if err := m.State.Unsupported(); err != nil {
+			return Output{}, err
+		}
 		m.Raft.Advance(ready)
 	}
 }
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
@@ -118,6 +119,6 @@
 		Unreachable: r.ingress.Unreachable(now),
 		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
 		Answers: r.answers.Messages(r.ingress.Answers()),
-		Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
+		Level:   uint32(level.Supported), Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/keys"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/membership"
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
@@ -169,7 +170,7 @@
 	return wire.Identity{
 		Hello: &wirepb.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Cluster: n.settings.Cluster,
-			Node: n.settings.Node, Zone: n.settings.Zone,
+			Node: n.settings.Node, Zone: n.settings.Zone, Level: uint32(level.Supported),
 		},
 		Keys: n.keys, Counters: n.counters,
 	}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -7,6 +7,7 @@
 	"github.com/weldline/weldline/internal/agent"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/gateway"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -61,7 +62,7 @@
 		Node: r.node.settings.Node, Zone: r.node.settings.Zone,
 		Incarnation: r.node.incarnation, Sequence: r.sequence,
 		AppliedRevision: r.view.Revision(), Router: true, Draining: r.gateway.Draining(),
-		Machines: r.agent.Reports(now), DigestSequence: r.view.Digest().GetSequence(),
+		Level: uint32(level.Supported), Machines: r.agent.Reports(now), DigestSequence: r.view.Digest().GetSequence(),
 	}
 	report.Demand = r.demand.Messages(r.gateway.Demand(now))
 	return report
--- a/internal/orders/types.go
+++ b/internal/orders/types.go
@@ -60,6 +60,8 @@
 	Sequence uint64
 	Polled   bool
 	Busy     bool
+	// StartedMs is when the engine says that it started, in Unix milliseconds; 0 if it does not say.
+	StartedMs int64
 	// Memory and Disk are the models whose weights are at hand there.
 	Memory, Disk []string
 }
--- a/internal/resourceapi/status.go
+++ b/internal/resourceapi/status.go
@@ -8,12 +8,14 @@
 
 // Status is the answer of GET /status.
 type Status struct {
-	Leader          string       `json:"leader"`
-	Term            uint64       `json:"term"`
-	ResourceVersion string       `json:"resourceVersion"`
-	Voters          []uint64     `json:"voters"`
-	Learners        []uint64     `json:"learners,omitempty"`
-	Nodes           []NodeStatus `json:"nodes"`
+	Leader          string   `json:"leader"`
+	Term            uint64   `json:"term"`
+	ResourceVersion string   `json:"resourceVersion"`
+	Voters          []uint64 `json:"voters"`
+	Learners        []uint64 `json:"learners,omitempty"`
+	// Level is the level of the cluster in force; see the runbook of rolling upgrades.
+	Level uint32       `json:"level"`
+	Nodes []NodeStatus `json:"nodes"`
 }
 
 // NodeStatus is one node in a Status.
@@ -24,19 +26,21 @@
 	// ResourceVersion is the configuration in force on the node.
 	ResourceVersion string `json:"resourceVersion"`
 	ReportAgeMillis uint32 `json:"reportAgeMillis"`
+	// Level is the highest that the node understands.
+	Level uint32 `json:"level"`
 }
 
 func statusOf(reply *wirepb.StatusReply) Status {
 	status := Status{
 		Leader: reply.GetLeader(), Term: reply.GetTerm(),
 		ResourceVersion: strconv.FormatUint(reply.GetRevision(), 10),
-		Voters:          reply.GetVoters(), Learners: reply.GetLearners(), Nodes: []NodeStatus{},
+		Voters:          reply.GetVoters(), Learners: reply.GetLearners(), Level: reply.GetLevel(), Nodes: []NodeStatus{},
 	}
 	for _, node := range reply.GetNodes() {
 		status.Nodes = append(status.Nodes, NodeStatus{
 			Name: node.GetName(), Zone: node.GetZone(), Live: node.GetLive(),
 			ResourceVersion: strconv.FormatUint(node.GetAppliedRevision(), 10),
-			ReportAgeMillis: node.GetReportAgeMs(),
+			ReportAgeMillis: node.GetReportAgeMs(), Level: node.GetLevel(),
 		})
 	}
 	return status
--- a/internal/state/declare.go
+++ b/internal/state/declare.go
@@ -5,6 +5,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -129,10 +130,11 @@
 		if statusOf(held).Phase.Rank() > phase.Rank() {
 			return nil
 		}
-		if statusOf(held).Phase == phase {
+		spec, added := m.withStart(held, command)
+		if statusOf(held).Phase == phase && !added {
 			return nil
 		}
-		object.Spec = held.GetSpec()
+		object.Spec = spec
 	} else {
 		object.Spec = command.GetSpec()
 	}
@@ -145,6 +147,27 @@
 	return &wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT, Object: object}
 }
 
+// withStart returns the spec of a record and, where it does not tell when its machine started and a
+// command does, that besides.
+func (m *Machine) withStart(held *wirepb.Object, command *wirepb.RegisterCommand) (spec []byte, added bool) {
+	known, isMachine := m.Spec(v1.KindMachine, held.GetName()).(*v1.MachineSpec)
+	if m.level < level.MachineStarts || !isMachine || known.StartedMs != 0 || len(command.GetSpec()) == 0 {
+		return held.GetSpec(), false
+	}
+	decoded, err := v1.DecodeSpec(v1.KindMachine, command.GetSpec())
+	told, isMachine := decoded.(*v1.MachineSpec)
+	if err != nil || !isMachine || told.StartedMs == 0 {
+		return held.GetSpec(), false // The command is from before records told of starts.
+	}
+	combined := *known
+	combined.StartedMs = told.StartedMs
+	encoded, err := json.Marshal(combined)
+	if err != nil {
+		return held.GetSpec(), false // A struct of texts and numbers can always be encoded.
+	}
+	return encoded, true
+}
+
 // RegisteredIncarnation is the incarnation of every registered machine: one
 // that restarts registers under a new name.
 const RegisteredIncarnation = 1
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -50,6 +51,12 @@
 	holders map[string]string
 	// declaration is the newest document that took effect, or nil.
 	declaration *wirepb.Declaration
+	// level is the level of the cluster in force.
+	level level.Level
+	// examined counts the specs that were looked at for references, for tests of what a write costs.
+	examined int
+	// unsupported is why this build can't go on with the log; nil while it can.
+	unsupported error
 	events      []*wirepb.WatchEvent
 	// compacted is the highest revision whose event is no longer kept.
 	compacted uint64
@@ -163,10 +170,33 @@
 		return m.recordCrash(body.RecordCrash)
 	case *wirepb.Command_ClearSuspects:
 		return m.clearSuspects(body.ClearSuspects)
+	case *wirepb.Command_RaiseLevel:
+		m.raiseLevel(level.Level(body.RaiseLevel.GetLevel()))
+		return &wirepb.CommandResult{}
 	}
+	m.unsupported = fault.Protocol.New("the log holds a command that this build does not know; it needs a later release")
 	return &wirepb.CommandResult{Code: wirepb.ResultCode_RESULT_CODE_INVALID, Message: "unknown command"}
 }
 
+func (m *Machine) raiseLevel(raised level.Level) {
+	if raised > level.Supported {
+		m.unsupported = unsupportedLevel(raised)
+		return
+	}
+	m.level = max(m.level, raised)
+}
+
+func unsupportedLevel(needed level.Level) error {
+	return fault.Protocol.New("the cluster is at level %d, and this build understands %d at most; it needs a later release", needed, level.Supported)
+}
+
+// Level is the level of the cluster in force.
+func (m *Machine) Level() level.Level { return m.level }
+
+// Unsupported returns why the state is not what the log says: it holds what this build does not
+// know. A member must stop then, before it acts on the state; a later release applies the log anew.
+func (m *Machine) Unsupported() error { return m.unsupported }
+
 // DryRun returns what a write command would do now, and changes nothing.
 func (m *Machine) DryRun(writes []*wirepb.ObjectWrite) *wirepb.WriteResult {
 	batch, failure := m.stageAll(writes)
@@ -293,6 +323,7 @@
 		RequestRecords: m.requests.list(),
 		Declaration:    m.declaration,
 		Holders:        m.listHolders(),
+		Level:          uint32(m.level),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -308,7 +339,11 @@
 	if err := proto.Unmarshal(data, snapshot); err != nil {
 		return fault.Corrupt.Wrap(err, "decoding a state snapshot")
 	}
+	if needed := level.Level(snapshot.GetLevel()); needed > level.Supported {
+		return unsupportedLevel(needed)
+	}
 	restored := New()
+	restored.level = level.Level(snapshot.GetLevel())
 	restored.revision = snapshot.GetRevision()
 	restored.compacted = snapshot.GetRevision()
 	restored.clock = snapshot.GetClockUnixMs()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -156,6 +156,7 @@
 	}
 	c.Peer = &wirepb.Hello{
 		Node: reply.GetNode(), ProtocolVersion: reply.GetProtocolVersion(), ControlId: reply.GetControlId(), Zone: reply.GetZone(),
+		Level: reply.GetLevel(),
 	}
 	c.Followers, c.UnchangedInstances = reply.GetFollowers(), reply.GetUnchangedInstances()
 	c.deflateIn = reply.GetDeflate()
@@ -183,7 +184,7 @@
 	}
 	reply := &wirepb.HelloReply{
 		ProtocolVersion: ProtocolVersion, Node: self.Hello.GetNode(), Refusal: refusal, ControlId: self.Hello.GetControlId(),
-		Zone: self.Hello.GetZone(), UnchangedInstances: true,
+		Zone: self.Hello.GetZone(), UnchangedInstances: true, Level: self.Hello.GetLevel(),
 	}
 	c.deflateOut = refusal == "" && hello.GetDeflate() && c.counters.takeCompressor(compressorsFor(hello))
 	reply.Deflate = c.deflateOut
