Look at each change once for each session, and raise the level of a new cluster at once

A session with nothing to tell waited for the next change without a pause, and looked again at all changes since the revision it had told: 300 changes were looked at 27,797 times in TestChangesOfOthersBringFewMessages, 300 times now.

--- a/internal/control/level.go
+++ b/internal/control/level.go
@@ -33,15 +33,15 @@
 	return fmt.Sprintf("the cluster is at level %d, this release understands %d", inForce, hello.GetLevel())
 }
 
-// raiseLevel puts the next level in force once all members and all nodes in touch understand it.
+// raiseLevel puts the next level in force once all members and all nodes in touch understand it. A
+// cluster whose members have just formed begins with it: no release before has written anything, and
+// to record thousands of machines first and their starts afterwards would tell every node of each twice.
 func (l *leader) raiseLevel(ctx context.Context) {
 	node := l.node
-	if node.now()-l.fleet.since < raiseAfter {
-		return
-	}
 	var inForce level.Level
-	node.Read(func(machine *state.Machine) { inForce = machine.Level() })
-	if inForce == level.Supported {
+	isNew := false
+	node.Read(func(machine *state.Machine) { inForce, isNew = machine.Level(), machine.Revision() == 0 })
+	if inForce == level.Supported || !isNew && node.now()-l.fleet.since < raiseAfter {
 		return
 	}
 	understood, complete := node.understoodLevels()
--- a/internal/feed/subsets.go
+++ b/internal/feed/subsets.go
@@ -31,6 +31,8 @@
 	roster rosterIndex
 	// lists are made once for all watchers of a zone, which begin with the same.
 	lists map[string]*subsetList
+	// examined counts the changes that were looked at for watchers, for tests of what they cost.
+	examined int
 }
 
 // subsetList is a whole state as a watcher of one zone learns of it.
@@ -118,6 +120,7 @@
 	if changes.Reset || w.chosen.Expired() {
 		return Changes{}, nil, false
 	}
+	w.subsets.examined += len(changes.Events)
 	changes.Events = w.chosen.Filter(changes.Events)
 	return changes, w.chosen.Update(), true
 }
@@ -151,30 +154,34 @@
 	return w.digests.of(whole, w.chosen, &w.subsets.roster)
 }
 
-// sendSubset sends a watcher what concerns it, from its list on.
+// sendSubset sends a watcher what concerns it, from its list on. Each change is looked at once: what
+// has been found to be of no concern is not looked at again before the revision is told.
 func (s *Server) sendSubset(ctx context.Context, conn *wire.Conn, request *wirepb.WatchRequest, session *subsetSession) {
-	after, listed := s.sendSubsetList(ctx, conn, session, request.GetAfterRevision())
-	told := time.Now()
+	// seen is up to where changes were looked at, told what the watcher knows of.
+	seen, listed := s.sendSubsetList(ctx, conn, session, request.GetAfterRevision())
+	told, toldAt := seen, time.Now()
 	for listed {
 		changed := s.backend.Changed()
-		changes, added, current := session.next(after)
+		changes, added, current := session.next(seen)
 		if !current {
-			after, listed = s.sendSubsetList(ctx, conn, session, after)
-			told = time.Now()
+			seen, listed = s.sendSubsetList(ctx, conn, session, told)
+			told, toldAt = seen, time.Now()
 			continue
 		}
-		var untold <-chan time.Time
-		switch concerned := len(changes.Events) > 0 || len(added) > 0; {
-		case concerned || changes.Revision > after && time.Since(told) >= revisionGap:
-			if sendBatches(conn, changes) != nil || sendAdded(conn, added, changes.Revision) != nil {
-				return
-			}
-			after, told = changes.Revision, time.Now()
-			if !pauseBetween(ctx, conn) {
+		seen = changes.Revision
+		isConcerned := len(changes.Events) > 0 || len(added) > 0
+		if isConcerned || seen > told && time.Since(toldAt) >= revisionGap {
+			if sendBatches(conn, changes) != nil || sendAdded(conn, added, seen) != nil {
 				return
 			}
-		case changes.Revision > after:
-			untold = time.After(revisionGap - time.Since(told))
+			told, toldAt = seen, time.Now()
+		}
+		if !pauseBetween(ctx, conn) {
+			return
+		}
+		var untold <-chan time.Time
+		if seen > told {
+			untold = time.After(revisionGap - time.Since(toldAt))
 		}
 		select {
 		case <-changed:
--- a/internal/feed/subsets_test.go
+++ b/internal/feed/subsets_test.go
@@ -376,4 +376,9 @@
 	if allowed := 2 + int(time.Since(started)/revisionGap); messages > allowed {
 		t.Errorf("%d changes of a machine that the node does not know came in %d messages, in the time of %d", changes, messages, allowed)
 	}
+	server.subsets.mutex.Lock()
+	defer server.subsets.mutex.Unlock()
+	if server.subsets.examined > changes {
+		t.Errorf("%d changes were looked at %d times for one node", changes, server.subsets.examined)
+	}
 }
