--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -39,10 +39,12 @@
 func (n *Node) newestInstance(id string) string {
 	newest, created := id, uint64(0)
 	n.Read(func(machine *state.Machine) {
-		machine.Each(func(object *wirepb.Object, spec v1.Spec) {
-			_, isMachine := spec.(*v1.MachineSpec)
-			if isMachine && instances.IDOf(object.GetName()) == id && object.GetCreateRevision() > created {
-				newest, created = object.GetName(), object.GetCreateRevision()
+		machine.EachMachine(func(name string) {
+			if instances.IDOf(name) != id {
+				return
+			}
+			if revision := machine.Get(v1.KindMachine, name).GetCreateRevision(); revision > created {
+				newest, created = name, revision
 			}
 		})
 	})
--- a/internal/controller/registered_test.go
+++ b/internal/controller/registered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -221,6 +222,40 @@
 	}
 }
 
+// TestPrefetchesGrowWithTheFleet: a leader of many engines has fewer passes a second. The adapters
+// that one pass begins to load ahead of demand grow with the engines, so the passes it takes don't.
+func TestPrefetchesGrowWithTheFleet(t *testing.T) {
+	passes := func(engines int) int {
+		var adapters []string
+		for number := range engines / 10 {
+			adapters = append(adapters, "a"+strconv.Itoa(number))
+		}
+		registered := &Registered{versions: map[versionKey]declaredVersion{
+			{"pool", "red"}: {name: "red@1", spec: &v1.ModelVersionSpec{Adapters: adapters}},
+		}}
+		var places []*adapterPlace
+		byName := map[string]*adapterPlace{}
+		for number := range engines {
+			place := &adapterPlace{machine: strconv.Itoa(number), slots: 5, models: map[string]adapterHolder{"red@1": {model: "red"}}}
+			places, byName[place.machine] = append(places, place), place
+		}
+		for pass := 0; ; pass++ {
+			tasks := registered.prefetchTasks(places, nil, nil)
+			if len(tasks) == 0 {
+				return pass
+			}
+			for machine, task := range tasks {
+				place := byName[machine]
+				place.models["red@1"] = adapterHolder{model: "red", adapters: append(place.models["red@1"].adapters, task.Adapter)}
+				place.held++
+			}
+		}
+	}
+	if small, large := passes(1000), passes(10_000); large > small {
+		t.Errorf("to load an adapter for each tenth engine takes %d passes with 1,000 engines, %d with 10,000", small, large)
+	}
+}
+
 // TestPrefetchStaysBehindDemand: nothing is loaded ahead of demand by an engine at
 // another order, or while as many as may be are on their way; what was asked for lately
 // comes first.
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -14,6 +14,10 @@
 const (
 	// NodeTimeout is how long a silent node counts as live.
 	NodeTimeout = 2 * time.Second
+	// levelMemory is for how long a node that has fallen silent counts where what all nodes
+	// understand is asked: one of an earlier release that is cut off for a while could not come
+	// back.
+	levelMemory = 30 * time.Second
 	// forgetAfter bounds the table where nodes and machines come and go.
 	forgetAfter = 10 * time.Minute
 )
@@ -208,13 +212,13 @@
 	return int(liveRouters(now, t.nodes))
 }
 
-// Levels returns the levels that the live nodes understand.
+// Levels returns the levels that the nodes heard of lately understand.
 func (t *ReportTable) Levels(now time.Duration) []level.Level {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var levels []level.Level
 	for _, entry := range t.nodes {
-		if entry.isLive(now) {
+		if now-entry.received <= levelMemory {
 			levels = append(levels, level.Level(entry.report.GetLevel()))
 		}
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -99,6 +99,13 @@
 	return m.statuses[name]
 }
 
+// EachMachine calls visit with the name of every machine, in no order.
+func (m *Machine) EachMachine(visit func(name string)) {
+	for name := range m.statuses {
+		visit(name)
+	}
+}
+
 // Each calls visit for every object, in no order.
 func (m *Machine) Each(visit func(object *wirepb.Object, spec v1.Spec)) {
 	for key, object := range m.objects {
