Use one piece where two did the same, and judge a report once

Cause and change:

- A machine's status that can't be read was taken for a lost machine's in three places, "in use" spelt out in two: v1.DecodeMachineStatus and MachinePhase.IsInUse serve the state, nodes' views and subsets.
- A leader found the name of a report's record twice, under three locks of the state: checkInstance returns it, under one.
Whether a start is before one in use was decided in two packages: instances.IsBefore.
- Lists were sent by two copies of a loop, changes of server by two of a handover: sendParts and moveTo.
- The bounds of a group were looked up in a map made at each call: a table.
A copy of a subset clipped lists that nobody writes to: left out.

Two of these hid faults. One watcher whose changes are no longer kept made the index be read anew, and every watcher of that server list anew (TestOneWatcherFarBehindListsAlone). Digests told subsets apart by a counter with an offset, so that a watcher which had listed anew could miss its machines' names (TestDigestsFollowANewSubset).

Ruled out: one queue for reports at relays and control nodes, which changes what relays leave out.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -220,6 +220,22 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// DecodeMachineStatus decodes a machine's status. One that can't be read, such as of a later release,
+// is that of a lost machine: it gets no new work.
+func DecodeMachineStatus(encoded []byte) MachineStatus {
+	status := MachineStatus{}
+	if len(encoded) > 0 && json.Unmarshal(encoded, &status) != nil {
+		return MachineStatus{Phase: MachineLost}
+	}
+	return status
+}
+
+// IsInUse reports whether a machine may get requests, if only where there is no other: it is neither
+// leaving nor gone.
+func (p MachinePhase) IsInUse() bool {
+	return p == MachineLive || p == MachineLost
+}
+
 // Rank orders the phases that a registered machine passes through; it never
 // goes back to a lower one. Lost is no step: a lost machine may return.
 func (p MachinePhase) Rank() int {
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -18,16 +18,18 @@
 
 // instanceName returns the name of the record of the machine that a report comes from, by the
 // records that this node has applied.
-func (n *Node) instanceName(report *wirepb.InstanceReport) string {
-	name := report.GetMachine()
-	n.Read(func(machine *state.Machine) {
-		if machine.Level() >= level.MachineStarts {
-			name = instances.NameOf(report.GetMachine(), report.GetStartedMs(), recordsOf(machine))
-		}
-	})
+func (n *Node) instanceName(report *wirepb.InstanceReport) (name string) {
+	n.Read(func(machine *state.Machine) { name = nameOf(machine, report) })
 	return name
 }
 
+func nameOf(machine *state.Machine, report *wirepb.InstanceReport) string {
+	if machine.Level() < level.MachineStarts {
+		return report.GetMachine()
+	}
+	return instances.NameOf(report.GetMachine(), report.GetStartedMs(), recordsOf(machine))
+}
+
 func recordsOf(machine *state.Machine) instances.Records {
 	return func(name string) *v1.MachineSpec {
 		spec, _ := machine.Spec(v1.KindMachine, name).(*v1.MachineSpec)
@@ -60,9 +62,8 @@
 	newest, earlier := n.newestInstance(report.GetMachine()), false
 	n.Read(func(machine *state.Machine) {
 		held := recordsOf(machine)(newest)
-		phase := machine.MachineStatus(newest).Phase
-		earlier = machine.Get(v1.KindMachine, name) == nil && held != nil && held.StartedMs > report.GetStartedMs() &&
-			(phase == v1.MachineLive || phase == v1.MachineLeaving)
+		earlier = machine.Get(v1.KindMachine, name) == nil && held != nil &&
+			instances.IsBefore(report.GetStartedMs(), held, machine.MachineStatus(newest).Phase)
 	})
 	return earlier
 }
@@ -76,34 +77,42 @@
 	return n.Barrier(ctx)
 }
 
-// checkInstance refuses a report that can't be of the machine under whose id it comes: it was
-// written by another. It names the field.
-func (n *Node) checkInstance(report *wirepb.InstanceReport) error {
+// checkInstance returns the name of the record of the machine that a report comes from. It refuses one
+// that can't be of the machine under whose id it comes, since it was written by another, and names the
+// field.
+func (n *Node) checkInstance(report *wirepb.InstanceReport) (name string, err error) {
 	if !instances.IsID(report.GetMachine()) {
-		return fault.InvalidField("machine", "%q can't be the id of a machine", report.GetMachine())
+		return "", fault.InvalidField("machine", "%q can't be the id of a machine", report.GetMachine())
 	}
-	name := n.instanceName(report)
-	var failure error
 	n.Read(func(machine *state.Machine) {
-		held := recordsOf(machine)(name)
-		switch {
-		case held == nil || held.Pool == "":
-		case held.Pool != report.GetPool():
-			failure = fault.InvalidField("pool", "machine %s is of pool %s, not of %q", name, held.Pool, report.GetPool())
-		case machine.Level() >= level.MachineStarts && held.StartedMs != 0 && report.GetStartedMs() == 0:
-			failure = fault.InvalidField("started", "machine %s tells when it started, the report does not", name)
-		}
+		name = nameOf(machine, report)
+		err = checkWriter(name, recordsOf(machine)(name), report)
 	})
-	return failure
+	return name, err
+}
+
+// checkWriter checks a report against the record of the machine, which is nil before there is one. No
+// record tells of a start below the level at which reports have to.
+func checkWriter(name string, held *v1.MachineSpec, report *wirepb.InstanceReport) error {
+	switch {
+	case held == nil || held.Pool == "":
+		return nil
+	case held.Pool != report.GetPool():
+		return fault.InvalidField("pool", "machine %s is of pool %s, not of %q", name, held.Pool, report.GetPool())
+	case held.StartedMs != 0 && report.GetStartedMs() == 0:
+		return fault.InvalidField("started", "machine %s tells when it started, the report does not", name)
+	}
+	return nil
 }
 
 // keepInstance keeps a machine's report as the leader.
 func (n *Node) keepInstance(report *wirepb.InstanceReport) {
-	if err := n.checkInstance(report); err != nil {
+	name, err := n.checkInstance(report)
+	if err != nil {
 		n.logger.Warn("report_refused", "machine", report.GetMachine(), "field", fault.FieldOf(err), "error", fault.Message(err))
 		return
 	}
-	if n.instances.Take(n.now(), n.instanceName(report), report) {
+	if n.instances.Take(n.now(), name, report) {
 		n.wakeLeader()
 	}
 }
--- a/internal/control/operatorcalls.go
+++ b/internal/control/operatorcalls.go
@@ -29,7 +29,7 @@
 // known or the leader does not hear this node, and for a machine that leaves until
 // that is committed: what was acknowledged must not be forgotten.
 func (n *Node) Heartbeat(ctx context.Context, report *wirepb.InstanceReport) error {
-	if err := n.checkInstance(report); err != nil {
+	if _, err := n.checkInstance(report); err != nil {
 		return err
 	}
 	if report.GetLeaving() {
--- a/internal/feed/balance.go
+++ b/internal/feed/balance.go
@@ -34,16 +34,21 @@
 		case <-time.After(c.rebalanceAfter + rand.N(c.rebalanceAfter)):
 		}
 		if better, proved := c.proveAny(ctx, c.preferredTo(current.address)); proved {
-			c.mutex.Lock()
-			c.handover = &better
-			c.liveness.reason = LostMoved
-			c.mutex.Unlock()
-			current.conn.Close()
+			c.moveTo(better, current)
 			return
 		}
 	}
 }
 
+// moveTo ends the connection that is followed, and has a better one followed next.
+func (c *Client) moveTo(better, current connection) {
+	c.mutex.Lock()
+	c.handover = &better
+	c.liveness.reason = LostMoved
+	c.mutex.Unlock()
+	current.conn.Close()
+}
+
 // preferredTo returns the servers that the client prefers to an address.
 func (c *Client) preferredTo(address string) []Upstream {
 	servers := c.servers()
--- a/internal/feed/digestsubset.go
+++ b/internal/feed/digestsubset.go
@@ -42,8 +42,9 @@
 	roster    *wirepb.Roster
 	// rosterSequence is that of the digest with which the roster came first.
 	rosterSequence uint64
-	// whole is the digest that positions were made for, changes the state of the subset then.
+	// whole is the digest that positions were made for, chosen the subset and changes its state then.
 	whole   *wirepb.ClusterDigest
+	chosen  *subset.Subset
 	changes uint64
 }
 
@@ -52,12 +53,12 @@
 func (d *digestSubset) of(whole *wirepb.ClusterDigest, chosen *subset.Subset, index *rosterIndex) *wirepb.ClusterDigest {
 	var changes uint64
 	if chosen != nil {
-		changes = chosen.MachineChanges() + 1
+		changes = chosen.MachineChanges()
 	}
-	if d.whole == nil || !sameRoster(d.whole, whole) || d.changes != changes {
+	if d.whole == nil || !sameRoster(d.whole, whole) || d.chosen != chosen || d.changes != changes {
 		d.follow(whole, chosen, index.of(whole.GetRoster()))
 	}
-	d.whole, d.changes = whole, changes
+	d.whole, d.chosen, d.changes = whole, chosen, changes
 	part := withRoster(whole, d.roster)
 	part.RosterSequence = d.rosterSequence
 	part.MachineLoads = d.pick(whole.GetMachineLoads(), 0)
--- a/internal/feed/nearer.go
+++ b/internal/feed/nearer.go
@@ -42,11 +42,7 @@
 	case <-time.After(firstDigestLimit):
 	}
 	if nearer, found := c.connectNearer(ctx, connected); found {
-		c.mutex.Lock()
-		c.handover = &nearer
-		c.liveness.reason = LostMoved
-		c.mutex.Unlock()
-		connected.conn.Close()
+		c.moveTo(nearer, connected)
 		return
 	}
 	if c.sendWatch(connected.conn) != nil {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -394,15 +394,20 @@
 // can't, the connection is closed and listed is false.
 func (s *Server) sendList(conn *wire.Conn) (revision uint64, listed bool) {
 	parts, revision, err := s.lists.get(s.backend)
+	return revision, s.sendParts(conn, parts, err)
+}
+
+// sendParts sends a list, unless it could not be made. Where it does not get to the watcher, the
+// connection is closed and listed is false.
+func (s *Server) sendParts(conn *wire.Conn, parts []*wirepb.WatchListPart, err error) (listed bool) {
 	for position := 0; err == nil && position < len(parts); position++ {
 		err = conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchListPart{WatchListPart: parts[position]}})
 	}
 	if err != nil {
 		s.logger.Warn("list_not_sent", "remote", conn.Peer.GetNode(), "error", fault.Message(err))
 		conn.Close()
-		return 0, false
 	}
-	return revision, true
+	return err == nil
 }
 
 func sendBatches(conn *wire.Conn, changes Changes) error {
--- a/internal/feed/subsets.go
+++ b/internal/feed/subsets.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/subset"
@@ -50,13 +49,17 @@
 // catchUp brings the index up to date and returns the changes after a revision; the mutex must be
 // held.
 func (s *subsets) catchUp(after uint64) Changes {
-	changes := s.backend.ChangesAfter(min(after, s.index.Revision()))
+	indexed := s.index.Revision()
+	changes := s.backend.ChangesAfter(min(after, indexed))
+	if changes.Reset && after < indexed {
+		return changes // The watcher alone is too far behind; all others would list anew with it.
+	}
 	if changes.Reset {
 		s.index.Apply(changes.Events, changes.Revision, true)
 		clear(s.lists)
 		return changes
 	}
-	s.index.Apply(state.NewerEvents(changes.Events, s.index.Revision()), changes.Revision, false)
+	s.index.Apply(state.NewerEvents(changes.Events, indexed), changes.Revision, false)
 	changes.Events = state.NewerEvents(changes.Events, after)
 	return changes
 }
@@ -201,19 +204,12 @@
 	for {
 		changed := s.backend.Changed()
 		list, err := s.subsets.list(session.zone, held)
+		if err != nil {
+			return 0, s.sendParts(conn, nil, err)
+		}
 		if list != nil {
 			session.take(list)
-			for position := 0; err == nil && position < len(list.parts); position++ {
-				err = conn.Send(&wirepb.Envelope{Body: &wirepb.Envelope_WatchListPart{WatchListPart: list.parts[position]}})
-			}
-		}
-		switch {
-		case err != nil:
-			s.logger.Warn("list_not_sent", "remote", conn.Peer.GetNode(), "error", fault.Message(err))
-			conn.Close()
-			return 0, false
-		case list != nil:
-			return list.revision, true
+			return list.revision, s.sendParts(conn, list.parts, nil)
 		}
 		select {
 		case <-changed:
--- a/internal/feed/subsets_test.go
+++ b/internal/feed/subsets_test.go
@@ -382,3 +382,53 @@
 		t.Errorf("%d changes were looked at %d times for one node", changes, server.subsets.examined)
 	}
 }
+
+// TestOneWatcherFarBehindListsAlone: the changes that it lacks are no longer kept. All others have
+// taken them, and go on.
+func TestOneWatcherFarBehindListsAlone(t *testing.T) {
+	backend := &listBackend{}
+	backend.put(10)
+	lists := newSubsets(backend, places.Map{})
+	sessions := map[string]*subsetSession{}
+	for _, name := range []string{"behind", "in step"} {
+		list, err := lists.list("z", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sessions[name] = lists.session("z")
+		sessions[name].take(list)
+	}
+	backend.put(10)
+	if _, _, current := sessions["in step"].next(10); !current {
+		t.Fatal("a watcher must list anew though all changes are kept")
+	}
+	backend.forget()
+	if _, _, current := sessions["behind"].next(10); current {
+		t.Error("a watcher goes on without changes that are no longer kept")
+	}
+	if _, _, current := sessions["in step"].next(20); !current {
+		t.Error("a watcher that has taken all changes must list anew because of another")
+	}
+}
+
+// TestDigestsFollowANewSubset: a watcher that lists anew may know other machines, and as many changes.
+func TestDigestsFollowANewSubset(t *testing.T) {
+	subsetOf := func(number int) *subset.Subset {
+		backend := &fleetBackend{changed: signal.New()}
+		backend.machine(number, v1.MachineLive)
+		backend.replica(number)
+		index := subset.NewIndex(places.Map{})
+		index.Apply(backend.events, backend.revision, true)
+		chosen := index.Subset(places.Position{Zone: "z"})
+		chosen.Update()
+		return chosen
+	}
+	whole := &wirepb.ClusterDigest{Term: 1, Sequence: 1, RosterSequence: 1, Roster: &wirepb.Roster{Machines: []string{"m-1", "m-2"}}}
+	cut := digestSubset{}
+	for _, number := range []int{1, 2} {
+		part := cut.of(whole, subsetOf(number), &rosterIndex{})
+		if name := fmt.Sprint("m-", number); !slices.Contains(part.GetRoster().GetMachines(), name) {
+			t.Errorf("%s is known and not in the roster %v", name, part.GetRoster().GetMachines())
+		}
+	}
+}
--- a/internal/instances/identity.go
+++ b/internal/instances/identity.go
@@ -25,6 +25,16 @@
 	return id != "" && !strings.Contains(id, startMark)
 }
 
+// IsBefore reports whether a start is before that of a record under the same id whose machine is in
+// use, by the phase of that.
+func IsBefore(startedMs int64, held *v1.MachineSpec, phase v1.MachinePhase) bool {
+	return startedBefore(startedMs, held) && (phase == v1.MachineLive || phase == v1.MachineLeaving)
+}
+
+func startedBefore(startedMs int64, held *v1.MachineSpec) bool {
+	return startedMs != 0 && startedMs < held.StartedMs
+}
+
 // nameOfStart is the name of the record of a start under an id that another start has used.
 func nameOfStart(id string, startedMs int64) string {
 	return id + startMark + strconv.FormatInt(startedMs, 10)
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -168,7 +168,7 @@
 // Registration returns the command that records a machine for the first time,
 // or nil while its pool is not declared: the room that it has is the pool's. The record tells when
 // the machine started where that is asked for.
-func Registration(name string, report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec, recordStart bool) *wirepb.RegisterCommand {
+func Registration(name string, report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec, tellsStart bool) *wirepb.RegisterCommand {
 	pool := pools[report.GetPool()]
 	if pool == nil && !report.GetLeaving() {
 		return nil
@@ -176,7 +176,7 @@
 	spec := &v1.MachineSpec{
 		Endpoint: report.GetEndpoint(), Zone: report.GetZone(), Pool: report.GetPool(), Slots: int(report.GetSlots()),
 	}
-	if recordStart {
+	if tellsStart {
 		spec.StartedMs = report.GetStartedMs()
 	}
 	if pool != nil && pool.Engine != nil {
@@ -221,11 +221,11 @@
 // was set back, the later one falls silent, and the machine goes on to report.
 func isSuperseded(input Input, newest newestRecords, entry Entry) bool {
 	held, recorded := input.Declared[newest.byID[entry.Report.GetMachine()]]
-	if !recorded || entry.Report.GetStartedMs() == 0 || held.Spec.StartedMs <= entry.Report.GetStartedMs() {
+	started := entry.Report.GetStartedMs()
+	if !recorded || !startedBefore(started, held.Spec) {
 		return false
 	}
-	isUsed := held.Status.Phase == v1.MachineLive || held.Status.Phase == v1.MachineLeaving
-	return isUsed || input.Now-entry.Received > input.Policy.LostAfter
+	return IsBefore(started, held.Spec, held.Status.Phase) || input.Now-entry.Received > input.Policy.LostAfter
 }
 
 func (t *Table) follow(input Input, name string, declared Declared, entry Entry, heard bool, newest newestRecords) *wirepb.RegisterCommand {
--- a/internal/nodeview/regions.go
+++ b/internal/nodeview/regions.go
@@ -21,7 +21,7 @@
 
 // countMachine adds a machine to the count of its pool's regions, or takes it out.
 func (v *View) countMachine(machine Machine, change int) {
-	if isInUse(machine) {
+	if machine.Status.Phase.IsInUse() {
 		v.regions.add(machine.Spec.Pool, v.position.Map.Region(machine.Spec.Zone), change)
 	}
 }
--- a/internal/nodeview/routing.go
+++ b/internal/nodeview/routing.go
@@ -95,7 +95,7 @@
 // machine takes no requests. Whether its zone is drained does not count here.
 func (v *View) replicaTarget(name string, replica Replica) (dispatch.Target, bool) {
 	machine, found := v.machines[replica.Spec.Machine]
-	if !found || replica.Spec.Phase != v1.ReplicaReady || !isInUse(machine) {
+	if !found || replica.Spec.Phase != v1.ReplicaReady || !machine.Status.Phase.IsInUse() {
 		return dispatch.Target{}, false
 	}
 	target := v.targetOn(replica.Spec.Machine, machine)
@@ -106,7 +106,7 @@
 // machineTarget returns the target that a machine of a pool without engines is. Whether its zone
 // is drained does not count here.
 func (v *View) machineTarget(name string, machine Machine) (dispatch.Target, bool) {
-	if machine.Spec.Pool == "" || machine.Spec.Accelerators > 0 || !isInUse(machine) {
+	if machine.Spec.Pool == "" || machine.Spec.Accelerators > 0 || !machine.Status.Phase.IsInUse() {
 		return dispatch.Target{}, false
 	}
 	target := v.targetOn(name, machine)
@@ -184,7 +184,3 @@
 		Suspect: machine.Status.Phase == v1.MachineLost,
 	}
 }
-
-func isInUse(machine Machine) bool {
-	return machine.Status.Phase == v1.MachineLive || machine.Status.Phase == v1.MachineLost
-}
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -227,10 +226,7 @@
 	name := object.GetName()
 	switch typed := spec.(type) {
 	case *v1.MachineSpec:
-		machine := Machine{Object: object, Spec: typed}
-		if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &machine.Status) != nil {
-			machine.Status = v1.MachineStatus{Phase: v1.MachineLost}
-		}
+		machine := Machine{Object: object, Spec: typed, Status: v1.DecodeMachineStatus(object.GetStatus())}
 		v.machines[name] = machine
 		addTo(v.atEndpoint, typed.Endpoint, name, machine)
 		v.countMachine(machine, 1)
--- a/internal/state/reservations.go
+++ b/internal/state/reservations.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"encoding/json"
 	"strconv"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -63,13 +62,8 @@
 	return o.checkReplicaCount(key, replica)
 }
 
-// statusOf decodes a machine's status. One that can't be read gets no work.
 func statusOf(object *wirepb.Object) v1.MachineStatus {
-	status := v1.MachineStatus{}
-	if len(object.GetStatus()) > 0 && json.Unmarshal(object.GetStatus(), &status) != nil {
-		return v1.MachineStatus{Phase: v1.MachineLost}
-	}
-	return status
+	return v1.DecodeMachineStatus(object.GetStatus())
 }
 
 // checkMemory adds up every reservation on the machine, the new one included.
--- a/internal/subset/index.go
+++ b/internal/subset/index.go
@@ -57,7 +57,7 @@
 
 // isUsed reports whether a machine takes part: it is neither leaving nor gone.
 func (m *machine) isUsed() bool {
-	return m.object != nil && (m.phase == v1.MachineLive || m.phase == v1.MachineLost)
+	return m.object != nil && m.phase.IsInUse()
 }
 
 // replica is what choosing needs of a Replica object.
@@ -154,7 +154,7 @@
 		spec, err := v1.DecodeSpec(v1.KindMachine, object.GetSpec())
 		typed, isMachine := spec.(*v1.MachineSpec)
 		if err == nil && isMachine { // Others are of a later release, for nodes of that release.
-			held.object, held.spec, held.phase = object, typed, phaseOf(object.GetStatus())
+			held.object, held.spec, held.phase = object, typed, v1.DecodeMachineStatus(object.GetStatus()).Phase
 		}
 	}
 	x.listMachine(name, held)
@@ -163,14 +163,6 @@
 	}
 }
 
-func phaseOf(status []byte) v1.MachinePhase {
-	decoded := v1.MachineStatus{}
-	if len(status) > 0 && json.Unmarshal(status, &decoded) != nil {
-		return v1.MachineLost // Of a later release; it is the last to be chosen.
-	}
-	return decoded.Phase
-}
-
 // machine returns the entry of a name, which may be one of which only replicas are known.
 func (x *Index) machine(name string) *machine {
 	held := x.machines[name]
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -35,6 +35,11 @@
 	outsideShare = 4
 )
 
+// firstLimits are the bounds by kind of group.
+var firstLimits = [...]int{
+	versionGroup: replicasPerVersion, adapterGroup: replicasPerAdapter, fixedGroup: fixedPerPool, engineGroup: enginesPerPool,
+}
+
 // Subset is what one node knows of machines and replicas.
 type Subset struct {
 	index      *Index
@@ -65,13 +70,11 @@
 // Expired reports whether the index was replaced as a whole: the node must list anew.
 func (s *Subset) Expired() bool { return s.generation != s.index.generation }
 
-// Clone returns a copy for another node at the same place.
+// Clone returns a copy for another node at the same place. The lists of chosen members are shared:
+// choose makes them anew and writes to none that is kept.
 func (s *Subset) Clone() *Subset {
 	copied := *s
 	copied.known, copied.chosen, copied.limits = maps.Clone(s.known), maps.Clone(s.chosen), maps.Clone(s.limits)
-	for of, members := range copied.chosen {
-		copied.chosen[of] = slices.Clip(members)
-	}
 	return &copied
 }
 
@@ -216,9 +219,7 @@
 	if raised, is := s.limits[of]; is {
 		return raised
 	}
-	limit := map[groupKind]int{
-		versionGroup: replicasPerVersion, adapterGroup: replicasPerAdapter, fixedGroup: fixedPerPool, engineGroup: enginesPerPool,
-	}[of.key.kind]
+	limit := firstLimits[of.key.kind]
 	if of.key.region != s.position.Map.Region(s.position.Zone) {
 		limit = max(1, limit/elsewhereShare)
 	}
