Let permits pace any machine, whatever bounds it

So far the bucket derived its rate and depth from what pools declare of warming up. Now it is given a pace, and package warming says which pace follows from its bound; buckets, decisions and messages stay as they were.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -135,7 +135,7 @@
 		config.SettleTime = registeredSettleTime
 	}
 	n.reports.ForgetMachines()
-	permits := newTermPermits(term, n.now(), n.settings.Warming.Bound())
+	permits := newTermPermits(term, n.now())
 	n.permits.Store(permits)
 	return &leader{
 		node: n, controller: controller.New(n.now(), config, n.reports), list: list, fleet: newFleet(ctx, n, term),
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -7,8 +7,8 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/permits"
 	"github.com/weldline/weldline/internal/state"
-	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -16,24 +16,24 @@
 type termPermits struct {
 	term    uint64
 	mutex   sync.Mutex
-	permits *warming.Permits
+	buckets *permits.Permits
 }
 
-func newTermPermits(term uint64, now time.Duration, bound warming.Bound) *termPermits {
-	return &termPermits{term: term, permits: warming.NewPermits(now, bound)}
+func newTermPermits(term uint64, now time.Duration) *termPermits {
+	return &termPermits{term: term, buckets: permits.New(now)}
 }
 
-func (t *termPermits) take(now time.Duration, machine string, perSecond float64) warming.Decision {
+func (t *termPermits) take(now time.Duration, machine string, pace permits.Pace) permits.Decision {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.permits.Take(now, machine, perSecond)
+	return t.buckets.Take(now, machine, pace)
 }
 
 func (t *termPermits) empty(now time.Duration, machines []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, machine := range machines {
-		t.permits.Empty(now, machine)
+		t.buckets.Empty(now, machine)
 	}
 }
 
@@ -58,12 +58,12 @@
 // localPermit answers as leader. The lease is checked after the token was taken: had another
 // leader begun to give out permits before, the check would fail.
 func (n *Node) localPermit(request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
-	permits := n.permits.Load()
-	if permits == nil {
+	term := n.permits.Load()
+	if term == nil {
 		return nil, errNoLease()
 	}
-	decision := permits.take(n.now(), request.GetMachine(), n.rateWhileWarming(request.GetMachine()))
-	if status := n.status.Load(); status.Term != permits.term || !status.LeaseHeld(n.now()) {
+	decision := term.take(n.now(), request.GetMachine(), n.settings.Warming.Bound().Pace(n.rateWhileWarming(request.GetMachine())))
+	if status := n.status.Load(); status.Term != term.term || !status.LeaseHeld(n.now()) {
 		return nil, errNoLease()
 	}
 	n.metrics.observePermit(decision.Granted)
--- a/internal/feed/permit.go
+++ b/internal/feed/permit.go
@@ -5,7 +5,7 @@
 	"log/slog"
 
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/warming"
+	"github.com/weldline/weldline/internal/permits"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -17,7 +17,7 @@
 // Permit asks the leader for a permit; see PermitFunc. An answer that comes when a permit is of no
 // use any more is not waited for.
 func (c *Client) Permit(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, warming.PermitLifetime)
+	ctx, cancel := context.WithTimeout(ctx, permits.Lifetime)
 	defer cancel()
 	answer, err := c.call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_PermitRequest{PermitRequest: request}})
 	if err != nil {
@@ -39,7 +39,7 @@
 // back under the same request id. Without an answer there is no permit; why, is logged here, since
 // the reply does not carry it.
 func AnswerPermit(ctx context.Context, conn *wire.Conn, requestID uint64, request *wirepb.PermitRequest, ask PermitFunc, logger *slog.Logger) {
-	ctx, cancel := context.WithTimeout(ctx, warming.PermitLifetime)
+	ctx, cancel := context.WithTimeout(ctx, permits.Lifetime)
 	defer cancel()
 	reply, err := ask(ctx, request)
 	if err != nil || reply == nil {
--- a/internal/ingress/warming.go
+++ b/internal/ingress/warming.go
@@ -8,6 +8,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/permits"
 	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -15,7 +16,7 @@
 const (
 	// heldWithoutAnswer is for how long a machine is left alone where the leader could not be
 	// asked: about as long as an answer may take.
-	heldWithoutAnswer = warming.PermitLifetime
+	heldWithoutAnswer = permits.Lifetime
 	// leastHold is the shortest time for which a machine is left alone once a permit was refused:
 	// the dispatcher looks for places that open by themselves about as often.
 	leastHold = 20 * time.Millisecond
@@ -127,7 +128,7 @@
 	if silence := g.silence(); silence > 0 {
 		return permitAnswer{outcome: permitUnanswered, wait: max(leastHold, silence), reason: "the leader could not be asked a moment ago"}
 	}
-	until := g.options.Now() + warming.PermitLifetime
+	until := g.options.Now() + permits.Lifetime
 	reply, err := g.options.Permit(ctx, &wirepb.PermitRequest{Machine: machine})
 	answer := permitAnswer{outcome: permitGranted, held: permit{machine: machine, until: until}}
 	switch {
--- a/internal/warming/permits.go
+++ b/internal/permits/permits.go
@@ -1,17 +1,12 @@
-package warming
+package permits
 
 import (
 	"maps"
 	"time"
 )
 
-const (
-	// longestRetry bounds for how long a router is told to leave a machine alone: it may have
-	// become warm by then.
-	longestRetry = 500 * time.Millisecond
-	// sweepInterval is how often buckets that are full are dropped.
-	sweepInterval = 10 * time.Second
-)
+// sweepInterval is how often buckets that are full are dropped.
+const sweepInterval = 10 * time.Second
 
 // Permits are the token buckets of one term of leadership. They are not safe for concurrent use.
 //
@@ -19,7 +14,6 @@
 // earlier, as it held its lease then; so both together give out in any span no more than one
 // bucket does.
 type Permits struct {
-	bound   Bound
 	began   time.Duration
 	swept   time.Duration
 	buckets map[string]*bucket
@@ -27,8 +21,8 @@
 
 // bucket is one machine's.
 type bucket struct {
-	// allowed is what the bucket was last used with.
-	allowed allowance
+	// pace is what the bucket was last used with.
+	pace    Pace
 	level   float64
 	updated time.Duration
 	// promised is the time for which a token was promised to the router refused last.
@@ -42,34 +36,33 @@
 	RetryAfter time.Duration
 }
 
-// NewPermits returns the buckets of a term that begins at now.
-func NewPermits(now time.Duration, bound Bound) *Permits {
-	return &Permits{bound: bound, began: now, swept: now, buckets: map[string]*bucket{}}
+// New returns the buckets of a term that begins at now.
+func New(now time.Duration) *Permits {
+	return &Permits{began: now, swept: now, buckets: map[string]*bucket{}}
 }
 
-// Take asks for a token for a machine that bears so many requests a second while it warms up.
-// Those that are refused are told to come back one after the other, each for a token of its own.
-func (p *Permits) Take(now time.Duration, machine string, perSecond float64) Decision {
+// Take asks for a token for a machine. Those that are refused are told to come back one after the
+// other, each for a token of its own.
+func (p *Permits) Take(now time.Duration, machine string, pace Pace) Decision {
 	p.sweep(now)
-	allowed := p.bound.allowance(perSecond)
-	if allowed.rate <= 0 {
-		return Decision{RetryAfter: longestRetry}
+	if pace.Rate <= 0 {
+		return Decision{RetryAfter: pace.LongestRetry}
 	}
 	held := p.bucket(machine)
-	held.allowed = allowed
-	held.refill(now, allowed)
+	held.pace = pace
+	held.refill(now)
 	if held.level >= 1 {
 		held.level--
 		return Decision{Granted: true}
 	}
-	oneToken := time.Duration(float64(time.Second) / allowed.rate)
+	oneToken := time.Duration(float64(time.Second) / pace.Rate)
 	next := now + time.Duration((1-held.level)*float64(oneToken))
-	held.promised = min(max(next, held.promised+oneToken), now+longestRetry)
+	held.promised = min(max(next, held.promised+oneToken), now+pace.LongestRetry)
 	return Decision{RetryAfter: held.promised - now}
 }
 
-// Empty takes away a machine's tokens. A machine that was warm got requests without permits until
-// just now, which count in the same second.
+// Empty takes away a machine's tokens. One that took no permits until just now got requests without
+// them, which count beside those that come next.
 func (p *Permits) Empty(now time.Duration, machine string) {
 	held := p.bucket(machine)
 	held.level = min(held.level, 0)
@@ -87,15 +80,15 @@
 	return held
 }
 
-func (b *bucket) refill(now time.Duration, allowed allowance) {
+func (b *bucket) refill(now time.Duration) {
 	if now <= b.updated {
 		return
 	}
-	b.level = min(allowed.burst, b.level+allowed.rate*(now-b.updated).Seconds())
+	b.level = min(b.pace.Burst, b.level+b.pace.Rate*(now-b.updated).Seconds())
 	b.updated = now
 }
 
-// sweep drops buckets that are full: most machines warm up once. One that was emptied, and not asked
+// sweep drops buckets that are full: most machines are paced once. One that was emptied, and not asked
 // for since, is kept for long after what emptied it.
 func (p *Permits) sweep(now time.Duration) {
 	if now-p.swept < sweepInterval {
@@ -103,10 +96,10 @@
 	}
 	p.swept = now
 	maps.DeleteFunc(p.buckets, func(_ string, held *bucket) bool {
-		if held.allowed.rate == 0 {
+		if held.pace.Rate == 0 {
 			return now-held.updated >= sweepInterval
 		}
-		held.refill(now, held.allowed)
-		return held.level >= held.allowed.burst
+		held.refill(now)
+		return held.level >= held.pace.Burst
 	})
 }
--- a/internal/warming/bound.go
+++ b/internal/warming/bound.go
@@ -1,17 +1,20 @@
 package warming
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/permits"
+)
 
 const (
-	// PermitLifetime is for how long a permit may be used, counted by the router from before it
-	// asked. It covers a few round trips between regions; a longer one would cost burst, as what
-	// was permitted over that time may all be sent in the same second.
-	PermitLifetime = 250 * time.Millisecond
 	// window is the span over which a machine's requests are counted.
 	window = time.Second
 	// margin is the share of the bound that is left unused: a request that has been checked may
 	// reach the wire a moment after its permit ended, and clocks don't run alike.
 	margin = 0.05
+	// longestRetry bounds for how long a router is told to leave a machine alone: it may have
+	// become warm by then.
+	longestRetry = 500 * time.Millisecond
 )
 
 // Bound is by how much all routers together may exceed what a pool declares that a machine
@@ -25,23 +28,18 @@
 	return perSecond*b.Factor + b.Slack
 }
 
-// allowance is the rate, in tokens a second, and the depth of a machine's bucket.
-type allowance struct {
-	rate, burst float64
-}
-
-// allowance derives the bucket from the bound. A permit given at t is used before
-// t + PermitLifetime, so the requests of one window have permits from a span of at most
-// window + PermitLifetime, in which a bucket gives out burst + rate * span. That must not exceed
-// what is allowed. The machine bears the rate for long; a burst of one second's worth is as much
-// as it need be offered at once. Where the bound leaves no room for a single token beside the
-// rate, the rate gives way; where it leaves none at all, nothing is permitted.
-func (b Bound) allowance(perSecond float64) allowance {
+// Pace derives the bucket of a machine that bears so many requests a second from the bound. A permit
+// given at t is used before t + permits.Lifetime, so the requests of one window have permits from a
+// span of at most window + permits.Lifetime, in which a bucket gives out burst + rate * span. That
+// must not exceed what is allowed. The machine bears the rate for long; a burst of one second's worth
+// is as much as it need be offered at once. Where the bound leaves no room for a single token beside
+// the rate, the rate gives way; where it leaves none at all, nothing is permitted.
+func (b Bound) Pace(perSecond float64) permits.Pace {
 	allowed := b.Allows(perSecond) * (1 - margin)
-	span := (window + PermitLifetime).Seconds()
+	span := (window + permits.Lifetime).Seconds()
 	rate := min(perSecond, (allowed-1)/span)
 	if rate <= 0 {
-		return allowance{}
+		return permits.Pace{LongestRetry: longestRetry}
 	}
-	return allowance{rate: rate, burst: max(1, min(perSecond, allowed-rate*span))}
+	return permits.Pace{Rate: rate, Burst: max(1, min(perSecond, allowed-rate*span)), LongestRetry: longestRetry}
 }
--- a/internal/warming/doc.go
+++ b/internal/warming/doc.go
@@ -6,13 +6,10 @@
 // would be far below one request a second.
 //
 // The mechanism: a router that takes a machine to warm up asks the leader for a permit, for one
-// request and right before it sends it. The leader keeps a token bucket for each such machine
-// under its lease. Without a permit nothing is sent. What a router knows of machines is
+// request and right before it sends it (package permits). What a router knows of machines is
 // pessimistic: one that nobody has vouched for since something happened to it warms up.
 //
-// Invariant: whatever leaders follow each other, however late permits arrive and whichever
-// routers are cut off, the permits used for a machine in any one second are at most what Bound
-// allows.
+// Invariant: the permits used for a machine in any one second are at most what Bound allows.
 //
 // Everything here is pure: time is an argument.
 package warming
