Know the limits that machines name, and tell of them

Nothing in our logs told that a machine named a limit; the time was known from the record alone. The header is read once, in platform/; what can't be used (negative, not a number, two of them) is a typed error that names the field and counts as none. Package ratelimit keeps what machines said: answers overtake each other, so a statement has the span in which it was made, and takes the place of another only if it was made after it for certain, or is stricter. Log event machine_limit, gauge weldline_ingress_limited_machines, counter weldline_ingress_invalid_limits_total. No decision uses it yet; TestLimitOfAWorkerHoldsOverAllRouters fails as before.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -152,5 +152,6 @@
 		j.counted = true
 		j.ingress.countFirst(j.pool)
 	}
+	j.written = j.ingress.options.Now()
 	return nil
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -42,6 +43,7 @@
 	headerKey    = "Test-Key"
 	headerTenant = "Test-Tenant"
 	headerRank   = "Test-Priority"
+	headerLimit  = "Test-Limit"
 )
 
 // translator is the stand-in for a platform's.
@@ -72,9 +74,18 @@
 		Genuine:   !succeeded || answer.Get(headerSeal) != "",
 		NotRun:    answer.Get(headerNotRun) != "",
 		Elsewhere: status == http.StatusMisdirectedRequest,
+		Limit:     limitOf(answer),
 	}
 }
 
+func limitOf(answer http.Header) ratelimit.Limit {
+	perSecond, err := strconv.ParseFloat(answer.Get(headerLimit), 64)
+	if err != nil {
+		return ratelimit.None
+	}
+	return ratelimit.Of(perSecond)
+}
+
 // deployment is an ingress with the machines and routes that a test declares.
 type deployment struct {
 	t        *testing.T
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -75,6 +75,7 @@
 
 	quotas      *quotas
 	warming     *warmingGuard
+	limits      *machineLimits
 	crashes     *crashwatch.Watcher
 	drains      *drainlog.Log
 	constraints *constraints
@@ -108,7 +109,7 @@
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool), warming: newWarmingGuard(options),
+		upstream: pool, crashes: newCrashWatcher(options, pool), warming: newWarmingGuard(options), limits: newMachineLimits(options),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraints(), waiting: newWaitingJobs(),
 	}
@@ -195,14 +196,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			i.upstream.Retain(func(machine string) bool {
-				_, known := i.options.View.Machine(machine)
-				return known
-			})
+			i.upstream.Retain(i.isKnown)
+			i.limits.retain(i.isKnown)
 		}
 	}
 }
 
+func (i *Ingress) isKnown(machine string) bool {
+	_, known := i.options.View.Machine(machine)
+	return known
+}
+
 // Woke drops, after a sleep of this machine, the kept connections, as machines close such as have
 // rested for longer than they allow, and what was known of machines that warm up.
 func (i *Ingress) Woke() {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -62,6 +62,8 @@
 	answered bool
 	// wanted is what the dispatcher is asked for.
 	wanted *dispatch.Request
+	// written is when the request was last written to a machine, by the clock that counts sleep.
+	written time.Duration
 	// permit is what the next send to a machine that warms up needs.
 	permit permit
 	// content is the request's identity, once it has been asked for.
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -23,6 +23,9 @@
 	permits  *prometheus.CounterVec
 	withheld prometheus.Counter
 	sends    *prometheus.CounterVec
+	limited  prometheus.Gauge
+	// invalidLimits counts answers whose limit can't be used.
+	invalidLimits prometheus.Counter
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -64,6 +67,12 @@
 		sends: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_sends_total", Help: "Requests sent to machines, by how near these are.",
 		}, []string{"nearness"}),
+		limited: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_ingress_limited_machines", Help: "Machines that name how many requests a second they take.",
+		}),
+		invalidLimits: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_invalid_limits_total", Help: "Answers of machines that name a limit which can't be used.",
+		}),
 		series: map[string]bool{},
 	}
 }
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/weldline/weldline/internal/ratelimit"
 )
 
 // Attributes are what a request says of itself.
@@ -46,6 +48,11 @@
 	// Elsewhere is set where it did not because it is another machine, or does
 	// not hold what the request needs.
 	Elsewhere bool
+	// Limit is how many requests a second the machine says that it takes from all routers.
+	Limit ratelimit.Limit
+	// LimitError is why what it says of that can't be used, of type fault.Invalid; Limit is not
+	// set then.
+	LimitError error
 }
 
 // Translator knows the headers that callers and machines use.
