Send to a machine that names a limit only by permits of the leader

Callers saw nothing; a machine in need that had named a limit of 1 a second got 13 requests in 4 s from the routers that it had told, where 11 are allowed. Cause: what a machine says of itself in an answer went on to the caller and nowhere else. The class: a bound that is meant for all routers together was known to single routers, and kept by none.

Now a router that hears of a limit asks the leader for a permit for each send, by the token buckets that pace machines that warm up; reports and digests tell the others, and control nodes that do not lead, so that the next leader knows. Without a permit the request goes to another machine, or waits. A limit ends by an answer to a request that was sent after it was heard of; limited machines get requests beside the others, since nothing else tells of the end.

Why it holds: the check stands right before the first byte is written, for first sends and repeated ones alike; one bucket under the lease of one leader counts for all routers.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -96,6 +96,7 @@
 	urgent := false
 	for _, report := range reports {
 		urgent = n.reports.Take(n.now(), report) || urgent
+		n.takeLimits(report.GetLimits(), "report")
 	}
 	if urgent {
 		n.wakeLeader()
@@ -117,6 +118,10 @@
 	if history := controller.HistoryOf(digest); history != nil {
 		n.history.Store(&demandHistory{taken: n.now(), versions: history})
 	}
+	if digest.GetLeader() != n.settings.Node {
+		n.takeLimits(digest.GetLimits(), "digest")
+		n.tellLimits() // Forgets those that are of no use any more.
+	}
 	n.digest.Store(feed.WithoutHistory(digest))
 	n.digestChanged.Notify()
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -93,6 +93,8 @@
 
 	// permits are those of the term that this node led last.
 	permits atomic.Pointer[termPermits]
+	// limits are those that machines name, by what routers were told.
+	limits *machineLimits
 
 	peers *peerSet
 	joins *joinTable
@@ -169,6 +171,7 @@
 	node.holder = strconv.FormatUint(options.ID, 10)
 	node.grants = orders.NewGrants(node.holder, grantLifetime+node.settings.Machines.OrderLease)
 	node.reports = controller.NewReportTable()
+	node.limits = newMachineLimits()
 	node.reportsOut = newReportQueue(node.sendReports)
 	node.peers = newPeerSet(node)
 	node.publishStatus()
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -62,7 +62,11 @@
 	if term == nil {
 		return nil, errNoLease()
 	}
-	decision := term.take(n.now(), request.GetMachine(), n.settings.Warming.Bound().Pace(n.rateWhileWarming(request.GetMachine())))
+	pace, isPaced := n.paceOf(request)
+	if !isPaced {
+		return &wirepb.PermitReply{Granted: true}, nil
+	}
+	decision := term.take(n.now(), request.GetMachine(), pace)
 	if status := n.status.Load(); status.Term != term.term || !status.LeaseHeld(n.now()) {
 		return nil, errNoLease()
 	}
@@ -70,6 +74,24 @@
 	return &wirepb.PermitReply{Granted: decision.Granted, RetryAfterMs: uint32(decision.RetryAfter.Milliseconds())}, nil
 }
 
+// paceOf returns the pace of the machine that a permit is asked for. There is none where its limit,
+// for which alone the router asks, has ended by what this node was told since.
+func (n *Node) paceOf(request *wirepb.PermitRequest) (pace permits.Pace, isPaced bool) {
+	machine := request.GetMachine()
+	if limit := request.GetLimit(); limit != nil {
+		n.takeLimits([]*wirepb.MachineLimit{limit}, "permit")
+	}
+	limit := n.limits.of(machine)
+	if request.GetLimitOnly() {
+		return limit.Pace(), limit.IsSet
+	}
+	pace = n.settings.Warming.Bound().Pace(n.rateWhileWarming(machine))
+	if limit.IsSet {
+		pace = pace.And(limit.Pace())
+	}
+	return pace, true
+}
+
 // permitLocally is localPermit as a feed.PermitFunc, for control nodes that pass a question on.
 func (n *Node) permitLocally(_ context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error) {
 	return n.localPermit(request)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -23,6 +23,7 @@
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/warming"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -70,7 +71,11 @@
 	estimates []placement.Estimate
 	stored    *storedView
 	warming   *warming.Watch
-	// urgent is set while routers have not heard of a machine that began to warm up or is warm.
+	// limits are those that machines name, as digests tell of them; limited are those in force.
+	limits  []ratelimit.Told
+	limited map[string]ratelimit.Limit
+	// urgent is set while routers have not heard of a machine that began to warm up or is warm, or
+	// whose limit is another one.
 	urgent bool
 
 	// control are the control nodes.
@@ -177,7 +182,7 @@
 
 // Digest returns the soft state to spread, or nil if none is due.
 func (c *Controller) Digest(now time.Duration, revision uint64) *wirepb.ClusterDigest {
-	limits := c.limits()
+	limits := c.tenantLimits()
 	urgent := c.reports.UpdateQuotas(now, limits)
 	interval := digestInterval
 	if urgent || c.urgent {
@@ -208,6 +213,7 @@
 	digest.MachineLoads = packed(c.roster, loads)
 	digest.MachineWork = packed(c.roster, workOf(now, nodes))
 	digest.MachineWarming = packed(c.roster, c.warming.Units(now))
+	digest.Limits = nodeview.LimitMessages(c.limits)
 	digest.History = c.history(now)
 	digest.Tenants, digest.TenantsKnown = c.reports.allowances(now, limits)
 	if answered, errors := c.reports.Answers(now); len(errors) > 0 {
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -56,8 +56,8 @@
 	return messages, known
 }
 
-// limits are those of the declared tenants.
-func (c *Controller) limits() map[string]quota.Limit {
+// tenantLimits are those of the declared tenants.
+func (c *Controller) tenantLimits() map[string]quota.Limit {
 	if c.stored == nil {
 		return nil
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sort"
 	"time"
+
+	"github.com/weldline/weldline/internal/ratelimit"
 )
 
 // Config bounds a Core.
@@ -53,11 +55,12 @@
 	answered  map[string]Answers
 	answers   map[string]Answers
 	answersAt time.Time
-	// warming names the machines that warm up, and held says until when a machine gets nothing;
-	// warmingHeld says so of all that warm up.
-	warming     map[string]bool
-	held        map[string]time.Time
-	warmingHeld time.Time
+	// warming names the machines that warm up, and limited those that name a limit. held says until
+	// when a machine gets nothing; pacedHeld says so of all that take permits.
+	warming   map[string]bool
+	limited   map[string]ratelimit.Limit
+	held      map[string]time.Time
+	pacedHeld time.Time
 }
 
 // versionState is what a router knows of one version.
@@ -132,8 +135,8 @@
 	refusal := Refusal{
 		Request: request, Reason: RefusedDeadline, Detail: "no replica was ready before the deadline", RetryAfter: shedRetryAfter,
 	}
-	if c.waitsForWarming(now, request) {
-		refusal.Reason, refusal.Detail = RefusedWarming, "the machines that could take it warm up"
+	if reason, isPaced := c.waitsFor(now, request); isPaced {
+		refusal.Reason, refusal.Detail = reason, detailsOfPaced[reason]
 	}
 	return refusal
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -105,7 +105,7 @@
 	case "warming":
 		d.core.SetWarming(map[string]bool{name: true})
 	case "hold-warming":
-		d.core.HoldWarming(seconds("until"))
+		d.core.HoldPaced(seconds("until"))
 	case "hold":
 		d.core.Hold(d.now, name, seconds("until"))
 	case "targets":
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -86,10 +86,18 @@
 	RefusedNotLoadable RefusalReason = "not-loadable"
 	// RefusedWarming: the machines that could take it warm up, and get no more for now.
 	RefusedWarming RefusalReason = "warming"
+	// RefusedLimited: the machines that could take it name a limit, and get no more for now.
+	RefusedLimited RefusalReason = "limited"
 	// RefusedRegion: no machine may serve the request any more.
 	RefusedRegion RefusalReason = "no-allowed-region"
 )
 
+// detailsOfPaced tell of the refusals where machines take permits.
+var detailsOfPaced = map[RefusalReason]string{
+	RefusedWarming: "the machines that could take it warm up",
+	RefusedLimited: "the machines that could take it limit how many requests they take",
+}
+
 // Refusal ends a request that waited.
 type Refusal struct {
 	Request *Request
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -3,12 +3,15 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/weldline/weldline/internal/ratelimit"
 )
 
 // A machine that warms up bears a few requests a second, and answers each of them slowly. It gets
-// requests where no warm one has room; and each of these needs a permit of the leader, for which
-// the router asks once the core has chosen. A machine for which there is none now is held: it is
-// there, and takes nothing for a moment.
+// requests where no warm one has room. One that names a limit gets requests beside the others: only
+// its answers tell when the limit ends. Each request to such machines needs a permit of the leader,
+// for which the router asks once the core has chosen. A machine for which there is none now is held:
+// it is there, and takes nothing for a moment.
 
 // standing orders the targets of a version: those that come first are used up first.
 type standing int
@@ -51,34 +54,52 @@
 	c.warming = warming
 }
 
+// SetLimited replaces the machines that name a limit. One whose limit has ended or grown is held no
+// more.
+func (c *Core) SetLimited(limited map[string]ratelimit.Limit) {
+	for machine, before := range c.limited {
+		after := limited[machine]
+		if !after.IsSet || after.PerSecond > before.PerSecond {
+			delete(c.held, machine)
+		}
+	}
+	c.limited = limited
+}
+
+// isPaced reports whether requests to a machine need permits.
+func (c *Core) isPaced(machine string) bool {
+	return c.warming[machine] || c.limited[machine].IsSet
+}
+
 // Hold gives a machine nothing before a time. Tick gives out its room once that has come.
 func (c *Core) Hold(now time.Time, machine string, until time.Time) {
 	maps.DeleteFunc(c.held, func(_ string, ends time.Time) bool { return !now.Before(ends) })
 	c.held[machine] = until
 }
 
-// HoldWarming gives nothing to any machine that warms up before a time. A request would else go from
-// one to the next, however many there are, where there is a permit for none.
-func (c *Core) HoldWarming(until time.Time) {
-	c.warmingHeld = until
+// HoldPaced gives nothing to any machine that takes permits before a time. A request would else go
+// from one to the next, however many there are, where there is a permit for none.
+func (c *Core) HoldPaced(until time.Time) {
+	c.pacedHeld = until
 }
 
 func (c *Core) isHeld(now time.Time, machine string) bool {
-	return now.Before(c.held[machine]) || now.Before(c.warmingHeld) && c.warming[machine]
+	return now.Before(c.held[machine]) || now.Before(c.pacedHeld) && c.isPaced(machine)
 }
 
-// waitsForWarming reports whether a machine that warms up could take a request, if it were not
-// held or did not have enough to do.
-func (c *Core) waitsForWarming(now time.Time, request *Request) bool {
+// waitsFor tells what keeps the machines that could take a request from it, where that is that they
+// warm up or name a limit: they are held, or have enough to do.
+func (c *Core) waitsFor(now time.Time, request *Request) (reason RefusalReason, isPaced bool) {
 	version := c.version(request.Version)
 	noneInTouch := c.hasNoneInTouch(version, request)
 	for _, candidate := range version.targets {
-		if c.isExcluded(candidate, request) || !noneInTouch && c.standingOf(candidate) == standsInDoubt {
-			continue
-		}
-		if c.warming[candidate.Machine] || c.isHeld(now, candidate.Machine) {
-			return true
+		switch {
+		case c.isExcluded(candidate, request) || !noneInTouch && c.standingOf(candidate) == standsInDoubt:
+		case c.limited[candidate.Machine].IsSet && c.isHeld(now, candidate.Machine):
+			return RefusedLimited, true
+		case c.warming[candidate.Machine] || c.isHeld(now, candidate.Machine):
+			return RefusedWarming, true
 		}
 	}
-	return false
+	return "", false
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -153,11 +154,18 @@
 	d.core.Hold(now, machine, now.Add(span))
 }
 
-// HoldWarming gives nothing to any machine that warms up for a while.
-func (d *Dispatcher) HoldWarming(span time.Duration) {
+// HoldPaced gives nothing to any machine that takes permits for a while.
+func (d *Dispatcher) HoldPaced(span time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.core.HoldWarming(time.Now().Add(span))
+	d.core.HoldPaced(time.Now().Add(span))
+}
+
+// SetLimited replaces the machines that name a limit, which must not be changed afterwards.
+func (d *Dispatcher) SetLimited(limited map[string]ratelimit.Limit) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.core.SetLimited(limited)
 }
 
 // SetWarming replaces the machines that warm up, which must not be changed afterwards.
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -97,6 +97,7 @@
 		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
 		History: digest.GetHistory(), MachineAnswers: digest.GetMachineAnswers(), MachineErrors: digest.GetMachineErrors(),
 		Tenants: digest.GetTenants(), TenantsKnown: digest.GetTenantsKnown(), MachineWarming: digest.GetMachineWarming(),
+		Limits: digest.GetLimits(),
 	}
 }
 
--- a/internal/feed/digestsubset.go
+++ b/internal/feed/digestsubset.go
@@ -67,9 +67,21 @@
 	part.MachineErrors = d.pick(whole.GetMachineErrors(), 0)
 	// A machine that nothing is said of may have just started.
 	part.MachineWarming = d.pick(whole.GetMachineWarming(), math.MaxUint8)
+	part.Limits = d.limits(whole.GetLimits())
 	return part
 }
 
+// limits are those of the machines that the watcher knows.
+func (d *digestSubset) limits(all []*wirepb.MachineLimit) []*wirepb.MachineLimit {
+	var known []*wirepb.MachineLimit
+	for _, limit := range all {
+		if d.listed[limit.GetMachine()] {
+			known = append(known, limit)
+		}
+	}
+	return known
+}
+
 // follow takes over a new roster, or a new subset.
 func (d *digestSubset) follow(whole *wirepb.ClusterDigest, chosen *subset.Subset, positions map[string]int) {
 	added := d.news(chosen, positions)
--- a/internal/feed/permit.go
+++ b/internal/feed/permit.go
@@ -10,8 +10,8 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// PermitFunc asks the leader whether one request may be sent to a machine that warms up. On an
-// error it may not.
+// PermitFunc asks the leader whether one request may be sent to a machine that warms up, or that names
+// a limit. On an error it may not.
 type PermitFunc func(ctx context.Context, request *wirepb.PermitRequest) (*wirepb.PermitReply, error)
 
 // Permit asks the leader for a permit; see PermitFunc. An answer that comes when a permit is of no
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -137,7 +137,7 @@
 // prepareWrite is what is done once a connection stands, just before anything is written to the
 // machine. An error ends the attempt as not sent.
 func (j *job) prepareWrite(header http.Header, grant *dispatch.Grant) error {
-	if !j.ingress.warming.allows(j.pool, grant.Target.Machine, j.permit) {
+	if !j.ingress.permits.allows(j.pool, grant.Target.Machine, j.permit) {
 		return errNoPermit
 	}
 	j.permit = permit{} // It is good for one send.
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -7,5 +7,5 @@
 
 // WarmingMachines returns the machines that are taken to warm up.
 func (i *Ingress) WarmingMachines() map[string]bool {
-	return i.warming.machines()
+	return i.permits.warming.machines()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -56,7 +56,8 @@
 	Nudge func()
 	// Propose carries a command to the leader. An error leaves open whether it was carried out.
 	Propose feed.ProposeFunc
-	// Permit asks the leader whether one request may be sent to a machine that warms up.
+	// Permit asks the leader whether one request may be sent to a machine that warms up, or that
+	// names a limit.
 	Permit feed.PermitFunc
 	// Now is a clock that counts the sleep of the machine, clock.Now by default.
 	Now func() time.Duration
@@ -74,8 +75,7 @@
 	upstream   *upstream.Pool
 
 	quotas      *quotas
-	warming     *warmingGuard
-	limits      *machineLimits
+	permits     *permitGuard
 	crashes     *crashwatch.Watcher
 	drains      *drainlog.Log
 	constraints *constraints
@@ -105,11 +105,12 @@
 		options.Now = clock.Now
 	}
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: defaultMaxIdle, IdleTimeout: idleTimeout})
+	routing := dispatcher.New(config, options.Nudge)
 	return &Ingress{
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
-		dispatcher: dispatcher.New(config, options.Nudge), servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool), warming: newWarmingGuard(options), limits: newMachineLimits(options),
+		dispatcher: routing, servingChange: signal.New(),
+		upstream: pool, crashes: newCrashWatcher(options, pool), permits: newPermitGuard(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraints(), waiting: newWaitingJobs(),
 	}
@@ -128,7 +129,7 @@
 	defer workers.Wait()
 	workers.Go(func() { i.dispatcher.Tick(ctx) })
 	workers.Go(func() { i.dispatcher.FollowDigests(ctx, i.options.View) })
-	workers.Go(func() { i.followWarming(ctx) })
+	workers.Go(func() { i.followDigests(ctx) })
 	workers.Go(func() { i.quotas.follow(ctx, i.options.View, i.options.Nudge) })
 	workers.Go(func() { i.crashes.Run(ctx) })
 	workers.Go(func() { i.retainConnections(ctx) })
@@ -166,7 +167,7 @@
 		i.logRoutes(len(routes))
 	}
 	drains := i.options.View.ZoneDrains()
-	i.dispatcher.SetWarming(i.warming.machines())
+	i.dispatcher.SetWarming(i.permits.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
 	i.drains.InForce(time.Now(), drains)
 	i.waiting.each((*job).rebind)
@@ -197,7 +198,7 @@
 			return
 		case <-ticker.C:
 			i.upstream.Retain(i.isKnown)
-			i.limits.retain(i.isKnown)
+			i.permits.limits.retain(i.isKnown)
 		}
 	}
 }
@@ -210,7 +211,7 @@
 // Woke drops, after a sleep of this machine, the kept connections, as machines close such as have
 // rested for longer than they allow, and what was known of machines that warm up.
 func (i *Ingress) Woke() {
-	i.warming.forget()
+	i.permits.warming.forget()
 	i.upstream.Retain(func(string) bool { return false })
 }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -64,7 +64,7 @@
 	wanted *dispatch.Request
 	// written is when the request was last written to a machine, by the clock that counts sleep.
 	written time.Duration
-	// permit is what the next send to a machine that warms up needs.
+	// permit is what the next send to a machine that takes permits needs.
 	permit permit
 	// content is the request's identity, once it has been asked for.
 	content *quarantine.Identity
@@ -233,7 +233,7 @@
 		}
 		if end == endNotConnected {
 			failures++
-			j.ingress.warming.noteFailure(grant.Target.Machine)
+			j.ingress.permits.warming.noteFailure(grant.Target.Machine)
 			j.ingress.options.Nudge()
 		}
 		if !j.mayTryAgain(ctx, end, failures) {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -6,26 +6,60 @@
 
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/ratelimit"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // machineLimits are the limits of machines as far as this node knows.
 type machineLimits struct {
 	options Options
 
+	// onChange is called with the limits in force where one has changed.
+	onChange func(map[string]ratelimit.Limit)
+
 	mutex  sync.Mutex
 	limits *ratelimit.Limits
 }
 
-func newMachineLimits(options Options) *machineLimits {
-	return &machineLimits{options: options, limits: ratelimit.New()}
+func newMachineLimits(options Options, onChange func(map[string]ratelimit.Limit)) *machineLimits {
+	return &machineLimits{options: options, onChange: onChange, limits: ratelimit.New()}
+}
+
+// of returns what is known of a machine's limit, where it names one.
+func (m *machineLimits) of(machine string) (told ratelimit.Told, isLimited bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	told, known := m.limits.Tell(m.options.Now(), machine)
+	return told, known && told.Limit.IsSet
+}
+
+// MachineLimits are what this node knows of the limits of machines, for reports.
+func (i *Ingress) MachineLimits() []*wirepb.MachineLimit {
+	known := i.permits.limits
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	return nodeview.LimitMessages(known.limits.TellAll(known.options.Now()))
+}
+
+// takeDigest takes what a leader's digest tells of machines' limits.
+func (m *machineLimits) takeDigest(digest *wirepb.ClusterDigest) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.options.Now()
+	for _, told := range nodeview.ToldLimits(digest.GetLimits()) {
+		m.note(m.limits.TakeTold(now, told), "digest")
+	}
 }
 
 // take takes what a machine said in an answer to a request that was sent at a time.
-func (m *machineLimits) take(machine string, limit ratelimit.Limit, sent time.Duration) {
+// It reports whether that is news.
+func (m *machineLimits) take(machine string, limit ratelimit.Limit, sent time.Duration) (isNews bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.note(m.limits.Take(machine, ratelimit.Statement{Limit: limit, Sent: sent, Heard: m.options.Now()}), "answer")
+	change := m.limits.Take(machine, ratelimit.Statement{Limit: limit, Sent: sent, Heard: m.options.Now()})
+	m.note(change, "answer")
+	return change.IsNews()
 }
 
 // retain forgets the machines that are gone.
@@ -33,7 +67,14 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.limits.Retain(isListed)
-	m.options.Metrics.limited.Set(float64(len(m.limits.Set())))
+	m.publish()
+}
+
+// publish tells of the limits in force; the mutex must be held.
+func (m *machineLimits) publish() {
+	set := m.limits.Set()
+	m.options.Metrics.limited.Set(float64(len(set)))
+	m.onChange(set)
 }
 
 // note tells of a change; the mutex must be held.
@@ -41,7 +82,7 @@
 	if !change.IsNews() {
 		return
 	}
-	m.options.Metrics.limited.Set(float64(len(m.limits.Set())))
+	m.publish()
 	m.options.Logger.Info("machine_limit", "machine", change.Machine, "limited", change.After.IsSet, "per_second", change.After.PerSecond,
 		"was_limited", change.Before.IsSet, "per_second_before", change.Before.PerSecond, "by", by)
 }
@@ -57,5 +98,7 @@
 		j.ingress.options.Metrics.invalidLimits.Inc()
 		j.log("invalid_limit", "machine", grant.Target.Machine, "error", fault.Message(verdict.LimitError))
 	}
-	j.ingress.limits.take(grant.Target.Machine, verdict.Limit, j.written)
+	if j.ingress.permits.limits.take(grant.Target.Machine, verdict.Limit, j.written) {
+		j.ingress.options.Nudge() // The other routers are to hear of it by way of the leader.
+	}
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -59,7 +59,7 @@
 		}, []string{"verdict"}),
 		drained: drainlog.NewGauge(registry, "weldline_ingress_zone_drained"),
 		permits: factory.NewCounterVec(prometheus.CounterOpts{
-			Name: "weldline_ingress_permits_total", Help: "Permits asked for sends to machines that warm up, by what came of them.",
+			Name: "weldline_ingress_permits_total", Help: "Permits asked for sends to machines that warm up or name a limit, by what came of them.",
 		}, []string{"outcome"}),
 		withheld: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_withheld_total", Help: "Places that were given back since the request may not be served there any more.",
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -118,7 +118,7 @@
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
 		Unreachable: r.ingress.Unreachable(now),
 		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
-		Answers: r.answers.Messages(r.ingress.Answers()),
-		Level:   uint32(level.Supported), Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
+		Answers: r.answers.Messages(r.ingress.Answers()), Limits: r.ingress.MachineLimits(),
+		Level: uint32(level.Supported), Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
 	}
 }
