--- a/internal/permits/permits.go
+++ b/internal/permits/permits.go
@@ -46,7 +46,7 @@
 func (p *Permits) Take(now time.Duration, machine string, pace Pace) Decision {
 	p.sweep(now)
 	if pace.Rate <= 0 {
-		return Decision{RetryAfter: pace.LongestRetry}
+		return Decision{RetryAfter: LongestRetry}
 	}
 	held := p.bucket(machine)
 	held.pace = pace
@@ -57,7 +57,7 @@
 	}
 	oneToken := time.Duration(float64(time.Second) / pace.Rate)
 	next := now + time.Duration((1-held.level)*float64(oneToken))
-	held.promised = min(max(next, held.promised+oneToken), now+pace.LongestRetry)
+	held.promised = min(max(next, held.promised+oneToken), now+LongestRetry)
 	return Decision{RetryAfter: held.promised - now}
 }
 
--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -16,7 +16,7 @@
 //	retain node=N [machines=(...)]
 //	limits: what each node takes the limit to be
 func TestLimits(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/limits", func(t *testing.T, path string) {
 		nodes := &nodes{held: map[string]*Limits{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
--- a/internal/ratelimit/statement.go
+++ b/internal/ratelimit/statement.go
@@ -6,14 +6,9 @@
 	"github.com/weldline/weldline/internal/permits"
 )
 
-const (
-	// leastPerSecond is the rate of a machine that takes nothing, or nearly nothing: without a
-	// request now and then, no answer could end its limit.
-	leastPerSecond = 0.1
-	// longestRetry bounds for how long a router leaves a machine alone that gave it no permit. A
-	// limit that ends sooner ends that, too.
-	longestRetry = 4 * time.Second
-)
+// leastPerSecond is the rate of a machine that takes nothing, or nearly nothing: without a request now
+// and then, no answer could end its limit.
+const leastPerSecond = 0.1
 
 // Limit is how many requests a second a machine takes from all routers together.
 type Limit struct {
@@ -36,7 +31,7 @@
 // 5.3 times the limit, or one request and what the limit gives.
 func (l Limit) Pace() permits.Pace {
 	rate := max(leastPerSecond, l.PerSecond)
-	return permits.Pace{Rate: rate, Burst: max(1, rate), LongestRetry: longestRetry}
+	return permits.Pace{Rate: rate, Burst: max(1, rate)}
 }
 
 // isStricter reports whether a limit lets fewer requests through than another.
--- a/internal/warming/bound.go
+++ b/internal/warming/bound.go
@@ -12,9 +12,6 @@
 	// margin is the share of the bound that is left unused: a request that has been checked may
 	// reach the wire a moment after its permit ended, and clocks don't run alike.
 	margin = 0.05
-	// longestRetry bounds for how long a router is told to leave a machine alone: it may have
-	// become warm by then.
-	longestRetry = 500 * time.Millisecond
 )
 
 // Bound is by how much all routers together may exceed what a pool declares that a machine
@@ -39,7 +36,7 @@
 	span := (window + permits.Lifetime).Seconds()
 	rate := min(perSecond, (allowed-1)/span)
 	if rate <= 0 {
-		return permits.Pace{LongestRetry: longestRetry}
+		return permits.Pace{}
 	}
-	return permits.Pace{Rate: rate, Burst: max(1, min(perSecond, allowed-rate*span)), LongestRetry: longestRetry}
+	return permits.Pace{Rate: rate, Burst: max(1, min(perSecond, allowed-rate*span))}
 }
