Refuse at once what limits leave no room for while it would wait

A request whose machines all name a limit waited for nearly half of its time, however many waited before it, and was refused then. Now it is refused when it comes, with the time after which those before it are through, if even all that these machines take went to this router and left no room for it; one for which a replica elsewhere may be ready in time waits. The table limited shows it: at 1 a second, four requests for 2 s, the fourth is refused, to come back in 3 s.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/weldline/weldline/internal/ratelimit"
 )
 
 // dispatchTable drives a Core by hand. Requests are numbered; their properties
@@ -104,6 +106,12 @@
 		d.report(out, d.core.SetEstimates(d.now, map[string]*Estimate{name: estimate}))
 	case "warming":
 		d.core.SetWarming(map[string]bool{name: true})
+	case "limited":
+		limited := map[string]ratelimit.Limit{}
+		if values["limit"] != "" {
+			limited[name] = ratelimit.Of(number("limit"))
+		}
+		d.core.SetLimited(limited)
 	case "hold-warming":
 		d.core.HoldPaced(seconds("until"))
 	case "hold":
--- /dev/null
+++ b/internal/dispatch/limited.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import "time"
+
+// longestComeBack bounds after which time a caller is asked back whom limits left no room: a limit may
+// have ended by then, or another machine serve.
+const longestComeBack = 10 * time.Second
+
+// refuseBeyondLimits refuses a request that the limits of all machines which could take it leave no room
+// for while it waits, even if this router alone got all that they take: its caller learns it now. One for
+// which a replica elsewhere may be ready in time waits for that.
+func (c *Core) refuseBeyondLimits(now time.Time, version *versionState, request *Request) (Refusal, bool) {
+	perSecond, isLimited := c.limitOf(version, request)
+	until := request.waitsUntil()
+	if !isLimited || version.mayBeReadyElsewhere(until) {
+		return Refusal{}, false
+	}
+	ahead := float64(version.queue.before(request))
+	if most := max(1, perSecond) + perSecond*until.Sub(now).Seconds(); ahead < most {
+		return Refusal{}, false
+	}
+	comeBack := longestComeBack
+	if perSecond > 0 {
+		comeBack = min(comeBack, time.Duration(ahead/perSecond*float64(time.Second)))
+	}
+	return Refusal{Request: request, Reason: RefusedLimited, Detail: detailsOfPaced[RefusedLimited], RetryAfter: comeBack}, true
+}
+
+// limitOf adds up what the machines that could take a request take a second; isLimited is false where
+// one of them names no limit, or there is none.
+func (c *Core) limitOf(version *versionState, request *Request) (perSecond float64, isLimited bool) {
+	for _, candidate := range version.targets {
+		if c.isExcluded(candidate, request) {
+			continue
+		}
+		limit := c.limited[candidate.Machine]
+		if !limit.IsSet {
+			return 0, false
+		}
+		perSecond, isLimited = perSecond+limit.PerSecond, true
+	}
+	return perSecond, isLimited
+}
+
+// waitsUntil is until when a request waits for a place.
+func (r *Request) waitsUntil() time.Time {
+	if r.Patience.IsZero() || r.Deadline.Before(r.Patience) {
+		return r.Deadline
+	}
+	return r.Patience
+}
+
+// mayBeReadyElsewhere reports whether a further replica may be ready by a time.
+func (v *versionState) mayBeReadyElsewhere(by time.Time) bool {
+	return v.estimate != nil && !v.estimate.Refused && !v.estimate.EarliestAt.After(by)
+}
+
+// before counts the requests that are served before another.
+func (q *queue) before(request *Request) int {
+	count := 0
+	for _, entry := range q.waiting {
+		if servedBefore(entry.request, request) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -11,6 +11,9 @@
 	if version.isDrainedOnly(request) {
 		return c.refuseDrained(now, version, request)
 	}
+	if refusal, refused := c.refuseBeyondLimits(now, version, request); refused {
+		return refusal, true
+	}
 	estimate := version.estimate
 	if estimate == nil || version.hasReady(request) {
 		return Refusal{}, false
