Let placement count a limited machine as what it takes

Requests beyond a machine's limit have to be served somewhere. Placement took a machine that names a limit for a whole one, as it knew of warming ones only. Now the same count of replicas that are missing has both; a limit is taken to last longer than any load, since nothing tells when it ends. TestDigestTellsOfLimits.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -161,6 +161,7 @@
 func (c *Controller) placementInput(view *clusterView, wall time.Time) *placement.Input {
 	input := view.placementInput(wall)
 	c.addWarming(view.now, input.Machines)
+	c.addLimits(input.Machines)
 	return input
 }
 
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,52 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/instances"
+	"github.com/weldline/weldline/internal/ratelimit"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// TestDigestTellsOfLimits: at once where one has changed; and placement hears of them, of the lower rate
+// where the machine warms up besides.
+func TestDigestTellsOfLimits(t *testing.T) {
+	stored := fleetState(t)
+	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
+		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
+		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
+	})
+	leader := New(0, Config{}, NewReportTable())
+	leader.Observe(stored)
+	now := time.Minute
+	for _, test := range []struct {
+		limit ratelimit.Limit
+		warms time.Duration
+		rate  float64
+	}{
+		{ratelimit.Of(2), 0, 2},
+		{ratelimit.Of(7), 0, 7},
+		{ratelimit.Of(7), time.Second, 5},
+		{ratelimit.Of(0), time.Second, 0},
+		{ratelimit.None, 0, 0},
+	} {
+		now += urgentDigestInterval
+		leader.SetLimits([]ratelimit.Told{{Machine: "m", Limit: test.limit}})
+		report := &wirepb.InstanceReport{Machine: "m", WarmingMs: uint32(test.warms.Milliseconds())}
+		leader.ObserveWarming(now, map[string]instances.Entry{"m": {Received: now, Report: report}})
+		digest := leader.Digest(now, 1)
+		if digest == nil {
+			t.Fatalf("%+v is not told at once", test.limit)
+		}
+		limits := digest.GetLimits()
+		if len(limits) != 1 || limits[0].GetLimited() != test.limit.IsSet || limits[0].GetPerSecond() != test.limit.PerSecond {
+			t.Errorf("of %+v the digest tells %v", test.limit, limits)
+		}
+		machine := leader.placementInput(leader.view(now), time.Unix(60, 0)).Machines["m"]
+		if machine.ReducedRate != test.rate || (machine.ReducedFor == openEnd) != test.limit.IsSet {
+			t.Errorf("of %+v placement is told %s at %g a second", test.limit, machine.ReducedFor, machine.ReducedRate)
+		}
+	}
+}
--- a/internal/controller/warming.go
+++ b/internal/controller/warming.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		if declared := c.stored.warmingOf(machine.Pool); declared != nil {
-			machine.Warming, machine.WarmingRate = remaining, declared.RequestsPerSecond
+			machine.ReducedFor, machine.ReducedRate = remaining, declared.RequestsPerSecond
 		}
 	}
 }
--- a/internal/controller/warming_test.go
+++ b/internal/controller/warming_test.go
@@ -88,7 +88,7 @@
 	entries := map[string]instances.Entry{"m": {Received: now, Report: &wirepb.InstanceReport{Machine: "m", WarmingMs: 3000}}}
 	leader.ObserveWarming(now, entries)
 	input := leader.placementInput(leader.view(now+time.Second), time.Unix(60, 0))
-	if machine := input.Machines["m"]; machine.Warming != 2*time.Second || machine.WarmingRate != 5 {
-		t.Errorf("placement is told %s at %.1f a second", machine.Warming, machine.WarmingRate)
+	if machine := input.Machines["m"]; machine.ReducedFor != 2*time.Second || machine.ReducedRate != 5 {
+		t.Errorf("placement is told %s at %.1f a second", machine.ReducedFor, machine.ReducedRate)
 	}
 }
--- a/internal/placement/warming_test.go
+++ b/internal/placement/reduced_test.go
@@ -24,7 +24,7 @@
 		poolReplica(input, "v0", "m1")
 		input.Replicas = append(input.Replicas[:3], input.Replicas[4:]...)
 		for _, machine := range []string{"m0", "m1"} {
-			input.Machines[machine].Warming, input.Machines[machine].WarmingRate = test.warming, test.borne
+			input.Machines[machine].ReducedFor, input.Machines[machine].ReducedRate = test.warming, test.borne
 		}
 		planner := newPoolPlanner()
 		planner.Decide(input)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -74,10 +74,10 @@
 	Fence uint64
 	// Pool is what the machine registered for; empty if it did not register.
 	Pool string
-	// Warming is for how much longer the machine warms up, and WarmingRate how many requests a
-	// second it bears until then.
-	Warming     time.Duration
-	WarmingRate float64
+	// ReducedFor is for how much longer the machine bears less than usual, as it warms up or names
+	// a limit, and ReducedRate how many requests a second it bears until then.
+	ReducedFor  time.Duration
+	ReducedRate float64
 }
 
 // Replica is a decided replica with what its engine reports of it.
--- a/internal/placement/worth.go
+++ b/internal/placement/worth.go
@@ -40,7 +40,7 @@
 	if slots := float64(version.Spec.MaxConcurrent) * share; slots > 0 {
 		bySlots = int(math.Ceil(p.planner.work.inUse[version.Name] / slots))
 	}
-	return max(bySlots, p.spreadOver(version)) + p.lostToWarming(version)
+	return max(bySlots, p.spreadOver(version)) + p.lostToReduced(version)
 }
 
 // ready counts the replicas of a version that take requests.
