--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -47,6 +47,7 @@
 	{"configuration", oldReads},
 	{"zone-drains", arrivalsInDrainedZones},
 	{"warming-machines", floodedMachines},
+	{"machine-limits", overrunLimits},
 	{"regions", forbiddenRegions},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
 	{"recovery", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Unserved }},
@@ -281,6 +282,39 @@
 	return found
 }
 
+const (
+	// limitWindow is the span in which the requests to a machine that names a limit are counted.
+	limitWindow = 4 * time.Second
+	// limitFactor and limitSlack are by how much routers may exceed what it takes in that span.
+	limitFactor, limitSlack = 1.5, 5
+)
+
+// overrunLimits looks at every span of limitWindow that begins with an arrival at a machine that names a
+// limit. Requests of routers that may not know of it are left out.
+func overrunLimits(history *History, bounds Bounds, disturbances []Disturbance) []string {
+	arrivals := map[string][]Arrival{}
+	for _, arrival := range history.Arrivals {
+		if arrival.Limit > 0 && !bounds.mayNotKnow(disturbances, history.Requests[arrival.Request].Router, arrival.At) {
+			arrivals[arrival.Machine] = append(arrivals[arrival.Machine], arrival)
+		}
+	}
+	var found []string
+	for machine, arrived := range sortedGroups(arrivals) {
+		slices.SortFunc(arrived, func(left, right Arrival) int { return cmp.Compare(left.At, right.At) })
+		first := 0
+		for last, each := range arrived {
+			for each.At-arrived[first].At >= limitWindow {
+				first++
+			}
+			if count := last - first + 1; float64(count) > limitFactor*each.Limit*limitWindow.Seconds()+limitSlack {
+				found = append(found, fmt.Sprintf("%s got %d requests in the %s before %s, and takes %g a second", machine, count, limitWindow, each.At, each.Limit))
+				break
+			}
+		}
+	}
+	return found
+}
+
 func forbiddenRegions(history *History, _ Bounds, _ []Disturbance) []string {
 	var found []string
 	for _, arrival := range history.Arrivals {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -67,6 +67,11 @@
 				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m1", At: at * time.Millisecond, Warming: true})
 			}
 		},
+		"machine-limits": func(h *History) {
+			for at := range 12 {
+				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m3", At: time.Duration(at) * 360 * time.Millisecond, Limit: 1})
+			}
+		},
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -56,6 +56,9 @@
 	At      time.Duration
 	// Warming is set where the machine warmed up at that time.
 	Warming bool
+	// Limit is how many requests a second the machine had named that it takes, long enough before for
+	// all routers in touch to know; 0 for none.
+	Limit float64
 }
 
 // Place is where a machine stands.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -55,6 +56,8 @@
 	FaultLoseDisk FaultKind = "lose-disk"
 	// FaultBurst lets many more callers come for a while.
 	FaultBurst FaultKind = "burst"
+	// FaultLimitMachine makes a machine name a limit in its answers for a while.
+	FaultLimitMachine FaultKind = "limit-machine"
 )
 
 // Layout is what there is to be disturbed.
@@ -137,6 +140,29 @@
 	FaultCutZone, FaultRollControl, FaultRollRouters, FaultLoseDisk, FaultBurst,
 }
 
+// limitTime is for how long a machine names a limit: a few of the windows in which its requests are
+// counted. The first one comes within limitPause.
+const (
+	limitTime  = 9 * time.Second
+	limitPause = 4 * time.Second
+)
+
+// NewPlanWithLimits is NewPlan with machines that name limits besides, one at a time. They have random
+// numbers of their own, so that the other faults of a seed are what they are without them.
+func NewPlanWithLimits(seed uint64, layout Layout, span time.Duration) []Fault {
+	plan := NewPlan(seed, layout, span)
+	random := rand.New(rand.NewPCG(seed, 1))
+	for at := calmStart; ; at += limitTime {
+		at += time.Duration(random.Int64N(int64(limitPause)))
+		if at+limitTime+restartTime > span {
+			break
+		}
+		plan = append(plan, Fault{Kind: FaultLimitMachine, At: at, For: limitTime, Machine: random.IntN(layout.Machines)})
+	}
+	slices.SortStableFunc(plan, func(left, right Fault) int { return cmp.Compare(left.At, right.At) })
+	return plan
+}
+
 // NewPlan draws the faults of a soak; all are over by the end of the span.
 func NewPlan(seed uint64, layout Layout, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -208,7 +234,7 @@
 func (f Fault) disturbances(layout Layout) []Disturbance {
 	span := Disturbance{From: f.At, Till: f.At + f.For, Node: f.Node, Control: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
-	case FaultCoolMachine, FaultBurst:
+	case FaultCoolMachine, FaultLimitMachine, FaultBurst:
 		return nil
 	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
 		span.Till += restartTime
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -70,3 +70,31 @@
 		t.Errorf("%+v", spans)
 	}
 }
+
+// TestPlanWithLimits: the other faults of a seed are what they are without limits, and limits are over in
+// time, one after the other.
+func TestPlanWithLimits(t *testing.T) {
+	layout := Layout{Control: []string{"c1", "c2", "c3"}, Routers: []string{"r1"}, Zones: [][]string{{"c1", "c3"}, {"c2"}}, Machines: 4}
+	const span = 30 * time.Second
+	for seed := range uint64(50) {
+		var others, limits []Fault
+		for _, each := range NewPlanWithLimits(seed, layout, span) {
+			if each.Kind == FaultLimitMachine {
+				limits = append(limits, each)
+			} else {
+				others = append(others, each)
+			}
+		}
+		if !reflect.DeepEqual(others, NewPlan(seed, layout, span)) {
+			t.Fatalf("seed %d has other faults", seed)
+		}
+		for position, each := range limits {
+			if each.At+each.For > span || position > 0 && each.At < limits[position-1].At+limits[position-1].For {
+				t.Errorf("seed %d: %s", seed, each)
+			}
+		}
+		if len(limits) == 0 {
+			t.Errorf("seed %d has no limit", seed)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,6 +15,8 @@
 	Crash(machine int)
 	// Cool makes a machine warm up again.
 	Cool(machine int)
+	// Limit makes a machine name a limit, and returns what ends that.
+	Limit(machine int) (end func())
 	// Proxy stands before the machine that is there at present; nil while none is.
 	Proxy(machine int) *Proxy
 }
@@ -103,6 +105,8 @@
 		i.Machines.Crash(each.Machine)
 	case FaultCoolMachine:
 		i.Machines.Cool(each.Machine)
+	case FaultLimitMachine:
+		return i.Machines.Limit(each.Machine)
 	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
 		return strikeIfThere(each.Kind, i.Machines.Proxy(each.Machine))
 	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -19,6 +19,8 @@
 
 func (s *surroundings) Cool(int) {}
 
+func (s *surroundings) Limit(int) func() { return func() {} }
+
 func (s *surroundings) Proxy(int) *Proxy { return s.machine }
 
 func (s *surroundings) Burst(context.Context, time.Duration) {}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A soak: real nodes as processes of their own, callers, operators and machines before them, and
 # faults from outside. The last line of standard output is one JSON object; the exit code is 1
-# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES and MODELS change it; KEEP_RUN=1
+# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES, MODELS and LIMITS=0 change it; KEEP_RUN=1
 # keeps the folder with the logs, and so does a promise that was broken.
 #
 # Each node is started here again after it has ended. Only processes that were started here are
@@ -13,6 +13,8 @@
 run=$(mktemp -d "${TMPDIR:-/tmp}/weldline-soak.XXXXXX")
 control=${CONTROL:-4}
 routers=${ROUTERS:-3}
+limits=--limits
+if [ "${LIMITS:-1}" = 0 ]; then limits=--no-limits; fi
 declare -a supervisors=()
 
 say() { echo "soak: $*" >&2; }
@@ -45,7 +47,7 @@
 
 touch "$run/keep-running"
 "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control" --routers "$routers" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" 2>"$run/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" "$limits" 2>"$run/soak.log" &
 soak=$!
 for _ in $(seq 1 200); do
   if [ -e "$run/ready" ]; then break; fi
