Keep a share of the connections that a machine takes

A pool declares how many connections its machines take; no router read it, each kept up to eight at rest. From 46 routers on that is more than the 360 that a machine takes (74 routers: 592), which resets what comes beyond. Now a router keeps its share of what those in use leave, one at least: 3 of 360 at 74 routers, 8 at 7 as before.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,7 +27,6 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleTimeout     = 8 * time.Second
 	retainInterval  = 2 * time.Second
-	defaultMaxIdle  = 8
 	defaultBodySize = 4 << 20
 	// assumedRouters is how many routers are taken to share the bounds before
 	// the leader has said so.
@@ -104,7 +103,7 @@
 	if options.Now == nil {
 		options.Now = clock.Now
 	}
-	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: defaultMaxIdle, IdleTimeout: idleTimeout})
+	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout})
 	routing := dispatcher.New(config, options.Nudge)
 	return &Ingress{
 		ending: ending, end: end, quotas: newQuotas(options.Quota, options.Sharing),
@@ -268,7 +267,11 @@
 }
 
 func (i *Ingress) routers() int {
-	if routers := i.options.View.Digest().GetRouters(); routers > 0 {
+	return routersOf(i.options.View)
+}
+
+func routersOf(view *nodeview.View) int {
+	if routers := view.Digest().GetRouters(); routers > 0 {
 		return int(routers)
 	}
 	return assumedRouters
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,8 +29,8 @@
 	// DialTimeout is the longest that a connection may take to come about. Once
 	// connections have come about, a new one gets as long as they make likely.
 	DialTimeout time.Duration
-	// MaxIdle is how many connections to a machine are kept for later.
-	MaxIdle int
+	// MaxIdle returns how many connections to a machine are kept for later.
+	MaxIdle func(machine string) int
 	// IdleTimeout is how long one is kept, unless the machine says less.
 	IdleTimeout time.Duration
 }
@@ -134,9 +134,10 @@
 	}
 	returned.until = time.Now().Add(lifetime)
 	returned.reused = true
+	most := p.config.MaxIdle(returned.machine)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle[returned.machine]) >= p.config.MaxIdle {
+	if len(p.idle[returned.machine]) >= most {
 		_ = returned.network.Close()
 		return
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -26,11 +26,14 @@
 	return listener.Addr().String()
 }
 
+// atMost keeps so many connections to every machine.
+func atMost(most int) func(string) int { return func(string) int { return most } }
+
 // TestKeptConnectionsLeadToTheAddress: a machine that came back at another address under its name
 // must not have its requests given to the process before, which may still be there.
 func TestKeptConnectionsLeadToTheAddress(t *testing.T) {
 	const machine = "machine-1"
-	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: 1, IdleTimeout: time.Hour})
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: atMost(1), IdleTimeout: time.Hour})
 	before, after := listen(t), listen(t)
 	if err := pool.Open(t.Context(), machine, before); err != nil {
 		t.Fatal(err)
@@ -49,3 +52,21 @@
 	}
 	_ = moved.network.Close()
 }
+
+// TestConnectionsBeyondTheShareAreClosed: what is kept of a machine is bounded for that machine.
+func TestConnectionsBeyondTheShareAreClosed(t *testing.T) {
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, IdleTimeout: time.Hour, MaxIdle: func(machine string) int {
+		return map[string]int{"one": 1, "two": 2}[machine]
+	}})
+	address := listen(t)
+	for _, machine := range []string{"one", "two"} {
+		for range 3 {
+			if err := pool.Open(t.Context(), machine, address); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if one, two := len(pool.idle["one"]), len(pool.idle["two"]); one != 1 || two != 2 {
+		t.Errorf("%d and %d connections are kept", one, two)
+	}
+}
