--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -315,7 +315,7 @@
 }
 
 // heldBack tells how often the request was not sent since there was no permit for a machine that
-// warms up, and of the machines.
+// warms up or names a limit, and of the machines.
 func (s *subject) heldBack() string {
 	times := 0
 	var machines []string
@@ -331,7 +331,7 @@
 	if times == 0 {
 		return ""
 	}
-	return fmt.Sprintf("; held back %d times, as machines warm up: %s", times, strings.Join(machines, ", "))
+	return fmt.Sprintf("; held back %d times, as machines warm up or name a limit: %s", times, strings.Join(machines, ", "))
 }
 
 // orderOf tells of an order: what, when by the request's start, and its outcome.
