--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,11 @@
 	IdleTimeout time.Duration
 }
 
+// KeepAtMost keeps so many connections to every machine.
+func KeepAtMost(most int) func(machine string) int {
+	return func(string) int { return most }
+}
+
 // Pool holds the connections to all machines. It is safe for concurrent use.
 type Pool struct {
 	config Config
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -26,14 +26,11 @@
 	return listener.Addr().String()
 }
 
-// atMost keeps so many connections to every machine.
-func atMost(most int) func(string) int { return func(string) int { return most } }
-
 // TestKeptConnectionsLeadToTheAddress: a machine that came back at another address under its name
 // must not have its requests given to the process before, which may still be there.
 func TestKeptConnectionsLeadToTheAddress(t *testing.T) {
 	const machine = "machine-1"
-	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: atMost(1), IdleTimeout: time.Hour})
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: KeepAtMost(1), IdleTimeout: time.Hour})
 	before, after := listen(t), listen(t)
 	if err := pool.Open(t.Context(), machine, before); err != nil {
 		t.Fatal(err)
