Let a client that stood still read what its server sent before it leaves it

Traced: TestClientsMoveToTheirFirstChoice failed once beside heavy load, "the client follows a server that hears from no leader". The client looked whether the limit for the next digest had passed before it read what had come meanwhile, left a server that brings news, and took the next one, which may be cut off: so does a router after each freeze or stall. Callers saw at worst a router that is a second behind.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -166,7 +166,7 @@
 // watchLiveness drops a connection whose server is cut off without a word, or lacks what the
 // leader holds.
 func (c *Client) watchLiveness(conn *wire.Conn) {
-	ticker := time.NewTicker(firstLimit / 4)
+	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -185,7 +185,7 @@
 func (c *Client) noteLoss() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	reason, lost := c.liveness.Lost(time.Now())
+	reason, lost := c.liveness.Look(time.Now())
 	if lost {
 		c.liveness.reason = reason
 	}
--- a/internal/feed/liveness.go
+++ b/internal/feed/liveness.go
@@ -17,6 +17,10 @@
 	// force within 2 s: a digest tells of it after 0.5 s at most, and a new connection with what
 	// was missed takes about 0.1 s.
 	behindLimit = 700 * time.Millisecond
+	// lookInterval is how often a client looks whether its server should be left, and stallLimit
+	// between two looks tells that the client itself stood still.
+	lookInterval = firstLimit / 4
+	stallLimit   = 2 * lookInterval
 )
 
 // LossReason is why a client follows a server no more; empty while it follows one.
@@ -50,6 +54,8 @@
 	missingSince time.Time
 	// limit is in force until due.
 	due time.Time
+	// looked is when Look was called last.
+	looked time.Time
 	// applying is set while the client takes over a state and reads nothing.
 	applying bool
 	// reason is why the present server is left, or was.
@@ -60,7 +66,7 @@
 func (l *Liveness) Connected(now time.Time) {
 	l.due = now.Add(firstLimit)
 	l.reason = LostClosed
-	l.missingSince = now
+	l.missingSince, l.looked = now, now
 }
 
 // Take notes a digest; held is the revision applied by then.
@@ -111,6 +117,20 @@
 	l.missingSince = now
 }
 
+// Look is Lost for a client that looks every lookInterval. One that stood still meanwhile has not read
+// what its server sent: it would leave a server that brings news for whichever is next, and that may be
+// one that is cut off.
+func (l *Liveness) Look(now time.Time) (reason LossReason, lost bool) {
+	if now.Sub(l.looked) > stallLimit {
+		if due := now.Add(firstLimit); due.After(l.due) {
+			l.due = due
+		}
+		l.missingSince = now
+	}
+	l.looked = now
+	return l.Lost(now)
+}
+
 // Lost reports whether another server should be tried, and why.
 func (l *Liveness) Lost(now time.Time) (reason LossReason, lost bool) {
 	switch {
--- a/internal/feed/liveness_test.go
+++ b/internal/feed/liveness_test.go
@@ -141,3 +141,40 @@
 		t.Error("lost although everything is applied")
 	}
 }
+
+// TestClientThatStoodStillReadsFirst: seen was a client that left a server which brought news for one that
+// had none, in a run beside heavy load. A stop of the whole process for 2 s brings it about each time: the
+// limit for the next digest passes while what came in time lies unread. The server then has as long as a
+// new one for its next digest, and no longer.
+func TestClientThatStoodStillReadsFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	look := func(held *Liveness, span time.Duration) bool {
+		now = now.Add(span)
+		_, lost := held.Look(now)
+		return lost
+	}
+	held := &Liveness{}
+	held.Connected(now)
+	held.Take(now, &wirepb.ClusterDigest{Term: 1, Sequence: 1, Revision: 5}, 4)
+	if look(held, 2*time.Second) {
+		t.Error("lost right after the client stood still")
+	}
+	held.Take(now, &wirepb.ClusterDigest{Term: 1, Sequence: 2, Revision: 5}, 5)
+	held.Applied(now, 5)
+	for range int(silenceLimit / lookInterval) {
+		if look(held, lookInterval) {
+			t.Fatal("lost though it brought news")
+		}
+	}
+	if !look(held, lookInterval) {
+		t.Error("not lost though it fell silent")
+	}
+	held.Connected(now)
+	look(held, 2*time.Second)
+	for range int(firstLimit / lookInterval) {
+		look(held, lookInterval)
+	}
+	if !look(held, lookInterval) {
+		t.Error("not lost though it brought nothing after the client stood still")
+	}
+}
