Hold a request back while the machines that it may have ended are looked at

A router heeded crashes only once they were found out. Now nothing is sent of a request for which known ends and machines still looked at come to as many as convict it; it is refused as not run, to come back in 150 ms. It holds since a break is noted before the caller can see it.

--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -38,6 +38,9 @@
 	// a leader changes within a second or two.
 	recordTimeout = time.Second
 	recordPause   = 100 * time.Millisecond
+	// retryAfterDoubt is when a request comes back whose machines are looked at: mostly that is
+	// known within a few round trips.
+	retryAfterDoubt = 150 * time.Millisecond
 	// maxTasks bounds what waits to be found out or recorded.
 	maxTasks = 256
 )
@@ -251,8 +254,8 @@
 	return own || w.options.View.HasSuspects()
 }
 
-// Refusal returns the answer to a request that must not run any more, which is to say "not
-// run"; nil for any other.
+// Refusal returns the answer to a request that must not run any more, or not for now, which is to say
+// "not run"; nil for any other.
 func (w *Watcher) Refusal(identityOf func() quarantine.Identity) *problem.Document {
 	if !w.suspects() {
 		return nil
@@ -261,9 +264,16 @@
 	held := w.options.View.Suspect(identity)
 	w.mutex.Lock()
 	machines, quarantined := w.watch.Crashed(identity, held)
+	doubted := w.watch.Doubted(identity, held)
 	w.mutex.Unlock()
-	if !quarantined {
+	switch {
+	case !quarantined && !doubted:
 		return nil
+	case !quarantined:
+		detail := "request " + identity.String() + " is not run until it is known what has become of the machines that broke its answers off"
+		document := problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, detail)
+		document.RetryAfter = retryAfterDoubt
+		return document
 	}
 	detail := "request " + identity.String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
 	document := problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
--- a/internal/ingress/suspect.go
+++ b/internal/ingress/suspect.go
@@ -19,7 +19,8 @@
 	return *j.content
 }
 
-// quarantined returns the answer to a request that must not run any more; nil for any other.
+// quarantined returns the answer to a request that must not run any more, or not for now; nil for any
+// other.
 func (j *job) quarantined() *problem.Document {
 	return j.ingress.crashes.Refusal(j.identity)
 }
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -194,9 +194,19 @@
 	}
 }
 
-// Suspects reports whether the router knows of crashes that its view may not hold.
+// Suspects reports whether the router knows of crashes that its view may not hold, or looks for some.
 func (w *Watch) Suspects() bool {
-	return len(w.own) > 0
+	return len(w.own) > 0 || w.isLooking()
+}
+
+// isLooking reports whether it is being found out what has become of a machine.
+func (w *Watch) isLooking() bool {
+	for _, held := range w.examined {
+		if held.verdict == VerdictNone {
+			return true
+		}
+	}
+	return false
 }
 
 // Crashed returns the machines that ended under a request, as far as this router knows, and
@@ -213,6 +223,25 @@
 	return machines, quarantined || len(machines) >= CrashesToQuarantine
 }
 
+// Doubted reports whether a request may have ended as many machines as convict it, once it is known what
+// has become of those that are looked at. It must not run meanwhile: its caller may come back sooner than
+// that, and each run may end one more machine.
+func (w *Watch) Doubted(identity Identity, held *v1.SuspectSpec) bool {
+	machines, _ := w.Crashed(identity, held)
+	count := len(machines)
+	for life, examined := range w.examined {
+		if examined.verdict == VerdictNone && !slices.Contains(machines, life) && examined.concerns(identity) {
+			count++
+		}
+	}
+	return count >= CrashesToQuarantine
+}
+
+// concerns reports whether a request's answer broke off at the machine.
+func (e *examination) concerns(identity Identity) bool {
+	return slices.ContainsFunc(e.runs, func(run Run) bool { return run.Identity == identity })
+}
+
 // Completed takes a request that a machine has run to the end: a machine that ended under it
 // ended for another reason. It returns whether its record has to be dropped.
 func (w *Watch) Completed(identity Identity, recorded bool) bool {
@@ -231,12 +260,7 @@
 
 // Settled reports whether nothing is being found out or recorded.
 func (w *Watch) Settled() bool {
-	for _, held := range w.examined {
-		if held.verdict == VerdictNone {
-			return false
-		}
-	}
-	return len(w.own) == 0 && len(w.clearing) == 0
+	return !w.isLooking() && len(w.own) == 0 && len(w.clearing) == 0
 }
 
 // RecordCommand is the command that records runs at one life of a machine.
