Tell callers of limited machines when those before them are through

A request that waited in vain for machines which all name a limit was told to come back after a second, whatever the limit. Now it is told what the pace of these machines makes likely, ten seconds at most.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -138,6 +138,10 @@
 	if reason, isPaced := c.waitsFor(now, request); isPaced {
 		refusal.Reason, refusal.Detail = reason, detailsOfPaced[reason]
 	}
+	version := c.version(request.Version)
+	if perSecond, isLimited := c.limitOf(version, request); isLimited {
+		refusal.RetryAfter = max(refusal.RetryAfter, comeBack(version.queue.before(request)+1, perSecond))
+	}
 	return refusal
 }
 
--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -15,15 +15,22 @@
 	if !isLimited || version.mayBeReadyElsewhere(until) {
 		return Refusal{}, false
 	}
-	ahead := float64(version.queue.before(request))
-	if most := max(1, perSecond) + perSecond*until.Sub(now).Seconds(); ahead < most {
+	ahead := version.queue.before(request)
+	if most := max(1, perSecond) + perSecond*until.Sub(now).Seconds(); float64(ahead) < most {
 		return Refusal{}, false
 	}
-	comeBack := longestComeBack
-	if perSecond > 0 {
-		comeBack = min(comeBack, time.Duration(ahead/perSecond*float64(time.Second)))
+	refusal := Refusal{Request: request, Reason: RefusedLimited, Detail: detailsOfPaced[RefusedLimited]}
+	refusal.RetryAfter = comeBack(ahead, perSecond)
+	return refusal, true
+}
+
+// comeBack is when a caller is asked back for whom limits leave no room before so many others are
+// through.
+func comeBack(ahead int, perSecond float64) time.Duration {
+	if float64(ahead) >= perSecond*longestComeBack.Seconds() {
+		return longestComeBack
 	}
-	return Refusal{Request: request, Reason: RefusedLimited, Detail: detailsOfPaced[RefusedLimited], RetryAfter: comeBack}, true
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
 // limitOf adds up what the machines that could take a request take a second; isLimited is false where
