--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -81,13 +81,15 @@
 	r.deliver(r.core.Submit(r.wall(), entry.request))
 }
 
-// isQuarantined reports whether a request must not be sent to any engine.
+// isQuarantined reports whether a request must not be sent to any engine, for now at least.
 func (r *routerNode) isQuarantined(sent *content) bool {
-	_, quarantined := r.crashes.Crashed(sent.identity, r.view.Suspect(sent.identity))
-	if quarantined && !sent.culprit {
+	held := r.view.Suspect(sent.identity)
+	_, quarantined := r.crashes.Crashed(sent.identity, held)
+	refused := quarantined || r.crashes.Doubted(sent.identity, held)
+	if refused && !sent.culprit {
 		r.world.checks.innocentsRefused++
 	}
-	return quarantined
+	return refused
 }
 
 func (r *routerNode) requestID() string {
