Replace a former build node by node in the soak

Two builds side by side were tried by recorded frames and logs only. With FORMER_BIN the soak's nodes begin as a former build, are replaced one after the other in any order, half of them back, and then all, under the other faults; what is judged stays.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -56,6 +56,10 @@
 	FaultLoseDisk FaultKind = "lose-disk"
 	// FaultBurst lets many more callers come for a while.
 	FaultBurst FaultKind = "burst"
+	// FaultUpgrade stops a process, which comes back as the present build, and FaultDowngrade as the
+	// former one.
+	FaultUpgrade   FaultKind = "upgrade"
+	FaultDowngrade FaultKind = "downgrade"
 	// FaultLimitMachine makes a machine name a limit in its answers for a while.
 	FaultLimitMachine FaultKind = "limit-machine"
 )
@@ -150,19 +154,49 @@
 // NewPlanWithLimits is NewPlan with machines that name limits besides, one at a time. They have random
 // numbers of their own, so that the other faults of a seed are what they are without them.
 func NewPlanWithLimits(seed uint64, layout Layout, span time.Duration) []Fault {
-	plan := NewPlan(seed, layout, span)
+	var limits []Fault
 	random := rand.New(rand.NewPCG(seed, 1))
 	for at := calmStart; ; at += limitTime {
 		at += time.Duration(random.Int64N(int64(limitPause)))
 		if at+limitTime+restartTime > span {
 			break
 		}
-		plan = append(plan, Fault{Kind: FaultLimitMachine, At: at, For: limitTime, Machine: random.IntN(layout.Machines)})
+		limits = append(limits, Fault{Kind: FaultLimitMachine, At: at, For: limitTime, Machine: random.IntN(layout.Machines)})
+	}
+	return Together(NewPlan(seed, layout, span), limits)
+}
+
+// Rollout draws the replacement of a former build by the present one, node by node in any order: all but
+// one, half of these back, and then all. While one node is of the former build every other may go back.
+func Rollout(seed uint64, layout Layout, span time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	nodes := slices.Concat(layout.Control, layout.Routers)
+	random.Shuffle(len(nodes), func(left, right int) { nodes[left], nodes[right] = nodes[right], nodes[left] })
+	back := nodes[:(len(nodes)-1)/2]
+	var plan []Fault
+	add := func(kind FaultKind, nodes []string) {
+		for _, node := range nodes {
+			plan = append(plan, Fault{Kind: kind, Node: node})
+		}
+	}
+	add(FaultUpgrade, nodes[:len(nodes)-1])
+	add(FaultDowngrade, back)
+	add(FaultUpgrade, nodes[len(nodes)-1:])
+	add(FaultUpgrade, back)
+	pause := (span - calmStart - stopTime) / time.Duration(len(plan))
+	for position := range plan {
+		plan[position].At = calmStart + pause*time.Duration(position)
 	}
-	slices.SortStableFunc(plan, func(left, right Fault) int { return cmp.Compare(left.At, right.At) })
 	return plan
 }
 
+// Together are the faults of several plans in the order of their times.
+func Together(plans ...[]Fault) []Fault {
+	all := slices.Concat(plans...)
+	slices.SortStableFunc(all, func(left, right Fault) int { return cmp.Compare(left.At, right.At) })
+	return all
+}
+
 // NewPlan draws the faults of a soak; all are over by the end of the span.
 func NewPlan(seed uint64, layout Layout, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -253,7 +287,7 @@
 		return ofEach(rolled(span), layout.Control)
 	case FaultRollRouters:
 		return rollOf(span, layout.Routers)
-	case FaultStop:
+	case FaultStop, FaultUpgrade, FaultDowngrade:
 		span.Till += stopTime
 	case FaultKill:
 		span.Till += restartTime
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -98,3 +98,29 @@
 		}
 	}
 }
+
+// TestRollout: every node is replaced in the end, some go back before, and never while all are of the present
+// build.
+func TestRollout(t *testing.T) {
+	layout := Layout{Control: []string{"c1", "c2", "c3", "c4"}, Routers: []string{"r1", "r2", "r3"}}
+	const span = time.Minute
+	for seed := range uint64(50) {
+		present, downgraded := map[string]bool{}, 0
+		for _, each := range Rollout(seed, layout, span) {
+			switch {
+			case each.At < calmStart || each.At+stopTime > span:
+				t.Fatalf("seed %d: %s is not within the span", seed, each)
+			case each.Kind == FaultUpgrade:
+				present[each.Node] = true
+			case len(present) == len(layout.Control)+len(layout.Routers):
+				t.Fatalf("seed %d: %s, when none is left of the former build", seed, each)
+			default:
+				delete(present, each.Node)
+				downgraded++
+			}
+		}
+		if len(present) != 7 || downgraded != 3 {
+			t.Errorf("seed %d: %d nodes are replaced, %d went back", seed, len(present), downgraded)
+		}
+	}
+}
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -26,6 +26,22 @@
 	return nil
 }
 
+// SetBuild makes a node run the former build, or the present one, when it is started next: whoever
+// starts it looks for this mark.
+func (p Processes) SetBuild(node string, isFormer bool) error {
+	mark := filepath.Join(p.Folder, "former-"+node)
+	if !isFormer {
+		if err := os.Remove(mark); err != nil && !os.IsNotExist(err) {
+			return fault.Storage.Wrap(err, "giving %s the present build", node)
+		}
+		return nil
+	}
+	if err := os.WriteFile(mark, nil, 0o644); err != nil {
+		return fault.Storage.Wrap(err, "giving %s the former build", node)
+	}
+	return nil
+}
+
 // Signal sends a signal to the process of a node, if it runs at present.
 func (p Processes) Signal(node string, signal syscall.Signal) error {
 	content, err := os.ReadFile(filepath.Join(p.Folder, node))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -90,6 +90,8 @@
 		i.signal(each.Node, syscall.SIGKILL)
 	case FaultStop:
 		i.signal(each.Node, syscall.SIGTERM)
+	case FaultUpgrade, FaultDowngrade:
+		i.replaceBuild(each.Node, each.Kind == FaultDowngrade)
 	case FaultKillAll:
 		for _, node := range i.Layout.Control {
 			i.signal(node, syscall.SIGKILL)
@@ -129,6 +131,15 @@
 	i.signal(node, syscall.SIGKILL)
 }
 
+// replaceBuild stops a node, which comes back as another build.
+func (i *Injector) replaceBuild(node string, isFormer bool) {
+	if err := i.Processes.SetBuild(node, isFormer); err != nil {
+		i.Tell("no effect: " + fault.Message(err))
+		return
+	}
+	i.signal(node, syscall.SIGTERM)
+}
+
 // cutOffZone cuts off the control nodes of a zone, and returns what heals that.
 func (i *Injector) cutOffZone(zone int) func() {
 	var heals []func()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -107,3 +107,17 @@
 		t.Error(err)
 	}
 }
+
+// TestBuildOfANode: the mark is there while the node is to run the former build.
+func TestBuildOfANode(t *testing.T) {
+	processes := Processes{Folder: t.TempDir()}
+	mark := filepath.Join(processes.Folder, "former-c1")
+	for _, isFormer := range []bool{false, true, true, false} {
+		if err := processes.SetBuild("c1", isFormer); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := os.Stat(mark); (err == nil) != isFormer {
+			t.Errorf("former %v: %v", isFormer, err)
+		}
+	}
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,6 +4,9 @@
 # where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES, MODELS and LIMITS=0 change it; KEEP_RUN=1
 # keeps the folder with the logs, and so does a promise that was broken.
 #
+# FORMER_BIN names a folder with the weldnode of a former build: the nodes begin with that, and are
+# replaced one after the other, some of them back and forth.
+#
 # Each node is started here again after it has ended. Only processes that were started here are
 # signalled, by the ids in the run's folder.
 set -euo pipefail
@@ -15,6 +18,8 @@
 routers=${ROUTERS:-3}
 limits=--limits
 if [ "${LIMITS:-1}" = 0 ]; then limits=--no-limits; fi
+former=--no-former
+if [ -n "${FORMER_BIN:-}" ]; then former=--former; fi
 declare -a supervisors=()
 
 say() { echo "soak: $*" >&2; }
@@ -25,7 +30,9 @@
       mv "$run/data-$1" "$run/lost-$1"
       rm -f "$run/lose-$1"
     fi
-    WELDLINE_BOOT="$run/$1.yaml" "$bin/weldnode" >>"$run/$1.log" 2>&1 &
+    build=$bin
+    if [ -e "$run/former-$1" ]; then build=$FORMER_BIN; fi
+    WELDLINE_BOOT="$run/$1.yaml" "$build/weldnode" >>"$run/$1.log" 2>&1 &
     echo $! >"$run/$1"
     wait $! || true
     sleep 0.3
@@ -47,7 +54,7 @@
 
 touch "$run/keep-running"
 "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control" --routers "$routers" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" "$limits" 2>"$run/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" "$limits" "$former" 2>"$run/soak.log" &
 soak=$!
 for _ in $(seq 1 200); do
   if [ -e "$run/ready" ]; then break; fi
