Let relays pass every report on

A report tells what is new since the one before it; a relay kept only the newest of each node for 50 ms, so that the news of the others was lost: demand, answers, what tenants used, limits of machines. The queue by which control nodes pass reports to the leader does the same job and leaves none out; it stands in package feed now, and relays use it. The users' platform has no relays.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -78,7 +78,7 @@
 func (n *Node) Report(reports ...*wirepb.NodeReport) {
 	n.takeReports(reports)
 	if status := n.status.Load(); status.Leader != status.ID {
-		n.reportsOut.add(reports)
+		n.reportsOut.Add(reports)
 	}
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -12,6 +12,7 @@
 	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/controller"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/member"
 	members "github.com/weldline/weldline/internal/membership"
@@ -102,7 +103,7 @@
 	membership atomic.Pointer[wirepb.Membership]
 	reports    *controller.ReportTable
 	// reportsOut are those that are passed on to the leader.
-	reportsOut *reportQueue
+	reportsOut *feed.ReportQueue
 	// instances is what machines said of themselves lately.
 	instances *instances.Table
 	engines   Engines
@@ -172,7 +173,7 @@
 	node.grants = orders.NewGrants(node.holder, grantLifetime+node.settings.Machines.OrderLease)
 	node.reports = controller.NewReportTable()
 	node.limits = newMachineLimits()
-	node.reportsOut = newReportQueue(node.sendReports)
+	node.reportsOut = feed.NewReportQueue(node.sendReports)
 	node.peers = newPeerSet(node)
 	node.publishStatus()
 	return node, nil
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -2,24 +2,18 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
-	"time"
 
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/state"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-const (
-	// cacheEventsKept bounds the changes that a relay keeps for its nodes.
-	cacheEventsKept = 8192
-	// reportBatchInterval is how long a relay gathers reports.
-	reportBatchInterval = 50 * time.Millisecond
-)
+// cacheEventsKept bounds the changes that a relay keeps for its nodes.
+const cacheEventsKept = 8192
 
 // Cache is a Sink and a Backend: a relay's copy of the state. Reports of its
-// nodes are sent on in batches.
+// nodes are passed on together.
 type Cache struct {
 	client *Client
 
@@ -30,19 +24,18 @@
 	// compacted is the revision up to which changes are no longer kept.
 	compacted uint64
 	digest    *wirepb.ClusterDigest
-	reports   map[string]*wirepb.NodeReport
+	// reports are those that are passed on upwards.
+	reports *ReportQueue
 
 	changed       *signal.Broadcast
 	digestChanged *signal.Broadcast
-	reported      chan struct{}
 }
 
 // NewCache returns an empty cache; Attach gives it its way upwards.
 func NewCache() *Cache {
-	return &Cache{
-		objects: map[state.Key]*wirepb.Object{}, reports: map[string]*wirepb.NodeReport{},
-		changed: signal.New(), digestChanged: signal.New(), reported: make(chan struct{}, 1),
-	}
+	created := &Cache{objects: map[state.Key]*wirepb.Object{}, changed: signal.New(), digestChanged: signal.New()}
+	created.reports = NewReportQueue(created.sendReports)
+	return created
 }
 
 // Attach sets the client that feeds the cache.
@@ -50,35 +43,14 @@
 	c.client = client
 }
 
-// Run follows the upstream and passes reports on until ctx ends.
+// Run follows the upstream until ctx ends.
 func (c *Cache) Run(ctx context.Context) {
-	var workers sync.WaitGroup
-	defer workers.Wait()
-	workers.Go(func() { c.client.Run(ctx) })
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.reported:
-			c.passReports()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(reportBatchInterval):
-		}
-	}
+	c.client.Run(ctx)
 }
 
-func (c *Cache) passReports() {
-	c.mutex.Lock()
-	batch := &wirepb.NodeReportBatch{}
-	for _, report := range c.reports {
-		batch.Reports = append(batch.Reports, report)
-	}
-	c.reports = map[string]*wirepb.NodeReport{}
-	c.mutex.Unlock()
-	sort.Slice(batch.Reports, func(i, j int) bool { return batch.Reports[i].GetNode() < batch.Reports[j].GetNode() })
+// sendReports passes reports on; they are lost where there is no connection, as reports may be.
+func (c *Cache) sendReports(reports []*wirepb.NodeReport) {
+	batch := &wirepb.NodeReportBatch{Reports: reports}
 	_ = c.client.Send(&wirepb.Envelope{Body: &wirepb.Envelope_NodeReportBatch{NodeReportBatch: batch}})
 }
 
@@ -174,18 +146,9 @@
 	return c.digestChanged.Wait()
 }
 
-// Report implements Backend. Of one node, the newest report stands for those
-// before it.
+// Report implements Backend.
 func (c *Cache) Report(reports ...*wirepb.NodeReport) {
-	c.mutex.Lock()
-	for _, report := range reports {
-		c.reports[report.GetNode()] = report
-	}
-	c.mutex.Unlock()
-	select {
-	case c.reported <- struct{}{}:
-	default:
-	}
+	c.reports.Add(reports)
 }
 
 // Status implements Backend.
--- a/internal/control/reportqueue.go
+++ b/internal/feed/reportqueue.go
@@ -1,4 +1,4 @@
-package control
+package feed
 
 import (
 	"sync"
@@ -13,9 +13,9 @@
 // a hundred times as long as the others wait.
 const reportGap = 20 * time.Millisecond
 
-// reportQueue gathers the reports that a control node passes on to the leader. None is left out:
-// each tells only what is new since the one before.
-type reportQueue struct {
+// ReportQueue gathers the reports that a control node, or a relay, passes on towards the leader. None is
+// left out: each tells only what is new since the one before. It is safe for concurrent use.
+type ReportQueue struct {
 	// send sends reports in one message.
 	send func(reports []*wirepb.NodeReport)
 	// later calls a function after a time.
@@ -27,12 +27,13 @@
 	isResting bool
 }
 
-func newReportQueue(send func(reports []*wirepb.NodeReport)) *reportQueue {
-	return &reportQueue{send: send, later: func(after time.Duration, call func()) { time.AfterFunc(after, call) }}
+// NewReportQueue returns a queue whose messages go out by a function.
+func NewReportQueue(send func(reports []*wirepb.NodeReport)) *ReportQueue {
+	return &ReportQueue{send: send, later: func(after time.Duration, call func()) { time.AfterFunc(after, call) }}
 }
 
-// add sends reports, or keeps them until the gap is over.
-func (q *reportQueue) add(reports []*wirepb.NodeReport) {
+// Add sends reports, or keeps them until the gap is over.
+func (q *ReportQueue) Add(reports []*wirepb.NodeReport) {
 	q.mutex.Lock()
 	q.pending = append(q.pending, reports...)
 	rests := q.isResting
@@ -44,7 +45,7 @@
 }
 
 // flush sends what has gathered, and ends the rest where that is nothing.
-func (q *reportQueue) flush() {
+func (q *ReportQueue) flush() {
 	q.mutex.Lock()
 	batch := q.pending
 	q.pending = nil
--- a/internal/control/reportqueue_test.go
+++ b/internal/feed/reportqueue_test.go
@@ -1,4 +1,4 @@
-package control
+package feed
 
 import (
 	"testing"
@@ -13,12 +13,12 @@
 	const nodes = 1000
 	var messages [][]*wirepb.NodeReport
 	var gapEnds func()
-	queue := &reportQueue{
+	queue := &ReportQueue{
 		send:  func(reports []*wirepb.NodeReport) { messages = append(messages, reports) },
 		later: func(_ time.Duration, call func()) { gapEnds = call },
 	}
 	for number := range nodes {
-		queue.add([]*wirepb.NodeReport{{Sequence: uint64(number)}})
+		queue.Add([]*wirepb.NodeReport{{Sequence: uint64(number)}})
 	}
 	if len(messages) != 1 || len(messages[0]) != 1 {
 		t.Fatalf("before the end of the gap there are %d messages", len(messages))
@@ -33,7 +33,7 @@
 		}
 	}
 	gapEnds() // Nothing has come since.
-	queue.add([]*wirepb.NodeReport{{Sequence: nodes}})
+	queue.Add([]*wirepb.NodeReport{{Sequence: nodes}})
 	if len(messages) != 3 || messages[2][0].GetSequence() != nodes {
 		t.Errorf("a report after the gap waits: %d messages", len(messages))
 	}
