Look at no machine for warming where no pool's machines warm up

The leader gathered each machine's last report and built a record of each in every pass, also where no pool declares that its machines warm up. TestNoMachineIsLookedAtWhereNoneWarmsUp.

--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -35,7 +35,9 @@
 		now += urgentDigestInterval
 		leader.SetLimits([]ratelimit.Told{{Machine: "m", Limit: test.limit}})
 		report := &wirepb.InstanceReport{Machine: "m", WarmingMs: uint32(test.warms.Milliseconds())}
-		leader.ObserveWarming(now, map[string]instances.Entry{"m": {Received: now, Report: report}})
+		leader.ObserveWarming(now, func() map[string]instances.Entry {
+			return map[string]instances.Entry{"m": {Received: now, Report: report}}
+		})
 		digest := leader.Digest(now, 1)
 		if digest == nil {
 			t.Fatalf("%+v is not told at once", test.limit)
--- a/internal/controller/pass_bench_test.go
+++ b/internal/controller/pass_bench_test.go
@@ -201,3 +201,16 @@
 		}
 	}
 }
+
+// BenchmarkObserveWarming is what each pass spends on machines that warm up where no pool has any.
+func BenchmarkObserveWarming(b *testing.B) {
+	for _, machines := range []int{1000, 3000, 10000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			fleet := newBenchFleet(b, machines)
+			fleet.controller.Observe(fleet.state)
+			for b.Loop() {
+				fleet.controller.ObserveWarming(time.Second, nil)
+			}
+		})
+	}
+}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -23,8 +23,10 @@
 	versions map[string]*v1.ModelVersionSpec
 	services []*v1.ServiceSpec
 	pools    map[string]*v1.PoolSpec
-	machines map[string]machines.Declared
-	replicas []storedReplica
+	// hasWarming is set where the machines of any pool warm up.
+	hasWarming bool
+	machines   map[string]machines.Declared
+	replicas   []storedReplica
 	// limits are the tenants', by name.
 	limits map[string]quota.Limit
 	// placed are the versions that may be loaded.
@@ -109,6 +111,7 @@
 		v.limits[object.GetName()] = nodeview.LimitOf(typed)
 	case *v1.PoolSpec:
 		v.pools[object.GetName()] = typed
+		v.hasWarming = v.hasWarming || typed.Warming != nil
 	case *v1.MachineSpec:
 		v.machines[object.GetName()] = machines.Declared{Object: object, Spec: typed, Status: status}
 	case *v1.ReplicaSpec:
--- a/internal/controller/warming.go
+++ b/internal/controller/warming.go
@@ -9,12 +9,24 @@
 	"github.com/weldline/weldline/internal/warming"
 )
 
-// ObserveWarming takes what machines said of themselves, beside the state observed last.
-func (c *Controller) ObserveWarming(now time.Duration, entries map[string]instances.Entry) warming.News {
+// ObserveWarming takes what machines said of themselves, beside the state observed last. Where the
+// machines of no pool warm up, it looks at none: entries is not called.
+func (c *Controller) ObserveWarming(now time.Duration, entries func() map[string]instances.Entry) warming.News {
 	drains := make(map[string]warming.Drain, len(c.stored.drains))
 	for zone, drain := range c.stored.drains {
 		drains[zone] = warming.Drain{Revision: drain.revision, Drained: drain.spec.Drained}
 	}
+	var machines map[string]warming.Machine
+	if c.stored.hasWarming {
+		machines = c.machinesThatMayWarmUp(entries())
+	}
+	news := c.warming.Update(now, drains, machines)
+	c.urgent = c.urgent || news.Urgent
+	return news
+}
+
+// machinesThatMayWarmUp are the machines that registered, with what each said of itself last.
+func (c *Controller) machinesThatMayWarmUp(entries map[string]instances.Entry) map[string]warming.Machine {
 	machines := make(map[string]warming.Machine, len(c.stored.machines))
 	for name, declared := range c.stored.machines {
 		if declared.Spec.Pool == "" {
@@ -30,9 +42,7 @@
 		}
 		machines[name] = machine
 	}
-	news := c.warming.Update(now, drains, machines)
-	c.urgent = c.urgent || news.Urgent
-	return news
+	return machines
 }
 
 // addWarming tells placement which machines have said that they warm up. One that has said nothing
--- a/internal/controller/warming_test.go
+++ b/internal/controller/warming_test.go
@@ -67,7 +67,7 @@
 	} {
 		step.change(step.at)
 		leader.Observe(stored)
-		leader.ObserveWarming(step.at, entries)
+		leader.ObserveWarming(step.at, func() map[string]instances.Entry { return entries })
 		digest := leader.Digest(step.at, stored.Revision())
 		if digest == nil || !bytes.Equal(digest.GetMachineWarming(), step.units) {
 			t.Errorf("%s: %v, wanted %v", step.name, digest.GetMachineWarming(), step.units)
@@ -86,9 +86,20 @@
 	leader := New(0, Config{}, NewReportTable())
 	leader.Observe(stored)
 	entries := map[string]instances.Entry{"m": {Received: now, Report: &wirepb.InstanceReport{Machine: "m", WarmingMs: 3000}}}
-	leader.ObserveWarming(now, entries)
+	leader.ObserveWarming(now, func() map[string]instances.Entry { return entries })
 	input := leader.placementInput(leader.view(now+time.Second), time.Unix(60, 0))
 	if machine := input.Machines["m"]; machine.ReducedFor != 2*time.Second || machine.ReducedRate != 5 {
 		t.Errorf("placement is told %s at %.1f a second", machine.ReducedFor, machine.ReducedRate)
 	}
 }
+
+// TestNoMachineIsLookedAtWhereNoneWarmsUp: a fleet whose pools declare no warming costs its leader nothing
+// for that in a pass.
+func TestNoMachineIsLookedAtWhereNoneWarmsUp(t *testing.T) {
+	leader := New(0, Config{}, NewReportTable())
+	leader.Observe(fleetState(t))
+	leader.ObserveWarming(time.Second, func() map[string]instances.Entry {
+		t.Error("the machines' reports are gathered")
+		return nil
+	})
+}
