Let a standby forget a leader that has fallen silent

Traced in its logs: two of three voters were cut one way, no leader from 16.6 to 19.8 s; the voters refused heartbeats ("there is no leader"), the standby took control-0 for its leader until 19.4 s, acknowledged the machine's word and lost it. Callers may meet the same as a machine that is flooded, operators as calls that the standby holds up. Cause: a voter learns by standing for election that its leader is gone; a standby stands for none, and its Tick did nothing. What a leader's silence means was part of elections only.

Now a standby forgets a leader it has not heard of for an election timeout, as a voter would stand by then, and refuses like them. Table silent-leader-of-standby: leader 1 after 2 s of a cut before, none now.

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -191,6 +191,7 @@
 		return
 	}
 	if !n.isVoter(n.config.ID) {
+		n.forgetSilentLeader()
 		return
 	}
 	if n.now >= n.electionDeadline {
@@ -200,6 +201,14 @@
 	}
 }
 
+// forgetSilentLeader is for a standby. A voter learns by standing for election that its leader is gone; a
+// standby would go on taking calls and machines' reports for one that nobody hears, and lose them.
+func (n *Node) forgetSilentLeader() {
+	if n.now >= n.electionDeadline {
+		n.leader = None
+	}
+}
+
 func (n *Node) advanceClock(now time.Duration) {
 	if now > n.now {
 		n.now = now
