--- a/internal/feed/relayreports_test.go
+++ b/internal/feed/relayreports_test.go
@@ -1,15 +1,11 @@
 package feed
 
 import (
-	"context"
-	"log/slog"
-	"net"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -39,21 +35,9 @@
 // TestRelaysPassEveryReportOn: a report tells what is new since the one before, so the newest does not stand
 // for those that come with it. Seen by reading: a relay kept the newest of each node.
 func TestRelaysPassEveryReportOn(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var workers sync.WaitGroup
-	defer workers.Wait()
-	defer cancel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	backend := &reportBackend{digestBackend: digestBackend{changed: signal.New(), sequence: 1}}
-	server := NewServer(backend, identityOf("control"), places.Map{}, slog.New(slog.DiscardHandler), nil)
-	workers.Go(func() { _ = server.Serve(ctx, listener) })
-	relay := NewCache()
-	client := NewClient([]string{listener.Addr().String()}, identityOf("relay"), relay, slog.New(slog.DiscardHandler))
-	relay.Attach(client)
-	workers.Go(func() { relay.Run(ctx) })
+	parts := newRunning(t)
+	relay := parts.relay(parts.serve("control", backend))
 	for len(backend.sequences()) == 0 {
 		relay.Report(&wirepb.NodeReport{Node: "first"}) // Lost until the relay is connected.
 		time.Sleep(time.Millisecond)
