Tell of a changed limit in one place, and look at no targets where no machine is limited

Found on reading the whole change again: routers and control nodes wrote the same log line field by field; a request that waits looked through its version's targets for limits also where no machine names one; whether a request is in doubt was worked out also where it is convicted already; three tests of the controller made the same fleet.

--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -55,8 +55,7 @@
 		if term := n.permits.Load(); term != nil && !change.Before.IsSet {
 			term.empty(n.now(), []string{change.Machine})
 		}
-		n.logger.Info("machine_limit", "machine", change.Machine, "limited", change.After.IsSet, "per_second", change.After.PerSecond,
-			"was_limited", change.Before.IsSet, "per_second_before", change.Before.PerSecond, "by", by)
+		n.logger.Info("machine_limit", change.LogFields(by)...)
 		n.wakeLeader()
 	}
 }
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/instances"
 	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -13,11 +12,7 @@
 // TestDigestTellsOfLimits: at once where one has changed; and placement hears of them, of the lower rate
 // where the machine warms up besides.
 func TestDigestTellsOfLimits(t *testing.T) {
-	stored := fleetState(t)
-	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
-		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
-		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
-	})
+	stored := warmingFleet(t)
 	leader := New(0, Config{}, NewReportTable())
 	leader.Observe(stored)
 	now := time.Minute
--- a/internal/controller/warming_test.go
+++ b/internal/controller/warming_test.go
@@ -32,15 +32,22 @@
 	}
 }
 
-// TestDigestTellsOfWarmingMachines: what a machine said of itself goes out with the next digest,
-// soon after it has changed; until it has said anything, and from the end of its zone's drain to
-// its next report, nobody vouches for it.
-func TestDigestTellsOfWarmingMachines(t *testing.T) {
+// warmingFleet is a fleet whose pool's machines warm up.
+func warmingFleet(t *testing.T) *state.Machine {
+	t.Helper()
 	stored := fleetState(t)
 	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
 		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
 		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
 	})
+	return stored
+}
+
+// TestDigestTellsOfWarmingMachines: what a machine said of itself goes out with the next digest,
+// soon after it has changed; until it has said anything, and from the end of its zone's drain to
+// its next report, nobody vouches for it.
+func TestDigestTellsOfWarmingMachines(t *testing.T) {
+	stored := warmingFleet(t)
 	leader := New(0, Config{}, NewReportTable())
 	entries := map[string]instances.Entry{}
 	report := func(now time.Duration, warmingMs uint32) {
@@ -78,11 +85,7 @@
 // TestPlacementHearsOfWarmingMachines: of those that told that they warm up, and of their pool's rate.
 func TestPlacementHearsOfWarmingMachines(t *testing.T) {
 	const now = time.Minute
-	stored := fleetState(t)
-	put(t, stored, v1.KindPool, "pool", &v1.PoolSpec{
-		Engine:  &v1.EngineSpec{Slots: 4, MemoryBytes: 100, AdapterSlots: 2},
-		Warming: &v1.WarmingSpec{RequestsPerSecond: 5},
-	})
+	stored := warmingFleet(t)
 	leader := New(0, Config{}, NewReportTable())
 	leader.Observe(stored)
 	entries := map[string]instances.Entry{"m": {Received: now, Report: &wirepb.InstanceReport{Machine: "m", WarmingMs: 3000}}}
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -264,7 +264,7 @@
 	held := w.options.View.Suspect(identity)
 	w.mutex.Lock()
 	machines, quarantined := w.watch.Crashed(identity, held)
-	doubted := w.watch.Doubted(identity, held)
+	doubted := !quarantined && w.watch.Doubted(identity, held)
 	w.mutex.Unlock()
 	switch {
 	case !quarantined && !doubted:
--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -36,6 +36,9 @@
 // limitOf adds up what the machines that could take a request take a second; isLimited is false where
 // one of them names no limit, or there is none.
 func (c *Core) limitOf(version *versionState, request *Request) (perSecond float64, isLimited bool) {
+	if len(c.limited) == 0 {
+		return 0, false // As nearly always: a request that waits costs no look at its targets.
+	}
 	for _, candidate := range version.targets {
 		if c.isExcluded(candidate, request) {
 			continue
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -83,8 +83,7 @@
 		return
 	}
 	m.publish()
-	m.options.Logger.Info("machine_limit", "machine", change.Machine, "limited", change.After.IsSet, "per_second", change.After.PerSecond,
-		"was_limited", change.Before.IsSet, "per_second_before", change.Before.PerSecond, "by", by)
+	m.options.Logger.Info("machine_limit", change.LogFields(by)...)
 }
 
 // noteLimit takes what the head of an answer says of the machine's limit. An answer that is not the
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -34,6 +34,14 @@
 	return c.Before != c.After
 }
 
+// LogFields are what logs tell of a change, and by what it was heard of.
+func (c Change) LogFields(by string) []any {
+	return []any{
+		"machine", c.Machine, "limited", c.After.IsSet, "per_second", c.After.PerSecond,
+		"was_limited", c.Before.IsSet, "per_second_before", c.Before.PerSecond, "by", by,
+	}
+}
+
 // Told is a statement about a machine as one node tells it to another.
 type Told struct {
 	Machine string
