ingress: log what workers state about rest and leaving, and why nothing was retried

Values that can't be used are typed errors that name their header, are counted in weldline_ingress_invalid_statements_total and count as not stated. Nothing decides by rest and leaving yet: they are logged as request_rest_requested and request_machine_leaving. request_refused adds why nothing was retried and the Retry-After that the caller got. A 421 now states nothing, as it is another worker's answer.

The metric weldline_ingress_invalid_limits_total and the event request_invalid_limit are renamed.

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -44,6 +44,9 @@
 	headerTenant = "Test-Tenant"
 	headerRank   = "Test-Priority"
 	headerLimit  = "Test-Limit"
+	headerRest   = "Test-Rest"
+	// headerLeaving is set, to any value, where a machine is leaving.
+	headerLeaving = "Test-Leaving"
 )
 
 // translator is the stand-in for a platform's.
@@ -74,7 +77,7 @@
 		Genuine:   !succeeded || answer.Get(headerSeal) != "",
 		NotRun:    answer.Get(headerNotRun) != "",
 		Elsewhere: status == http.StatusMisdirectedRequest,
-		Limit:     limitOf(answer),
+		Stated:    ingress.Statement{Limit: limitOf(answer), Rest: restOf(answer), Leaving: answer.Get(headerLeaving) != ""},
 	}
 }
 
@@ -86,6 +89,11 @@
 	return ratelimit.Of(perSecond)
 }
 
+func restOf(answer http.Header) time.Duration {
+	rest, _ := time.ParseDuration(answer.Get(headerRest))
+	return rest
+}
+
 // deployment is an ingress with the machines and routes that a test declares.
 type deployment struct {
 	t        *testing.T
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -56,6 +56,8 @@
 	// reservedFor is the number of machines after which a further one was
 	// taken from the budget.
 	reservedFor int
+	// noRetry is why the request was not sent again, for logs.
+	noRetry string
 	// mayHaveRun is set once a machine may have run the request.
 	mayHaveRun bool
 	// answered is set once the head of an answer has gone to the caller.
@@ -324,16 +326,16 @@
 
 // mayTryAgain reports whether the request may go to another machine.
 func (j *job) mayTryAgain(ctx context.Context, end attemptEnd, connectFailures int) bool {
-	if ctx.Err() != nil || j.answered {
+	switch {
+	case ctx.Err() != nil || j.answered:
 		return false
-	}
-	if end == endNotConnected {
+	case end == endNotConnected:
 		return connectFailures < maxConnectFailures
-	}
-	if j.mayHaveRun && !j.route.Spec.Repeatable() {
+	case j.mayHaveRun && !j.route.Spec.Repeatable():
+		j.noRetry = "not repeatable"
 		return false
-	}
-	if j.quarantined() != nil {
+	case j.quarantined() != nil:
+		j.noRetry = "quarantined"
 		return false
 	}
 	return j.reserveRetry()
@@ -343,10 +345,12 @@
 // takes that from the budget once.
 func (j *job) reserveRetry() bool {
 	if j.sent >= j.route.Spec.MaxAttempts {
+		j.noRetry = "max attempts"
 		return false
 	}
 	if j.reservedFor != j.sent {
 		if !j.ingress.maySendAgain(j.pool) {
+			j.noRetry = "retry budget"
 			return false
 		}
 		j.reservedFor = j.sent
@@ -404,7 +408,8 @@
 	}
 	j.answerBeforeBody()
 	j.answered = true
-	j.log("refused", "status", document.Status, "kind", document.Kind(), "detail", document.Detail, "sent", j.sent)
+	j.log("refused", "status", document.Status, "kind", document.Kind(), "detail", document.Detail, "sent", j.sent,
+		"no_retry", j.noRetry, "retry_after_ms", retryAfter.Milliseconds())
 	j.ingress.options.Metrics.observe(j.route, "refused_"+document.Kind(), time.Since(j.arrived))
 	document.Write(j.writer)
 }
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/weldline/weldline/internal/dispatch"
-	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -85,19 +83,3 @@
 	m.publish()
 	m.options.Logger.Info("machine_limit", change.LogFields(by)...)
 }
-
-// noteLimit takes what the head of an answer says of the machine's limit. An answer that is not the
-// machine's own, or not to this request, says nothing of it.
-func (j *job) noteLimit(grant *dispatch.Grant, verdict Verdict) {
-	if !verdict.Own || !verdict.Genuine && !verdict.NotRun {
-		return
-	}
-	if verdict.LimitError != nil {
-		// It stands no longer than an answer without a limit would let it.
-		j.ingress.options.Metrics.invalidLimits.Inc()
-		j.log("invalid_limit", "machine", grant.Target.Machine, "error", fault.Message(verdict.LimitError))
-	}
-	if j.ingress.permits.limits.take(grant.Target.Machine, verdict.Limit, j.written) {
-		j.ingress.options.Nudge() // The other routers are to hear of it by way of the leader.
-	}
-}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -24,8 +24,8 @@
 	withheld prometheus.Counter
 	sends    *prometheus.CounterVec
 	limited  prometheus.Gauge
-	// invalidLimits counts answers whose limit can't be used.
-	invalidLimits prometheus.Counter
+	// invalidStatements counts headers of answers that state something which can't be used.
+	invalidStatements prometheus.Counter
 
 	seriesMutex sync.Mutex
 	// series are the tenants that have one of their own.
@@ -70,8 +70,8 @@
 		limited: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_limited_machines", Help: "Machines that name how many requests a second they take.",
 		}),
-		invalidLimits: factory.NewCounter(prometheus.CounterOpts{
-			Name: "weldline_ingress_invalid_limits_total", Help: "Answers of machines that name a limit which can't be used.",
+		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
 		series: map[string]bool{},
 	}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -23,7 +23,7 @@
 // request may go elsewhere.
 func (j *job) pass(ctx context.Context, answer *upstream.Answer, grant *dispatch.Grant) attemptEnd {
 	verdict := j.ingress.options.Translator.Judge(answer.Status, answer.Header, j.attributes.ID)
-	j.noteLimit(grant, verdict)
+	j.noteStatement(grant, verdict)
 	if verdict.NotRun {
 		discard(answer)
 		if verdict.Elsewhere {
--- /dev/null
+++ b/internal/ingress/statements.go
@@ -0,0 +1,28 @@
+package ingress
+
+import (
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
+)
+
+// noteStatement records what a machine states about itself in the head of an answer. An answer of another
+// machine, or to another request, states nothing.
+func (j *job) noteStatement(grant *dispatch.Grant, verdict Verdict) {
+	if !verdict.Own || verdict.Elsewhere || !verdict.Genuine && !verdict.NotRun {
+		return
+	}
+	machine, stated := grant.Target.Machine, verdict.Stated
+	for _, err := range stated.Invalid {
+		j.ingress.options.Metrics.invalidStatements.Inc()
+		j.log("invalid_statement", "machine", machine, "error", fault.Message(err))
+	}
+	if j.ingress.permits.limits.take(machine, stated.Limit, j.written) {
+		j.ingress.options.Nudge() // The other routers are to hear of it by way of the leader.
+	}
+	if stated.Rest > 0 {
+		j.log("rest_requested", "machine", machine, "rest_ms", stated.Rest.Milliseconds())
+	}
+	if stated.Leaving {
+		j.log("machine_leaving", "machine", machine)
+	}
+}
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -48,11 +48,22 @@
 	// Elsewhere is set where it did not because it is another machine, or does
 	// not hold what the request needs.
 	Elsewhere bool
-	// Limit is how many requests a second the machine says that it takes from all routers.
+	// Stated is what the machine states about itself.
+	Stated Statement
+}
+
+// Statement is what a machine states about itself in the head of an answer. The zero statement asks for
+// nothing.
+type Statement struct {
+	// Limit is how many requests a second the machine takes from all routers together.
 	Limit ratelimit.Limit
-	// LimitError is why what it says of that can't be used, of type fault.Invalid; Limit is not
-	// set then.
-	LimitError error
+	// Rest is for how long the machine wants no request from this node; 0 if it asks for none.
+	Rest time.Duration
+	// Leaving is set where the machine is about to shut down.
+	Leaving bool
+	// Invalid are the reasons, of type fault.Invalid, why parts of it could not be used. They are not set
+	// above.
+	Invalid []error
 }
 
 // Translator knows the headers that callers and machines use.
