dispatch: send nothing to a worker that said that it is leaving

Same class as the rests: a statement of a worker in an answer that no code reads.

Requests that can't be served elsewhere in time are refused at once. The machine gets nothing from the answer on, not only from the end of the grace time on: that is what a drain by heartbeat does already.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -63,6 +63,9 @@
 	pacedHeld time.Time
 	// rests are what machines asked of this router, from then until they have accepted a request again.
 	rests map[string]*rest
+	// leaving are the machines that said that they are about to shut down, and when they were last listed
+	// or said so.
+	leaving map[string]time.Time
 }
 
 // versionState is what a router knows of one version.
@@ -95,7 +98,7 @@
 		waiters: map[uint64]*waiter{}, others: map[string]int{}, onMachine: map[string]int{},
 		work: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
 		staleness: usualStaleness, answered: map[string]Answers{}, drained: map[string]Target{},
-		held: map[string]time.Time{}, rests: map[string]*rest{},
+		held: map[string]time.Time{}, rests: map[string]*rest{}, leaving: map[string]time.Time{},
 	}
 }
 
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -119,6 +119,15 @@
 		d.core.HoldPaced(seconds("until"))
 	case "rest":
 		d.report(out, d.core.Rest(d.now, name, time.Duration(number("s")*float64(time.Second))))
+	case "leave":
+		outcome, isNews := d.core.Leave(d.now, name)
+		fmt.Fprintf(out, "news=%t\n", isNews)
+		d.report(out, outcome)
+	case "retain":
+		isListed := func(machine string) bool { return machine == name }
+		d.core.RetainRests(d.now, isListed)
+		d.core.RetainLeaving(d.now, isListed)
+		fmt.Fprintf(out, "leaving: %s\n", strings.Join(d.core.Leaving(), " "))
 	case "started":
 		d.core.Started(d.grants[id])
 	case "may-write":
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -151,7 +151,7 @@
 	if !request.Allowed.Allows(candidate.Region) {
 		return true
 	}
-	if candidate.retired || slices.Contains(request.Tried, candidate.Machine) {
+	if candidate.retired || candidate.leaving || slices.Contains(request.Tried, candidate.Machine) {
 		return true
 	}
 	return c.config.PlacedAdapters && request.Adapter != "" && !slices.Contains(candidate.Adapters, request.Adapter)
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -38,7 +38,7 @@
 // hasReady reports whether a replica that may serve a request is ready.
 func (v *versionState) hasReady(request *Request) bool {
 	for _, held := range v.targets {
-		if !held.retired && request.Allowed.Allows(held.Region) {
+		if !held.retired && !held.leaving && request.Allowed.Allows(held.Region) {
 			return true
 		}
 	}
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -56,7 +56,9 @@
 // MayWrite reports whether a granted request may still be written to its machine.
 func (c *Core) MayWrite(now time.Time, grant Grant) bool {
 	held := c.rests[grant.Target.Machine]
-	return held == nil || !now.Before(held.until)
+	isResting := held != nil && now.Before(held.until)
+	_, isLeaving := c.leaving[grant.Target.Machine]
+	return !isResting && !isLeaving
 }
 
 // RestingMachines returns how many machines rest.
--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -7,7 +7,9 @@
 	Target
 	inFlight int
 	// retired targets get nothing new and are dropped when idle.
-	retired  bool
+	retired bool
+	// leaving targets get nothing new: their machine has said that it shuts down.
+	leaving  bool
 	health   health
 	adapters map[string]time.Time
 	prefixes prefixCache
@@ -78,7 +80,8 @@
 		held.retired = false
 		return
 	}
-	added := &target{Target: next, adapters: map[string]time.Time{}}
+	_, isLeaving := c.leaving[next.Machine]
+	added := &target{Target: next, leaving: isLeaving, adapters: map[string]time.Time{}}
 	c.targets[next.Replica] = added
 	version := c.version(next.Version)
 	version.targets = append(version.targets, added)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -168,6 +168,22 @@
 	d.deliver(d.core.Rest(time.Now(), machine, span))
 }
 
+// Leave gives a machine nothing more, as it said that it is leaving. It reports whether that is news.
+func (d *Dispatcher) Leave(machine string) (isNews bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	outcome, isNews := d.core.Leave(time.Now(), machine)
+	d.deliver(outcome)
+	return isNews
+}
+
+// Leaving returns the machines that said that they are leaving.
+func (d *Dispatcher) Leaving() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.core.Leaving()
+}
+
 // RestingMachines returns how many machines rest.
 func (d *Dispatcher) RestingMachines() int {
 	d.mutex.Lock()
@@ -189,11 +205,13 @@
 	return d.core.MayWrite(time.Now(), *grant)
 }
 
-// Retain forgets what machines that are not listed any more asked for.
+// Retain forgets what machines that are not listed any more stated about themselves.
 func (d *Dispatcher) Retain(isListed func(machine string) bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.core.RetainRests(time.Now(), isListed)
+	now := time.Now()
+	d.core.RetainRests(now, isListed)
+	d.core.RetainLeaving(now, isListed)
 }
 
 // SetLimited replaces the machines that name a limit, which must not be changed afterwards.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -28,7 +28,7 @@
 	endNotConnected
 	// endNotPermitted: nothing was sent, as the permit to do so was over by then.
 	endNotPermitted
-	// endBackedOff: nothing was sent, as the machine had asked for a rest by then.
+	// endBackedOff: nothing was sent, as the machine had asked for a rest, or was leaving, by then.
 	endBackedOff
 	// endNotRun: the machine said that it did not run the request.
 	endNotRun
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,6 +200,7 @@
 			i.upstream.Retain(i.isKnown)
 			i.permits.limits.retain(i.isKnown)
 			i.dispatcher.Retain(i.isKnown)
+			i.options.Metrics.leaving.Set(float64(len(i.LeavingMachines())))
 			i.options.Metrics.resting.Set(float64(i.dispatcher.RestingMachines()))
 		}
 	}
@@ -263,6 +265,11 @@
 	return i.dispatcher.Answers()
 }
 
+// LeavingMachines returns the listed machines that said that they are leaving.
+func (i *Ingress) LeavingMachines() []string {
+	return slices.DeleteFunc(i.dispatcher.Leaving(), func(machine string) bool { return !i.isKnown(machine) })
+}
+
 // Unreachable returns the machines that this node can't connect to at present.
 func (i *Ingress) Unreachable(now time.Time) []string {
 	return i.dispatcher.Unreachable(now)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -21,7 +21,7 @@
 	// first byte after which the request no longer waits for a place.
 	firstBytePatience = 0.7
 	// maxConnectFailures bounds the attempts that end before the request was written: those whose machine
-	// could not be connected to, whose permit was over by then, or whose machine had asked for a rest.
+	// could not be connected to, whose permit was over by then, or whose machine had asked for a rest or was leaving.
 	maxConnectFailures = 4
 	// maxStartWait bounds the wait for a node that has just started.
 	maxStartWait = 2 * time.Second
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -27,6 +27,8 @@
 	// rests counts rejections that asked for a rest, resting the machines that rest now.
 	rests   prometheus.Counter
 	resting prometheus.Gauge
+	// leaving are the listed machines that said that they are leaving.
+	leaving prometheus.Gauge
 	// invalidStatements counts headers of answers that state something which can't be used.
 	invalidStatements prometheus.Counter
 
@@ -79,6 +81,9 @@
 		resting: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_resting_machines", Help: "Machines that get nothing from this node, as they asked for.",
 		}),
+		leaving: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_ingress_leaving_machines", Help: "Listed machines that said in an answer that they are leaving.",
+		}),
 		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
--- a/internal/ingress/statements.go
+++ b/internal/ingress/statements.go
@@ -6,7 +6,7 @@
 )
 
 // errBackedOff ends an exchange before anything was written.
-var errBackedOff = fault.Unavailable.New("the machine has asked for a rest")
+var errBackedOff = fault.Unavailable.New("the machine has asked for a rest or is leaving")
 
 // noteStatement records what a machine states about itself in the head of an answer. An answer of another
 // machine, or to another request, states nothing.
@@ -27,7 +27,8 @@
 		j.ingress.options.Metrics.rests.Inc()
 		j.log("rest_requested", "machine", machine, "rest_ms", stated.Rest.Milliseconds())
 	}
-	if stated.Leaving {
+	if stated.Leaving && j.ingress.dispatcher.Leave(machine) {
 		j.log("machine_leaving", "machine", machine)
+		j.ingress.options.Nudge() // The leader is to replace what the machine holds.
 	}
 }
