control: record a worker as leaving once a router reports its statement

A model whose only worker had said in an answer that it is leaving was not loaded elsewhere, and its callers were refused, for as long as the worker's heartbeats said that it is ready. The router knew, the leader did not.

Node reports carry the listed machines that said so; the leader records them as leaving, like a drain by heartbeat, so that the fact outlasts the router and the leader and reaches all routers. A report that names one more wakes the leader.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -203,7 +203,8 @@
 	interval := f.node.settings.Machines.HeartbeatInterval
 	return instances.Input{
 		Unreachable: f.node.reports.Unreachable(f.node.now()), Routers: f.node.reports.Routers(f.node.now()),
-		Now: f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
+		Leaving: f.node.reports.Leaving(f.node.now()),
+		Now:     f.node.now(), Since: f.since, Declared: registered.Machines, Pools: registered.Pools,
 		RecordStarts: f.node.recordsStarts(),
 		Policy: instances.Policy{
 			LostAfter:    lostAfterHeartbeats * interval,
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -89,7 +89,8 @@
 	if t.quotas != nil && report.GetRouter() {
 		t.quotas.Take(now, quotaReport(report))
 	}
-	urgent := held == nil || demandGrew(held, report) || len(report.GetUnreachable()) > len(held.GetUnreachable())
+	urgent := held == nil || demandGrew(held, report) || len(report.GetUnreachable()) > len(held.GetUnreachable()) ||
+		len(report.GetLeaving()) > len(held.GetLeaving())
 	for _, machine := range report.GetMachines() {
 		urgent = t.takeMachine(machine, now) || urgent
 	}
@@ -205,6 +206,22 @@
 	return counts
 }
 
+// Leaving returns the machines that said in an answer to a router that they are leaving.
+func (t *ReportTable) Leaving(now time.Duration) map[string]bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	leaving := map[string]bool{}
+	for _, entry := range t.nodes {
+		if !entry.isLive(now) {
+			continue
+		}
+		for _, machine := range entry.report.GetLeaving() {
+			leaving[machine] = true
+		}
+	}
+	return leaving
+}
+
 // Routers returns how many routers are live and take requests.
 func (t *ReportTable) Routers(now time.Duration) int {
 	t.mutex.Lock()
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -127,7 +127,9 @@
 	// that are live.
 	Unreachable map[string]int
 	Routers     int
-	Policy      Policy
+	// Leaving are the machines that said in an answer to a router that they are about to shut down.
+	Leaving map[string]bool
+	Policy  Policy
 	// RecordStarts is set where records tell when their machines started.
 	RecordStarts bool
 }
@@ -165,6 +167,9 @@
 // ReasonSaidSo is the reason for a phase that the machine itself told of: a planned end.
 const ReasonSaidSo = "said so"
 
+// ReasonAnsweredSo is the reason for a phase that the machine stated in an answer to a router.
+const ReasonAnsweredSo = "said so in an answer"
+
 // Registration returns the command that records a machine for the first time,
 // or nil while its pool is not declared: the room that it has is the pool's. The record tells when
 // the machine started where that is asked for.
@@ -253,6 +258,8 @@
 		return nil
 	case heard && entry.Report.GetLeaving():
 		return transition(name, v1.MachineLeaving, ReasonSaidSo)
+	case input.Leaving[name]:
+		return transition(name, v1.MachineLeaving, ReasonAnsweredSo)
 	case phase == v1.MachineLost:
 		return t.recover(input, name, entry, heard && silent <= lostAfter)
 	case silent > lostAfter:
--- a/internal/instances/table_test.go
+++ b/internal/instances/table_test.go
@@ -21,6 +21,7 @@
 //	starts: records tell from now on when machines started
 //	unreachable [routers=N]: the machines that routers can't connect to, once for
 //	each router, of N that are live
+//	leaving: the machines that said in an answer that they are leaving
 //	leader: a new leader begins now
 //	reconcile: prints the commands and carries them out
 func TestReconcile(t *testing.T) {
@@ -47,6 +48,12 @@
 					input.Unreachable[name]++
 				}
 				return ""
+			case "leaving":
+				input.Leaving = map[string]bool{}
+				for _, name := range strings.Fields(d.Input) {
+					input.Leaving[name] = true
+				}
+				return ""
 			case "starts":
 				input.RecordStarts = true
 				return ""
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -116,8 +116,8 @@
 		Node: r.node.settings.Node, Zone: r.node.settings.Zone,
 		Incarnation: r.node.incarnation, Sequence: r.sequence, Router: true, Draining: !r.ingress.Ready(),
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
-		Unreachable: r.ingress.Unreachable(now),
-		Demand:      r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
+		Unreachable: r.ingress.Unreachable(now), Leaving: r.ingress.LeavingMachines(),
+		Demand: r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
 		Answers: r.answers.Messages(r.ingress.Answers()), Limits: r.ingress.MachineLimits(),
 		Level: uint32(level.Supported), Tenants: tenants, TenantsFull: full, UptimeMs: uint32(r.ingress.Uptime().Milliseconds()),
 	}
