soak: let machines ask for rests and say that they are leaving

The soak's machines named limits only, so neither statement could break anything in it. Now, beside the other faults of a seed, one engine at a time rejects all requests for 4 s with Retry-After: 2, and one says for 6 s in its answers that it is leaving while its heartbeats say that it is ready, and ends. Judged: a rest only where the router said within half a second that the request has not run, so that it must have read the rejection; leaving only where the router passed the answer on. Routers that were disturbed in between are left out. The faults of earlier seeds stay what they were (STATEMENTS=0).

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -48,6 +48,8 @@
 	{"zone-drains", arrivalsInDrainedZones},
 	{"warming-machines", floodedMachines},
 	{"machine-limits", overrunLimits},
+	{"machine-rests", arrivalsDuringRests},
+	{"leaving-machines", arrivalsAtLeaving},
 	{"regions", forbiddenRegions},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
 	{"recovery", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Unserved }},
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -72,6 +72,18 @@
 				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m3", At: time.Duration(at) * 360 * time.Millisecond, Limit: 1})
 			}
 		},
+		"machine-rests": func(h *History) {
+			h.Answers[2].At = 1100 * time.Millisecond
+			for _, at := range []time.Duration{1000, 1600, 2000, 2900} {
+				h.Rejections = append(h.Rejections, Rejection{Request: "refused", Machine: "m1", At: at * time.Millisecond, Rest: 2 * time.Second})
+			}
+		},
+		"leaving-machines": func(h *History) {
+			h.Requests["late"] = Request{ID: "late", Router: "r1", Sent: 4 * time.Second}
+			h.Answers[0].At = 1500 * time.Millisecond
+			h.Leaving = append(h.Leaving, LeavingAnswer{Request: "once", Machine: "m1"})
+			h.Arrivals = append(h.Arrivals, Arrival{Request: "late", Machine: "m1", At: 4 * time.Second})
+		},
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -101,7 +101,11 @@
 	Requests map[string]Request
 	Answers  []Answer
 	Arrivals []Arrival
-	Orders   []Order
+	// Rejections are requests that machines turned away and did not run.
+	Rejections []Rejection
+	// Leaving are the answers in which machines said that they are leaving.
+	Leaving []LeavingAnswer
+	Orders  []Order
 	// Ignored are orders that nobody acknowledged, though each was sent again and again; Acknowledged
 	// is when the operator gave up.
 	Ignored []Order
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -62,6 +62,10 @@
 	FaultDowngrade FaultKind = "downgrade"
 	// FaultLimitMachine makes a machine name a limit in its answers for a while.
 	FaultLimitMachine FaultKind = "limit-machine"
+	// FaultRestMachine makes a machine reject requests with a rest for a while.
+	FaultRestMachine FaultKind = "rest-machine"
+	// FaultLeaveMachine makes a machine say in its answers that it is leaving, and end after a while.
+	FaultLeaveMachine FaultKind = "leave-machine"
 )
 
 // Layout is what there is to be disturbed.
@@ -268,7 +272,7 @@
 func (f Fault) disturbances(layout Layout) []Disturbance {
 	span := Disturbance{From: f.At, Till: f.At + f.For, Node: f.Node, Control: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
-	case FaultCoolMachine, FaultLimitMachine, FaultBurst:
+	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultBurst:
 		return nil
 	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
 		span.Till += restartTime
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -99,6 +99,24 @@
 	}
 }
 
+// TestStatements: the machines of each kind of statement come one after the other, and are over in time.
+func TestStatements(t *testing.T) {
+	layout := Layout{Machines: 4}
+	const span = 30 * time.Second
+	for seed := range uint64(50) {
+		last := map[FaultKind]time.Duration{}
+		for _, each := range Statements(seed, layout, span) {
+			if each.At < max(calmStart, last[each.Kind]) || each.At+each.For > span {
+				t.Errorf("seed %d: %s", seed, each)
+			}
+			last[each.Kind] = each.At + each.For
+		}
+		if len(last) != 2 {
+			t.Errorf("seed %d has only %v", seed, last)
+		}
+	}
+}
+
 // TestRollout: every node is replaced in the end, some go back before, and never while all are of the present
 // build.
 func TestRollout(t *testing.T) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,6 +17,10 @@
 	Cool(machine int)
 	// Limit makes a machine name a limit, and returns what ends that.
 	Limit(machine int) (end func())
+	// Rest makes a machine reject requests with a rest, and returns what ends that.
+	Rest(machine int) (end func())
+	// Leave makes a machine say that it is leaving, and returns what ends its life.
+	Leave(machine int) (end func())
 	// Proxy stands before the machine that is there at present; nil while none is.
 	Proxy(machine int) *Proxy
 }
@@ -109,6 +113,10 @@
 		i.Machines.Cool(each.Machine)
 	case FaultLimitMachine:
 		return i.Machines.Limit(each.Machine)
+	case FaultRestMachine:
+		return i.Machines.Rest(each.Machine)
+	case FaultLeaveMachine:
+		return i.Machines.Leave(each.Machine)
 	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
 		return strikeIfThere(each.Kind, i.Machines.Proxy(each.Machine))
 	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -21,6 +21,10 @@
 
 func (s *surroundings) Limit(int) func() { return func() {} }
 
+func (s *surroundings) Rest(int) func() { return func() {} }
+
+func (s *surroundings) Leave(int) func() { return func() {} }
+
 func (s *surroundings) Proxy(int) *Proxy { return s.machine }
 
 func (s *surroundings) Burst(context.Context, time.Duration) {}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A soak: real nodes as processes of their own, callers, operators and machines before them, and
 # faults from outside. The last line of standard output is one JSON object; the exit code is 1
-# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES, MODELS and LIMITS=0 change it; KEEP_RUN=1
+# where a promise was broken. SEED, DURATION, CONTROL, ROUTERS, MACHINES, MODELS, LIMITS=0 and STATEMENTS=0 change it; KEEP_RUN=1
 # keeps the folder with the logs, and so does a promise that was broken.
 #
 # FORMER_BIN names a folder with the weldnode of a former build: the nodes begin with that, and are
@@ -18,6 +18,8 @@
 routers=${ROUTERS:-3}
 limits=--limits
 if [ "${LIMITS:-1}" = 0 ]; then limits=--no-limits; fi
+statements=--statements
+if [ "${STATEMENTS:-1}" = 0 ]; then statements=--no-statements; fi
 former=--no-former
 if [ -n "${FORMER_BIN:-}" ]; then former=--former; fi
 declare -a supervisors=()
@@ -54,7 +56,7 @@
 
 touch "$run/keep-running"
 "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control" --routers "$routers" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" "$limits" "$former" 2>"$run/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run" "$limits" "$statements" "$former" 2>"$run/soak.log" &
 soak=$!
 for _ in $(seq 1 200); do
   if [ -e "$run/ready" ]; then break; fi
