faultsim: add engines that ask routers for rests

The new fault overload-engine makes an engine reject all requests with a rest of 2 s; the check engine_rests counts what each life of a router sends it between half a second after it heard of the rest and its end. The mutation rests-ignored is caught. TestOverloadedEngines plays 24 schedules with rests alone and 24 with crashes, freezes, sleeps, lost messages and changes of leader: clean.

Leaving engines are not simulated: a simulated machine keeps its name over restarts, while the routers' statement belongs to one start. Limits neither: their permits come from the leader by a call that the simulator does not have.

--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -64,6 +64,8 @@
 	// CheckDrains: an acknowledged drain of a zone, or its end, stays until the next order; while
 	// it is drained, routers in contact send nothing there.
 	CheckDrains = "zone_drains"
+	// CheckRests: an engine that asked a router for a rest gets two requests from it at most until it is over.
+	CheckRests = "engine_rests"
 	// CheckConverge: after everything healed, all agree and nothing is stuck.
 	CheckConverge = "convergence"
 )
@@ -72,7 +74,7 @@
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinear, CheckDecided,
 	CheckMemory, CheckRevert, CheckInForce, CheckStale, CheckDropped, CheckWrongAnswer, CheckOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckDrains, CheckConverge,
+	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckDrains, CheckRests, CheckConverge,
 }
 
 const (
@@ -111,6 +113,8 @@
 	innocentsRefused int
 	// drains is what the operator was told of each zone.
 	drains map[string]drainTruth
+	// rests are what engines asked routers for.
+	rests map[restKey][]*restSpan
 }
 
 func newChecks(w *world) *checks {
@@ -118,7 +122,7 @@
 		world: w, truth: state.New(), leaders: map[uint64]uint64{}, contents: map[state.Key]map[uint64]uint64{},
 		results: map[string]*wirepb.CommandResult{}, verdicts: map[string]verdict{}, runs: map[string]int{},
 		violations: map[string][]string{}, conforms: newConformance(), crashes: map[quarantine.Identity]*crashTruth{},
-		drains: map[string]drainTruth{},
+		drains: map[string]drainTruth{}, rests: map[restKey][]*restSpan{},
 	}
 }
 
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -131,6 +131,8 @@
 const (
 	// runRefused: the engine does not take requests for the replica.
 	runRefused runEnd = iota
+	// runRejected: the engine is overloaded, and asks the router for a rest.
+	runRejected
 	// runWhole: the answer is whole.
 	runWhole
 	// runBroken: the connection broke before the end of the answer.
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -42,11 +42,13 @@
 	FaultSuspend Kind = "suspended-node"
 	// FaultDrainZone is an operator who drains a zone for a while.
 	FaultDrainZone Kind = "drain-zone"
+	// FaultOverloadEngine makes an engine reject requests and ask their routers for rests.
+	FaultOverloadEngine Kind = "overload-engine"
 )
 
 // KindsDrawnApart are the faults that schedules have besides those of Kinds, so that the
 // schedules of earlier seeds keep theirs.
-var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone}
+var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine}
 
 // Kinds lists the faults that schedules draw from.
 var Kinds = []Kind{
@@ -68,6 +70,10 @@
 	Target int `yaml:"target" json:"target"`
 }
 
+// withoutDelay are the faults during which changes are due in time: routers can leave a control node that is not
+// heard, and the others keep no node from any other.
+var withoutDelay = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine}
+
 // inject lets a fault begin, and heal in time.
 func (w *world) inject(fault Fault) {
 	w.After(fault.At, func() {
@@ -76,9 +82,7 @@
 			return // There was nothing that it could hit.
 		}
 		w.faults[string(fault.Kind)]++
-		// Routers can leave a control node that is not heard, and neither a request that ends
-		// engines nor a drain keeps a node from the others: changes are due in time.
-		excuses := fault.Kind != FaultUnheardControl && fault.Kind != FaultCrashingRequest && fault.Kind != FaultDrainZone
+		excuses := !slices.Contains(withoutDelay, fault.Kind)
 		if excuses {
 			w.checks.busy++
 		}
@@ -167,6 +171,8 @@
 	case FaultFreezeEngine:
 		hit.freeze(fault.For)
 		return nothing
+	case FaultOverloadEngine:
+		return w.overload(hit)
 	case FaultMachineLeaves:
 		return w.leave(hit)
 	case FaultMachineReclaimed:
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -29,6 +29,8 @@
 	// leavingSince is when the machine list began to say so; 0 if it doesn't.
 	leavingSince time.Duration
 	gone         bool
+	// overloaded engines reject all requests, each with a rest.
+	overloaded bool
 	// open is what runs, where the connections of engines that end are told to break.
 	open []*openRun
 	// resets are the requests whose connections were reset in this life of the engine.
@@ -120,6 +122,11 @@
 // serve runs a request on a replica, if it takes requests.
 func (m *machine) serve(router *routerNode, entry *inference, replica string, took time.Duration, reply func(runEnd)) {
 	m.world.checks.arrived(router, entry.sent)
+	m.world.checks.arrivedAt(m, router)
+	if m.overloaded {
+		reply(runRejected)
+		return
+	}
 	held := m.engine.Begin(replica)
 	if held == nil {
 		reply(runRefused)
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -161,8 +161,10 @@
 			r.deliver(r.core.Release(r.wall(), grant, dispatch.ResultOK))
 			entry.end(verdictAnswered)
 			r.noteWhole(entry.sent)
+		case end == runRejected:
+			r.rejected(entry, grant, target)
 		default:
-			r.again(entry, grant)
+			r.again(entry, grant, dispatch.ResultNotRun)
 		}
 	})
 }
@@ -176,8 +178,8 @@
 }
 
 // again looks for another replica for a request that proved not to have run.
-func (r *routerNode) again(entry *inference, grant dispatch.Grant) {
-	r.deliver(r.core.Release(r.wall(), grant, dispatch.ResultNotRun))
+func (r *routerNode) again(entry *inference, grant dispatch.Grant, result dispatch.Result) {
+	r.deliver(r.core.Release(r.wall(), grant, result))
 	entry.request.Avoid = grant.Target.Replica
 	r.after(claimRetry, func() {
 		if entry.ended {
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -60,6 +60,8 @@
 	MutationSteadyLease:         {FaultSuspend},
 
 	MutationLateDrains: {FaultDrainZone, FaultSuspend},
+
+	MutationRestsIgnored: {FaultOverloadEngine},
 }
 
 // RandomSchedule draws a schedule: one to six faults, alone, together or one
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+// TestOverloadedEngines runs schedules in which engines ask for rests, alone and while routers and leaders fail.
+func TestOverloadedEngines(t *testing.T) {
+	const last = 24
+	for _, beside := range [][]Kind{nil, {FaultCrashRouter, FaultFreezeRouter, FaultSuspend, FaultCrashLeader, FaultCrashEngine, FaultLoss}} {
+		for seed := uint64(1); seed <= last; seed++ {
+			random := rand.New(rand.NewPCG(seed, 0))
+			schedule := Schedule{Seed: seed}
+			for range 3 {
+				schedule.Faults = append(schedule.Faults, randomFault(random, []Kind{FaultOverloadEngine}))
+				if beside != nil {
+					schedule.Faults = append(schedule.Faults, randomFault(random, beside))
+				}
+			}
+			for _, violation := range Run(schedule).Violations {
+				t.Errorf("seed %d: %s: %s; replay %+v", seed, violation.Check, violation.Detail, schedule)
+			}
+		}
+	}
+}
+
 // TestMutationsAreCaught breaks one rule at a time; each check named beside it
 // must notice within a few schedules.
 func TestMutationsAreCaught(t *testing.T) {
@@ -88,6 +108,8 @@
 		MutationSteadyLease:         {CheckLease},
 
 		MutationLateDrains: {CheckDrains},
+
+		MutationRestsIgnored: {CheckRests},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -70,6 +70,8 @@
 	// MutationLateDrains: orders about zones are taken however old they are, and written whatever
 	// came in between.
 	MutationLateDrains Mutation = "late-drains"
+	// MutationRestsIgnored: routers go on sending to engines that asked for a rest.
+	MutationRestsIgnored Mutation = "rests-ignored"
 )
 
 // Mutations lists all but MutationNone. A forgotten vote is not among them:
@@ -79,7 +81,7 @@
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationDigestVouches,
 	MutationCrashesNotShared, MutationConvictionForgotten, MutationResetCountsAsCrash, MutationSteadyLease,
-	MutationLateDrains,
+	MutationLateDrains, MutationRestsIgnored,
 }
 
 // world is one simulated cluster.
