dispatch: let a worker that rejects requests come after its peers

Callers got 503 from a worker that rejects everything while another one of the same model was free: a rejection ended the request at once and even cleared the worker's failure record, so the worker looked like the least loaded one.

A rejection is now a result of its own (ResultRejected): the worker comes after its peers for 50 ms, doubled with each further rejection up to 1 s, until it accepts a request. This is a preference; where there is no other, it is asked.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -39,6 +39,7 @@
 		config := Config{MaxWaiting: 100}
 		data.MaybeScanArgs(t, "max", &config.MaxWaiting)
 		data.MaybeScanArgs(t, "round-robin", &config.RoundRobin)
+		config.ByWork = data.HasArg("by-work")
 		d.core, d.now = New(config), beginning
 		d.requests, d.grants = map[uint64]*Request{}, map[uint64]Grant{}
 	case "at":
@@ -95,7 +96,7 @@
 		d.requests[id].Avoid = values["avoid"]
 		d.report(out, d.core.Resubmit(d.now, d.requests[id]))
 	case "release":
-		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "not-sent": ResultNotSent, "failed": ResultFailed}[values["result"]]
+		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "rejected": ResultRejected, "not-sent": ResultNotSent, "failed": ResultFailed}[values["result"]]
 		d.report(out, d.core.Release(d.now, d.grants[id], result))
 	case "cancel":
 		d.core.Cancel(d.requests[id])
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -8,6 +8,10 @@
 	ejectAfter = 3
 	ejectFor   = 500 * time.Millisecond
 	ejectMax   = 10 * time.Second
+	// rejectedFor is how long a target that rejected a request comes after its peers, doubled with each
+	// further rejection up to rejectedMax. A rejection ends at once, so the target would look idle.
+	rejectedFor = 50 * time.Millisecond
+	rejectedMax = time.Second
 	// unreachableFor is how long a failed connection counts as news.
 	unreachableFor = 2 * time.Second
 )
@@ -15,7 +19,10 @@
 // health tracks the failures of a target.
 type health struct {
 	failures int
-	until    time.Time
+	// rejections counts those since the target last accepted a request.
+	rejections int
+	// until is when the target is used like its peers again.
+	until time.Time
 	// unreachableUntil is until when the target is reported as unreachable.
 	unreachableUntil time.Time
 }
@@ -27,6 +34,11 @@
 	case ResultOK, ResultNotRun:
 		*h = health{}
 		return
+	case ResultRejected:
+		h.failures = 0 // The machine is there.
+		h.rejections++
+		h.until = now.Add(backoff(rejectedFor, rejectedMax, h.rejections-1))
+		return
 	}
 	h.failures++
 	if result == ResultUnreachable {
@@ -37,8 +49,22 @@
 	if h.failures < ejectAfter {
 		return
 	}
-	pause := min(ejectMax, ejectFor<<min(h.failures-ejectAfter, 10))
-	h.until = now.Add(pause)
+	h.until = now.Add(backoff(ejectFor, ejectMax, h.failures-ejectAfter))
+}
+
+// accept notes that the target took a request.
+func (h *health) accept() {
+	if h.rejections > 0 {
+		*h = health{failures: h.failures, unreachableUntil: h.unreachableUntil}
+	}
+}
+
+// maxDoublings keeps a doubled pause from overflowing.
+const maxDoublings = 10
+
+// backoff is a first pause, doubled so many times, up to a longest one.
+func backoff(first, longest time.Duration, doublings int) time.Duration {
+	return min(longest, first<<min(doublings, maxDoublings))
 }
 
 func (h *health) ejected(now time.Time) bool {
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -16,6 +16,8 @@
 	ResultError
 	// ResultNotRun: the engine said that the replica does not take requests.
 	ResultNotRun
+	// ResultRejected: the machine did not run the request, as it has too much to do.
+	ResultRejected
 	// ResultFailed: the engine failed or could not be reached.
 	ResultFailed
 	// ResultSilent: there was no whole answer in time. An engine with too much to do
@@ -27,6 +29,9 @@
 	ResultNotSent
 )
 
+// notAccepted are the results of requests that their machine did not take.
+var notAccepted = []Result{ResultNotRun, ResultRejected, ResultNotSent}
+
 // Release ends a grant and gives the room to whoever waits.
 func (c *Core) Release(now time.Time, grant Grant, result Result) Outcome {
 	var outcome Outcome
@@ -37,7 +42,7 @@
 	c.leaveMachine(grant.Target.Machine)
 	c.finishWork(grant.Target.Machine, grant.Request, 0)
 	c.countAnswer(grant.Target.Machine, result)
-	c.noteTrial(grant, result != ResultNotSent && result != ResultNotRun)
+	c.noteTrial(grant, !slices.Contains(notAccepted, result))
 	held := c.targets[grant.Target.Replica]
 	if held != nil {
 		held.inFlight--
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -46,6 +46,9 @@
 func (c *Core) Started(grant Grant) {
 	c.finishWork(grant.Target.Machine, grant.Request, grant.Request.Work*startedShare)
 	c.noteTrial(grant, true)
+	if held := c.targets[grant.Target.Replica]; held != nil {
+		held.health.accept()
+	}
 }
 
 // Work returns the outstanding work by machine.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -63,7 +63,7 @@
 	case endSilent:
 		return dispatch.ResultSilent
 	case endNotRun:
-		return dispatch.ResultNotRun
+		return dispatch.ResultRejected
 	case endNotConnected:
 		return dispatch.ResultUnreachable
 	case endNotPermitted, endBackedOff, endWithheld:
--- a/internal/ingress/rest_test.go
+++ b/internal/ingress/rest_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("the machine got %d requests", sent)
 	}
 }
+
+// TestRejectingMachineIsNotPreferred: a machine that rejected requests looked idle, since a rejection ends at
+// once, and got about half of the requests beside a free one.
+func TestRejectingMachineIsNotPreferred(t *testing.T) {
+	const asked = 100
+	d := newDeployment(t)
+	rejecting := newRawMachine(t, func(request seenRequest, _ int, connection net.Conn) bool {
+		return write(connection, rejection(request, ""))
+	})
+	free := newRawMachine(t, func(request seenRequest, _ int, connection net.Conn) bool {
+		return write(connection, ok(request, "fine"))
+	})
+	d.serve(v1.RouteUnrepeatable, 1, time.Second, rejecting.address, free.address)
+	started, rejected := time.Now(), 0
+	for number := range asked {
+		if d.ask(http.MethodGet, "/a/b", "id-"+strconv.Itoa(number), "").status != http.StatusOK {
+			rejected++
+		}
+	}
+	// Pauses that double from 50 ms to a second: five of them in the first second and a half.
+	if allowed := 6 + time.Since(started).Seconds(); float64(rejected) > allowed {
+		t.Errorf("%d of %d requests were rejected, %.1f are allowed", rejected, asked, allowed)
+	}
+}
