--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -96,7 +96,7 @@
 	urgent := false
 	for _, report := range reports {
 		urgent = n.reports.Take(n.now(), report) || urgent
-		n.takeLimits(report.GetLimits(), "report")
+		n.mergeLimits(report.GetLimits(), "report")
 	}
 	if urgent {
 		n.wakeLeader()
@@ -119,8 +119,8 @@
 		n.history.Store(&demandHistory{taken: n.now(), versions: history})
 	}
 	if digest.GetLeader() != n.settings.Node {
-		n.takeLimits(digest.GetLimits(), "digest")
-		n.tellLimits() // Forgets those that are of no use any more.
+		n.mergeLimits(digest.GetLimits(), "digest")
+		n.limitSnapshot() // Forgets limits that have ended, and machines that are gone.
 	}
 	n.digest.Store(feed.WithoutHistory(digest))
 	n.digestChanged.Notify()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -170,7 +170,7 @@
 		revision = machine.Revision()
 	})
 	l.observeWarming()
-	l.controller.SetLimits(l.node.tellLimits())
+	l.controller.SetLimits(l.node.limitSnapshot())
 	digest := l.controller.Digest(l.node.now(), revision)
 	if digest == nil {
 		return
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -11,9 +11,9 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// machineLimits are the limits of machines as far as this control node knows, for concurrent use. A
-// node that does not lead learns of them, too, by digests and by the reports that it passes on: the
-// next leader should not begin without them.
+// machineLimits holds the stated limits that this control node knows. It is safe for concurrent use.
+// Followers learn limits from digests and from the reports that they forward, so that a new leader starts
+// with them.
 type machineLimits struct {
 	mutex  sync.Mutex
 	limits *ratelimit.Limits
@@ -23,10 +23,10 @@
 	return &machineLimits{limits: ratelimit.New()}
 }
 
-func (m *machineLimits) takeTold(now time.Duration, told ratelimit.Told) ratelimit.Change {
+func (m *machineLimits) merge(now time.Duration, observed ratelimit.Observation) ratelimit.Change {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.limits.TakeTold(now, told)
+	return m.limits.Merge(now, observed)
 }
 
 func (m *machineLimits) of(machine string) ratelimit.Limit {
@@ -35,35 +35,34 @@
 	return m.limits.Of(machine)
 }
 
-// tellAll returns what other nodes are to hear of the machines that are listed, and forgets the
-// others.
-func (m *machineLimits) tellAll(now time.Duration, isListed func(machine string) bool) []ratelimit.Told {
+// snapshot returns the observations of the listed machines, and forgets the others.
+func (m *machineLimits) snapshot(now time.Duration, isListed func(machine string) bool) []ratelimit.Observation {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.limits.Retain(isListed)
-	return m.limits.TellAll(now)
+	return m.limits.Snapshot(now)
 }
 
-// takeLimits takes what a router, or a leader, tells of machines' limits. A machine whose limit is new
-// got requests without permits until now.
-func (n *Node) takeLimits(messages []*wirepb.MachineLimit, by string) {
-	for _, told := range nodeview.ToldLimits(messages) {
-		change := n.limits.takeTold(n.now(), told)
-		if !change.IsNews() {
+// mergeLimits records the observations of a router or a leader. The token bucket of a machine whose limit is
+// new starts empty, as it has received requests without permits until now.
+func (n *Node) mergeLimits(messages []*wirepb.MachineLimit, source string) {
+	for _, observed := range nodeview.LimitObservations(messages) {
+		change := n.limits.merge(n.now(), observed)
+		if !change.Changed() {
 			continue
 		}
 		if term := n.permits.Load(); term != nil && !change.Before.IsSet {
 			term.empty(n.now(), []string{change.Machine})
 		}
-		n.logger.Info("machine_limit", change.LogFields(by)...)
+		n.logger.Info("machine_limit", change.LogFields(source)...)
 		n.wakeLeader()
 	}
 }
 
-// tellLimits returns what is known of the limits of the machines that are declared.
-func (n *Node) tellLimits() (told []ratelimit.Told) {
+// limitSnapshot returns the limits of the declared machines.
+func (n *Node) limitSnapshot() (observed []ratelimit.Observation) {
 	n.Read(func(machine *state.Machine) {
-		told = n.limits.tellAll(n.now(), func(name string) bool { return machine.Spec(v1.KindMachine, name) != nil })
+		observed = n.limits.snapshot(n.now(), func(name string) bool { return machine.Spec(v1.KindMachine, name) != nil })
 	})
-	return told
+	return observed
 }
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -71,8 +71,8 @@
 	leader, _ := cluster.leaderAndFollower()
 	cluster.declareWarming(leader, "m", 1000)
 	node := cluster.nodes[leader]
-	node.takeLimits([]*wirepb.MachineLimit{{Machine: "m", Limited: true, PerSecond: 0, SentAgeMs: 9000, HeardAgeMs: 8000}}, "test")
-	node.takeLimits([]*wirepb.MachineLimit{{Machine: "m", SentAgeMs: 3000, HeardAgeMs: 2000}}, "test")
+	node.mergeLimits([]*wirepb.MachineLimit{{Machine: "m", Limited: true, PerSecond: 0, SentAgeMs: 9000, HeardAgeMs: 8000}}, "test")
+	node.mergeLimits([]*wirepb.MachineLimit{{Machine: "m", SentAgeMs: 3000, HeardAgeMs: 2000}}, "test")
 	stale := &wirepb.PermitRequest{Machine: "m", LimitOnly: true, Limit: &wirepb.MachineLimit{Machine: "m", Limited: true, SentAgeMs: 9000, HeardAgeMs: 8000}}
 	for range 50 {
 		cluster.eventually("a permit", func() bool {
@@ -80,7 +80,7 @@
 			return isAnswered && isGranted
 		})
 	}
-	if told := node.tellLimits(); len(told) != 1 || told[0].Limit.IsSet || told[0].HeardAge < 2*time.Second {
+	if told := node.limitSnapshot(); len(told) != 1 || told[0].Limit.IsSet || told[0].HeardAge < 2*time.Second {
 		t.Errorf("the others are told %v", told)
 	}
 }
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -79,7 +79,7 @@
 func (n *Node) paceOf(request *wirepb.PermitRequest) (pace permits.Pace, isPaced bool) {
 	machine := request.GetMachine()
 	if limit := request.GetLimit(); limit != nil {
-		n.takeLimits([]*wirepb.MachineLimit{limit}, "permit")
+		n.mergeLimits([]*wirepb.MachineLimit{limit}, "permit")
 	}
 	limit := n.limits.of(machine)
 	if request.GetLimitOnly() {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -72,7 +72,7 @@
 	stored    *storedView
 	warming   *warming.Watch
 	// limits are those that machines name, as digests tell of them; limited are those in force.
-	limits  []ratelimit.Told
+	limits  []ratelimit.Observation
 	limited map[string]ratelimit.Limit
 	// urgent is set while routers have not heard of a machine that began to warm up or is warm, or
 	// whose limit is another one.
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -9,22 +9,22 @@
 	"github.com/weldline/weldline/internal/ratelimit"
 )
 
-// openEnd is for how long a limit is taken to last: nothing tells when it ends.
+// openEnd is the assumed duration of a limit: its end is not known in advance.
 const openEnd = time.Duration(math.MaxInt64)
 
-// SetLimits takes what is known of the limits that machines name. Routers hear of a change at once.
-func (c *Controller) SetLimits(told []ratelimit.Told) {
+// SetLimits replaces the stated limits. A change is published in a digest at once.
+func (c *Controller) SetLimits(observed []ratelimit.Observation) {
 	limited := map[string]ratelimit.Limit{}
-	for _, each := range told {
+	for _, each := range observed {
 		if each.Limit.IsSet {
 			limited[each.Machine] = each.Limit
 		}
 	}
 	c.urgent = c.urgent || !maps.Equal(limited, c.limited)
-	c.limits, c.limited = told, limited
+	c.limits, c.limited = observed, limited
 }
 
-// addLimits tells placement which machines name a limit: what they don't take, others must.
+// addLimits reduces the capacity of limited machines for placement.
 func (c *Controller) addLimits(placed map[string]*placement.Machine) {
 	for name, limit := range c.limited {
 		machine := placed[name]
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -28,7 +28,7 @@
 		{ratelimit.None, 0, 0},
 	} {
 		now += urgentDigestInterval
-		leader.SetLimits([]ratelimit.Told{{Machine: "m", Limit: test.limit}})
+		leader.SetLimits([]ratelimit.Observation{{Machine: "m", Limit: test.limit}})
 		report := &wirepb.InstanceReport{Machine: "m", WarmingMs: uint32(test.warms.Milliseconds())}
 		leader.ObserveWarming(now, func() map[string]instances.Entry {
 			return map[string]instances.Entry{"m": {Received: now, Report: report}}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -148,7 +148,7 @@
 		refusal.Reason, refusal.Detail, refusal.RetryAfter = RefusedResting, detailsOfPaced[RefusedResting], retryAfter
 	}
 	if perSecond, isLimited := c.limitOf(version, request); isLimited {
-		refusal.RetryAfter = max(refusal.RetryAfter, comeBack(version.queue.before(request)+1, perSecond))
+		refusal.RetryAfter = max(refusal.RetryAfter, retryAfterLimit(version.queue.before(request)+1, perSecond))
 	}
 	return refusal
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -121,8 +121,8 @@
 	case "rest":
 		d.report(out, d.core.Rest(d.now, name, time.Duration(number("s")*float64(time.Second))))
 	case "leave":
-		outcome, isNews := d.core.Leave(d.now, name)
-		fmt.Fprintf(out, "news=%t\n", isNews)
+		outcome, changed := d.core.Leave(d.now, name)
+		fmt.Fprintf(out, "changed=%t\n", changed)
 		d.report(out, outcome)
 	case "retain":
 		isListed := func(machine string) bool { return machine == name }
@@ -170,6 +170,6 @@
 		fmt.Fprintf(out, "%d goes to %s cold=%t\n", grant.Request.ID, grant.Target.Replica, grant.Waited)
 	}
 	for _, refusal := range outcome.Refusals {
-		fmt.Fprintf(out, "%d refused: %s (%s) come back in %s\n", refusal.Request.ID, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+		fmt.Fprintf(out, "%d refused: %s (%s) retry after %s\n", refusal.Request.ID, refusal.Reason, refusal.Detail, refusal.RetryAfter)
 	}
 }
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -11,8 +11,8 @@
 const leavingMemory = 10 * time.Minute
 
 // Leave gives a machine nothing more: it has said that it is about to shut down, whatever views of the fleet
-// say. Waiting requests that can't be served because of it are refused. isNews is false where that was known.
-func (c *Core) Leave(now time.Time, machine string) (outcome Outcome, isNews bool) {
+// say. Waiting requests that can't be served because of it are refused. changed is false if that was known.
+func (c *Core) Leave(now time.Time, machine string) (outcome Outcome, changed bool) {
 	_, known := c.leaving[machine]
 	c.leaving[machine] = now
 	if known {
--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -6,9 +6,8 @@
 // ended by then, or another machine may serve.
 const maxRetryAfter = 10 * time.Second
 
-// refuseBeyondLimits refuses a request that the limits of all machines which could take it leave no room
-// for while it waits, even if this router alone got all that they take: its caller learns it now. One for
-// which a replica elsewhere may be ready in time waits for that.
+// refuseBeyondLimits refuses a request that can't be served while it waits because all its machines are limited,
+// even if this router got all their capacity. It does not refuse one for which another replica may be ready in time.
 func (c *Core) refuseBeyondLimits(now time.Time, version *versionState, request *Request) (Refusal, bool) {
 	perSecond, isLimited := c.limitOf(version, request)
 	until := request.waitsUntil()
@@ -20,21 +19,20 @@
 		return Refusal{}, false
 	}
 	refusal := Refusal{Request: request, Reason: RefusedLimited, Detail: detailsOfPaced[RefusedLimited]}
-	refusal.RetryAfter = comeBack(ahead, perSecond)
+	refusal.RetryAfter = retryAfterLimit(ahead, perSecond)
 	return refusal, true
 }
 
-// comeBack is when a caller is asked back for whom limits leave no room before so many others are
-// through.
-func comeBack(ahead int, perSecond float64) time.Duration {
+// retryAfterLimit is how long it takes to serve the requests ahead at a rate, up to maxRetryAfter.
+func retryAfterLimit(ahead int, perSecond float64) time.Duration {
 	if float64(ahead) >= perSecond*maxRetryAfter.Seconds() {
 		return maxRetryAfter
 	}
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
-// limitOf adds up what the machines that could take a request take a second; isLimited is false where
-// one of them names no limit, or there is none.
+// limitOf returns the sum of the limits of the machines that could take a request. isLimited is false if one of
+// them is not limited, or there is none.
 func (c *Core) limitOf(version *versionState, request *Request) (perSecond float64, isLimited bool) {
 	if len(c.limited) == 0 {
 		return 0, false // As nearly always: a request that waits costs no look at its targets.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -168,13 +168,13 @@
 	d.deliver(d.core.Rest(time.Now(), machine, span))
 }
 
-// Leave gives a machine nothing more, as it said that it is leaving. It reports whether that is news.
-func (d *Dispatcher) Leave(machine string) (isNews bool) {
+// Leave gives a machine nothing more, as it said that it is leaving. It reports whether that was not known.
+func (d *Dispatcher) Leave(machine string) (changed bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	outcome, isNews := d.core.Leave(time.Now(), machine)
+	outcome, changed := d.core.Leave(time.Now(), machine)
 	d.deliver(outcome)
-	return isNews
+	return changed
 }
 
 // Leaving returns the machines that said that they are leaving.
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -9,11 +9,11 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// machineLimits are the limits of machines as far as this node knows.
+// machineLimits holds the stated limits that this router knows. It is safe for concurrent use.
 type machineLimits struct {
 	options Options
 
-	// onChange is called with the limits in force where one has changed.
+	// onChange is called with all limits in force after one has changed.
 	onChange func(map[string]ratelimit.Limit)
 
 	mutex  sync.Mutex
@@ -24,43 +24,43 @@
 	return &machineLimits{options: options, onChange: onChange, limits: ratelimit.New()}
 }
 
-// of returns what is known of a machine's limit, where it names one.
-func (m *machineLimits) of(machine string) (told ratelimit.Told, isLimited bool) {
+// of returns the observation of a machine's limit, if it has one.
+func (m *machineLimits) of(machine string) (observed ratelimit.Observation, isLimited bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	told, known := m.limits.Tell(m.options.Now(), machine)
-	return told, known && told.Limit.IsSet
+	observed, known := m.limits.Lookup(m.options.Now(), machine)
+	return observed, known && observed.Limit.IsSet
 }
 
-// MachineLimits are what this node knows of the limits of machines, for reports.
+// MachineLimits returns the limits that this router knows, for reports.
 func (i *Ingress) MachineLimits() []*wirepb.MachineLimit {
 	known := i.permits.limits
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
-	return nodeview.LimitMessages(known.limits.TellAll(known.options.Now()))
+	return nodeview.LimitMessages(known.limits.Snapshot(known.options.Now()))
 }
 
-// takeDigest takes what a leader's digest tells of machines' limits.
+// takeDigest records the limits of a leader's digest.
 func (m *machineLimits) takeDigest(digest *wirepb.ClusterDigest) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := m.options.Now()
-	for _, told := range nodeview.ToldLimits(digest.GetLimits()) {
-		m.note(m.limits.TakeTold(now, told), "digest")
+	for _, observed := range nodeview.LimitObservations(digest.GetLimits()) {
+		m.note(m.limits.Merge(now, observed), "digest")
 	}
 }
 
-// take takes what a machine said in an answer to a request that was sent at a time.
-// It reports whether that is news.
-func (m *machineLimits) take(machine string, limit ratelimit.Limit, sent time.Duration) (isNews bool) {
+// observe records the limit stated in the answer to a request that was sent at a time. It reports whether the
+// machine's limit has changed.
+func (m *machineLimits) observe(machine string, limit ratelimit.Limit, sent time.Duration) (changed bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	change := m.limits.Take(machine, ratelimit.Statement{Limit: limit, Sent: sent, Heard: m.options.Now()})
+	change := m.limits.Observe(machine, ratelimit.Statement{Limit: limit, Sent: sent, Heard: m.options.Now()})
 	m.note(change, "answer")
-	return change.IsNews()
+	return change.Changed()
 }
 
-// retain forgets the machines that are gone.
+// retain forgets all machines but the listed ones.
 func (m *machineLimits) retain(isListed func(machine string) bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -68,18 +68,18 @@
 	m.publish()
 }
 
-// publish tells of the limits in force; the mutex must be held.
+// publish passes on the limits in force. The mutex must be held.
 func (m *machineLimits) publish() {
 	set := m.limits.Set()
 	m.options.Metrics.limited.Set(float64(len(set)))
 	m.onChange(set)
 }
 
-// note tells of a change; the mutex must be held.
-func (m *machineLimits) note(change ratelimit.Change, by string) {
-	if !change.IsNews() {
+// note publishes and logs a change. The mutex must be held.
+func (m *machineLimits) note(change ratelimit.Change, source string) {
+	if !change.Changed() {
 		return
 	}
 	m.publish()
-	m.options.Logger.Info("machine_limit", change.LogFields(by)...)
+	m.options.Logger.Info("machine_limit", change.LogFields(source)...)
 }
--- a/internal/ingress/permits.go
+++ b/internal/ingress/permits.go
@@ -37,9 +37,9 @@
 	machine string
 	// warms is set where the machine warms up.
 	warms bool
-	// told is what is known of the machine's limit, where isLimited is set.
+	// observed is the machine's limit, where isLimited is set.
 	isLimited bool
-	told      ratelimit.Told
+	observed  ratelimit.Observation
 }
 
 func (n permitNeed) exists() bool {
@@ -49,7 +49,7 @@
 func (n permitNeed) request() *wirepb.PermitRequest {
 	request := &wirepb.PermitRequest{Machine: n.machine}
 	if n.isLimited {
-		request.Limit, request.LimitOnly = nodeview.LimitMessage(n.told), !n.warms
+		request.Limit, request.LimitOnly = nodeview.LimitMessage(n.observed), !n.warms
 	}
 	return request
 }
@@ -73,7 +73,7 @@
 // need returns what a send to a machine of a pool needs a permit for.
 func (g *permitGuard) need(pool, machine string) permitNeed {
 	need := permitNeed{machine: machine, warms: g.warming.warms(pool, machine)}
-	need.told, need.isLimited = g.limits.of(machine)
+	need.observed, need.isLimited = g.limits.of(machine)
 	return need
 }
 
@@ -150,7 +150,7 @@
 	if answer.wait > 0 {
 		j.ingress.options.Logger.Info("permit_refused", "id", j.attributes.ID, "pool", j.pool, "machine", machine,
 			"age_ms", time.Since(j.arrived).Milliseconds(), "hold_ms", answer.wait.Milliseconds(), "warms", need.warms,
-			"limited", need.isLimited, "per_second", need.told.Limit.PerSecond, "outcome", string(answer.outcome), "error", answer.reason)
+			"limited", need.isLimited, "per_second", need.observed.Limit.PerSecond, "outcome", string(answer.outcome), "error", answer.reason)
 		dispatcher.Hold(machine, answer.wait)
 	}
 	if answer.wait > 0 && answer.outcome == permitUnanswered {
--- a/internal/ingress/statements.go
+++ b/internal/ingress/statements.go
@@ -19,8 +19,8 @@
 		j.ingress.options.Metrics.invalidStatements.Inc()
 		j.log("invalid_statement", "machine", machine, "error", fault.Message(err))
 	}
-	if j.ingress.permits.limits.take(machine, stated.Limit, j.written) {
-		j.ingress.options.Nudge() // The other routers are to hear of it by way of the leader.
+	if j.ingress.permits.limits.observe(machine, stated.Limit, j.written) {
+		j.ingress.options.Nudge() // The leader publishes the limit to the other routers.
 	}
 	if stated.Rest > 0 {
 		j.ingress.dispatcher.Rest(machine, stated.Rest)
--- a/internal/nodeview/limits.go
+++ b/internal/nodeview/limits.go
@@ -7,40 +7,40 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// ToldLimit returns what a message tells of a machine's limit.
-func ToldLimit(message *wirepb.MachineLimit) ratelimit.Told {
-	told := ratelimit.Told{
+// LimitObservation decodes a message.
+func LimitObservation(message *wirepb.MachineLimit) ratelimit.Observation {
+	observed := ratelimit.Observation{
 		Machine:  message.GetMachine(),
 		SentAge:  time.Duration(message.GetSentAgeMs()) * time.Millisecond,
 		HeardAge: time.Duration(message.GetHeardAgeMs()) * time.Millisecond,
 	}
 	if message.GetLimited() {
-		told.Limit = ratelimit.Of(message.GetPerSecond())
+		observed.Limit = ratelimit.Of(message.GetPerSecond())
 	}
-	return told
+	return observed
 }
 
-// ToldLimits returns what messages tell.
-func ToldLimits(messages []*wirepb.MachineLimit) []ratelimit.Told {
-	told := make([]ratelimit.Told, 0, len(messages))
+// LimitObservations decodes messages.
+func LimitObservations(messages []*wirepb.MachineLimit) []ratelimit.Observation {
+	observed := make([]ratelimit.Observation, 0, len(messages))
 	for _, message := range messages {
-		told = append(told, ToldLimit(message))
+		observed = append(observed, LimitObservation(message))
 	}
-	return told
+	return observed
 }
 
-// LimitMessage is the message that tells of a machine's limit.
-func LimitMessage(told ratelimit.Told) *wirepb.MachineLimit {
+// LimitMessage encodes an observation.
+func LimitMessage(observed ratelimit.Observation) *wirepb.MachineLimit {
 	return &wirepb.MachineLimit{
-		Machine: told.Machine, Limited: told.Limit.IsSet, PerSecond: told.Limit.PerSecond,
-		SentAgeMs: uint32(told.SentAge.Milliseconds()), HeardAgeMs: uint32(told.HeardAge.Milliseconds()),
+		Machine: observed.Machine, Limited: observed.Limit.IsSet, PerSecond: observed.Limit.PerSecond,
+		SentAgeMs: uint32(observed.SentAge.Milliseconds()), HeardAgeMs: uint32(observed.HeardAge.Milliseconds()),
 	}
 }
 
-// LimitMessages are the messages that tell of machines' limits.
-func LimitMessages(told []ratelimit.Told) []*wirepb.MachineLimit {
-	messages := make([]*wirepb.MachineLimit, 0, len(told))
-	for _, each := range told {
+// LimitMessages encodes observations.
+func LimitMessages(observed []ratelimit.Observation) []*wirepb.MachineLimit {
+	messages := make([]*wirepb.MachineLimit, 0, len(observed))
+	for _, each := range observed {
 		messages = append(messages, LimitMessage(each))
 	}
 	return messages
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -8,77 +8,79 @@
 )
 
 const (
-	// endMemory is for how long the end of a limit is told: about as long as a router may be
-	// without digests, or a report on its way, before it hears of a machine by itself.
+	// endMemory is how long the end of a limit is published: about as long as a router may be without
+	// digests, or a report delayed.
 	endMemory = 10 * time.Second
-	// passingTime is how long what another node tells may have been on its way. Ages are told, so a
-	// statement seems to have been made later than it was, by as much as this.
-	passingTime = 250 * time.Millisecond
+	// maxExchangeDelay is the assumed delay of an observation between nodes. Observations carry ages, so a
+	// delayed one makes its statement look younger than it is.
+	maxExchangeDelay = 250 * time.Millisecond
 )
 
-// Limits are what a node knows of the limits that machines name. They are not safe for concurrent
-// use.
+// Limits holds the stated limits that a node knows, by machine. It is not safe for concurrent use.
 type Limits struct {
 	held map[string]Statement
 }
 
-// Change tells that a machine's limit is another one.
+// Change describes a limit transition.
 type Change struct {
 	Machine string
 	Before  Limit
 	After   Limit
 }
 
-// IsNews reports whether anything has changed.
-func (c Change) IsNews() bool {
+// Changed reports whether the limit differs from the one before.
+func (c Change) Changed() bool {
 	return c.Before != c.After
 }
 
-// LogFields are what logs tell of a change, and by what it was heard of.
-func (c Change) LogFields(by string) []any {
+// LogFields returns the fields of a log line about the change. Source is what reported it: an answer, a
+// report, a permit request or a digest.
+func (c Change) LogFields(source string) []any {
 	return []any{
 		"machine", c.Machine, "limited", c.After.IsSet, "per_second", c.After.PerSecond,
-		"was_limited", c.Before.IsSet, "per_second_before", c.Before.PerSecond, "by", by,
+		"was_limited", c.Before.IsSet, "per_second_before", c.Before.PerSecond, "by", source,
 	}
 }
 
-// Told is a statement about a machine as one node tells it to another.
-type Told struct {
+// Observation is a machine's stated limit as exchanged between nodes. It carries ages instead of timestamps
+// because node clocks differ.
+type Observation struct {
 	Machine string
 	Limit   Limit
-	// SentAge and HeardAge are how long ago the statement's request was sent and its answer came.
+	// SentAge and HeardAge are the ages of the request and of the answer that stated the limit.
 	SentAge, HeardAge time.Duration
 }
 
-// New returns the limits of a node that knows of none.
+// New returns empty Limits.
 func New() *Limits {
 	return &Limits{held: map[string]Statement{}}
 }
 
-// Take takes what a machine said. That it names no limit is kept only where one was named lately.
-func (l *Limits) Take(machine string, said Statement) Change {
+// Observe records a machine's statement, unless a newer or stricter one holds. The absence of a limit is
+// recorded only for machines that stated one recently.
+func (l *Limits) Observe(machine string, stated Statement) Change {
 	held, known := l.held[machine]
 	change := Change{Machine: machine, Before: held.Limit, After: held.Limit}
-	if !known && !said.Limit.IsSet || known && !said.supersedes(held) {
+	if !known && !stated.Limit.IsSet || known && !stated.supersedes(held) {
 		return change
 	}
-	l.held[machine] = said
-	change.After = said.Limit
+	l.held[machine] = stated
+	change.After = stated.Limit
 	return change
 }
 
-// TakeTold takes what another node tells. That may be what it was told by this one: the same limit is
-// taken for newer only where that is certain, so that nodes don't renew a limit for each other which its
-// machine names no more.
-func (l *Limits) TakeTold(now time.Duration, told Told) Change {
-	said := Statement{Limit: told.Limit, Sent: now - told.SentAge - passingTime, Heard: now - told.HeardAge}
-	if held, known := l.held[told.Machine]; known && held.Limit == said.Limit && said.Sent < held.Heard {
-		return Change{Machine: told.Machine, Before: held.Limit, After: held.Limit}
+// Merge records an observation of another node. It may originate from this node, so the same limit replaces
+// the held one only if it is certainly newer. Otherwise nodes would renew for each other a limit that the machine
+// no longer states.
+func (l *Limits) Merge(now time.Duration, observed Observation) Change {
+	stated := Statement{Limit: observed.Limit, Sent: now - observed.SentAge - maxExchangeDelay, Heard: now - observed.HeardAge}
+	if held, known := l.held[observed.Machine]; known && held.Limit == stated.Limit && stated.Sent < held.Heard {
+		return Change{Machine: observed.Machine, Before: held.Limit, After: held.Limit}
 	}
-	return l.Take(told.Machine, said)
+	return l.Observe(observed.Machine, stated)
 }
 
-// Of returns a machine's limit.
+// Of returns the limit of a machine, or None.
 func (l *Limits) Of(machine string) Limit {
 	return l.held[machine].Limit
 }
@@ -86,39 +88,39 @@
 // Set returns the limits that are in force, by machine.
 func (l *Limits) Set() map[string]Limit {
 	set := map[string]Limit{}
-	for machine, said := range l.held {
-		if said.Limit.IsSet {
-			set[machine] = said.Limit
+	for machine, stated := range l.held {
+		if stated.Limit.IsSet {
+			set[machine] = stated.Limit
 		}
 	}
 	return set
 }
 
-// Tell returns what other nodes are to hear of a machine; known is false where that is nothing.
-func (l *Limits) Tell(now time.Duration, machine string) (told Told, known bool) {
-	said, known := l.held[machine]
+// Lookup returns the observation of one machine to send to other nodes, if there is any.
+func (l *Limits) Lookup(now time.Duration, machine string) (observed Observation, known bool) {
+	stated, known := l.held[machine]
 	if !known {
-		return Told{}, false
+		return Observation{}, false
 	}
-	return Told{Machine: machine, Limit: said.Limit, SentAge: now - said.Sent, HeardAge: now - said.Heard}, true
+	return Observation{Machine: machine, Limit: stated.Limit, SentAge: now - stated.Sent, HeardAge: now - stated.Heard}, true
 }
 
-// TellAll returns what other nodes are to hear, by machine, and forgets what they need not hear any
-// more.
-func (l *Limits) TellAll(now time.Duration) []Told {
-	maps.DeleteFunc(l.held, func(_ string, said Statement) bool {
-		return !said.Limit.IsSet && now-said.Heard > endMemory
+// Snapshot returns the observations to send to other nodes, sorted by machine. It forgets ended limits that
+// need not be published any more.
+func (l *Limits) Snapshot(now time.Duration) []Observation {
+	maps.DeleteFunc(l.held, func(_ string, stated Statement) bool {
+		return !stated.Limit.IsSet && now-stated.Heard > endMemory
 	})
-	all := make([]Told, 0, len(l.held))
+	all := make([]Observation, 0, len(l.held))
 	for machine := range l.held {
-		told, _ := l.Tell(now, machine)
-		all = append(all, told)
+		observed, _ := l.Lookup(now, machine)
+		all = append(all, observed)
 	}
-	slices.SortFunc(all, func(left, right Told) int { return cmp.Compare(left.Machine, right.Machine) })
+	slices.SortFunc(all, func(left, right Observation) int { return cmp.Compare(left.Machine, right.Machine) })
 	return all
 }
 
-// Retain forgets all machines but those that are listed.
+// Retain forgets all machines but the listed ones.
 func (l *Limits) Retain(isListed func(machine string) bool) {
 	maps.DeleteFunc(l.held, func(machine string, _ Statement) bool { return !isListed(machine) })
 }
--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -62,7 +62,7 @@
 		}
 		said.Limit = Of(perSecond)
 	}
-	return describe(n.of(nameOf(t, d, "node")).Take(machineUnderTest, said))
+	return describe(n.of(nameOf(t, d, "node")).Observe(machineUnderTest, said))
 }
 
 func (n *nodes) tell(t *testing.T, d *datadriven.TestData) string {
@@ -71,13 +71,13 @@
 		way = timeOf(t, d, "way")
 	}
 	from, to := n.of(nameOf(t, d, "from")), n.of(nameOf(t, d, "to"))
-	told := from.TellAll(at)
+	told := from.Snapshot(at)
 	if len(told) == 0 {
 		return "nothing\n"
 	}
 	news := ""
 	for _, each := range told {
-		news += describe(to.TakeTold(at+way, each))
+		news += describe(to.Merge(at+way, each))
 	}
 	return news
 }
@@ -91,7 +91,7 @@
 }
 
 func describe(change Change) string {
-	if !change.IsNews() {
+	if !change.Changed() {
 		return "no news\n"
 	}
 	return text(change.Before) + " -> " + text(change.After) + "\n"
