faultsim: add engines that state limits, with permits of the leader

Routers observe it, report it, take it from digests and ask the leader for a permit before each send, as processes do; control nodes merge, publish and permit under their lease. The mutation limits-ignored is caught.

TestEnginesThatStateRestsAndLimits: 24 schedules each of rests and limits alone, and 24 each beside crashes, freezes, sleeps, cuts and lost messages: clean.

--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -66,6 +66,8 @@
 	CheckDrains = "zone_drains"
 	// CheckRests: an engine that asked a router for a rest gets two requests from it at most until it is over.
 	CheckRests = "engine_rests"
+	// CheckLimits: an engine that states a limit gets no more than that from all routers in contact together.
+	CheckLimits = "engine_limits"
 	// CheckConverge: after everything healed, all agree and nothing is stuck.
 	CheckConverge = "convergence"
 )
@@ -74,7 +76,7 @@
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinear, CheckDecided,
 	CheckMemory, CheckRevert, CheckInForce, CheckStale, CheckDropped, CheckWrongAnswer, CheckOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckDrains, CheckRests, CheckConverge,
+	CheckLeaving, CheckSpec, CheckRepeats, CheckConvicted, CheckDrains, CheckRests, CheckLimits, CheckConverge,
 }
 
 const (
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -11,8 +11,10 @@
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/keepalive"
 	"github.com/weldline/weldline/internal/member"
+	"github.com/weldline/weldline/internal/permits"
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/raft"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -42,6 +44,9 @@
 	lost bool
 	// stalls tells whether the process stood still until a moment ago.
 	stalls drains.StallWatch
+	// limits are the stated limits that the node knows; permits are those of its term as leader.
+	limits  *ratelimit.Limits
+	permits *permits.Permits
 	// muted drops what the node says to other control nodes.
 	muted bool
 }
@@ -72,6 +77,7 @@
 	c.digest = nil
 	c.pending = member.NewProposals()
 	c.decider = nil
+	c.limits, c.permits = ratelimit.New(), nil
 	c.passing = false
 	if c.world.drainsZones {
 		c.stalls = drains.StallWatch{}
@@ -209,15 +215,21 @@
 	if status.Unheard(c.clock()) && c.world.mutation != MutationDigestVouches {
 		return watchReply{refused: true}
 	}
-	urgent := c.reports.Take(c.clock(), report)
+	urgent := c.take(report)
 	if leader := c.world.control(status.Leader); leader != nil && leader != c {
-		c.sendTo(leader, func() { leader.reports.Take(leader.clock(), report) })
+		c.sendTo(leader, func() { leader.take(report) })
 	} else if urgent {
 		c.pass()
 	}
 	return watchReply{changes: feed.ChangesOf(c.member.State, revision), digest: c.digest}
 }
 
+// take keeps a router's report. It reports whether the leader should act on it at once.
+func (c *controlNode) take(report *wirepb.NodeReport) (urgent bool) {
+	c.mergeLimits(report.GetLimits())
+	return c.reports.Take(c.clock(), report)
+}
+
 // pass runs the controllers, as the leader's loop does. The next pass waits
 // for the writes of this one.
 func (c *controlNode) pass() {
@@ -225,17 +237,19 @@
 		return
 	}
 	if c.decider != nil && !c.member.Raft.Status().LeadsIn(c.decider.Term()) {
-		c.decider = nil
+		c.decider, c.permits = nil, nil
 	}
 	if !c.leads() {
 		return
 	}
 	if c.decider == nil {
 		c.decider = c.newController()
+		c.permits = permits.New(c.clock())
 		c.forgetConvictions()
 	}
 	c.passing = true
 	decider := c.decider
+	decider.SetLimits(c.limits.Snapshot(c.clock()))
 	decider.Observe(c.member.State)
 	c.write(decider.MachineWrites(c.clock(), c.world.list.read(&c.process)), func() {
 		decider.Observe(c.member.State)
@@ -292,6 +306,7 @@
 func (c *controlNode) takeDigest(digest *wirepb.ClusterDigest) {
 	if feed.Newer(digest, c.digest) {
 		c.digest = digest
+		c.mergeLimits(digest.GetLimits())
 	}
 }
 
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -6,6 +6,7 @@
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -122,7 +123,13 @@
 // openRun is a request that an engine runs, and how its router learns of the end.
 type openRun struct {
 	sent  *content
-	reply func(runEnd)
+	reply func(engineAnswer)
+}
+
+// engineAnswer is what a router gets from an engine: how the request ended, and what the engine states.
+type engineAnswer struct {
+	end   runEnd
+	limit ratelimit.Limit
 }
 
 // runEnd is how a request ended at an engine.
@@ -149,7 +156,7 @@
 	var broken []*content
 	for _, run := range m.open {
 		broken = append(broken, run.sent)
-		run.reply(runBroken)
+		run.reply(engineAnswer{end: runBroken})
 	}
 	m.open = nil
 	return broken
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -44,11 +44,13 @@
 	FaultDrainZone Kind = "drain-zone"
 	// FaultOverloadEngine makes an engine reject requests and ask their routers for rests.
 	FaultOverloadEngine Kind = "overload-engine"
+	// FaultLimitEngine makes an engine state a limit for all routers together.
+	FaultLimitEngine Kind = "limit-engine"
 )
 
 // KindsDrawnApart are the faults that schedules have besides those of Kinds, so that the
 // schedules of earlier seeds keep theirs.
-var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine}
+var KindsDrawnApart = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine}
 
 // Kinds lists the faults that schedules draw from.
 var Kinds = []Kind{
@@ -72,7 +74,7 @@
 
 // withoutDelay are the faults during which changes are due in time: routers can leave a control node that is not
 // heard, and the others keep no node from any other.
-var withoutDelay = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine}
+var withoutDelay = []Kind{FaultUnheardControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine}
 
 // inject lets a fault begin, and heal in time.
 func (w *world) inject(fault Fault) {
@@ -173,6 +175,8 @@
 		return nothing
 	case FaultOverloadEngine:
 		return w.overload(hit)
+	case FaultLimitEngine:
+		return w.limit(hit, fault.For)
 	case FaultMachineLeaves:
 		return w.leave(hit)
 	case FaultMachineReclaimed:
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -7,6 +7,7 @@
 	"github.com/weldline/weldline/api/platform"
 	"github.com/weldline/weldline/internal/enginemodel"
 	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/ratelimit"
 )
 
 const (
@@ -31,6 +32,11 @@
 	gone         bool
 	// overloaded engines reject all requests, each with a rest.
 	overloaded bool
+	// limit is what the engine states in its answers. All routers in contact must know it from limitKnown on,
+	// which is 0 before a router has read it. limitArrivals are the requests of the present window.
+	limit         ratelimit.Limit
+	limitKnown    time.Duration
+	limitArrivals []time.Duration
 	// open is what runs, where the connections of engines that end are told to break.
 	open []*openRun
 	// resets are the requests whose connections were reset in this life of the engine.
@@ -58,6 +64,7 @@
 func (m *machine) startEngine() {
 	m.begin()
 	m.incarnation++
+	m.limit = ratelimit.None
 	m.unseenEnds = map[string]string{}
 	m.engine.Restart(m.incarnation)
 }
@@ -120,16 +127,17 @@
 }
 
 // serve runs a request on a replica, if it takes requests.
-func (m *machine) serve(router *routerNode, entry *inference, replica string, took time.Duration, reply func(runEnd)) {
+func (m *machine) serve(router *routerNode, entry *inference, replica string, took time.Duration, reply func(engineAnswer)) {
 	m.world.checks.arrived(router, entry.sent)
 	m.world.checks.arrivedAt(m, router)
+	m.world.checks.arrivedAtLimited(m, router)
 	if m.overloaded {
-		reply(runRejected)
+		reply(m.answer(runRejected))
 		return
 	}
 	held := m.engine.Begin(replica)
 	if held == nil {
-		reply(runRefused)
+		reply(m.answer(runRefused))
 		return
 	}
 	m.world.checks.ran(entry.id, m, router)
@@ -145,11 +153,16 @@
 		m.engine.End(held)
 		if !m.world.breaksRuns || m.close(run) {
 			m.world.checks.truthOf(entry.sent.identity).whole = true
-			reply(runWhole)
+			reply(m.answer(runWhole))
 		}
 	})
 }
 
+// answer is an answer of the engine at this moment.
+func (m *machine) answer(end runEnd) engineAnswer {
+	return engineAnswer{end: end, limit: m.limit}
+}
+
 // machineList is the platform's list, which lags.
 type machineList struct {
 	world    *world
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -128,7 +128,7 @@
 			entry.end(verdictNotRun)
 			r.deliver(r.core.Release(r.wall(), grant, dispatch.ResultNotRun))
 		default:
-			r.sendToEngine(entry, grant)
+			r.sendPermitted(entry, grant)
 		}
 	}
 	for _, refusal := range outcome.Refusals {
@@ -144,10 +144,15 @@
 	target := r.world.machineNamed(grant.Target.Machine)
 	left := grant.Request.Deadline.Sub(r.wall())
 	took := r.world.span(20*time.Millisecond, 800*time.Millisecond)
+	sentAt := r.clock()
 	life := r.view.LifeOf(grant.Target.Machine, grant.Target.Replica)
-	call(&r.process, &target.process, max(left, 0), func(reply func(runEnd)) {
+	call(&r.process, &target.process, max(left, 0), func(reply func(engineAnswer)) {
 		target.serve(r, entry, grant.Target.Replica, took, reply)
-	}, func(end runEnd, answered bool) {
+	}, func(answer engineAnswer, answered bool) {
+		end := answer.end
+		if answered && end != runBroken {
+			r.observeLimit(target, answer.limit, sentAt)
+		}
 		switch {
 		case !answered:
 			r.deliver(r.core.Release(r.wall(), grant, dispatch.ResultFailed))
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -9,6 +9,7 @@
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/ratelimit"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -44,6 +45,9 @@
 	seenRevision uint64
 	draining     bool
 	crashes      *quarantine.Watch
+	limits       *ratelimit.Limits
+	// silentUntil is until when the leader is not asked for permits, after it could not be.
+	silentUntil time.Duration
 }
 
 // machineWatch is the agent's watch over one machine.
@@ -75,6 +79,7 @@
 	r.seenRevision = 0
 	r.draining = false
 	r.crashes = quarantine.NewWatch()
+	r.limits, r.silentUntil = ratelimit.New(), 0
 	r.every(pollInterval, r.poll)
 	r.every(agentInterval, r.watchMachines)
 	r.every(dispatchTick, func() {
@@ -126,6 +131,7 @@
 		Node: r.name, Zone: r.zone, Incarnation: r.incarnation, Sequence: r.sequence, Router: true, Draining: r.draining,
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
 		Demand: r.news.Messages(r.core.Demand(r.wall())),
+		Limits: nodeview.LimitMessages(r.limits.Snapshot(r.clock())),
 	}
 	for _, watch := range r.watches {
 		if watch.report == nil {
@@ -160,6 +166,7 @@
 		return
 	}
 	r.lastDigest = r.world.Now()
+	r.mergeLimits(answer.digest)
 	r.deliver(r.core.SetLoads(r.wall(), nodeview.LoadsOf(answer.digest), int(answer.digest.GetRouters())))
 	r.deliver(r.core.SetEstimates(r.wall(), nodeview.EstimatesOf(answer.digest, r.wall())))
 }
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -61,7 +61,8 @@
 
 	MutationLateDrains: {FaultDrainZone, FaultSuspend},
 
-	MutationRestsIgnored: {FaultOverloadEngine},
+	MutationRestsIgnored:  {FaultOverloadEngine},
+	MutationLimitsIgnored: {FaultLimitEngine},
 }
 
 // RandomSchedule draws a schedule: one to six faults, alone, together or one
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -68,21 +68,25 @@
 	}
 }
 
-// TestOverloadedEngines runs schedules in which engines ask for rests, alone and while routers and leaders fail.
-func TestOverloadedEngines(t *testing.T) {
+// TestEnginesThatStateRestsAndLimits runs schedules in which engines ask for rests or state limits, alone and while
+// routers, leaders and engines fail.
+func TestEnginesThatStateRestsAndLimits(t *testing.T) {
 	const last = 24
-	for _, beside := range [][]Kind{nil, {FaultCrashRouter, FaultFreezeRouter, FaultSuspend, FaultCrashLeader, FaultCrashEngine, FaultLoss}} {
-		for seed := uint64(1); seed <= last; seed++ {
-			random := rand.New(rand.NewPCG(seed, 0))
-			schedule := Schedule{Seed: seed}
-			for range 3 {
-				schedule.Faults = append(schedule.Faults, randomFault(random, []Kind{FaultOverloadEngine}))
-				if beside != nil {
-					schedule.Faults = append(schedule.Faults, randomFault(random, beside))
+	beside := []Kind{FaultCrashRouter, FaultFreezeRouter, FaultSuspend, FaultCrashLeader, FaultCutLeader, FaultCrashEngine, FaultLoss}
+	for _, stated := range []Kind{FaultOverloadEngine, FaultLimitEngine} {
+		for _, others := range [][]Kind{nil, beside} {
+			for seed := uint64(1); seed <= last; seed++ {
+				random := rand.New(rand.NewPCG(seed, 0))
+				schedule := Schedule{Seed: seed}
+				for range 3 {
+					schedule.Faults = append(schedule.Faults, randomFault(random, []Kind{stated}))
+					if others != nil {
+						schedule.Faults = append(schedule.Faults, randomFault(random, others))
+					}
+				}
+				for _, violation := range Run(schedule).Violations {
+					t.Errorf("seed %d: %s: %s; replay %+v", seed, violation.Check, violation.Detail, schedule)
 				}
-			}
-			for _, violation := range Run(schedule).Violations {
-				t.Errorf("seed %d: %s: %s; replay %+v", seed, violation.Check, violation.Detail, schedule)
 			}
 		}
 	}
@@ -109,7 +113,8 @@
 
 		MutationLateDrains: {CheckDrains},
 
-		MutationRestsIgnored: {CheckRests},
+		MutationRestsIgnored:  {CheckRests},
+		MutationLimitsIgnored: {CheckLimits},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/world.go
+++ b/internal/faultsim/world.go
@@ -72,6 +72,8 @@
 	MutationLateDrains Mutation = "late-drains"
 	// MutationRestsIgnored: routers go on sending to engines that asked for a rest.
 	MutationRestsIgnored Mutation = "rests-ignored"
+	// MutationLimitsIgnored: routers ask for no permits.
+	MutationLimitsIgnored Mutation = "limits-ignored"
 )
 
 // Mutations lists all but MutationNone. A forgotten vote is not among them:
@@ -81,7 +83,7 @@
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationDigestVouches,
 	MutationCrashesNotShared, MutationConvictionForgotten, MutationResetCountsAsCrash, MutationSteadyLease,
-	MutationLateDrains, MutationRestsIgnored,
+	MutationLateDrains, MutationRestsIgnored, MutationLimitsIgnored,
 }
 
 // world is one simulated cluster.
