--- a/internal/ingress/rest_test.go
+++ b/internal/ingress/rest_test.go
@@ -136,3 +136,23 @@
 		t.Errorf("%d of %d requests were rejected, %.1f are allowed", rejected, asked, allowed)
 	}
 }
+
+// TestMisdirectedAnswerStatesNothing: a 421 comes from another machine at the same address, and its statements were
+// taken for those of the machine that the request was meant for.
+func TestMisdirectedAnswerStatesNothing(t *testing.T) {
+	d := newDeployment(t)
+	machine := newRawMachine(t, func(request seenRequest, number int, connection net.Conn) bool {
+		if number > 1 {
+			return write(connection, ok(request, "fine"))
+		}
+		return write(connection, "HTTP/1.1 421 Misdirected Request\r\n"+headerID+": "+request.header.Get(headerID)+"\r\n"+headerNotRun+": 1\r\n"+
+			headerRest+": 1h\r\n"+headerLeaving+": 1\r\n"+headerLimit+": 0\r\nContent-Length: 0\r\n\r\n")
+	})
+	d.serve(v1.RouteUnrepeatable, 1, time.Second, machine.address)
+	if got := d.ask(http.MethodGet, "/a/b", "first", ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("the misdirected caller gets %d", got.status)
+	}
+	if got := d.ask(http.MethodGet, "/a/b", "second", "", headerWait, "300ms"); got.status != http.StatusOK {
+		t.Errorf("the second caller gets %d", got.status)
+	}
+}
