--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 HANDWRITTEN = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test race demo soak format lint generate check-generated bench clean
+.PHONY: build test race demo soak soak-short format lint generate check-generated bench clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -28,6 +28,10 @@
 	$(GO) build -o $(BIN)/ ./platform/weldnode ./platform/weldsoak
 	@BIN=$(CURDIR)/$(BIN) scripts/soak.sh
 
+# A soak that is short enough for CI: the same few faults each time.
+soak-short:
+	@SEED=21 DURATION=20s CONTROL=3 ROUTERS=3 MACHINES=12 $(MAKE) --no-print-directory soak
+
 format:
 	$(TOOL) gofumpt -w $(HANDWRITTEN)
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -23,6 +23,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/problem"
 )
@@ -167,6 +168,9 @@
 	"drain_in_force": true,
 }
 
+// stated are the events in which a machine states something about itself, in the answer to any request.
+var stated = map[string]bool{"request_rest_requested": true, "request_machine_leaving": true}
+
 // lasting are the events whose effect lasts until the opposite one.
 var lasting = map[string]bool{"zone_drained": true, "zone_undrained": true}
 
@@ -174,7 +178,10 @@
 	if lasting[line.Event] {
 		return !line.Time.After(s.end)
 	}
-	if line.Time.Before(s.start.Add(-before)) || line.Time.After(s.end.Add(after)) || textOf(line.Fields, "id") != "" {
+	if line.Time.Before(s.start.Add(-before)) || line.Time.After(s.end.Add(after)) {
+		return false
+	}
+	if textOf(line.Fields, "id") != "" && !stated[line.Event] {
 		return false
 	}
 	if general[line.Event] {
@@ -261,12 +268,15 @@
 	if textOf(last.Fields, "kind") == problem.TypeNoRegion {
 		return fmt.Sprintf("refused: no allowed region after %v ms: %v", last.Fields["age_ms"], last.Fields["detail"])
 	}
-	told := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"]) + s.heldBack()
+	text := fmt.Sprintf("refused with %v after %v ms: %v", last.Fields["status"], last.Fields["age_ms"], last.Fields["detail"]) + s.heldBack()
 	if strings.HasPrefix(textOf(last.Fields, "detail"), v1.ReasonZoneDrained) {
-		return told + drainedBy(lines, last.Time)
+		return text + drainedBy(lines, last.Time)
+	}
+	if strings.HasPrefix(textOf(last.Fields, "detail"), string(dispatch.RefusedResting)) {
+		return text + s.restedBy(lines, last)
 	}
 	if !strings.Contains(textOf(last.Fields, "detail"), "no replica") {
-		return told
+		return text
 	}
 	var orders, leaders []string
 	for _, line := range lines {
@@ -279,16 +289,32 @@
 			}
 		}
 	}
-	told += "; wanted: " + s.wanted()
+	text += "; wanted: " + s.wanted()
 	if len(orders) == 0 {
-		told += "; no order for it was given in these logs"
+		text += "; no order for it was given in these logs"
 	} else {
-		told += "; orders: " + strings.Join(orders, ", ")
+		text += "; orders: " + strings.Join(orders, ", ")
 	}
 	if len(leaders) > 0 {
-		told += "; the leader changed to " + strings.Join(leaders, ", ")
+		text += "; the leader changed to " + strings.Join(leaders, ", ")
+	}
+	return text
+}
+
+// restedBy names the machines that had asked the refusing node for a rest.
+func (s *subject) restedBy(lines []Line, refusal Line) string {
+	rests := map[string]string{}
+	for _, line := range lines {
+		if line.Event != "request_rest_requested" || line.Node != refusal.Node || line.Time.After(refusal.Time) {
+			continue
+		}
+		machine := textOf(line.Fields, "machine")
+		rests[machine] = fmt.Sprintf("%s %v ms, %d ms before", machine, line.Fields["rest_ms"], refusal.Time.Sub(line.Time).Milliseconds())
+	}
+	if len(rests) == 0 {
+		return "; no request for a rest is in these logs"
 	}
-	return told
+	return "; rests asked for: " + strings.Join(slices.Sorted(maps.Values(rests)), ", ")
 }
 
 // drainedBy names the zones that were drained at a moment, by orders that were told of in order.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// TestRestingRequest: the story of a request that was refused for rests names them, though other requests were
+// rejected. Rests that another node was asked for are none of its causes.
+func TestRestingRequest(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:00Z","msg":"request_rest_requested","node":"n","id":"other","model":"m1","machine":"a","rest_ms":3000}
+{"time":"2026-01-01T00:00:00.5Z","msg":"request_rest_requested","node":"n","id":"other","model":"m2","machine":"b","rest_ms":3000}
+{"time":"2026-01-01T00:00:00.6Z","msg":"request_rest_requested","node":"elsewhere","id":"other","model":"m1","machine":"c","rest_ms":3000}
+{"time":"2026-01-01T00:00:00.7Z","msg":"request_attempt","node":"n","id":"other","model":"m1","machine":"a"}
+{"time":"2026-01-01T00:00:01Z","msg":"request_refused","node":"n","id":"x","model":"m1","status":503,"age_ms":1,"detail":"resting: the machines that could take it are overloaded and asked for a rest"}
+`
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Request("x", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const wanted = "asked for a rest; rests asked for: a 3000 ms, 1000 ms before"
+	if !strings.HasSuffix(story.Cause, wanted) {
+		t.Errorf("%q does not end with %q", story.Cause, wanted)
+	}
+	if len(story.Lines) != 3 {
+		t.Errorf("%d lines belong to the story: %v", len(story.Lines), story.Lines)
+	}
+}
+
 // TestUnknownRequest, and lines that are none.
 func TestUnknownRequest(t *testing.T) {
 	lines, err := Read(strings.NewReader("no line\n{\"half\n{\"msg\":\"x\"}\n\n"))
