--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -206,7 +206,7 @@
 	return counts
 }
 
-// Leaving returns the machines that said in an answer to a router that they are leaving.
+// Leaving returns the machines that live routers report as leaving.
 func (t *ReportTable) Leaving(now time.Duration) map[string]bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -61,10 +61,10 @@
 	limited   map[string]ratelimit.Limit
 	held      map[string]time.Time
 	pacedHeld time.Time
-	// rests are what machines asked of this router, from then until they have accepted a request again.
+	// rests holds the rests that machines asked for, by machine.
 	rests map[string]*rest
-	// leaving are the machines that said that they are about to shut down, and when they were last listed
-	// or said so.
+	// leaving holds the machines that stated that they are about to shut down, with the time when they last did, or
+	// were last listed.
 	leaving map[string]time.Time
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -8,8 +8,8 @@
 	ejectAfter = 3
 	ejectFor   = 500 * time.Millisecond
 	ejectMax   = 10 * time.Second
-	// rejectedFor is how long a target that rejected a request comes after its peers, doubled with each
-	// further rejection up to rejectedMax. A rejection ends at once, so the target would look idle.
+	// rejectedFor is how long a target that rejected a request is used only if its peers can't be, doubled with
+	// each further rejection up to rejectedMax. Rejections end at once, so the target would look idle otherwise.
 	rejectedFor = 50 * time.Millisecond
 	rejectedMax = time.Second
 	// unreachableFor is how long a failed connection counts as news.
@@ -19,7 +19,7 @@
 // health tracks the failures of a target.
 type health struct {
 	failures int
-	// rejections counts those since the target last accepted a request.
+	// rejections counts the rejections since the target last accepted a request.
 	rejections int
 	// until is when the target is used like its peers again.
 	until time.Time
@@ -52,7 +52,7 @@
 	h.until = now.Add(backoff(ejectFor, ejectMax, h.failures-ejectAfter))
 }
 
-// accept notes that the target took a request.
+// accept records that the target accepted a request.
 func (h *health) accept() {
 	if h.rejections > 0 {
 		*h = health{failures: h.failures, unreachableUntil: h.unreachableUntil}
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// leavingMemory is for how long a machine that is not listed is remembered as leaving. Views of the fleet may
-// leave it out for a while and list it again, as ready, before its end has been recorded.
+// leavingMemory is how long an unlisted machine is remembered as leaving. A view of the fleet may omit a machine for a
+// while and then list it as ready again before its end has been recorded.
 const leavingMemory = 10 * time.Minute
 
-// Leave gives a machine nothing more: it has said that it is about to shut down, whatever views of the fleet
-// say. Waiting requests that can't be served because of it are refused. changed is false if that was known.
+// Leave excludes a machine that stated that it is about to shut down, whatever later views of the fleet list. Waiting
+// requests that can't be served in time because of it are refused. changed is false if the machine was excluded
+// already.
 func (c *Core) Leave(now time.Time, machine string) (outcome Outcome, changed bool) {
 	_, known := c.leaving[machine]
 	c.leaving[machine] = now
@@ -27,7 +28,7 @@
 	return outcome, true
 }
 
-// Leaving returns the machines that said that they are leaving, by name.
+// Leaving returns the machines that stated that they are leaving, sorted by name.
 func (c *Core) Leaving() []string {
 	return slices.Sorted(maps.Keys(c.leaving))
 }
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -16,7 +16,7 @@
 	ResultError
 	// ResultNotRun: the engine said that the replica does not take requests.
 	ResultNotRun
-	// ResultRejected: the machine did not run the request, as it has too much to do.
+	// ResultRejected: the machine is overloaded and did not run the request.
 	ResultRejected
 	// ResultFailed: the engine failed or could not be reached.
 	ResultFailed
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -6,35 +6,35 @@
 	"time"
 )
 
-// A worker that is overloaded can ask this router for a rest: no requests before a time. Routers that were
-// asked at the same moment would return at the same moment with all that waits, which overloads the worker
-// again. So a rest is extended by a random part, and after it a single request tries the worker first.
+// An overloaded machine can ask this router for a rest: no requests for a span. Routers that were asked at the same
+// moment would also return at the same moment, each with a queue, and overload the machine again. So a rest is
+// extended by a random part, and a single trial request follows it before the others.
 
 const (
-	// restSpread is the largest part by which a rest is extended, so that routers return one by one.
+	// restSpread is the largest extension of a rest, as a share of it.
 	restSpread = 0.5
-	// maxRestSpread bounds that extension.
+	// maxRestSpread caps the extension.
 	maxRestSpread = time.Second
-	// trialTime is how long the first request after a rest goes alone. Workers reject within a round
-	// trip, so one that has not done so by then accepts requests again.
+	// trialTime is how long other requests wait for the trial. Machines reject within a round trip, so one that
+	// has not rejected the trial by then accepts requests again.
 	trialTime = 100 * time.Millisecond
 )
 
-// rest is what one worker asked for.
+// rest is the rest of one machine. It is held until a request has been accepted after it.
 type rest struct {
 	until time.Time
-	// trial is the request that was granted first after the rest; 0 before. It began at trialAt.
+	// trial is the ID of the first request granted after the rest, at trialAt; 0 if there is none yet.
 	trial   uint64
 	trialAt time.Time
 }
 
-// allowsGrant reports whether the worker may be granted a request.
+// allowsGrant reports whether the machine may be granted a request.
 func (r *rest) allowsGrant(now time.Time) bool {
 	return !now.Before(r.until) && (r.trial == 0 || !now.Before(r.trialAt.Add(trialTime)))
 }
 
-// Rest gives a machine nothing for a span and a random part of it. A rest that ends later holds on. Waiting
-// requests that can't be served because of it are refused.
+// Rest withholds requests from a machine for a span and its random extension. It never shortens a rest in force.
+// Waiting requests that can't be served in time because of it are refused.
 func (c *Core) Rest(now time.Time, machine string, span time.Duration) Outcome {
 	var outcome Outcome
 	until := now.Add(span + c.restExtension(now, machine, span))
@@ -46,14 +46,15 @@
 	return outcome
 }
 
-// restExtension is the random part of a rest. A router that is alone has none to keep apart from.
+// restExtension is the random extension of a rest. It shrinks with the number of routers to be spread.
 func (c *Core) restExtension(now time.Time, machine string, span time.Duration) time.Duration {
 	others := 1 - 1/float64(max(1, c.routers))
 	longest := min(maxRestSpread.Seconds(), span.Seconds()*restSpread) * others
 	return time.Duration(uniform(c.config.Seed+uint64(now.UnixNano()), machine) * longest * float64(time.Second))
 }
 
-// MayWrite reports whether a granted request may still be written to its machine.
+// MayWrite reports whether a granted request may still be written to its machine, which may have asked for a rest or
+// started to leave since the grant.
 func (c *Core) MayWrite(now time.Time, grant Grant) bool {
 	held := c.rests[grant.Target.Machine]
 	isResting := held != nil && now.Before(held.until)
@@ -90,7 +91,8 @@
 	held.trial, held.trialAt = request.ID, now
 }
 
-// noteTrial takes how a trial ended: a machine that accepted it, or failed it, has had its rest.
+// noteTrial records how a trial ended. A rejected or unsent trial lets the next request try; any other end shows
+// that the machine takes requests, or is a matter of its health.
 func (c *Core) noteTrial(grant Grant, accepted bool) {
 	held := c.rests[grant.Target.Machine]
 	if held == nil || held.trial != grant.Request.ID {
@@ -103,12 +105,12 @@
 	held.trial = 0
 }
 
-// RetryAfterRest returns when a caller may try again because the first machine ends its rest. That counts
-// machines which the request has been sent to: the next try is a new request. allRest is false where a machine
-// does not rest, or there is none.
+// RetryAfterRest returns when the first machine that could take a request ends its rest, up to maxRetryAfter. It
+// includes machines that the request was already sent to, since the caller's next try is a new request. allRest is
+// false if one of the machines does not rest, or there is none.
 func (c *Core) RetryAfterRest(now time.Time, request *Request) (retryAfter time.Duration, allRest bool) {
 	if len(c.rests) == 0 {
-		return 0, false // As nearly always: a request that waits costs no look at its targets.
+		return 0, false // The usual case, which need not look at the targets.
 	}
 	anew := *request
 	anew.Tried = nil
@@ -116,8 +118,8 @@
 	return min(wait, maxRetryAfter), allRest
 }
 
-// untilRested returns in how long the first machine that could take a request ends its rest, if all of them
-// rest.
+// untilRested returns how long it takes until the first machine that could take a request ends its rest, if all of
+// them rest.
 func (c *Core) untilRested(now time.Time, version *versionState, request *Request) (wait time.Duration, allRest bool) {
 	for _, candidate := range version.targets {
 		if c.isExcluded(candidate, request) {
@@ -148,7 +150,7 @@
 	return Refusal{Request: request, Reason: RefusedResting, Detail: detailsOfPaced[RefusedResting], RetryAfter: retryAfter}, true
 }
 
-// refuseWaitingFor refuses the waiting requests of a machine's versions that can't be served any more.
+// refuseWaitingFor refuses waiting requests for the versions of a machine that can't be served in time any more.
 func (c *Core) refuseWaitingFor(now time.Time, machine string, outcome *Outcome) {
 	for _, name := range c.versionsOn(machine) {
 		version := c.versions[name]
@@ -172,7 +174,7 @@
 	return slices.Sorted(maps.Keys(found))
 }
 
-// RetainRests forgets rests that have ended of machines that are not listed any more.
+// RetainRests forgets the ended rests of machines that are not listed any more.
 func (c *Core) RetainRests(now time.Time, isListed func(machine string) bool) {
 	maps.DeleteFunc(c.rests, func(machine string, held *rest) bool {
 		return !now.Before(held.until) && !isListed(machine)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -265,7 +265,7 @@
 	return i.dispatcher.Answers()
 }
 
-// LeavingMachines returns the listed machines that said that they are leaving.
+// LeavingMachines returns the listed machines that stated that they are leaving, for reports.
 func (i *Ingress) LeavingMachines() []string {
 	return slices.DeleteFunc(i.dispatcher.Leaving(), func(machine string) bool { return !i.isKnown(machine) })
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -396,7 +396,7 @@
 	}
 }
 
-// retryAfter is when a caller should come back whose request no machine took.
+// retryAfter is the Retry-After of a request that no machine took.
 func (j *job) retryAfter() time.Duration {
 	if retryAfter, allRest := j.ingress.dispatcher.RetryAfterRest(j.wanted); allRest {
 		return max(retryAfterBusy, retryAfter)
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -24,12 +24,12 @@
 	withheld prometheus.Counter
 	sends    *prometheus.CounterVec
 	limited  prometheus.Gauge
-	// rests counts rejections that asked for a rest, resting the machines that rest now.
+	// rests counts the rejections that asked for a rest; resting is the number of machines that rest now.
 	rests   prometheus.Counter
 	resting prometheus.Gauge
-	// leaving are the listed machines that said that they are leaving.
+	// leaving is the number of listed machines that stated that they are leaving.
 	leaving prometheus.Gauge
-	// invalidStatements counts headers of answers that state something which can't be used.
+	// invalidStatements counts answer headers whose value can't be used.
 	invalidStatements prometheus.Counter
 
 	seriesMutex sync.Mutex
--- a/internal/ingress/statements.go
+++ b/internal/ingress/statements.go
@@ -5,11 +5,11 @@
 	"github.com/weldline/weldline/internal/fault"
 )
 
-// errBackedOff ends an exchange before anything was written.
+// errBackedOff ends an exchange before anything was written to a machine that rests or is leaving.
 var errBackedOff = fault.Unavailable.New("the machine has asked for a rest or is leaving")
 
-// noteStatement records what a machine states about itself in the head of an answer. An answer of another
-// machine, or to another request, states nothing.
+// noteStatement records what a machine states about itself in the head of an answer. It ignores answers of another
+// machine, or to another request.
 func (j *job) noteStatement(grant *dispatch.Grant, verdict Verdict) {
 	if !verdict.Own || verdict.Elsewhere || !verdict.Genuine && !verdict.NotRun {
 		return
@@ -29,6 +29,6 @@
 	}
 	if stated.Leaving && j.ingress.dispatcher.Leave(machine) {
 		j.log("machine_leaving", "machine", machine)
-		j.ingress.options.Nudge() // The leader is to replace what the machine holds.
+		j.ingress.options.Nudge() // The leader replaces what the machine holds.
 	}
 }
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -61,8 +61,7 @@
 	Rest time.Duration
 	// Leaving is set where the machine is about to shut down.
 	Leaving bool
-	// Invalid are the reasons, of type fault.Invalid, why parts of it could not be used. They are not set
-	// above.
+	// Invalid holds an error of type fault.Invalid for each part that can't be used. Such a part is not set above.
 	Invalid []error
 }
 
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -127,7 +127,7 @@
 	// that are live.
 	Unreachable map[string]int
 	Routers     int
-	// Leaving are the machines that said in an answer to a router that they are about to shut down.
+	// Leaving holds the machines that stated in an answer to a router that they are about to shut down.
 	Leaving map[string]bool
 	Policy  Policy
 	// RecordStarts is set where records tell when their machines started.
@@ -164,7 +164,7 @@
 	return commands
 }
 
-// ReasonSaidSo is the reason for a phase that the machine itself told of: a planned end.
+// ReasonSaidSo is the reason for a phase that the machine itself reported: a planned end.
 const ReasonSaidSo = "said so"
 
 // ReasonAnsweredSo is the reason for a phase that the machine stated in an answer to a router.
