--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -20,7 +20,7 @@
 	// ByWork takes targets by the work that their machines have before them,
 	// instead of by their requests.
 	ByWork bool
-	// Seed tells routers apart where targets are alike.
+	// Seed makes routers choose differently among equal targets.
 	Seed uint64
 	// PlacedAdapters is set where a request for an adapter can only run where
 	// the adapter is.
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -14,8 +14,10 @@
 // with what the others have sent since the last report, so that not all take
 // the same target (stale.go). Machines that fail more of their requests than their
 // peers, by the counts of all routers, get fewer (answers.go); those that can't be
-// reached, or are silent, get none for a while (health.go). A request that finds no room waits in a queue per version, ordered
-// by priority and deadline and bounded for the whole router: a full router
-// sheds the lowest priority first. Requests whose deadline comes before the
+// reached, are silent, or reject requests come after their peers for a while
+// (health.go). Machines that ask for a rest get none until it is over (rest.go), and
+// those that are leaving get none at all (leaving.go). A request that finds no room
+// waits in a queue per version, ordered by priority and deadline and bounded for the
+// whole router: a full router sheds the lowest priority first. Requests whose deadline comes before the
 // leader's estimate of readiness are refused at once, as not run.
 package dispatch
--- a/internal/dispatch/drained.go
+++ b/internal/dispatch/drained.go
@@ -11,8 +11,8 @@
 // model that is not loaded. Where none can be expected in time it is refused at once: the end
 // of a drain is an operator's decision, which no deadline of a caller waits for.
 
-// drainRetryAfter is when a caller whose request was refused for a drain should come back. A
-// drain is ended by people, and a load elsewhere takes seconds: sooner is mostly too soon.
+// drainRetryAfter is the Retry-After of requests refused for a drain. Operators end drains, and a load elsewhere
+// takes seconds, so an earlier try would mostly fail.
 const drainRetryAfter = 2 * time.Second
 
 // setDrained notes a target whose zone is drained; it gets nothing.
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -45,7 +45,7 @@
 	return false
 }
 
-// shedRetryAfter is when a request that was shed should come back.
+// shedRetryAfter is the Retry-After of requests that were shed.
 const shedRetryAfter = time.Second
 
 // shed refuses the last to be served while more wait than may.
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -32,7 +32,7 @@
 // notAccepted are the results of requests that their machine did not take.
 var notAccepted = []Result{ResultNotRun, ResultRejected, ResultNotSent}
 
-// Release ends a grant and gives the room to whoever waits.
+// Release ends a grant and grants its place to waiting requests.
 func (c *Core) Release(now time.Time, grant Grant, result Result) Outcome {
 	var outcome Outcome
 	version := c.version(grant.Target.Version)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -58,7 +58,7 @@
 	// Fixed is set for a machine that serves by itself: no replica of it can be loaded elsewhere.
 	Fixed bool
 	// Suspect targets get requests only if there are no others: their machine
-	// has not been heard of for a while.
+	// has been silent for a while.
 	Suspect bool
 }
 
@@ -106,7 +106,7 @@
 	Request *Request
 	Reason  RefusalReason
 	Detail  string
-	// RetryAfter is when to come back; 0 if that can't be said.
+	// RetryAfter is when a next try may be served; 0 if that is not known.
 	RetryAfter time.Duration
 }
 
--- a/internal/dispatch/warming.go
+++ b/internal/dispatch/warming.go
@@ -7,11 +7,10 @@
 	"github.com/weldline/weldline/internal/ratelimit"
 )
 
-// A machine that warms up bears a few requests a second, and answers each of them slowly. It gets
-// requests where no warm one has room. One that names a limit gets requests beside the others: only
-// its answers tell when the limit ends. Each request to such machines needs a permit of the leader,
-// for which the router asks once the core has chosen. A machine for which there is none now is held:
-// it is there, and takes nothing for a moment.
+// A machine that warms up bears a few requests a second and answers them slowly, so it gets requests only where no
+// warm machine has room. A limited machine gets requests like any other, since only its answers show when the limit
+// ends. Each request to such machines needs a permit of the leader, which the router requests once the core has
+// chosen. A machine for which there is no permit now is held for a moment.
 
 // standing orders the targets of a version: those that come first are used up first.
 type standing int
@@ -19,7 +18,7 @@
 const (
 	standsWarm standing = iota
 	standsWarming
-	// standsSuspect: the machine has not been heard of for a while.
+	// standsSuspect: the machine has been silent for a while.
 	standsSuspect
 	// standsInDoubt: the same, and it takes a permit, as it may have started anew. It gets requests
 	// only where no other machine could take them: the permits are few, mostly for a machine that is
@@ -87,8 +86,8 @@
 	return now.Before(c.held[machine]) || now.Before(c.pacedHeld) && c.isPaced(machine)
 }
 
-// waitsFor tells what keeps the machines that could take a request from it, where that is that they
-// warm up or name a limit: they are held, or have enough to do.
+// waitsFor returns the reason why a request waits, if its machines are held or busy because they warm up or are
+// limited.
 func (c *Core) waitsFor(now time.Time, request *Request) (reason RefusalReason, isPaced bool) {
 	version := c.version(request.Version)
 	noneInTouch := c.hasNoneInTouch(version, request)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,7 +16,7 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// tickInterval is how often deadlines are looked at while requests wait. A router that has none
+// tickInterval is how often deadlines are checked while requests wait. A router that has none
 // sleeps: most of a large fleet's do most of the time.
 const tickInterval = 20 * time.Millisecond
 
@@ -27,7 +27,7 @@
 	waiting map[uint64]chan verdict
 	nextID  uint64
 	nudge   func()
-	// mustTick is told when a request begins to wait.
+	// mustTick is signalled when a request begins to wait.
 	mustTick chan struct{}
 }
 
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -1,7 +1,7 @@
 // Package ingress forwards callers' requests by the declared routes.
 //
-// The problem: whoever waits for an answer must get the one whole answer to
-// their own request or a truthful failure. A request that may not be repeated
+// The problem: a caller must get the one whole answer to its own request or a
+// truthful failure. A request that may not be repeated
 // runs at most once, although machines refuse, hang, break off, answer late or
 // vanish; a refusal that says "not run" is a promise; a caller that has left
 // must not keep a machine busy.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -25,9 +25,9 @@
 	maxConnectFailures = 4
 	// maxStartWait bounds the wait for a node that has just started.
 	maxStartWait = 2 * time.Second
-	// retryAfterBusy is when a refused caller should come back.
+	// retryAfterBusy is the Retry-After of a refused request where nothing better is known.
 	retryAfterBusy = 150 * time.Millisecond
-	// retryAfterStart is when to come back to a node that has just started.
+	// retryAfterStart is the Retry-After of a node that has just started.
 	retryAfterStart = 300 * time.Millisecond
 )
 
@@ -39,7 +39,7 @@
 	arrived    time.Time
 	attributes Attributes
 	route      *Route
-	// tenant is whoever asks; its spec is nil where nobody is asked for a key.
+	// tenant is the caller; its spec is nil where no key is required.
 	tenant caller
 	// charged is what the request counts against the limit of its tenant; 0 if nothing.
 	charged  float64
@@ -433,8 +433,8 @@
 	}
 }
 
-// logAttempt tells how an attempt ended. One that may have ended its machine is told with
-// the identity of its request, by which sends under other ids and at other routers are found.
+// logAttempt logs how an attempt ended. If its machine may have crashed, the line holds the identity of the request,
+// which is the same for sends under other ids and at other routers.
 func (j *job) logAttempt(grant *dispatch.Grant, end attemptEnd) {
 	fields := []any{"machine", grant.Target.Machine, "end", end.String(), "sent", j.sent}
 	if end == endBroken || end == endFailed {
--- a/internal/ingress/permits.go
+++ b/internal/ingress/permits.go
@@ -106,7 +106,7 @@
 	held permit
 	// wait is for how long not to ask again, where it was not; 0 where the request itself has ended.
 	wait time.Duration
-	// reason tells, for logs, why the leader gave no answer.
+	// reason is why the leader gave no answer, for logs.
 	reason string
 }
 
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -7,7 +7,7 @@
 	"github.com/weldline/weldline/internal/ratelimit"
 )
 
-// Attributes are what a request says of itself.
+// Attributes are what a request states about itself.
 type Attributes struct {
 	// ID names the caller's attempt.
 	ID string
@@ -26,17 +26,17 @@
 	Prefix uint64
 }
 
-// Attempt is what a machine is told with a request.
+// Attempt is what the headers of a request carry to its machine.
 type Attempt struct {
 	Machine string
 	Remains time.Duration
 	// Priority orders requests at the machine; higher first.
 	Priority int32
-	// Tenant is the name of whoever asks; empty if that isn't known.
+	// Tenant is the authenticated tenant, or empty.
 	Tenant string
 }
 
-// Verdict is what the head of an answer means.
+// Verdict is the interpretation of a response's status and headers.
 type Verdict struct {
 	// Own is set if the answer is to this request.
 	Own bool
@@ -68,7 +68,7 @@
 // Translator knows the headers that callers and machines use.
 type Translator interface {
 	Describe(header http.Header) Attributes
-	// Prepare writes what a machine is told into the headers of a request.
+	// Prepare writes an attempt into the headers of a request.
 	Prepare(header http.Header, attempt Attempt)
 	Judge(status int, answer http.Header, id string) Verdict
 }
--- a/internal/ingress/withheld.go
+++ b/internal/ingress/withheld.go
@@ -15,7 +15,7 @@
 	sendNow sendCheck = iota
 	// chooseAgain: it may not, and the place was given back.
 	chooseAgain
-	// answeredAlready: it may not go to any machine, and its caller has been told so.
+	// answeredAlready: it may not go to any machine, and its caller has the answer.
 	answeredAlready
 )
 
--- a/internal/permits/permits.go
+++ b/internal/permits/permits.go
@@ -41,8 +41,7 @@
 	return &Permits{began: now, swept: now, buckets: map[string]*bucket{}}
 }
 
-// Take asks for a token for a machine. Those that are refused are told to come back one after the
-// other, each for a token of its own.
+// Take requests a token for a machine. Refused routers get increasing retry times, each for a token of its own.
 func (p *Permits) Take(now time.Duration, machine string, pace Pace) Decision {
 	p.sweep(now)
 	if pace.Rate <= 0 {
