soak: judge faults by when they came, not by when they were planned

Trace (soak.log, history.json): the plan resets the connections of router-1's callers at 5.178213 s; the soak carried that out at 5.179 s and cut the request, which was sent in between. The judge excused only what was sent before the planned time.

Injector.Run returns the faults as carried out: they last until they were struck and ended. The judge goes by these. TestLateFaultsAreJudgedByWhenTheyCame: the planned time gives one violation, the time when it came none.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +12,7 @@
 
 // Machines disturbs the stand-ins for machines.
 type Machines interface {
-	// Crash ends a machine; another one that warms up takes its place.
+	// Crash ends a machine. Another one that warms up takes its place some time later.
 	Crash(machine int)
 	// Cool makes a machine warm up again.
 	Cool(machine int)
@@ -50,17 +51,23 @@
 const addedDelay = 150 * time.Millisecond
 
 // Run carries out the faults at their times, and returns when the last is over or ctx ends; it
-// leaves nothing frozen or cut.
-func (i *Injector) Run(ctx context.Context, plan []Fault, started time.Time) {
+// leaves nothing frozen or cut. It returns the faults as they were carried out: on a busy machine they come late,
+// and last until then.
+func (i *Injector) Run(ctx context.Context, plan []Fault, started time.Time) []Fault {
+	carriedOut := slices.Clone(plan)
 	var running sync.WaitGroup
 	defer running.Wait()
-	for _, each := range plan {
+	for position, each := range plan {
 		if !sleepUntil(ctx, started.Add(each.At)) {
-			return
+			return carriedOut
 		}
 		i.Tell("fault: " + each.String())
-		running.Go(func() { i.inject(ctx, each) })
+		running.Go(func() {
+			i.inject(ctx, each)
+			carriedOut[position].For = max(each.For, time.Since(started)-each.At)
+		})
 	}
+	return carriedOut
 }
 
 func sleepUntil(ctx context.Context, moment time.Time) bool {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -42,6 +42,31 @@
 	return err == nil
 }
 
+// TestLateFaultsAreJudgedByWhenTheyCame: on a busy machine a reset came a millisecond late and cut a request that was
+// sent after its planned time, which was held against the product.
+func TestLateFaultsAreJudgedByWhenTheyCame(t *testing.T) {
+	const late = 300 * time.Millisecond
+	around := &surroundings{machine: newProxy(t), callers: newProxy(t)}
+	injector := &Injector{Layout: Layout{Routers: []string{"r2"}}, Machines: around, Callers: around, Tell: func(string) {}}
+	plan := []Fault{{Kind: FaultResetCallers, Node: "r2", At: 2 * time.Second}}
+	history := kept()
+	history.Answers[3] = Answer{Request: "plain", Outcome: OutcomeUnknown, At: 2*time.Second + late}
+	history.Requests["plain"] = Request{ID: "plain", Router: "r2", Plain: true, Sent: 2*time.Second + late - time.Millisecond}
+	judge := func(faults []Fault) int {
+		return len(Judge(history, testBounds, append(Disturbances(faults, injector.Layout), explained...)))
+	}
+	if judge(plan) != 1 {
+		t.Error("by its planned time the fault explains the request")
+	}
+	carriedOut := injector.Run(t.Context(), plan, time.Now().Add(-2*time.Second-late))
+	if found := judge(carriedOut); found != 0 {
+		t.Errorf("%d violations by %v", found, carriedOut)
+	}
+	if len(carriedOut) != 1 || carriedOut[0].At != plan[0].At || carriedOut[0].For < late || plan[0].For != 0 {
+		t.Errorf("%v was carried out as %v", plan, carriedOut)
+	}
+}
+
 // TestLinkFaults: each fault breaks the connections that stand on the links that it names, and
 // no others; once it is over, new connections work everywhere.
 func TestLinkFaults(t *testing.T) {
