--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -22,6 +22,20 @@
 	return lines
 }
 
+// storyOf returns the story of the request "x" in a log.
+func storyOf(t *testing.T, log string) *Story {
+	t.Helper()
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story, err := Request("x", lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return story
+}
+
 // TestStories are of real requests: one refused since its model was not loaded
 // in time, one whose machine ended in the middle of the answer. The second log
 // has something before each line. The third is made: a request that was refused
@@ -59,15 +73,8 @@
 
 // TestNoAllowedRegion: a request that no region may serve is told as such, with what binds it.
 func TestNoAllowedRegion(t *testing.T) {
-	lines, err := Read(strings.NewReader(`{"time":"2030-01-01T00:00:00Z","msg":"request_refused","node":"n","id":"x","status":503,` +
-		`"kind":"no-allowed-region","detail":"route r and tenant t allow no region in common","age_ms":1}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	story, err := Request("x", lines)
-	if err != nil {
-		t.Fatal(err)
-	}
+	story := storyOf(t, `{"time":"2030-01-01T00:00:00Z","msg":"request_refused","node":"n","id":"x","status":503,`+
+		`"kind":"no-allowed-region","detail":"route r and tenant t allow no region in common","age_ms":1}`)
 	const wanted = "refused: no allowed region after 1 ms: route r and tenant t allow no region in common"
 	if story.Cause != wanted {
 		t.Errorf("%q, not %q", story.Cause, wanted)
@@ -81,14 +88,7 @@
 {"time":"2026-01-01T00:00:01.1Z","msg":"permit_refused","id":"x","machine":"a","age_ms":1000}
 {"time":"2026-01-01T00:00:02Z","msg":"request_refused","id":"x","status":503,"age_ms":1800,"detail":"warming: the machines that could take it warm up"}
 `
-	lines, err := Read(strings.NewReader(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	story, err := Request("x", lines)
-	if err != nil {
-		t.Fatal(err)
-	}
+	story := storyOf(t, log)
 	for _, part := range []string{"refused with 503 after 1800 ms", "warming: the machines", "held back 3 times", "a, b"} {
 		if !strings.Contains(story.Cause, part) {
 			t.Errorf("%q does not say %q", story.Cause, part)
@@ -105,14 +105,7 @@
 {"time":"2026-01-01T00:00:00.7Z","msg":"request_attempt","node":"n","id":"other","model":"m1","machine":"a"}
 {"time":"2026-01-01T00:00:01Z","msg":"request_refused","node":"n","id":"x","model":"m1","status":503,"age_ms":1,"detail":"resting: the machines that could take it are overloaded and asked for a rest"}
 `
-	lines, err := Read(strings.NewReader(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	story, err := Request("x", lines)
-	if err != nil {
-		t.Fatal(err)
-	}
+	story := storyOf(t, log)
 	const wanted = "asked for a rest; rests asked for: a 3000 ms, 1000 ms before"
 	if !strings.HasSuffix(story.Cause, wanted) {
 		t.Errorf("%q does not end with %q", story.Cause, wanted)
