--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -13,32 +13,20 @@
 // of the connection. It leaves closing to the other side.
 func answering(t *testing.T, headers string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			network, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = network.Close() }()
-				reader := bufio.NewReader(network)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					if _, err := io.WriteString(network, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+headers+"\r\n"); err != nil {
-						return
-					}
-				}
-			}()
+	return accepting(t, func(network net.Conn) { go answerAll(network, headers) })
+}
+
+func answerAll(network net.Conn, headers string) {
+	defer func() { _ = network.Close() }()
+	reader := bufio.NewReader(network)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(network, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+headers+"\r\n"); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+	}
 }
 
 // TestWhatAMachineSaysOfItsConnections: a request on a connection that the machine is about to close may be
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -8,6 +8,12 @@
 
 // listen takes connections and keeps them open until the test ends.
 func listen(t *testing.T) string {
+	t.Helper()
+	return accepting(t, func(network net.Conn) { t.Cleanup(func() { _ = network.Close() }) })
+}
+
+// accepting passes on each connection that it takes, and returns its address.
+func accepting(t *testing.T, accepted func(network net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -20,7 +26,7 @@
 			if err != nil {
 				return
 			}
-			t.Cleanup(func() { _ = network.Close() })
+			accepted(network)
 		}
 	}()
 	return listener.Addr().String()
