ingress: track, log and probe the paths to machines

paths.Tracker keeps the state of each path; machine_unreachable, machine_reachable, router_isolated and router_reconnected log its transitions, two gauges count. Paths that are down are probed, so that their return shows without a request. No decision uses the state yet. Connections to machines can be opened by another function, for tests that cut single paths.

--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -66,6 +66,17 @@
 	return outcome
 }
 
+// Machines returns the machines of the targets that may get new requests.
+func (s *Scheduler) Machines() map[string]bool {
+	machines := map[string]bool{}
+	for _, candidate := range s.targets {
+		if !candidate.retired {
+			machines[candidate.Machine] = true
+		}
+	}
+	return machines
+}
+
 func (s *Scheduler) removeTarget(name string) {
 	if existing := s.targets[name]; existing != nil {
 		s.retire(existing)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -244,6 +244,13 @@
 	return d.scheduler.UnreachableMachines(now)
 }
 
+// Machines returns the machines of all targets.
+func (d *Dispatcher) Machines() map[string]bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Machines()
+}
+
 // Work returns the outstanding work by machine.
 func (d *Dispatcher) Work() map[string]float64 {
 	d.mutex.Lock()
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -81,11 +81,13 @@
 	outgoing := j.upstreamRequest(grant)
 	response, failure, err := j.ingress.upstream.Do(attemptCtx, outgoing)
 	if failure == upstream.FailureConnect {
-		return j.unwrittenOutcome(grant, err)
+		return j.unwrittenOutcome(attemptCtx, grant, err)
 	}
+	defer j.ingress.paths.ended()
 	j.sent++
 	if failure != upstream.FailureNone {
 		j.mayHaveRun = true
+		j.recordBreak(attemptCtx, grant, err)
 		j.log("no_answer", "machine", grant.Target.Machine, "failure", failure.String(), "error", err.Error())
 		if attemptCtx.Err() != nil {
 			return outcomeTimedOut
@@ -93,11 +95,19 @@
 		return outcomeFailed
 	}
 	defer response.Close()
+	j.ingress.paths.observe(grant.Target.Machine, response).received()
 	return j.handleResponse(ctx, response, grant)
 }
 
+// recordBreak records that a connection broke, unless the attempt was ended from this side.
+func (j *job) recordBreak(ctx context.Context, grant *dispatch.Grant, err error) {
+	if ctx.Err() == nil {
+		j.ingress.paths.broke(grant.Target.Machine, err)
+	}
+}
+
 // unwrittenOutcome returns the outcome of an attempt that wrote nothing to its machine.
-func (j *job) unwrittenOutcome(grant *dispatch.Grant, err error) attemptOutcome {
+func (j *job) unwrittenOutcome(ctx context.Context, grant *dispatch.Grant, err error) attemptOutcome {
 	switch {
 	case fault.Is(err, fault.Refused):
 		return outcomeDisallowed
@@ -108,6 +118,9 @@
 		return outcomeBackedOff
 	}
 	j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
+	if ctx.Err() == nil {
+		j.ingress.paths.notConnected(grant.Target.Machine)
+	}
 	return outcomeNotConnected
 }
 
@@ -159,5 +172,6 @@
 		j.ingress.countFirstSend(j.pool)
 	}
 	j.written = j.ingress.options.Now()
+	j.ingress.paths.sent()
 	return nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -57,6 +57,8 @@
 	// Permit asks the leader for permission to send one request to a machine that is warming
 	// up or has a rate limit.
 	Permit feed.PermitFunc
+	// Dial opens connections to machines. It defaults to a net.Dialer with the options of package tcpopt.
+	Dial upstream.DialFunc
 	// Now is a monotonic clock that includes time suspended. It defaults to clock.Now.
 	Now func() time.Duration
 	// Suspended returns the total time that this host has been suspended. It defaults to
@@ -71,6 +73,7 @@
 	table      atomic.Pointer[Table]
 	dispatcher *dispatcher.Dispatcher
 	upstream   *upstream.Pool
+	paths      *pathMonitor
 
 	quotas      *quotas
 	permits     *permitClient
@@ -102,13 +105,13 @@
 	if options.Now == nil {
 		options.Now = clock.Now
 	}
-	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout})
+	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: options.Dial})
 	routing := dispatcher.New(config, options.RequestReport)
 	return &Ingress{
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(),
-		upstream: pool, crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -131,6 +134,7 @@
 	workers.Go(func() { i.quotas.followDigests(ctx, i.options.View, i.options.RequestReport) })
 	workers.Go(func() { i.crashes.Run(ctx) })
 	workers.Go(func() { i.retainConnections(ctx) })
+	workers.Go(func() { i.paths.run(ctx) })
 	for {
 		changed := i.options.View.Changed()
 		started := time.Now()
@@ -166,6 +170,7 @@
 	drains := i.options.View.ZoneDrains()
 	i.dispatcher.SetWarming(i.permits.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
+	i.paths.setMachines(i.dispatcher.Machines())
 	i.drains.Update(time.Now(), drains)
 	i.queued.each((*job).updateRegions)
 	if current && !i.serving.Swap(true) {
@@ -211,7 +216,7 @@
 // machines may have timed out meanwhile, and the outdated warm-up state of machines.
 func (i *Ingress) Resumed() {
 	i.permits.warming.reset()
-	i.upstream.Retain(func(string) bool { return false })
+	i.upstream.DropIdle()
 }
 
 // Ready reports whether clients should be routed to this node.
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -29,6 +29,9 @@
 	// backedOff is the number of machines that get no requests because they asked to back off.
 	backedOff prometheus.Gauge
 	leaving   prometheus.Gauge
+	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
+	// any machine.
+	unreachable, isolated prometheus.Gauge
 	// invalidStatements counts response headers that could not be parsed.
 	invalidStatements prometheus.Counter
 
@@ -83,6 +86,12 @@
 		leaving: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_leaving_machines", Help: "Listed machines that said in an answer that they are leaving.",
 		}),
+		unreachable: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_ingress_unreachable_machines", Help: "Machines that this node can't open connections to.",
+		}),
+		isolated: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_ingress_isolated", Help: "1 while this node seems to have no path to any machine.",
+		}),
 		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
@@ -90,6 +99,15 @@
 	}
 }
 
+// setPaths sets the number of machines without a working path and whether there is none to any.
+func (m *Metrics) setPaths(unreachable int, isolated bool) {
+	m.unreachable.Set(float64(unreachable))
+	m.isolated.Set(0)
+	if isolated {
+		m.isolated.Set(1)
+	}
+}
+
 // observeTenant counts a request of a tenant that has a limit.
 func (m *Metrics) observeTenant(tenant string, admitted bool) {
 	outcome := "limited"
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -41,7 +41,7 @@
 		j.saveError(response)
 		return outcomeRetriableError
 	}
-	outcome := j.relay(ctx, response)
+	outcome := j.relay(ctx, response, j.ingress.paths.observe(grant.Target.Machine, response))
 	if outcome == outcomeAnswered && response.Status >= http.StatusInternalServerError {
 		return outcomeErrorAnswered
 	}
@@ -54,6 +54,14 @@
 	return j.route.Spec.Repeatable() && j.ingress.dispatcher.HasAlternative(j.dispatchRequest, machine) && j.reserveRetry()
 }
 
+// connectionObserver is told of what a connection shows while its response is relayed.
+type connectionObserver interface {
+	// received is called for each part of the body.
+	received()
+	// broke is called if the connection breaks before the response is complete.
+	broke(err error)
+}
+
 // errorResponse is a machine's complete error response.
 type errorResponse struct {
 	status int
@@ -85,7 +93,7 @@
 
 // relay copies the header and the body of a response to the client. It is
 // complete only if the machine's response is.
-func (j *job) relay(ctx context.Context, response *upstream.Response) attemptOutcome {
+func (j *job) relay(ctx context.Context, response *upstream.Response, observer connectionObserver) attemptOutcome {
 	length := int64(-1)
 	if response.Header.Get("Content-Length") != "" {
 		length = response.ContentLength
@@ -96,13 +104,16 @@
 		_ = controller.Flush()
 	}
 	first := time.Since(j.arrived)
-	copied, pause, err := j.copyBody(controller, response)
+	copied, pause, err := j.copyBody(controller, response, observer.received)
 	elapsed := time.Since(j.arrived)
 	if err == nil {
 		j.log("answered", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds())
 		j.ingress.options.Metrics.observe(j.route, "answered", elapsed)
 		return outcomeAnswered
 	}
+	if ctx.Err() == nil && response.ReadFailed() {
+		observer.broke(err)
+	}
 	j.log("broken_off", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
 		"error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)
 	j.ingress.options.Metrics.observe(j.route, "broken_off", elapsed)
@@ -123,14 +134,15 @@
 	j.writer.WriteHeader(status)
 }
 
-// copyBody streams a body to the client. It returns the number of bytes copied
-// and the longest pause between two reads.
-func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response) (copied int64, pause time.Duration, err error) {
+// copyBody streams a body to the client and calls onRead for each part of it. It returns the number of
+// bytes copied and the longest pause between two reads.
+func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied int64, pause time.Duration, err error) {
 	buffer := make([]byte, copyBufferBytes)
 	last := time.Now()
 	for {
 		count, failure := response.Read(buffer)
 		if count > 0 {
+			onRead()
 			now := time.Now()
 			pause, last = max(pause, now.Sub(last)), now
 			if _, err := j.writer.Write(buffer[:count]); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/storage"
+	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -69,6 +70,8 @@
 	Engines control.Engines
 	// Translator translates the headers of the ingress role's callers and machines.
 	Translator ingress.Translator
+	// Dial, if set, replaces how the ingress role opens connections to machines.
+	Dial upstream.DialFunc
 }
 
 // New prepares a node without listening yet.
--- /dev/null
+++ b/internal/paths/tracker.go
@@ -0,0 +1,217 @@
+package paths
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// isolationThreshold is the number of machines that must fail, without contact to any, before a
+	// router counts as isolated. Fewer suffice if fewer are known.
+	isolationThreshold = 3
+	// A path that is down is probed at intervals that double with each failure.
+	minProbeInterval = 250 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
+	// maxConcurrentProbes bounds the connections that probes open at once.
+	maxConcurrentProbes = 3
+	// flapWindow is how soon after a recovery a new failure continues the former intervals.
+	flapWindow = 5 * time.Second
+)
+
+// Failure is the kind of a failed exchange with a machine.
+type Failure int
+
+const (
+	// FailureConnect: no connection could be opened, or its peer stopped acknowledging.
+	FailureConnect Failure = iota
+	// FailureBroken: an open connection broke. The next one may succeed.
+	FailureBroken
+)
+
+// path is the state of the path to one machine.
+type path struct {
+	down bool
+	// downSince and upSince are the times of the last transitions.
+	downSince, upSince time.Time
+	// failures counts the failed connections since the path was last stable.
+	failures int
+	probeAt  time.Time
+	probing  bool
+}
+
+// Change describes a transition of a path or of the router.
+type Change struct {
+	// WentDown and CameUp are set if the path to the machine changed.
+	WentDown, CameUp bool
+	// BecameIsolated and Reconnected are set if the router's state changed.
+	BecameIsolated, Reconnected bool
+	// Duration is how long the state that ended by CameUp or Reconnected has lasted.
+	Duration time.Duration
+}
+
+// Tracker tracks the paths of one router. It is not safe for concurrent use.
+type Tracker struct {
+	paths map[string]*path
+	// listed are the machines that the router may send requests to.
+	listed map[string]bool
+	// failing are the machines with failures since the last contact with any machine.
+	failing       map[string]bool
+	isolated      bool
+	isolatedSince time.Time
+}
+
+// NewTracker returns a tracker that assumes all paths to be up.
+func NewTracker() *Tracker {
+	return &Tracker{paths: map[string]*path{}, failing: map[string]bool{}}
+}
+
+// SetMachines sets the machines that the router may send requests to, and forgets all others. The map
+// must not be modified afterwards.
+func (t *Tracker) SetMachines(listed map[string]bool) {
+	t.listed = listed
+	for machine := range t.paths {
+		if !listed[machine] {
+			delete(t.paths, machine)
+		}
+	}
+	for machine := range t.failing {
+		if !listed[machine] {
+			delete(t.failing, machine)
+		}
+	}
+}
+
+// Failed records a failed exchange.
+func (t *Tracker) Failed(now time.Time, machine string, failure Failure) Change {
+	change := Change{}
+	t.failing[machine] = true
+	if failure == FailureConnect {
+		change.WentDown = t.setDown(now, machine)
+	}
+	if !t.isolated && len(t.failing) >= min(isolationThreshold, max(1, len(t.listed))) {
+		t.isolated, t.isolatedSince, change.BecameIsolated = true, now, true
+	}
+	return change
+}
+
+// setDown marks a path as down and returns whether it was up.
+func (t *Tracker) setDown(now time.Time, machine string) bool {
+	current := t.paths[machine]
+	if current == nil {
+		current = &path{}
+		t.paths[machine] = current
+	}
+	wentDown := !current.down
+	if wentDown {
+		if now.Sub(current.upSince) > flapWindow {
+			current.failures = 0
+		}
+		current.down, current.downSince = true, now
+	}
+	current.probeAt = now.Add(probeInterval(current.failures))
+	current.failures++
+	return wentDown
+}
+
+func probeInterval(failures int) time.Duration {
+	interval := minProbeInterval
+	for range failures {
+		if interval >= maxProbeInterval {
+			break
+		}
+		interval *= 2
+	}
+	return min(interval, maxProbeInterval)
+}
+
+// Contact records that bytes were received from a machine, on a connection that was opened at the
+// given time. An older connection may outlive a path that carries no new ones.
+func (t *Tracker) Contact(now time.Time, machine string, opened time.Time) Change {
+	change := Change{}
+	if len(t.failing) > 0 {
+		clear(t.failing)
+	}
+	if t.isolated {
+		t.isolated, change.Reconnected, change.Duration = false, true, now.Sub(t.isolatedSince)
+	}
+	if current := t.paths[machine]; current != nil && current.down && opened.After(current.downSince) {
+		current.down, current.upSince, change.CameUp, change.Duration = false, now, true, now.Sub(current.downSince)
+	}
+	return change
+}
+
+// IsDown reports whether the path to a machine is down.
+func (t *Tracker) IsDown(machine string) bool {
+	current := t.paths[machine]
+	return current != nil && current.down
+}
+
+// IsIsolated reports whether no path seems to work.
+func (t *Tracker) IsIsolated() bool { return t.isolated }
+
+// Down returns the machines whose paths are down, sorted by name.
+func (t *Tracker) Down() []string {
+	var names []string
+	for machine, current := range t.paths {
+		if current.down {
+			names = append(names, machine)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// StartProbes returns the machines to probe now: those whose paths are down, and any while the router is
+// isolated. Each must be followed by EndProbe.
+func (t *Tracker) StartProbes(now time.Time) []string {
+	running := 0
+	var due []string
+	for machine, current := range t.paths {
+		switch {
+		case current.probing:
+			running++
+		case (current.down || t.isolated) && !now.Before(current.probeAt):
+			due = append(due, machine)
+		}
+	}
+	if t.isolated {
+		for machine := range t.listed {
+			if t.paths[machine] == nil {
+				due = append(due, machine)
+			}
+		}
+	}
+	sort.Slice(due, func(i, j int) bool {
+		left, right := t.probeTime(due[i]), t.probeTime(due[j])
+		if !left.Equal(right) {
+			return left.Before(right)
+		}
+		return due[i] < due[j]
+	})
+	due = due[:min(len(due), max(0, maxConcurrentProbes-running))]
+	for _, machine := range due {
+		if t.paths[machine] == nil {
+			t.paths[machine] = &path{}
+		}
+		t.paths[machine].probing = true
+	}
+	return due
+}
+
+func (t *Tracker) probeTime(machine string) time.Time {
+	if current := t.paths[machine]; current != nil {
+		return current.probeAt
+	}
+	return time.Time{}
+}
+
+// EndProbe records the result of a probe that started at the given time.
+func (t *Tracker) EndProbe(now time.Time, machine string, started time.Time, connected bool) Change {
+	if current := t.paths[machine]; current != nil {
+		current.probing = false
+	}
+	if !connected {
+		return t.Failed(now, machine, FailureConnect)
+	}
+	return t.Contact(now, machine, started)
+}
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -40,6 +40,12 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// IsUnacknowledged reports whether a connection ended because its peer acknowledged nothing for
+// UserTimeout or did not answer the keep-alive probes.
+func IsUnacknowledged(err error) bool {
+	return errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // Apply sets the options on an accepted connection. It ignores connections other than TCP.
 func Apply(connection net.Conn) {
 	accepted, isTCP := connection.(*net.TCPConn)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -62,7 +62,9 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	Body          io.Reader
+	// ConnectedAt is when the machine's connection was opened.
+	ConnectedAt time.Time
+	Body        io.Reader
 
 	pool         *Pool
 	conn         *conn
@@ -71,6 +73,7 @@
 	requestSent  *atomic.Bool
 	stopWatching func() bool
 	complete     bool
+	readFailed   bool
 }
 
 // maxSkippedResponses bounds the responses to earlier requests that are skipped.
@@ -133,7 +136,7 @@
 		if request.Matches == nil || request.Matches(response.Header) {
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-				Body: response.Body, conn: c, httpResponse: response, requestSent: sent,
+				Body: response.Body, ConnectedAt: c.openedAt, conn: c, httpResponse: response, requestSent: sent,
 			}, nil
 		}
 		// A late response to an earlier request.
@@ -186,9 +189,13 @@
 	if err == io.EOF {
 		r.complete = true
 	}
+	r.readFailed = err != nil && !r.complete
 	return count, err
 }
 
+// ReadFailed reports whether the body broke off.
+func (r *Response) ReadFailed() bool { return r.readFailed }
+
 // Close ends the exchange. The connection is kept only if the request and the response are
 // complete and the connection may be reused.
 func (r *Response) Close() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,8 +24,13 @@
 	MaxIdle func(machine string) int
 	// IdleTimeout is how long an idle connection is kept, unless the machine advertises less.
 	IdleTimeout time.Duration
+	// Dial opens a connection. It defaults to a net.Dialer with the options of package tcpopt.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // FixedMaxIdle allows the same number of idle connections to every machine.
 func FixedMaxIdle(limit int) func(machine string) int {
 	return func(string) int { return limit }
@@ -47,6 +52,8 @@
 	address string
 	network net.Conn
 	reader  *bufio.Reader
+	// openedAt is when connecting began.
+	openedAt time.Time
 	// expiresAt is when an idle connection must no longer be used.
 	expiresAt time.Time
 	// reused is set if the connection was in the pool.
@@ -57,6 +64,9 @@
 
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}).DialContext
+	}
 	return &Pool{config: config, idle: map[string][]*conn{}, dialTimeouts: newDialTimeouts(config.DialTimeout)}
 }
 
@@ -73,11 +83,14 @@
 		}
 		_ = idle.network.Close()
 	}
+	openedAt := time.Now()
 	network, err := p.Dial(ctx, machine, address)
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
-	return &conn{machine: machine, address: address, network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
+	return &conn{
+		machine: machine, address: address, network: network, reader: bufio.NewReaderSize(network, readBufferBytes), openedAt: openedAt,
+	}, nil
 }
 
 // Preconnect opens an idle connection to a machine, for a request that is expected.
@@ -90,14 +103,42 @@
 	return nil
 }
 
+// probeHold is how long a probe's connection must stay open. Some network paths accept a connection and
+// close it at once.
+const probeHold = 30 * time.Millisecond
+
+// Probe checks the path to a machine by opening a connection, which it keeps as an idle one.
+func (p *Pool) Probe(ctx context.Context, machine, address string) error {
+	opened, err := p.acquire(ctx, machine, address, true)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(probeHold):
+	}
+	if !opened.hasNoInput() {
+		_ = opened.network.Close()
+		return fault.Unavailable.New("machine %s closed a new connection", machine)
+	}
+	p.putIdle(opened, 0)
+	return nil
+}
+
+// DropIdle closes all idle connections.
+func (p *Pool) DropIdle() {
+	p.Retain(func(string) bool { return false })
+}
+
 // Dial connects to a machine within the adaptive timeout.
 func (p *Pool) Dial(ctx context.Context, machine, address string) (net.Conn, error) {
 	p.mutex.Lock()
 	limit := p.dialTimeouts.timeout(machine)
 	p.mutex.Unlock()
-	dialer := net.Dialer{Timeout: limit, Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	started := time.Now()
-	network, err := dialer.DialContext(ctx, "tcp", address)
+	network, err := p.config.Dial(ctx, "tcp", address)
 	elapsed := time.Since(started)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
