crashwatch: a refused connection proves a crash only if others are accepted

Callers of routers with all paths intact got 503 "not run any more" for requests that had done nothing: a router that had lost its links to the workers saw them refuse connections, took each for a crash and had 29 of them recorded in the replicated log during the incident, while no process had ended.

Cause: a refused connection was conclusive evidence of the machine's end. It is evidence about a path. With a single machine there is no witness, and a refusal still counts.

The fault simulator passes the same evidence. A path that is cut to one machine only still looks like its crash to this router (open).

--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -21,6 +21,7 @@
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/tcpopt"
+	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -37,6 +38,8 @@
 	// few round trips.
 	pendingRetryAfter = 150 * time.Millisecond
 	maxTasks          = 256
+	// maxWitnesses bounds the other machines that are tried to tell a crash from a lost path.
+	maxWitnesses = 3
 )
 
 // ProbeFunc connects to a machine. refused is set if the machine actively refused the connection.
@@ -164,9 +167,29 @@
 	}
 	refused, err := w.options.Probe(ctx, request.Machine, request.Address)
 	evidence.Accepts, evidence.Refuses = err == nil, refused
+	if refused {
+		evidence.OthersReachable = w.reachesOther(ctx, request.Machine)
+	}
 	return evidence
 }
 
+// reachesOther reports whether a connection to another live machine than the given one succeeds, or there
+// is no other.
+func (w *Watcher) reachesOther(ctx context.Context, machine string) bool {
+	addresses := map[string]string{}
+	w.options.View.EachMachine(func(name string, other nodeview.Machine) {
+		if name != machine && other.Status.Phase == v1.MachineLive && len(addresses) < maxWitnesses {
+			addresses[name] = upstream.AddressOf(other.Spec.Endpoint)
+		}
+	})
+	for name, address := range addresses {
+		if _, err := w.options.Probe(ctx, name, address); err == nil {
+			return true
+		}
+	}
+	return len(addresses) == 0
+}
+
 // startRecording starts to record requests on a crashed instance. The mutex must be held.
 func (w *Watcher) startRecording(requests []quarantine.BrokenRequest) {
 	w.startTask(func(ctx context.Context) {
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -235,11 +235,27 @@
 	s.After(2*baseDelay, func() {
 		evidence.Accepts = target.up && target.instanceName() == run.Instance
 		evidence.Refuses = !target.up
+		evidence.OthersReachable = r.reachesOther(target)
 		evidence.Replaced = target.up && target.instanceName() != run.Instance
 		r.run(r.epoch, settle)
 	})
 }
 
+// reachesOther reports whether the router reaches another machine that is up, or there is no other.
+func (r *routerNode) reachesOther(target *machine) bool {
+	others := 0
+	for _, other := range r.sim.machines {
+		if other == target || other.removed {
+			continue
+		}
+		others++
+		if other.up && r.sim.canReach(&r.process, &other.process) {
+			return true
+		}
+	}
+	return others == 0
+}
+
 // recordCrash proposes crash records until the view contains them.
 func (r *routerNode) recordCrash(runs []quarantine.BrokenRequest) {
 	if r.sim.mutation == MutationUnsharedCrashes {
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -67,12 +67,15 @@
 	Replaced, Leaving bool
 	// Accepts and Refuses are its reaction to a new connection; neither is set if there was none.
 	Accepts, Refuses bool
+	// OthersReachable is set if the router can connect to another machine, or knows no other.
+	OthersReachable bool
 }
 
 // Verdict evaluates the evidence; VerdictPending means that more is needed.
 //
 // A process that ended refuses connections, or another one registers at its address. A process
-// that reset connections accepts new ones. A partitioned machine does neither.
+// that reset connections accepts new ones. A refused connection proves nothing while the router reaches
+// no other machine either: its own paths may be down.
 func (e Evidence) Verdict() Verdict {
 	switch {
 	case e.Replaced:
@@ -81,7 +84,7 @@
 		return VerdictPlanned
 	case e.Accepts:
 		return VerdictAlive
-	case e.Refuses:
+	case e.Refuses && e.OthersReachable:
 		return VerdictEnded
 	}
 	return VerdictPending
