feed, forwarding: let routers know of others that accept their requests

Part of the fix for routers without paths to workers: they need to know whom to ask. A router reports the address on which it accepts requests of other routers; the leader lists these in the roster; each router learns of at most eight, half of them outside of its zone, by rendezvous hashing, so that the roster stays bounded before hundreds of routers. Older leaders list none, older routers report none: nothing is forwarded then.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -260,6 +260,7 @@
 			})
 		}
 	}
+	roster.Routers = forwardingRouters(now, nodes)
 	sort.Slice(roster.Nodes, func(i, j int) bool { return roster.Nodes[i].GetName() < roster.Nodes[j].GetName() })
 	for name := range reports {
 		roster.Machines = append(roster.Machines, name)
@@ -279,6 +280,18 @@
 	return roster
 }
 
+// forwardingRouters returns the live routers that accept requests from other routers, sorted by name.
+func forwardingRouters(now time.Duration, nodes map[string]nodeEntry) []*wirepb.RouterEntry {
+	var routers []*wirepb.RouterEntry
+	for name, entry := range nodes {
+		if entry.isLive(now) && entry.report.GetForwardAddress() != "" && !entry.report.GetDraining() {
+			routers = append(routers, &wirepb.RouterEntry{Node: name, Zone: entry.report.GetZone(), Address: entry.report.GetForwardAddress()})
+		}
+	}
+	sort.Slice(routers, func(i, j int) bool { return routers[i].GetNode() < routers[j].GetNode() })
+	return routers
+}
+
 // hasListedMachines reports whether there are machines that agents have to poll. Only agents need the
 // roster's list of nodes. Leaving it out otherwise avoids sending a new roster for each node that
 // joins.
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -72,7 +74,7 @@
 	previous := r.last.GetRoster()
 	return withRoster(digest, &wirepb.Roster{
 		Nodes: previous.GetNodes(), Control: previous.GetControl(), ControlZones: previous.GetControlZones(),
-		Machines: slices.Concat(previous.GetMachines(), digest.GetAppendedMachines()),
+		Machines: slices.Concat(previous.GetMachines(), digest.GetAppendedMachines()), Routers: previous.GetRouters(),
 	})
 }
 
@@ -81,7 +83,11 @@
 	length := len(previous.GetMachines())
 	return length < len(roster.GetMachines()) && slices.Equal(roster.GetMachines()[:length], previous.GetMachines()) &&
 		slices.Equal(roster.GetControl(), previous.GetControl()) && slices.Equal(roster.GetControlZones(), previous.GetControlZones()) &&
-		len(roster.GetNodes()) == 0 && len(previous.GetNodes()) == 0
+		sameRouters(roster.GetRouters(), previous.GetRouters()) && len(roster.GetNodes()) == 0 && len(previous.GetNodes()) == 0
+}
+
+func sameRouters(left, right []*wirepb.RouterEntry) bool {
+	return slices.EqualFunc(left, right, func(one, other *wirepb.RouterEntry) bool { return proto.Equal(one, other) })
 }
 
 func sameRoster(left, right *wirepb.ClusterDigest) bool {
--- a/internal/feed/digestsubset.go
+++ b/internal/feed/digestsubset.go
@@ -34,6 +34,8 @@
 // don't require sending it again. Machine names make up most of a digest.
 type digestFilter struct {
 	listedMachines map[string]bool
+	// selectRouters returns the routers of the roster that the watcher learns of.
+	selectRouters func(all []*wirepb.RouterEntry) []*wirepb.RouterEntry
 	// positions maps the watcher's roster to positions in the full roster, or to unlistedPosition.
 	positions []int
 	roster    *wirepb.Roster
@@ -83,11 +85,14 @@
 func (d *digestFilter) updateRoster(full *wirepb.ClusterDigest, selected *subset.Subset, positions map[string]int) {
 	added := d.newMachines(selected, positions)
 	roster := full.GetRoster()
-	isUnchanged := d.roster != nil && d.lastDigest.GetTerm() == full.GetTerm() && len(added) == 0 &&
+	routers := d.selectRouters(roster.GetRouters())
+	isUnchanged := d.roster != nil && d.lastDigest.GetTerm() == full.GetTerm() && len(added) == 0 && sameRouters(d.roster.GetRouters(), routers) &&
 		slices.Equal(d.roster.GetControl(), roster.GetControl()) && slices.Equal(d.roster.GetControlZones(), roster.GetControlZones())
 	if !isUnchanged {
 		machines := slices.Concat(d.roster.GetMachines(), added)
-		d.roster = &wirepb.Roster{Machines: machines, Nodes: roster.GetNodes(), Control: roster.GetControl(), ControlZones: roster.GetControlZones()}
+		d.roster = &wirepb.Roster{
+			Machines: machines, Nodes: roster.GetNodes(), Control: roster.GetControl(), ControlZones: roster.GetControlZones(), Routers: routers,
+		}
 		d.rosterSequence = full.GetSequence()
 	}
 	d.positions = d.positions[:0]
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -220,7 +220,7 @@
 	defer cancel()
 	var session *subsetSession
 	if conn.Peer.GetSubset() {
-		session = s.subsets.newSession(conn.Peer.GetZone())
+		session = s.subsets.newSession(conn.Peer.GetNode(), conn.Peer.GetZone())
 	}
 	workers.Go(func() { s.sendDigests(ctx, conn, session) })
 	slots := make(chan struct{}, maxPendingCalls)
--- a/internal/feed/subsets.go
+++ b/internal/feed/subsets.go
@@ -100,8 +100,11 @@
 	digestFilter digestFilter
 }
 
-func (s *subsetSource) newSession(zone string) *subsetSession {
-	return &subsetSession{source: s, zone: zone, widened: make(chan struct{}, 1)}
+func (s *subsetSource) newSession(node, zone string) *subsetSession {
+	location := places.Location{Zones: s.zones, Zone: zone}
+	return &subsetSession{source: s, zone: zone, widened: make(chan struct{}, 1), digestFilter: digestFilter{
+		selectRouters: func(all []*wirepb.RouterEntry) []*wirepb.RouterEntry { return selectRouters(all, node, location) },
+	}}
 }
 
 // start sets the subset to that of a list.
--- a/internal/feed/subsets_test.go
+++ b/internal/feed/subsets_test.go
@@ -234,7 +234,7 @@
 		MachineLoads: []byte{9, 1, 9, 0, 4}, MachineWarming: []byte{9, 2}, MachineWork: []byte{9, 0, 9},
 	}
 	original := proto.CloneOf(full)
-	filter, positions := digestFilter{}, &rosterIndex{}
+	filter, positions := digestFilter{selectRouters: allRouters}, &rosterIndex{}
 	sender, receiver := &DigestSender{appendsMachines: true}, &DigestReceiver{}
 	send := func(digest *wirepb.ClusterDigest, known *subset.Subset) (sent, received *wirepb.ClusterDigest) {
 		filtered := filter.apply(digest, known, positions)
@@ -396,7 +396,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		sessions[name] = source.newSession("z")
+		sessions[name] = source.newSession(name, "z")
 		sessions[name].start(list)
 	}
 	backend.addObjects(10)
@@ -426,7 +426,7 @@
 		return selected
 	}
 	full := &wirepb.ClusterDigest{Term: 1, Sequence: 1, RosterSequence: 1, Roster: &wirepb.Roster{Machines: []string{"m-1", "m-2"}}}
-	filter := digestFilter{}
+	filter := digestFilter{selectRouters: allRouters}
 	for _, number := range []int{1, 2} {
 		filtered := filter.apply(full, subsetOf(number), &rosterIndex{})
 		if name := fmt.Sprint("m-", number); !slices.Contains(filtered.GetRoster().GetMachines(), name) {
