ingress: serve requests through other routers where this one has no path

The routers refused each request after trying four workers, and stayed ready.

Cause: reachability was treated as a property of the worker. It belongs to the path between a router and a worker; what one router can't reach, others can.

- The scheduler knows which machines have no path from this router, and whether any has.
A request whose targets are all without a path is refused to its job at once, also if it waits, instead of being granted one after the other.
- The job forwards it to another router over a listener of their own (ingress.forward).
The hop carries tenant, pool, revision, time left, attempts and first send, so that keys, quotas, retry budget and max_attempts count once over both nodes.
It is never forwarded again; a receiver without a path says "not run" at once.
Status, seal, body and stream come back unchanged.
- Failures at several machines without any answer, or silence of all machines that new connections confirm, isolate the router: all idle connections are dropped, paths are probed at growing intervals and used again one by one.
- An isolated router reports no machine as unreachable.

Where neither it nor another router has a path, an isolated router refuses at once with Retry-After 0.5 s; before, such a request waited up to four dials.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -61,6 +61,9 @@
 	// leaving maps the machines that announced their shutdown to when they last announced it or
 	// were last listed.
 	leaving map[string]time.Time
+	// unreachable are the machines without a path from this router; isolated is set if no path works.
+	unreachable map[string]bool
+	isolated    bool
 }
 
 // versionState is the state of one model version.
@@ -125,6 +128,7 @@
 	for _, refusal := range outcome.Refusals {
 		s.dequeue(refusal.Request)
 	}
+	s.refuseWaitingUnreachable(now, &outcome)
 	s.dispatchAll(now, &outcome)
 	return outcome
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -87,16 +87,28 @@
 			ID: id, Version: values["version"], Adapter: values["adapter"], Priority: int32(number("priority")),
 			PrefixHash: uint64(number("prefix")), Arrived: s.now, Deadline: seconds("deadline"),
 		}
+		request.Forwardable, request.Forwarded = values["forwardable"] != "", values["forwarded"] != ""
 		if values["patience"] != "" {
 			request.QueueDeadline = seconds("patience")
 		}
 		s.requests[id] = request
 		s.report(out, s.scheduler.Submit(s.now, request))
+	case "paths":
+		unreachable := map[string]bool{}
+		for machine := range strings.SplitSeq(values["down"], "+") {
+			unreachable[machine] = true
+		}
+		delete(unreachable, "")
+		s.report(out, s.scheduler.SetPaths(s.now, unreachable, name == "isolated"))
 	case "resubmit":
 		s.requests[id].Avoid = values["avoid"]
+		if values["tried"] != "" {
+			s.requests[id].TriedMachines = strings.Split(values["tried"], "+")
+		}
+		s.requests[id].Forwardable = values["forwardable"] != ""
 		s.report(out, s.scheduler.Resubmit(s.now, s.requests[id]))
 	case "release":
-		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "rejected": ResultRejected, "not-sent": ResultNotSent, "failed": ResultFailed}[values["result"]]
+		result := map[string]Result{"": ResultOK, "not-run": ResultNotRun, "rejected": ResultRejected, "not-sent": ResultNotSent, "failed": ResultFailed, "unreachable": ResultUnreachable}[values["result"]]
 		s.report(out, s.scheduler.Release(s.now, s.grants[id], result))
 	case "cancel":
 		s.scheduler.Cancel(s.requests[id])
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -9,6 +9,9 @@
 // Submit grants, refuses or queues a request.
 func (s *Scheduler) Submit(now time.Time, request *Request) Outcome {
 	version := s.version(request.Version)
+	if request.Forwarded {
+		return s.enqueue(now, version, request)
+	}
 	version.arrivals++
 	version.work += request.Work
 	version.rate.add(now, request.Work)
@@ -34,6 +37,11 @@
 	if s.waiters[request.ID] == nil {
 		return outcome
 	}
+	if refusal, refused := s.refuseUnreachable(now, version, request); refused {
+		s.dequeue(request)
+		outcome.Refusals = append(outcome.Refusals, refusal)
+		return outcome
+	}
 	if refusal, refused := s.refuseEarly(now, version, request); refused {
 		s.dequeue(request)
 		outcome.Refusals = append(outcome.Refusals, refusal)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -33,6 +33,11 @@
 	TTFTTarget time.Duration
 	// Allowed constrains the regions that may serve the request.
 	Allowed places.Constraint
+	// Forwardable is set if another router may serve the request. Such a request is not granted to a
+	// machine without a path from this router.
+	Forwardable bool
+	// Forwarded is set if the request came from another router, which has counted its demand.
+	Forwarded bool
 	// outstandingWork is the work that the machine has not processed yet.
 	outstandingWork float64
 	// QueueDeadline ends the request's time in the queue before its Deadline; zero if Deadline
@@ -88,6 +93,8 @@
 	RefusedLimited RefusalReason = "limited"
 	// RefusedBackoff: the machines asked this router to back off.
 	RefusedBackoff RefusalReason = "resting"
+	// RefusedUnreachable: this router has no path to a machine that could serve the request.
+	RefusedUnreachable RefusalReason = "unreachable"
 	// RefusedRegion: no machine in the allowed regions may serve the request any more.
 	RefusedRegion RefusalReason = "no-allowed-region"
 )
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -244,6 +244,14 @@
 	return d.scheduler.UnreachableMachines(now)
 }
 
+// SetPaths replaces the machines without a path from this router. The map must not be modified
+// afterwards.
+func (d *Dispatcher) SetPaths(unreachable map[string]bool, isolated bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.deliver(d.scheduler.SetPaths(time.Now(), unreachable, isolated))
+}
+
 // Machines returns the machines of all targets.
 func (d *Dispatcher) Machines() map[string]bool {
 	d.mutex.Lock()
--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -76,6 +76,15 @@
 	s.routers = updated
 }
 
+// Nodes returns the names of the routers.
+func (s *Selector) Nodes() map[string]bool {
+	nodes := make(map[string]bool, len(s.routers))
+	for node := range s.routers {
+		nodes[node] = true
+	}
+	return nodes
+}
+
 // Choose returns a router for a request, or false if there is none. It prefers the nearest routers, and
 // the less busy of two random ones among them.
 func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []string) (Router, bool) {
--- /dev/null
+++ b/internal/ingress/forward.go
@@ -0,0 +1,179 @@
+package ingress
+
+import (
+	"context"
+	"encoding/base64"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/forwarding"
+	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/upstream"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	// headerForward carries the wirepb.ForwardedRequest of a request to another router, and
+	// headerForwardResult the wirepb.ForwardedResult of its response, in base64.
+	headerForward       = "Weldline-Forward"
+	headerForwardResult = "Weldline-Forward-Result"
+	// maxForwards bounds the routers that a request is sent to until one serves it.
+	maxForwards = 3
+	// retryAfterIsolated is the Retry-After if neither this router nor another one has a path. Paths are
+	// probed as often.
+	retryAfterIsolated = 500 * time.Millisecond
+)
+
+// forward has other routers serve a request that this one has no path for. served is false if they
+// provably did not run it; it may then still be sent to a machine.
+func (j *job) forward(ctx context.Context) (outcome attemptOutcome, served bool) {
+	unreachable := 0
+	for range maxForwards {
+		router, found := j.ingress.forwarder.begin(j.version, j.allowedRegions(), j.triedRouters)
+		if !found {
+			break
+		}
+		outcome, result := j.forwardTo(ctx, router)
+		j.ingress.forwarder.end(router.Node, result)
+		j.log("forward_attempt", "router", router.Node, "end", outcome.String(), "sent", j.sent)
+		j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
+		j.triedRouters = append(j.triedRouters, router.Node)
+		switch {
+		case outcome == outcomeAnswered || outcome == outcomeErrorAnswered || outcome == outcomeBroken:
+			return outcome, true
+		case ctx.Err() != nil || outcome != outcomeNotConnected && !j.mayRetry(ctx, outcome, 0):
+			j.answerFailure(ctx, outcome)
+			return outcome, true
+		}
+		if result == forwarding.ResultUnreachable {
+			unreachable++
+		}
+	}
+	if unreachable > 0 && unreachable == len(j.triedRouters) {
+		j.ingress.forwarder.markUnservable(j.version)
+	}
+	return outcomeNotConnected, false
+}
+
+// forwardTo sends the request to another router and relays its response.
+func (j *job) forwardTo(ctx context.Context, router forwarding.Router) (attemptOutcome, forwarding.Result) {
+	attemptCtx, cancel := j.attemptContext(ctx)
+	defer cancel()
+	j.log("forwarded", "router", router.Node, "nearness", router.Proximity.String(), "remains_ms", j.remaining().Milliseconds())
+	response, failure, err := j.ingress.forwarder.pool.Do(attemptCtx, j.forwardRequest(router))
+	if failure != upstream.FailureNone {
+		return j.forwardFailure(attemptCtx, router, failure, err)
+	}
+	defer response.Close()
+	result, err := decodeHeader(response.Header.Get(headerForwardResult), &wirepb.ForwardedResult{})
+	if err != nil {
+		j.mayHaveRun = true
+		j.log("forward_no_answer", "router", router.Node, "failure", "invalid", "error", fault.Message(err))
+		return outcomeFailed, forwarding.ResultFailed
+	}
+	response.Header.Del(headerForwardResult)
+	j.sent, j.firstSendCounted = int(result.GetSent()), j.firstSendCounted || result.GetFirstSendCounted()
+	switch result.GetOutcome() {
+	case wirepb.ForwardedResult_OUTCOME_NOT_RUN:
+		discard(response)
+		if result.GetUnreachable() {
+			return outcomeNotConnected, forwarding.ResultUnreachable
+		}
+		return outcomeNotRun, forwarding.ResultServed
+	case wirepb.ForwardedResult_OUTCOME_ANSWERED:
+		j.mayHaveRun = true
+		return j.relay(ctx, response, routerConnection{}), forwarding.ResultServed
+	}
+	discard(response)
+	j.mayHaveRun = true
+	return outcomeFailed, forwarding.ResultServed
+}
+
+// forwardFailure returns the outcome of an exchange with another router that got no response.
+func (j *job) forwardFailure(ctx context.Context, router forwarding.Router, failure upstream.Failure, err error) (attemptOutcome, forwarding.Result) {
+	result := forwarding.ResultFailed
+	if ctx.Err() != nil {
+		result = forwarding.ResultCanceled
+	}
+	j.log("forward_no_answer", "router", router.Node, "failure", failure.String(), "error", err.Error())
+	if failure == upstream.FailureConnect {
+		return outcomeNotConnected, result
+	}
+	j.mayHaveRun = true
+	if ctx.Err() != nil {
+		return outcomeTimedOut, result
+	}
+	return outcomeFailed, result
+}
+
+func (j *job) forwardRequest(router forwarding.Router) *upstream.Request {
+	return &upstream.Request{
+		Machine: router.Node, Address: router.Address, Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
+		Header: upstream.EndToEndHeaders(j.request.Header), Body: j.body,
+		Prepare: func(header http.Header) error {
+			encoded, err := encodeHeader(&wirepb.ForwardedRequest{
+				Router: j.ingress.options.Node, Revision: j.ingress.options.View.Revision(), Tenant: j.tenant.name, Pool: j.pool,
+				RemainingMs: uint32(max(0, j.remaining()).Milliseconds()), Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted,
+			})
+			header.Set(headerForward, encoded)
+			return err
+		},
+	}
+}
+
+// routerConnection observes a connection to another router, which says nothing about paths to machines.
+type routerConnection struct{}
+
+func (routerConnection) received() {}
+
+func (routerConnection) broke(error) {}
+
+func encodeHeader(message proto.Message) (string, error) {
+	encoded, err := proto.Marshal(message)
+	if err != nil {
+		return "", fault.Protocol.Wrap(err, "encoding a header of a forwarded request")
+	}
+	return base64.StdEncoding.EncodeToString(encoded), nil
+}
+
+func decodeHeader[Message proto.Message](value string, message Message) (Message, error) {
+	if value == "" {
+		return message, fault.Protocol.New("the header of a forwarded request is missing")
+	}
+	decoded, err := base64.StdEncoding.DecodeString(value)
+	if err != nil {
+		return message, fault.Protocol.Wrap(err, "decoding a header of a forwarded request")
+	}
+	if err := proto.Unmarshal(decoded, message); err != nil {
+		return message, fault.Protocol.Wrap(err, "decoding a header of a forwarded request")
+	}
+	return message, nil
+}
+
+// refuseUnreachable forwards a request that this router has no path for. done is false if it should be
+// sent to a machine after all.
+func (j *job) refuseUnreachable(ctx context.Context) (outcome attemptOutcome, done bool) {
+	if j.forwarded != nil {
+		j.unreachable = true
+		j.answerFailure(ctx, outcomeNotConnected)
+		return outcomeNotConnected, true
+	}
+	if outcome, served := j.forward(ctx); served {
+		return outcome, true
+	}
+	j.dispatchRequest.Forwardable = false
+	if !j.ingress.paths.isIsolated() {
+		return outcomeNotConnected, false
+	}
+	if j.mayHaveRun {
+		j.answerFailure(ctx, outcomeFailed)
+		return outcomeFailed, true
+	}
+	detail := string(dispatch.RefusedUnreachable) + ": neither this router nor another one has a path to a machine"
+	j.fail(problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, detail), retryAfterIsolated)
+	return outcomeNotRun, true
+}
--- /dev/null
+++ b/internal/ingress/forwarded.go
@@ -0,0 +1,99 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// maxRevisionWait bounds the wait for the state that the forwarding router has.
+const maxRevisionWait = 100 * time.Millisecond
+
+// ForwardHandler serves requests that other routers forward. It must be reachable for processes of the
+// cluster only: it trusts their authentication of the client.
+func (i *Ingress) ForwardHandler() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		forwarded, err := decodeHeader(request.Header.Get(headerForward), &wirepb.ForwardedRequest{})
+		if err != nil {
+			i.options.Logger.Warn("forward_refused", "remote", request.RemoteAddr, "error", err.Error())
+			problem.New(problem.TypeInvalid, http.StatusBadRequest, "the request is not a forwarded one").Write(writer)
+			return
+		}
+		request.Header.Del(headerForward)
+		j := i.newJob(writer, request)
+		j.forwarded, j.sent, j.firstSendCounted, j.retryReservedAt = forwarded, int(forwarded.GetSent()), forwarded.GetFirstSendCounted(), int(forwarded.GetSent())
+		i.handle(j)
+	})
+}
+
+// prepareForwarded finds the route and reads the body of a forwarded request. It returns the problem to
+// answer with, if any. The first router has authenticated the request and charged its tenant.
+func (j *job) prepareForwarded() (*problem.Document, time.Duration) {
+	if j.ingress.stopping.Load() {
+		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node is stopping"), retryAfterStart
+	}
+	if !j.awaitConfiguration() || !j.awaitRevision(j.forwarded.GetRevision()) {
+		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node has not got the present configuration yet"), retryAfterStart
+	}
+	j.route = j.ingress.table.Load().Find(j.request.Host, j.request.URL.EscapedPath())
+	if j.route == nil {
+		return problem.New(problem.TypeNotFound, http.StatusNotFound, "no route matches host and path"), 0
+	}
+	j.tenant = tenantIdentity{name: j.forwarded.GetTenant(), spec: j.ingress.options.View.Tenant(j.forwarded.GetTenant())}
+	if document := j.readBody(); document != nil {
+		return document, 0
+	}
+	if document := j.quarantineProblem(); document != nil {
+		return document, document.RetryAfter
+	}
+	j.deadline = j.arrived.Add(time.Duration(j.forwarded.GetRemainingMs()) * time.Millisecond)
+	j.pool = j.forwarded.GetPool()
+	if document := j.unservableProblem(j.allowedRegions()); document != nil {
+		return document, document.RetryAfter
+	}
+	return j.findVersion(), 0
+}
+
+// awaitRevision waits a moment for the view to reach a revision, and reports whether it has.
+func (j *job) awaitRevision(revision uint64) bool {
+	ctx, cancel := context.WithTimeout(j.request.Context(), maxRevisionWait)
+	defer cancel()
+	view := j.ingress.options.View
+	for {
+		changed := view.Changed()
+		if view.Revision() >= revision {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// forwardOutcome returns the outcome of a forwarded request that got no response of a machine.
+func forwardOutcome(mayHaveRun bool) wirepb.ForwardedResult_Outcome {
+	if mayHaveRun {
+		return wirepb.ForwardedResult_OUTCOME_UNKNOWN
+	}
+	return wirepb.ForwardedResult_OUTCOME_NOT_RUN
+}
+
+// setForwardResult adds the result of a forwarded request to its response.
+func (j *job) setForwardResult(outcome wirepb.ForwardedResult_Outcome) {
+	if j.forwarded == nil {
+		return
+	}
+	encoded, err := encodeHeader(&wirepb.ForwardedResult{
+		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable,
+	})
+	if err != nil {
+		j.log("forward_result_lost", "error", err.Error())
+		return
+	}
+	j.writer.Header().Set(headerForwardResult, encoded)
+}
--- /dev/null
+++ b/internal/ingress/forwarder.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/weldline/weldline/internal/forwarding"
+	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/upstream"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	forwardDialTimeout = 300 * time.Millisecond
+	maxIdlePerRouter   = 8
+)
+
+// forwarder sends requests to other routers. It is safe for concurrent use.
+type forwarder struct {
+	node string
+	pool *upstream.Pool
+
+	mutex    sync.Mutex
+	selector *forwarding.Selector
+}
+
+func newForwarder(options Options) *forwarder {
+	return &forwarder{
+		node: options.Node, selector: forwarding.NewSelector(rand.IntN),
+		pool: upstream.NewPool(upstream.Config{
+			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: options.DialRouter,
+		}),
+	}
+}
+
+// followDigests applies the routers in leaders' digests until ctx is done.
+func (f *forwarder) followDigests(ctx context.Context, view *nodeview.View) {
+	view.FollowDigests(ctx, func(digest *wirepb.ClusterDigest) {
+		f.setRouters(view.Location(), digest.GetRoster().GetRouters())
+	})
+}
+
+func (f *forwarder) setRouters(location places.Location, entries []*wirepb.RouterEntry) {
+	var routers []forwarding.Router
+	for _, entry := range entries {
+		if entry.GetNode() == f.node {
+			continue
+		}
+		routers = append(routers, forwarding.Router{
+			Node: entry.GetNode(), Address: entry.GetAddress(), Region: location.Zones.Region(entry.GetZone()), Proximity: location.ProximityOf(entry.GetZone()),
+		})
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.selector.SetRouters(routers)
+}
+
+// canForward reports whether there is a router for a request.
+func (f *forwarder) canForward(version string, allowed places.Constraint, tried []string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	_, found := f.selector.Choose(time.Now(), version, allowed, tried)
+	return found
+}
+
+// begin chooses a router. It must be followed by end if it found one.
+func (f *forwarder) begin(version string, allowed places.Constraint, tried []string) (forwarding.Router, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	router, found := f.selector.Choose(time.Now(), version, allowed, tried)
+	if found {
+		f.selector.Begin(router.Node)
+	}
+	return router, found
+}
+
+func (f *forwarder) end(node string, result forwarding.Result) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.selector.End(time.Now(), node, result)
+}
+
+func (f *forwarder) markUnservable(version string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.selector.MarkUnservable(time.Now(), version)
+}
+
+// retain closes the connections to routers that are no longer listed, and expired ones.
+func (f *forwarder) retain() {
+	f.mutex.Lock()
+	listed := f.selector.Nodes()
+	f.mutex.Unlock()
+	f.pool.Retain(func(node string) bool { return listed[node] })
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -39,6 +39,8 @@
 
 // Options configure an Ingress.
 type Options struct {
+	// Node is the name of this node.
+	Node       string
 	View       *nodeview.View
 	Logger     *slog.Logger
 	Metrics    *Metrics
@@ -59,6 +61,8 @@
 	Permit feed.PermitFunc
 	// Dial opens connections to machines. It defaults to a net.Dialer with the options of package tcpopt.
 	Dial upstream.DialFunc
+	// DialRouter opens connections to other routers. It defaults like Dial.
+	DialRouter upstream.DialFunc
 	// Now is a monotonic clock that includes time suspended. It defaults to clock.Now.
 	Now func() time.Duration
 	// Suspended returns the total time that this host has been suspended. It defaults to
@@ -69,6 +73,7 @@
 // Ingress is the HTTP handler for client requests of one node.
 type Ingress struct {
 	options    Options
+	forwarder  *forwarder
 	started    time.Time
 	table      atomic.Pointer[Table]
 	dispatcher *dispatcher.Dispatcher
@@ -111,7 +116,7 @@
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -135,6 +140,7 @@
 	workers.Go(func() { i.crashes.Run(ctx) })
 	workers.Go(func() { i.retainConnections(ctx) })
 	workers.Go(func() { i.paths.run(ctx) })
+	workers.Go(func() { i.forwarder.followDigests(ctx, i.options.View) })
 	for {
 		changed := i.options.View.Changed()
 		started := time.Now()
@@ -199,6 +205,7 @@
 			return
 		case <-ticker.C:
 			i.upstream.Retain(i.isKnown)
+			i.forwarder.retain()
 			i.permits.limits.retain(i.isKnown)
 			i.dispatcher.Retain(i.isKnown)
 			i.options.Metrics.leaving.Set(float64(len(i.LeavingMachines())))
@@ -273,6 +280,9 @@
 
 // Unreachable returns the machines that this node currently can't connect to.
 func (i *Ingress) Unreachable(now time.Time) []string {
+	if i.paths.isIsolated() {
+		return nil // The paths are down, not the machines.
+	}
 	return i.dispatcher.UnreachableMachines(now)
 }
 
@@ -313,11 +323,15 @@
 // ServeHTTP implements http.Handler. Unlike http.ServeMux it does not clean the
 // path, which machines must get unchanged.
 func (i *Ingress) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	j := i.newJob(writer, request)
+	request.Header.Del(headerForward) // Only other routers may set it, on their own listener.
+	i.handle(i.newJob(writer, request))
+}
+
+func (i *Ingress) handle(j *job) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
 	if i.stopping.Load() {
-		writer.Header().Set("Connection", "close")
+		j.writer.Header().Set("Connection", "close")
 	}
 	j.serve()
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -11,6 +11,7 @@
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
@@ -62,6 +63,12 @@
 	// permit is held for the next attempt.
 	permit         permit
 	cachedIdentity *quarantine.Identity
+	// forwarded is set if another router forwarded the request to this one.
+	forwarded *wirepb.ForwardedRequest
+	// triedRouters are the routers that the request was forwarded to.
+	triedRouters []string
+	// unreachable is set if the last attempt found no path to its machine.
+	unreachable bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
 	savedError *errorResponse
 }
@@ -75,7 +82,11 @@
 
 func (j *job) serve() {
 	defer j.refundUnlessRun()
-	if document, retryAfter := j.prepare(); document != nil {
+	prepare := j.prepare
+	if j.forwarded != nil {
+		prepare = j.prepareForwarded
+	}
+	if document, retryAfter := prepare(); document != nil {
 		j.fail(document, retryAfter)
 		return
 	}
@@ -195,9 +206,16 @@
 		CrossRegionPenalty: j.remoteCost(),
 		TTFTTarget:         time.Duration(j.route.Spec.TargetLatency),
 		QueueDeadline:      j.arrived.Add(j.maxQueueTime()), Allowed: j.allowedRegions(),
+		Forwardable: j.mayForward(), Forwarded: j.forwarded != nil,
 	}
 	for failures := 0; ; {
 		grant, refusal := j.acquire(ctx)
+		if refusal != nil && refusal.Reason == dispatch.RefusedUnreachable {
+			if outcome, done := j.refuseUnreachable(ctx); done {
+				return outcome
+			}
+			continue
+		}
 		if refusal != nil {
 			j.refuse(ctx, refusal)
 			return outcomeNotRun
@@ -223,7 +241,8 @@
 		if outcome == outcomeAnswered || outcome == outcomeErrorAnswered || outcome == outcomeBroken {
 			return outcome
 		}
-		if outcome == outcomeNotConnected {
+		j.unreachable = outcome == outcomeNotConnected
+		if j.unreachable {
 			failures++
 			j.ingress.permits.warming.recordFailure(grant.Target.Machine)
 			j.ingress.options.RequestReport()
@@ -235,6 +254,12 @@
 	}
 }
 
+// mayForward reports whether other routers may serve the request. A forwarded request is not forwarded
+// again.
+func (j *job) mayForward() bool {
+	return j.forwarded == nil && j.ingress.forwarder.canForward(j.version, j.allowedRegions(), j.triedRouters)
+}
+
 // rejectBeforeSend answers a request that was quarantined or whose deadline passed while it waited
 // for its grant or permit. It reports whether it did.
 func (j *job) rejectBeforeSend(ctx context.Context) bool {
@@ -401,6 +426,7 @@
 	if retryAfter > 0 {
 		j.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	j.setForwardResult(forwardOutcome(j.mayHaveRun))
 	j.allowResponseBeforeBody()
 	j.headerSent = true
 	j.log("refused", "status", document.Status, "kind", document.Kind(), "detail", document.Detail, "sent", j.sent,
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -29,6 +29,8 @@
 	// backedOff is the number of machines that get no requests because they asked to back off.
 	backedOff prometheus.Gauge
 	leaving   prometheus.Gauge
+	// forwards counts the requests sent to other routers.
+	forwards *prometheus.CounterVec
 	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
 	// any machine.
 	unreachable, isolated prometheus.Gauge
@@ -86,6 +88,9 @@
 		leaving: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_leaving_machines", Help: "Listed machines that said in an answer that they are leaving.",
 		}),
+		forwards: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_forwards_total", Help: "Requests sent to other routers for want of a path to a machine, by outcome.",
+		}, []string{"outcome"}),
 		unreachable: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_unreachable_machines", Help: "Machines that this node can't open connections to.",
 		}),
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -15,14 +15,25 @@
 type pathMonitor struct {
 	options Options
 	pool    *upstream.Pool
+	// publish is called with the machines without a path, and whether no path works, after each change.
+	publish func(unreachable map[string]bool, isolated bool)
+	// wake ends the monitor's rest.
+	wake chan struct{}
 
 	mutex   sync.Mutex
 	tracker *paths.Tracker
 	silence paths.Silence
 }
 
-func newPathMonitor(options Options, pool *upstream.Pool) *pathMonitor {
-	return &pathMonitor{options: options, pool: pool, tracker: paths.NewTracker()}
+func newPathMonitor(options Options, pool *upstream.Pool, publish func(unreachable map[string]bool, isolated bool)) *pathMonitor {
+	return &pathMonitor{options: options, pool: pool, publish: publish, tracker: paths.NewTracker(), wake: make(chan struct{}, 1)}
+}
+
+// isIsolated reports whether no path seems to work.
+func (m *pathMonitor) isIsolated() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.tracker.IsIsolated()
 }
 
 func (m *pathMonitor) setMachines(listed map[string]bool) {
@@ -35,9 +46,17 @@
 func (m *pathMonitor) sent() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if !m.active() {
+		m.wakeUp()
+	}
 	m.silence.Sent(time.Now())
 }
 
+// active reports whether the monitor has anything to watch. The mutex must be held.
+func (m *pathMonitor) active() bool {
+	return m.silence.InFlight() > 0 || m.tracker.IsIsolated() || m.tracker.AnyDown()
+}
+
 func (m *pathMonitor) ended() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -67,7 +86,23 @@
 		return
 	}
 	m.logChange(machine, change)
-	m.options.Metrics.setPaths(len(m.tracker.Down()), m.tracker.IsIsolated())
+	unreachable := map[string]bool{}
+	for _, down := range m.tracker.Down() {
+		unreachable[down] = true
+	}
+	m.options.Metrics.setPaths(len(unreachable), m.tracker.IsIsolated())
+	m.publish(unreachable, m.tracker.IsIsolated())
+	if change.BecameIsolated {
+		m.pool.DropIdle() // Requests on connections that died with the paths may not be repeated.
+	}
+	m.wakeUp()
+}
+
+func (m *pathMonitor) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (m *pathMonitor) logChange(machine string, change paths.Change) {
@@ -113,34 +148,59 @@
 func (m *pathMonitor) run(ctx context.Context) {
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	ticker := time.NewTicker(monitorInterval)
-	defer ticker.Stop()
 	for {
+		due, silent, next := m.check(time.Now())
+		for _, machine := range due {
+			probes.Go(func() { m.probe(ctx, machine) })
+		}
+		if len(silent) > 0 {
+			probes.Go(func() { m.checkSilence(ctx, silent) })
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-		for _, machine := range m.startProbes() {
-			probes.Go(func() { m.probe(ctx, machine) })
+		case <-m.wake:
+		case <-next:
 		}
 	}
 }
 
-func (m *pathMonitor) startProbes() []string {
+// check returns the machines to probe now, those to try because all are silent, and when to check again;
+// never if there is nothing to watch.
+func (m *pathMonitor) check(now time.Time) (due, silent []string, next <-chan time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.tracker.StartProbes(time.Now())
+	if !m.active() {
+		return nil, nil, nil
+	}
+	due = m.tracker.StartProbes(now)
+	if !m.tracker.IsIsolated() && m.silence.StartCheck(now) {
+		silent = m.tracker.Sample()
+	}
+	return due, silent, time.After(monitorInterval)
+}
+
+// checkSilence connects to one machine and, if that fails, to the others.
+func (m *pathMonitor) checkSilence(ctx context.Context, machines []string) {
+	if m.probe(ctx, machines[0]) {
+		return
+	}
+	var others sync.WaitGroup
+	for _, machine := range machines[1:] {
+		others.Go(func() { m.probe(ctx, machine) })
+	}
+	others.Wait()
 }
 
 // probe opens a connection to a machine and records the result.
-func (m *pathMonitor) probe(ctx context.Context, machine string) {
+func (m *pathMonitor) probe(ctx context.Context, machine string) (connected bool) {
 	started := time.Now()
 	err := m.connect(ctx, machine)
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	m.update(machine, func(now time.Time) paths.Change { return m.tracker.EndProbe(now, machine, started, err == nil) })
+	return err == nil
 }
 
 func (m *pathMonitor) connect(ctx context.Context, machine string) error {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -10,6 +10,7 @@
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/upstream"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
@@ -123,6 +124,7 @@
 // writeHeader sends the status and header to the client. A negative length means that the
 // length of the body is unknown.
 func (j *job) writeHeader(status int, endToEnd http.Header, length int64) {
+	j.setForwardResult(wirepb.ForwardedResult_OUTCOME_ANSWERED)
 	header := j.writer.Header()
 	for name, values := range endToEnd {
 		header[name] = values
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -47,14 +47,14 @@
 	created.client.SetLocation(settings.Location())
 	created.reports.client = created.client
 	created.ingress = ingress.New(ingress.Options{
-		View: created.view, Logger: node.logger, Metrics: ingress.NewMetrics(node.registry),
+		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: ingress.NewMetrics(node.registry),
 		Translator: node.extensions.Translator, MaxWaiting: settings.Ingress.MaxWaiting,
 		Budget: retrybudget.Config{
 			Ratio: settings.Ingress.RetryRatio, Slack: settings.Ingress.RetrySlack, Window: settings.Ingress.RetryWindow,
 		},
 		Quota: settings.Quota.Bound(), Sharing: quota.Sharing(settings.Quota.Sharing),
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
-		Permit: created.client.Permit, Dial: node.extensions.Dial,
+		Permit: created.client.Permit, Dial: node.extensions.Dial, DialRouter: node.dialPeer,
 	})
 	created.server = ingress.NewServer(created.ingress, created.view, node.logger)
 	return created
@@ -82,6 +82,11 @@
 			return err
 		}
 	}
+	if address := r.node.settings.Ingress.Forward; address != "" {
+		if err := r.node.servePeers(ctx, address, r.ingress.ForwardHandler()); err != nil {
+			return err
+		}
+	}
 	return r.node.serveFeed(ctx, r.node.settings.Ingress.Listen, r.server.Serve)
 }
 
@@ -114,7 +119,7 @@
 	tenants, full := r.ingress.TenantUses()
 	return &wirepb.NodeReport{
 		Node: r.node.settings.Node, Zone: r.node.settings.Zone,
-		Incarnation: r.node.incarnation, Sequence: r.sequence, Router: true, Draining: !r.ingress.Ready(),
+		Incarnation: r.node.incarnation, Sequence: r.sequence, Router: true, Draining: !r.ingress.Ready(), ForwardAddress: r.node.settings.Ingress.Forward,
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
 		Unreachable: r.ingress.Unreachable(now), Leaving: r.ingress.LeavingMachines(),
 		Demand: r.demand.Messages(r.ingress.Demand(now)), Loads: r.ingress.Loads(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
 	"github.com/weldline/weldline/internal/storage"
+	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -322,6 +323,35 @@
 	return nil
 }
 
+// servePeers serves HTTP for other processes of the cluster.
+func (n *Node) servePeers(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Unavailable.Wrap(err, "listening on %s", address)
+	}
+	listener = tcpopt.Listener{Listener: listener}
+	if n.keys != nil {
+		listener = tls.NewListener(listener, n.keys.PeerServer())
+	}
+	n.serve(ctx, address, listener, handler)
+	return nil
+}
+
+// dialPeer opens a connection to another process of the cluster.
+func (n *Node) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
+	connection, err := dialer.DialContext(ctx, network, address)
+	if err != nil || n.keys == nil {
+		return connection, err
+	}
+	secured := tls.Client(connection, n.keys.PeerClient())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 func (n *Node) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -330,6 +360,12 @@
 	if n.keys != nil && n.settings.TLS.Public {
 		listener = tls.NewListener(listener, n.keys.PublicServer())
 	}
+	n.serve(ctx, address, listener, handler)
+	return nil
+}
+
+// serve serves HTTP on a listener until ctx ends.
+func (n *Node) serve(ctx context.Context, address string, listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug)}
 	n.workers.Go(func() {
 		<-ctx.Done()
@@ -345,5 +381,4 @@
 		}
 		return nil
 	})
-	return nil
 }
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -99,6 +99,9 @@
 	return v.location.Zones.Region(v.location.Zone)
 }
 
+// Location returns the node's location.
+func (v *View) Location() places.Location { return v.location }
+
 // NewAt returns an empty view of a node at a location.
 func NewAt(location places.Location) *View {
 	view := &View{location: location, changed: signal.New(), digestChanged: signal.New()}
--- a/internal/paths/silence.go
+++ b/internal/paths/silence.go
@@ -36,6 +36,9 @@
 	s.inFlight--
 }
 
+// InFlight returns the number of sent requests that have not ended.
+func (s *Silence) InFlight() int { return s.inFlight }
+
 // StartCheck reports whether the paths must be checked now.
 func (s *Silence) StartCheck(now time.Time) bool {
 	if s.inFlight == 0 || now.Sub(s.since) < silenceLimit || now.Sub(s.lastCheck) < silenceCheckInterval {
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -9,6 +9,8 @@
 	// isolationThreshold is the number of machines that must fail, without contact to any, before a
 	// router counts as isolated. Fewer suffice if fewer are known.
 	isolationThreshold = 3
+	// minIsolation is the least number of machines: one that fails alone may well be down.
+	minIsolation = 2
 	// A path that is down is probed at intervals that double with each failure.
 	minProbeInterval = 250 * time.Millisecond
 	maxProbeInterval = 2 * time.Second
@@ -88,7 +90,7 @@
 	if failure == FailureConnect {
 		change.WentDown = t.setDown(now, machine)
 	}
-	if !t.isolated && len(t.failing) >= min(isolationThreshold, max(1, len(t.listed))) {
+	if !t.isolated && len(t.failing) >= min(isolationThreshold, max(minIsolation, len(t.listed))) {
 		t.isolated, t.isolatedSince, change.BecameIsolated = true, now, true
 	}
 	return change
@@ -149,6 +151,30 @@
 // IsIsolated reports whether no path seems to work.
 func (t *Tracker) IsIsolated() bool { return t.isolated }
 
+// AnyDown reports whether any path is down.
+func (t *Tracker) AnyDown() bool {
+	for _, current := range t.paths {
+		if current.down {
+			return true
+		}
+	}
+	return false
+}
+
+// Sample returns some random machines, as many as must fail for the router to count as isolated.
+func (t *Tracker) Sample() []string {
+	var names []string
+	for machine := range t.listed {
+		if len(names) == isolationThreshold {
+			break
+		}
+		if !t.IsDown(machine) {
+			names = append(names, machine)
+		}
+	}
+	return names
+}
+
 // Down returns the machines whose paths are down, sorted by name.
 func (t *Tracker) Down() []string {
 	var names []string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,6 +116,10 @@
 	Listen string `yaml:"listen"`
 	// Ready is the address of the readiness check for load balancers.
 	Ready string `yaml:"ready"`
+	// Forward is the address on which the node accepts requests from other ingress nodes that have no
+	// path to a machine. It must be reachable for ingress nodes, but not for callers. Default: none; the
+	// node accepts no such requests.
+	Forward string `yaml:"forward"`
 	// MaxWaiting bounds the requests that wait for a machine. Default 2048.
 	MaxWaiting int `yaml:"maxWaiting"`
 	// ReportInterval is the interval between reports of demand and load. Default 500ms.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -279,6 +279,7 @@
 		{"router.listen", s.Router.Listen, true},
 		{"ingress.listen", s.Ingress.Listen, true},
 		{"ingress.ready", s.Ingress.Ready, true},
+		{"ingress.forward", s.Ingress.Forward, false},
 		{"relay.listen", s.Relay.Listen, false},
 	}
 }
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -57,3 +57,15 @@
 		_ = Control("", "", raw)
 	}
 }
+
+// Listener applies the options to the connections that another listener accepts.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err == nil {
+		Apply(connection)
+	}
+	return connection, err
+}
