dispatch: bound the rejections of machines that state how many they bear

The header was not read: with no room, routers go on offering requests to them.

What has to be bounded is the requests that find no room, not the requests. Each router keeps to its share of a brittle machine's slots, and counts a request as a possible rejection until 100 ms have passed or the machine accepted it; these and the rejections of the last second stay within its share of the stated number, at least one with a pause in proportion. Machines of a pool that this router has not heard count as brittle while another of the pool is. A statement ends with an answer, to a later request, that lacks it.

Not shared between routers by reports: each hears its own answers within contact_ms.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -64,6 +64,10 @@
 	// unreachable are the machines without a path from this router; isolated is set if no path works.
 	unreachable map[string]bool
 	isolated    bool
+	// brittle has the rejections per second that brittle machines bear, exposures what this router
+	// contributes.
+	brittle   map[string]float64
+	exposures map[string]*exposure
 }
 
 // versionState is the state of one model version.
@@ -96,6 +100,7 @@
 		ownWork: map[string]float64{}, othersWork: map[string]float64{}, routers: 1,
 		staleness: initialStaleness, ownResponses: map[string]ResponseCounts{}, drainedTargets: map[string]Target{},
 		holds: map[string]time.Time{}, backoffs: map[string]*backoff{}, leaving: map[string]time.Time{},
+		exposures: map[string]*exposure{},
 	}
 }
 
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -140,7 +140,7 @@
 // hasCapacity reports whether a target could take a request, regardless of its health.
 func (s *Scheduler) hasCapacity(now time.Time, candidate *target, request *Request) bool {
 	return s.hasSlot(candidate) && !s.isHeld(now, candidate.Machine) && s.allowsGrant(now, candidate.Machine) &&
-		!s.isExcluded(candidate, request) && !s.avoidsPath(candidate, request)
+		!s.isExcluded(candidate, request) && !s.avoidsPath(candidate, request) && s.bearsRequest(now, candidate)
 }
 
 // isExcluded reports whether a target must not serve a request, regardless of its load. Every
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -41,6 +41,10 @@
 	s.decrementLoad(grant.Target.Machine)
 	s.finishWork(grant.Target.Machine, grant.Request, 0)
 	s.countResponse(grant.Target.Machine, result)
+	s.acceptBrittle(grant.Target.Machine, grant.Request)
+	if result == ResultRejected {
+		s.countRejection(now, grant.Target.Machine)
+	}
 	s.recordProbe(grant, !slices.Contains(unacceptedResults, result))
 	existing := s.targets[grant.Target.Replica]
 	if existing != nil {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -62,6 +62,7 @@
 		s.dequeue(request)
 		chosen.inFlight++
 		s.recordGrant(now, chosen.Machine, request)
+		s.exposeBrittle(now, chosen.Machine, request)
 		s.ownLoad[chosen.Machine]++
 		s.addWork(chosen.Machine, request)
 		version.running++
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -45,6 +45,7 @@
 func (s *Scheduler) MarkStarted(grant Grant) {
 	s.finishWork(grant.Target.Machine, grant.Request, grant.Request.Work*startedWorkShare)
 	s.recordProbe(grant, true)
+	s.acceptBrittle(grant.Target.Machine, grant.Request)
 	if existing := s.targets[grant.Target.Replica]; existing != nil {
 		existing.health.recordAccepted()
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -222,6 +222,14 @@
 	d.scheduler.SetLimited(limited)
 }
 
+// SetBrittle replaces the rejections per second that brittle machines bear. The map must not be modified
+// afterwards.
+func (d *Dispatcher) SetBrittle(brittle map[string]float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.deliver(d.scheduler.SetBrittle(time.Now(), brittle))
+}
+
 // SetWarming replaces the set of machines that are warming up. The map must not be modified
 // afterwards.
 func (d *Dispatcher) SetWarming(warming map[string]bool) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -79,6 +79,7 @@
 	dispatcher *dispatcher.Dispatcher
 	upstream   *upstream.Pool
 	paths      *pathMonitor
+	brittle    *brittleMachines
 
 	quotas      *quotas
 	permits     *permitClient
@@ -116,7 +117,7 @@
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -177,6 +178,7 @@
 	i.dispatcher.SetWarming(i.permits.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
 	i.paths.setMachines(i.dispatcher.Machines())
+	i.brittle.refresh()
 	i.drains.Update(time.Now(), drains)
 	i.queued.each((*job).updateRegions)
 	if current && !i.serving.Swap(true) {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -29,6 +29,8 @@
 	// backedOff is the number of machines that get no requests because they asked to back off.
 	backedOff prometheus.Gauge
 	leaving   prometheus.Gauge
+	// brittle is the number of machines that get requests only within their stated rejections.
+	brittle prometheus.Gauge
 	// forwards counts the requests sent to other routers.
 	forwards *prometheus.CounterVec
 	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
@@ -88,6 +90,9 @@
 		leaving: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_leaving_machines", Help: "Listed machines that said in an answer that they are leaving.",
 		}),
+		brittle: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "weldline_ingress_brittle_machines", Help: "Machines that state, or whose pool states, how many rejections they bear.",
+		}),
 		forwards: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_forwards_total", Help: "Requests sent to other routers for want of a path to a machine, by outcome.",
 		}, []string{"outcome"}),
--- a/internal/ingress/statements.go
+++ b/internal/ingress/statements.go
@@ -22,6 +22,7 @@
 	if j.ingress.permits.limits.observe(machine, stated.Limit, j.written) {
 		j.ingress.options.RequestReport() // The leader publishes the limit to the other routers.
 	}
+	j.ingress.brittle.observe(j.pool, machine, stated, j.written)
 	if stated.BackOff > 0 {
 		j.ingress.dispatcher.BackOff(machine, stated.BackOff)
 		j.ingress.options.Metrics.backOffs.Inc()
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -59,6 +59,10 @@
 	BackOff time.Duration
 	// Leaving is set if the machine is about to shut down.
 	Leaving bool
+	// Brittle is set if the machine fails when it has to reject more than MaxRejections requests per
+	// second from all routers together.
+	Brittle       bool
+	MaxRejections float64
 	// Invalid has an error of type fault.Invalid for each header that can't be parsed. The field of
 	// such a header is not set.
 	Invalid []error
