--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -38,18 +38,21 @@
 }
 
 // isUnreachable reports whether there are targets for a request, but no path to any of those that are
-// left to try.
+// left to try. A request that no other router may serve is tried at all of them first.
 func (s *Scheduler) isUnreachable(version *versionState, request *Request) bool {
-	if !request.needsPath() || !s.isolated && len(s.unreachable) == 0 {
+	if !s.isolated && len(s.unreachable) == 0 {
+		return false
+	}
+	if !request.needsPath() && (len(request.TriedMachines) == 0 || version.mayBeReadyElsewhere(request.queuedUntil())) {
 		return false
 	}
+	untried := *request
+	untried.TriedMachines = nil
 	found := false
 	for _, candidate := range version.targets {
-		if s.hasPath(candidate.Machine) && !s.isExcluded(candidate, request) {
+		if !s.isExcluded(candidate, request) && !s.avoidsPath(candidate, request) {
 			return false
 		}
-		untried := *request
-		untried.TriedMachines = nil
 		found = found || !s.hasPath(candidate.Machine) && !s.isExcluded(candidate, &untried)
 	}
 	return found
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -9,3 +9,10 @@
 func (i *Ingress) WarmingMachines() map[string]bool {
 	return i.permits.warming.machines()
 }
+
+// KnowsRouters reports whether the ingress knows a number of other routers.
+func (i *Ingress) KnowsRouters(count int) bool {
+	i.forwarder.mutex.Lock()
+	defer i.forwarder.mutex.Unlock()
+	return len(i.forwarder.selector.Nodes()) == count
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -103,7 +103,9 @@
 	if failure == upstream.FailureConnect {
 		return outcomeNotConnected, result
 	}
-	j.mayHaveRun = true
+	// The router has probably sent it once; it cancels what it has begun.
+	j.mayHaveRun, j.firstSendCounted = true, true
+	j.sent++
 	if ctx.Err() != nil {
 		return outcomeTimedOut, result
 	}
@@ -157,7 +159,7 @@
 // refuseUnreachable forwards a request that this router has no path for. done is false if it should be
 // sent to a machine after all.
 func (j *job) refuseUnreachable(ctx context.Context) (outcome attemptOutcome, done bool) {
-	if j.forwarded != nil {
+	if !j.dispatchRequest.Forwardable {
 		j.unreachable = true
 		j.answerFailure(ctx, outcomeNotConnected)
 		return outcomeNotConnected, true
@@ -166,8 +168,8 @@
 		return outcome, true
 	}
 	j.dispatchRequest.Forwardable = false
-	if !j.ingress.paths.isIsolated() {
-		return outcomeNotConnected, false
+	if !j.ingress.paths.isIsolated() && !j.unreachable {
+		return outcomeNotConnected, false // The path may be up again.
 	}
 	if j.mayHaveRun {
 		j.answerFailure(ctx, outcomeFailed)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -67,7 +67,7 @@
 	forwarded *wirepb.ForwardedRequest
 	// triedRouters are the routers that the request was forwarded to.
 	triedRouters []string
-	// unreachable is set if the last attempt found no path to its machine.
+	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
 	savedError *errorResponse
@@ -343,7 +343,7 @@
 	case ctx.Err() != nil || j.headerSent:
 		return false
 	case outcome == outcomeNotConnected:
-		return connectFailures < maxConnectFailures
+		return connectFailures < maxConnectFailures && len(j.triedRouters) == 0
 	case j.mayHaveRun && !j.route.Spec.Repeatable():
 		j.noRetry = "not repeatable"
 		return false
