soak: partitioned routers, paused and brittle machines

The soak could not cut single paths: a machine registers one address, and the proxy before it could not tell routers apart. Routers now connect to machines from an address of their own (new setting ingress.source, for hosts with several addresses), the proxy passes it on, and a partition of one router resets its connections, or lets the open ones hang and resets new ones.

Plans draw two overlapping series of partitions, machines that hold all traffic back for a second, and spans in which the machines without engines state Server-Brittle and fail beyond it. Checks: partitioned-routers (two thirds of the others' share, 10 + 1 in 50 failures) and brittle-machines (2 + a tenth). Arrivals and rejections are attributed to the router that sent them, which may be another one than the caller's.

--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -54,7 +54,7 @@
 		},
 		Quota: settings.Quota.Bound(), Sharing: quota.Sharing(settings.Quota.Sharing),
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
-		Permit: created.client.Permit, Dial: node.extensions.Dial, DialRouter: node.dialPeer,
+		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer,
 	})
 	created.server = ingress.NewServer(created.ingress, created.view, node.logger)
 	return created
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -337,6 +337,14 @@
 	return nil
 }
 
+// dialMachines returns the function that opens connections to machines; nil for the default.
+func (n *Node) dialMachines() upstream.DialFunc {
+	if n.extensions.Dial != nil || n.settings.Ingress.Source == "" {
+		return n.extensions.Dial
+	}
+	return tcpopt.DialerFrom(net.ParseIP(n.settings.Ingress.Source)).DialContext
+}
+
 // dialPeer opens a connection to another process of the cluster.
 func (n *Node) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,8 @@
 	// path to a machine. It must be reachable for ingress nodes, but not for callers. Default: none; the
 	// node accepts no such requests.
 	Forward string `yaml:"forward"`
+	// Source is the local IP address of connections to machines. Default: chosen by the system.
+	Source string `yaml:"source"`
 	// MaxWaiting bounds the requests that wait for a machine. Default 2048.
 	MaxWaiting int `yaml:"maxWaiting"`
 	// ReportInterval is the interval between reports of demand and load. Default 500ms.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -144,6 +144,11 @@
 	if !s.Formation.UsesSeeds() {
 		return fault.InvalidField("formation.seeds", "is required for the ingress role")
 	}
+	if s.Ingress.Source != "" {
+		if _, err := netip.ParseAddr(s.Ingress.Source); err != nil {
+			return fault.InvalidField("ingress.source", "%q is not an IP address", s.Ingress.Source)
+		}
+	}
 	if s.Ingress.RetryRatio < 0 || s.Ingress.RetrySlack < 0 {
 		return fault.InvalidField("ingress.retryRatio", "the bounds on retries must not be negative")
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -20,6 +20,8 @@
 	// ToleratedNodes is how many control nodes may be disturbed at once without an effect on clients.
 	ToleratedNodes      int
 	MaxWarmingPerSecond int
+	// BrittleMachines is the number of machines that become brittle together.
+	BrittleMachines int
 }
 
 // Violation is one case in which a history violates an invariant.
@@ -46,6 +48,8 @@
 	{"machine-limits", exceededLimits},
 	{"machine-rests", arrivalsDuringBackoff},
 	{"leaving-machines", arrivalsAtLeavingMachines},
+	{"partitioned-routers", unservedPartitions},
+	{"brittle-machines", brittleFalls},
 	{"regions", arrivalsInForbiddenRegions},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
 	{"recovery", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Unserved }},
@@ -235,7 +239,7 @@
 			if arrival.Place.Zone != interval.zone || arrival.At <= interval.start || arrival.At >= interval.end {
 				continue
 			}
-			router := history.Requests[arrival.Request].Router
+			router := history.senderOf(arrival)
 			if !bounds.mayBeStale(disturbances, router, arrival.At) {
 				found = append(found, fmt.Sprintf("%s reached %s in drained zone %s at %s through %s, %s too late", arrival.Request, arrival.Machine, interval.zone, arrival.At, router, arrival.At-interval.start))
 			}
@@ -290,7 +294,7 @@
 func exceededLimits(history *History, bounds Bounds, disturbances []Disturbance) []string {
 	arrivals := map[string][]Arrival{}
 	for _, arrival := range history.Arrivals {
-		if arrival.Limit > 0 && !bounds.mayBeStale(disturbances, history.Requests[arrival.Request].Router, arrival.At) {
+		if arrival.Limit > 0 && !bounds.mayBeStale(disturbances, history.senderOf(arrival), arrival.At) {
 			arrivals[arrival.Machine] = append(arrivals[arrival.Machine], arrival)
 		}
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -83,14 +83,28 @@
 			h.Leaving = append(h.Leaving, LeavingAnswer{Request: "once", Machine: "m1"})
 			h.Arrivals = append(h.Arrivals, Arrival{Request: "late", Machine: "m1", At: 4 * time.Second})
 		},
+		"partitioned-routers": func(h *History) {
+			cut, _ := partitionHistory(0)
+			for id, request := range cut.Requests {
+				h.Requests[id] = request
+			}
+			h.Answers = append(h.Answers, cut.Answers...)
+		},
+		"brittle-machines": func(h *History) {
+			h.Falls = []Fall{{At: 3 * time.Second}, {At: 4 * time.Second}, {At: 5 * time.Second}}
+		},
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
 	}
+	disturbances := append([]Disturbance{
+		{Start: 2 * time.Second, End: 10 * time.Second, Node: "r1", RequestsOnly: true, Partition: true},
+		{Start: 2 * time.Second, End: 10 * time.Second, Node: "none", RequestsOnly: true, Brittle: true},
+	}, explainingDisturbances...)
 	for _, each := range checks {
 		history := validHistory()
 		violate[each.invariant](history)
-		found := Judge(history, testBounds, explainingDisturbances)
+		found := Judge(history, testBounds, disturbances)
 		if len(found) != 1 || found[0].Invariant != each.invariant {
 			t.Errorf("%s: found %v", each.invariant, found)
 		}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -54,6 +54,8 @@
 	Place   Place
 	At      time.Duration
 	Warming bool
+	// Router is the router that sent the request, which another one may have forwarded; empty if unknown.
+	Router string
 	// Limit is the rate limit in requests a second that the machine stated long enough before for all
 	// connected routers to know; 0 for none.
 	Limit float64
@@ -93,6 +95,14 @@
 	Sent    time.Duration
 }
 
+// senderOf returns the router that sent a request to a machine.
+func (h *History) senderOf(arrival Arrival) string {
+	if arrival.Router != "" {
+		return arrival.Router
+	}
+	return h.Requests[arrival.Request].Router
+}
+
 // History is everything that callers, operators and machines observed. Record is safe for concurrent use.
 type History struct {
 	mutex      sync.Mutex
@@ -101,6 +111,7 @@
 	Arrivals   []Arrival
 	Rejections []Rejection
 	Leaving    []LeavingAnswer
+	Falls      []Fall
 	Orders     []Order
 	// Ignored are orders that no control node acknowledged despite retries; Acknowledged is when the operator
 	// gave up.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,6 +63,13 @@
 	FaultRestMachine FaultKind = "rest-machine"
 	// FaultLeaveMachine makes a machine announce in its responses that it is leaving, and then terminate.
 	FaultLeaveMachine FaultKind = "leave-machine"
+	// FaultPartitionHangs and FaultPartitionResets cut a router off from all machines.
+	FaultPartitionHangs  FaultKind = "partition-hangs"
+	FaultPartitionResets FaultKind = "partition-resets"
+	// FaultPauseMachine holds back all traffic of a machine; no connection breaks.
+	FaultPauseMachine FaultKind = "pause-machine"
+	// FaultBrittleMachines makes the machines without engines fail if they reject too many requests.
+	FaultBrittleMachines FaultKind = "brittle-machines"
 )
 
 // Layout lists the processes and machines of a deployment.
@@ -105,6 +112,8 @@
 	IsControl bool
 	// RequestsOnly is set if requests may fail while the node's state stays current.
 	RequestsOnly bool
+	// Partition is set if the node is cut off from all machines, Brittle if machines are brittle.
+	Partition, Brittle bool
 }
 
 const (
@@ -270,6 +279,17 @@
 	case FaultSilenceMachine, FaultSilenceCallers:
 		span.End += silentConnectionDuration
 		span.RequestsOnly = true
+	case FaultPauseMachine:
+		span.End += restartDuration
+		span.RequestsOnly = true
+	case FaultPartitionHangs, FaultPartitionResets:
+		// unservedPartitions judges the requests during the partition.
+		after := Disturbance{Start: span.End, End: span.End + restartDuration, Node: f.Node, RequestsOnly: true}
+		span.RequestsOnly, span.Partition = true, true
+		return []Disturbance{span, after}
+	case FaultBrittleMachines:
+		span.RequestsOnly, span.Brittle = true, true
+		span.End += restartDuration
 	case FaultCutZone:
 		return perControlNode(span, layout.Zones[f.Zone])
 	case FaultKillAll:
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -37,12 +37,16 @@
 	blocks      [directionCount]int
 	delay       time.Duration
 	connections map[*connection]bool
+	// partitions are the hosts that are cut off from the server.
+	partitions map[string]PartitionKind
 	// changed is notified after each change of blocks.
 	changed *signal.Broadcast
 }
 
 type connection struct {
 	client, server net.Conn
+	// host is the client's IP address.
+	host string
 	// closed is cancelled when the connection is dropped.
 	closed context.Context
 	close  context.CancelFunc
@@ -56,7 +60,7 @@
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "opening the listener of a proxy")
 	}
-	created := &Proxy{listener: listener, target: target, connections: map[*connection]bool{}, changed: signal.New()}
+	created := &Proxy{listener: listener, target: target, connections: map[*connection]bool{}, partitions: map[string]PartitionKind{}, changed: signal.New()}
 	go created.accept()
 	return created, nil
 }
@@ -83,13 +87,20 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	server, err := net.DialTimeout("tcp", p.target, proxyDialTimeout)
+	host, _, err := net.SplitHostPort(client.RemoteAddr().String())
+	if err != nil || p.isPartitioned(host) {
+		reset(client)
+		return
+	}
+	// The server sees the client's address.
+	dialer := net.Dialer{Timeout: proxyDialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	server, err := dialer.Dial("tcp", p.target)
 	if err != nil {
 		reset(client)
 		return
 	}
 	closed, cancel := context.WithCancel(context.Background())
-	current := &connection{client: client, server: server, closed: closed, close: cancel}
+	current := &connection{client: client, server: server, host: host, closed: closed, close: cancel}
 	p.mutex.Lock()
 	p.connections[current] = true
 	p.mutex.Unlock()
@@ -147,7 +158,8 @@
 	for {
 		changed := p.changed.Wait()
 		p.mutex.Lock()
-		blocked := p.blocks[direction] > 0 || current.silent[direction]
+		_, partitioned := p.partitions[current.host]
+		blocked := p.blocks[direction] > 0 || current.silent[direction] || partitioned
 		p.mutex.Unlock()
 		if !blocked {
 			return true
@@ -203,12 +215,43 @@
 	}
 }
 
+// Partition cuts a client host off from the server until Heal is called.
+func (p *Proxy) Partition(host string, kind PartitionKind) {
+	p.mutex.Lock()
+	p.partitions[host] = kind
+	p.mutex.Unlock()
+	if kind == PartitionResets {
+		p.resetWhere(func(existing *connection) bool { return existing.host == host })
+	}
+}
+
+// Heal ends the partition of a host.
+func (p *Proxy) Heal(host string) {
+	p.mutex.Lock()
+	delete(p.partitions, host)
+	p.mutex.Unlock()
+	p.changed.Notify()
+}
+
+func (p *Proxy) isPartitioned(host string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_, partitioned := p.partitions[host]
+	return partitioned
+}
+
 // Reset resets all existing connections; new connections work.
 func (p *Proxy) Reset() {
+	p.resetWhere(func(*connection) bool { return true })
+}
+
+func (p *Proxy) resetWhere(matches func(existing *connection) bool) {
 	p.mutex.Lock()
 	existing := make([]*connection, 0, len(p.connections))
 	for each := range p.connections {
-		existing = append(existing, each)
+		if matches(each) {
+			existing = append(existing, each)
+		}
 	}
 	p.mutex.Unlock()
 	for _, each := range existing {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,10 @@
 	RejectRequests(machine int) (end func())
 	// AnnounceLeaving makes a machine announce that it is leaving; end terminates it.
 	AnnounceLeaving(machine int) (end func())
+	// PartitionRouter cuts a router off from all machines until end is called.
+	PartitionRouter(router string, kind PartitionKind) (end func())
+	// BecomeBrittle makes the machines without engines brittle until end is called.
+	BecomeBrittle() (end func())
 	// Proxy returns the proxy before a machine, or nil while the machine is down.
 	Proxy(machine int) *Proxy
 }
@@ -122,6 +126,16 @@
 		return i.Machines.RejectRequests(each.Machine)
 	case FaultLeaveMachine:
 		return i.Machines.AnnounceLeaving(each.Machine)
+	case FaultPartitionHangs:
+		return i.Machines.PartitionRouter(each.Node, PartitionHangs)
+	case FaultPartitionResets:
+		return i.Machines.PartitionRouter(each.Node, PartitionResets)
+	case FaultBrittleMachines:
+		return i.Machines.BecomeBrittle()
+	case FaultPauseMachine:
+		if proxy := i.Machines.Proxy(each.Machine); proxy != nil {
+			return blockBoth(proxy)
+		}
 	case FaultResetMachine, FaultSilenceMachine, FaultDelayMachine:
 		return applyLinkFaultIfRunning(each.Kind, i.Machines.Proxy(each.Machine))
 	case FaultResetCallers, FaultSilenceCallers, FaultDelayCallers:
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -25,6 +25,10 @@
 
 func (s *fakeEnvironment) AnnounceLeaving(int) func() { return func() {} }
 
+func (s *fakeEnvironment) PartitionRouter(string, PartitionKind) func() { return func() {} }
+
+func (s *fakeEnvironment) BecomeBrittle() func() { return func() {} }
+
 func (s *fakeEnvironment) Proxy(int) *Proxy { return s.machine }
 
 func (s *fakeEnvironment) Burst(context.Context, time.Duration) {}
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -38,6 +38,8 @@
 	At      time.Duration
 	// Rest is the value of Retry-After.
 	Rest time.Duration
+	// Router is the router that sent the request; empty if unknown.
+	Router string
 }
 
 // LeavingAnswer is a response in which a machine announced that it is leaving.
@@ -60,19 +62,27 @@
 // requestTimes returns when requests reached a machine, run or rejected, by router and machine.
 func (h *History) requestTimes() map[routerMachine][]time.Duration {
 	times := map[routerMachine][]time.Duration{}
-	add := func(request, machine string, at time.Duration) {
-		pair := routerMachine{router: h.Requests[request].Router, machine: machine}
+	add := func(router, machine string, at time.Duration) {
+		pair := routerMachine{router: router, machine: machine}
 		times[pair] = append(times[pair], at)
 	}
 	for _, arrival := range h.Arrivals {
-		add(arrival.Request, arrival.Machine, arrival.At)
+		add(h.senderOf(arrival), arrival.Machine, arrival.At)
 	}
 	for _, rejection := range h.Rejections {
-		add(rejection.Request, rejection.Machine, rejection.At)
+		add(h.rejectedRouter(rejection), rejection.Machine, rejection.At)
 	}
 	return times
 }
 
+// rejectedRouter returns the router whose request a machine rejected.
+func (h *History) rejectedRouter(rejection Rejection) string {
+	if rejection.Router != "" {
+		return rejection.Router
+	}
+	return h.Requests[rejection.Request].Router
+}
+
 func (h *History) answersByRequest() map[string]Answer {
 	answers := map[string]Answer{}
 	for _, answer := range h.Answers {
@@ -101,7 +111,7 @@
 	times := history.requestTimes()
 	var found []string
 	for _, rejection := range history.ConfirmedBackoffs() {
-		router := history.Requests[rejection.Request].Router
+		router := history.rejectedRouter(rejection)
 		until := rejection.At + rejection.Rest
 		if isDisturbed(disturbances, router, rejection.At, until) {
 			continue
@@ -129,7 +139,7 @@
 		if !isAnswered || answer.Outcome != OutcomeAnswered || len(arrivals[leaving.Request]) != 1 {
 			continue
 		}
-		pair := routerMachine{router: h.Requests[leaving.Request].Router, machine: leaving.Machine}
+		pair := routerMachine{router: h.senderOf(arrivals[leaving.Request][0]), machine: leaving.Machine}
 		if earliest, known := times[pair]; !known || answer.At < earliest {
 			times[pair] = answer.At
 		}
@@ -144,11 +154,12 @@
 	var found []string
 	for _, arrival := range history.Arrivals {
 		request := history.Requests[arrival.Request]
-		since, isLeaving := leavingTimes[routerMachine{router: request.Router, machine: arrival.Machine}]
-		if !isLeaving || request.Sent <= since+bounds.DrainTimeout || isDisturbed(disturbances, request.Router, since, arrival.At) {
+		router := history.senderOf(arrival)
+		since, isLeaving := leavingTimes[routerMachine{router: router, machine: arrival.Machine}]
+		if !isLeaving || request.Sent <= since+bounds.DrainTimeout || isDisturbed(disturbances, router, since, arrival.At) {
 			continue
 		}
-		found = append(found, fmt.Sprintf("%s, sent to %s at %s, reached %s, which had announced to that router at %s that it is leaving", arrival.Request, request.Router, request.Sent, arrival.Machine, since))
+		found = append(found, fmt.Sprintf("%s, sent to %s at %s, reached %s, which had announced to that router at %s that it is leaving", arrival.Request, router, request.Sent, arrival.Machine, since))
 	}
 	return found
 }
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -69,3 +69,20 @@
 	}
 	return connection, err
 }
+
+// DialerFrom returns a dialer with the options whose connections have a local IP address.
+func DialerFrom(source net.IP) *net.Dialer {
+	return &net.Dialer{
+		LocalAddr: &net.TCPAddr{IP: source}, KeepAliveConfig: KeepAlive,
+		Control: func(network, address string, raw syscall.RawConn) error {
+			err := raw.Control(func(descriptor uintptr) {
+				// Binding chooses no port yet, so that connections to different machines may share one.
+				_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
+			})
+			if err != nil {
+				return err
+			}
+			return Control(network, address, raw)
+		},
+	}
+}
