forwarding: keep routers that a new leader does not list yet

Cause: a new leader's first digests list no routers, as none has reported to it yet. The partitioned router forgot the others, so nothing could be forwarded, and requests that can't be forwarded are sent as if the paths worked.

Routers stay known for 10 s after they were last listed; those that are gone are avoided by their failures. And where a router is isolated and knows others, but none can serve, it refuses at once instead of writing a request that may not be repeated to a path in doubt.

--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -14,6 +14,9 @@
 	maxFailureDelay = 4 * time.Second
 	// unreachableDelay is how long a router is avoided that has no path itself.
 	unreachableDelay = 300 * time.Millisecond
+	// retention is how long a router stays known that is not listed any more. A new leader lists routers
+	// only once they have reported to it.
+	retention = 10 * time.Second
 	// maxUnservable bounds the versions that are known to be unservable.
 	maxUnservable = 1024
 )
@@ -46,6 +49,7 @@
 	inFlight     int
 	failures     int
 	avoidedUntil time.Time
+	listedAt     time.Time
 }
 
 // Selector chooses routers. It is not safe for concurrent use.
@@ -62,15 +66,21 @@
 	return &Selector{routers: map[string]*routerState{}, random: random, unservable: map[string]time.Time{}}
 }
 
-// SetRouters replaces the routers. It keeps what is known of those at the same address.
-func (s *Selector) SetRouters(routers []Router) {
+// SetRouters sets the listed routers. It keeps what is known of those at the same address, and for a while
+// those that are no longer listed.
+func (s *Selector) SetRouters(now time.Time, routers []Router) {
 	updated := make(map[string]*routerState, len(routers))
+	for node, state := range s.routers {
+		if now.Sub(state.listedAt) < retention {
+			updated[node] = state
+		}
+	}
 	for _, router := range routers {
 		state := s.routers[router.Node]
 		if state == nil || state.Address != router.Address {
 			state = &routerState{}
 		}
-		state.Router = router
+		state.Router, state.listedAt = router, now
 		updated[router.Node] = state
 	}
 	s.routers = updated
--- a/internal/forwarding/selector_test.go
+++ b/internal/forwarding/selector_test.go
@@ -24,7 +24,7 @@
 			now := time.Unix(0, 0).Add(time.Duration(number(d, "at")) * time.Millisecond)
 			switch d.Cmd {
 			case "routers":
-				selector.SetRouters(parseRouters(t, d.Input))
+				selector.SetRouters(now, parseRouters(t, d.Input))
 				return "ok\n"
 			case "choose":
 				var allowed places.Constraint
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -156,25 +156,23 @@
 	return message, nil
 }
 
-// refuseUnreachable forwards a request that this router has no path for. done is false if it should be
-// sent to a machine after all.
+// refuseUnreachable forwards a request that this router has no path for, or refuses it at once. done is false
+// if it should be sent to a machine after all.
 func (j *job) refuseUnreachable(ctx context.Context) (outcome attemptOutcome, done bool) {
-	if !j.dispatchRequest.Forwardable {
-		j.unreachable = true
+	if j.dispatchRequest.Forwardable {
+		if outcome, served := j.forward(ctx); served {
+			return outcome, true
+		}
+		j.dispatchRequest.Forwardable = false
+		if !j.ingress.paths.isIsolated() && !j.unreachable {
+			return outcomeNotConnected, false // The path may be up again.
+		}
+	}
+	j.unreachable = true
+	if j.mayHaveRun || j.forwarded != nil {
 		j.answerFailure(ctx, outcomeNotConnected)
 		return outcomeNotConnected, true
 	}
-	if outcome, served := j.forward(ctx); served {
-		return outcome, true
-	}
-	j.dispatchRequest.Forwardable = false
-	if !j.ingress.paths.isIsolated() && !j.unreachable {
-		return outcomeNotConnected, false // The path may be up again.
-	}
-	if j.mayHaveRun {
-		j.answerFailure(ctx, outcomeFailed)
-		return outcomeFailed, true
-	}
 	detail := string(dispatch.RefusedUnreachable) + ": neither this router nor another one has a path to a machine"
 	j.fail(problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, detail), retryAfterIsolated)
 	return outcomeNotRun, true
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -55,7 +55,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.selector.SetRouters(routers)
+	f.selector.SetRouters(time.Now(), routers)
 }
 
 // canForward reports whether there is a router for a request.
@@ -66,6 +66,13 @@
 	return found
 }
 
+// hasRouters reports whether any other routers are known.
+func (f *forwarder) hasRouters() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.selector.Nodes()) > 0
+}
+
 // begin chooses a router. It must be followed by end if it found one.
 func (f *forwarder) begin(version string, allowed places.Constraint, tried []string) (forwarding.Router, bool) {
 	f.mutex.Lock()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -209,6 +209,10 @@
 		Forwardable: j.mayForward(), Forwarded: j.forwarded != nil,
 	}
 	for failures := 0; ; {
+		if j.isCutOff() {
+			outcome, _ := j.refuseUnreachable(ctx)
+			return outcome
+		}
 		grant, refusal := j.acquire(ctx)
 		if refusal != nil && refusal.Reason == dispatch.RefusedUnreachable {
 			if outcome, done := j.refuseUnreachable(ctx); done {
@@ -260,6 +264,12 @@
 	return j.forwarded == nil && j.ingress.forwarder.canForward(j.version, j.allowedRegions(), j.triedRouters)
 }
 
+// isCutOff reports whether no path seems to work and none of the known routers can serve the request.
+// Sending it anyway would risk that it can't be repeated.
+func (j *job) isCutOff() bool {
+	return j.forwarded == nil && !j.dispatchRequest.Forwardable && j.ingress.paths.isIsolated() && j.ingress.forwarder.hasRouters()
+}
+
 // rejectBeforeSend answers a request that was quarantined or whose deadline passed while it waited
 // for its grant or permit. It reports whether it did.
 func (j *job) rejectBeforeSend(ctx context.Context) bool {
