faultsim: routers without paths to engines

Routers run the real tracker, selector and scheduler. Check lost_paths: such a router answers at least two thirds of what the others answer, or no more than 10 + 1 in 50 requests fail there; cuts that overlap with the effects of other faults are not judged. Mutation nothing-forwarded is caught by it.

--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -72,13 +72,15 @@
 	CheckLimits = "engine_limits"
 	// CheckConvergence: after all faults have healed, all nodes agree and nothing is stuck.
 	CheckConvergence = "convergence"
+	// CheckPaths: a router without paths to engines has its requests served by others.
+	CheckPaths = "lost_paths"
 )
 
 // Checks lists all checks.
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinearizable, CheckUnassigned,
 	CheckMemory, CheckRevert, CheckPropagation, CheckStaleStart, CheckDropped, CheckWrongAnswer, CheckAtMostOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckCrashRepeats, CheckQuarantine, CheckDrains, CheckBackoff, CheckLimits, CheckConvergence,
+	CheckLeaving, CheckSpec, CheckCrashRepeats, CheckQuarantine, CheckDrains, CheckBackoff, CheckLimits, CheckPaths, CheckConvergence,
 }
 
 const (
@@ -116,6 +118,10 @@
 	healthyRefused int
 	drains         map[string]drainRecord
 	backoffs       map[backoffKey][]*backoffPeriod
+	pathCuts       []pathCut
+	pathRequests   []pathRequest
+	// disruptions are the spans of all faults but cut paths.
+	disruptions []interval
 }
 
 func newChecks(s *simulation) *checks {
@@ -342,6 +348,7 @@
 
 // checkFinalState checks linearizability and convergence.
 func (c *checks) checkFinalState() {
+	c.checkPaths()
 	switch c.sim.register.linearizable() {
 	case porcupine.Illegal:
 		c.violate(CheckLinearizable, "history of the contended object is not linearizable")
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -46,11 +46,13 @@
 	FaultOverloadEngine Kind = "overload-engine"
 	// FaultLimitEngine makes an engine advertise a rate limit.
 	FaultLimitEngine Kind = "limit-engine"
+	// FaultCutPaths cuts a router off from all engines.
+	FaultCutPaths Kind = "cut-paths"
 )
 
 // AdditionalKinds are drawn from independent random streams, so that adding a kind does not change the
 // schedules of existing seeds.
-var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine}
+var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths}
 
 // Kinds lists the faults that RandomSchedule draws from.
 var Kinds = []Kind{
@@ -74,7 +76,7 @@
 
 // nonDisruptiveKinds are the faults during which changes must still propagate in time: routers can
 // switch away from a muted control node, and the other kinds isolate no node.
-var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine}
+var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths}
 
 // inject schedules the start and the end of a fault.
 func (s *simulation) inject(fault Fault) {
@@ -88,6 +90,9 @@
 		if disruptive {
 			s.checks.activeFaults++
 		}
+		if fault.Kind != FaultCutPaths {
+			s.checks.disruptions = append(s.checks.disruptions, interval{start: s.Now(), end: s.Now() + fault.For})
+		}
 		s.After(fault.For, func() {
 			heal()
 			if disruptive {
@@ -176,6 +181,8 @@
 		return noHeal
 	case FaultOverloadEngine:
 		return s.overloadEngine(target)
+	case FaultCutPaths:
+		return s.cutPaths(router, fault.For)
 	case FaultLimitEngine:
 		return s.limitEngine(target, fault.For)
 	case FaultMachineLeaves:
--- /dev/null
+++ b/internal/faultsim/paths.go
@@ -0,0 +1,237 @@
+package faultsim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/forwarding"
+	"github.com/weldline/weldline/internal/paths"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+const (
+	pathProbeInterval = 100 * time.Millisecond
+	maxForwards       = 3
+	// pathContactTime is how long a router may take to notice that its paths are cut.
+	pathContactTime = 2 * time.Second
+	// maxPathFailures plus maxPathFailureShare of all requests may fail at a router without paths, unless it
+	// serves at least minPathShare of the share that others serve.
+	maxPathFailures     = 10
+	maxPathFailureShare = 1.0 / 50
+	minPathShare        = 2.0 / 3
+	// unsettledTime is how long a disruptive fault may have effects after it has healed.
+	unsettledTime = 6 * time.Second
+)
+
+// interval is a span of simulated time.
+type interval struct{ start, end time.Duration }
+
+func (i interval) overlaps(other interval) bool { return i.start <= other.end && other.start <= i.end }
+
+// pathCut is a span in which a router has no path to any engine. New connections are refused.
+type pathCut struct {
+	interval
+	router *routerNode
+}
+
+// cutPaths cuts a router off from all engines. Requests that are running continue.
+func (s *simulation) cutPaths(router *routerNode, span time.Duration) func() {
+	if router.pathsCut {
+		return nil
+	}
+	router.pathsCut = true
+	s.checks.pathCuts = append(s.checks.pathCuts, pathCut{interval: interval{start: s.Now(), end: s.Now() + span}, router: router})
+	return func() { router.pathsCut = false }
+}
+
+// pathState is what a router knows of its paths and of the routers that it may forward to.
+type pathState struct {
+	tracker  *paths.Tracker
+	selector *forwarding.Selector
+	probing  bool
+}
+
+func (r *routerNode) newPathState() pathState {
+	return pathState{tracker: paths.NewTracker(), selector: forwarding.NewSelector(r.sim.random.IntN)}
+}
+
+// setRouters applies the routers of a leader's digest.
+func (r *routerNode) setRouters(digest *wirepb.ClusterDigest) {
+	location := places.Location{Zone: r.zone}
+	var routers []forwarding.Router
+	for _, entry := range digest.GetRoster().GetRouters() {
+		if entry.GetNode() != r.name {
+			routers = append(routers, forwarding.Router{Node: entry.GetNode(), Address: entry.GetAddress(), Proximity: location.ProximityOf(entry.GetZone())})
+		}
+	}
+	r.paths.selector.SetRouters(r.wall(), routers)
+}
+
+// refuseConnection ends an attempt whose connection was refused.
+func (r *routerNode) refuseConnection(entry *inference, grant dispatch.Grant) {
+	r.after(2*baseDelay, func() {
+		r.applyPathChange(r.paths.tracker.Failed(r.wall(), grant.Target.Machine, paths.FailureConnect))
+		r.startProbing()
+		r.applyOutcome(r.core.Release(r.wall(), grant, dispatch.ResultUnreachable))
+		if entry.ended {
+			return
+		}
+		entry.request.TriedMachines = append(entry.request.TriedMachines, grant.Target.Machine)
+		entry.request.Forwardable = r.mayForward(entry)
+		r.waiting[entry.request.ID] = entry
+		r.applyOutcome(r.core.Resubmit(r.wall(), entry.request))
+	})
+}
+
+func (r *routerNode) mayForward(entry *inference) bool {
+	if entry.reply != nil || r.sim.mutation == MutationKeepRequests {
+		return false
+	}
+	_, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters)
+	return found
+}
+
+func (r *routerNode) applyPathChange(change paths.Change) {
+	if change == (paths.Change{}) {
+		return
+	}
+	unreachable := map[string]bool{}
+	for _, machine := range r.paths.tracker.Down() {
+		unreachable[machine] = true
+	}
+	r.applyOutcome(r.core.SetPaths(r.wall(), unreachable, r.paths.tracker.IsIsolated()))
+}
+
+// startProbing probes paths until none is down.
+func (r *routerNode) startProbing() {
+	if r.paths.probing {
+		return
+	}
+	r.paths.probing = true
+	r.after(pathProbeInterval, func() {
+		r.paths.probing = false
+		r.paths.tracker.SetMachines(r.core.Machines())
+		for _, machine := range r.paths.tracker.StartProbes(r.wall()) {
+			r.probePath(machine)
+		}
+		if r.paths.tracker.AnyDown() || r.paths.tracker.IsIsolated() {
+			r.startProbing()
+		}
+	})
+}
+
+func (r *routerNode) probePath(name string) {
+	started, target := r.wall(), r.sim.machineNamed(name)
+	r.after(2*baseDelay, func() {
+		connected := !r.pathsCut && target.up && !target.removed && r.sim.canReach(&r.process, &target.process)
+		r.applyPathChange(r.paths.tracker.EndProbe(r.wall(), name, started, connected))
+	})
+}
+
+// forward has another router serve a request.
+func (r *routerNode) forward(entry *inference) {
+	router, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters)
+	if !found || len(entry.triedRouters) >= maxForwards {
+		entry.end(outcomeNotRun)
+		return
+	}
+	entry.triedRouters = append(entry.triedRouters, router.Node)
+	r.paths.selector.Begin(router.Node)
+	other, left := r.sim.routerNamed(router.Node), entry.request.Deadline.Sub(r.wall())
+	call(&r.process, &other.process, max(left, 0), func(reply func(callerOutcome)) {
+		other.handleForwarded(entry, left, reply)
+	}, func(result callerOutcome, answered bool) {
+		switch {
+		case !answered:
+			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultFailed)
+			entry.end(outcomeUnknown)
+		case result == outcomeNotRun:
+			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultUnreachable)
+			if !entry.ended {
+				r.forward(entry)
+			}
+		default:
+			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultServed)
+			entry.end(result)
+		}
+	})
+}
+
+// handleForwarded serves a request of another router's client. It is not forwarded again.
+func (r *routerNode) handleForwarded(origin *inference, left time.Duration, reply func(callerOutcome)) {
+	target, known := r.view.Resolve(origin.content.model)
+	if !r.serving() || !known || r.isQuarantined(origin.content) {
+		reply(outcomeNotRun)
+		return
+	}
+	r.requests++
+	entry := &inference{router: r, id: origin.id, content: origin.content, reply: reply}
+	entry.request = &dispatch.Request{
+		ID: r.requests, Version: target.Version, Arrived: r.wall(), Deadline: r.wall().Add(left), Priority: origin.request.Priority, Forwarded: true,
+	}
+	r.waiting[entry.request.ID] = entry
+	r.applyOutcome(r.core.Submit(r.wall(), entry.request))
+}
+
+func (s *simulation) routerNamed(name string) *routerNode {
+	index := slices.IndexFunc(s.routers, func(candidate *routerNode) bool { return candidate.name == name })
+	return s.routers[index]
+}
+
+// pathRequest is a request with its outcome, for checkPaths.
+type pathRequest struct {
+	router   *routerNode
+	arrived  time.Duration
+	answered bool
+}
+
+// recordPathRequest records the outcome of a client's request.
+func (c *checks) recordPathRequest(entry *inference, result callerOutcome) {
+	if entry.request != nil && len(c.pathCuts) > 0 {
+		c.pathRequests = append(c.pathRequests, pathRequest{router: entry.router, arrived: entry.arrived, answered: result == outcomeAnswered})
+	}
+}
+
+// checkPaths checks that routers without paths serve about as many requests as the others. Cuts that overlap
+// with the effects of other faults are left out.
+func (c *checks) checkPaths() {
+	for _, cut := range c.pathCuts {
+		if slices.ContainsFunc(c.disruptions, func(other interval) bool {
+			return cut.overlaps(interval{start: other.start, end: other.end + unsettledTime})
+		}) {
+			continue
+		}
+		sent, answered, othersSent, othersAnswered := 0, 0, 0, 0
+		for _, request := range c.pathRequests {
+			switch {
+			case request.arrived < cut.start+pathContactTime || request.arrived > cut.end:
+			case request.router == cut.router:
+				sent++
+				answered += count(request.answered)
+			case !c.wasCut(request):
+				othersSent++
+				othersAnswered += count(request.answered)
+			}
+		}
+		failed, allowed := sent-answered, maxPathFailures+maxPathFailureShare*float64(sent+othersSent)
+		if float64(failed) > allowed && float64(answered*othersSent) < minPathShare*float64(othersAnswered*sent) {
+			c.violate(CheckPaths, "%s answered %d of %d requests without a path to engines, the others %d of %d", cut.router.name, answered, sent, othersAnswered, othersSent)
+		}
+	}
+}
+
+// wasCut reports whether a request arrived at a router without paths.
+func (c *checks) wasCut(request pathRequest) bool {
+	return slices.ContainsFunc(c.pathCuts, func(cut pathCut) bool {
+		return cut.router == request.router && cut.start <= request.arrived && request.arrived <= cut.end
+	})
+}
+
+func count(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -50,7 +50,12 @@
 	id      string
 	content *requestContent
 	request *dispatch.Request
+	arrived time.Duration
 	ended   bool
+	// reply is set if another router forwarded the request; it replaces the report to the client.
+	reply func(callerOutcome)
+	// triedRouters are the routers that the request was forwarded to.
+	triedRouters []string
 }
 
 func (s *simulation) sendInference() {
@@ -65,7 +70,7 @@
 
 func (r *routerNode) handleInference(content *requestContent) {
 	r.requests++
-	entry := &inference{router: r, id: r.requestID(), content: content}
+	entry := &inference{router: r, id: r.requestID(), content: content, arrived: r.sim.Now()}
 	deadline := r.sim.randomDuration(2*time.Second, 8*time.Second)
 	target, known := r.view.Resolve(content.model)
 	if !r.serving() || !known || r.isQuarantined(content) {
@@ -113,6 +118,11 @@
 		return
 	}
 	entry.ended = true
+	if entry.reply != nil {
+		entry.reply(result)
+		return
+	}
+	entry.router.sim.checks.recordPathRequest(entry, result)
 	entry.router.sim.checks.recordOutcome(entry.id, result)
 }
 
@@ -134,14 +144,22 @@
 	for _, refusal := range outcome.Refusals {
 		entry := r.waiting[refusal.Request.ID]
 		delete(r.waiting, refusal.Request.ID)
-		if entry != nil {
+		switch {
+		case entry == nil:
+		case refusal.Reason == dispatch.RefusedUnreachable && entry.request.Forwardable:
+			r.forward(entry)
+		default:
 			entry.end(outcomeNotRun)
 		}
 	}
 }
 
 func (r *routerNode) sendToEngine(entry *inference, grant dispatch.Grant) {
-	target := r.sim.machineNamed(grant.Target.Machine)
+	if r.pathsCut {
+		r.refuseConnection(entry, grant)
+		return
+	}
+	target, opened := r.sim.machineNamed(grant.Target.Machine), r.wall()
 	left := grant.Request.Deadline.Sub(r.wall())
 	took := r.sim.randomDuration(20*time.Millisecond, 800*time.Millisecond)
 	sentAt := r.clock()
@@ -150,6 +168,9 @@
 		target.handleRequest(r, entry, grant.Target.Replica, took, reply)
 	}, func(answer engineResponse, answered bool) {
 		end := answer.result
+		if answered {
+			r.applyPathChange(r.paths.tracker.Contact(r.wall(), target.name, opened))
+		}
 		if answered && end != runBroken {
 			r.observeLimit(target, answer.limit, sentAt)
 		}
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -48,6 +48,9 @@
 	limits      *ratelimit.Limits
 	// permitsUnavailableUntil suspends permit requests after one failed.
 	permitsUnavailableUntil time.Duration
+	paths                   pathState
+	// pathsCut is set while the router has no path to any engine.
+	pathsCut bool
 }
 
 // machineWatch is the agent's state for one machine.
@@ -80,6 +83,7 @@
 	r.draining = false
 	r.crashes = quarantine.NewTracker()
 	r.limits, r.permitsUnavailableUntil = ratelimit.New(), 0
+	r.paths = r.newPathState()
 	r.every(pollInterval, r.poll)
 	r.every(agentInterval, r.watchMachines)
 	r.every(dispatchTick, func() {
@@ -129,8 +133,9 @@
 	report := &wirepb.NodeReport{
 		Node: r.name, Zone: r.zone, Incarnation: r.incarnation, Sequence: r.sequence, Router: true, Draining: r.draining,
 		AppliedRevision: r.view.Revision(), DigestSequence: r.view.Digest().GetSequence(),
-		Demand: r.demandReporter.Messages(r.core.Demand(r.wall())),
-		Limits: nodeview.LimitMessages(r.limits.Snapshot(r.clock())),
+		Demand:         r.demandReporter.Messages(r.core.Demand(r.wall())),
+		Limits:         nodeview.LimitMessages(r.limits.Snapshot(r.clock())),
+		ForwardAddress: r.name,
 	}
 	for _, watch := range r.watches {
 		if watch.report == nil {
@@ -154,6 +159,7 @@
 		r.liveness.Applied(r.wall(), r.view.Revision())
 		r.sim.checks.checkView(r)
 		r.applyOutcome(r.core.ChangeTargets(r.wall(), r.view.AllReplicaTargets()))
+		r.paths.tracker.SetMachines(r.core.Machines())
 	}
 	if answer.digest == nil {
 		return
@@ -166,6 +172,7 @@
 	}
 	r.lastDigest = r.sim.Now()
 	r.mergeLimits(answer.digest)
+	r.setRouters(answer.digest)
 	r.applyOutcome(r.core.SetLoads(r.wall(), nodeview.LoadsOf(answer.digest), int(answer.digest.GetRouters())))
 	r.applyOutcome(r.core.SetEstimates(r.wall(), nodeview.EstimatesOf(answer.digest, r.wall())))
 }
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -62,6 +62,7 @@
 
 	MutationIgnoreBackoff: {FaultOverloadEngine},
 	MutationIgnoreLimits:  {FaultLimitEngine},
+	MutationKeepRequests:  {FaultCutPaths},
 }
 
 // RandomSchedule draws one to maxFaults faults, which may overlap or repeat. A mutation with
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -114,6 +114,7 @@
 
 		MutationIgnoreBackoff: {CheckBackoff},
 		MutationIgnoreLimits:  {CheckLimits},
+		MutationKeepRequests:  {CheckPaths},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/simulation.go
+++ b/internal/faultsim/simulation.go
@@ -73,6 +73,8 @@
 	MutationIgnoreBackoff Mutation = "rests-ignored"
 	// MutationIgnoreLimits: routers do not request permits.
 	MutationIgnoreLimits Mutation = "limits-ignored"
+	// MutationKeepRequests: routers without paths to engines forward no requests.
+	MutationKeepRequests Mutation = "nothing-forwarded"
 )
 
 // Mutations lists all mutations but MutationNone. None makes a node forget its vote: with pre-votes that
@@ -81,7 +83,7 @@
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationTrustDigest,
 	MutationUnsharedCrashes, MutationForgetQuarantine, MutationResetCountsAsCrash, MutationMonotonicLease,
-	MutationLateDrains, MutationIgnoreBackoff, MutationIgnoreLimits,
+	MutationLateDrains, MutationIgnoreBackoff, MutationIgnoreLimits, MutationKeepRequests,
 }
 
 // simulation is one simulated cluster.
