--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -161,7 +161,7 @@
 var clusterEvents = map[string]bool{
 	"raft_role": true, "membership_changed": true, "declared": true, "serving": true, "upstream_lost": true,
 	"upstream_connected": true, "node_started": true, "node_stopped": true, "storage_failed": true, "ingress_draining": true,
-	"drain_in_force": true,
+	"drain_in_force": true, "router_isolated": true, "router_reconnected": true,
 }
 
 // machineEvents carry the id of some request, but describe the state of the machine that responded to it.
@@ -203,14 +203,33 @@
 	return false
 }
 
-// cause describes how the request ended, from its last line and the related lines.
+// cause describes how the request ended, and which routers it was forwarded to.
 func (s *subject) cause(lines []Line) string {
 	last := s.ownLines[len(s.ownLines)-1]
 	for _, line := range s.ownLines {
-		if line.Event != "request_attempt" {
+		if line.Event != "request_attempt" && line.Event != "request_forward_attempt" {
 			last = line
 		}
 	}
+	return s.describeEnd(last, lines) + s.describeForwards()
+}
+
+// describeForwards names the routers that the request was forwarded to.
+func (s *subject) describeForwards() string {
+	var forwards []string
+	for _, line := range s.ownLines {
+		if line.Event == "request_forward_attempt" {
+			forwards = append(forwards, fmt.Sprintf("%s (%v)", stringField(line.Fields, "router"), line.Fields["end"]))
+		}
+	}
+	if len(forwards) == 0 {
+		return ""
+	}
+	return "; forwarded for want of a path to: " + strings.Join(forwards, ", ")
+}
+
+// describeEnd describes how the request ended, from its last line and the related lines.
+func (s *subject) describeEnd(last Line, lines []Line) string {
 	switch last.Event {
 	case "request_answered":
 		return fmt.Sprintf("answered with %v after %v ms%s", last.Fields["status"], last.Fields["age_ms"], s.describeWait())
