--- a/internal/placement/near.go
+++ b/internal/placement/near.go
@@ -6,9 +6,8 @@
 // placed in the regions that request them, unless a replica would be ready much later there.
 
 // crossRegionDelay is how much later a replica may be ready in the region of a request to be as
-// good as one in another region. It covers two inter-region round trips, some 100 ms between regions of one
-// continent, and the cost of the
-// traffic.
+// good as one in another region. It covers two inter-region round trips, some 100 ms between
+// regions of one continent, and the cost of the traffic.
 const crossRegionDelay = 250 * time.Millisecond
 
 // crossRegionCosts is the cost of serving the requests of other regions, by the region of the
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -155,6 +155,7 @@
 		case <-time.After(delay):
 		}
 	}
+	wasPartitioned := false
 	for {
 		changed := p.changed.Wait()
 		p.mutex.Lock()
@@ -162,8 +163,10 @@
 		blocked := p.blocks[direction] > 0 || current.silent[direction] || partitioned
 		p.mutex.Unlock()
 		if !blocked {
-			return true
+			// A partition outlasts TCP_USER_TIMEOUT: the sender has given up what it held back.
+			return !wasPartitioned
 		}
+		wasPartitioned = wasPartitioned || partitioned
 		select {
 		case <-current.closed.Done():
 			return false
