ingress: forwarded requests need the sender's configuration, not its revision

Cause: the receiver had to have the sender's revision of the log within 100 ms. Routers learn of revisions that don't concern them up to 0.3 s late, so of two routers one is mostly behind, and during a rolling restart of the control nodes for seconds. What must not be older is the configuration: the hop carries the version that the sender found the route in, and the receiver waits up to 0.3 s, longer than the pause between two rebuilds, until its routes are as new.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -16,3 +16,6 @@
 	defer i.forwarder.mutex.Unlock()
 	return len(i.forwarder.selector.Nodes()) == count
 }
+
+// ConfigurationInUse returns the version of the configuration in use.
+func (i *Ingress) ConfigurationInUse() uint64 { return i.configuration.Load() }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -118,7 +118,7 @@
 		Header: upstream.EndToEndHeaders(j.request.Header), Body: j.body,
 		Prepare: func(header http.Header) error {
 			encoded, err := encodeHeader(&wirepb.ForwardedRequest{
-				Router: j.ingress.options.Node, Revision: j.ingress.options.View.Revision(), Tenant: j.tenant.name, Pool: j.pool,
+				Router: j.ingress.options.Node, Configuration: j.configuration, Tenant: j.tenant.name, Pool: j.pool,
 				RemainingMs: uint32(max(0, j.remaining()).Milliseconds()), Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted,
 			})
 			header.Set(headerForward, encoded)
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -9,8 +9,9 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// maxRevisionWait bounds the wait for the state that the forwarding router has.
-const maxRevisionWait = 100 * time.Millisecond
+// maxConfigurationWait bounds the wait for the configuration that the forwarding router has. It exceeds
+// maxRebuildPause.
+const maxConfigurationWait = 300 * time.Millisecond
 
 // ForwardHandler serves requests that other routers forward. It must be reachable for processes of the
 // cluster only: it trusts their authentication of the client.
@@ -35,7 +36,7 @@
 	if j.ingress.stopping.Load() {
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node is stopping"), retryAfterStart
 	}
-	if !j.awaitConfiguration() || !j.awaitRevision(j.forwarded.GetRevision()) {
+	if !j.awaitConfiguration() || !j.awaitVersion(j.forwarded.GetConfiguration()) {
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node has not got the present configuration yet"), retryAfterStart
 	}
 	j.route = j.ingress.table.Load().Find(j.request.Host, j.request.URL.EscapedPath())
@@ -57,14 +58,13 @@
 	return j.findVersion(), 0
 }
 
-// awaitRevision waits a moment for the view to reach a revision, and reports whether it has.
-func (j *job) awaitRevision(revision uint64) bool {
-	ctx, cancel := context.WithTimeout(j.request.Context(), maxRevisionWait)
+// awaitVersion waits a moment for a version of the configuration, and reports whether it is in use.
+func (j *job) awaitVersion(version uint64) bool {
+	ctx, cancel := context.WithTimeout(j.request.Context(), maxConfigurationWait)
 	defer cancel()
-	view := j.ingress.options.View
 	for {
-		changed := view.Changed()
-		if view.Revision() >= revision {
+		changed := j.ingress.rebuilt.Wait()
+		if j.ingress.configuration.Load() >= version {
 			return true
 		}
 		select {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -72,14 +72,18 @@
 
 // Ingress is the HTTP handler for client requests of one node.
 type Ingress struct {
-	options    Options
-	forwarder  *forwarder
-	started    time.Time
-	table      atomic.Pointer[Table]
-	dispatcher *dispatcher.Dispatcher
-	upstream   *upstream.Pool
-	paths      *pathMonitor
-	brittle    *brittleMachines
+	options   Options
+	forwarder *forwarder
+	started   time.Time
+	table     atomic.Pointer[Table]
+	// configuration is the version of the configuration that the table is at least as new as; rebuilt is
+	// notified after each update.
+	configuration atomic.Uint64
+	rebuilt       *signal.Broadcast
+	dispatcher    *dispatcher.Dispatcher
+	upstream      *upstream.Pool
+	paths         *pathMonitor
+	brittle       *brittleMachines
 
 	quotas      *quotas
 	permits     *permitClient
@@ -116,7 +120,7 @@
 	return &Ingress{
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
-		dispatcher: routing, servingChange: signal.New(),
+		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
 		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
@@ -169,11 +173,16 @@
 // after the routes of an up-to-date view are in use; an older table would answer
 // 404 for declared routes.
 func (i *Ingress) rebuild() {
-	current := i.options.View.Current() && i.options.View.Declaration() != nil
+	declaration := i.options.View.Declaration()
+	current := i.options.View.Current() && declaration != nil
 	if routes, changed := i.options.View.TakeRoutes(); changed {
 		i.table.Store(NewTable(routes, i.table.Load()))
 		i.logRoutes(len(routes))
 	}
+	if declaration != nil {
+		i.configuration.Store(declaration.Version)
+	}
+	i.rebuilt.Notify()
 	drains := i.options.View.ZoneDrains()
 	i.dispatcher.SetWarming(i.permits.warming.machines())
 	i.dispatcher.ChangeTargets(time.Now(), i.options.View.TakeTargetChanges())
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -63,6 +63,8 @@
 	// permit is held for the next attempt.
 	permit         permit
 	cachedIdentity *quarantine.Identity
+	// configuration is the version of the configuration that the route was found in, or an earlier one.
+	configuration uint64
 	// forwarded is set if another router forwarded the request to this one.
 	forwarded *wirepb.ForwardedRequest
 	// triedRouters are the routers that the request was forwarded to.
@@ -105,6 +107,7 @@
 	if !j.awaitConfiguration() {
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node has not got the present configuration yet"), retryAfterStart
 	}
+	j.configuration = j.ingress.configuration.Load()
 	j.route = j.ingress.table.Load().Find(j.request.Host, j.request.URL.EscapedPath())
 	if j.route == nil {
 		return problem.New(problem.TypeNotFound, http.StatusNotFound, "no route matches host and path"), 0
