soak: judge partitioned routers only while another one may serve for them

The trace: two rolling restarts of the routers overlapped, so the other three were stopping or had no configuration yet; of two that were left for a moment, one was in a region that the route does not allow. A request counts now only if another router, in a region that the request allows, was neither disturbed nor partitioned. The bounds are unchanged.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -22,6 +22,8 @@
 	MaxWarmingPerSecond int
 	// BrittleMachines is the number of machines that become brittle together.
 	BrittleMachines int
+	// RouterRegions are the regions of all routers.
+	RouterRegions map[string]string
 }
 
 // Violation is one case in which a history violates an invariant.
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -110,6 +110,9 @@
 		}
 		counted := &others
 		if isPartitioned(disturbances, request) {
+			if !bounds.mayBeForwarded(disturbances, request, answer.At) {
+				continue
+			}
 			counted = &cut
 		}
 		counted.sent++
@@ -120,6 +123,19 @@
 	return cut, others
 }
 
+// mayBeForwarded reports whether some other router, in a region that the request allows, was neither disturbed
+// nor partitioned until the request was answered.
+func (b Bounds) mayBeForwarded(disturbances []Disturbance, request Request, answered time.Duration) bool {
+	for router, region := range b.RouterRegions {
+		other := Request{Router: router, Sent: request.Sent}
+		if router != request.Router && request.Allowed.Allows(region) && !isPartitioned(disturbances, other) &&
+			!isDisturbed(disturbances, router, request.Sent-b.CatchUpTime, answered) {
+			return true
+		}
+	}
+	return false
+}
+
 // JudgedPartitions returns how many requests at partitioned routers were judged, and how many of them were
 // served.
 func (h *History) JudgedPartitions(bounds Bounds, disturbances []Disturbance) (judged, served int) {
