--- a/internal/controller/roster_test.go
+++ b/internal/controller/roster_test.go
@@ -71,3 +71,24 @@
 		t.Errorf("roster has control nodes %v in zones %v", roster.GetControl(), roster.GetControlZones())
 	}
 }
+
+// Routers must not be told to forward requests to routers that are silent, stopping or accept none.
+func TestRosterListsForwardingRouters(t *testing.T) {
+	reports := NewReportTable()
+	controller := New(0, Config{}, reports)
+	controller.Observe(fleetState(t))
+	report := func(now time.Duration, node, address string, draining bool) {
+		reports.Add(now, &wirepb.NodeReport{
+			Node: node, Zone: "z", Incarnation: 1, Sequence: uint64(now), Router: true, ForwardAddress: address, Draining: draining,
+		})
+	}
+	const later = NodeTimeout + digestInterval
+	report(digestInterval, "silent", "10.0.0.1:1", false)
+	report(later, "stopping", "10.0.0.2:1", true)
+	report(later, "serving", "10.0.0.3:1", false)
+	report(later, "earlier-release", "", false)
+	listed := controller.Digest(later+1, 1).GetRoster().GetRouters()
+	if len(listed) != 1 || listed[0].GetNode() != "serving" || listed[0].GetAddress() != "10.0.0.3:1" || listed[0].GetZone() != "z" {
+		t.Errorf("listed %v", listed)
+	}
+}
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -19,3 +19,6 @@
 
 // ConfigurationInUse returns the version of the configuration in use.
 func (i *Ingress) ConfigurationInUse() uint64 { return i.configuration.Load() }
+
+// IsIsolated reports whether no path to a machine seems to work.
+func (i *Ingress) IsIsolated() bool { return i.paths.isIsolated() }
