retrydelay: one exponential delay for ejections, probes and forwarding

Callers see no change. Cause: the path tracker and the selector of routers each got a doubling loop of their own, though dispatch already had the same computation. Four comments are reworded in plain terms.

Conclusion: a refactoring without a change of behaviour.

--- a/internal/controller/roster_test.go
+++ b/internal/controller/roster_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Routers must not be told to forward requests to routers that are silent, stopping or accept none.
+// Routers must not forward requests to routers that are silent, stopping or accept none.
 func TestRosterListsForwardingRouters(t *testing.T) {
 	reports := NewReportTable()
 	controller := New(0, Config{}, reports)
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -39,7 +39,7 @@
 	// few round trips.
 	pendingRetryAfter = 150 * time.Millisecond
 	maxTasks          = 256
-	// maxWitnesses bounds the other machines that are tried to tell a crash from a lost path.
+	// maxWitnesses bounds the other machines that are tried to distinguish a crash from a lost path.
 	maxWitnesses = 3
 )
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/retrydelay"
+)
 
 const (
 	// A target is ejected after ejectionThreshold consecutive failures. The ejection time doubles
@@ -36,7 +40,7 @@
 	case ResultRejected:
 		h.failures = 0 // The machine is reachable.
 		h.rejections++
-		h.ejectedUntil = now.Add(exponentialBackoff(minRejectionPause, maxRejectionPause, h.rejections-1))
+		h.ejectedUntil = now.Add(retrydelay.Exponential(minRejectionPause, maxRejectionPause, h.rejections-1))
 		return
 	}
 	h.failures++
@@ -48,7 +52,7 @@
 	if h.failures < ejectionThreshold {
 		return
 	}
-	h.ejectedUntil = now.Add(exponentialBackoff(minEjection, maxEjection, h.failures-ejectionThreshold))
+	h.ejectedUntil = now.Add(retrydelay.Exponential(minEjection, maxEjection, h.failures-ejectionThreshold))
 }
 
 // recordAccepted records that the target accepted a request.
@@ -58,14 +62,6 @@
 	}
 }
 
-// maxDoublings prevents overflow.
-const maxDoublings = 10
-
-// exponentialBackoff doubles an initial pause a number of times, up to a maximum.
-func exponentialBackoff(initial, limit time.Duration, doublings int) time.Duration {
-	return min(limit, initial<<min(doublings, maxDoublings))
-}
-
 func (h *health) ejected(now time.Time) bool {
 	return now.Before(h.ejectedUntil)
 }
--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/retrydelay"
 )
 
 const (
@@ -158,23 +159,12 @@
 	case ResultUnreachable:
 		router.avoidedUntil = now.Add(unreachableDelay)
 	case ResultFailed:
-		router.avoidedUntil = now.Add(failureDelay(router.failures))
+		router.avoidedUntil = now.Add(retrydelay.Exponential(minFailureDelay, maxFailureDelay, router.failures))
 		router.failures++
 	case ResultCanceled:
 	}
 }
 
-func failureDelay(failures int) time.Duration {
-	delay := minFailureDelay
-	for range failures {
-		if delay >= maxFailureDelay {
-			break
-		}
-		delay *= 2
-	}
-	return min(delay, maxFailureDelay)
-}
-
 // MarkUnservable records that no router has a path to a machine for a version, so that its requests are
 // not forwarded for a moment: the machines are down, and each forwarded request would only add load.
 func (s *Selector) MarkUnservable(now time.Time, version string) {
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -46,7 +46,7 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// knowRouters tells a router of others, at "node zone address".
+// knowRouters adds other routers to a router, at "node zone address".
 func (d *deployment) knowRouters(routers ...string) {
 	var entries []*wirepb.RouterEntry
 	for _, router := range routers {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -55,7 +55,7 @@
 	return j.route.Spec.Repeatable() && j.ingress.dispatcher.HasAlternative(j.dispatchRequest, machine) && j.reserveRetry()
 }
 
-// connectionObserver is told of what a connection shows while its response is relayed.
+// connectionObserver observes a connection while its response is relayed.
 type connectionObserver interface {
 	// received is called for each part of the body.
 	received()
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/weldline/weldline/internal/retrydelay"
 )
 
 const (
@@ -110,22 +112,11 @@
 		}
 		current.down, current.downSince = true, now
 	}
-	current.probeAt = now.Add(probeInterval(current.failures))
+	current.probeAt = now.Add(retrydelay.Exponential(minProbeInterval, maxProbeInterval, current.failures))
 	current.failures++
 	return wentDown
 }
 
-func probeInterval(failures int) time.Duration {
-	interval := minProbeInterval
-	for range failures {
-		if interval >= maxProbeInterval {
-			break
-		}
-		interval *= 2
-	}
-	return min(interval, maxProbeInterval)
-}
-
 // Contact records that bytes were received from a machine, on a connection that was opened at the
 // given time. An older connection may outlive a path that carries no new ones.
 func (t *Tracker) Contact(now time.Time, machine string, opened time.Time) Change {
