ingress: log how responses were framed and whether a stream ended inside an event

request_answered and request_broken_off carry the framing of the body (length, chunked or close) and whether an event stream ended within an event; the counter weldline_ingress_response_bodies_total has both. Without them a response that a worker cut off can't be told from one that it framed as complete. Logic is unchanged, except that the connection of a HEAD response without a length is kept.

--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
+	"github.com/weldline/weldline/internal/upstream"
 )
 
 // Metrics are the ingress's metrics.
@@ -36,6 +37,8 @@
 	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
 	// any machine.
 	unreachable, isolated prometheus.Gauge
+	// bodies counts the relayed response bodies.
+	bodies *prometheus.CounterVec
 	// invalidStatements counts response headers that could not be parsed.
 	invalidStatements prometheus.Counter
 
@@ -102,6 +105,10 @@
 		isolated: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_isolated", Help: "1 while this node seems to have no path to any machine.",
 		}),
+		bodies: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_response_bodies_total",
+			Help: "Relayed response bodies by framing (length, chunked, close) and end (eof, inside_event: eof within an event of a stream, error).",
+		}, []string{"framing", "end"}),
 		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
@@ -164,6 +171,18 @@
 	return tenant
 }
 
+// observeBody counts a relayed body.
+func (m *Metrics) observeBody(framing upstream.Framing, insideEvent, failed bool) {
+	end := "eof"
+	switch {
+	case failed:
+		end = "error"
+	case insideEvent:
+		end = "inside_event"
+	}
+	m.bodies.WithLabelValues(framing.String(), end).Inc()
+}
+
 func (m *Metrics) observe(route *Route, outcome string, elapsed time.Duration) {
 	kind := v1.RouteKind("none")
 	if route != nil {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/eventstream"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -105,10 +106,12 @@
 		_ = controller.Flush()
 	}
 	first := time.Since(j.arrived)
-	copied, pause, err := j.copyBody(controller, response, observer.received)
+	copied, pause, insideEvent, err := j.copyBody(controller, response, observer.received)
 	elapsed := time.Since(j.arrived)
+	j.ingress.options.Metrics.observeBody(response.Framing, insideEvent, err != nil)
 	if err == nil {
-		j.log("answered", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds())
+		j.log("answered", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
+			"framing", response.Framing.String(), "inside_event", insideEvent)
 		j.ingress.options.Metrics.observe(j.route, "answered", elapsed)
 		return outcomeAnswered
 	}
@@ -116,7 +119,7 @@
 		observer.broke(err)
 	}
 	j.log("broken_off", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
-		"error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)
+		"framing", response.Framing.String(), "inside_event", insideEvent, "error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)
 	j.ingress.options.Metrics.observe(j.route, "broken_off", elapsed)
 	return outcomeBroken
 }
@@ -137,29 +140,33 @@
 }
 
 // copyBody streams a body to the client and calls onRead for each part of it. It returns the number of
-// bytes copied and the longest pause between two reads.
-func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied int64, pause time.Duration, err error) {
+// bytes copied, the longest pause between two reads, and whether an event stream ended inside an event.
+func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied int64, pause time.Duration, insideEvent bool, err error) {
+	events, isEventStream := eventstream.Boundary{}, eventstream.IsEventStream(response.Header)
 	buffer := make([]byte, copyBufferBytes)
 	last := time.Now()
 	for {
 		count, failure := response.Read(buffer)
 		if count > 0 {
 			onRead()
+			if isEventStream {
+				_, _ = events.Write(buffer[:count])
+			}
 			now := time.Now()
 			pause, last = max(pause, now.Sub(last)), now
 			if _, err := j.writer.Write(buffer[:count]); err != nil {
-				return copied, pause, err
+				return copied, pause, events.InsideEvent(), err
 			}
 			copied += int64(count)
 			if err := controller.Flush(); err != nil {
-				return copied, pause, err
+				return copied, pause, events.InsideEvent(), err
 			}
 		}
 		if failure == io.EOF {
-			return copied, pause, nil
+			return copied, pause, events.InsideEvent(), nil
 		}
 		if failure != nil {
-			return copied, pause, failure
+			return copied, pause, events.InsideEvent(), failure
 		}
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -56,12 +56,41 @@
 	return [...]string{"none", "not_connected", "stale_connection", "broken"}[f]
 }
 
+// Framing is how the end of a response's body is marked.
+type Framing int
+
+const (
+	// FramingLength: the body has a known length, or there is none.
+	FramingLength Framing = iota
+	// FramingChunked: the last chunk marks the end.
+	FramingChunked
+	// FramingClose: the body ends with its connection. It can't be told from one that was cut off.
+	FramingClose
+)
+
+// String returns the framing's name in logs and metrics. It panics for undefined framings.
+func (f Framing) String() string {
+	return [...]string{"length", "chunked", "close"}[f]
+}
+
+// framingOf returns the framing of the response to a request with the given method.
+func framingOf(response *http.Response, method string) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramingChunked
+	case response.ContentLength >= 0 || method == http.MethodHead || response.Body == http.NoBody:
+		return FramingLength
+	}
+	return FramingClose
+}
+
 // Response is the head of a response and its unread body. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
+	Framing       Framing
 	// ConnectedAt is when the machine's connection was opened.
 	ConnectedAt time.Time
 	Body        io.Reader
@@ -135,12 +164,12 @@
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return &Response{
-				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
+				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: framingOf(response, request.Method),
 				Body: response.Body, ConnectedAt: c.openedAt, conn: c, httpResponse: response, requestSent: sent,
 			}, nil
 		}
 		// A late response to an earlier request.
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 || response.Close {
+		if framingOf(response, request.Method) == FramingClose || response.Close {
 			break
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -201,8 +230,7 @@
 func (r *Response) Close() {
 	intact := r.stopWatching()
 	lifetime, reusable := keepAlive(r.Header)
-	framed := r.ContentLength >= 0 || len(r.httpResponse.TransferEncoding) > 0
-	if !intact || !r.complete || !r.requestSent.Load() || r.httpResponse.Close || !framed || !reusable || r.conn.reader.Buffered() > 0 {
+	if !intact || !r.complete || !r.requestSent.Load() || r.httpResponse.Close || r.Framing == FramingClose || !reusable || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.network.Close()
 		return
 	}
