ingress: state that a response is complete only if its machine did

Callers saw streams that ended in the middle of an event as complete responses: the machine's connection had ended, the router gave the rest in chunks and added the last chunk. A router read the end of the connection as the end of the body, whatever framed the body.

The completeness of a body was claimed by a router that had not seen it.

- a response without a length or chunks is relayed the same way: it ends with the client's connection, without a last chunk;
- an event stream that ends within an event has been broken off, however it was framed, and looks so: event streams are relayed without a length;
- while such a response is relayed, the client's connection resets when it is closed, by an abort, the end of the server or of the process.
A client without chunks (HTTP/1.0) had no other way to tell a broken response from a whole one;
- routers that forward a request state in the result that the end was not marked;
- saved errors get no length that their machine didn't state;
- what ended unmarked neither counts as a crash nor clears a suspicion.

Alternative for unmarked ends: hold the end back and examine whether the process still runs. Rejected: a running worker also breaks responses off, so it proves nothing, and each response would cost a probe.

TestStreamCutOffByCrashIsRecorded is new.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -42,21 +42,32 @@
 	outcomeRetriableError
 	// outcomeDisallowed: the machine was no longer allowed to serve the request before it was written.
 	outcomeDisallowed
-	// outcomeErrorAnswered: the machine's complete error response was sent to the client.
+	// outcomeErrorAnswered: the machine's error response was sent to the client.
 	outcomeErrorAnswered
+	// outcomeUnmarked: a response whose end is not marked was sent to the client. It may have been cut off.
+	outcomeUnmarked
 )
 
 // String returns the name used in logs and metrics.
 func (o attemptOutcome) String() string {
 	return [...]string{
-		"answered", "broken", "not_connected", "not_permitted", "backed_off", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered",
+		"answered", "broken", "not_connected", "not_permitted", "backed_off", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered", "unmarked",
 	}[o]
 }
 
+// isResponse reports whether a response, or a part of it, was sent to the client.
+func (o attemptOutcome) isResponse() bool {
+	switch o {
+	case outcomeAnswered, outcomeErrorAnswered, outcomeUnmarked, outcomeBroken:
+		return true
+	}
+	return false
+}
+
 // result returns the result that counts for the machine's health.
 func (o attemptOutcome) result() dispatch.Result {
 	switch o {
-	case outcomeAnswered:
+	case outcomeAnswered, outcomeUnmarked:
 		return dispatch.ResultOK
 	case outcomeRetriableError, outcomeErrorAnswered:
 		return dispatch.ResultError
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -30,6 +30,8 @@
 	// complete makes machines run the request with crashBody without crashing, and fail makes
 	// them send an error response to it.
 	complete, fail atomic.Bool
+	// unframed makes responses to the request with crashBody end with their connection.
+	unframed atomic.Bool
 }
 
 func newCrashFleet(t *testing.T, routers, machines int, kind v1.RouteKind, attempts int) *crashFleet {
@@ -64,6 +66,10 @@
 	t.Helper()
 	var machine *rawMachine
 	machine = newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
+		if request.body == crashBody && f.complete.Load() && f.unframed.Load() {
+			write(connection, framedResponse(request, "200 OK", framedByClose, eventStream, "data: whole\n\n"))
+			return false
+		}
 		if request.body != crashBody || f.complete.Load() {
 			return write(connection, ok(request, "whole"))
 		}
@@ -74,6 +80,10 @@
 			f.crashed.Add(1)
 			machine.refuseConnections()
 		}
+		if f.unframed.Load() {
+			write(connection, framedResponse(request, "200 OK", framedByClose, eventStream, "data: who"))
+			return false
+		}
 		head := "HTTP/1.1 200 OK\r\n" + headerID + ": " + request.header.Get(headerID) + "\r\n" + headerSeal + ": s\r\nTransfer-Encoding: chunked\r\n\r\n"
 		write(connection, head+"5\r\nfirst\r\n")
 		return false
@@ -221,6 +231,24 @@
 	}
 }
 
+// TestStreamCutOffByCrashIsRecorded guards against taking a stream that ended with its connection, as its machine
+// crashed, for a completed run.
+func TestStreamCutOffByCrashIsRecorded(t *testing.T) {
+	fleet := newCrashFleet(t, 2, 6, v1.RouteStream, 1)
+	fleet.unframed.Store(true)
+	fleet.sendCrashing(0, "a")
+	fleet.complete.Store(true)
+	if got := fleet.sendCrashing(1, "b"); got.status != 200 || got.err != nil {
+		t.Errorf("answered with %d %q (%v)", got.status, got.body, got.err)
+	}
+	fleet.complete.Store(false)
+	// The response in between does not prove that the request completed.
+	fleet.sendCrashing(1, "c")
+	if specs := fleet.suspects(); len(specs) != 1 || !specs[0].Quarantined {
+		t.Errorf("recorded as %+v", specs)
+	}
+}
+
 // TestCrashProposalRetried checks that proposals that fail are retried.
 func TestCrashProposalRetried(t *testing.T) {
 	fleet := newCrashFleet(t, 2, 6, v1.RouteStream, 1)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -43,7 +43,7 @@
 		j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
 		j.triedRouters = append(j.triedRouters, router.Node)
 		switch {
-		case outcome == outcomeAnswered || outcome == outcomeErrorAnswered || outcome == outcomeBroken:
+		case outcome.isResponse():
 			return outcome, true
 		case ctx.Err() != nil || outcome != outcomeNotConnected && !j.mayRetry(ctx, outcome, 0):
 			j.answerFailure(ctx, outcome)
@@ -86,7 +86,11 @@
 		return outcomeNotRun, forwarding.ResultServed
 	case wirepb.ForwardedResult_OUTCOME_ANSWERED:
 		j.mayHaveRun = true
-		return j.relay(ctx, response, routerConnection{}), forwarding.ResultServed
+		framing := framingOf(response)
+		if result.GetEndUnmarked() {
+			framing = unmarkedEnd
+		}
+		return j.relay(ctx, response, framing, routerConnection{}), forwarding.ResultServed
 	}
 	discard(response)
 	j.mayHaveRun = true
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -83,13 +83,14 @@
 	return wirepb.ForwardedResult_OUTCOME_NOT_RUN
 }
 
-// setForwardResult adds the result of a forwarded request to its response.
-func (j *job) setForwardResult(outcome wirepb.ForwardedResult_Outcome) {
+// setForwardResult adds the result of a forwarded request to its response. endUnmarked is set if the response may
+// have been cut off.
+func (j *job) setForwardResult(outcome wirepb.ForwardedResult_Outcome, endUnmarked bool) {
 	if j.forwarded == nil {
 		return
 	}
 	encoded, err := encodeHeader(&wirepb.ForwardedResult{
-		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable,
+		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable, EndUnmarked: endUnmarked,
 	})
 	if err != nil {
 		j.log("forward_result_lost", "error", err.Error())
--- /dev/null
+++ b/internal/ingress/framing.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/weldline/weldline/internal/eventstream"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/upstream"
+)
+
+// framing is how the body of a response to a client is framed. A router marks the end of a body only if
+// it knows that the body is complete.
+type framing struct {
+	kind upstream.Framing
+	// length is the length stated to the client, -1 for none. Only a body of kind FramingLength has one.
+	length int64
+}
+
+// unmarkedEnd is the framing of a body that ends with its connection.
+var unmarkedEnd = framing{kind: upstream.FramingClose, length: -1}
+
+var errInsideEvent = fault.Protocol.New("the stream ended within an event")
+
+// framingOf returns the framing to relay a response with.
+func framingOf(response *upstream.Response) framing {
+	switch {
+	case response.Framing == upstream.FramingClose:
+		return unmarkedEnd
+	case response.Framing == upstream.FramingLength && response.Body != http.NoBody && eventstream.IsEventStream(response.Header):
+		// With a length, a stream that ends within an event would look complete.
+		return framing{kind: upstream.FramingChunked, length: -1}
+	case response.Header.Get("Content-Length") == "":
+		return framing{kind: response.Framing, length: -1}
+	}
+	return framing{kind: response.Framing, length: response.ContentLength}
+}
+
+// beginBody sets the headers that frame the body of the response to the client. If the response will end
+// with the client's connection, a close of the connection before endBody resets it, whatever closes it.
+func (j *job) beginBody(framing framing) {
+	if framing.length >= 0 {
+		j.writer.Header().Set("Content-Length", strconv.FormatInt(framing.length, 10))
+		return
+	}
+	if j.forwarded != nil {
+		return // The router that forwarded the request frames the response to the client.
+	}
+	if framing.kind == upstream.FramingClose {
+		// Has net/http add neither chunks nor a length.
+		j.writer.Header().Set("Transfer-Encoding", "identity")
+	}
+	if framing.kind == upstream.FramingClose || !j.request.ProtoAtLeast(1, 1) {
+		j.resetsOnClose = true
+		j.setResetOnClose(true)
+	}
+}
+
+// endBody ends a body that was not cut off, as far as this router knows.
+func (j *job) endBody() {
+	if j.resetsOnClose {
+		j.resetsOnClose = false
+		j.setResetOnClose(false)
+	}
+}
+
+func (j *job) setResetOnClose(reset bool) {
+	connection, isTCP := j.request.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
+	if !isTCP {
+		j.log("reset_unavailable")
+		return
+	}
+	seconds := -1 // the default: the kernel sends what is left, and then closes the connection
+	if reset {
+		seconds = 0
+	}
+	if err := connection.SetLinger(seconds); err != nil {
+		j.log("reset_unavailable", "error", err.Error())
+	}
+}
+
+type connectionKey struct{}
+
+// ConnContext is the http.Server.ConnContext of servers that clients connect to. It lets a handler reset the
+// connection of a response that breaks off.
+func ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -194,7 +194,9 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { handler.Run(ctx) })
 	created.handler = handler
-	created.server = httptest.NewServer(handler)
+	created.server = httptest.NewUnstartedServer(handler)
+	created.server.Config.ConnContext = ingress.ConnContext
+	created.server.Start()
 	t.Cleanup(func() {
 		created.server.CloseClientConnections()
 		created.server.Close()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -71,6 +71,8 @@
 	triedRouters []string
 	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
+	// resetsOnClose is set while a close of the client's connection would reset it.
+	resetsOnClose bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
 	savedError *errorResponse
 }
@@ -246,7 +248,7 @@
 		}
 		j.recordRun(ctx, grant, outcome)
 		j.dispatchRequest.TriedMachines = append(j.dispatchRequest.TriedMachines, grant.Target.Machine)
-		if outcome == outcomeAnswered || outcome == outcomeErrorAnswered || outcome == outcomeBroken {
+		if outcome.isResponse() {
 			return outcome
 		}
 		j.unreachable = outcome == outcomeNotConnected
@@ -440,7 +442,7 @@
 	if retryAfter > 0 {
 		j.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	j.setForwardResult(forwardOutcome(j.mayHaveRun))
+	j.setForwardResult(forwardOutcome(j.mayHaveRun), false)
 	j.allowResponseBeforeBody()
 	j.headerSent = true
 	j.log("refused", "status", document.Status, "kind", document.Kind(), "detail", document.Detail, "sent", j.sent,
--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -25,7 +25,8 @@
 }
 
 // recordRun reports to the crash watcher whether the request completed or may have crashed its
-// machine. Attempts that were canceled or timed out don't count.
+// machine. Attempts that were canceled or timed out don't count, nor do responses whose end is not marked:
+// they show neither that the request completed nor that it broke off.
 func (j *job) recordRun(ctx context.Context, grant *dispatch.Grant, outcome attemptOutcome) {
 	watcher := j.ingress.crashes
 	switch outcome {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
@@ -43,8 +42,8 @@
 		j.saveError(response)
 		return outcomeRetriableError
 	}
-	outcome := j.relay(ctx, response, j.ingress.paths.observe(grant.Target.Machine, response))
-	if outcome == outcomeAnswered && response.Status >= http.StatusInternalServerError {
+	outcome := j.relay(ctx, response, framingOf(response), j.ingress.paths.observe(grant.Target.Machine, response))
+	if (outcome == outcomeAnswered || outcome == outcomeUnmarked) && response.Status >= http.StatusInternalServerError {
 		return outcomeErrorAnswered
 	}
 	return outcome
@@ -64,11 +63,12 @@
 	broke(err error)
 }
 
-// errorResponse is a machine's complete error response.
+// errorResponse is a machine's error response.
 type errorResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing framing
+	body    []byte
 }
 
 // saveError saves a machine's error response for the case that the retry fails. A
@@ -79,12 +79,19 @@
 		j.log("error_not_kept", "status", response.Status, "bytes", len(body), "broke_off", err != nil)
 		return
 	}
-	j.savedError = &errorResponse{status: response.Status, header: upstream.EndToEndHeaders(response.Header), body: body}
+	saved := &errorResponse{
+		status: response.Status, header: upstream.EndToEndHeaders(response.Header), framing: framingOf(response), body: body,
+	}
+	if saved.framing.kind != upstream.FramingClose {
+		saved.framing = framing{kind: upstream.FramingLength, length: int64(len(body))}
+	}
+	j.savedError = saved
 }
 
 func (j *job) sendSavedError() {
-	j.writeHeader(j.savedError.status, j.savedError.header, int64(len(j.savedError.body)))
+	j.writeHeader(j.savedError.status, j.savedError.header, j.savedError.framing)
 	_, err := j.writer.Write(j.savedError.body)
+	j.endBody()
 	j.log("answered", "status", j.savedError.status, "bytes", len(j.savedError.body), "first_error", true, "caller_left", err != nil)
 	j.ingress.options.Metrics.observe(j.route, "answered", time.Since(j.arrived))
 }
@@ -93,56 +100,67 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardBytes))
 }
 
-// relay copies the header and the body of a response to the client. It is
-// complete only if the machine's response is.
-func (j *job) relay(ctx context.Context, response *upstream.Response, observer connectionObserver) attemptOutcome {
-	length := int64(-1)
-	if response.Header.Get("Content-Length") != "" {
-		length = response.ContentLength
-	}
-	j.writeHeader(response.Status, upstream.EndToEndHeaders(response.Header), length)
+// relay copies the header and the body of a response to the client. The client sees the response
+// as complete only if its machine marked the end, and as broken off if it was cut off.
+func (j *job) relay(ctx context.Context, response *upstream.Response, framing framing, observer connectionObserver) attemptOutcome {
+	j.writeHeader(response.Status, upstream.EndToEndHeaders(response.Header), framing)
 	controller := http.NewResponseController(j.writer)
 	if j.route.Spec.Kind == v1.RouteStream {
 		_ = controller.Flush()
 	}
 	first := time.Since(j.arrived)
-	copied, pause, insideEvent, err := j.copyBody(controller, response, observer.received)
+	copied, err := j.copyBody(controller, response, observer.received)
+	if err == nil && copied.insideEvent {
+		err = errInsideEvent
+	}
 	elapsed := time.Since(j.arrived)
-	j.ingress.options.Metrics.observeBody(response.Framing, insideEvent, err != nil)
+	j.ingress.options.Metrics.observeBody(framing.kind, copied.insideEvent, err != nil)
+	fields := []any{
+		"status", response.Status, "bytes", copied.bytes, "first_ms", first.Milliseconds(), "longest_pause_ms", copied.longestPause.Milliseconds(),
+		"framing", framing.kind.String(), "inside_event", copied.insideEvent,
+	}
 	if err == nil {
-		j.log("answered", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
-			"framing", response.Framing.String(), "inside_event", insideEvent)
+		j.endBody()
+		j.log("answered", fields...)
 		j.ingress.options.Metrics.observe(j.route, "answered", elapsed)
+		if framing.kind == upstream.FramingClose {
+			return outcomeUnmarked
+		}
 		return outcomeAnswered
 	}
 	if ctx.Err() == nil && response.ReadFailed() {
 		observer.broke(err)
 	}
-	j.log("broken_off", "status", response.Status, "bytes", copied, "first_ms", first.Milliseconds(), "longest_pause_ms", pause.Milliseconds(),
-		"framing", response.Framing.String(), "inside_event", insideEvent, "error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)
+	j.log("broken_off", append(fields, "error", err.Error(), "caller_left", j.request.Context().Err() != nil, "deadline_passed", ctx.Err() != nil)...)
 	j.ingress.options.Metrics.observe(j.route, "broken_off", elapsed)
 	return outcomeBroken
 }
 
-// writeHeader sends the status and header to the client. A negative length means that the
-// length of the body is unknown.
-func (j *job) writeHeader(status int, endToEnd http.Header, length int64) {
-	j.setForwardResult(wirepb.ForwardedResult_OUTCOME_ANSWERED)
+// writeHeader sends the status and header to the client.
+func (j *job) writeHeader(status int, endToEnd http.Header, framing framing) {
+	j.setForwardResult(wirepb.ForwardedResult_OUTCOME_ANSWERED, framing.kind == upstream.FramingClose)
 	header := j.writer.Header()
 	for name, values := range endToEnd {
 		header[name] = values
 	}
-	if length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
+	j.beginBody(framing)
 	j.headerSent = true
 	j.writer.WriteHeader(status)
 }
 
-// copyBody streams a body to the client and calls onRead for each part of it. It returns the number of
-// bytes copied, the longest pause between two reads, and whether an event stream ended inside an event.
-func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied int64, pause time.Duration, insideEvent bool, err error) {
+// copiedBody describes a body as far as it was relayed.
+type copiedBody struct {
+	bytes int64
+	// longestPause is the longest pause between two reads.
+	longestPause time.Duration
+	// insideEvent is set if an event stream ended within an event.
+	insideEvent bool
+}
+
+// copyBody streams a body to the client and calls onRead for each part of it.
+func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied copiedBody, err error) {
 	events, isEventStream := eventstream.Boundary{}, eventstream.IsEventStream(response.Header)
+	defer func() { copied.insideEvent = events.InsideEvent() }()
 	buffer := make([]byte, copyBufferBytes)
 	last := time.Now()
 	for {
@@ -153,20 +171,20 @@
 				_, _ = events.Write(buffer[:count])
 			}
 			now := time.Now()
-			pause, last = max(pause, now.Sub(last)), now
+			copied.longestPause, last = max(copied.longestPause, now.Sub(last)), now
 			if _, err := j.writer.Write(buffer[:count]); err != nil {
-				return copied, pause, events.InsideEvent(), err
+				return copied, err
 			}
-			copied += int64(count)
+			copied.bytes += int64(count)
 			if err := controller.Flush(); err != nil {
-				return copied, pause, events.InsideEvent(), err
+				return copied, err
 			}
 		}
 		if failure == io.EOF {
-			return copied, pause, events.InsideEvent(), nil
+			return copied, nil
 		}
 		if failure != nil {
-			return copied, pause, events.InsideEvent(), failure
+			return copied, failure
 		}
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -105,7 +105,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	server := &http.Server{
-		Handler: s.handler, Protocols: protocols,
+		Handler: s.handler, Protocols: protocols, ConnContext: ConnContext,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 	}
