gateway: relay unframed responses only if they are whole JSON documents

Callers of the product's gateway got a response that had been cut off, with a length that its back end never stated: the gateway read to the end of the connection and took that for the end of the body.

The gateway holds whole responses, so it can look at them: a response without a length or chunks counts only if it is a JSON object, array or string, of which no prefix is one. Anything else ends as 504, outcome unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"github.com/weldline/weldline/api/engine"
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
 )
 
 const (
@@ -85,16 +85,14 @@
 // relayPlain reads the complete response before it sends any of it to the client,
 // so that a truncated one can be retried.
 func (g *Gateway) relayPlain(ctx, deadlineCtx context.Context, writer http.ResponseWriter, j *job, grant *dispatch.Grant, response *http.Response) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainBodyBytes+1))
+	body, err := readBody(response)
 	if err != nil {
+		g.options.Logger.Info("response_not_relayed", "id", j.id, "error", fault.Message(err))
 		if ctx.Err() == nil {
 			g.reportBroken(j, grant)
 		}
 		return failureOutcome(deadlineCtx)
 	}
-	if len(body) > maxPlainBodyBytes {
-		return outcomeFailed
-	}
 	g.options.Metrics.firstByte.Observe(time.Since(j.arrived).Seconds())
 	copyResponseHeaders(writer.Header(), response.Header)
 	writer.WriteHeader(response.StatusCode)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -17,6 +16,7 @@
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -357,8 +357,9 @@
 	if response.Header.Get(engine.HeaderOutcome) == engine.OutcomeNotRun {
 		return nil, outcomeNotRun
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPlainBodyBytes+1))
-	if err != nil || len(body) > maxPlainBodyBytes {
+	body, err := readBody(response)
+	if err != nil {
+		g.options.Logger.Info("response_not_relayed", "id", attemptID, "error", fault.Message(err))
 		return nil, failureOutcome(ctx)
 	}
 	return &backendResponse{status: response.StatusCode, contentType: response.Header.Get("Content-Type"), body: body}, outcomeAnswered
