soak: machines frame responses in all ways and cut streams off

Callers take an unmarked response that is a part of the whole one and ends between events for possibly cut off, and anything else that is not whole for wrong. Proxies pass resets on; they had turned them into closes.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -43,6 +43,8 @@
 	Outcome Outcome
 	// Right is set if the response is complete and belongs to the request.
 	Right bool
+	// Unmarked is set if nothing but the end of the connection marks the end of the response.
+	Unmarked bool
 	// Kind groups answers in reports: the status and the reason, or the error.
 	Kind string
 }
@@ -112,6 +114,8 @@
 	Rejections []Rejection
 	Leaving    []LeavingAnswer
 	Falls      []Fall
+	// CutStreams is the number of streams that machines ended within an event.
+	CutStreams int
 	Orders     []Order
 	// Ignored are orders that no control node acknowledged despite retries; Acknowledged is when the operator
 	// gave up.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,6 +70,8 @@
 	FaultPauseMachine FaultKind = "pause-machine"
 	// FaultBrittleMachines makes the machines without engines fail if they reject too many requests.
 	FaultBrittleMachines FaultKind = "brittle-machines"
+	// FaultCutStreams makes a machine end some of its streams within an event.
+	FaultCutStreams FaultKind = "cut-streams"
 )
 
 // Layout lists the processes and machines of a deployment.
@@ -269,7 +271,7 @@
 func (f Fault) disturbances(layout Layout) []Disturbance {
 	span := Disturbance{Start: f.At, End: f.At + f.Duration, Node: f.Node, IsControl: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
-	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultBurst:
+	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultCutStreams, FaultBurst:
 		return nil
 	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
 		span.End += restartDuration
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -111,7 +111,8 @@
 	p.drop(current)
 }
 
-// copy forwards one direction until either side closes.
+// copy forwards one direction until either side closes. A reset, or the loss of what was held back, resets
+// both sides: a close would look like the end of a response that has no other mark of its end.
 func (p *Proxy) copy(current *connection, direction Direction, destination, source net.Conn) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
@@ -129,6 +130,7 @@
 			break
 		}
 	}
+	p.resetWhere(func(existing *connection) bool { return existing == current })
 	p.drop(current)
 }
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -119,3 +119,35 @@
 		t.Errorf("read on a reset connection: %v", err)
 	}
 }
+
+// TestResetIsPassedOn guards against a proxy that turns a server's reset into a close, which marks the end of a response.
+func TestResetIsPassedOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	proxy, err := NewProxy("127.0.0.1:0", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	for _, resets := range []bool{true, false} {
+		client := dial(t, proxy)
+		server, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		send(t, server, "part")
+		expect(t, client, "part")
+		if resets {
+			reset(server)
+		} else {
+			_ = server.Close()
+		}
+		_, err = client.Read(make([]byte, 1))
+		if isEnd := err == io.EOF; isEnd == resets {
+			t.Errorf("with reset %v the client reads %v", resets, err)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,8 @@
 	PartitionRouter(router string, kind PartitionKind) (end func())
 	// BecomeBrittle makes the machines without engines brittle until end is called.
 	BecomeBrittle() (end func())
+	// CutStreams makes a machine end some of its streams within an event until end is called.
+	CutStreams(machine int) (end func())
 	// Proxy returns the proxy before a machine, or nil while the machine is down.
 	Proxy(machine int) *Proxy
 }
@@ -132,6 +134,8 @@
 		return i.Machines.PartitionRouter(each.Node, PartitionResets)
 	case FaultBrittleMachines:
 		return i.Machines.BecomeBrittle()
+	case FaultCutStreams:
+		return i.Machines.CutStreams(each.Machine)
 	case FaultPauseMachine:
 		if proxy := i.Machines.Proxy(each.Machine); proxy != nil {
 			return blockBoth(proxy)
