machines: record the version of their software, and log it with each request

The version is in the heartbeat; it is now part of the machine's record, from level 2 on, of the router's targets and of request_sent, which also names the attempt that the request resumes. Nothing is decided by it yet.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -198,6 +198,9 @@
 	// StartedMs is the start time reported by a registered machine, in Unix milliseconds by its
 	// own clock; 0: not reported.
 	StartedMs int64 `json:"startedMs,omitempty"`
+	// Software is the version of the software that a registered machine runs; empty if it did not
+	// report one. It never changes: a machine that runs another version has another record.
+	Software string `json:"software,omitempty"`
 }
 
 // MachinePhase is the lifecycle phase of a machine.
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -199,7 +199,7 @@
 		Unreachable: d.node.reports.Unreachable(d.node.now()), Routers: d.node.reports.Routers(d.node.now()),
 		Leaving: d.node.reports.Leaving(d.node.now()),
 		Now:     d.node.now(), Since: d.startedAt, Declared: registered.Machines, Pools: registered.Pools,
-		RecordStarts: d.node.recordsStarts(),
+		Level: d.node.Level(),
 		Policy: instances.Policy{
 			LostAfter:    lostAfterHeartbeats * interval,
 			SuspectAfter: time.Duration(suspectAfterHeartbeats * float64(interval)),
--- a/internal/control/operatorcalls.go
+++ b/internal/control/operatorcalls.go
@@ -71,7 +71,7 @@
 func (n *Node) recordPhase(ctx context.Context, name string, report *wirepb.InstanceReport, phase v1.MachinePhase) error {
 	command := &wirepb.RegisterCommand{Machine: name, Phase: string(phase), Reason: instances.ReasonAnnounced}
 	if report.GetEndpoint() != "" {
-		if registration := instances.Registration(name, report, nil, n.recordsStarts()); registration != nil {
+		if registration := instances.Registration(name, report, nil, n.Level()); registration != nil {
 			command.Spec = registration.GetSpec()
 		}
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -62,6 +62,8 @@
 	// Fixed is set for a machine outside of the leader's placement: its replicas can't be loaded
 	// elsewhere.
 	Fixed bool
+	// Software is the version of the software that the machine runs; empty if unknown.
+	Software string
 	// Suspect is set if the machine has been silent for a while. Such targets get requests only if
 	// there are no others.
 	Suspect bool
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -86,7 +86,14 @@
 // attempt sends the request to one machine and relays its response.
 func (j *job) attempt(ctx context.Context, grant *dispatch.Grant) attemptOutcome {
 	j.ingress.options.Metrics.observeSent(grant.Target.Proximity)
-	j.log("sent", "machine", grant.Target.Machine, "nearness", grant.Target.Proximity.String(), "waited", grant.Waited, "remains_ms", j.remaining().Milliseconds())
+	fields := []any{
+		"machine", grant.Target.Machine, "software", grant.Target.Software, "nearness", grant.Target.Proximity.String(),
+		"waited", grant.Waited, "remains_ms", j.remaining().Milliseconds(),
+	}
+	if j.attributes.LastEvent != "" {
+		fields = append(fields, "resumes", j.attributes.Resumes, "last_event", j.attributes.LastEvent)
+	}
+	j.log("sent", fields...)
 	attemptCtx, cancel := j.attemptContext(ctx)
 	defer cancel()
 	outgoing := j.upstreamRequest(grant)
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -16,6 +16,9 @@
 	Key string
 	// Model and Adapter are the ones that the request needs.
 	Model, Adapter string
+	// Resumes is the ID of the attempt that began the stream that the request takes up. LastEvent is the
+	// ID of the last event that the client has of it.
+	Resumes, LastEvent string
 	// Timeout is the client's timeout.
 	Timeout time.Duration
 	// PromptTokens is the length of the prompt, SharedTokens that of its shared
--- a/internal/instances/condense.go
+++ b/internal/instances/condense.go
@@ -80,5 +80,6 @@
 		Sequence: report.GetSequence(), AgeMs: report.GetAgeMs(), WarmingMs: report.GetWarmingMs(),
 		Content: report.GetContent(), Pool: stored.GetPool(), Endpoint: stored.GetEndpoint(), Zone: stored.GetZone(), Slots: stored.GetSlots(),
 		Models: stored.GetModels(), Checkpoints: stored.GetCheckpoints(), Leaving: stored.GetLeaving(),
+		Software: stored.GetSoftware(),
 	}, true
 }
--- a/internal/instances/condense_test.go
+++ b/internal/instances/condense_test.go
@@ -14,7 +14,7 @@
 // newHeartbeat returns the report of a machine with a number of loaded models.
 func newHeartbeat(sequence uint64, models int) *wirepb.InstanceReport {
 	report := &wirepb.InstanceReport{
-		Machine: "m", Pool: "p", Endpoint: "http://10.0.0.1:80", Zone: "z", Slots: 12, Sequence: sequence, StartedMs: 1_700_000_000_000,
+		Machine: "m", Pool: "p", Endpoint: "http://10.0.0.1:80", Zone: "z", Slots: 12, Sequence: sequence, StartedMs: 1_700_000_000_000, Software: "v1",
 		AgeMs: uint32(sequence), WarmingMs: uint32(sequence) * 100,
 	}
 	for number := range models {
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -14,6 +14,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -116,8 +117,8 @@
 	// Leaving has the machines that announced their shutdown in a response to a router.
 	Leaving map[string]bool
 	Policy  Policy
-	// RecordStarts is set if records contain the start times of machines.
-	RecordStarts bool
+	// Level is the cluster's level, which determines the fields of records.
+	Level level.Level
 }
 
 // Reconcile returns the commands that reconcile the records with the heartbeats, sorted by name.
@@ -136,7 +137,7 @@
 		if isSuperseded(input, newest, entry) {
 			continue
 		}
-		if command := Registration(name, entry.Report, input.Pools, input.RecordStarts); command != nil {
+		if command := Registration(name, entry.Report, input.Pools, input.Level); command != nil {
 			commands = append(commands, command)
 		}
 	}
@@ -158,9 +159,9 @@
 const ReasonAnnouncedInResponse = "said so in an answer"
 
 // Registration returns the command that creates a machine's record. It returns nil if the machine is not
-// leaving and its pool, which determines its capacity, is not declared. The record contains the start
-// time if withStart is set.
-func Registration(name string, report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec, withStart bool) *wirepb.RegisterCommand {
+// leaving and its pool, which determines its capacity, is not declared. The record contains the fields
+// that the cluster's level allows.
+func Registration(name string, report *wirepb.InstanceReport, pools map[string]*v1.PoolSpec, active level.Level) *wirepb.RegisterCommand {
 	pool := pools[report.GetPool()]
 	if pool == nil && !report.GetLeaving() {
 		return nil
@@ -168,9 +169,12 @@
 	spec := &v1.MachineSpec{
 		Endpoint: report.GetEndpoint(), Zone: report.GetZone(), Pool: report.GetPool(), Slots: int(report.GetSlots()),
 	}
-	if withStart {
+	if active >= level.MachineStarts {
 		spec.StartedMs = report.GetStartedMs()
 	}
+	if active >= level.MachineSoftware {
+		spec.Software = report.GetSoftware()
+	}
 	if pool != nil && pool.Engine != nil {
 		spec.Accelerators = 1
 		spec.AcceleratorBytes = pool.Engine.MemoryBytes
@@ -253,15 +257,17 @@
 		t.setLost(name, input.Now)
 		return transition(name, v1.MachineLost, "silent")
 	}
-	return recordStart(input, name, declared, entry)
+	return completeRecord(input, name, declared, entry)
 }
 
-// recordStart returns the command that adds the start time to a record from an earlier release.
-func recordStart(input Input, name string, declared Declared, entry Entry) *wirepb.RegisterCommand {
-	if !input.RecordStarts || declared.Spec.StartedMs != 0 || entry.Report.GetStartedMs() == 0 {
+// completeRecord returns the command that adds the fields that a record from a lower level lacks.
+func completeRecord(input Input, name string, declared Declared, entry Entry) *wirepb.RegisterCommand {
+	lacksStart := input.Level >= level.MachineStarts && declared.Spec.StartedMs == 0 && entry.Report.GetStartedMs() != 0
+	lacksSoftware := input.Level >= level.MachineSoftware && declared.Spec.Software == "" && entry.Report.GetSoftware() != ""
+	if !lacksStart && !lacksSoftware {
 		return nil
 	}
-	command := Registration(name, entry.Report, input.Pools, true)
+	command := Registration(name, entry.Report, input.Pools, input.Level)
 	if command == nil {
 		return nil
 	}
--- a/internal/instances/table_test.go
+++ b/internal/instances/table_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -56,7 +57,7 @@
 				}
 				return ""
 			case "starts":
-				input.RecordStarts = true
+				input.Level = level.MachineStarts
 				return ""
 			case "leader":
 				input.Since = input.Now
@@ -82,7 +83,7 @@
 // addHeartbeat stores a heartbeat under the name of its record.
 func addHeartbeat(table *Table, input Input, report *wirepb.InstanceReport) bool {
 	name := report.GetMachine()
-	if input.RecordStarts {
+	if input.Level >= level.MachineStarts {
 		name = NameOf(report.GetMachine(), report.GetStartedMs(), func(name string) *v1.MachineSpec { return input.Declared[name].Spec })
 	}
 	return table.Add(input.Now, name, report)
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -15,8 +15,10 @@
 	// MachineStarts adds start times to the records of machines; a machine that restarts under the
 	// same id gets a new record.
 	MachineStarts Level = 1
+	// MachineSoftware adds the version of their software to the records of machines.
+	MachineSoftware Level = 2
 	// Supported is the highest level that this build supports.
-	Supported = MachineStarts
+	Supported = MachineSoftware
 )
 
 // Next returns the highest level that this build and all other processes support; raised reports
--- a/internal/nodeview/routing.go
+++ b/internal/nodeview/routing.go
@@ -179,6 +179,6 @@
 	return dispatch.Target{
 		Zone: machine.Spec.Zone, Region: v.location.Zones.Region(machine.Spec.Zone), Proximity: v.location.ProximityOf(machine.Spec.Zone),
 		Machine: name, Endpoint: machine.Spec.Endpoint, MaxConcurrent: max(1, machine.Spec.Slots),
-		Suspect: machine.Status.Phase == v1.MachineLost,
+		Software: machine.Spec.Software, Suspect: machine.Status.Phase == v1.MachineLost,
 	}
 }
--- a/internal/state/declare.go
+++ b/internal/state/declare.go
@@ -128,7 +128,7 @@
 		if statusOf(existing).Phase.Rank() > phase.Rank() {
 			return nil
 		}
-		spec, added := m.specWithStart(existing, command)
+		spec, added := m.completedSpec(existing, command)
 		if statusOf(existing).Phase == phase && !added {
 			return nil
 		}
@@ -145,20 +145,28 @@
 	return &wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT, Object: object}
 }
 
-// specWithStart returns the spec of a record, with the start time of the command added if the
-// record has none.
-func (m *Machine) specWithStart(existing *wirepb.Object, command *wirepb.RegisterCommand) (spec []byte, added bool) {
+// completedSpec returns the spec of a record, with the start time and the software of the command added
+// if the record has none.
+func (m *Machine) completedSpec(existing *wirepb.Object, command *wirepb.RegisterCommand) (spec []byte, added bool) {
 	stored, isMachine := m.Spec(v1.KindMachine, existing.GetName()).(*v1.MachineSpec)
-	if m.level < level.MachineStarts || !isMachine || stored.StartedMs != 0 || len(command.GetSpec()) == 0 {
+	if m.level < level.MachineStarts || !isMachine || len(command.GetSpec()) == 0 {
 		return existing.GetSpec(), false
 	}
 	decoded, err := v1.DecodeSpec(v1.KindMachine, command.GetSpec())
 	reported, isMachine := decoded.(*v1.MachineSpec)
-	if err != nil || !isMachine || reported.StartedMs == 0 {
-		return existing.GetSpec(), false // Sent by a release that reports no start time.
+	if err != nil || !isMachine {
+		return existing.GetSpec(), false
 	}
 	combined := *stored
-	combined.StartedMs = reported.StartedMs
+	if combined.StartedMs == 0 {
+		combined.StartedMs = reported.StartedMs
+	}
+	if m.level >= level.MachineSoftware && combined.Software == "" {
+		combined.Software = reported.Software
+	}
+	if combined == *stored {
+		return existing.GetSpec(), false
+	}
 	encoded, err := json.Marshal(combined)
 	if err != nil {
 		return existing.GetSpec(), false // Unreachable: a MachineSpec always encodes.
--- a/internal/state/level_test.go
+++ b/internal/state/level_test.go
@@ -118,6 +118,31 @@
 	}
 }
 
+// TestSoftwareIsRecordedOnce also checks that it is not recorded before the level is raised.
+func TestSoftwareIsRecordedOnce(t *testing.T) {
+	machine := New()
+	register := func(software string) string {
+		spec := declared(t, v1.KindMachine, "m", &v1.MachineSpec{
+			Endpoint: "http://10.0.0.1:80", Zone: "z", Pool: "p", Slots: 4, StartedMs: 1000, Software: software,
+		}).GetSpec()
+		apply(t, machine, &wirepb.Command{Body: &wirepb.Command_Register{Register: &wirepb.RegisterCommand{
+			Machine: "m", Spec: spec, Phase: string(v1.MachineLive), Reason: "registered",
+		}}})
+		recorded, _ := machine.Spec(v1.KindMachine, "m").(*v1.MachineSpec)
+		return recorded.Software
+	}
+	raise(t, machine, level.MachineStarts)
+	register("")
+	if software := register("v1"); software != "" {
+		t.Errorf("below the level the record has the software %q", software)
+	}
+	raise(t, machine, level.MachineSoftware)
+	register("v1")
+	if software := register("v2"); software != "v1" {
+		t.Errorf("the record has the software %q", software)
+	}
+}
+
 // TestLogOfPreviousRelease replays a recorded log of the previous release. Revisions, results and
 // the snapshot must be identical, or members diverge during a rolling upgrade.
 func TestLogOfPreviousRelease(t *testing.T) {
