ingress: streams that are taken up go on only at the version that began them

A request with Last-Event-Id was dispatched like any other. The class: state that must go with a stream was known to nobody, while the client's next try meets another router by design.

Now each router records the worker's version before it writes a request whose stream may be resumed, under the attempt's ID, and copies the record to two keepers, chosen by rendezvous hashing, in batches and without waiting. A request that takes a stream up names that attempt; its router asks three keepers, for at most 250 ms, and binds the request to the version, through every retry and over the hop between routers. A stopping router hands its records over. What is not found is refused, not run, unless the leader's digest shows that all machines of the pool, also those that have gone lately, run one version. If no machine runs the version any more the request is refused at once, also while it waits.

Alternatives: a choice of version by a hash of the attempt needs no records, but breaks as versions come and go, which is when it matters; records in digests grow with all streams; asking all routers finds nothing after the one that began the stream has ended.

Every router learns of at most 16 keepers. Below level 2, and under a leader of an earlier release, versions are not known and requests are dispatched as before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/weldline/weldline/api/platform"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/machines"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/placement"
@@ -62,6 +63,7 @@
 	planner   *placement.Planner
 	estimates []placement.Estimate
 	stored    *storedView
+	level     level.Level
 	warming   *warming.Tracker
 	// limitObservations are the rate limits reported for machines, including those that were lifted;
 	// activeLimits are the limits in force.
@@ -104,6 +106,7 @@
 	if c.stored == nil || c.stored.revision != machine.Revision() {
 		c.stored = readState(machine)
 	}
+	c.level = machine.Level()
 }
 
 // MachineWrites returns the writes that reconcile the Machine resources with the machine list and the
@@ -208,6 +211,9 @@
 	digest.MachineWarming = packByRoster(c.roster, c.warming.DigestUnits(now))
 	digest.Limits = nodeview.LimitMessages(c.limitObservations)
 	digest.History = c.history(now)
+	if c.stored != nil && c.level >= level.MachineSoftware {
+		digest.Software, digest.SoftwareKnown = c.stored.poolSoftware(), true
+	}
 	digest.Tenants, digest.TenantsKnown = c.reports.allowances(now, limits)
 	if answered, errors := c.reports.Answers(now); len(errors) > 0 {
 		digest.MachineAnswers, digest.MachineErrors = packByRoster(c.roster, answered), packByRoster(c.roster, errors)
@@ -262,6 +268,7 @@
 		}
 	}
 	roster.Routers = forwardingRouters(now, nodes)
+	roster.Keepers = keepersOf(roster.Routers)
 	sort.Slice(roster.Nodes, func(i, j int) bool { return roster.Nodes[i].GetName() < roster.Nodes[j].GetName() })
 	for name := range reports {
 		roster.Machines = append(roster.Machines, name)
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -35,6 +35,8 @@
 	// drains has the newest drain order of each zone.
 	drains      map[string]storedDrain
 	loadCrashes map[string]placement.LoadCrashes
+	// software caches the result of poolSoftware; nil before the first call.
+	software []*wirepb.PoolSoftware
 }
 
 type storedDrain struct {
--- a/internal/dispatch/drained.go
+++ b/internal/dispatch/drained.go
@@ -61,7 +61,7 @@
 		return Refusal{}, false // There is no estimate of the leader yet.
 	case estimate.Refused:
 		return refusalByLeader(request, estimate), true
-	case !request.Allowed.IsRestrictive() && estimate.EarliestAt.After(request.Deadline):
+	case !request.isConstrained() && estimate.EarliestAt.After(request.Deadline):
 		refusal.Detail = "the model will not be loaded elsewhere before the deadline"
 		refusal.RetryAfter = estimate.ReadyAt.Sub(now)
 	default:
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -122,21 +122,30 @@
 	return !hasAlternatives || !candidate.health.ejected(now)
 }
 
-// hasAlternatives reports whether a version has more than one target in the regions allowed for a
-// request.
+// hasAlternatives reports whether a version has more than one target at which a request may run.
 func (v *versionState) hasAlternatives(request *Request) bool {
-	if !request.Allowed.IsRestrictive() {
+	if !request.isConstrained() {
 		return len(v.targets) > 1
 	}
 	allowed := 0
 	for _, candidate := range v.targets {
-		if request.Allowed.Allows(candidate.Region) {
+		if request.mayRunAt(candidate) {
 			allowed++
 		}
 	}
 	return allowed > 1
 }
 
+// isConstrained reports whether only some targets of its version may run a request.
+func (r *Request) isConstrained() bool {
+	return r.Allowed.IsRestrictive() || r.Software != ""
+}
+
+// mayRunAt reports whether a request may run at a target by its region and the software of its machine.
+func (r *Request) mayRunAt(candidate *target) bool {
+	return r.Allowed.Allows(candidate.Region) && (r.Software == "" || r.Software == candidate.Software)
+}
+
 // hasCapacity reports whether a target could take a request, regardless of its health.
 func (s *Scheduler) hasCapacity(now time.Time, candidate *target, request *Request) bool {
 	return s.hasSlot(candidate) && !s.isHeld(now, candidate.Machine) && s.allowsGrant(now, candidate.Machine) &&
@@ -146,7 +155,7 @@
 // isExcluded reports whether a target must not serve a request, regardless of its load. Every
 // selection path checks it, so that none leaves the allowed regions.
 func (s *Scheduler) isExcluded(candidate *target, request *Request) bool {
-	if !request.Allowed.Allows(candidate.Region) {
+	if !request.mayRunAt(candidate) {
 		return true
 	}
 	if candidate.retired || candidate.leaving || slices.Contains(request.TriedMachines, candidate.Machine) {
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // refuseEarly refuses a request that can't be served before its deadline, so that the caller
 // learns it at once.
@@ -26,7 +29,7 @@
 	}
 	// Estimates apply to the version as a whole. A replica in the allowed regions may be ready
 	// earlier, so constrained requests are not refused by them.
-	if !request.Allowed.IsRestrictive() && estimate.EarliestAt.After(request.Deadline) {
+	if !request.isConstrained() && estimate.EarliestAt.After(request.Deadline) {
 		return Refusal{
 			Request: request, Reason: RefusedDeadline, Detail: "the model will not be loaded before the deadline",
 			RetryAfter: estimate.ReadyAt.Sub(now),
@@ -35,10 +38,19 @@
 	return Refusal{}, false
 }
 
+// refuseAll removes refused requests from their queues, in order of ID.
+func (s *Scheduler) refuseAll(refusals []Refusal, outcome *Outcome) {
+	sort.Slice(refusals, func(i, j int) bool { return refusals[i].Request.ID < refusals[j].Request.ID })
+	for _, refusal := range refusals {
+		s.dequeue(refusal.Request)
+	}
+	outcome.Refusals = append(outcome.Refusals, refusals...)
+}
+
 // hasReady reports whether a replica that may serve a request is ready.
 func (v *versionState) hasReady(request *Request) bool {
 	for _, candidate := range v.targets {
-		if !candidate.retired && !candidate.leaving && request.Allowed.Allows(candidate.Region) {
+		if !candidate.retired && !candidate.leaving && request.mayRunAt(candidate) {
 			return true
 		}
 	}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -74,13 +74,13 @@
 }
 
 // nextGrant returns the first request that can be granted. Requests that wait for a placed adapter
-// or for their regions don't block the others.
+// for their regions or for their software don't block the others.
 func (s *Scheduler) nextGrant(now time.Time, version *versionState) (*Request, *target) {
 	first := version.queue.first()
 	if first == nil {
 		return nil, nil
 	}
-	if chosen := s.pick(now, version, first); chosen != nil || !s.config.PlacedAdapters && !first.Allowed.IsRestrictive() {
+	if chosen := s.pick(now, version, first); chosen != nil || !s.config.PlacedAdapters && !first.isConstrained() {
 		return first, chosen
 	}
 	for _, request := range version.queue.sorted() {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -33,6 +33,8 @@
 	TTFTTarget time.Duration
 	// Allowed constrains the regions that may serve the request.
 	Allowed places.Constraint
+	// Software is the version of the software that must serve the request; empty for any.
+	Software string
 	// Forwardable is set if another router may serve the request. Such a request is not granted to a
 	// machine without a path from this router.
 	Forwardable bool
@@ -95,6 +97,8 @@
 	RefusedLimited RefusalReason = "limited"
 	// RefusedBackoff: the machines asked this router to back off.
 	RefusedBackoff RefusalReason = "resting"
+	// RefusedSoftware: no machine of the pool runs the version of the software that the request needs.
+	RefusedSoftware RefusalReason = "software"
 	// RefusedUnreachable: this router has no path to a machine that could serve the request.
 	RefusedUnreachable RefusalReason = "unreachable"
 	// RefusedRegion: no machine in the allowed regions may serve the request any more.
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"sort"
 	"time"
 )
 
@@ -76,9 +75,5 @@
 			refusals = append(refusals, refusal)
 		}
 	}
-	sort.Slice(refusals, func(i, j int) bool { return refusals[i].Request.ID < refusals[j].Request.ID })
-	for _, refusal := range refusals {
-		s.dequeue(refusal.Request)
-	}
-	outcome.Refusals = append(outcome.Refusals, refusals...)
+	s.refuseAll(refusals, outcome)
 }
--- a/internal/feed/digest.go
+++ b/internal/feed/digest.go
@@ -75,6 +75,7 @@
 	return withRoster(digest, &wirepb.Roster{
 		Nodes: previous.GetNodes(), Control: previous.GetControl(), ControlZones: previous.GetControlZones(),
 		Machines: slices.Concat(previous.GetMachines(), digest.GetAppendedMachines()), Routers: previous.GetRouters(),
+		Keepers: previous.GetKeepers(),
 	})
 }
 
@@ -83,7 +84,7 @@
 	length := len(previous.GetMachines())
 	return length < len(roster.GetMachines()) && slices.Equal(roster.GetMachines()[:length], previous.GetMachines()) &&
 		slices.Equal(roster.GetControl(), previous.GetControl()) && slices.Equal(roster.GetControlZones(), previous.GetControlZones()) &&
-		sameRouters(roster.GetRouters(), previous.GetRouters()) && len(roster.GetNodes()) == 0 && len(previous.GetNodes()) == 0
+		sameRouters(roster.GetRouters(), previous.GetRouters()) && sameRouters(roster.GetKeepers(), previous.GetKeepers()) && len(roster.GetNodes()) == 0 && len(previous.GetNodes()) == 0
 }
 
 func sameRouters(left, right []*wirepb.RouterEntry) bool {
@@ -103,7 +104,7 @@
 		Roster: roster, MachineLoads: digest.GetMachineLoads(), MachineWork: digest.GetMachineWork(),
 		History: digest.GetHistory(), MachineAnswers: digest.GetMachineAnswers(), MachineErrors: digest.GetMachineErrors(),
 		Tenants: digest.GetTenants(), TenantsKnown: digest.GetTenantsKnown(), MachineWarming: digest.GetMachineWarming(),
-		Limits: digest.GetLimits(),
+		Limits: digest.GetLimits(), Software: digest.GetSoftware(), SoftwareKnown: digest.GetSoftwareKnown(),
 	}
 }
 
--- a/internal/feed/digestsubset.go
+++ b/internal/feed/digestsubset.go
@@ -86,12 +86,13 @@
 	added := d.newMachines(selected, positions)
 	roster := full.GetRoster()
 	routers := d.selectRouters(roster.GetRouters())
-	isUnchanged := d.roster != nil && d.lastDigest.GetTerm() == full.GetTerm() && len(added) == 0 && sameRouters(d.roster.GetRouters(), routers) &&
+	isUnchanged := d.roster != nil && d.lastDigest.GetTerm() == full.GetTerm() && len(added) == 0 && sameRouters(d.roster.GetRouters(), routers) && sameRouters(d.roster.GetKeepers(), roster.GetKeepers()) &&
 		slices.Equal(d.roster.GetControl(), roster.GetControl()) && slices.Equal(d.roster.GetControlZones(), roster.GetControlZones())
 	if !isUnchanged {
 		machines := slices.Concat(d.roster.GetMachines(), added)
 		d.roster = &wirepb.Roster{
 			Machines: machines, Nodes: roster.GetNodes(), Control: roster.GetControl(), ControlZones: roster.GetControlZones(), Routers: routers,
+			Keepers: roster.GetKeepers(),
 		}
 		d.rosterSequence = full.GetSequence()
 	}
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -13,10 +13,14 @@
 // maxRebuildPause.
 const maxConfigurationWait = 300 * time.Millisecond
 
-// ForwardHandler serves requests that other routers forward. It must be reachable for processes of the
+// ForwardHandler serves requests that other routers forward, and exchanges the origins of streams with them. It must be reachable for processes of the
 // cluster only: it trusts their authentication of the client.
 func (i *Ingress) ForwardHandler() http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get(headerStreamOrigins) != "" {
+			i.origins.serve(writer, request)
+			return
+		}
 		forwarded, err := decodeHeader(request.Header.Get(headerForward), &wirepb.ForwardedRequest{})
 		if err != nil {
 			i.options.Logger.Warn("forward_refused", "remote", request.RemoteAddr, "error", err.Error())
@@ -52,6 +56,9 @@
 	}
 	j.deadline = j.arrived.Add(time.Duration(j.forwarded.GetRemainingMs()) * time.Millisecond)
 	j.pool = j.forwarded.GetPool()
+	if document := j.resolveOrigin(); document != nil {
+		return document, document.RetryAfter
+	}
 	if document := j.unservableProblem(j.allowedRegions()); document != nil {
 		return document, document.RetryAfter
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -74,6 +74,7 @@
 type Ingress struct {
 	options   Options
 	forwarder *forwarder
+	origins   *originKeeper
 	started   time.Time
 	table     atomic.Pointer[Table]
 	// configuration is the version of the configuration that the table is at least as new as; rebuilt is
@@ -121,7 +122,7 @@
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), origins: newOriginKeeper(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -146,6 +147,8 @@
 	workers.Go(func() { i.retainConnections(ctx) })
 	workers.Go(func() { i.paths.run(ctx) })
 	workers.Go(func() { i.forwarder.followDigests(ctx, i.options.View) })
+	workers.Go(func() { i.origins.followDigests(ctx) })
+	workers.Go(func() { i.origins.run(ctx) })
 	for {
 		changed := i.options.View.Changed()
 		started := time.Now()
@@ -189,7 +192,7 @@
 	i.paths.setMachines(i.dispatcher.Machines())
 	i.brittle.refresh()
 	i.drains.Update(time.Now(), drains)
-	i.queued.each((*job).updateRegions)
+	i.queued.each((*job).updateConstraints)
 	if current && !i.serving.Swap(true) {
 		i.servingChange.Notify()
 		i.options.Logger.Info("serving", "version", i.options.View.Declaration().Version, "revision", i.options.View.Revision())
@@ -248,9 +251,11 @@
 	return i.serving.Load()
 }
 
-// Drain adds "Connection: close" to all further responses.
+// Drain adds "Connection: close" to all further responses, and hands the origins of streams over to other
+// routers.
 func (i *Ingress) Drain() {
 	i.stopping.Store(true)
+	i.origins.handOver()
 }
 
 // Abort cancels all requests before the node shuts down: those without a response
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -71,6 +71,8 @@
 	triedRouters []string
 	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
+	// software is the version of the software that must serve the request; empty for any.
+	software string
 	// resetsOnClose is set while a close of the client's connection would reset it.
 	resetsOnClose bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
@@ -135,6 +137,9 @@
 	}
 	j.deadline = j.arrived.Add(wait)
 	j.pool = j.route.NextPool()
+	if document := j.resolveOrigin(); document != nil {
+		return document, document.RetryAfter
+	}
 	if document := j.unservableProblem(j.allowedRegions()); document != nil {
 		return document, document.RetryAfter
 	}
@@ -212,7 +217,7 @@
 		CrossRegionPenalty: j.remoteCost(),
 		TTFTTarget:         time.Duration(j.route.Spec.TargetLatency),
 		QueueDeadline:      j.arrived.Add(j.maxQueueTime()), Allowed: j.allowedRegions(),
-		Forwardable: j.mayForward(), Forwarded: j.forwarded != nil,
+		Software: j.software, Forwardable: j.mayForward(), Forwarded: j.forwarded != nil,
 	}
 	for failures := 0; ; {
 		if j.isCutOff() {
@@ -401,6 +406,10 @@
 		j.fail(document, document.RetryAfter)
 		return
 	}
+	if refusal.Reason == dispatch.RefusedSoftware {
+		j.fail(j.softwareGoneProblem(j.software), 0)
+		return
+	}
 	retryAfter := retryAfterBusy
 	if refusal.RetryAfter > 0 {
 		retryAfter = refusal.RetryAfter
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -37,6 +37,11 @@
 	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
 	// any machine.
 	unreachable, isolated prometheus.Gauge
+	// resumes counts the requests that take a stream up, by what is known of its origin.
+	resumes *prometheus.CounterVec
+	// originsEvicted counts the origins of streams that were dropped for want of room, originsNotCopied those
+	// that another router did not get.
+	originsEvicted, originsNotCopied prometheus.Counter
 	// bodies counts the relayed response bodies.
 	bodies *prometheus.CounterVec
 	// invalidStatements counts response headers that could not be parsed.
@@ -105,6 +110,16 @@
 		isolated: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_isolated", Help: "1 while this node seems to have no path to any machine.",
 		}),
+		resumes: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_resumes_total",
+			Help: "Requests that take a stream up: bound to the version that began it, uniform (there is one version only), gone (no machine runs it any more) or unknown.",
+		}, []string{"outcome"}),
+		originsEvicted: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_stream_origins_evicted_total", Help: "Origins of streams dropped for want of room.",
+		}),
+		originsNotCopied: factory.NewCounter(prometheus.CounterOpts{
+			Name: "weldline_ingress_stream_origins_not_copied_total", Help: "Origins of streams that another router did not get.",
+		}),
 		bodies: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "weldline_ingress_response_bodies_total",
 			Help: "Relayed response bodies by framing (length, chunked, close) and end (eof, inside_event: eof within an event of a stream, error).",
--- a/internal/ingress/waiting.go
+++ b/internal/ingress/waiting.go
@@ -49,14 +49,18 @@
 	return j.ingress.dispatcher.Acquire(ctx, j.dispatchRequest)
 }
 
-// updateRegions applies the current region constraint to a queued request. It refuses the request if no
+// updateConstraints applies the current region constraint to a queued request. It refuses the request if no
 // machine may serve it any more.
-func (j *job) updateRegions() {
+func (j *job) updateConstraints() {
 	allowed := j.allowedRegions()
 	if j.unservableProblem(allowed) != nil {
 		j.ingress.dispatcher.Refuse(j.dispatchRequest, dispatch.RefusedRegion)
 		return
 	}
+	if j.isSoftwareGone() {
+		j.ingress.dispatcher.Refuse(j.dispatchRequest, dispatch.RefusedSoftware)
+		return
+	}
 	if allowed.Key() != j.dispatchRequest.Allowed.Key() {
 		j.ingress.dispatcher.SetConstraint(j.dispatchRequest, allowed)
 	}
