placement: load models for streams at the version that began them

Streams ended although workers of their version were left, as none of these had the model: replicas were placed without regard to the software of their machines.

Requests that are bound to a version now count as constrained demand, like those that are bound to regions: the two are one constraint on the machine, from the router's queue over its reports to the planner, which loads the model (and its adapter) on a machine that the constraint allows, and keeps the only replica there while it is used. Such a replica_load has the reason demand-at-software.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -15,9 +15,9 @@
 // AdapterDemand is the demand of all routers for one adapter.
 type AdapterDemand struct {
 	Version, Adapter string
-	// Allowed is the region constraint of the waiting requests. Requests waiting under a constraint are
-	// counted only in the entry for that constraint.
-	Allowed    places.Constraint
+	// Hosts is the constraint on the machines that may serve the waiting requests. Requests waiting under
+	// a constraint are counted only in the entry for that constraint.
+	Hosts      places.HostConstraint
 	Waiting    int
 	OldestWait time.Duration
 	// LastUsed is when a router last reported a request for the adapter.
@@ -30,8 +30,7 @@
 // then.
 const adapterEvictionIdle = 2500 * time.Millisecond
 
-// constrainedAdapterKey identifies the demand for an adapter under a region constraint, given by its
-// key. The key is empty for requests without a constraint.
+// constrainedAdapterKey identifies the demand for an adapter under a constraint, given by its key. The key is empty for requests without a constraint.
 type constrainedAdapterKey struct {
 	adapterKey
 	constraint string
@@ -60,10 +59,10 @@
 				continue
 			}
 			demand := unconstrained
-			if allowed := places.RestrictTo(reported.GetRegions()...); allowed.IsRestrictive() {
-				constrainedKey := constrainedAdapterKey{key, allowed.Key()}
+			if hosts := hostsOf(reported); hosts.IsRestrictive() {
+				constrainedKey := constrainedAdapterKey{key, hosts.Key()}
 				if total[constrainedKey] == nil {
-					total[constrainedKey] = &AdapterDemand{Version: key.version, Adapter: key.adapter, Allowed: allowed, LastUsed: unconstrained.LastUsed, Now: now}
+					total[constrainedKey] = &AdapterDemand{Version: key.version, Adapter: key.adapter, Hosts: hosts, LastUsed: unconstrained.LastUsed, Now: now}
 				}
 				demand = total[constrainedKey]
 				unconstrained.Waiting -= int(reported.GetWaiting()) // The unconstrained entry includes these requests.
@@ -89,7 +88,7 @@
 	case d.Adapter != other.Adapter:
 		return d.Adapter < other.Adapter
 	}
-	return d.Allowed.Key() < other.Allowed.Key()
+	return d.Hosts.Key() < other.Hosts.Key()
 }
 
 // recordAdapterUse updates the time of last use of the adapters in a report. The caller must hold the
@@ -143,7 +142,9 @@
 type adapterHost struct {
 	machine string
 	region  string
-	slots   int
+	// software is the version of the machine's software.
+	software string
+	slots    int
 	// versions has an entry for each version with a ready replica on the machine.
 	versions  map[string]hostedVersion
 	usedSlots int
@@ -170,7 +171,7 @@
 		if r.drained[machine.Spec.Zone] {
 			continue // Machines in a drained zone serve no requests, so their adapters don't count.
 		}
-		host := &adapterHost{machine: name, region: r.places.Region(machine.Spec.Zone), slots: pool.Engine.AdapterSlots, busy: engine.Busy, versions: map[string]hostedVersion{}}
+		host := &adapterHost{machine: name, region: r.places.Region(machine.Spec.Zone), software: machine.Spec.Software, slots: pool.Engine.AdapterSlots, busy: engine.Busy, versions: map[string]hostedVersion{}}
 		for _, adapters := range engine.Models {
 			host.usedSlots += len(adapters)
 		}
@@ -197,7 +198,7 @@
 	var best *adapterHost
 	for _, host := range hosts {
 		version, loaded := host.versions[demand.Version]
-		if !loaded || host.slots == 0 || !demand.Allowed.Allows(host.region) {
+		if !loaded || host.slots == 0 || !demand.Hosts.Allows(host.region, host.software) {
 			continue
 		}
 		if slices.Contains(version.adapters, demand.Adapter) || slices.Contains(version.loading, demand.Adapter) {
--- a/internal/controller/regions_test.go
+++ b/internal/controller/regions_test.go
@@ -26,6 +26,9 @@
 	take("two", 9*time.Second, "a", "b")
 	take("three", 10*time.Second, "c")
 	take("silent", 0, "d")
+	resumed := report("four", 1, 1, 0)
+	resumed.Demand = append(resumed.Demand, &wirepb.ModelDemand{Version: "v", Software: "v1.1", Waiting: 3})
+	table.Add(10*time.Second, resumed)
 	nodes, reports := table.snapshot(10 * time.Second)
 	view := &clusterView{now: 10 * time.Second, nodes: nodes, reports: reports, arrivals: table.arrivalCounts()}
 	demand := view.demand()["v"]
@@ -34,14 +37,14 @@
 	}
 	found := map[string]int{}
 	for _, bound := range demand.Constrained {
-		found[bound.Allowed.Key()] = bound.Waiting
-		if bound.Allowed.Key() == places.RestrictTo("a", "b").Key() {
+		found[bound.Hosts.Key()] = bound.Waiting
+		if bound.Hosts.Key() == places.RestrictTo("a", "b").Key() {
 			if bound.Waiting != 4 || bound.Running != 2 || bound.OldestWait != 1500*time.Millisecond || bound.Priority != 9 {
 				t.Errorf("constrained demand %+v", bound)
 			}
 		}
 	}
-	if len(found) != 2 || found[places.RestrictTo("c").Key()] != 2 {
+	if len(found) != 3 || found[places.HostConstraint{Software: "v1.1"}.Key()] != 3 || found[places.RestrictTo("c").Key()] != 2 {
 		t.Errorf("waiting by constraint: %v", found)
 	}
 }
@@ -79,7 +82,7 @@
 			continue
 		}
 		host := selectAdapterHost([]*adapterHost{red("a", "x"), red("b", "p", "q")}, demand, nil)
-		name := demand.Adapter + " " + demand.Allowed.Key()
+		name := demand.Adapter + " " + demand.Hosts.Key()
 		hosts[name] = ""
 		if host != nil {
 			hosts[name] = host.machine
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/machines"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -100,10 +101,17 @@
 	targetMs uint32
 }
 
-// isPartialDemand reports whether an entry covers only an adapter or a region constraint of its
-// version. The entry of the version includes it.
+// isPartialDemand reports whether an entry covers only an adapter or a constraint of its version. The entry
+// of the version includes it.
 func isPartialDemand(demand *wirepb.ModelDemand) bool {
-	return demand.GetAdapter() != "" || len(demand.GetRegions()) > 0
+	return demand.GetAdapter() != "" || isConstrainedDemand(demand)
+}
+
+// isConstrainedDemand reports whether only some machines may serve the requests of an entry.
+func isConstrainedDemand(demand *wirepb.ModelDemand) bool { return hostsOf(demand).IsRestrictive() }
+
+func hostsOf(demand *wirepb.ModelDemand) places.HostConstraint {
+	return places.HostConstraint{Regions: places.RestrictTo(demand.GetRegions()...), Software: demand.GetSoftware()}
 }
 
 // countArrivals adds the increments of a report's counters to the fleet's. Reports omit versions with
@@ -145,12 +153,12 @@
 func demandGrew(previous, report *wirepb.NodeReport) bool {
 	waiting := map[string]uint32{}
 	for _, demand := range previous.GetDemand() {
-		if len(demand.GetRegions()) == 0 { // Other entries are included in this one.
+		if !isConstrainedDemand(demand) { // Other entries are included in this one.
 			waiting[demand.GetVersion()] = demand.GetWaiting()
 		}
 	}
 	for _, demand := range report.GetDemand() {
-		if len(demand.GetRegions()) == 0 && demand.GetWaiting() > waiting[demand.GetVersion()] {
+		if !isConstrainedDemand(demand) && demand.GetWaiting() > waiting[demand.GetVersion()] {
 			return true
 		}
 	}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -191,6 +191,7 @@
 			Drained:     live && drained,
 			Lost:        declared.Status.Phase == v1.MachineLost,
 			Pool:        declared.Spec.Pool,
+			Software:    declared.Spec.Software,
 			Tiers:       map[string]placement.Tier{},
 		}
 		if machine.Pool != "" && report == nil {
@@ -302,7 +303,7 @@
 	return time.Duration(reported.GetOldestWaitMs())*time.Millisecond + age
 }
 
-// addConstrainedDemand sums the demand reported by live routers by region constraint.
+// addConstrainedDemand sums the demand reported by live routers by constraint.
 func (v *clusterView) addConstrainedDemand(total map[string]*placement.Demand) {
 	for _, entry := range v.nodes {
 		age := v.now - entry.received
@@ -311,10 +312,10 @@
 		}
 		for _, reported := range entry.report.GetDemand() {
 			demand := total[reported.GetVersion()]
-			if len(reported.GetRegions()) == 0 || reported.GetAdapter() != "" || demand == nil {
+			if !isConstrainedDemand(reported) || reported.GetAdapter() != "" || demand == nil {
 				continue
 			}
-			bound := constrainedDemand(demand, places.RestrictTo(reported.GetRegions()...))
+			bound := constrainedDemand(demand, hostsOf(reported))
 			bound.Waiting += int(reported.GetWaiting())
 			bound.Running += int(reported.GetRunning())
 			bound.Priority = max(bound.Priority, reported.GetPriority())
@@ -324,13 +325,13 @@
 }
 
 // constrainedDemand returns a version's demand under a constraint. It adds an entry if there is none.
-func constrainedDemand(demand *placement.Demand, allowed places.Constraint) *placement.ConstrainedDemand {
+func constrainedDemand(demand *placement.Demand, hosts places.HostConstraint) *placement.ConstrainedDemand {
 	for position := range demand.Constrained {
-		if demand.Constrained[position].Allowed.Key() == allowed.Key() {
+		if demand.Constrained[position].Hosts.Key() == hosts.Key() {
 			return &demand.Constrained[position]
 		}
 	}
-	demand.Constrained = append(demand.Constrained, placement.ConstrainedDemand{Allowed: allowed})
+	demand.Constrained = append(demand.Constrained, placement.ConstrainedDemand{Hosts: hosts})
 	return &demand.Constrained[len(demand.Constrained)-1]
 }
 
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -7,9 +7,9 @@
 	"github.com/weldline/weldline/internal/places"
 )
 
-// constrainedDemand is the demand for a version under one region constraint.
+// constrainedDemand is the demand for a version under one constraint on its machines.
 type constrainedDemand struct {
-	allowed  places.Constraint
+	hosts    places.HostConstraint
 	arrivals uint64
 	running  int
 }
@@ -17,15 +17,16 @@
 // constrainedDemandOf returns the entry for a request's constraint, or nil for an unconstrained
 // request.
 func (v *versionState) constrainedDemandOf(request *Request) *constrainedDemand {
-	if !request.Allowed.IsRestrictive() {
+	hosts := request.hosts()
+	if !hosts.IsRestrictive() {
 		return nil
 	}
 	if v.constrained == nil {
 		v.constrained = map[string]*constrainedDemand{}
 	}
-	key := request.Allowed.Key()
+	key := hosts.Key()
 	if v.constrained[key] == nil {
-		v.constrained[key] = &constrainedDemand{allowed: request.Allowed}
+		v.constrained[key] = &constrainedDemand{hosts: hosts}
 	}
 	return v.constrained[key]
 }
@@ -93,6 +94,10 @@
 	d.Priority = max(d.Priority, request.Priority)
 }
 
+func (d Demand) hosts() places.HostConstraint {
+	return places.HostConstraint{Regions: d.Allowed, Software: d.Software}
+}
+
 func (d Demand) less(other Demand) bool {
 	switch {
 	case d.Version != other.Version:
@@ -100,7 +105,7 @@
 	case d.Adapter != other.Adapter:
 		return d.Adapter < other.Adapter
 	}
-	return d.Allowed.Key() < other.Allowed.Key()
+	return d.hosts().Key() < other.hosts().Key()
 }
 
 // adapterDemand returns the demand for a version's adapters, and the waiting requests for each
@@ -120,12 +125,12 @@
 			continue
 		}
 		demand.addWaiting(now, entry.request)
-		if !entry.request.Allowed.IsRestrictive() {
+		if !entry.request.isConstrained() {
 			continue
 		}
-		key := adapterConstraint{entry.request.Adapter, entry.request.Allowed.Key()}
+		key := adapterConstraint{entry.request.Adapter, entry.request.hosts().Key()}
 		if byConstraint[key] == nil {
-			byConstraint[key] = &Demand{Version: name, Adapter: key.adapter, Allowed: entry.request.Allowed}
+			byConstraint[key] = &Demand{Version: name, Adapter: key.adapter, Allowed: entry.request.Allowed, Software: entry.request.Software}
 		}
 		byConstraint[key].addWaiting(now, entry.request)
 	}
@@ -155,7 +160,7 @@
 	demands := make([]Demand, 0, len(v.constrained))
 	for _, constrained := range v.constrained {
 		demand := waiting[constrained]
-		demand.Version, demand.Allowed = name, constrained.allowed
+		demand.Version, demand.Allowed, demand.Software = name, constrained.hosts.Regions, constrained.hosts.Software
 		demand.Arrivals, demand.Running = constrained.arrivals, constrained.running
 		demands = append(demands, demand)
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/weldline/weldline/internal/places"
 )
 
 const (
@@ -136,14 +138,17 @@
 	return allowed > 1
 }
 
-// isConstrained reports whether only some targets of its version may run a request.
-func (r *Request) isConstrained() bool {
-	return r.Allowed.IsRestrictive() || r.Software != ""
+// hosts returns the constraint on the machines that may serve the request.
+func (r *Request) hosts() places.HostConstraint {
+	return places.HostConstraint{Regions: r.Allowed, Software: r.Software}
 }
 
+// isConstrained reports whether only some targets of its version may run a request.
+func (r *Request) isConstrained() bool { return r.hosts().IsRestrictive() }
+
 // mayRunAt reports whether a request may run at a target by its region and the software of its machine.
 func (r *Request) mayRunAt(candidate *target) bool {
-	return r.Allowed.Allows(candidate.Region) && (r.Software == "" || r.Software == candidate.Software)
+	return r.hosts().Allows(candidate.Region, candidate.Software)
 }
 
 // hasCapacity reports whether a target could take a request, regardless of its health.
--- a/internal/dispatch/regions_test.go
+++ b/internal/dispatch/regions_test.go
@@ -28,6 +28,9 @@
 // regionNames are the regions used by the tests; the empty one is an unknown region.
 var regionNames = []string{"a", "b", "c", ""}
 
+// softwareVersions are the versions used by the tests; the empty one is unknown, or any.
+var softwareVersions = []string{"", "v1", "v2"}
+
 // regionModel drives a scheduler with random events and checks the region of each grant.
 type regionModel struct {
 	t         *rapid.T
@@ -51,6 +54,9 @@
 		if !grant.Request.Allowed.Allows(grant.Target.Region) {
 			r.t.Fatalf("a request constrained to %v was granted in region %q", grant.Request.Allowed.Regions(), grant.Target.Region)
 		}
+		if software := grant.Request.Software; software != "" && software != grant.Target.Software {
+			r.t.Fatalf("a request that needs software %q was granted at %q", software, grant.Target.Software)
+		}
 		delete(r.waiting, grant.Request.ID)
 		r.running = append(r.running, grant)
 	}
@@ -68,7 +74,7 @@
 	for number := range rapid.IntRange(0, 6).Draw(r.t, "targets") {
 		targets = append(targets, Target{
 			Replica: "r" + strconv.Itoa(number), Version: "v", Machine: "m" + strconv.Itoa(number%4), MaxConcurrent: 1 + number%2,
-			Region: rapid.SampledFrom(regionNames).Draw(r.t, "region"), Suspect: rapid.Bool().Draw(r.t, "suspect"),
+			Region: rapid.SampledFrom(regionNames).Draw(r.t, "region"), Software: rapid.SampledFrom(softwareVersions).Draw(r.t, "software"), Suspect: rapid.Bool().Draw(r.t, "suspect"),
 		})
 	}
 	r.apply(r.scheduler.SetTargets(r.now, targets))
@@ -79,6 +85,7 @@
 	request := &Request{
 		ID: r.nextID, Version: "v", Priority: int32(r.nextID % 2), Arrived: r.now, Deadline: r.now.Add(time.Minute), Work: 100,
 		PrefixHash: rapid.Uint64Range(0, 3).Draw(r.t, "prefix"), Allowed: r.constraint("route").Intersect(r.constraint("tenant")),
+		Software: rapid.SampledFrom(softwareVersions).Draw(r.t, "needed software"),
 	}
 	r.waiting[request.ID] = request
 	r.apply(r.scheduler.Submit(r.now, request))
@@ -132,7 +139,7 @@
 // Without placed adapters, an unconstrained request at the head of the queue may block the others.
 func (r *regionModel) checkNoneWaits() {
 	first := r.scheduler.version("v").queue.first()
-	if first == nil || !r.scheduler.config.PlacedAdapters && !first.Allowed.IsRestrictive() {
+	if first == nil || !r.scheduler.config.PlacedAdapters && !first.isConstrained() {
 		return
 	}
 	for _, request := range r.waiting {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -155,8 +155,10 @@
 type Demand struct {
 	Version string
 	Adapter string
-	// Allowed is the region constraint of the requests, if any.
+	// Allowed is the region constraint of the requests, if any, and Software the version of the software
+	// that must serve them.
 	Allowed  places.Constraint
+	Software string
 	Waiting  int
 	Running  int
 	Arrivals uint64
--- a/internal/nodeview/targets.go
+++ b/internal/nodeview/targets.go
@@ -159,7 +159,7 @@
 func (n *DemandReporter) Messages(demands []dispatch.Demand) []*wirepb.ModelDemand {
 	var messages []*wirepb.ModelDemand
 	for _, demand := range demands {
-		key := demand.Version + keySeparator + demand.Adapter + keySeparator + demand.Allowed.Key()
+		key := demand.Version + keySeparator + demand.Adapter + keySeparator + demand.Allowed.Key() + keySeparator + demand.Software
 		changed := demand.Waiting > 0 || demand.Running > 0 || demand.Arrivals != n.reported[key]
 		n.reported[key] = demand.Arrivals
 		if changed {
@@ -174,6 +174,6 @@
 		Version: demand.Version, Adapter: demand.Adapter, Waiting: uint32(demand.Waiting), Running: uint32(demand.Running),
 		Arrivals: demand.Arrivals, Work: demand.Work,
 		TargetMs: uint32(demand.TTFTTarget.Milliseconds()), OldestWaitMs: uint32(demand.OldestWait.Milliseconds()), Priority: demand.Priority,
-		Regions: demand.Allowed.Regions(),
+		Regions: demand.Allowed.Regions(), Software: demand.Software,
 	}
 }
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -305,6 +305,8 @@
 	switch {
 	case !pending.urgent:
 		reason = "reserve"
+	case pending.constrained != nil && pending.constrained.Hosts.Software != "":
+		reason = "demand-at-software"
 	case pending.constrained != nil:
 		reason = "demand-in-region"
 	}
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -9,17 +9,17 @@
 	"github.com/weldline/weldline/internal/places"
 )
 
-// Requests with a region constraint can be served only by replicas in the allowed regions. A
-// version therefore needs a replica for each requested constraint, besides those that its load
+// Requests with a constraint can be served only by replicas on some machines: those in the allowed regions,
+// or with the version of the software that began a stream. A version therefore needs a replica for each requested constraint, besides those that its load
 // requires.
 
 // constraintRetention is how long a version keeps its only replica for a constraint after the last
 // request under it.
 const constraintRetention = historyRetention
 
-// ConstrainedDemand is the part of the demand for a version that has the same region constraint.
+// ConstrainedDemand is the part of the demand for a version that has the same constraint.
 type ConstrainedDemand struct {
-	Allowed places.Constraint
+	Hosts   places.HostConstraint
 	Waiting int
 	Running int
 	// OldestWait is the wait of the oldest waiting request.
@@ -29,8 +29,8 @@
 
 // constraintUse is the last use of a constraint in requests for a version.
 type constraintUse struct {
-	allowed places.Constraint
-	last    time.Time
+	hosts places.HostConstraint
+	last  time.Time
 }
 
 // observeConstraints records the requested constraints of each version, and drops outdated ones.
@@ -41,8 +41,8 @@
 			if constraintsOf[version] == nil {
 				constraintsOf[version] = map[string]constraintUse{}
 			}
-			constraintsOf[version][entry.Allowed.Key()] = constraintUse{allowed: entry.Allowed, last: p.input.Now}
-			p.markUsedWithin(version, entry.Allowed)
+			constraintsOf[version][entry.Hosts.Key()] = constraintUse{hosts: entry.Hosts, last: p.input.Now}
+			p.markUsedWithin(version, entry.Hosts)
 		}
 	}
 	for version, constraints := range constraintsOf {
@@ -58,18 +58,23 @@
 }
 
 // markUsedWithin marks as used one ready replica that the constraint allows.
-func (p *pass) markUsedWithin(version string, allowed places.Constraint) {
+func (p *pass) markUsedWithin(version string, hosts places.HostConstraint) {
 	for _, replica := range p.byVersion[version] {
-		if replica.Spec.Phase == v1.ReplicaReady && allowed.Allows(p.input.Machines[replica.Spec.Machine].Region) {
+		if replica.Spec.Phase == v1.ReplicaReady && p.input.Machines[replica.Spec.Machine].isWithin(hosts) {
 			p.planner.lastUsed[replica.Name] = p.input.Now
 			return
 		}
 	}
 }
 
+// isWithin reports whether a constraint allows a machine.
+func (m *Machine) isWithin(hosts places.HostConstraint) bool {
+	return hosts.Allows(m.Region, m.Software)
+}
+
 // canRunOn reports whether a machine may host the pending replica.
 func (r *pendingReplica) canRunOn(candidate *machineState) bool {
-	return candidate.canHost(r.version) && (r.constrained == nil || r.constrained.Allowed.Allows(candidate.machine.Region))
+	return candidate.canHost(r.version) && (r.constrained == nil || candidate.machine.isWithin(r.constrained.Hosts))
 }
 
 // constrainedReplicas lists the replicas for waiting requests that no loading or ready replica may
@@ -79,19 +84,22 @@
 		return nil
 	}
 	waiting := slices.DeleteFunc(slices.Clone(demand.Constrained), func(entry ConstrainedDemand) bool {
-		return entry.Waiting == 0 || p.hasAllowedReplica(version, entry.Allowed, nil)
+		return entry.Waiting == 0 || p.hasAllowedReplica(version, entry.Hosts, nil)
 	})
 	sort.Slice(waiting, func(i, j int) bool {
-		left, right := waiting[i].Allowed, waiting[j].Allowed
-		if len(left.Regions()) != len(right.Regions()) {
-			return len(left.Regions()) < len(right.Regions())
+		left, right := waiting[i].Hosts, waiting[j].Hosts
+		if (left.Software == "") != (right.Software == "") {
+			return left.Software != ""
+		}
+		if len(left.Regions.Regions()) != len(right.Regions.Regions()) {
+			return len(left.Regions.Regions()) < len(right.Regions.Regions())
 		}
 		return left.Key() < right.Key()
 	})
 	var pending []pendingReplica
 	for position := range waiting {
 		entry := &waiting[position]
-		if slices.ContainsFunc(pending, func(other pendingReplica) bool { return isSubset(other.constrained.Allowed, entry.Allowed) }) {
+		if slices.ContainsFunc(pending, func(other pendingReplica) bool { return other.constrained.Hosts.IsWithin(entry.Hosts) }) {
 			continue
 		}
 		pending = append(pending, pendingReplica{
@@ -109,22 +117,12 @@
 	return float64(entry.Waiting) + share*p.planner.work.rates[version.Name]/minSpreadRate
 }
 
-// isSubset reports whether every region that one constraint allows is allowed by the other.
-func isSubset(narrow, wide places.Constraint) bool {
-	for _, region := range narrow.Regions() {
-		if !wide.Allows(region) {
-			return false
-		}
-	}
-	return true
-}
-
 // hasAllowedReplica reports whether a version has a loading or ready replica, other than the
 // excluded one, on a schedulable machine that the constraint allows.
-func (p *pass) hasAllowedReplica(version *Version, allowed places.Constraint, excluded *Replica) bool {
+func (p *pass) hasAllowedReplica(version *Version, hosts places.HostConstraint, excluded *Replica) bool {
 	for _, replica := range p.byVersion[version.Name] {
 		machine := p.input.Machines[replica.Spec.Machine]
-		if replica != excluded && machine.Schedulable && allowed.Allows(machine.Region) {
+		if replica != excluded && machine.Schedulable && machine.isWithin(hosts) {
 			return true
 		}
 	}
@@ -136,7 +134,7 @@
 func (p *pass) isOnlyAllowed(replica *Replica, version *Version) bool {
 	for _, use := range p.planner.constraints[version.Name] {
 		machine := p.input.Machines[replica.Spec.Machine]
-		if use.allowed.Allows(machine.Region) && !p.hasAllowedReplica(version, use.allowed, replica) {
+		if machine.isWithin(use.hosts) && !p.hasAllowedReplica(version, use.hosts, replica) {
 			return true
 		}
 	}
--- a/internal/placement/regions_test.go
+++ b/internal/placement/regions_test.go
@@ -25,7 +25,7 @@
 func setConstrainedWaiting(input *Input, version string, requests int, regions ...string) {
 	setWaiting(input, version, requests)
 	demand := input.Demand[version]
-	demand.Constrained = append(demand.Constrained, ConstrainedDemand{Allowed: places.RestrictTo(regions...), Waiting: requests, OldestWait: time.Second})
+	demand.Constrained = append(demand.Constrained, ConstrainedDemand{Hosts: places.HostConstraint{Regions: places.RestrictTo(regions...)}, Waiting: requests, OldestWait: time.Second})
 }
 
 // clearMachine removes all replicas from a machine.
@@ -54,6 +54,24 @@
 	expectActions(t, describe(newPoolPlanner().Decide(input)))
 }
 
+// TestResumedStreamsLoadAtTheirSoftware guards against streams that can't go on although machines with the version
+// of the software that began them are there.
+func TestResumedStreamsLoadAtTheirSoftware(t *testing.T) {
+	input := fullRegionInput("a", "a", "a")
+	input.Machines["m0"].Software, input.Machines["m1"].Software, input.Machines["m2"].Software = "v1", "v1.1", ""
+	clearMachine(input, "m1")
+	clearMachine(input, "m2")
+	setWaiting(input, "v0", 1)
+	input.Demand["v0"].Constrained = []ConstrainedDemand{{Hosts: places.HostConstraint{Software: "v1.1"}, Waiting: 1, OldestWait: time.Second}}
+	decision := newPoolPlanner().Decide(input)
+	expectActions(t, describe(decision), "load v0 on m1")
+	if decision.Actions[0].Reason != "demand-at-software" {
+		t.Errorf("reason %s", decision.Actions[0].Reason)
+	}
+	input.Demand["v0"].Constrained[0].Hosts.Software = "v2"
+	expectActions(t, describe(newPoolPlanner().Decide(input)))
+}
+
 // TestNoLoadOutsideAllowedRegion checks that nothing is loaded if no machine is in the allowed
 // region.
 func TestNoLoadOutsideAllowedRegion(t *testing.T) {
@@ -111,7 +129,7 @@
 			input.Machines["m1"].AcceleratorBytes = 50
 			planner := newPoolPlanner()
 			if test.requested {
-				input.Demand["v0"] = &Demand{Constrained: []ConstrainedDemand{{Allowed: places.RestrictTo("b"), Running: 1}}}
+				input.Demand["v0"] = &Demand{Constrained: []ConstrainedDemand{{Hosts: places.HostConstraint{Regions: places.RestrictTo("b")}, Running: 1}}}
 			}
 			planner.Decide(input)
 			if test.requested && !test.stillRequested {
@@ -152,7 +170,7 @@
 		input.Replicas = slices.DeleteFunc(input.Replicas, func(replica *Replica) bool { return replica.Name == "v0.m0" })
 		planner := newPoolPlanner()
 		if constrained {
-			input.Demand["v0"] = &Demand{Constrained: []ConstrainedDemand{{Allowed: places.RestrictTo("b"), Running: 1}}}
+			input.Demand["v0"] = &Demand{Constrained: []ConstrainedDemand{{Hosts: places.HostConstraint{Regions: places.RestrictTo("b")}, Running: 1}}}
 		}
 		planner.Decide(input)
 		evicted := false
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -73,6 +73,8 @@
 	Fence uint64
 	// Pool is the pool of a registered machine; empty if the machine is not registered.
 	Pool string
+	// Software is the version of the machine's software; empty if unknown.
+	Software string
 	// ReducedFor is the remaining time for which the machine has reduced capacity, because it is
 	// warming up or has reported a limit. ReducedRate is its capacity until then, in requests per
 	// second.
@@ -117,7 +119,7 @@
 	FirstTokenTarget time.Duration
 	OldestWait       time.Duration
 	Priority         int32
-	// Constrained is the part of the demand that has a region constraint, by constraint.
+	// Constrained is the part of the demand that only some machines may serve, by constraint.
 	Constrained []ConstrainedDemand
 	// Regions is the number of waiting and running requests by the region of their routers; nil if
 	// no region is known.
--- a/internal/placement/want.go
+++ b/internal/placement/want.go
@@ -82,7 +82,7 @@
 	case r.version.Name != other.version.Name:
 		return r.version.Name < other.version.Name
 	}
-	return r.constrained != nil && other.constrained != nil && r.constrained.Allowed.Key() < other.constrained.Allowed.Key()
+	return r.constrained != nil && other.constrained != nil && r.constrained.Hosts.Key() < other.constrained.Hosts.Key()
 }
 
 // score is the response ratio: waiting time plus load time, over load time. Short loads go first,
