--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -53,6 +53,7 @@
 	{"partitioned-routers", unservedPartitions},
 	{"brittle-machines", brittleFalls},
 	{"regions", arrivalsInForbiddenRegions},
+	{"stream-versions", mixedStreams},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
 	{"recovery", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Unserved }},
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -66,6 +66,9 @@
 				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m1", At: at * time.Millisecond, Warming: true})
 			}
 		},
+		"stream-versions": func(h *History) {
+			h.Streams = append(h.Streams, Stream{Root: "once", Versions: []string{"v1", "v2"}})
+		},
 		"machine-limits": func(h *History) {
 			for at := range 12 {
 				h.Arrivals = append(h.Arrivals, Arrival{Request: "again", Machine: "m3", At: time.Duration(at) * 360 * time.Millisecond, Limit: 1})
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -116,7 +116,9 @@
 	Falls      []Fall
 	// CutStreams is the number of streams that machines ended within an event.
 	CutStreams int
-	Orders     []Order
+	// Streams are the resumable streams that began.
+	Streams []Stream
+	Orders  []Order
 	// Ignored are orders that no control node acknowledged despite retries; Acknowledged is when the operator
 	// gave up.
 	Ignored []Order
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -25,3 +28,32 @@
 	}
 	return MergePlans(series(), series())
 }
+
+// Stream is a resumable stream that began, as its client received it over one or more requests.
+type Stream struct {
+	// Root is the attempt that brought its first event.
+	Root string
+	// Versions are the versions of the machines' software whose events it holds.
+	Versions []string
+	// TakenUp is how often the client took it up.
+	TakenUp  int
+	Finished bool
+}
+
+// AddVersion adds a version whose event was received.
+func (s *Stream) AddVersion(software string) {
+	if !slices.Contains(s.Versions, software) {
+		s.Versions = append(s.Versions, software)
+	}
+}
+
+// mixedStreams finds streams that hold events of several versions of the machines' software.
+func mixedStreams(history *History, _ Bounds, _ []Disturbance) []string {
+	var found []string
+	for _, stream := range history.Streams {
+		if len(stream.Versions) > 1 {
+			found = append(found, fmt.Sprintf("the stream that %s began holds events of %s", stream.Root, strings.Join(stream.Versions, ", ")))
+		}
+	}
+	return found
+}
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -27,3 +27,15 @@
 		t.Error("no two machines cut streams off at once")
 	}
 }
+
+func TestMixedStreamsAreFound(t *testing.T) {
+	history := &History{Streams: []Stream{{Root: "a", TakenUp: 2}, {Root: "b", TakenUp: 1}, {Root: "c"}}}
+	for _, software := range []string{"v1", "v1", "v2"} {
+		history.Streams[1].AddVersion(software)
+	}
+	history.Streams[0].AddVersion("v1")
+	found := mixedStreams(history, Bounds{}, nil)
+	if len(found) != 1 || found[0] != "the stream that b began holds events of v1, v2" {
+		t.Errorf("found %q", found)
+	}
+}
