ingress: a machine's response can't replace the result of a forwarded request

A response with the header Weldline-Forward-Result overwrote the router's own, so that the router that had forwarded the request could not read it and answered 502, and the header reached clients. TestMachinesCannotPoseAsRouters failed before.

--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// TestMachinesCannotPoseAsRouters guards against a machine's response that replaces the result of its router.
+func TestMachinesCannotPoseAsRouters(t *testing.T) {
+	machine := newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
+		return write(connection, strings.Replace(ok(request, "fine"), headerSeal, headerForwardResult+": bm9uZQ==\r\n"+headerSeal, 1))
+	})
+	cut, other := newCutRouter(t, "cut"), newDeployment(t)
+	cut.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	cut.knowRouters("other z " + other.acceptForwards())
+	for position, router := range []*deployment{cut, other} {
+		got := router.send(http.MethodPost, "/a/b", "id-"+strconv.Itoa(position), "body")
+		if got.status != http.StatusOK || got.body != "fine" || got.header.Get(headerForwardResult) != "" {
+			t.Errorf("router %d answers %+v", position, got)
+		}
+	}
+}
+
 // TestCallersCannotPoseAsRouters guards against a caller that skips authentication with the header of
 // forwarded requests.
 func TestCallersCannotPoseAsRouters(t *testing.T) {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -138,11 +138,12 @@
 
 // writeHeader sends the status and header to the client.
 func (j *job) writeHeader(status int, endToEnd http.Header, framing framing) {
-	j.setForwardResult(wirepb.ForwardedResult_OUTCOME_ANSWERED, framing.kind == upstream.FramingClose)
 	header := j.writer.Header()
 	for name, values := range endToEnd {
 		header[name] = values
 	}
+	header.Del(headerForwardResult)
+	j.setForwardResult(wirepb.ForwardedResult_OUTCOME_ANSWERED, framing.kind == upstream.FramingClose)
 	j.beginBody(framing)
 	j.headerSent = true
 	j.writer.WriteHeader(status)
