ingress: callers can't write messages about the origins of streams

The header that marks such a message was forwarded from a caller's request, so that another router took the request for one: the caller got 400, and could have recorded origins of its choice. TestCallersCannotRecordOrigins failed before.

--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -22,6 +22,7 @@
 const (
 	headerForward       = "Weldline-Forward"
 	headerForwardResult = "Weldline-Forward-Result"
+	headerStreamOrigins = "Weldline-Stream-Origins"
 )
 
 // newCutRouter returns a router that can't connect to any machine.
@@ -142,6 +143,26 @@
 	}
 }
 
+// TestCallersCannotRecordOrigins guards against a caller whose request, forwarded by its router, is taken for a message
+// about the origins of streams.
+func TestCallersCannotRecordOrigins(t *testing.T) {
+	machine := newRawMachine(t, respondOK)
+	cut, other := newCutRouter(t, "cut"), newDeployment(t)
+	cut.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	cut.knowRouters("other z " + other.acceptForwards())
+	for position, router := range []*deployment{cut, other} {
+		if got := router.send(http.MethodPost, "/a/b", "id-"+strconv.Itoa(position), "body", headerStreamOrigins, "1"); got.status != http.StatusOK {
+			t.Errorf("router %d answers %+v", position, got)
+		}
+	}
+	for _, seen := range machine.requests() {
+		if seen.header.Get(headerStreamOrigins) != "" {
+			t.Error("the header is passed on to the machine")
+		}
+	}
+}
+
 // TestForwardHandlerRejectsOtherRequests checks that the listener for routers serves nothing else.
 func TestForwardHandlerRejectsOtherRequests(t *testing.T) {
 	machine := newRawMachine(t, respondOK)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -339,7 +339,9 @@
 // ServeHTTP implements http.Handler. Unlike http.ServeMux it does not clean the
 // path, which machines must get unchanged.
 func (i *Ingress) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	request.Header.Del(headerForward) // Only other routers may set it, on their own listener.
+	// Only other routers may set these, on their own listener.
+	request.Header.Del(headerForward)
+	request.Header.Del(headerStreamOrigins)
 	i.handle(i.newJob(writer, request))
 }
 
