--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// nextGrant returns the first request that can be granted. Requests that wait for a placed adapter
+// nextGrant returns the first request that can be granted. Requests that wait for a placed adapter,
 // for their regions or for their software don't block the others.
 func (s *Scheduler) nextGrant(now time.Time, version *versionState) (*Request, *target) {
 	first := version.queue.first()
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // Reachability is a property of the path between this router and a machine. Other routers may reach a
 // machine that this one can't, so a request that only has unreachable targets is refused at once if it
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -11,36 +11,36 @@
 	"github.com/weldline/weldline/internal/upstream"
 )
 
-// framing is how the body of a response to a client is framed. A router marks the end of a body only if
+// bodyFraming is how the body of a response to a client is framed. A router marks the end of a body only if
 // it knows that the body is complete.
-type framing struct {
+type bodyFraming struct {
 	kind upstream.Framing
 	// length is the length stated to the client, -1 for none. Only a body of kind FramingLength has one.
 	length int64
 }
 
 // unmarkedEnd is the framing of a body that ends with its connection.
-var unmarkedEnd = framing{kind: upstream.FramingClose, length: -1}
+var unmarkedEnd = bodyFraming{kind: upstream.FramingClose, length: -1}
 
 var errInsideEvent = fault.Protocol.New("the stream ended within an event")
 
 // framingOf returns the framing to relay a response with.
-func framingOf(response *upstream.Response) framing {
+func framingOf(response *upstream.Response) bodyFraming {
 	switch {
 	case response.Framing == upstream.FramingClose:
 		return unmarkedEnd
 	case response.Framing == upstream.FramingLength && response.Body != http.NoBody && eventstream.IsEventStream(response.Header):
 		// With a length, a stream that ends within an event would look complete.
-		return framing{kind: upstream.FramingChunked, length: -1}
+		return bodyFraming{kind: upstream.FramingChunked, length: -1}
 	case response.Header.Get("Content-Length") == "":
-		return framing{kind: response.Framing, length: -1}
+		return bodyFraming{kind: response.Framing, length: -1}
 	}
-	return framing{kind: response.Framing, length: response.ContentLength}
+	return bodyFraming{kind: response.Framing, length: response.ContentLength}
 }
 
 // beginBody sets the headers that frame the body of the response to the client. If the response will end
 // with the client's connection, a close of the connection before endBody resets it, whatever closes it.
-func (j *job) beginBody(framing framing) {
+func (j *job) beginBody(framing bodyFraming) {
 	if framing.length >= 0 {
 		j.writer.Header().Set("Content-Length", strconv.FormatInt(framing.length, 10))
 		return
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -67,7 +67,7 @@
 type errorResponse struct {
 	status  int
 	header  http.Header
-	framing framing
+	framing bodyFraming
 	body    []byte
 }
 
@@ -83,7 +83,7 @@
 		status: response.Status, header: upstream.EndToEndHeaders(response.Header), framing: framingOf(response), body: body,
 	}
 	if saved.framing.kind != upstream.FramingClose {
-		saved.framing = framing{kind: upstream.FramingLength, length: int64(len(body))}
+		saved.framing = bodyFraming{kind: upstream.FramingLength, length: int64(len(body))}
 	}
 	j.savedError = saved
 }
@@ -102,7 +102,7 @@
 
 // relay copies the header and the body of a response to the client. The client sees the response
 // as complete only if its machine marked the end, and as broken off if it was cut off.
-func (j *job) relay(ctx context.Context, response *upstream.Response, framing framing, observer connectionObserver) attemptOutcome {
+func (j *job) relay(ctx context.Context, response *upstream.Response, framing bodyFraming, observer connectionObserver) attemptOutcome {
 	j.writeHeader(response.Status, upstream.EndToEndHeaders(response.Header), framing)
 	controller := http.NewResponseController(j.writer)
 	if j.route.Spec.Kind == v1.RouteStream {
@@ -137,7 +137,7 @@
 }
 
 // writeHeader sends the status and header to the client.
-func (j *job) writeHeader(status int, endToEnd http.Header, framing framing) {
+func (j *job) writeHeader(status int, endToEnd http.Header, framing bodyFraming) {
 	header := j.writer.Header()
 	for name, values := range endToEnd {
 		header[name] = values
--- a/internal/placement/regions.go
+++ b/internal/placement/regions.go
@@ -9,9 +9,9 @@
 	"github.com/weldline/weldline/internal/places"
 )
 
-// Requests with a constraint can be served only by replicas on some machines: those in the allowed regions,
-// or with the version of the software that began a stream. A version therefore needs a replica for each requested constraint, besides those that its load
-// requires.
+// Requests with a constraint can be served only by replicas on some machines: those in the allowed
+// regions, or those that run the version of the software that began a stream. A version therefore needs
+// a replica for each requested constraint, besides those that its load requires.
 
 // constraintRetention is how long a version keeps its only replica for a constraint after the last
 // request under it.
