ingress: notice paths that accept connections and carry nothing

At a router behind a network that accepts connections and carries nothing, or resets them once something is written, none of 100 pairs of requests was served, while other routers served with the same machines. Opening a connection was taken for proof of a path: it ended the router's isolation, or kept it from being noticed.

A probe is now a request on a new connection, to which any response will do. If machines accept connections and don't respond they may also be paused; another router probes them, and only those that respond there count as machines without a path here.

--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -21,6 +21,10 @@
 			i.origins.serve(writer, request)
 			return
 		}
+		if request.Header.Get(headerPathCheck) != "" {
+			i.servePathCheck(writer, request)
+			return
+		}
 		forwarded, err := decodeHeader(request.Header.Get(headerForward), &wirepb.ForwardedRequest{})
 		if err != nil {
 			i.options.Logger.Warn("forward_refused", "remote", request.RemoteAddr, "error", err.Error())
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,8 +21,9 @@
 
 // forwarder sends requests to other routers. It is safe for concurrent use.
 type forwarder struct {
-	node string
-	pool *upstream.Pool
+	node   string
+	logger *slog.Logger
+	pool   *upstream.Pool
 
 	mutex    sync.Mutex
 	selector *forwarding.Selector
@@ -29,7 +31,7 @@
 
 func newForwarder(options Options) *forwarder {
 	return &forwarder{
-		node: options.Node, selector: forwarding.NewSelector(rand.IntN),
+		node: options.Node, logger: options.Logger, selector: forwarding.NewSelector(rand.IntN),
 		pool: upstream.NewPool(upstream.Config{
 			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: options.DialRouter,
 		}),
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -61,6 +61,8 @@
 	return ingress.Attributes{ID: header.Get(headerID), Timeout: wait, Model: header.Get(headerModel), Key: header.Get(headerKey)}
 }
 
+func (translator) ProbeTarget() string { return "/probe" }
+
 func (t translator) Prepare(header http.Header, attempt ingress.Attempt) {
 	if call := t.beforeSend.Swap(nil); call != nil {
 		(*call)()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -118,11 +118,12 @@
 	}
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: options.Dial})
 	routing := dispatcher.New(config, options.RequestReport)
+	others := newForwarder(options)
 	return &Ingress{
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths), forwarder: newForwarder(options), origins: newOriginKeeper(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -342,6 +343,7 @@
 	// Only other routers may set these, on their own listener.
 	request.Header.Del(headerForward)
 	request.Header.Del(headerStreamOrigins)
+	request.Header.Del(headerPathCheck)
 	i.handle(i.newJob(writer, request))
 }
 
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/paths"
 	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
@@ -17,6 +16,8 @@
 	pool    *upstream.Pool
 	// publish is called with the machines without a path, and whether no path works, after each change.
 	publish func(unreachable map[string]bool, isolated bool)
+	// askRouters returns those of some machines that respond to another router.
+	askRouters func(ctx context.Context, machines []string) (responding []string)
 	// wake ends the monitor's rest.
 	wake chan struct{}
 
@@ -25,8 +26,8 @@
 	silence paths.Silence
 }
 
-func newPathMonitor(options Options, pool *upstream.Pool, publish func(unreachable map[string]bool, isolated bool)) *pathMonitor {
-	return &pathMonitor{options: options, pool: pool, publish: publish, tracker: paths.NewTracker(), wake: make(chan struct{}, 1)}
+func newPathMonitor(options Options, pool *upstream.Pool, publish func(unreachable map[string]bool, isolated bool), askRouters func(context.Context, []string) []string) *pathMonitor {
+	return &pathMonitor{options: options, pool: pool, publish: publish, askRouters: askRouters, tracker: paths.NewTracker(), wake: make(chan struct{}, 1)}
 }
 
 // isIsolated reports whether no path seems to work.
@@ -180,33 +181,86 @@
 	return due, silent, time.After(monitorInterval)
 }
 
-// checkSilence connects to one machine and, if that fails, to the others.
+// probeResult is what a probe found.
+type probeResult int
+
+const (
+	// probeUnconnected: no connection could be opened.
+	probeUnconnected probeResult = iota
+	// probeUnanswered: a connection was opened, and nothing came back on it.
+	probeUnanswered
+	probeAnswered
+)
+
+// checkSilence probes one machine and, if that fails, the others. Machines that accept connections and don't
+// respond may be paused, or the paths to them carry nothing; if another router gets responses from them it is
+// the paths.
 func (m *pathMonitor) checkSilence(ctx context.Context, machines []string) {
-	if m.probe(ctx, machines[0]) {
+	started := time.Now()
+	if m.probeSilent(ctx, machines[0], started) == probeAnswered {
 		return
 	}
+	unanswered := []string{machines[0]}
+	var mutex sync.Mutex
 	var others sync.WaitGroup
 	for _, machine := range machines[1:] {
-		others.Go(func() { m.probe(ctx, machine) })
+		others.Go(func() {
+			if m.probeSilent(ctx, machine, started) != probeAnswered {
+				mutex.Lock()
+				defer mutex.Unlock()
+				unanswered = append(unanswered, machine)
+			}
+		})
 	}
 	others.Wait()
+	if len(unanswered) < len(machines) || ctx.Err() != nil {
+		return
+	}
+	for _, machine := range m.askRouters(ctx, unanswered) {
+		m.notConnected(machine)
+	}
 }
 
-// probe opens a connection to a machine and records the result.
-func (m *pathMonitor) probe(ctx context.Context, machine string) (connected bool) {
+// probeSilent probes a machine and records the result, unless only its response is missing.
+func (m *pathMonitor) probeSilent(ctx context.Context, machine string, started time.Time) probeResult {
+	result := m.exchange(ctx, machine)
+	if ctx.Err() == nil && result != probeUnanswered {
+		m.update(machine, func(now time.Time) paths.Change {
+			return m.tracker.EndProbe(now, machine, started, result == probeAnswered)
+		})
+	}
+	return result
+}
+
+// probe probes the path to a machine that is down, and records the result.
+func (m *pathMonitor) probe(ctx context.Context, machine string) {
 	started := time.Now()
-	err := m.connect(ctx, machine)
+	result := m.exchange(ctx, machine)
 	if ctx.Err() != nil {
-		return false
+		return
 	}
-	m.update(machine, func(now time.Time) paths.Change { return m.tracker.EndProbe(now, machine, started, err == nil) })
-	return err == nil
+	m.update(machine, func(now time.Time) paths.Change {
+		return m.tracker.EndProbe(now, machine, started, result == probeAnswered)
+	})
 }
 
-func (m *pathMonitor) connect(ctx context.Context, machine string) error {
+// probeTimeout bounds a probe, including its connection.
+const probeTimeout = 400 * time.Millisecond
+
+// exchange sends a probe to a machine.
+func (m *pathMonitor) exchange(ctx context.Context, machine string) probeResult {
 	listed, known := m.options.View.Machine(machine)
 	if !known {
-		return fault.Unavailable.New("machine %s is not listed", machine)
+		return probeUnconnected
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	connected, err := m.pool.Probe(ctx, machine, upstream.AddressOf(listed.Spec.Endpoint), m.options.Translator.ProbeTarget())
+	switch {
+	case err == nil:
+		return probeAnswered
+	case connected:
+		return probeUnanswered
 	}
-	return m.pool.Probe(ctx, machine, upstream.AddressOf(listed.Spec.Endpoint))
+	return probeUnconnected
 }
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -78,4 +78,6 @@
 	Prepare(header http.Header, attempt Attempt)
 	// Interpret interprets the response to the request with the given ID.
 	Interpret(status int, response http.Header, id string) Verdict
+	// ProbeTarget is the path of a GET request to which machines respond without running anything.
+	ProbeTarget() string
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -103,28 +105,23 @@
 	return nil
 }
 
-// probeHold is how long a probe's connection must stay open. Some network paths accept a connection and
-// close it at once.
-const probeHold = 30 * time.Millisecond
-
-// Probe checks the path to a machine by opening a connection, which it keeps as an idle one.
-func (p *Pool) Probe(ctx context.Context, machine, address string) error {
-	opened, err := p.acquire(ctx, machine, address, true)
-	if err != nil {
-		return err
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(probeHold):
+// Probe checks the path to a machine by a request on a new connection, to which any response will do: some
+// network paths accept connections and carry nothing. connected reports whether there was a connection.
+func (p *Pool) Probe(ctx context.Context, machine, address, target string) (connected bool, err error) {
+	response, failure, err := p.Do(ctx, &Request{
+		Machine: machine, Address: address, Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}, NewConnection: true,
+	})
+	if failure != FailureNone {
+		return failure != FailureConnect, err
 	}
-	if !opened.hasNoInput() {
-		_ = opened.network.Close()
-		return fault.Unavailable.New("machine %s closed a new connection", machine)
-	}
-	p.putIdle(opened, 0)
-	return nil
+	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes))
+	response.Close()
+	return true, nil
 }
 
+// maxProbeBytes bounds what is read of a response to a probe, to reuse its connection.
+const maxProbeBytes = 4 << 10
+
 // DropIdle closes all idle connections.
 func (p *Pool) DropIdle() {
 	p.Retain(func(string) bool { return false })
