node: say at the start that ingress.forward is not set

A deployment that carries its settings over gets neither the service of isolated routers nor the exchange of origins, and nothing said so. A default was weighed: an address that other routers reach and callers don't can't be guessed, so there is none, and a warning instead.

--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -86,6 +86,8 @@
 		if err := r.node.servePeers(ctx, address, r.ingress.ForwardHandler()); err != nil {
 			return err
 		}
+	} else {
+		r.node.logger.Warn("forwarding_disabled", "setting", "ingress.forward")
 	}
 	return r.node.serveFeed(ctx, r.node.settings.Ingress.Listen, r.server.Serve)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,9 +116,9 @@
 	Listen string `yaml:"listen"`
 	// Ready is the address of the readiness check for load balancers.
 	Ready string `yaml:"ready"`
-	// Forward is the address on which the node accepts requests from other ingress nodes that have no
-	// path to a machine. It must be reachable for ingress nodes, but not for callers. Default: none; the
-	// node accepts no such requests.
+	// Forward is the address on which the node accepts messages from other ingress nodes: requests for which they have
+	// no path to a machine, where streams began, and which machines respond. It must be reachable for ingress nodes,
+	// but not for callers. Default: none; the node accepts no messages.
 	Forward string `yaml:"forward"`
 	// Source is the local IP address of connections to machines. Default: chosen by the system.
 	Source string `yaml:"source"`
