ingress: a pause of the machines that has just ended is no lost path

All machines had stood still for more than 0.4 s on an overloaded host. Each router's probes failed, another router's a moment later did not, and all three concluded that their paths carried nothing; one forwarded the request to the router that really was partitioned.

What responds elsewhere is now probed here once more, after the other router's answer.

--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -61,7 +61,9 @@
 	return ingress.Attributes{ID: header.Get(headerID), Timeout: wait, Model: header.Get(headerModel), Key: header.Get(headerKey)}
 }
 
-func (translator) ProbeTarget() string { return "/probe" }
+const probeTarget = "/probe"
+
+func (translator) ProbeTarget() string { return probeTarget }
 
 func (t translator) Prepare(header http.Header, attempt ingress.Attempt) {
 	if call := t.beforeSend.Swap(nil); call != nil {
@@ -315,6 +317,8 @@
 type rawMachine struct {
 	address  string
 	listener net.Listener
+	// probe responds to probes, which are not recorded. By default they are answered at once.
+	probe    atomic.Pointer[responseScript]
 	mutex    sync.Mutex
 	received []receivedRequest
 }
@@ -389,6 +393,16 @@
 		seen := receivedRequest{
 			method: request.Method, target: request.RequestURI, host: request.Host, body: string(body), header: request.Header,
 		}
+		if seen.target == probeTarget {
+			respondToProbe := respondOK
+			if script := m.probe.Load(); script != nil {
+				respondToProbe = *script
+			}
+			if !respondToProbe(seen, 0, connection) {
+				return
+			}
+			continue
+		}
 		m.mutex.Lock()
 		m.received = append(m.received, seen)
 		number := len(m.received)
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		if len(reply.GetResponding()) > 0 {
-			f.logger.Warn("paths_carry_nothing", "router", router.Node, "machines", reply.GetResponding())
+			f.logger.Info("machines_respond_elsewhere", "router", router.Node, "machines", reply.GetResponding())
 			return reply.GetResponding()
 		}
 	}
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -216,8 +217,16 @@
 	if len(unanswered) < len(machines) || ctx.Err() != nil {
 		return
 	}
-	for _, machine := range m.askRouters(ctx, unanswered) {
-		m.notConnected(machine)
+	// The machines may have been paused until just now, so what responds elsewhere is probed once more.
+	elsewhere := m.askRouters(ctx, unanswered)
+	here := m.responding(ctx, elsewhere)
+	if ctx.Err() != nil {
+		return
+	}
+	for _, machine := range elsewhere {
+		if !slices.Contains(here, machine) {
+			m.notConnected(machine)
+		}
 	}
 }
 
