ingress: a digest that is older than a machine proves no single version

Under load TestStreamsOfLostRouterKeepTheirVersion failed once in a way that callers would have seen: 18 of 24 streams went on at another version. The routers had no record of the streams, and the last digest was from when machines of one version only had registered, so that it called the pool uniform. A router now also looks at the machines that it knows itself, which reach it sooner.

Messages between routers are sent and answered in one place.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -10,6 +10,9 @@
 	return i.permits.warming.machines()
 }
 
+// KnowsSoftware reports whether a digest has described the software of the pools.
+func (i *Ingress) KnowsSoftware() bool { return i.origins.software.Load().isKnown }
+
 // KnowsRouters reports whether the ingress knows a number of other routers.
 func (i *Ingress) KnowsRouters(count int) bool {
 	i.forwarder.mutex.Lock()
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -47,7 +47,9 @@
 	headerLimit    = "Test-Limit"
 	headerBackOff  = "Test-Back-Off"
 	// headerLeaving announces a shutdown, whatever its value.
-	headerLeaving = "Test-Leaving"
+	headerLeaving   = "Test-Leaving"
+	headerResumes   = "Test-Resumes"
+	headerLastEvent = "Test-Last-Event"
 )
 
 // translator is a fake of a platform's Translator.
@@ -58,7 +60,10 @@
 
 func (translator) Describe(header http.Header) ingress.Attributes {
 	wait, _ := time.ParseDuration(header.Get(headerWait))
-	return ingress.Attributes{ID: header.Get(headerID), Timeout: wait, Model: header.Get(headerModel), Key: header.Get(headerKey)}
+	return ingress.Attributes{
+		ID: header.Get(headerID), Timeout: wait, Model: header.Get(headerModel), Key: header.Get(headerKey),
+		Resumes: header.Get(headerResumes), LastEvent: header.Get(headerLastEvent),
+	}
 }
 
 const probeTarget = "/probe"
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -13,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/streamorigin"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -22,8 +21,7 @@
 const (
 	// headerStreamOrigins marks a wirepb.StreamOriginsRequest from another router.
 	headerStreamOrigins = "Weldline-Stream-Origins"
-	// maxOriginsBytes bounds a message between routers, maxOriginsPerMessage its records.
-	maxOriginsBytes      = 256 << 10
+	// maxOriginsPerMessage keeps a message below maxRouterMessageBytes.
 	maxOriginsPerMessage = 1024
 	// maxPendingOrigins bounds the records that wait to be copied to one router.
 	maxPendingOrigins = 4096
@@ -91,9 +89,12 @@
 	})
 }
 
+// setKeepers sets the listed keepers, and copies the records to those that are new.
 func (k *originKeeper) setKeepers(now time.Time, listed []*wirepb.RouterEntry) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	before := k.keeperNames()
+	defer func() { k.copyToNewKeepers(now, before) }()
 	for _, entry := range listed {
 		if entry.GetNode() != k.options.Node {
 			k.keepers[entry.GetNode()] = listedKeeper{address: entry.GetAddress(), listedAt: now}
@@ -103,13 +104,18 @@
 }
 
 // onlyVersion returns the version that all machines of a pool have run for longer than streams live; empty
-// if they state none. proven is false if there may have been others.
+// if they state none. proven is false if there may have been others. A digest may be older than the machines
+// that this router knows.
 func (k *originKeeper) onlyVersion(pool string) (software string, proven bool) {
 	described := k.software.Load()
-	if k.options.Now()-described.received > maxUniformAge {
+	if k.options.Now()-described.received > maxUniformAge || !described.pools[pool].GetUniform() {
 		return "", false
 	}
-	return described.pools[pool].GetOnly(), described.pools[pool].GetUniform()
+	software, proven = described.pools[pool].GetOnly(), true
+	k.options.View.EachMachine(func(_ string, machine nodeview.Machine) {
+		proven = proven && (machine.Spec.Pool != pool || machine.Spec.Software == software)
+	})
+	return software, proven
 }
 
 // isGone reports whether no machine of a pool runs a version any more.
@@ -135,19 +141,46 @@
 	}
 }
 
+// keeperNames returns the names of the keepers. The mutex must be held.
+func (k *originKeeper) keeperNames() []string { return slices.Collect(maps.Keys(k.keepers)) }
+
 // copyToKeepers queues a record for its keepers. The mutex must be held.
 func (k *originKeeper) copyToKeepers(record streamorigin.Record) {
-	for _, node := range streamorigin.Keepers(record.Key, slices.Collect(maps.Keys(k.keepers)), streamorigin.Copies) {
-		waiting := append(k.pending[node], originMessage(time.Now(), record))
-		if excess := len(waiting) - maxPendingOrigins; excess > 0 {
-			k.options.Metrics.originsNotCopied.Add(float64(excess))
-			waiting = waiting[excess:]
+	for _, node := range streamorigin.Keepers(record.Key, k.keeperNames(), streamorigin.Copies) {
+		k.queueCopy(node, record)
+	}
+	k.wakeUp()
+}
+
+// copyToNewKeepers queues the records for those of their keepers that they did not have before. The mutex must
+// be held.
+func (k *originKeeper) copyToNewKeepers(now time.Time, before []string) {
+	names := k.keeperNames()
+	if !slices.ContainsFunc(names, func(node string) bool { return !slices.Contains(before, node) }) {
+		return
+	}
+	k.options.Logger.Info("origin_keepers", "keepers", len(names), "origins", k.store.Len())
+	for _, record := range k.store.Records(now) {
+		had := streamorigin.Keepers(record.Key, before, streamorigin.Copies)
+		for _, node := range streamorigin.Keepers(record.Key, names, streamorigin.Copies) {
+			if !slices.Contains(had, node) {
+				k.queueCopy(node, record)
+			}
 		}
-		k.pending[node] = waiting
 	}
 	k.wakeUp()
 }
 
+// queueCopy queues a record for one router. The mutex must be held.
+func (k *originKeeper) queueCopy(node string, record streamorigin.Record) {
+	waiting := append(k.pending[node], originMessage(time.Now(), record))
+	if excess := len(waiting) - maxPendingOrigins; excess > 0 {
+		k.options.Metrics.originsNotCopied.Add(float64(excess))
+		waiting = waiting[excess:]
+	}
+	k.pending[node] = waiting
+}
+
 func (k *originKeeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
@@ -214,32 +247,9 @@
 	if address == "" {
 		return nil, fault.Unavailable.New("router %s is not listed any more", node)
 	}
-	body, err := proto.Marshal(request)
-	if err != nil {
-		return nil, fault.Protocol.Wrap(err, "encoding origins of streams")
-	}
-	outgoing := &upstream.Request{
-		Machine: node, Address: address, Method: http.MethodPost, Target: "/", Host: address, Body: body,
-		Header: http.Header{headerStreamOrigins: {"1"}},
-	}
-	response, failure, err := k.routers.Do(ctx, outgoing)
-	if failure == upstream.FailureStale && ctx.Err() == nil {
-		outgoing.NewConnection = true
-		response, failure, err = k.routers.Do(ctx, outgoing)
-	}
-	if failure != upstream.FailureNone {
-		return nil, err
-	}
-	defer response.Close()
-	content, err := io.ReadAll(io.LimitReader(response, maxOriginsBytes))
-	if err != nil || response.Status != http.StatusOK {
-		return nil, fault.Unavailable.New("router %s answered with status %d", node, response.Status)
-	}
 	reply := &wirepb.StreamOriginsReply{}
-	if err := proto.Unmarshal(content, reply); err != nil {
-		return nil, fault.Protocol.Wrap(err, "decoding the origin of a stream")
-	}
-	return reply, nil
+	err := callRouter(ctx, k.routers, routerAddress{node: node, address: address}, headerStreamOrigins, request, reply)
+	return reply, err
 }
 
 // originSource says how the origin of a stream was found.
@@ -257,7 +267,7 @@
 func (k *originKeeper) lookup(ctx context.Context, key streamorigin.Key) (streamorigin.Origin, originSource) {
 	k.mutex.Lock()
 	stored, known := k.store.Lookup(time.Now(), key)
-	asked := streamorigin.Keepers(key, slices.Collect(maps.Keys(k.keepers)), streamorigin.Asked)
+	asked := streamorigin.Keepers(key, k.keeperNames(), streamorigin.Asked)
 	k.mutex.Unlock()
 	if known {
 		return stored.Origin, originLocal
@@ -291,24 +301,8 @@
 
 // serve answers another router.
 func (k *originKeeper) serve(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxOriginsBytes))
 	asked := &wirepb.StreamOriginsRequest{}
-	if err == nil {
-		err = proto.Unmarshal(body, asked)
-	}
-	if err != nil {
-		k.options.Logger.Warn("origins_refused", "remote", request.RemoteAddr, "error", err.Error())
-		problem.New(problem.TypeInvalid, http.StatusBadRequest, "the origins of streams can't be decoded").Write(writer)
-		return
-	}
-	encoded, err := proto.Marshal(k.answer(time.Now(), asked))
-	if err != nil {
-		problem.New(problem.TypeUnavailable, http.StatusInternalServerError, "the origin of a stream can't be encoded").Write(writer)
-		return
-	}
-	if _, err := writer.Write(encoded); err != nil {
-		k.options.Logger.Debug("origins_not_answered", "remote", request.RemoteAddr, "error", err.Error())
-	}
+	answerRouter(writer, request, k.options.Logger, asked, func() proto.Message { return k.answer(time.Now(), asked) })
 }
 
 func (k *originKeeper) answer(now time.Time, asked *wirepb.StreamOriginsRequest) *wirepb.StreamOriginsReply {
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,17 +11,14 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/forwarding"
 	"github.com/weldline/weldline/internal/places"
-	"github.com/weldline/weldline/internal/problem"
-	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
 	// headerPathCheck marks a wirepb.PathCheckRequest from another router.
 	headerPathCheck = "Weldline-Path-Check"
-	// maxCheckedMachines bounds the machines of a request, maxPathCheckBytes a message.
+	// maxCheckedMachines bounds the machines that are probed for another router.
 	maxCheckedMachines = 4
-	maxPathCheckBytes  = 16 << 10
 	// maxAskedRouters bounds the routers that are asked one after the other until one gets responses.
 	maxAskedRouters = 2
 	// pathCheckTimeout leaves the other router time for its probes.
@@ -38,7 +34,7 @@
 			return nil
 		}
 		asked = append(asked, router.Node)
-		reply, err := f.checkPathsAt(ctx, router.Node, router.Address, machines)
+		reply, err := f.checkPathsAt(ctx, routerAddress{node: router.Node, address: router.Address}, machines)
 		f.end(router.Node, checkResult(err))
 		if err != nil {
 			f.logger.Info("path_check_failed", "router", router.Node, "error", fault.Message(err))
@@ -60,51 +56,21 @@
 	return forwarding.ResultServed
 }
 
-func (f *forwarder) checkPathsAt(ctx context.Context, node, address string, machines []string) (*wirepb.PathCheckReply, error) {
-	body, err := proto.Marshal(&wirepb.PathCheckRequest{Machines: machines})
-	if err != nil {
-		return nil, fault.Protocol.Wrap(err, "encoding a path check")
-	}
+func (f *forwarder) checkPathsAt(ctx context.Context, router routerAddress, machines []string) (*wirepb.PathCheckReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
 	defer cancel()
-	response, failure, err := f.pool.Do(ctx, &upstream.Request{
-		Machine: node, Address: address, Method: http.MethodPost, Target: "/", Host: address, Body: body, NewConnection: true,
-		Header: http.Header{headerPathCheck: {"1"}},
-	})
-	if failure != upstream.FailureNone {
-		return nil, err
-	}
-	defer response.Close()
-	content, err := io.ReadAll(io.LimitReader(response, maxPathCheckBytes))
-	if err != nil || response.Status != http.StatusOK {
-		return nil, fault.Unavailable.New("router %s answered a path check with status %d", node, response.Status)
-	}
 	reply := &wirepb.PathCheckReply{}
-	if err := proto.Unmarshal(content, reply); err != nil {
-		return nil, fault.Protocol.Wrap(err, "decoding the reply to a path check")
-	}
-	return reply, nil
+	err := callRouter(ctx, f.pool, router, headerPathCheck, &wirepb.PathCheckRequest{Machines: machines}, reply)
+	return reply, err
 }
 
 // servePathCheck probes machines for another router.
 func (i *Ingress) servePathCheck(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxPathCheckBytes))
 	asked := &wirepb.PathCheckRequest{}
-	if err == nil {
-		err = proto.Unmarshal(body, asked)
-	}
-	if err != nil || len(asked.GetMachines()) > maxCheckedMachines {
-		problem.New(problem.TypeInvalid, http.StatusBadRequest, "the path check can't be decoded or has too many machines").Write(writer)
-		return
-	}
-	encoded, err := proto.Marshal(&wirepb.PathCheckReply{Responding: i.paths.responding(request.Context(), asked.GetMachines())})
-	if err != nil {
-		problem.New(problem.TypeUnavailable, http.StatusInternalServerError, "the reply can't be encoded").Write(writer)
-		return
-	}
-	if _, err := writer.Write(encoded); err != nil {
-		i.options.Logger.Debug("path_check_not_answered", "remote", request.RemoteAddr, "error", err.Error())
-	}
+	answerRouter(writer, request, i.options.Logger, asked, func() proto.Message {
+		machines := asked.GetMachines()
+		return &wirepb.PathCheckReply{Responding: i.paths.responding(request.Context(), machines[:min(len(machines), maxCheckedMachines)])}
+	})
 }
 
 // responding returns those of some machines that respond to a probe.
--- /dev/null
+++ b/internal/ingress/resume_test.go
@@ -0,0 +1,56 @@
+package ingress_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/wire/wirepb"
+)
+
+// serveVersions declares a resumable stream route and machines of the given versions of their software.
+func (d *deployment) serveVersions(address string, versions ...string) {
+	route := &v1.RouteSpec{
+		Host: "shop.example", PathPrefix: "/a/", Kind: v1.RouteStream, Resumable: true, Timeout: v1.Duration(long),
+		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: 1,
+	}
+	events := append(d.declaration(), d.object(v1.KindRoute, "r", route, nil))
+	for _, version := range versions {
+		spec := &v1.MachineSpec{Endpoint: "http://" + address, Zone: "z", Pool: "pool", Slots: 4, Software: version}
+		events = append(events, d.object(v1.KindMachine, "m-"+version, spec, &v1.MachineStatus{Phase: v1.MachineLive}))
+	}
+	d.apply(events...)
+	d.view.Confirm(d.revision)
+}
+
+// TestStaleDigestDoesNotProveOneVersion guards against resuming a stream at another version since the leader's last
+// digest is older than the first machine of a new version.
+func TestStaleDigestDoesNotProveOneVersion(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		versions []string
+		status   int
+	}{
+		{"one version", []string{"v1"}, http.StatusOK},
+		{"another version has just registered", []string{"v1", "v2"}, http.StatusServiceUnavailable},
+		{"a machine of unknown version", []string{"v1", ""}, http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			machine := newRawMachine(t, respondOK)
+			d := newDeployment(t)
+			d.serveVersions(machine.address, test.versions...)
+			d.view.ApplyDigest(&wirepb.ClusterDigest{
+				Term: 1, Sequence: 1, Revision: 1, SoftwareKnown: true,
+				Software: []*wirepb.PoolSoftware{{Pool: "pool", InUse: []string{"v1"}, Uniform: true, Only: "v1"}},
+			})
+			for !d.handler.KnowsSoftware() {
+				time.Sleep(time.Millisecond)
+			}
+			got := d.send(http.MethodPost, "/a/b", "id-1", "body", headerResumes, "unknown", headerLastEvent, "3")
+			if got.status != test.status {
+				t.Errorf("got %d %s", got.status, got.body)
+			}
+		})
+	}
+}
