soak: draw all series of faults in one place

Four plans had the same loop: a pause, a fault of fixed length, the end of the span. Two functions were the same choice of the router that sent a request.

Tests untouched.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -242,7 +242,7 @@
 			if arrival.Place.Zone != interval.zone || arrival.At <= interval.start || arrival.At >= interval.end {
 				continue
 			}
-			router := history.senderOf(arrival)
+			router := history.senderOf(arrival.Router, arrival.Request)
 			if !bounds.mayBeStale(disturbances, router, arrival.At) {
 				found = append(found, fmt.Sprintf("%s reached %s in drained zone %s at %s through %s, %s too late", arrival.Request, arrival.Machine, interval.zone, arrival.At, router, arrival.At-interval.start))
 			}
@@ -297,7 +297,7 @@
 func exceededLimits(history *History, bounds Bounds, disturbances []Disturbance) []string {
 	arrivals := map[string][]Arrival{}
 	for _, arrival := range history.Arrivals {
-		if arrival.Limit > 0 && !bounds.mayBeStale(disturbances, history.senderOf(arrival), arrival.At) {
+		if arrival.Limit > 0 && !bounds.mayBeStale(disturbances, history.senderOf(arrival.Router, arrival.Request), arrival.At) {
 			arrivals[arrival.Machine] = append(arrivals[arrival.Machine], arrival)
 		}
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -97,12 +97,13 @@
 	Sent    time.Duration
 }
 
-// senderOf returns the router that sent a request to a machine.
-func (h *History) senderOf(arrival Arrival) string {
-	if arrival.Router != "" {
-		return arrival.Router
+// senderOf returns the router that sent a request to a machine: the one that the machine observed or, if that
+// is unknown, the one that the caller sent it to.
+func (h *History) senderOf(observed, request string) string {
+	if observed != "" {
+		return observed
 	}
-	return h.Requests[arrival.Request].Router
+	return h.Requests[request].Router
 }
 
 // History is everything that callers, operators and machines observed. Record is safe for concurrent use.
--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -23,29 +23,17 @@
 // that the other faults of a seed don't depend on it.
 func NewPartitionPlan(seed uint64, layout Layout, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 4))
-	series := func(duration, maxPause time.Duration, draw func(drawn *Fault)) (all []Fault) {
-		for at := faultFreeStart; ; at += duration {
-			at += time.Duration(random.Int64N(int64(maxPause)))
-			if at+duration+restartDuration > span {
-				return all
-			}
-			drawn := Fault{At: at, Duration: duration}
-			draw(&drawn)
-			all = append(all, drawn)
-		}
-	}
+	faults := faultSeries{random: random, layout: layout, span: span}
 	partition := func(drawn *Fault) {
 		drawn.Kind = []FaultKind{FaultPartitionHangs, FaultPartitionResets}[random.IntN(2)]
 		drawn.Node = layout.Routers[random.IntN(len(layout.Routers))]
 	}
 	return MergePlans(
 		// Two series, so that several routers may be partitioned at once.
-		series(partitionDuration, 3*time.Second, partition),
-		series(partitionDuration, 12*time.Second, partition),
-		series(pauseDuration, 5*time.Second, func(drawn *Fault) {
-			drawn.Kind, drawn.Machine = FaultPauseMachine, random.IntN(layout.Machines)
-		}),
-		series(brittleDuration, 8*time.Second, func(drawn *Fault) { drawn.Kind = FaultBrittleMachines }),
+		faults.draw(partitionDuration, 3*time.Second, partition),
+		faults.draw(partitionDuration, 12*time.Second, partition),
+		faults.ofMachines(FaultPauseMachine, pauseDuration, 5*time.Second),
+		faults.draw(brittleDuration, 8*time.Second, func(drawn *Fault) { drawn.Kind = FaultBrittleMachines }),
 	)
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -156,16 +156,34 @@
 // NewPlanWithLimits adds machines that state rate limits, one at a time, to the faults of NewPlan. Limits
 // have a random source of their own, so that the other faults of a seed don't depend on them.
 func NewPlanWithLimits(seed uint64, layout Layout, span time.Duration) []Fault {
-	var limits []Fault
-	random := rand.New(rand.NewPCG(seed, 1))
-	for at := faultFreeStart; ; at += limitDuration {
-		at += time.Duration(random.Int64N(int64(maxLimitPause)))
-		if at+limitDuration+restartDuration > span {
-			break
+	faults := faultSeries{random: rand.New(rand.NewPCG(seed, 1)), layout: layout, span: span}
+	return MergePlans(NewPlan(seed, layout, span), faults.ofMachines(FaultLimitMachine, limitDuration, maxLimitPause))
+}
+
+// faultSeries draws faults that come one after the other.
+type faultSeries struct {
+	random *rand.Rand
+	layout Layout
+	span   time.Duration
+}
+
+// draw draws faults of one duration, with pauses between them, that all end within the span. choose sets the
+// kind and the target of each.
+func (s faultSeries) draw(duration, maxPause time.Duration, choose func(drawn *Fault)) (faults []Fault) {
+	for at := faultFreeStart; ; at += duration {
+		at += time.Duration(s.random.Int64N(int64(maxPause)))
+		if at+duration+restartDuration > s.span {
+			return faults
 		}
-		limits = append(limits, Fault{Kind: FaultLimitMachine, At: at, Duration: limitDuration, Machine: random.IntN(layout.Machines)})
+		drawn := Fault{At: at, Duration: duration}
+		choose(&drawn)
+		faults = append(faults, drawn)
 	}
-	return MergePlans(NewPlan(seed, layout, span), limits)
+}
+
+// ofMachines draws faults of one kind at random machines.
+func (s faultSeries) ofMachines(kind FaultKind, duration, maxPause time.Duration) []Fault {
+	return s.draw(duration, maxPause, func(drawn *Fault) { drawn.Kind, drawn.Machine = kind, s.random.IntN(s.layout.Machines) })
 }
 
 // NewRolloutPlan draws a rollout of the current build, node by node in random order: it upgrades all nodes
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -18,17 +18,11 @@
 // they are leaving, each kind one at a time. It has a random source of its own, so that the other faults of a
 // seed don't depend on it.
 func NewBackoffAndLeavePlan(seed uint64, layout Layout, span time.Duration) []Fault {
-	random := rand.New(rand.NewPCG(seed, 3))
-	series := func(kind FaultKind, duration time.Duration) (drawn []Fault) {
-		for at := faultFreeStart; ; at += duration {
-			at += time.Duration(random.Int64N(int64(maxStatementPause)))
-			if at+duration+restartDuration > span {
-				return drawn
-			}
-			drawn = append(drawn, Fault{Kind: kind, At: at, Duration: duration, Machine: random.IntN(layout.Machines)})
-		}
-	}
-	return MergePlans(series(FaultRestMachine, backoffDuration), series(FaultLeaveMachine, leaveDuration))
+	faults := faultSeries{random: rand.New(rand.NewPCG(seed, 3)), layout: layout, span: span}
+	return MergePlans(
+		faults.ofMachines(FaultRestMachine, backoffDuration, maxStatementPause),
+		faults.ofMachines(FaultLeaveMachine, leaveDuration, maxStatementPause),
+	)
 }
 
 // Rejection is a request that a machine rejected without running it, with Retry-After.
@@ -67,22 +61,14 @@
 		times[pair] = append(times[pair], at)
 	}
 	for _, arrival := range h.Arrivals {
-		add(h.senderOf(arrival), arrival.Machine, arrival.At)
+		add(h.senderOf(arrival.Router, arrival.Request), arrival.Machine, arrival.At)
 	}
 	for _, rejection := range h.Rejections {
-		add(h.rejectedRouter(rejection), rejection.Machine, rejection.At)
+		add(h.senderOf(rejection.Router, rejection.Request), rejection.Machine, rejection.At)
 	}
 	return times
 }
 
-// rejectedRouter returns the router whose request a machine rejected.
-func (h *History) rejectedRouter(rejection Rejection) string {
-	if rejection.Router != "" {
-		return rejection.Router
-	}
-	return h.Requests[rejection.Request].Router
-}
-
 func (h *History) answersByRequest() map[string]Answer {
 	answers := map[string]Answer{}
 	for _, answer := range h.Answers {
@@ -111,7 +97,7 @@
 	times := history.requestTimes()
 	var found []string
 	for _, rejection := range history.ConfirmedBackoffs() {
-		router := history.rejectedRouter(rejection)
+		router := history.senderOf(rejection.Router, rejection.Request)
 		until := rejection.At + rejection.Rest
 		if isDisturbed(disturbances, router, rejection.At, until) {
 			continue
@@ -139,7 +125,7 @@
 		if !isAnswered || answer.Outcome != OutcomeAnswered || len(arrivals[leaving.Request]) != 1 {
 			continue
 		}
-		pair := routerMachine{router: h.senderOf(arrivals[leaving.Request][0]), machine: leaving.Machine}
+		pair := routerMachine{router: h.senderOf(arrivals[leaving.Request][0].Router, leaving.Request), machine: leaving.Machine}
 		if earliest, known := times[pair]; !known || answer.At < earliest {
 			times[pair] = answer.At
 		}
@@ -154,7 +140,7 @@
 	var found []string
 	for _, arrival := range history.Arrivals {
 		request := history.Requests[arrival.Request]
-		router := history.senderOf(arrival)
+		router := history.senderOf(arrival.Router, arrival.Request)
 		since, isLeaving := leavingTimes[routerMachine{router: router, machine: arrival.Machine}]
 		if !isLeaving || request.Sent <= since+bounds.DrainTimeout || isDisturbed(disturbances, router, since, arrival.At) {
 			continue
