upstream: one function for how a response is framed

A response to HEAD has no body for net/http, so the method is not needed. eventstream.Boundary returned a count and an error that all callers threw away. Comments in the field's words.

--- a/internal/eventstream/boundary.go
+++ b/internal/eventstream/boundary.go
@@ -19,7 +19,7 @@
 // byteOrderMark may precede a stream and belongs to no line.
 const byteOrderMark = "\xef\xbb\xbf"
 
-// Boundary tracks whether a stream, as far as it was written, ends between two events. The zero value is
+// Boundary tracks whether a stream, as far as it was followed, ends between two events. The zero value is
 // at the start of a stream.
 type Boundary struct {
 	// markBytes is the number of bytes of the byte order mark received, as long as nothing else was.
@@ -34,12 +34,11 @@
 	inEvent bool
 }
 
-// Write follows the next part of the stream. It never fails.
-func (b *Boundary) Write(part []byte) (int, error) {
+// Follow takes the next part of the stream.
+func (b *Boundary) Follow(part []byte) {
 	for _, char := range part {
 		b.next(char)
 	}
-	return len(part), nil
 }
 
 func (b *Boundary) next(char byte) {
--- a/internal/eventstream/boundary_test.go
+++ b/internal/eventstream/boundary_test.go
@@ -35,7 +35,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			boundary := Boundary{}
-			_, _ = boundary.Write([]byte(test.stream))
+			boundary.Follow([]byte(test.stream))
 			if boundary.InsideEvent() != test.inside {
 				t.Errorf("InsideEvent() = %v after %q", boundary.InsideEvent(), test.stream)
 			}
@@ -63,7 +63,7 @@
 		boundary := Boundary{}
 		for rest := stream; len(rest) > 0; {
 			count := min(len(rest), int(size)+1)
-			_, _ = boundary.Write(rest[:count])
+			boundary.Follow(rest[:count])
 			rest = rest[count:]
 		}
 		if want := endsInsideEvent(stream); boundary.InsideEvent() != want {
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -41,7 +41,7 @@
 	routers *upstream.Pool
 	// software is what the newest digest says of the pools.
 	software atomic.Pointer[poolSoftware]
-	// wake tells run that records are pending.
+	// wake signals run that records are pending.
 	wake chan struct{}
 
 	mutex   sync.Mutex
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -169,7 +169,7 @@
 		if count > 0 {
 			onRead()
 			if isEventStream {
-				_, _ = events.Write(buffer[:count])
+				events.Follow(buffer[:count])
 			}
 			now := time.Now()
 			copied.longestPause, last = max(copied.longestPause, now.Sub(last)), now
--- a/internal/ingress/routercall.go
+++ b/internal/ingress/routercall.go
@@ -21,7 +21,7 @@
 	node, address string
 }
 
-// callRouter sends a message to another router and decodes its reply. The header tells it the kind of the
+// callRouter sends a message to another router and decodes its reply. The header states the kind of the
 // message. Messages may arrive twice.
 func callRouter(ctx context.Context, pool *upstream.Pool, router routerAddress, header string, message, reply proto.Message) error {
 	body, err := proto.Marshal(message)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -64,7 +64,7 @@
 	FramingLength Framing = iota
 	// FramingChunked: the last chunk marks the end.
 	FramingChunked
-	// FramingClose: the body ends with its connection. It can't be told from one that was cut off.
+	// FramingClose: the body ends with its connection. It can't be distinguished from one that was cut off.
 	FramingClose
 )
 
@@ -73,12 +73,12 @@
 	return [...]string{"length", "chunked", "close"}[f]
 }
 
-// framingOf returns the framing of the response to a request with the given method.
-func framingOf(response *http.Response, method string) Framing {
+// FramingOf returns the framing of a response that was not decompressed.
+func FramingOf(response *http.Response) Framing {
 	switch {
 	case len(response.TransferEncoding) > 0:
 		return FramingChunked
-	case response.ContentLength >= 0 || method == http.MethodHead || response.Body == http.NoBody:
+	case response.ContentLength >= 0 || response.Body == http.NoBody:
 		return FramingLength
 	}
 	return FramingClose
@@ -164,12 +164,12 @@
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return &Response{
-				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: framingOf(response, request.Method),
+				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: FramingOf(response),
 				Body: response.Body, ConnectedAt: c.openedAt, conn: c, httpResponse: response, requestSent: sent,
 			}, nil
 		}
 		// A late response to an earlier request.
-		if framingOf(response, request.Method) == FramingClose || response.Close {
+		if FramingOf(response) == FramingClose || response.Close {
 			break
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
