controller, streamorigin: compare with cmp; no constraint built to ask whether there is one

isConstrainedDemand is asked for each demand of each report and built a sorted copy of the regions for it. The sort functions were written out by hand. No change of behaviour; TestKeepers and the tests of the store pass unchanged.

--- a/internal/controller/keepers.go
+++ b/internal/controller/keepers.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,18 +39,10 @@
 			}
 		}
 	}
-	slices.SortFunc(keepers, func(left, right *wirepb.RouterEntry) int {
-		if left.GetNode() < right.GetNode() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(keepers, func(left, right *wirepb.RouterEntry) int { return cmp.Compare(left.GetNode(), right.GetNode()) })
 	return keepers
 }
 
 func byRank(left, right *wirepb.RouterEntry) int {
-	if xxhash.Sum64String(left.GetNode()) > xxhash.Sum64String(right.GetNode()) {
-		return -1
-	}
-	return 1
+	return cmp.Compare(xxhash.Sum64String(right.GetNode()), xxhash.Sum64String(left.GetNode()))
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -108,7 +108,9 @@
 }
 
 // isConstrainedDemand reports whether only some machines may serve the requests of an entry.
-func isConstrainedDemand(demand *wirepb.ModelDemand) bool { return hostsOf(demand).IsRestrictive() }
+func isConstrainedDemand(demand *wirepb.ModelDemand) bool {
+	return len(demand.GetRegions()) > 0 || demand.GetSoftware() != ""
+}
 
 func hostsOf(demand *wirepb.ModelDemand) places.HostConstraint {
 	return places.HostConstraint{Regions: places.RestrictTo(demand.GetRegions()...), Software: demand.GetSoftware()}
--- a/internal/streamorigin/keepers.go
+++ b/internal/streamorigin/keepers.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,13 +27,7 @@
 		ranking = append(ranking, ranked{node: node, rank: xxhash.Sum64(append([]byte(node), key[:]...))})
 	}
 	slices.SortFunc(ranking, func(left, right ranked) int {
-		switch {
-		case left.rank > right.rank || left.rank == right.rank && left.node < right.node:
-			return -1
-		case left.node == right.node:
-			return 0
-		}
-		return 1
+		return cmp.Or(cmp.Compare(right.rank, left.rank), cmp.Compare(left.node, right.node))
 	})
 	chosen := make([]string, 0, count)
 	for _, each := range ranking[:min(count, len(ranking))] {
