ingress, forwarding, paths: one piece of code where there were two

- The messages about origins had connections to routers of their own, which were never closed once a router was gone.
They share those of forwarded requests, and connections to keepers are kept with them.
- Whether a request could be forwarded was asked for each request by choosing a router, with a sort and two random numbers: Selector.CanChoose only looks.
- The simulator and the ingress each built the list of other routers from a roster (forwarding.OtherRouters), and a set from the machines that are down.
- Two functions recorded the result of a probe.

The table of paths sorts the names that Tracker.Down returned sorted; its expectations are unchanged.

--- a/internal/faultsim/paths.go
+++ b/internal/faultsim/paths.go
@@ -59,13 +59,7 @@
 
 // setRouters applies the routers of a leader's digest.
 func (r *routerNode) setRouters(digest *wirepb.ClusterDigest) {
-	location := places.Location{Zone: r.zone}
-	var routers []forwarding.Router
-	for _, entry := range digest.GetRoster().GetRouters() {
-		if entry.GetNode() != r.name {
-			routers = append(routers, forwarding.Router{Node: entry.GetNode(), Address: entry.GetAddress(), Proximity: location.ProximityOf(entry.GetZone())})
-		}
-	}
+	routers := forwarding.OtherRouters(digest.GetRoster().GetRouters(), r.name, places.Location{Zone: r.zone})
 	r.paths.selector.SetRouters(r.wall(), routers)
 }
 
@@ -97,11 +91,7 @@
 	if change == (paths.Change{}) {
 		return
 	}
-	unreachable := map[string]bool{}
-	for _, machine := range r.paths.tracker.Down() {
-		unreachable[machine] = true
-	}
-	r.applyOutcome(r.core.SetPaths(r.wall(), unreachable, r.paths.tracker.IsIsolated()))
+	r.applyOutcome(r.core.SetPaths(r.wall(), r.paths.tracker.Down(), r.paths.tracker.IsIsolated()))
 }
 
 // startProbing probes paths until none is down.
--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -6,6 +6,7 @@
 
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/retrydelay"
+	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
@@ -30,6 +31,19 @@
 	Proximity places.Proximity
 }
 
+// OtherRouters returns the listed routers without the given one, as seen from a location.
+func OtherRouters(entries []*wirepb.RouterEntry, node string, location places.Location) []Router {
+	var routers []Router
+	for _, entry := range entries {
+		if entry.GetNode() != node {
+			routers = append(routers, Router{
+				Node: entry.GetNode(), Address: entry.GetAddress(), Region: location.Zones.Region(entry.GetZone()), Proximity: location.ProximityOf(entry.GetZone()),
+			})
+		}
+	}
+	return routers
+}
+
 // Result is what became of a forwarded request.
 type Result int
 
@@ -96,6 +110,23 @@
 	return nodes
 }
 
+// CanChoose reports whether there is a router for a request.
+func (s *Selector) CanChoose(now time.Time, version string, allowed places.Constraint, tried []string) bool {
+	if now.Before(s.unservable[version]) {
+		return false
+	}
+	for node, router := range s.routers {
+		if router.isUsable(now, allowed) && !slices.Contains(tried, node) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *routerState) isUsable(now time.Time, allowed places.Constraint) bool {
+	return !now.Before(r.avoidedUntil) && allowed.Allows(r.Region)
+}
+
 // Choose returns a router for a request, or false if there is none. It prefers the nearest routers, and
 // the less busy of two random ones among them.
 func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []string) (Router, bool) {
@@ -104,7 +135,7 @@
 	}
 	var usable []*routerState
 	for node, router := range s.routers {
-		if !now.Before(router.avoidedUntil) && allowed.Allows(router.Region) && !slices.Contains(tried, node) {
+		if router.isUsable(now, allowed) && !slices.Contains(tried, node) {
 			usable = append(usable, router)
 		}
 	}
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -23,7 +23,8 @@
 type forwarder struct {
 	node   string
 	logger *slog.Logger
-	pool   *upstream.Pool
+	// pool has the connections to all routers, also for messages of the originKeeper.
+	pool *upstream.Pool
 
 	mutex    sync.Mutex
 	selector *forwarding.Selector
@@ -46,26 +47,16 @@
 }
 
 func (f *forwarder) setRouters(location places.Location, entries []*wirepb.RouterEntry) {
-	var routers []forwarding.Router
-	for _, entry := range entries {
-		if entry.GetNode() == f.node {
-			continue
-		}
-		routers = append(routers, forwarding.Router{
-			Node: entry.GetNode(), Address: entry.GetAddress(), Region: location.Zones.Region(entry.GetZone()), Proximity: location.ProximityOf(entry.GetZone()),
-		})
-	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.selector.SetRouters(time.Now(), routers)
+	f.selector.SetRouters(time.Now(), forwarding.OtherRouters(entries, f.node, location))
 }
 
 // canForward reports whether there is a router for a request.
 func (f *forwarder) canForward(version string, allowed places.Constraint, tried []string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	_, found := f.selector.Choose(time.Now(), version, allowed, tried)
-	return found
+	return f.selector.CanChoose(time.Now(), version, allowed, tried)
 }
 
 // hasRouters reports whether any other routers are known.
@@ -98,10 +89,9 @@
 	f.selector.MarkUnservable(time.Now(), version)
 }
 
-// retain closes the connections to routers that are no longer listed, and expired ones.
-func (f *forwarder) retain() {
+// nodes returns the names of the known routers.
+func (f *forwarder) nodes() map[string]bool {
 	f.mutex.Lock()
-	listed := f.selector.Nodes()
-	f.mutex.Unlock()
-	f.pool.Retain(func(node string) bool { return listed[node] })
+	defer f.mutex.Unlock()
+	return f.selector.Nodes()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -123,7 +123,7 @@
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options, others.pool), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -220,7 +220,7 @@
 			return
 		case <-ticker.C:
 			i.upstream.Retain(i.isKnown)
-			i.forwarder.retain()
+			i.retainRouterConnections()
 			i.permits.limits.retain(i.isKnown)
 			i.dispatcher.Retain(i.isKnown)
 			i.options.Metrics.leaving.Set(float64(len(i.LeavingMachines())))
@@ -229,6 +229,13 @@
 	}
 }
 
+// retainRouterConnections closes the connections to routers that are no longer listed, and expired ones.
+func (i *Ingress) retainRouterConnections() {
+	listed := i.forwarder.nodes()
+	i.origins.addKeepers(listed)
+	i.forwarder.pool.Retain(func(node string) bool { return listed[node] })
+}
+
 func (i *Ingress) isKnown(machine string) bool {
 	_, known := i.options.View.Machine(machine)
 	return known
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -65,13 +65,10 @@
 	pools   map[string]*wirepb.PoolSoftware
 }
 
-func newOriginKeeper(options Options) *originKeeper {
+func newOriginKeeper(options Options, routers *upstream.Pool) *originKeeper {
 	keeper := &originKeeper{
-		options: options, wake: make(chan struct{}, 1), store: streamorigin.NewStore(),
+		options: options, routers: routers, wake: make(chan struct{}, 1), store: streamorigin.NewStore(),
 		keepers: map[string]listedKeeper{}, pending: map[string][]*wirepb.StreamOrigin{}, sending: map[string]bool{},
-		routers: upstream.NewPool(upstream.Config{
-			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: options.DialRouter,
-		}),
 	}
 	keeper.software.Store(&poolSoftware{})
 	return keeper
@@ -141,6 +138,15 @@
 	}
 }
 
+// addKeepers adds the keepers to a set of routers.
+func (k *originKeeper) addKeepers(routers map[string]bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for node := range k.keepers {
+		routers[node] = true
+	}
+}
+
 // keeperNames returns the names of the keepers. The mutex must be held.
 func (k *originKeeper) keeperNames() []string { return slices.Collect(maps.Keys(k.keepers)) }
 
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -88,10 +88,7 @@
 		return
 	}
 	m.logChange(machine, change)
-	unreachable := map[string]bool{}
-	for _, down := range m.tracker.Down() {
-		unreachable[down] = true
-	}
+	unreachable := m.tracker.Down()
 	m.options.Metrics.setPaths(len(unreachable), m.tracker.IsIsolated())
 	m.publish(unreachable, m.tracker.IsIsolated())
 	if change.BecameIsolated {
@@ -233,10 +230,8 @@
 // probeSilent probes a machine and records the result, unless only its response is missing.
 func (m *pathMonitor) probeSilent(ctx context.Context, machine string, started time.Time) probeResult {
 	result := m.exchange(ctx, machine)
-	if ctx.Err() == nil && result != probeUnanswered {
-		m.update(machine, func(now time.Time) paths.Change {
-			return m.tracker.EndProbe(now, machine, started, result == probeAnswered)
-		})
+	if result != probeUnanswered {
+		m.recordProbe(ctx, machine, started, result)
 	}
 	return result
 }
@@ -244,7 +239,11 @@
 // probe probes the path to a machine that is down, and records the result.
 func (m *pathMonitor) probe(ctx context.Context, machine string) {
 	started := time.Now()
-	result := m.exchange(ctx, machine)
+	m.recordProbe(ctx, machine, started, m.exchange(ctx, machine))
+}
+
+// recordProbe records the result of a probe, unless it was ended from this side.
+func (m *pathMonitor) recordProbe(ctx context.Context, machine string, started time.Time, result probeResult) {
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -166,16 +166,15 @@
 	return names
 }
 
-// Down returns the machines whose paths are down, sorted by name.
-func (t *Tracker) Down() []string {
-	var names []string
+// Down returns the machines whose paths are down.
+func (t *Tracker) Down() map[string]bool {
+	down := map[string]bool{}
 	for machine, current := range t.paths {
 		if current.down {
-			names = append(names, machine)
+			down[machine] = true
 		}
 	}
-	sort.Strings(names)
-	return names
+	return down
 }
 
 // StartProbes returns the machines to probe now: those whose paths are down, and any while the router is
--- a/internal/paths/tracker_test.go
+++ b/internal/paths/tracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -64,7 +66,7 @@
 			fmt.Fprintf(&text, "%+v\n", change)
 		}
 	}
-	fmt.Fprintf(&text, "down: [%s] isolated: %t\n", strings.Join(tracker.Down(), " "), tracker.IsIsolated())
+	fmt.Fprintf(&text, "down: [%s] isolated: %t\n", strings.Join(slices.Sorted(maps.Keys(tracker.Down())), " "), tracker.IsIsolated())
 	return text.String()
 }
 
