--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -52,21 +52,12 @@
 		return problem.New(problem.TypeNotFound, http.StatusNotFound, "no route matches host and path"), 0
 	}
 	j.tenant = tenantIdentity{name: j.forwarded.GetTenant(), spec: j.ingress.options.View.Tenant(j.forwarded.GetTenant())}
-	if document := j.readBody(); document != nil {
-		return document, 0
-	}
-	if document := j.quarantineProblem(); document != nil {
+	if document := j.readContent(); document != nil {
 		return document, document.RetryAfter
 	}
 	j.deadline = j.arrived.Add(time.Duration(j.forwarded.GetRemainingMs()) * time.Millisecond)
 	j.pool = j.forwarded.GetPool()
-	if document := j.resolveOrigin(); document != nil {
-		return document, document.RetryAfter
-	}
-	if document := j.unservableProblem(j.allowedRegions()); document != nil {
-		return document, document.RetryAfter
-	}
-	return j.findVersion(), 0
+	return j.resolveTarget()
 }
 
 // awaitVersion waits a moment for a version of the configuration, and reports whether it is in use.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -125,10 +125,7 @@
 	if document, retryAfter := j.charge(); document != nil {
 		return document, retryAfter
 	}
-	if document := j.readBody(); document != nil {
-		return document, 0
-	}
-	if document := j.quarantineProblem(); document != nil {
+	if document := j.readContent(); document != nil {
 		return document, document.RetryAfter
 	}
 	wait := time.Duration(j.route.Spec.Timeout)
@@ -137,6 +134,20 @@
 	}
 	j.deadline = j.arrived.Add(wait)
 	j.pool = j.route.NextPool()
+	return j.resolveTarget()
+}
+
+// readContent reads the body and returns the problem of a request that must not run because of what it asks for.
+func (j *job) readContent() *problem.Document {
+	if document := j.readBody(); document != nil {
+		return document
+	}
+	return j.quarantineProblem()
+}
+
+// resolveTarget resolves which machines of the request's pool may serve it. It returns the problem to answer
+// with, if any.
+func (j *job) resolveTarget() (*problem.Document, time.Duration) {
 	if document := j.resolveOrigin(); document != nil {
 		return document, document.RetryAfter
 	}
