ingress: log the prompt parts of requests that may have crashed their machine

The logs of the incident can't tell a part that crashes machines from traffic that merely shares a route. request_attempt now has prompt_parts and how many bytes of the body came before the break, for attempts that may have ended their machine. No decision uses them yet.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -73,6 +73,8 @@
 	unreachable bool
 	// software is the version of the software that must serve the request; empty for any.
 	software string
+	// bodyBytes is how much of a response's body was relayed.
+	bodyBytes int64
 	// resetsOnClose is set while a close of the client's connection would reset it.
 	resetsOnClose bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
@@ -482,12 +484,13 @@
 	}
 }
 
-// logAttempt logs the outcome of an attempt. If the machine may have crashed, the line has the
-// request's identity, which is the same across retries and routers.
+// logAttempt logs the outcome of an attempt. If the machine may have crashed, the line has what other requests
+// may share with this one: its identity, which is the same across retries and routers, and the parts of its
+// prompt. bytes is how much of the body came first.
 func (j *job) logAttempt(grant *dispatch.Grant, outcome attemptOutcome) {
 	fields := []any{"machine", grant.Target.Machine, "end", outcome.String(), "sent", j.sent}
 	if outcome == outcomeBroken || outcome == outcomeFailed {
-		fields = append(fields, "identity", j.identity().String())
+		fields = append(fields, "identity", j.identity().String(), "prompt_parts", j.attributes.PromptParts, "bytes", j.bodyBytes)
 	}
 	j.log("attempt", fields...)
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -110,6 +110,7 @@
 	}
 	first := time.Since(j.arrived)
 	copied, err := j.copyBody(controller, response, observer.received)
+	j.bodyBytes = copied.bytes
 	if err == nil && copied.insideEvent {
 		err = errInsideEvent
 	}
--- a/internal/ingress/translator.go
+++ b/internal/ingress/translator.go
@@ -26,8 +26,14 @@
 	PromptTokens, SharedTokens, OutputTokens float64
 	// Prefix identifies the shared prefix of the prompt.
 	Prefix uint64
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, without duplicates, in a
+	// form that is equal for equal parts. There are at most MaxPromptParts of them.
+	PromptParts []string
 }
 
+// MaxPromptParts bounds the parts of a prompt that a router keeps track of. Clients choose their number.
+const MaxPromptParts = 64
+
 // Attempt is what the headers of a request tell its machine.
 type Attempt struct {
 	Machine   string
