--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,8 +19,12 @@
 // crashBody is the body of the request that crashes machines.
 const crashBody = "culprit"
 
+// crashPart is the part of a prompt that crashes machines.
+const crashPart = "poison"
+
 // crashFleet is several routers in front of the same machines. A machine crashes when it runs
-// the request with crashBody: the response breaks off and new connections are refused.
+// the request with crashBody or one with crashPart in its prompt: the response breaks off and new connections
+// are refused.
 type crashFleet struct {
 	routers []*deployment
 	log     *replicatedLog
@@ -30,8 +35,10 @@
 	// complete makes machines run the request with crashBody without crashing, and fail makes
 	// them send an error response to it.
 	complete, fail atomic.Bool
-	// unframed makes responses to the request with crashBody end with their connection.
+	// unframed makes responses end with their connection.
 	unframed atomic.Bool
+	// noEvent makes machines crash after the header of an unframed response.
+	noEvent atomic.Bool
 }
 
 func newCrashFleet(t *testing.T, routers, machines int, kind v1.RouteKind, attempts int) *crashFleet {
@@ -66,11 +73,12 @@
 	t.Helper()
 	var machine *rawMachine
 	machine = newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
-		if request.body == crashBody && f.complete.Load() && f.unframed.Load() {
+		crashes := request.body == crashBody || slices.Contains(strings.Fields(request.header.Get(headerParts)), crashPart)
+		if f.unframed.Load() && (!crashes || f.complete.Load()) {
 			write(connection, framedResponse(request, "200 OK", framedByClose, eventStream, "data: whole\n\n"))
 			return false
 		}
-		if request.body != crashBody || f.complete.Load() {
+		if !crashes || f.complete.Load() {
 			return write(connection, ok(request, "whole"))
 		}
 		if f.fail.Load() {
@@ -81,7 +89,11 @@
 			machine.refuseConnections()
 		}
 		if f.unframed.Load() {
-			write(connection, framedResponse(request, "200 OK", framedByClose, eventStream, "data: who"))
+			event := "data: who"
+			if f.noEvent.Load() {
+				event = ""
+			}
+			write(connection, framedResponse(request, "200 OK", framedByClose, eventStream, event))
 			return false
 		}
 		head := "HTTP/1.1 200 OK\r\n" + headerID + ": " + request.header.Get(headerID) + "\r\n" + headerSeal + ": s\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,8 +48,10 @@
 	headerLimit    = "Test-Limit"
 	headerBackOff  = "Test-Back-Off"
 	// headerLeaving announces a shutdown, whatever its value.
-	headerLeaving   = "Test-Leaving"
-	headerResumes   = "Test-Resumes"
+	headerLeaving = "Test-Leaving"
+	headerResumes = "Test-Resumes"
+	// headerParts lists the parts of the prompt that other requests may share.
+	headerParts     = "Test-Parts"
 	headerLastEvent = "Test-Last-Event"
 )
 
@@ -62,7 +65,7 @@
 	wait, _ := time.ParseDuration(header.Get(headerWait))
 	return ingress.Attributes{
 		ID: header.Get(headerID), Timeout: wait, Model: header.Get(headerModel), Key: header.Get(headerKey),
-		Resumes: header.Get(headerResumes), LastEvent: header.Get(headerLastEvent),
+		Resumes: header.Get(headerResumes), LastEvent: header.Get(headerLastEvent), PromptParts: strings.Fields(header.Get(headerParts)),
 	}
 }
 
