quarantine: parts of prompts are suspects too

Each crash also broke the answers of the 1 to 6 requests beside them.

Cause: evidence was kept under a unit that the cause does not have. A request was known by a hash of its whole content; requests that share the harmful part and differ otherwise are new each time, so each crash was the first of its identity and the threshold of two was never reached.

Change: suspects are requests and the parts of their prompts, in one kind of record, with one path from the broken response to the refusal. A part is quarantined after three crashes without a completed request in between. Sound parts are told apart by three things: a completed request clears the records of its parts; parts that completed within the last seconds at the router are not suspected; and crashes that other quarantined parts explain are not held against a part. Requests with a quarantined part are refused before their body is read, as not run. Responses whose end is not marked count too: an event stream without any event as broken, others once their machine is known to be alive or not. Records of parts are written from level 3 on, so that members of two releases hold the same state. The gateway treats all messages but the last as parts.

--- a/api/v1/suspect.go
+++ b/api/v1/suspect.go
@@ -5,15 +5,18 @@
 // MaxRecordedCrashes bounds the machines that a Suspect names.
 const MaxRecordedCrashes = 16
 
-// SuspectSpec records a request that was running on machines when their processes crashed. The
-// resource is named by the request's identity. Deleting it lifts the quarantine.
+// SuspectSpec records what may crash machines: a request that was running on machines when their processes
+// crashed, or a part of the prompts of such requests. The resource is named by the identity of the request or
+// part. Deleting it lifts the quarantine.
 type SuspectSpec struct {
-	// Tenant is empty if the caller had no key.
+	// PromptPart is the ID of the part; empty for a request.
+	PromptPart string `json:"promptPart,omitempty"`
+	// Route and Tenant are those of the last request. Tenant is empty if the caller had no key.
 	Route  string `json:"route,omitempty"`
 	Tenant string `json:"tenant,omitempty"`
 	// Machines are the crashed machines, oldest first. A restarted machine has another name.
 	Machines []string `json:"machines"`
-	// Quarantined is set if routers must reject the request.
+	// Quarantined is set if routers must reject the request, or requests with the part.
 	Quarantined bool `json:"quarantined,omitempty"`
 	// LastCrash is the time at which the last crash was recorded, by the leader's clock.
 	LastCrash time.Time `json:"lastCrash"`
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -39,6 +39,9 @@
 	// few round trips.
 	pendingRetryAfter = 150 * time.Millisecond
 	maxTasks          = 256
+	// unmarkedProbeDelay is the time after the end of a response by which a crash at its end shows: the process
+	// may accept connections while it ends.
+	unmarkedProbeDelay = 500 * time.Millisecond
 	// maxWitnesses bounds the other machines that are tried to distinguish a crash from a lost path.
 	maxWitnesses = 3
 )
@@ -107,6 +110,24 @@
 	}
 }
 
+// Request is what the watcher has to know of a request.
+type Request struct {
+	// Identity computes the request's identity. It is called only while there are suspects, and may be nil before
+	// the body has been read.
+	Identity func() quarantine.Identity
+	// PromptParts are the IDs of the parts of its prompt that other requests may share.
+	PromptParts []string
+}
+
+// suspects returns the request and its prompt parts.
+func (r Request) suspects() []quarantine.Suspect {
+	parts := quarantine.PartSuspects(r.PromptParts)
+	if r.Identity == nil {
+		return parts
+	}
+	return append([]quarantine.Suspect{{Identity: r.Identity()}}, parts...)
+}
+
 // ReportBroken reports a request whose response was interrupted or missing.
 func (w *Watcher) ReportBroken(request quarantine.BrokenRequest) {
 	w.mutex.Lock()
@@ -139,6 +160,30 @@
 	}
 }
 
+// ReportUnmarked reports a response that ended without an error, although nothing marked its end: the machine may
+// have crashed at that moment. If parts of the prompt have records, the machine is examined a little later. That
+// it is alive clears these parts, though not the request, whose response may have been cut off.
+func (w *Watcher) ReportUnmarked(request quarantine.BrokenRequest) {
+	if !w.hasRecord(Request{PromptParts: request.PromptParts}) {
+		return
+	}
+	w.startTask(func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(unmarkedProbeDelay):
+		}
+		switch verdict := w.awaitVerdict(ctx, request); verdict {
+		case quarantine.VerdictAlive:
+			w.ReportCompleted(Request{PromptParts: request.PromptParts})
+		case quarantine.VerdictEnded:
+			w.ReportBroken(request)
+		default:
+			w.options.Logger.Info("unmarked_response_not_judged", "machine", request.Instance, "verdict", verdict.String())
+		}
+	})
+}
+
 // awaitVerdict gathers evidence until there is a verdict, or probeTimeout is over.
 func (w *Watcher) awaitVerdict(ctx context.Context, request quarantine.BrokenRequest) quarantine.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -214,11 +259,16 @@
 	}
 }
 
-// logQuarantined logs which of the recorded requests are now quarantined.
+// logQuarantined logs which of the recorded requests, and of their prompt parts, are now quarantined.
 func (w *Watcher) logQuarantined(requests []quarantine.BrokenRequest) {
 	for _, request := range requests {
-		if suspect := w.options.View.Suspect(request.Identity); suspect != nil && suspect.Quarantined {
-			w.options.Logger.Warn("request_quarantined", "identity", request.Identity.String(), "route", request.Route, "tenant", request.Tenant, "machines", suspect.Machines)
+		for _, suspect := range request.Suspects() {
+			record := w.options.View.Suspect(suspect.Identity)
+			if record == nil || !record.Quarantined {
+				continue
+			}
+			w.options.Logger.Warn("request_quarantined", "identity", suspect.Identity.String(), "prompt_part", suspect.Part, "route", request.Route,
+				"tenant", request.Tenant, "machines", record.Machines)
 		}
 	}
 }
@@ -263,8 +313,7 @@
 	}
 }
 
-// hasSuspects reports whether there are any suspect requests. It saves hashing every request while
-// there are none.
+// hasSuspects reports whether there are any suspects. It saves hashing every request while there are none.
 func (w *Watcher) hasSuspects() bool {
 	w.mutex.Lock()
 	local := w.tracker.HasSuspects()
@@ -272,61 +321,147 @@
 	return local || w.options.View.HasSuspects()
 }
 
-// Refusal returns the response to a request that is quarantined or waits for probes, and so is not
-// run; nil for any other.
-func (w *Watcher) Refusal(identityOf func() quarantine.Identity) *problem.Document {
+// Refusal returns the response to a request that is quarantined or waits for probes, by itself or because of
+// a part of its prompt, and so is not run; nil for any other.
+func (w *Watcher) Refusal(request Request) *problem.Document {
 	if !w.hasSuspects() {
 		return nil
 	}
-	identity := identityOf()
-	suspect := w.options.View.Suspect(identity)
+	var pending *problem.Document
+	for _, suspect := range request.suspects() {
+		switch machines, status := w.statusOf(suspect, request); status {
+		case statusQuarantined:
+			return quarantinedProblem(suspect, machines)
+		case statusPending:
+			pending = pendingProblem(suspect)
+		case statusClear:
+		}
+	}
+	return pending
+}
+
+// suspectStatus is whether requests with a suspect may run.
+type suspectStatus int
+
+const (
+	statusClear suspectStatus = iota
+	statusPending
+	statusQuarantined
+)
+
+// statusOf returns whether a request may run as far as a suspect is concerned, and the machines that crashed
+// under the suspect.
+func (w *Watcher) statusOf(suspect quarantine.Suspect, request Request) ([]string, suspectStatus) {
+	recorded := w.options.View.Suspect(suspect.Identity)
 	w.mutex.Lock()
-	machines, quarantined := w.tracker.Crashes(identity, suspect)
-	pending := !quarantined && w.tracker.IsPending(identity, suspect)
+	machines, quarantined := w.tracker.Crashes(suspect, recorded)
+	pending := !quarantined && w.tracker.IsPending(time.Now(), suspect, recorded)
 	w.mutex.Unlock()
 	switch {
-	case !quarantined && !pending:
-		return nil
-	case !quarantined:
-		detail := "request " + identity.String() + " is not run until it is known what has become of the machines that broke its answers off"
-		document := problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, detail)
-		document.RetryAfter = pendingRetryAfter
-		return document
+	case quarantined && suspect.Part != "" && quarantine.IsExplained(machines, w.options.View.CrashesOfOtherParts(request.PromptParts)):
+		return machines, statusClear
+	case quarantined:
+		return machines, statusQuarantined
+	case pending:
+		return machines, statusPending
+	}
+	return machines, statusClear
+}
+
+func quarantinedProblem(suspect quarantine.Suspect, machines []string) *problem.Document {
+	subject := "request " + suspect.Identity.String() + " is"
+	if suspect.Part != "" {
+		subject = "requests with prompt part " + suspect.Part + " are"
 	}
-	detail := "request " + identity.String() + " is not run any more, since these machines ended under it: " + strings.Join(machines, ", ")
+	detail := subject + " not run any more, since these machines crashed under it: " + strings.Join(machines, ", ")
 	document := problem.New(problem.TypeQuarantined, http.StatusServiceUnavailable, detail)
 	document.RetryAfter = quarantine.RetryAfter
 	return document
 }
 
+func pendingProblem(suspect quarantine.Suspect) *problem.Document {
+	detail := "request " + suspect.Identity.String() + " is not run until it is known what has become of the machines that broke its answers off"
+	if suspect.Part != "" {
+		detail = "requests with prompt part " + suspect.Part + " are not run until it is known what has become of the machines that broke off answers to them"
+	}
+	document := problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, detail)
+	document.RetryAfter = pendingRetryAfter
+	return document
+}
+
+// hasRecord reports whether a request or a part of its prompt has a record of crashes.
+func (w *Watcher) hasRecord(request Request) bool {
+	if !w.hasSuspects() {
+		return false
+	}
+	for _, suspect := range request.suspects() {
+		if w.options.View.Suspect(suspect.Identity) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // ReportCompleted reports a request that ran to completion on a machine.
-func (w *Watcher) ReportCompleted(identityOf func() quarantine.Identity) {
+func (w *Watcher) ReportCompleted(request Request) {
+	w.rememberCompleted(request.PromptParts)
 	if !w.hasSuspects() {
 		return
 	}
-	identity := identityOf()
-	recorded := w.options.View.Suspect(identity) != nil
+	suspects := request.suspects()
+	recorded := make([]bool, len(suspects))
+	for position, suspect := range suspects {
+		recorded[position] = w.options.View.Suspect(suspect.Identity) != nil
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !w.tracker.Complete(identity, recorded) {
-		return
+	var cleared []quarantine.Identity
+	for position, suspect := range suspects {
+		if w.tracker.Complete(suspect.Identity, recorded[position]) {
+			cleared = append(cleared, suspect.Identity)
+		}
 	}
-	if !w.startTask(func(ctx context.Context) { w.clear(ctx, identity) }) {
-		w.tracker.MarkCleared(identity)
+	if len(cleared) > 0 && !w.startTask(func(ctx context.Context) { w.clear(ctx, cleared) }) {
+		w.markCleared(cleared)
 	}
 }
 
-func (w *Watcher) clear(ctx context.Context, identity quarantine.Identity) {
+func (w *Watcher) rememberCompleted(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.tracker.RememberCompleted(time.Now(), parts)
+}
+
+// clear proposes to clear the records of suspects.
+func (w *Watcher) clear(ctx context.Context, identities []quarantine.Identity) {
 	onFailure := func(reason string) {
-		w.options.Logger.Warn("suspect_not_cleared", "identity", identity.String(), "error", reason)
+		w.options.Logger.Warn("suspect_not_cleared", "identities", identityNames(identities), "error", reason)
 	}
-	if revision, committed := w.commit(ctx, quarantine.ClearCommand(identity), onFailure); committed {
-		w.options.Logger.Info("suspect_cleared", "identity", identity.String(), "revision", revision)
+	if revision, committed := w.commit(ctx, quarantine.ClearCommand(identities...), onFailure); committed {
+		w.options.Logger.Info("suspect_cleared", "identities", identityNames(identities), "revision", revision)
 		w.awaitRevision(ctx, revision)
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.tracker.MarkCleared(identity)
+	w.markCleared(identities)
+}
+
+// markCleared ends the clearing of records. The mutex must be held.
+func (w *Watcher) markCleared(identities []quarantine.Identity) {
+	for _, identity := range identities {
+		w.tracker.MarkCleared(identity)
+	}
+}
+
+func identityNames(identities []quarantine.Identity) []string {
+	names := make([]string, 0, len(identities))
+	for _, identity := range identities {
+		names = append(names, identity.String())
+	}
+	return names
 }
 
 // IsIdle reports whether all detected crashes have been recorded.
--- a/internal/crashwatch/watcher_test.go
+++ b/internal/crashwatch/watcher_test.go
@@ -54,7 +54,7 @@
 }
 
 func refusalOf(watcher *crashwatch.Watcher, identity quarantine.Identity) string {
-	document := watcher.Refusal(func() quarantine.Identity { return identity })
+	document := watcher.Refusal(crashwatch.Request{Identity: func() quarantine.Identity { return identity }})
 	if document == nil {
 		return ""
 	}
--- a/internal/faultsim/crashchecks.go
+++ b/internal/faultsim/crashchecks.go
@@ -90,7 +90,7 @@
 		return
 	}
 	spec, isSuspect := c.reference.Spec(v1.KindSuspect, event.GetObject().GetName()).(*v1.SuspectSpec)
-	if isSuspect && spec.Quarantined && len(record.instances)+len(record.possibleInstances) < quarantine.QuarantineThreshold {
+	if isSuspect && spec.Quarantined && len(record.instances)+len(record.possibleInstances) < quarantine.RequestThreshold {
 		c.violate(CheckQuarantine, "%s quarantined after %d engine crashes", identity, len(record.instances))
 	}
 }
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -7,6 +7,7 @@
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -88,9 +89,9 @@
 
 // isQuarantined reports whether a request must currently not be sent to any engine.
 func (r *routerNode) isQuarantined(content *requestContent) bool {
-	suspect := r.view.Suspect(content.identity)
-	_, quarantined := r.crashes.Crashes(content.identity, suspect)
-	refused := quarantined || r.crashes.IsPending(content.identity, suspect)
+	suspect, recorded := quarantine.Suspect{Identity: content.identity}, r.view.Suspect(content.identity)
+	_, quarantined := r.crashes.Crashes(suspect, recorded)
+	refused := quarantined || r.crashes.IsPending(r.wall(), suspect, recorded)
 	if refused && !content.isPoison {
 		r.sim.checks.healthyRefused++
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -81,7 +81,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			if count := ended.Load(); count > quarantine.QuarantineThreshold+1 {
+			if count := ended.Load(); count > quarantine.RequestThreshold+1 {
 				t.Errorf("one request crashed %d engines", count)
 			}
 			if status, body := ask("culprit", stream); status != 503 || !strings.Contains(body, "/quarantined") {
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -72,7 +72,7 @@
 func (g *Gateway) runInference(parent context.Context, writer http.ResponseWriter, j *job) string {
 	ctx, cancel := j.context(parent)
 	defer cancel()
-	if document := g.crashes.Refusal(j.identity); document != nil {
+	if document := g.crashes.Refusal(j.crashRequest()); document != nil {
 		return g.refuseQuarantined(writer, j, document, false)
 	}
 	dispatchRequest := &dispatch.Request{
@@ -85,7 +85,7 @@
 		if refusal != nil {
 			return g.answerRefusal(writer, j, refusal, failures > 0)
 		}
-		if document := g.crashes.Refusal(j.identity); document != nil {
+		if document := g.crashes.Refusal(j.crashRequest()); document != nil {
 			g.dispatcher.Release(grant, dispatch.ResultNotRun)
 			return g.refuseQuarantined(writer, j, document, failures > 0)
 		}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -55,6 +55,8 @@
 	service     string
 	spec        *v1.ServiceSpec
 	prefix      uint64
+	// promptParts are the IDs of the parts of the prompt that other requests may share.
+	promptParts []string
 }
 
 // inferenceBody has the fields of an inference request that the router reads.
@@ -139,7 +141,7 @@
 	}
 	j.target = target
 	j.stream = body.Stream
-	j.prefix = prefixOf(body)
+	j.prefix, j.promptParts = prefixOf(body), promptPartsOf(body)
 	named := request.Header.Get(HeaderService)
 	j.service, j.spec = g.options.View.ServiceOf(target.Model, named)
 	if j.spec == nil {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quota"
@@ -137,7 +138,10 @@
 }
 
 func newReplicatedLog() *replicatedLog {
-	return &replicatedLog{state: state.New()}
+	log := &replicatedLog{state: state.New()}
+	// A command can't fail here: the log has no routers yet, and failNext is 0.
+	_, _ = log.propose(&wirepb.Command{Body: &wirepb.Command_RaiseLevel{RaiseLevel: &wirepb.RaiseLevelCommand{Level: uint32(level.Supported)}}})
+	return log
 }
 
 func (l *replicatedLog) propose(command *wirepb.Command) (*wirepb.CommandResult, error) {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -73,8 +73,8 @@
 	unreachable bool
 	// software is the version of the software that must serve the request; empty for any.
 	software string
-	// bodyBytes is how much of a response's body was relayed.
-	bodyBytes int64
+	// relayed describes the last response that was relayed.
+	relayed relayedResponse
 	// resetsOnClose is set while a close of the client's connection would reset it.
 	resetsOnClose bool
 	// savedError is a machine's error response, for the case that no retry succeeds.
@@ -124,6 +124,9 @@
 	if document := j.noRegionProblem(j.allowedRegions()); document != nil {
 		return document, 0
 	}
+	if document := j.promptPartProblem(); document != nil {
+		return document, document.RetryAfter
+	}
 	if document, retryAfter := j.charge(); document != nil {
 		return document, retryAfter
 	}
@@ -490,7 +493,7 @@
 func (j *job) logAttempt(grant *dispatch.Grant, outcome attemptOutcome) {
 	fields := []any{"machine", grant.Target.Machine, "end", outcome.String(), "sent", j.sent}
 	if outcome == outcomeBroken || outcome == outcomeFailed {
-		fields = append(fields, "identity", j.identity().String(), "prompt_parts", j.attributes.PromptParts, "bytes", j.bodyBytes)
+		fields = append(fields, "identity", j.identity().String(), "prompt_parts", j.attributes.PromptParts, "bytes", j.relayed.bytes)
 	}
 	j.log("attempt", fields...)
 }
--- a/internal/ingress/promptpart_test.go
+++ b/internal/ingress/promptpart_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
 )
@@ -50,3 +52,109 @@
 		}
 	}
 }
+
+// quarantinePart has enough machines crash that crashPart is quarantined. Sound requests with the same head complete
+// in between.
+func (f *crashFleet) quarantinePart() {
+	for number := range maxPartCrashes {
+		f.sendWithParts(2*number, "head", crashPart)
+		f.sendWithParts(2*number+1, "head")
+	}
+}
+
+func TestRequestWithQuarantinedPartRefusedAsNotRun(t *testing.T) {
+	fleet := newCrashFleet(t, 3, 12, v1.RouteStream, 1)
+	fleet.quarantinePart()
+	got := fleet.sendWithParts(20, crashPart, "head-2")
+	if got.status != 503 || !strings.Contains(got.body, "/quarantined") || !strings.Contains(got.body, crashPart) || !strings.Contains(got.body, `"outcome":"not-run"`) {
+		t.Errorf("answered with %d %q", got.status, got.body)
+	}
+}
+
+// TestQuarantinedPartRefusedByNewRouter guards against routers that forget a quarantine as they start.
+func TestQuarantinedPartRefusedByNewRouter(t *testing.T) {
+	fleet := newCrashFleet(t, 3, 12, v1.RouteStream, 1)
+	fleet.quarantinePart()
+	ended := fleet.crashed.Load()
+	started := newDeployment(t)
+	started.serve(v1.RouteStream, 1, 10*time.Second, fleet.newMachine(t).address)
+	fleet.log.mutex.Lock()
+	events, err := fleet.log.state.EventsAfter(0)
+	fleet.log.mutex.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.apply(events...)
+	got := started.send("POST", "/a/x", "id", "body", headerParts, crashPart)
+	if got.status != 503 || !strings.Contains(got.body, "/quarantined") || fleet.crashed.Load() != ended {
+		t.Errorf("answered with %d %q", got.status, got.body)
+	}
+}
+
+// TestRequestWithQuarantinedPartRefusedBeforeItsBody guards against reading the body of a request that can't be
+// served.
+func TestRequestWithQuarantinedPartRefusedBeforeItsBody(t *testing.T) {
+	fleet := newCrashFleet(t, 1, 12, v1.RouteStream, 1)
+	fleet.quarantinePart()
+	connection, err := net.Dial("tcp", fleet.routers[0].server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(long))
+	write(connection, "POST /a/x HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": id\r\n"+headerParts+": "+crashPart+"\r\nContent-Length: 900\r\n\r\n")
+	if status, body, _ := readRaw(connection); status != 503 || !strings.Contains(body, "/quarantined") {
+		t.Errorf("answered with %d %q", status, body)
+	}
+}
+
+// TestPartThatCompletesIsCleared guards against holding crashes against a part that does not always crash machines, and
+// against taking an error response for a completed run.
+func TestPartThatCompletesIsCleared(t *testing.T) {
+	for _, unframed := range []bool{false, true} {
+		fleet := newCrashFleet(t, 2, 12, v1.RouteStream, 1)
+		fleet.unframed.Store(unframed)
+		fleet.sendWithParts(0, crashPart)
+		fleet.fail.Store(true)
+		fleet.sendWithParts(1, crashPart)
+		fleet.fail.Store(false)
+		fleet.sendWithParts(2, crashPart)
+		fleet.complete.Store(true)
+		if !unframed && len(fleet.partSuspects()) == 0 {
+			t.Error("an error response cleared the part")
+		}
+		if got := fleet.sendWithParts(3, crashPart); got.status != 200 {
+			t.Errorf("answered with %d %q", got.status, got.body)
+		}
+		for len(fleet.partSuspects()) != 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// partSuspects returns the records of prompt parts.
+func (f *crashFleet) partSuspects() (parts []v1.SuspectSpec) {
+	for _, suspect := range f.suspects() {
+		if suspect.PromptPart != "" {
+			parts = append(parts, suspect)
+		}
+	}
+	return parts
+}
+
+// TestHeadOfCrashingRequestsStaysServed guards against refusing the sound requests that share a part with the harmful
+// ones, while no sound request completes in between.
+func TestHeadOfCrashingRequestsStaysServed(t *testing.T) {
+	fleet := newCrashFleet(t, 3, 12, v1.RouteStream, 1)
+	for number := range maxPartCrashes {
+		fleet.sendWithParts(number, "head", crashPart)
+	}
+	for number := range 6 {
+		if got := fleet.sendWithParts(20+number, "head", "sound"); got.status != 200 {
+			t.Errorf("answered with %d %q", got.status, got.body)
+		}
+	}
+	if got := fleet.sendWithParts(30, crashPart); got.status != 503 {
+		t.Errorf("a request with the harmful part is answered with %d %q", got.status, got.body)
+	}
+}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -110,7 +110,8 @@
 	}
 	first := time.Since(j.arrived)
 	copied, err := j.copyBody(controller, response, observer.received)
-	j.bodyBytes = copied.bytes
+	copied.status = response.Status
+	j.relayed = copied
 	if err == nil && copied.insideEvent {
 		err = errInsideEvent
 	}
@@ -150,18 +151,20 @@
 	j.writer.WriteHeader(status)
 }
 
-// copiedBody describes a body as far as it was relayed.
-type copiedBody struct {
-	bytes int64
+// relayedResponse describes a response as far as it was relayed.
+type relayedResponse struct {
+	status int
+	bytes  int64
 	// longestPause is the longest pause between two reads.
 	longestPause time.Duration
-	// insideEvent is set if an event stream ended within an event.
-	insideEvent bool
+	// isEventStream is set if the body is an event stream, and insideEvent if it ended within an event.
+	isEventStream, insideEvent bool
 }
 
 // copyBody streams a body to the client and calls onRead for each part of it.
-func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied copiedBody, err error) {
-	events, isEventStream := eventstream.Boundary{}, eventstream.IsEventStream(response.Header)
+func (j *job) copyBody(controller *http.ResponseController, response *upstream.Response, onRead func()) (copied relayedResponse, err error) {
+	events := eventstream.Boundary{}
+	copied.isEventStream = eventstream.IsEventStream(response.Header)
 	defer func() { copied.insideEvent = events.InsideEvent() }()
 	buffer := make([]byte, copyBufferBytes)
 	last := time.Now()
@@ -169,7 +172,7 @@
 		count, failure := response.Read(buffer)
 		if count > 0 {
 			onRead()
-			if isEventStream {
+			if copied.isEventStream {
 				events.Follow(buffer[:count])
 			}
 			now := time.Now()
--- a/internal/level/level.go
+++ b/internal/level/level.go
@@ -17,8 +17,10 @@
 	MachineStarts Level = 1
 	// MachineSoftware adds the version of their software to the records of machines.
 	MachineSoftware Level = 2
+	// PromptParts adds records of prompt parts to the records of suspect requests.
+	PromptParts Level = 3
 	// Supported is the highest level that this build supports.
-	Supported = MachineSoftware
+	Supported = PromptParts
 )
 
 // Next returns the highest level that this build and all other processes support; raised reports
--- a/internal/nodeview/suspects.go
+++ b/internal/nodeview/suspects.go
@@ -1,6 +1,8 @@
 package nodeview
 
 import (
+	"slices"
+
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/quarantine"
 )
@@ -17,14 +19,27 @@
 	}
 }
 
-// HasSuspects reports whether machines have crashed under any request.
+// HasSuspects reports whether there are any records of crashes.
 func (v *View) HasSuspects() bool {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
 	return len(v.suspects) > 0
 }
 
-// Suspect returns the record of crashes under a request, or nil.
+// CrashesOfOtherParts returns the crashed machines of each quarantined prompt part that is not one of the given.
+func (v *View) CrashesOfOtherParts(parts []string) [][]string {
+	v.mutex.RLock()
+	defer v.mutex.RUnlock()
+	var crashes [][]string
+	for _, suspect := range v.suspects {
+		if suspect.Quarantined && suspect.PromptPart != "" && !slices.Contains(parts, suspect.PromptPart) {
+			crashes = append(crashes, suspect.Machines)
+		}
+	}
+	return crashes
+}
+
+// Suspect returns the record of crashes under a request or prompt part, or nil.
 func (v *View) Suspect(identity quarantine.Identity) *v1.SuspectSpec {
 	v.mutex.RLock()
 	defer v.mutex.RUnlock()
--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -75,7 +75,7 @@
 	warmingPools map[string]bool
 	// zoneDrains has the newest drain order of each zone.
 	zoneDrains map[string]ZoneDrain
-	// suspects has the records of crashes by request.
+	// suspects has the records of crashes under requests and prompt parts.
 	suspects map[quarantine.Identity]*v1.SuspectSpec
 
 	digest      *wirepb.ClusterDigest
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -7,17 +7,13 @@
 	v1 "github.com/weldline/weldline/api/v1"
 )
 
-// QuarantineThreshold is the number of crashes after which a request is refused. One crash is not
-// enough, since it implicates everything that ran on the machine.
-const QuarantineThreshold = 2
-
 // RetryAfter is the Retry-After of quarantined requests, which only an operator releases.
 const RetryAfter = 10 * time.Minute
 
-// AddCrash returns the record of a request after a crash of a machine, and whether it changed.
-// current is nil if there is no record.
-func AddCrash(current *v1.SuspectSpec, machine string, at time.Time) (*v1.SuspectSpec, bool) {
-	updated := &v1.SuspectSpec{}
+// AddCrash returns the record of a request, or of a prompt part if part is not empty, after a crash of a
+// machine, and whether it changed. current is nil if there is no record.
+func AddCrash(current *v1.SuspectSpec, part, machine string, at time.Time) (*v1.SuspectSpec, bool) {
+	updated := &v1.SuspectSpec{PromptPart: part}
 	if current != nil {
 		*updated = *current
 	}
@@ -25,7 +21,7 @@
 		return current, false
 	}
 	updated.Machines = append(slices.Clone(updated.Machines), machine)
-	updated.Quarantined = updated.Quarantined || len(updated.Machines) >= QuarantineThreshold
+	updated.Quarantined = updated.Quarantined || len(updated.Machines) >= threshold(part)
 	updated.LastCrash = at
 	return updated, true
 }
--- a/internal/quarantine/identity.go
+++ b/internal/quarantine/identity.go
@@ -47,6 +47,11 @@
 	return Identify(Content{Method: "LOAD", Target: version})
 }
 
+// PartIdentity is the identity of a prompt part.
+func PartIdentity(part string) Identity {
+	return Identify(Content{Method: "PART", Target: part})
+}
+
 // String returns the identity in hexadecimal, as used in logs and record names.
 func (i Identity) String() string {
 	return hex.EncodeToString(i[:])
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -17,6 +17,8 @@
 	maxProbes = 256
 	// maxRequestsPerProbe bounds the requests tracked for one machine while it is probed.
 	maxRequestsPerProbe = 256
+	// maxPartsPerCrash bounds the prompt parts that are recorded for one crash.
+	maxPartsPerCrash = 256
 	// firstIncarnation is the incarnation of every machine that registers.
 	firstIncarnation = 1
 )
@@ -28,6 +30,13 @@
 	Instance      string
 	Identity      Identity
 	Route, Tenant string
+	// PromptParts are the IDs of the parts of its prompt that other requests may share.
+	PromptParts []string
+}
+
+// Suspects returns what may have crashed the machine.
+func (r BrokenRequest) Suspects() []Suspect {
+	return append([]Suspect{{Identity: r.Identity}}, PartSuspects(r.PromptParts)...)
 }
 
 // InstanceName identifies one process instance of a machine. Machines that register have a new
@@ -103,10 +112,12 @@
 type Tracker struct {
 	probes map[string]*probe
 	// unconfirmed are the crashed instances that the router's view may not contain yet, by
-	// request.
+	// suspect.
 	unconfirmed map[Identity][]string
-	// clearing are the requests whose records are being cleared.
+	// clearing are the suspects whose records are being cleared.
 	clearing map[Identity]bool
+	// recent are prompt parts that don't crash machines, as requests with them completed recently.
+	recent recentParts
 }
 
 // NewTracker returns an empty tracker.
@@ -128,8 +139,10 @@
 	ActionDropped
 )
 
-// AddBroken tracks a broken request.
+// AddBroken tracks a broken request. Parts of its prompt that completed recently in another request are not
+// suspected.
 func (t *Tracker) AddBroken(now time.Time, request BrokenRequest) Action {
+	request.PromptParts = slices.DeleteFunc(slices.Clone(request.PromptParts), func(part string) bool { return t.recent.contains(now, part) })
 	for instance, probed := range t.probes {
 		if probed.verdict != VerdictPending && now.After(probed.expiresAt) {
 			delete(t.probes, instance)
@@ -176,20 +189,22 @@
 
 // addUnconfirmed makes the router count a crash at once.
 func (t *Tracker) addUnconfirmed(request BrokenRequest) {
-	if !slices.Contains(t.unconfirmed[request.Identity], request.Instance) {
-		t.unconfirmed[request.Identity] = append(t.unconfirmed[request.Identity], request.Instance)
+	for _, suspect := range request.Suspects() {
+		t.unconfirmed[suspect.Identity] = union(t.unconfirmed[suspect.Identity], []string{request.Instance})
 	}
 }
 
 // MarkRecorded drops crashes that the router's view contains.
 func (t *Tracker) MarkRecorded(requests []BrokenRequest) {
 	for _, request := range requests {
-		remaining := slices.DeleteFunc(t.unconfirmed[request.Identity], func(instance string) bool { return instance == request.Instance })
-		if len(remaining) == 0 {
-			delete(t.unconfirmed, request.Identity)
-			continue
+		for _, suspect := range request.Suspects() {
+			remaining := slices.DeleteFunc(t.unconfirmed[suspect.Identity], func(instance string) bool { return instance == request.Instance })
+			if len(remaining) == 0 {
+				delete(t.unconfirmed, suspect.Identity)
+				continue
+			}
+			t.unconfirmed[suspect.Identity] = remaining
 		}
-		t.unconfirmed[request.Identity] = remaining
 	}
 }
 
@@ -208,39 +223,48 @@
 	return false
 }
 
-// Crashes returns the machines that crashed while running a request, as far as this router knows,
-// and whether the request is quarantined. recorded is the record in the view, or nil.
-func (t *Tracker) Crashes(identity Identity, recorded *v1.SuspectSpec) (machines []string, quarantined bool) {
+// Crashes returns the machines that crashed under a suspect, as far as this router knows, and whether it is
+// quarantined. recorded is the record in the view, or nil.
+func (t *Tracker) Crashes(suspect Suspect, recorded *v1.SuspectSpec) (machines []string, quarantined bool) {
 	if recorded != nil {
-		machines, quarantined = slices.Clone(recorded.Machines), recorded.Quarantined
-	}
-	for _, machine := range t.unconfirmed[identity] {
-		if !slices.Contains(machines, machine) {
-			machines = append(machines, machine)
-		}
+		machines = recorded.Machines
 	}
-	return machines, quarantined || len(machines) >= QuarantineThreshold
+	machines = union(machines, t.unconfirmed[suspect.Identity])
+	return machines, suspect.isQuarantined(recorded, machines)
 }
 
-// IsPending reports whether pending probes may quarantine a request. It must not run meanwhile,
-// since it could crash another machine.
-func (t *Tracker) IsPending(identity Identity, recorded *v1.SuspectSpec) bool {
-	machines, _ := t.Crashes(identity, recorded)
+// IsPending reports whether pending probes may quarantine a suspect. It must not run meanwhile, since it could
+// crash another machine.
+func (t *Tracker) IsPending(now time.Time, suspect Suspect, recorded *v1.SuspectSpec) bool {
+	if suspect.Part != "" && t.recent.contains(now, suspect.Part) {
+		return false
+	}
+	machines, _ := t.Crashes(suspect, recorded)
 	count := len(machines)
 	for instance, probed := range t.probes {
-		if probed.verdict == VerdictPending && !slices.Contains(machines, instance) && probed.includes(identity) {
+		if probed.verdict == VerdictPending && !slices.Contains(machines, instance) && probed.includes(suspect) {
 			count++
 		}
 	}
-	return count >= QuarantineThreshold
+	return count >= suspect.Threshold()
 }
 
-// includes reports whether a request broke on the probed machine.
-func (p *probe) includes(identity Identity) bool {
-	return slices.ContainsFunc(p.requests, func(request BrokenRequest) bool { return request.Identity == identity })
+// includes reports whether a request that the suspect is, or is a part of, broke on the probed machine.
+func (p *probe) includes(suspect Suspect) bool {
+	return slices.ContainsFunc(p.requests, func(request BrokenRequest) bool {
+		if suspect.Part != "" {
+			return slices.Contains(request.PromptParts, suspect.Part)
+		}
+		return request.Identity == suspect.Identity
+	})
+}
+
+// RememberCompleted remembers that the parts of a prompt did not crash a machine.
+func (t *Tracker) RememberCompleted(now time.Time, parts []string) {
+	t.recent.add(now, parts)
 }
 
-// Complete drops the unconfirmed crashes of a request that ran to completion, and returns whether
+// Complete drops the unconfirmed crashes of a suspect that ran to completion, and returns whether
 // its record must be cleared.
 func (t *Tracker) Complete(identity Identity, recorded bool) bool {
 	delete(t.unconfirmed, identity)
@@ -264,14 +288,24 @@
 // RecordCommand returns the command that records requests on a crashed instance.
 func RecordCommand(instance string, requests []BrokenRequest) *wirepb.Command {
 	command := &wirepb.RecordCrashCommand{Machine: instance}
+	recorded := map[string]bool{}
 	for _, request := range requests {
 		command.Requests = append(command.Requests, &wirepb.SuspectRequest{Identity: request.Identity[:], Route: request.Route, Tenant: request.Tenant})
+		for _, part := range request.PromptParts {
+			if !recorded[part] && len(recorded) < maxPartsPerCrash {
+				recorded[part] = true
+				command.Parts = append(command.Parts, &wirepb.SuspectPart{Part: part, Route: request.Route, Tenant: request.Tenant})
+			}
+		}
 	}
 	return &wirepb.Command{Body: &wirepb.Command_RecordCrash{RecordCrash: command}}
 }
 
-// ClearCommand returns the command that clears the record of a request.
-func ClearCommand(identity Identity) *wirepb.Command {
-	command := &wirepb.ClearSuspectsCommand{Identities: [][]byte{identity[:]}}
+// ClearCommand returns the command that clears the records of suspects.
+func ClearCommand(identities ...Identity) *wirepb.Command {
+	command := &wirepb.ClearSuspectsCommand{}
+	for _, identity := range identities {
+		command.Identities = append(command.Identities, identity[:])
+	}
 	return &wirepb.Command{Body: &wirepb.Command_ClearSuspects{ClearSuspects: command}}
 }
--- a/internal/quarantine/watch_test.go
+++ b/internal/quarantine/watch_test.go
@@ -49,16 +49,16 @@
 	if action := tracker.AddBroken(epoch, requestOn("i-1", 3)); action != ActionRecord {
 		t.Errorf("one reported after the verdict: got action %d", action)
 	}
-	if machines, quarantined := tracker.Crashes(culprit.Identity, nil); quarantined || fmt.Sprint(machines) != "[i-1]" {
+	if machines, quarantined := tracker.Crashes(Suspect{Identity: culprit.Identity}, nil); quarantined || fmt.Sprint(machines) != "[i-1]" {
 		t.Errorf("after one crash: got %v, quarantined %t", machines, quarantined)
 	}
 	// The view contains a crash recorded by another router.
 	recorded := &v1.SuspectSpec{Machines: []string{"i-2"}}
-	if machines, quarantined := tracker.Crashes(culprit.Identity, recorded); !quarantined || len(machines) != 2 {
+	if machines, quarantined := tracker.Crashes(Suspect{Identity: culprit.Identity}, recorded); !quarantined || len(machines) != 2 {
 		t.Errorf("with the record: got %v, quarantined %t", machines, quarantined)
 	}
 	recorded.Machines = []string{"i-1"}
-	if machines, quarantined := tracker.Crashes(culprit.Identity, recorded); quarantined || len(machines) != 1 {
+	if machines, quarantined := tracker.Crashes(Suspect{Identity: culprit.Identity}, recorded); quarantined || len(machines) != 1 {
 		t.Errorf("one crash counted twice: got %v, quarantined %t", machines, quarantined)
 	}
 	tracker.MarkRecorded([]BrokenRequest{culprit, requestOn("i-1", 2), requestOn("i-1", 3)})
--- a/internal/state/suspects.go
+++ b/internal/state/suspects.go
@@ -8,45 +8,69 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // MaxSuspects and MaxQuarantined bound the records of requests that were in flight on crashed
-// machines: those that may still run, and those that may not. Both together take less than 1 MB on each
+// machines and of their prompt parts: those that may still run, and those that may not. Both together take less than 1 MB on each
 // node (BenchmarkSuspectMemory).
 const (
 	MaxSuspects    = 512
 	MaxQuarantined = 512
 )
 
-// recordCrash adds a crash to the records of the requests that were in flight on a machine.
+// crashRecords collects the records that a crash changes.
+type crashRecords struct {
+	machine *Machine
+	crashed string
+	writes  []*wirepb.ObjectWrite
+	written map[Key]*v1.SuspectSpec
+}
+
+// recordCrash adds a crash to the records of the requests that were in flight on a machine and of the parts of
+// their prompts.
 func (m *Machine) recordCrash(command *wirepb.RecordCrashCommand) *wirepb.CommandResult {
-	var writes []*wirepb.ObjectWrite
-	written := map[Key]*v1.SuspectSpec{}
+	records := crashRecords{machine: m, crashed: command.GetMachine(), written: map[Key]*v1.SuspectSpec{}}
 	for position, request := range command.GetRequests() {
 		identity, err := quarantine.IdentityFromBytes(request.GetIdentity())
+		if err == nil {
+			err = records.add(identity, "", request.GetRoute(), request.GetTenant())
+		}
 		if err != nil {
 			return invalidRequest(position, err)
 		}
-		key := Key{Kind: v1.KindSuspect, Name: identity.String()}
-		existing, _ := m.specs[key].(*v1.SuspectSpec)
-		next, changed := quarantine.AddCrash(existing, command.GetMachine(), time.UnixMilli(m.clock).UTC())
-		if !changed || written[key] != nil {
+	}
+	for position, part := range command.GetParts() {
+		if m.level < level.PromptParts || part.GetPart() == "" {
 			continue
 		}
-		next.Route, next.Tenant = request.GetRoute(), request.GetTenant()
-		write, err := putSuspect(key, next)
-		if err != nil {
-			return invalidRequest(position, err)
+		if err := records.add(quarantine.PartIdentity(part.GetPart()), part.GetPart(), part.GetRoute(), part.GetTenant()); err != nil {
+			return invalidRequest(len(command.GetRequests())+position, err)
 		}
-		writes = append(writes, write)
-		written[key] = next
 	}
-	result := m.applyWrites(append(writes, m.suspectEvictions(written)...))
+	result := m.applyWrites(append(records.writes, m.suspectEvictions(records.written)...))
 	return &wirepb.CommandResult{Code: result.GetCode(), Message: result.GetMessage(), Write: result}
 }
 
+// add adds the crash to the record of a request, or of a prompt part if part is not empty.
+func (r *crashRecords) add(identity quarantine.Identity, part, route, tenant string) error {
+	key := Key{Kind: v1.KindSuspect, Name: identity.String()}
+	existing, _ := r.machine.specs[key].(*v1.SuspectSpec)
+	next, changed := quarantine.AddCrash(existing, part, r.crashed, time.UnixMilli(r.machine.clock).UTC())
+	if !changed || r.written[key] != nil {
+		return nil
+	}
+	next.Route, next.Tenant = route, tenant
+	write, err := putSuspect(key, next)
+	if err != nil {
+		return err
+	}
+	r.writes, r.written[key] = append(r.writes, write), next
+	return nil
+}
+
 // invalidRequest returns the result of a command with an invalid request identity.
 func invalidRequest(position int, err error) *wirepb.CommandResult {
 	failure := writeFailure(wirepb.ResultCode_RESULT_CODE_INVALID, fault.FieldOf(err), fault.Message(err))
--- a/internal/state/suspects_test.go
+++ b/internal/state/suspects_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -67,6 +68,62 @@
 	}
 }
 
+// crashWithParts records a crash under a request with the given prompt parts.
+func crashWithParts(machine string, number int, parts ...string) *wirepb.Command {
+	command := crash(machine, number)
+	for _, part := range parts {
+		record := command.GetRecordCrash()
+		record.Parts = append(record.Parts, &wirepb.SuspectPart{Part: part, Route: "r", Tenant: "t"})
+	}
+	return command
+}
+
+func partSuspect(machine *Machine, part string) *v1.SuspectSpec {
+	spec, _ := machine.Spec(v1.KindSuspect, quarantine.PartIdentity(part).String()).(*v1.SuspectSpec)
+	return spec
+}
+
+// TestCrashesQuarantineAPromptPart guards against counting the crashes of each request by itself, although all of
+// them share a prompt part.
+func TestCrashesQuarantineAPromptPart(t *testing.T) {
+	machine := New()
+	raise(t, machine, level.PromptParts)
+	for number := range quarantine.PartThreshold {
+		if suspect := partSuspect(machine, "harmful"); suspect != nil && suspect.Quarantined {
+			t.Errorf("quarantined after %d crashes", number)
+		}
+		name := fmt.Sprintf("i-%d", number)
+		for range 2 { // Two routers had requests there.
+			applied(t, machine, crashWithParts(name, number, "harmful", fmt.Sprintf("other-%d", number)))
+		}
+	}
+	suspect := partSuspect(machine, "harmful")
+	if suspect == nil || !suspect.Quarantined || suspect.PromptPart != "harmful" || len(suspect.Machines) != quarantine.PartThreshold || suspect.Route != "r" {
+		t.Errorf("after %d crashes: %+v", quarantine.PartThreshold, suspect)
+	}
+	if other := partSuspect(machine, "other-0"); other == nil || other.Quarantined {
+		t.Errorf("a part that was on one machine: %+v", other)
+	}
+	data, err := machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(data); err != nil || partSuspect(restored, "harmful") == nil || !partSuspect(restored, "harmful").Quarantined {
+		t.Errorf("restored as %+v (%v)", partSuspect(restored, "harmful"), err)
+	}
+}
+
+// TestPromptPartsBelowLevel guards against records that members of an earlier release can't decode.
+func TestPromptPartsBelowLevel(t *testing.T) {
+	machine := New()
+	raise(t, machine, level.PromptParts-1)
+	applied(t, machine, crashWithParts("i-1", 1, "harmful"))
+	if suspectOf(machine, 1) == nil || partSuspect(machine, "harmful") != nil {
+		t.Errorf("the request is recorded as %+v, the part as %+v", suspectOf(machine, 1), partSuspect(machine, "harmful"))
+	}
+}
+
 func TestCompletionDeletesTheRecord(t *testing.T) {
 	machine := New()
 	applied(t, machine, crash("i-1", 1))
