faultsim: requests that share a harmful part of their prompts

A fault (crashing-part), a check for sound requests beside them (crash_companions), and two mutations: prompt-parts-ignored, which is the code before the fix, breaks crash_repeats; prompt-parts-never-cleared breaks crash_companions. Requests have a common head and one of 24 subjects where a schedule has the fault; other schedules are unchanged.

--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -56,12 +56,15 @@
 	CheckLeaving = "late_work_to_leaving"
 	// CheckSpec: engines, claims and voters conform to the specification in internal/spec.
 	CheckSpec = "specification"
-	// CheckCrashRepeats: once a request has crashed crashThreshold engines and crashPropagationTime
-	// has passed, connected routers send it at most maxLateSends times.
+	// CheckCrashRepeats: once a request has crashed crashThreshold engines, or requests with one prompt part
+	// partCrashThreshold, and crashPropagationTime has passed, connected routers send it, or them, at most
+	// maxLateSends times.
 	CheckCrashRepeats = "crash_repeats"
 	// CheckQuarantine: only requests that crashed engines are quarantined, and they stay quarantined
 	// until they complete.
 	CheckQuarantine = "convictions"
+	// CheckCompanions: ordinary requests are served beside requests with a harmful prompt part.
+	CheckCompanions = "crash_companions"
 	// CheckDrains: an acknowledged drain or undrain of a zone persists until the next order, and
 	// connected routers send nothing to a drained zone.
 	CheckDrains = "zone_drains"
@@ -80,7 +83,7 @@
 var Checks = []string{
 	CheckLog, CheckTermLeader, CheckLease, CheckStart, CheckDurable, CheckResend, CheckLinearizable, CheckUnassigned,
 	CheckMemory, CheckRevert, CheckPropagation, CheckStaleStart, CheckDropped, CheckWrongAnswer, CheckAtMostOnce, CheckNotRun,
-	CheckLeaving, CheckSpec, CheckCrashRepeats, CheckQuarantine, CheckDrains, CheckBackoff, CheckLimits, CheckPaths, CheckConvergence,
+	CheckLeaving, CheckSpec, CheckCrashRepeats, CheckQuarantine, CheckCompanions, CheckDrains, CheckBackoff, CheckLimits, CheckPaths, CheckConvergence,
 }
 
 const (
@@ -108,18 +111,22 @@
 	// violations holds the details of each failed check.
 	violations map[string][]string
 	// healedAt is when the last fault healed.
-	healedAt       time.Duration
-	activeFaults   int
-	undecided      int
-	conformance    conformance
-	crashes        map[quarantine.Identity]*crashRecord
-	poisonRequests []*requestContent
+	healedAt     time.Duration
+	activeFaults int
+	undecided    int
+	conformance  conformance
+	crashes      map[quarantine.Identity]*crashRecord
+	// poisons are the harmful requests and prompt parts.
+	poisons []quarantine.Suspect
 	// healthyRefused counts ordinary requests that were refused as quarantined.
 	healthyRefused int
-	drains         map[string]drainRecord
-	backoffs       map[backoffKey][]*backoffPeriod
-	pathCuts       []pathCut
-	pathRequests   []pathRequest
+	// companions counts the ordinary requests beside harmful ones, and companionsRefused those of them that were
+	// refused as quarantined.
+	companions, companionsRefused int
+	drains                        map[string]drainRecord
+	backoffs                      map[backoffKey][]*backoffPeriod
+	pathCuts                      []pathCut
+	pathRequests                  []pathRequest
 	// disruptions are the spans of all faults but cut paths.
 	disruptions []interval
 }
@@ -349,6 +356,7 @@
 // checkFinalState checks linearizability and convergence.
 func (c *checks) checkFinalState() {
 	c.checkPaths()
+	c.checkCompanions()
 	switch c.sim.register.linearizable() {
 	case porcupine.Illegal:
 		c.violate(CheckLinearizable, "history of the contended object is not linearizable")
--- a/internal/faultsim/control.go
+++ b/internal/faultsim/control.go
@@ -10,6 +10,7 @@
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/keepalive"
+	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/member"
 	"github.com/weldline/weldline/internal/permits"
 	"github.com/weldline/weldline/internal/placement"
@@ -242,6 +243,7 @@
 		c.controller = c.newController()
 		c.permits = permits.New(c.clock())
 		c.clearQuarantines()
+		c.raiseLevel()
 	}
 	c.reconciling = true
 	current := c.controller
@@ -257,6 +259,14 @@
 	})
 }
 
+// raiseLevel raises the level of the cluster if the schedule needs a later one than the first.
+func (c *controlNode) raiseLevel() {
+	if c.sim.hasPoisonPart && c.member.State.Level() < level.Supported {
+		command := &wirepb.RaiseLevelCommand{Level: uint32(level.Supported)}
+		c.propose(&wirepb.Command{Body: &wirepb.Command_RaiseLevel{RaiseLevel: command}}, func(*wirepb.CommandResult, error) {})
+	}
+}
+
 // mutateWrites turns unloads of replicas into deletions under MutationEarlyFree.
 func (c *controlNode) mutateWrites(writes []*wirepb.ObjectWrite) []*wirepb.ObjectWrite {
 	if c.sim.mutation != MutationEarlyFree {
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -32,30 +32,66 @@
 	probeWindow      = 1500 * time.Millisecond
 	recordRetryDelay = 100 * time.Millisecond
 	recordTimeout    = time.Second
+	// Consecutive requests are subjectStep apart in the list of subjects, which is coprime to their number.
+	subjectCount = 24
+	subjectStep  = 7
 )
 
 // requestContent is a request independently of the router that handles it.
 type requestContent struct {
 	identity quarantine.Identity
 	model    string
-	// isPoison marks a request that crashes every engine that runs it.
-	isPoison bool
+	// parts are the parts of the prompt that other requests share.
+	parts []string
+	// poison is what crashes every engine that runs the request: the request itself or a part of its prompt. It
+	// is nil for an ordinary request.
+	poison   *quarantine.Suspect
 	attempts int
 }
 
-func (s *simulation) newRequestContent(name, model string, poison bool) *requestContent {
-	return &requestContent{identity: quarantine.Identify(quarantine.Content{Target: name}), model: model, isPoison: poison}
+// newRequestContent returns an ordinary request. The first part of its prompt is common to all requests, the second
+// one to few.
+func (s *simulation) newRequestContent(name, model string) *requestContent {
+	content := &requestContent{identity: quarantine.Identify(quarantine.Content{Target: name}), model: model}
+	if s.hasPoisonPart {
+		content.parts = []string{"head", numbered("subject", s.inferenceCount*subjectStep%subjectCount)}
+	}
+	return content
+}
+
+// suspects returns the request and the parts of its prompt.
+func (content *requestContent) suspects() []quarantine.Suspect {
+	return append([]quarantine.Suspect{{Identity: content.identity}}, quarantine.PartSuspects(content.parts)...)
 }
 
 // startPoisonRequest starts a client that keeps resending a request that crashes engines.
 func (s *simulation) startPoisonRequest(target int) {
 	s.poisonCount++
-	poison := s.newRequestContent(numbered("culprit", s.poisonCount), numbered("model", target%modelCount), true)
-	s.checks.poisonRequests = append(s.checks.poisonRequests, poison)
-	s.repeatPoisonRequest(poison)
+	content := s.newRequestContent(numbered("culprit", s.poisonCount), numbered("model", target%modelCount))
+	content.poison = &quarantine.Suspect{Identity: content.identity}
+	s.checks.poisons = append(s.checks.poisons, *content.poison)
+	s.repeatPoison(func() *requestContent { return content })
 }
 
-func (s *simulation) repeatPoisonRequest(poison *requestContent) {
+// startPoisonPart starts a client that sends requests for all models that share a part of their prompts, and
+// nothing else that is harmful.
+func (s *simulation) startPoisonPart() {
+	s.poisonCount++
+	part := numbered("harmful", s.poisonCount)
+	poison := quarantine.PartSuspects([]string{part})[0]
+	s.checks.poisons = append(s.checks.poisons, poison)
+	sent := 0
+	s.repeatPoison(func() *requestContent {
+		sent++
+		content := s.newRequestContent(numbered(part+"-request", sent), numbered("model", s.random.IntN(modelCount)))
+		content.parts = append(content.parts, part)
+		content.poison = &poison
+		return content
+	})
+}
+
+// repeatPoison sends harmful requests to random routers.
+func (s *simulation) repeatPoison(next func() *requestContent) {
 	s.After(s.randomDuration(minRetryInterval, maxRetryInterval), func() {
 		if s.Now() > poisonEnd {
 			return
@@ -65,9 +101,9 @@
 			copies = 2
 		}
 		for range copies {
-			s.sendRequest(poison)
+			s.sendRequest(next())
 		}
-		s.repeatPoisonRequest(poison)
+		s.repeatPoison(next)
 	})
 }
 
@@ -112,8 +148,11 @@
 		m.sim.checks.crashRecordOf(quarantine.LoadIdentity(version)).possibleInstances[m.instanceName()] = true
 	}
 	for _, reset := range m.resets {
-		if m.sim.Now()-reset.at <= maxLateDelay+probeWindow {
-			m.sim.checks.crashRecordOf(reset.content.identity).possibleInstances[m.instanceName()] = true
+		if m.sim.Now()-reset.at > maxLateDelay+probeWindow {
+			continue
+		}
+		for _, suspect := range reset.content.suspects() {
+			m.sim.checks.crashRecordOf(suspect.Identity).possibleInstances[m.instanceName()] = true
 		}
 	}
 	m.resets = nil
@@ -181,7 +220,7 @@
 
 // handleBroken handles a request whose response was cut off.
 func (r *routerNode) handleBroken(machineName, instance string, content *requestContent) {
-	run := quarantine.BrokenRequest{Machine: machineName, Instance: instance, Identity: content.identity}
+	run := quarantine.BrokenRequest{Machine: machineName, Instance: instance, Identity: content.identity, PromptParts: r.suspectedParts(content)}
 	switch r.crashes.AddBroken(r.wall(), run) {
 	case quarantine.ActionProbe:
 		r.probe(run, r.sim.Now()+probeWindow)
@@ -286,11 +325,51 @@
 	r.after(pollInterval, func() { r.awaitRevision(revision, next) })
 }
 
-// handleCompleted clears the suspicion of a request that an engine has completed.
+// suspectedParts returns the parts of a prompt that the router takes into account.
+func (r *routerNode) suspectedParts(content *requestContent) []string {
+	if r.sim.mutation == MutationIgnorePromptParts {
+		return nil
+	}
+	return content.parts
+}
+
+// handleCompleted clears the suspicion of a request that an engine has completed, and of its prompt parts.
 func (r *routerNode) handleCompleted(content *requestContent) {
-	if r.crashes.Complete(content.identity, r.view.Suspect(content.identity) != nil) {
-		r.commit(quarantine.ClearCommand(content.identity), func() { r.crashes.MarkCleared(content.identity) })
+	suspects := content.suspects()
+	if r.sim.mutation == MutationKeepPartSuspicion {
+		suspects = suspects[:1]
+	} else {
+		r.crashes.RememberCompleted(r.wall(), content.parts)
+	}
+	var cleared []quarantine.Identity
+	for _, suspect := range suspects {
+		if r.crashes.Complete(suspect.Identity, r.view.Suspect(suspect.Identity) != nil) {
+			cleared = append(cleared, suspect.Identity)
+		}
+	}
+	if len(cleared) == 0 {
+		return
+	}
+	r.commit(quarantine.ClearCommand(cleared...), func() {
+		for _, identity := range cleared {
+			r.crashes.MarkCleared(identity)
+		}
+	})
+}
+
+// isQuarantined reports whether a request must currently not be sent to any engine.
+func (r *routerNode) isQuarantined(content *requestContent) bool {
+	refused := false
+	for _, suspect := range content.suspects() {
+		recorded := r.view.Suspect(suspect.Identity)
+		machines, quarantined := r.crashes.Crashes(suspect, recorded)
+		if quarantined && suspect.Part != "" && r.sim.mutation != MutationKeepPartSuspicion {
+			quarantined = !quarantine.IsExplained(machines, r.view.CrashesOfOtherParts(content.parts))
+		}
+		refused = refused || quarantined || r.crashes.IsPending(r.wall(), suspect, recorded)
 	}
+	r.sim.checks.recordAdmission(r, content, refused)
+	return refused
 }
 
 // clearQuarantines deletes all suspect records under MutationForgetQuarantine.
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -48,11 +48,14 @@
 	FaultLimitEngine Kind = "limit-engine"
 	// FaultCutPaths cuts a router off from all engines.
 	FaultCutPaths Kind = "cut-paths"
+	// FaultCrashingPart starts a client that keeps sending requests that share a harmful part of their prompts,
+	// while connections of healthy engines are reset.
+	FaultCrashingPart Kind = "crashing-part"
 )
 
 // AdditionalKinds are drawn from independent random streams, so that adding a kind does not change the
 // schedules of existing seeds.
-var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths}
+var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart}
 
 // Kinds lists the faults that RandomSchedule draws from.
 var Kinds = []Kind{
@@ -76,7 +79,7 @@
 
 // nonDisruptiveKinds are the faults during which changes must still propagate in time: routers can
 // switch away from a muted control node, and the other kinds isolate no node.
-var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths}
+var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart}
 
 // inject schedules the start and the end of a fault.
 func (s *simulation) inject(fault Fault) {
@@ -134,6 +137,10 @@
 		s.startPoisonRequest(fault.Target)
 		s.resetConnections(s.Now() + fault.For)
 		return noHeal
+	case FaultCrashingPart:
+		s.startPoisonPart()
+		s.resetConnections(s.Now() + fault.For)
+		return noHeal
 	case FaultSuspend:
 		return s.suspend(fault)
 	case FaultDrainZone:
--- a/internal/faultsim/machine.go
+++ b/internal/faultsim/machine.go
@@ -146,14 +146,14 @@
 	if m.sim.hasPoison {
 		m.running = append(m.running, run)
 	}
-	if entry.content.isPoison {
+	if entry.content.poison != nil {
 		m.after(m.sim.randomDuration(minCrashDelay, maxCrashDelay), m.crashAndRestart)
 		return
 	}
 	m.after(took, func() {
 		m.engine.EndRequest(serving)
 		if !m.sim.hasPoison || m.finishRequest(run) {
-			m.sim.checks.crashRecordOf(entry.content.identity).completed = true
+			m.sim.checks.recordCompleted(entry.content)
 			reply(m.response(runCompleted))
 		}
 	})
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -7,7 +7,6 @@
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -65,7 +64,7 @@
 		return
 	}
 	s.inferenceCount++
-	content := s.newRequestContent(numbered("inference", s.inferenceCount), numbered("model", s.random.IntN(modelCount)), false)
+	content := s.newRequestContent(numbered("inference", s.inferenceCount), numbered("model", s.random.IntN(modelCount)))
 	router.run(router.epoch, func() { router.handleInference(content) })
 }
 
@@ -87,17 +86,6 @@
 	r.applyOutcome(r.core.Submit(r.wall(), entry.request))
 }
 
-// isQuarantined reports whether a request must currently not be sent to any engine.
-func (r *routerNode) isQuarantined(content *requestContent) bool {
-	suspect, recorded := quarantine.Suspect{Identity: content.identity}, r.view.Suspect(content.identity)
-	_, quarantined := r.crashes.Crashes(suspect, recorded)
-	refused := quarantined || r.crashes.IsPending(r.wall(), suspect, recorded)
-	if refused && !content.isPoison {
-		r.sim.checks.healthyRefused++
-	}
-	return refused
-}
-
 func (r *routerNode) requestID() string {
 	return r.name + "/" + strconv.FormatUint(r.incarnation, 10) + "/" + strconv.FormatUint(r.requests, 10)
 }
@@ -199,7 +187,7 @@
 // retryAsClient resends a request whose connection broke.
 func (s *simulation) retryAsClient(content *requestContent) {
 	content.attempts++
-	if !content.isPoison && content.attempts < maxAttempts {
+	if content.poison == nil && content.attempts < maxAttempts {
 		s.After(s.randomDuration(minRetryInterval, maxRetryInterval), func() { s.sendRequest(content) })
 	}
 }
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -29,7 +29,7 @@
 	Answered, NotRun, Unknown int
 	// Committed counts log entries. Undecided is 1 if the linearizability check timed out.
 	Committed, Undecided int
-	// CrashCounts holds the number of engines that each poison request crashed.
+	// CrashCounts holds the number of engines that each poison request or prompt part crashed.
 	CrashCounts []int
 	// HealthyRefused counts ordinary requests that were refused as quarantined.
 	HealthyRefused int
@@ -58,6 +58,9 @@
 	MutationResetCountsAsCrash: {FaultCrashingRequest},
 	MutationMonotonicLease:     {FaultSuspend},
 
+	MutationIgnorePromptParts: {FaultCrashingPart},
+	MutationKeepPartSuspicion: {FaultCrashingPart, FaultCrashEngine},
+
 	MutationLateDrains: {FaultDrainZone, FaultSuspend},
 
 	MutationIgnoreBackoff: {FaultOverloadEngine},
@@ -140,8 +143,8 @@
 func (s *simulation) outcome(schedule Schedule) Outcome {
 	outcome := Outcome{Events: s.EventsRun(), Faults: s.faults, Committed: len(s.checks.entryHashes), Undecided: s.checks.undecided}
 	outcome.HealthyRefused = s.checks.healthyRefused
-	for _, poison := range s.checks.poisonRequests {
-		outcome.CrashCounts = append(outcome.CrashCounts, len(s.checks.crashRecordOf(poison.identity).instances))
+	for _, poison := range s.checks.poisons {
+		outcome.CrashCounts = append(outcome.CrashCounts, len(s.checks.crashRecordOf(poison.Identity).instances))
 	}
 	for _, ended := range s.checks.outcomes {
 		switch ended {
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -108,6 +108,8 @@
 		MutationUnsharedCrashes:    {CheckCrashRepeats},
 		MutationForgetQuarantine:   {CheckQuarantine},
 		MutationResetCountsAsCrash: {CheckQuarantine},
+		MutationIgnorePromptParts:  {CheckCrashRepeats},
+		MutationKeepPartSuspicion:  {CheckCompanions},
 		MutationMonotonicLease:     {CheckLease},
 
 		MutationLateDrains: {CheckDrains},
--- a/internal/faultsim/simulation.go
+++ b/internal/faultsim/simulation.go
@@ -60,6 +60,10 @@
 	MutationTrustDigest Mutation = "digest-vouches"
 	// MutationUnsharedCrashes: routers do not record engine crashes in the log.
 	MutationUnsharedCrashes Mutation = "crashes-not-shared"
+	// MutationIgnorePromptParts: routers do not record prompt parts.
+	MutationIgnorePromptParts Mutation = "prompt-parts-ignored"
+	// MutationKeepPartSuspicion: neither completed requests nor other parts exonerate a prompt part.
+	MutationKeepPartSuspicion Mutation = "prompt-parts-never-cleared"
 	// MutationForgetQuarantine: a new leader deletes the quarantines of the previous one.
 	MutationForgetQuarantine Mutation = "conviction-forgotten-by-new-leader"
 	// MutationResetCountsAsCrash: a connection reset counts as an engine crash.
@@ -82,7 +86,7 @@
 var Mutations = []Mutation{
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationTrustDigest,
-	MutationUnsharedCrashes, MutationForgetQuarantine, MutationResetCountsAsCrash, MutationMonotonicLease,
+	MutationUnsharedCrashes, MutationForgetQuarantine, MutationResetCountsAsCrash, MutationIgnorePromptParts, MutationKeepPartSuspicion, MutationMonotonicLease,
 	MutationLateDrains, MutationIgnoreBackoff, MutationIgnoreLimits, MutationKeepRequests,
 }
 
@@ -112,6 +116,9 @@
 	// hasPoison is set if the schedule has poison requests: broken connections are then reported to
 	// routers, and clients retry.
 	hasPoison bool
+	// hasPoisonPart is set if the schedule has requests with a harmful prompt part: all requests then have
+	// prompt parts.
+	hasPoisonPart bool
 	// hasDrains enables stall detection on control nodes.
 	hasDrains                   bool
 	inferenceCount, poisonCount int
@@ -126,7 +133,8 @@
 		faults: map[string]int{}, network: network{late: baseLateRate, cutZones: map[[2]string]bool{}},
 	}
 	s.checks = newChecks(s)
-	s.hasPoison = schedule.has(FaultCrashingRequest)
+	s.hasPoisonPart = schedule.has(FaultCrashingPart)
+	s.hasPoison = s.hasPoisonPart || schedule.has(FaultCrashingRequest)
 	s.hasDrains = schedule.has(FaultDrainZone)
 	s.register = &register{sim: s}
 	s.ledger = newLedger(s)
