--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -52,6 +52,8 @@
 	{"leaving-machines", arrivalsAtLeavingMachines},
 	{"partitioned-routers", unservedPartitions},
 	{"brittle-machines", brittleFalls},
+	{"harmful-parts", harmfulArrivals},
+	{"harmful-part-companions", unservedCompanions},
 	{"regions", arrivalsInForbiddenRegions},
 	{"stream-versions", mixedStreams},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -96,6 +96,12 @@
 		"brittle-machines": func(h *History) {
 			h.Falls = []Fall{{At: 3 * time.Second}, {At: 4 * time.Second}, {At: 5 * time.Second}}
 		},
+		"harmful-parts": func(h *History) { addPartCrashes(h, partCrashLimit, maxLateParts+1) },
+		"harmful-part-companions": func(h *History) {
+			addPartCrashes(h, 1, 0)
+			addCompanions(h, 0, true)
+			addCompanions(h, 40*time.Second, false)
+		},
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -20,6 +20,10 @@
 	Plain bool
 	// Allowed are the regions that may serve the request.
 	Allowed places.Constraint
+	// HasPrompt is set if the request has a prompt with parts, and HarmfulPart is one of them that crashes machines;
+	// empty for none.
+	HasPrompt   bool
+	HarmfulPart string
 }
 
 // Outcome is the result of a request as its caller knows it.
@@ -41,6 +45,8 @@
 	Request string
 	At      time.Duration
 	Outcome Outcome
+	// Begun is set if a machine's response began.
+	Begun bool
 	// Right is set if the response is complete and belongs to the request.
 	Right bool
 	// Unmarked is set if nothing but the end of the connection marks the end of the response.
@@ -115,6 +121,8 @@
 	Rejections []Rejection
 	Leaving    []LeavingAnswer
 	Falls      []Fall
+	// PartCrashes are the machines that crashed because of a prompt part.
+	PartCrashes []PartCrash
 	// CutStreams is the number of streams that machines ended within an event.
 	CutStreams int
 	// Streams are the resumable streams that began.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -72,6 +72,9 @@
 	FaultBrittleMachines FaultKind = "brittle-machines"
 	// FaultCutStreams makes a machine end some of its streams within an event.
 	FaultCutStreams FaultKind = "cut-streams"
+	// FaultHarmfulPart makes callers send requests that share a part of their prompts which crashes the machines
+	// with engines that begin to answer them.
+	FaultHarmfulPart FaultKind = "harmful-part"
 )
 
 // Layout lists the processes and machines of a deployment.
@@ -289,7 +292,7 @@
 func (f Fault) disturbances(layout Layout) []Disturbance {
 	span := Disturbance{Start: f.At, End: f.At + f.Duration, Node: f.Node, IsControl: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
-	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultCutStreams, FaultBurst:
+	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultCutStreams, FaultBurst, FaultHarmfulPart:
 		return nil
 	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
 		span.End += restartDuration
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,6 +36,8 @@
 type Callers interface {
 	// Burst runs many additional callers for the given time.
 	Burst(ctx context.Context, span time.Duration)
+	// SendHarmfulPart sends requests that share a harmful part of their prompts, for the given time.
+	SendHarmfulPart(ctx context.Context, span time.Duration)
 	// CallerProxy returns the proxy between callers and a router.
 	CallerProxy(router string) *Proxy
 }
@@ -92,6 +94,8 @@
 		i.stopInTurn(ctx, i.Layout.Routers)
 	case FaultBurst:
 		i.Callers.Burst(ctx, each.Duration)
+	case FaultHarmfulPart:
+		i.Callers.SendHarmfulPart(ctx, each.Duration)
 	default:
 		defer i.start(each)()
 		sleepUntil(ctx, time.Now().Add(each.Duration))
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -35,6 +35,8 @@
 
 func (s *fakeEnvironment) Burst(context.Context, time.Duration) {}
 
+func (s *fakeEnvironment) SendHarmfulPart(context.Context, time.Duration) {}
+
 func (s *fakeEnvironment) CallerProxy(string) *Proxy { return s.callers }
 
 // echoes reports whether data sent over a connection comes back within silenceTimeout.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,7 @@
 # Settings: SEED, DURATION, CONTROL, ROUTERS, MACHINES and MODELS; LIMITS=0 disables rate limits of
 # machines, STATEMENTS=0 disables Retry-After and shutdown announcements of machines, PARTITIONS=0
 # routers partitioned from machines, paused and brittle machines, STREAMS=0 responses in different
-# framings and streams that machines cut off. KEEP_RUN=1
+# framings and streams that machines cut off, PARTS=0 requests with a prompt part that crashes machines. KEEP_RUN=1
 # keeps the run directory with the logs; it is always kept after a failure.
 #
 # FORMER_BIN is a directory with weldnode of a previous release. The nodes start with that build and
@@ -29,6 +29,8 @@
 if [ "${PARTITIONS:-1}" = 0 ]; then partitions_flag=--no-partitions; fi
 streams_flag=--streams
 if [ "${STREAMS:-1}" = 0 ]; then streams_flag=--no-streams; fi
+parts_flag=--parts
+if [ "${PARTS:-1}" = 0 ]; then parts_flag=--no-parts; fi
 build_flag=--no-former
 if [ -n "${FORMER_BIN:-}" ]; then build_flag=--former; fi
 declare -a supervisors=()
@@ -65,7 +67,7 @@
 
 touch "$run_dir/keep-running"
 "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$build_flag" 2>"$run_dir/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$build_flag" 2>"$run_dir/soak.log" &
 soak_pid=$!
 for _ in $(seq 1 200); do
   if [ -e "$run_dir/ready" ]; then break; fi
