soak: most new connections at one router

Callers of a crowd open a connection for each request, first evenly, then 85 in 100 at one router and more often; a call goes on until a router reads an attempt. Check crowds: from the contact time on, calls that were read are served at least three quarters as often as before.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -54,6 +54,7 @@
 	{"brittle-machines", brittleFalls},
 	{"harmful-parts", harmfulArrivals},
 	{"harmful-part-companions", unservedCompanions},
+	{"crowds", unservedCrowds},
 	{"regions", arrivalsInForbiddenRegions},
 	{"stream-versions", mixedStreams},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -102,6 +102,12 @@
 			addCompanions(h, 0, true)
 			addCompanions(h, 40*time.Second, false)
 		},
+		"crowds": func(h *History) {
+			for number := range minCrowdCalls {
+				at := 20*time.Second + time.Duration(number)*time.Millisecond
+				h.CrowdCalls = append(h.CrowdCalls, CrowdCall{Router: "r1", Sent: at, Served: true}, CrowdCall{Router: "r1", Sent: at, Gathered: true})
+			}
+		},
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -123,6 +123,7 @@
 	Falls      []Fall
 	// PartCrashes are the machines that crashed because of a prompt part.
 	PartCrashes []PartCrash
+	CrowdCalls  []CrowdCall
 	// CutStreams is the number of streams that machines ended within an event.
 	CutStreams int
 	// Streams are the resumable streams that began.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -75,6 +75,8 @@
 	// FaultHarmfulPart makes callers send requests that share a part of their prompts which crashes the machines
 	// with engines that begin to answer them.
 	FaultHarmfulPart FaultKind = "harmful-part"
+	// FaultCrowd sends most new connections to one router, at a higher rate than before.
+	FaultCrowd FaultKind = "crowd"
 )
 
 // Layout lists the processes and machines of a deployment.
@@ -292,7 +294,7 @@
 func (f Fault) disturbances(layout Layout) []Disturbance {
 	span := Disturbance{Start: f.At, End: f.At + f.Duration, Node: f.Node, IsControl: slices.Contains(layout.Control, f.Node)}
 	switch f.Kind {
-	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultCutStreams, FaultBurst, FaultHarmfulPart:
+	case FaultCoolMachine, FaultLimitMachine, FaultRestMachine, FaultLeaveMachine, FaultCutStreams, FaultBurst, FaultHarmfulPart, FaultCrowd:
 		return nil
 	case FaultCrashMachine, FaultResetMachine, FaultDelayMachine:
 		span.End += restartDuration
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -38,6 +38,8 @@
 	Burst(ctx context.Context, span time.Duration)
 	// SendHarmfulPart sends requests that share a harmful part of their prompts, for the given time.
 	SendHarmfulPart(ctx context.Context, span time.Duration)
+	// Crowd sends requests on new connections, most of them to one router, for the given time.
+	Crowd(ctx context.Context, router string, span time.Duration)
 	// CallerProxy returns the proxy between callers and a router.
 	CallerProxy(router string) *Proxy
 }
@@ -94,6 +96,8 @@
 		i.stopInTurn(ctx, i.Layout.Routers)
 	case FaultBurst:
 		i.Callers.Burst(ctx, each.Duration)
+	case FaultCrowd:
+		i.Callers.Crowd(ctx, each.Node, each.Duration)
 	case FaultHarmfulPart:
 		i.Callers.SendHarmfulPart(ctx, each.Duration)
 	default:
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -37,6 +37,8 @@
 
 func (s *fakeEnvironment) SendHarmfulPart(context.Context, time.Duration) {}
 
+func (s *fakeEnvironment) Crowd(context.Context, string, time.Duration) {}
+
 func (s *fakeEnvironment) CallerProxy(string) *Proxy { return s.callers }
 
 // echoes reports whether data sent over a connection comes back within silenceTimeout.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,9 @@
 # Settings: SEED, DURATION, CONTROL, ROUTERS, MACHINES and MODELS; LIMITS=0 disables rate limits of
 # machines, STATEMENTS=0 disables Retry-After and shutdown announcements of machines, PARTITIONS=0
 # routers partitioned from machines, paused and brittle machines, STREAMS=0 responses in different
-# framings and streams that machines cut off, PARTS=0 requests with a prompt part that crashes machines. KEEP_RUN=1
+# framings and streams that machines cut off, PARTS=0 requests with a prompt part that crashes machines,
+# CROWDS=0 spans in which most new connections go to one router. THROTTLE is the share of a processor that each router
+# gets, with no other faults than crowds of CROWD_RATE new connections per second. KEEP_RUN=1
 # keeps the run directory with the logs; it is always kept after a failure.
 #
 # FORMER_BIN is a directory with weldnode of a previous release. The nodes start with that build and
@@ -31,8 +33,12 @@
 if [ "${STREAMS:-1}" = 0 ]; then streams_flag=--no-streams; fi
 parts_flag=--parts
 if [ "${PARTS:-1}" = 0 ]; then parts_flag=--no-parts; fi
+crowds_flag=--crowds
+if [ "${CROWDS:-1}" = 0 ]; then crowds_flag=--no-crowds; fi
 build_flag=--no-former
 if [ -n "${FORMER_BIN:-}" ]; then build_flag=--former; fi
+# A throttled router would otherwise use all processors while it runs.
+if [ -n "${THROTTLE:-}" ]; then export GOMAXPROCS=1; fi
 declare -a supervisors=()
 
 log() { echo "soak: $*" >&2; }
@@ -66,8 +72,8 @@
 trap cleanup EXIT
 
 touch "$run_dir/keep-running"
-"$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$build_flag" 2>"$run_dir/soak.log" &
+env -u GOMAXPROCS "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" \
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$crowds_flag" ${THROTTLE:+--throttle "$THROTTLE"} ${CROWD_RATE:+--crowd-rate "$CROWD_RATE"} "$build_flag" 2>"$run_dir/soak.log" &
 soak_pid=$!
 for _ in $(seq 1 200); do
   if [ -e "$run_dir/ready" ]; then break; fi
