ingress: close new connections unread while there is no processor for them

Clients had left when their turn came, and the router's own slowness looked like lost paths, which made each request cost more.

Change: a connection is judged at its first read, behind the requests in progress. While connections wait too long for the processor, those that wait are closed unread, so that their clients try another router.

--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -44,6 +44,10 @@
 	originsEvicted, originsNotCopied prometheus.Counter
 	// bodies counts the relayed response bodies.
 	bodies *prometheus.CounterVec
+	// connections counts the accepted connections by whether they were read, and connectionWait is how long they
+	// waited until then.
+	connections    *prometheus.CounterVec
+	connectionWait prometheus.Histogram
 	// invalidStatements counts response headers that could not be parsed.
 	invalidStatements prometheus.Counter
 
@@ -124,6 +128,13 @@
 			Name: "weldline_ingress_response_bodies_total",
 			Help: "Relayed response bodies by framing (length, chunked, close) and end (eof, inside_event: eof within an event of a stream, error).",
 		}, []string{"framing", "end"}),
+		connections: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "weldline_ingress_connections_total", Help: "Accepted connections, read or closed unread because this node is overloaded.",
+		}, []string{"outcome"}),
+		connectionWait: factory.NewHistogram(prometheus.HistogramOpts{
+			Name: "weldline_ingress_connection_wait_seconds", Help: "Time from the acceptance of a connection until this node had time to read it.",
+			Buckets: []float64{0.001, 0.005, 0.025, 0.05, 0.1, 0.25, 0.5, 1},
+		}),
 		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
@@ -131,6 +142,16 @@
 	}
 }
 
+// observeAdmission records how long a connection waited to be read, and whether it was.
+func (m *Metrics) observeAdmission(waited time.Duration, admitted bool) {
+	outcome := "read"
+	if !admitted {
+		outcome = "closed_unread"
+	}
+	m.connections.WithLabelValues(outcome).Inc()
+	m.connectionWait.Observe(waited.Seconds())
+}
+
 // setPaths sets the number of machines without a working path and whether there is none to any.
 func (m *Metrics) setPaths(unreachable int, isolated bool) {
 	m.unreachable.Set(float64(unreachable))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -30,6 +30,8 @@
 	handler http.Handler
 	view    *nodeview.View
 	logger  *slog.Logger
+	// admission judges new connections.
+	admission *admission
 
 	mutex   sync.Mutex
 	limits  v1.DeclarationSpec
@@ -47,8 +49,8 @@
 }
 
 // NewServer returns a server that is not yet listening.
-func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger) *Server {
-	return &Server{handler: handler, view: view, logger: logger}
+func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics) *Server {
+	return &Server{handler: handler, view: view, logger: logger, admission: &admission{logger: logger, metrics: metrics}}
 }
 
 // Serve accepts connections until ctx is done or StopAccepting is called. It returns when ctx
@@ -72,7 +74,7 @@
 			return fault.Unavailable.Wrap(err, "accepting a connection")
 		}
 		tcpopt.Apply(connection)
-		s.assign(connection)
+		s.assign(s.admission.wrap(connection))
 	}
 }
 
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -46,8 +46,9 @@
 	created.client.SetDiscovery(created.controlNodes)
 	created.client.SetLocation(settings.Location())
 	created.reports.client = created.client
+	metrics := ingress.NewMetrics(node.registry)
 	created.ingress = ingress.New(ingress.Options{
-		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: ingress.NewMetrics(node.registry),
+		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: metrics,
 		Translator: node.extensions.Translator, MaxWaiting: settings.Ingress.MaxWaiting,
 		Budget: retrybudget.Config{
 			Ratio: settings.Ingress.RetryRatio, Slack: settings.Ingress.RetrySlack, Window: settings.Ingress.RetryWindow,
@@ -56,7 +57,7 @@
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
 		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer,
 	})
-	created.server = ingress.NewServer(created.ingress, created.view, node.logger)
+	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics)
 	return created
 }
 
