upstream, ingress: a connection that timed out because this process was late is no evidence

A timeout noticed more than 25 ms late has the type fault.Late: the attempt ends like a failed connection, and neither the machine, the path, the adaptive timeout nor another router is charged with it.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -37,6 +37,8 @@
 	Protocol = namespace.NewType("protocol")
 	// Deadline is an operation that exceeded its deadline.
 	Deadline = namespace.NewType("deadline", errorx.Timeout())
+	// Late is an operation that timed out while this process had no processor time for it.
+	Late = namespace.NewType("late", errorx.Temporary())
 	// Refused is a request that was rejected without running.
 	Refused = namespace.NewType("refused")
 	// Engine is a back end that failed or sent an invalid response.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -30,6 +30,8 @@
 	// outcomeBackedOff: the machine asked to back off, or announced its shutdown, before the request
 	// was written.
 	outcomeBackedOff
+	// outcomeLate: this node was late to open a connection, which says nothing about the machine.
+	outcomeLate
 	// outcomeNotRun: the machine rejected the request without running it.
 	outcomeNotRun
 	// outcomeWrongMachine: the request reached the wrong machine, which did not run it.
@@ -51,7 +53,7 @@
 // String returns the name used in logs and metrics.
 func (o attemptOutcome) String() string {
 	return [...]string{
-		"answered", "broken", "not_connected", "not_permitted", "backed_off", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered", "unmarked",
+		"answered", "broken", "not_connected", "not_permitted", "backed_off", "late", "not_run", "elsewhere", "failed", "silent", "error", "withheld", "error_answered", "unmarked",
 	}[o]
 }
 
@@ -77,7 +79,7 @@
 		return dispatch.ResultRejected
 	case outcomeNotConnected:
 		return dispatch.ResultUnreachable
-	case outcomeNotPermitted, outcomeBackedOff, outcomeDisallowed:
+	case outcomeNotPermitted, outcomeBackedOff, outcomeLate, outcomeDisallowed:
 		return dispatch.ResultNotSent
 	}
 	return dispatch.ResultFailed
@@ -136,6 +138,9 @@
 		return outcomeBackedOff
 	}
 	j.log("not_connected", "machine", grant.Target.Machine, "error", err.Error())
+	if fault.Is(err, fault.Late) {
+		return outcomeLate
+	}
 	if ctx.Err() == nil {
 		j.ingress.paths.notConnected(grant.Target.Machine)
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -100,8 +100,8 @@
 // forwardFailure returns the outcome of an exchange with another router that got no response.
 func (j *job) forwardFailure(ctx context.Context, router forwarding.Router, failure upstream.Failure, err error) (attemptOutcome, forwarding.Result) {
 	result := forwarding.ResultFailed
-	if ctx.Err() != nil {
-		result = forwarding.ResultCanceled
+	if ctx.Err() != nil || fault.Is(err, fault.Late) {
+		result = forwarding.ResultCanceled // It says nothing about the other router.
 	}
 	j.log("forward_no_answer", "router", router.Node, "failure", failure.String(), "error", err.Error())
 	if failure == upstream.FailureConnect {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -273,8 +273,10 @@
 			return outcome
 		}
 		j.unreachable = outcome == outcomeNotConnected
-		if j.unreachable {
+		if j.unreachable || outcome == outcomeLate {
 			failures++
+		}
+		if j.unreachable {
 			j.ingress.permits.warming.recordFailure(grant.Target.Machine)
 			j.ingress.options.RequestReport()
 		}
@@ -364,7 +366,7 @@
 // that the client canceled doesn't count.
 func (j *job) attemptResult(ctx context.Context, outcome attemptOutcome) dispatch.Result {
 	switch {
-	case outcome == outcomeNotPermitted || outcome == outcomeBackedOff:
+	case outcome == outcomeNotPermitted || outcome == outcomeBackedOff || outcome == outcomeLate:
 		return dispatch.ResultNotSent
 	case j.request.Context().Err() != nil:
 		return dispatch.ResultNotRun
@@ -379,7 +381,7 @@
 	switch {
 	case ctx.Err() != nil || j.headerSent:
 		return false
-	case outcome == outcomeNotConnected:
+	case outcome == outcomeNotConnected || outcome == outcomeLate:
 		return connectFailures < maxConnectFailures && len(j.triedRouters) == 0
 	case j.mayHaveRun && !j.route.Spec.Repeatable():
 		j.noRetry = "not repeatable"
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/paths"
 	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
@@ -185,7 +186,7 @@
 const (
 	// probeUnconnected: no connection could be opened.
 	probeUnconnected probeResult = iota
-	// probeUnanswered: a connection was opened, and nothing came back on it.
+	// probeUnanswered: a connection was opened, and nothing came back on it; or this node was late to open it.
 	probeUnanswered
 	probeAnswered
 )
@@ -267,7 +268,7 @@
 	switch {
 	case err == nil:
 		return probeAnswered
-	case connected:
+	case connected || fault.Is(err, fault.Late):
 		return probeUnanswered
 	}
 	return probeUnconnected
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -87,9 +87,12 @@
 	}
 	openedAt := time.Now()
 	network, err := p.Dial(ctx, machine, address)
-	if err != nil {
+	if err != nil && !fault.Is(err, fault.Late) {
 		return nil, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
 	}
+	if err != nil {
+		return nil, err
+	}
 	return &conn{
 		machine: machine, address: address, network: network, reader: bufio.NewReaderSize(network, readBufferBytes), openedAt: openedAt,
 	}, nil
@@ -127,7 +130,10 @@
 	p.Retain(func(string) bool { return false })
 }
 
-// Dial connects to a machine within the adaptive timeout.
+// maxLateness is how late a timeout may be noticed without the process counting as short of processor time.
+const maxLateness = 25 * time.Millisecond
+
+// Dial connects to a machine within the adaptive timeout. An error of type fault.Late says nothing about the machine.
 func (p *Pool) Dial(ctx context.Context, machine, address string) (net.Conn, error) {
 	p.mutex.Lock()
 	limit := p.dialTimeouts.timeout(machine)
@@ -139,9 +145,12 @@
 	elapsed := time.Since(started)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		p.dialTimeouts.recordConnected(machine, elapsed)
-	} else if elapsed >= limit {
+	case elapsed >= limit+maxLateness:
+		return nil, fault.Late.Wrap(err, "this process was %s late to open a connection to machine %s", elapsed-limit, machine)
+	case elapsed >= limit:
 		p.dialTimeouts.recordTimeout(machine)
 	}
 	return network, err
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
+
+	"github.com/weldline/weldline/internal/fault"
 )
 
 // listen accepts connections and keeps them open until the test ends.
@@ -34,6 +37,18 @@
 
 // TestIdleConnectionsMatchTheAddress guards against sending requests for a machine that moved to
 // another address to the process at the old one.
+// TestLateDialIsNoEvidence guards against taking a machine for slow or down because this process had no processor time.
+func TestLateDialIsNoEvidence(t *testing.T) {
+	pool := NewPool(Config{DialTimeout: minDialTimeout, Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		time.Sleep(2 * maxLateness)
+		return nil, ctx.Err()
+	}})
+	if _, err := pool.Dial(t.Context(), "m", "address"); !fault.Is(err, fault.Late) || pool.dialTimeouts.consecutive["m"] != 0 {
+		t.Errorf("%v, %d timeouts counted", err, pool.dialTimeouts.consecutive["m"])
+	}
+}
+
 func TestIdleConnectionsMatchTheAddress(t *testing.T) {
 	const machine = "machine-1"
 	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: FixedMaxIdle(1), IdleTimeout: time.Hour})
