ingress: a refusal that does not wait for the body keeps the connection usable

What callers saw: after a refusal of a request whose body was still to come, the connection broke ("invalid concurrent Body.Read call", a panic that net/http recovers); the next request on it got no response. Known as the panic of net/http after a refusal, and met more often with requests that are refused for a part of their prompt.

Cause: with full duplex, net/http closes the body after the handler has returned and after it has stopped its background read; the end of the body starts another, which runs beside the read of the next request. The handler now sends the response and closes the body itself.

Test: TestConnectionServesAfterEarlyRefusal, no response to the second request before.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -476,6 +476,7 @@
 		"no_retry", j.noRetry, "retry_after_ms", retryAfter.Milliseconds())
 	j.ingress.options.Metrics.observe(j.route, "refused_"+document.Kind(), time.Since(j.arrived))
 	document.Write(j.writer)
+	j.drainBody()
 }
 
 // allowResponseBeforeBody lets the server send the response before it has read the request's
@@ -489,6 +490,18 @@
 	}
 }
 
+// drainBody sends the response and reads what is left of a body that the response did not wait for. If the server did
+// that after the handler has returned, it could not read the next request of the connection.
+func (j *job) drainBody() {
+	if j.body != nil || j.request.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(j.writer).Flush(); err != nil {
+		return // The connection is broken.
+	}
+	_ = j.request.Body.Close()
+}
+
 // logAttempt logs the outcome of an attempt. If the machine may have crashed, the line has what other requests
 // may share with this one: its identity, which is the same across retries and routers, and the parts of its
 // prompt. bytes is how much of the body came first.
--- /dev/null
+++ b/internal/ingress/refusal_test.go
@@ -0,0 +1,42 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+)
+
+// TestConnectionServesAfterEarlyRefusal guards against breaking a client's connection with a refusal that does not wait
+// for the request's body.
+func TestConnectionServesAfterEarlyRefusal(t *testing.T) {
+	machine := newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
+		return write(connection, ok(request, "whole"))
+	})
+	router := newDeployment(t)
+	router.serve(v1.RouteStream, 1, 10*time.Second, machine.address)
+	connection, err := net.Dial("tcp", router.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(long))
+	reader := bufio.NewReader(connection)
+	for _, path := range []string{"/no-route", "/a/x", "/no-route", "/a/x"} {
+		write(connection, "POST "+path+" HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": id\r\nContent-Length: 4\r\n\r\n")
+		time.Sleep(10 * time.Millisecond) // The refusal usually comes before the body.
+		write(connection, "body")
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s: no response: %v", path, err)
+		}
+		want := map[string]int{"/no-route": http.StatusNotFound, "/a/x": http.StatusOK}[path]
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != want {
+			t.Errorf("%s: status %d (%v), want %d", path, response.StatusCode, err, want)
+		}
+	}
+}
