crashwatch: parts that completed recently are not recorded by late reports either

Found by reading: a request reported after the crash of its machine was known went into the log with all its prompt parts, also those that completed within the last seconds. A popular part got a record for each such crash and had to be cleared again. Test: TestRecentPartOfLateReportIsNotRecorded, "[head second]" before.

--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -132,7 +132,9 @@
 func (w *Watcher) ReportBroken(request quarantine.BrokenRequest) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	switch w.tracker.AddBroken(time.Now(), request) {
+	now := time.Now()
+	request = w.tracker.WithoutRecentParts(now, request)
+	switch w.tracker.AddBroken(now, request) {
 	case quarantine.ActionProbe:
 		if !w.startTask(func(ctx context.Context) { w.probeMachine(ctx, request) }) {
 			w.tracker.Forget(request.Instance)
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -221,6 +221,7 @@
 // handleBroken handles a request whose response was cut off.
 func (r *routerNode) handleBroken(machineName, instance string, content *requestContent) {
 	run := quarantine.BrokenRequest{Machine: machineName, Instance: instance, Identity: content.identity, PromptParts: r.suspectedParts(content)}
+	run = r.crashes.WithoutRecentParts(r.wall(), run)
 	switch r.crashes.AddBroken(r.wall(), run) {
 	case quarantine.ActionProbe:
 		r.probe(run, r.sim.Now()+probeWindow)
--- a/internal/quarantine/suspect_test.go
+++ b/internal/quarantine/suspect_test.go
@@ -72,13 +72,13 @@
 	tracker := NewTracker()
 	tracker.RememberCompleted(epoch, []string{"head"})
 	later := epoch.Add(recentCompletion - 1)
-	tracker.AddBroken(later, requestWith("i-1", 1, "head", "harmful"))
+	tracker.AddBroken(later, tracker.WithoutRecentParts(later, requestWith("i-1", 1, "head", "harmful")))
 	requests := tracker.ApplyVerdict(later, "i-1", VerdictEnded)
 	if len(requests) != 1 || !slices.Equal(requests[0].PromptParts, []string{"harmful"}) {
 		t.Errorf("recorded with parts %+v", requests)
 	}
 	later = epoch.Add(3 * recentCompletion)
-	tracker.AddBroken(later, requestWith("i-2", 2, "head", "harmful"))
+	tracker.AddBroken(later, tracker.WithoutRecentParts(later, requestWith("i-2", 2, "head", "harmful")))
 	requests = tracker.ApplyVerdict(later, "i-2", VerdictEnded)
 	if len(requests) != 1 || !slices.Equal(requests[0].PromptParts, []string{"head", "harmful"}) {
 		t.Errorf("after the completion was long ago, recorded with parts %+v", requests)
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -139,10 +139,15 @@
 	ActionDropped
 )
 
-// AddBroken tracks a broken request. Parts of its prompt that completed recently in another request are not
-// suspected.
-func (t *Tracker) AddBroken(now time.Time, request BrokenRequest) Action {
+// WithoutRecentParts returns a broken request without the parts of its prompt that completed recently in another
+// request. These are not suspected.
+func (t *Tracker) WithoutRecentParts(now time.Time, request BrokenRequest) BrokenRequest {
 	request.PromptParts = slices.DeleteFunc(slices.Clone(request.PromptParts), func(part string) bool { return t.recent.contains(now, part) })
+	return request
+}
+
+// AddBroken tracks a broken request. The caller must have applied WithoutRecentParts.
+func (t *Tracker) AddBroken(now time.Time, request BrokenRequest) Action {
 	for instance, probed := range t.probes {
 		if probed.verdict != VerdictPending && now.After(probed.expiresAt) {
 			delete(t.probes, instance)
