ingress: an early refusal is complete at once, and waits a second at most for its body

Found by a test that took a second: since the connection is kept usable, the end of a refusal's body was sent only once the request's body had come, and a client that never sends it kept the request in flight, which delays the stop of the node. Problem documents now state their length, and the wait is bounded. Tests: TestEarlyRefusalDoesNotWaitForItsBody, no end before; TestRequestWithQuarantinedPartRefusedBeforeItsBody takes 0.02 s instead of 1.02 s.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -23,8 +23,10 @@
 	// maxConnectFailures bounds the attempts that end before the request is written.
 	maxConnectFailures = 4
 	// maxStartWait bounds the wait for the first configuration of a starting node.
-	maxStartWait    = 2 * time.Second
-	retryAfterBusy  = 150 * time.Millisecond
+	maxStartWait   = 2 * time.Second
+	retryAfterBusy = 150 * time.Millisecond
+	// maxDrainTime bounds the wait for the rest of a body that is not used. Later the connection is closed.
+	maxDrainTime    = time.Second
 	retryAfterStart = 300 * time.Millisecond
 )
 
@@ -496,7 +498,8 @@
 	if j.body != nil || j.request.ContentLength == 0 {
 		return
 	}
-	if err := http.NewResponseController(j.writer).Flush(); err != nil {
+	controller := http.NewResponseController(j.writer)
+	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
 		return // The connection is broken.
 	}
 	_ = j.request.Body.Close()
--- a/internal/ingress/refusal_test.go
+++ b/internal/ingress/refusal_test.go
@@ -11,6 +11,26 @@
 	v1 "github.com/weldline/weldline/api/v1"
 )
 
+// TestEarlyRefusalDoesNotWaitForItsBody guards against a request that counts as in flight, and delays the stop of the node,
+// for as long as a client does not send the body that is not needed.
+func TestEarlyRefusalDoesNotWaitForItsBody(t *testing.T) {
+	router := newDeployment(t)
+	router.serve(v1.RouteStream, 1, 10*time.Second)
+	connection, err := net.Dial("tcp", router.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(long))
+	write(connection, "POST /no-route HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": id\r\nContent-Length: 900\r\n\r\n")
+	if status, _, _ := readRaw(connection); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+	for router.handler.InFlight() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestConnectionServesAfterEarlyRefusal guards against breaking a client's connection with a refusal that does not wait
 // for the request's body.
 func TestConnectionServesAfterEarlyRefusal(t *testing.T) {
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -140,6 +140,12 @@
 		seconds := int64((d.RetryAfter + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	content, err := json.Marshal(d)
+	if err == nil {
+		content = append(content, '\n')
+		// The client has the whole response even if the handler goes on for a while.
+		header.Set("Content-Length", strconv.Itoa(len(content)))
+	}
 	writer.WriteHeader(d.Status)
-	_ = json.NewEncoder(writer).Encode(d)
+	_, _ = writer.Write(content) // A client that has left needs no answer.
 }
