ingress: a stream that another router began is recorded by the router that forwarded it

Traced from the logs: router-2 sent the request to a machine of v2, which did not answer since the router was partitioned, and forwarded it to router-0, where a machine of v1 began the stream. The record of the first attempt stayed at router-2 and at its keeper router-1, which is no keeper of router-0's record; router-1 resumed at v2.

Cause: a record is replaced by one of a later attempt of the same router; a forwarded attempt is recorded by another router, whose keepers are others. Change: the result of a forwarded request names the version of the machine that answered, and the forwarding router records it, for itself and its keepers, before it relays the response. Earlier releases name none, and change nothing.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,5 +1,11 @@
 package ingress
 
+import (
+	"time"
+
+	"github.com/weldline/weldline/internal/streamorigin"
+)
+
 // CrashesSettled reports whether all observed crashes have been recorded.
 func (i *Ingress) CrashesSettled() bool {
 	return i.crashes.IsIdle()
@@ -13,6 +19,14 @@
 // KnowsSoftware reports whether a digest has described the software of the pools.
 func (i *Ingress) KnowsSoftware() bool { return i.origins.software.Load().isKnown }
 
+// OriginOf returns the recorded version at which a stream began, or an empty string.
+func (i *Ingress) OriginOf(attempt string) string {
+	i.origins.mutex.Lock()
+	defer i.origins.mutex.Unlock()
+	record, _ := i.origins.store.Lookup(time.Now(), streamorigin.KeyOf("", attempt))
+	return record.Origin.Software
+}
+
 // KnowsRouters reports whether the ingress knows a number of other routers.
 func (i *Ingress) KnowsRouters(count int) bool {
 	i.forwarder.mutex.Lock()
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -86,6 +86,9 @@
 		return outcomeNotRun, forwarding.ResultServed
 	case wirepb.ForwardedResult_OUTCOME_ANSWERED:
 		j.mayHaveRun = true
+		// An earlier attempt of this router may have recorded another version, here and at keepers that the other
+		// router does not copy to.
+		j.recordOriginAt(result.GetSoftware(), j.sent-1)
 		framing := framingOf(response)
 		if result.GetEndUnmarked() {
 			framing = unmarkedEnd
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -92,7 +92,7 @@
 		return
 	}
 	encoded, err := encodeHeader(&wirepb.ForwardedResult{
-		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable, EndUnmarked: endUnmarked,
+		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable, EndUnmarked: endUnmarked, Software: j.sentToSoftware,
 	})
 	if err != nil {
 		j.log("forward_result_lost", "error", err.Error())
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -70,6 +70,8 @@
 	triedRouters []string
 	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
+	// sentToSoftware is the version of the software of the last machine that the request was sent to.
+	sentToSoftware string
 	// software is the version of the software that must serve the request; empty for any.
 	software string
 	// relayed describes the last response that was relayed.
--- a/internal/ingress/resume.go
+++ b/internal/ingress/resume.go
@@ -32,13 +32,20 @@
 // recordOrigin records where the stream begins, before the request is written to a machine. The first event
 // comes much later. An attempt that fails before it is followed by another record.
 func (j *job) recordOrigin(grant *dispatch.Grant) {
-	if !j.recordsOrigin() || grant.Target.Software == "" || j.attributes.ID == "" {
+	j.sentToSoftware = grant.Target.Software
+	j.recordOriginAt(grant.Target.Software, j.sent)
+}
+
+// recordOriginAt records that the stream begins at a version of the machines' software, at which the request arrives
+// after it was sent to some other machines.
+func (j *job) recordOriginAt(software string, sends int) {
+	if !j.recordsOrigin() || software == "" || j.attributes.ID == "" {
 		return
 	}
 	lifetime := originLifetimes*max(j.attributes.Timeout, time.Duration(j.route.Spec.Timeout)) + originMargin
 	record := streamorigin.Record{
-		Key: streamorigin.KeyOf(j.tenant.name, j.attributes.ID), Origin: streamorigin.Origin{Pool: j.pool, Software: grant.Target.Software},
-		Sends: uint32(j.sent), Expires: time.Now().Add(lifetime),
+		Key: streamorigin.KeyOf(j.tenant.name, j.attributes.ID), Origin: streamorigin.Origin{Pool: j.pool, Software: software},
+		Sends: uint32(sends), Expires: time.Now().Add(lifetime),
 	}
 	j.ingress.origins.record(record)
 	if j.software != "" && j.attributes.Resumes != "" {
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -1,11 +1,17 @@
 package ingress_test
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -13,7 +19,7 @@
 func (d *deployment) serveVersions(address string, versions ...string) {
 	route := &v1.RouteSpec{
 		Host: "shop.example", PathPrefix: "/a/", Kind: v1.RouteStream, Resumable: true, Timeout: v1.Duration(long),
-		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: 1,
+		Targets: []v1.RouteTarget{{Pool: "pool", Weight: 1}}, MaxAttempts: 2,
 	}
 	events := append(d.declaration(), d.object(v1.KindRoute, "r", route, nil))
 	for _, version := range versions {
@@ -24,6 +30,39 @@
 	d.view.Confirm(d.revision)
 }
 
+// TestForwardedStreamReplacesItsOrigin guards against resuming a stream at the version of a machine that the request was
+// sent to first and that did not answer, although another router had it served by a machine of another version.
+func TestForwardedStreamReplacesItsOrigin(t *testing.T) {
+	silent := newRawMachine(t, func(receivedRequest, int, net.Conn) bool { return false })
+	machine := newRawMachine(t, respondOK)
+	location := places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}
+	var dials atomic.Int64
+	first := newDeploymentAt(t, location, func(options *ingress.Options) {
+		options.Node = "first"
+		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+	other := newDeployment(t)
+	first.serveVersions(silent.address, "v2", "v3", "v4")
+	other.serveVersions(machine.address, "v1")
+	first.knowRouters("other z " + other.acceptForwards())
+	if got := first.send(http.MethodPost, "/a/b", "attempt", "body"); got.status != http.StatusOK {
+		t.Fatalf("got %d %s", got.status, got.body)
+	}
+	if len(silent.requests()) != 1 || len(machine.requests()) != 1 {
+		t.Errorf("the machines got %d and %d requests", len(silent.requests()), len(machine.requests()))
+	}
+	for name, router := range map[string]*deployment{"first": first, "other": other} {
+		if origin := router.handler.OriginOf("attempt"); origin != "v1" {
+			t.Errorf("at router %s the stream began at %q", name, origin)
+		}
+	}
+}
+
 // TestStaleDigestDoesNotProveOneVersion guards against resuming a stream at another version since the leader's last
 // digest is older than the first machine of a new version.
 func TestStaleDigestDoesNotProveOneVersion(t *testing.T) {
