ingress: log which zones a request was forwarded to, and when nobody else hears the silent machines

The logs of the failing tests could not tell whether a router knew no other router, asked only cut ones, or never noticed its own cut. With the zone in request_forward_attempt, request_unservable and machines_silent_elsewhere they do.

--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -25,7 +25,7 @@
 
 // Router is another router that accepts forwarded requests.
 type Router struct {
-	Node, Address string
+	Node, Address, Zone string
 	// Region is empty if unknown.
 	Region    string
 	Proximity places.Proximity
@@ -37,7 +37,7 @@
 	for _, entry := range entries {
 		if entry.GetNode() != node {
 			routers = append(routers, Router{
-				Node: entry.GetNode(), Address: entry.GetAddress(), Region: location.Zones.Region(entry.GetZone()), Proximity: location.ProximityOf(entry.GetZone()),
+				Node: entry.GetNode(), Address: entry.GetAddress(), Zone: entry.GetZone(), Region: location.Zones.Region(entry.GetZone()), Proximity: location.ProximityOf(entry.GetZone()),
 			})
 		}
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -39,7 +39,7 @@
 		}
 		outcome, result := j.forwardTo(ctx, router)
 		j.ingress.forwarder.end(router.Node, result)
-		j.log("forward_attempt", "router", router.Node, "end", outcome.String(), "sent", j.sent)
+		j.log("forward_attempt", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "sent", j.sent)
 		j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
 		j.triedRouters = append(j.triedRouters, router.Node)
 		switch {
@@ -54,6 +54,7 @@
 		}
 	}
 	if unreachable > 0 && unreachable == len(j.triedRouters) {
+		j.log("unservable", "version", j.version, "routers", j.triedRouters)
 		j.ingress.forwarder.markUnservable(j.version)
 	}
 	return outcomeNotConnected, false
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -45,6 +45,7 @@
 			return reply.GetResponding()
 		}
 	}
+	f.logger.Info("machines_silent_elsewhere", "routers", asked, "machines", machines)
 	return nil
 }
 
