--- a/internal/feed/routers_test.go
+++ b/internal/feed/routers_test.go
@@ -58,3 +58,24 @@
 		}
 	}
 }
+
+// TestRoutersOfEveryZoneAreLearned guards against a router that learns only of routers in zones that are cut off: with
+// three zones of four cut off, one router in five did.
+func TestRoutersOfEveryZoneAreLearned(t *testing.T) {
+	zones := places.NewZoneMap(map[string]string{"a": "north", "b": "north", "c": "north", "d": "north"})
+	var all []*wirepb.RouterEntry
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		for number := range 15 {
+			all = append(all, &wirepb.RouterEntry{Node: fmt.Sprintf("%s-%d", zone, number), Zone: zone})
+		}
+	}
+	for _, router := range all {
+		learned := map[string]bool{}
+		for _, other := range selectRouters(all, router.GetNode(), places.Location{Zones: zones, Zone: router.GetZone()}) {
+			learned[other.GetZone()] = true
+		}
+		if len(learned) != 4 {
+			t.Errorf("%s learns of routers in %v only", router.GetNode(), learned)
+		}
+	}
+}
