ingress: isolated routers find the routers that serve, wherever they are

A request was forwarded to the three nearest routers, all in the zone that was cut off. That they had no path was remembered for 300 ms, less than the time between two requests, so that each request repeated it. From the three a verdict on the version was drawn, though they said nothing about machines. A cut that accepts connections and carries nothing was confirmed by two of the nearest routers only, which did not hear the machines either, so it was never noticed.

Change: - After a router without a path the next one is in another zone; routers known to be connected come first. Up to eight are tried, as a refusal takes about a millisecond. - While a router is isolated it checks the status of the others in the background, so requests need not find out. Statuses hold until the next check is due. - Routers say whether they are isolated, and name some that are connected. A router whose acquaintances are all cut off finds the rest this way, without a control node. - A version counts as unservable only if connected routers of all known zones lack a path to its machines. - In doubt, routers of several zones are asked at once, and then those that they name. - A first failed machine makes the router probe others at once.

TestBrokenHop waited for a second request to go to a router that had just broken one, beside one that works. That does not happen any more; it now uses a router that knows neither.

--- a/internal/faultsim/paths.go
+++ b/internal/faultsim/paths.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	pathProbeInterval = 100 * time.Millisecond
-	maxForwards       = 3
+	pathProbeInterval  = 100 * time.Millisecond
+	routerCheckTimeout = 400 * time.Millisecond
+	maxForwards        = 8
 	// pathContactTime is how long a router may take to notice that its paths are cut.
 	pathContactTime = 2 * time.Second
 	// maxPathFailures plus maxPathFailureShare of all requests may fail at a router without paths, unless it
@@ -106,6 +107,9 @@
 		for _, machine := range r.paths.tracker.StartProbes(r.wall()) {
 			r.probePath(machine)
 		}
+		if r.paths.tracker.IsIsolated() {
+			r.checkRouters()
+		}
 		if r.paths.tracker.AnyDown() || r.paths.tracker.IsIsolated() {
 			r.startProbing()
 		}
@@ -120,6 +124,14 @@
 	})
 }
 
+// forwardReply is another router's reply to a forwarded request.
+type forwardReply struct {
+	outcome callerOutcome
+	// isolated is set if the router has no path to any engine; routers are some that have, as far as it knows.
+	isolated bool
+	routers  []forwarding.Router
+}
+
 // forward has another router serve a request.
 func (r *routerNode) forward(entry *inference) {
 	router, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters)
@@ -127,37 +139,53 @@
 		entry.end(outcomeNotRun)
 		return
 	}
-	entry.triedRouters = append(entry.triedRouters, router.Node)
 	r.paths.selector.Begin(router.Node)
 	other, left := r.sim.routerNamed(router.Node), entry.request.Deadline.Sub(r.wall())
-	call(&r.process, &other.process, max(left, 0), func(reply func(callerOutcome)) {
+	call(&r.process, &other.process, max(left, 0), func(reply func(forwardReply)) {
 		other.handleForwarded(entry, left, reply)
-	}, func(result callerOutcome, answered bool) {
+	}, func(reply forwardReply, answered bool) {
+		result := forwardResult(reply, answered)
+		entry.triedRouters = append(entry.triedRouters, forwarding.Attempt{Router: router, Result: result})
+		r.paths.selector.End(r.wall(), router.Node, result)
+		r.paths.selector.Refer(r.wall(), r.asSeenFromHere(reply.routers))
 		switch {
 		case !answered:
-			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultFailed)
 			entry.end(outcomeUnknown)
-		case result == outcomeNotRun:
-			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultUnreachable)
-			if !entry.ended {
-				r.forward(entry)
-			}
-		default:
-			r.paths.selector.End(r.wall(), router.Node, forwarding.ResultServed)
-			entry.end(result)
+		case reply.outcome != outcomeNotRun:
+			entry.end(reply.outcome)
+		case !entry.ended:
+			r.forward(entry)
 		}
 	})
 }
 
+func forwardResult(reply forwardReply, answered bool) forwarding.Result {
+	switch {
+	case !answered:
+		return forwarding.ResultFailed
+	case reply.isolated:
+		return forwarding.ResultIsolated
+	case reply.outcome == outcomeNotRun:
+		return forwarding.ResultUnreachable
+	}
+	return forwarding.ResultServed
+}
+
+// asSeenFromHere returns routers that another router named, with their distance from this one.
+func (r *routerNode) asSeenFromHere(routers []forwarding.Router) []forwarding.Router {
+	return forwarding.OtherRouters(forwarding.Entries(routers), r.name, places.Location{Zone: r.zone})
+}
+
 // handleForwarded serves a request of another router's client. It is not forwarded again.
-func (r *routerNode) handleForwarded(origin *inference, left time.Duration, reply func(callerOutcome)) {
+func (r *routerNode) handleForwarded(origin *inference, left time.Duration, reply func(forwardReply)) {
+	respond := func(outcome callerOutcome) { reply(r.forwardReply(outcome)) }
 	target, known := r.view.Resolve(origin.content.model)
 	if !r.serving() || !known || r.isQuarantined(origin.content) {
-		reply(outcomeNotRun)
+		respond(outcomeNotRun)
 		return
 	}
 	r.requests++
-	entry := &inference{router: r, id: origin.id, content: origin.content, reply: reply}
+	entry := &inference{router: r, id: origin.id, content: origin.content, reply: respond}
 	entry.request = &dispatch.Request{
 		ID: r.requests, Version: target.Version, Arrived: r.wall(), Deadline: r.wall().Add(left), Priority: origin.request.Priority, Forwarded: true,
 	}
@@ -165,6 +193,45 @@
 	r.applyOutcome(r.core.Submit(r.wall(), entry.request))
 }
 
+func (r *routerNode) forwardReply(outcome callerOutcome) forwardReply {
+	if outcome != outcomeNotRun || !r.paths.tracker.IsIsolated() {
+		return forwardReply{outcome: outcome}
+	}
+	return forwardReply{outcome: outcome, isolated: true, routers: r.paths.selector.Referrals(r.wall())}
+}
+
+// checkRouters checks the statuses of other routers while this one is isolated.
+func (r *routerNode) checkRouters() {
+	for _, router := range r.paths.selector.StartChecks(r.wall()) {
+		other := r.sim.routerNamed(router.Node)
+		call(&r.process, &other.process, routerCheckTimeout, func(reply func(statusReply)) {
+			reply(other.statusReply())
+		}, func(reply statusReply, answered bool) {
+			if !answered {
+				reply.status = forwarding.StatusFailed
+			}
+			r.paths.selector.EndCheck(r.wall(), router.Node, reply.status, true)
+			r.paths.selector.Refer(r.wall(), r.asSeenFromHere(reply.routers))
+		})
+	}
+}
+
+// statusReply is a router's reply to a check of its status.
+type statusReply struct {
+	status  forwarding.Status
+	routers []forwarding.Router
+}
+
+func (r *routerNode) statusReply() statusReply {
+	switch {
+	case r.paths.tracker.IsIsolated():
+		return statusReply{status: forwarding.StatusIsolated, routers: r.paths.selector.Referrals(r.wall())}
+	case r.paths.tracker.IsConnected(r.wall()):
+		return statusReply{status: forwarding.StatusConnected}
+	}
+	return statusReply{status: forwarding.StatusUnknown}
+}
+
 func (s *simulation) routerNamed(name string) *routerNode {
 	index := slices.IndexFunc(s.routers, func(candidate *routerNode) bool { return candidate.name == name })
 	return s.routers[index]
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -7,6 +7,7 @@
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/forwarding"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -55,7 +56,7 @@
 	// reply is set if another router forwarded the request; it replaces the report to the client.
 	reply func(callerOutcome)
 	// triedRouters are the routers that the request was forwarded to.
-	triedRouters []string
+	triedRouters []forwarding.Attempt
 }
 
 func (s *simulation) sendInference() {
--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -1,21 +1,22 @@
 package forwarding
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/weldline/weldline/internal/places"
-	"github.com/weldline/weldline/internal/retrydelay"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 const (
-	// A router that can't be connected to, or broke a connection, is avoided for a time that doubles
-	// with each failure.
-	minFailureDelay = 250 * time.Millisecond
-	maxFailureDelay = 4 * time.Second
-	// unreachableDelay is how long a router is avoided that has no path itself.
-	unreachableDelay = 300 * time.Millisecond
+	// doubtPeriod is for how long a router that lacked a path for a request is tried after those that may not.
+	doubtPeriod = time.Second
+	// unservablePeriod is how long a version is not forwarded after connected routers of all known zones had no
+	// path to a machine for it.
+	unservablePeriod = 300 * time.Millisecond
+	// minUnservableEvidence is how many connected routers must lack a path, unless fewer are known.
+	minUnservableEvidence = 3
 	// retention is how long a router stays known that is not listed any more. A new leader lists routers
 	// only once they have reported to it.
 	retention = 10 * time.Second
@@ -44,26 +45,49 @@
 	return routers
 }
 
+// Entries returns the wire form of routers.
+func Entries(routers []Router) []*wirepb.RouterEntry {
+	entries := make([]*wirepb.RouterEntry, 0, len(routers))
+	for _, router := range routers {
+		entries = append(entries, &wirepb.RouterEntry{Node: router.Node, Zone: router.Zone, Address: router.Address})
+	}
+	return entries
+}
+
 // Result is what became of a forwarded request.
 type Result int
 
 const (
 	// ResultServed: the router responded, whatever the response was.
 	ResultServed Result = iota
-	// ResultUnreachable: the router has no path to a machine either.
+	// ResultUnreachable: the router has no path to a machine that could serve the request, but to others.
 	ResultUnreachable
+	// ResultIsolated: the router has no path to any machine.
+	ResultIsolated
 	// ResultFailed: the router could not be connected to, or the connection broke.
 	ResultFailed
 	// ResultCanceled: the client or this router ended the exchange.
 	ResultCanceled
 )
 
+// Attempt is a router that a request was sent to, with the result.
+type Attempt struct {
+	Router Router
+	Result Result
+}
+
 // routerState is a router with what is known of it.
 type routerState struct {
 	Router
-	inFlight     int
-	failures     int
-	avoidedUntil time.Time
+	inFlight int
+	// status was observed last, and holds until expiresAt. The next check is due at checkAt.
+	status             Status
+	expiresAt, checkAt time.Time
+	checking           bool
+	// failures counts the consecutive observations that the router does not work.
+	failures int
+	// doubtedUntil is set when the router lacked a path to a machine for a request.
+	doubtedUntil time.Time
 	listedAt     time.Time
 }
 
@@ -111,47 +135,80 @@
 }
 
 // CanChoose reports whether there is a router for a request.
-func (s *Selector) CanChoose(now time.Time, version string, allowed places.Constraint, tried []string) bool {
-	if now.Before(s.unservable[version]) {
-		return false
+func (s *Selector) CanChoose(now time.Time, version string, allowed places.Constraint, tried []Attempt) bool {
+	return len(s.usable(now, version, allowed, tried)) > 0
+}
+
+// usable returns the routers that may get a request.
+func (s *Selector) usable(now time.Time, version string, allowed places.Constraint, tried []Attempt) []*routerState {
+	if now.Before(s.unservable[version]) || s.IsUnservable(allowed, tried) {
+		return nil
 	}
+	var usable []*routerState
 	for node, router := range s.routers {
-		if router.isUsable(now, allowed) && !slices.Contains(tried, node) {
-			return true
+		if !router.isAvoided(now) && allowed.Allows(router.Region) && !wasTried(tried, node) {
+			usable = append(usable, router)
 		}
 	}
-	return false
+	return usable
 }
 
-func (r *routerState) isUsable(now time.Time, allowed places.Constraint) bool {
-	return !now.Before(r.avoidedUntil) && allowed.Allows(r.Region)
+func wasTried(tried []Attempt, node string) bool {
+	return slices.ContainsFunc(tried, func(attempt Attempt) bool { return attempt.Router.Node == node })
 }
 
-// Choose returns a router for a request, or false if there is none. It prefers the nearest routers, and
-// the less busy of two random ones among them.
-func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []string) (Router, bool) {
-	if now.Before(s.unservable[version]) {
-		return Router{}, false
-	}
-	var usable []*routerState
-	for node, router := range s.routers {
-		if router.isUsable(now, allowed) && !slices.Contains(tried, node) {
-			usable = append(usable, router)
+// preference orders routers for one request; less is better.
+type preference struct {
+	// evidence is what speaks against the router.
+	evidence int
+	// zoneFailures counts the attempts in its zone that found no path. Routers of a zone often lose their paths
+	// together.
+	zoneFailures int
+	proximity    places.Proximity
+}
+
+const (
+	evidenceConnected = iota
+	evidenceNone
+	evidenceDoubted
+)
+
+func (r *routerState) preference(now time.Time, tried []Attempt) preference {
+	result := preference{evidence: evidenceNone, proximity: r.Proximity}
+	for _, attempt := range tried {
+		if attempt.Router.Zone == r.Zone && (attempt.Result == ResultUnreachable || attempt.Result == ResultIsolated) {
+			result.zoneFailures++
 		}
 	}
+	switch {
+	case now.Before(r.doubtedUntil):
+		result.evidence = evidenceDoubted
+	case r.statusAt(now) == StatusConnected:
+		result.evidence = evidenceConnected
+	}
+	return result
+}
+
+func (p preference) compare(other preference) int {
+	return cmp.Or(cmp.Compare(p.zoneFailures, other.zoneFailures), cmp.Compare(p.evidence, other.evidence), cmp.Compare(p.proximity, other.proximity))
+}
+
+// Choose returns a router for a request, or false if there is none. It prefers zones in which no attempt of the
+// request found a lack of paths, routers that are known to be connected, and the nearest ones, and takes the less busy
+// of two random ones among the best.
+func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []Attempt) (Router, bool) {
+	usable := s.usable(now, version, allowed, tried)
 	if len(usable) == 0 {
 		return Router{}, false
 	}
+	preferences := make(map[string]preference, len(usable))
+	for _, router := range usable {
+		preferences[router.Node] = router.preference(now, tried)
+	}
 	slices.SortFunc(usable, func(left, right *routerState) int {
-		if left.Proximity != right.Proximity {
-			return int(left.Proximity - right.Proximity)
-		}
-		if left.Node < right.Node {
-			return -1
-		}
-		return 1
+		return cmp.Or(preferences[left.Node].compare(preferences[right.Node]), cmp.Compare(left.Node, right.Node))
 	})
-	candidates := usable[:nearestCount(usable)]
+	candidates := usable[:bestCount(usable, preferences)]
 	first, second := candidates[s.random(len(candidates))], candidates[s.random(len(candidates))]
 	if second.inFlight < first.inFlight {
 		first = second
@@ -159,17 +216,42 @@
 	return first.Router, true
 }
 
-// nearestCount returns how many of the routers, sorted by proximity, to choose from: those at the least
-// distance at which there are two, so that not all requests go to one.
-func nearestCount(sorted []*routerState) int {
+// bestCount returns how many of the routers, sorted by preference, to choose from: those as good as the best one,
+// or as the second one if it differs in its distance only, so that not all requests go to one.
+func bestCount(sorted []*routerState, preferences map[string]preference) int {
 	const enough = 2
-	count := 0
-	for count < len(sorted) && (count < enough || sorted[count].Proximity == sorted[count-1].Proximity) {
+	best, count := preferences[sorted[0].Node], 0
+	for count < len(sorted) {
+		current := preferences[sorted[count].Node]
+		differs := current.zoneFailures != best.zoneFailures || current.evidence != best.evidence
+		if differs || count >= enough && current.proximity != preferences[sorted[count-1].Node].proximity {
+			break
+		}
 		count++
 	}
 	return count
 }
 
+// IsUnservable reports whether the attempts of a request show that its machines are down: connected routers of all
+// known zones have no path to one. Isolated routers and those that failed say nothing about machines.
+func (s *Selector) IsUnservable(allowed places.Constraint, tried []Attempt) bool {
+	zones := map[string]bool{}
+	routers := 0
+	for _, router := range s.routers {
+		if allowed.Allows(router.Region) {
+			zones[router.Zone], routers = true, routers+1
+		}
+	}
+	evidence := 0
+	for _, attempt := range tried {
+		if attempt.Result == ResultUnreachable {
+			evidence++
+			delete(zones, attempt.Router.Zone)
+		}
+	}
+	return evidence > 0 && evidence >= min(minUnservableEvidence, routers) && len(zones) == 0
+}
+
 // Begin records that a request is forwarded to a router. It must be followed by End.
 func (s *Selector) Begin(node string) {
 	if router := s.routers[node]; router != nil {
@@ -186,21 +268,23 @@
 	router.inFlight = max(0, router.inFlight-1)
 	switch result {
 	case ResultServed:
-		router.failures, router.avoidedUntil = 0, time.Time{}
+		router.doubtedUntil = time.Time{}
+		router.observe(now, StatusConnected)
 	case ResultUnreachable:
-		router.avoidedUntil = now.Add(unreachableDelay)
+		router.doubtedUntil = now.Add(doubtPeriod)
+	case ResultIsolated:
+		router.observe(now, StatusIsolated)
 	case ResultFailed:
-		router.avoidedUntil = now.Add(retrydelay.Exponential(minFailureDelay, maxFailureDelay, router.failures))
-		router.failures++
+		router.observe(now, StatusFailed)
 	case ResultCanceled:
 	}
 }
 
-// MarkUnservable records that no router has a path to a machine for a version, so that its requests are
-// not forwarded for a moment: the machines are down, and each forwarded request would only add load.
+// MarkUnservable records that the machines of a version are down, so that its requests are not forwarded for a
+// moment: each would only add load.
 func (s *Selector) MarkUnservable(now time.Time, version string) {
 	if len(s.unservable) >= maxUnservable {
 		clear(s.unservable)
 	}
-	s.unservable[version] = now.Add(unreachableDelay)
+	s.unservable[version] = now.Add(unservablePeriod)
 }
--- a/internal/forwarding/selector_test.go
+++ b/internal/forwarding/selector_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,16 +33,40 @@
 				if region := text(d, "region"); region != "" {
 					allowed = places.RestrictTo(region)
 				}
-				router, found := selector.Choose(now, text(d, "version"), allowed, strings.Split(text(d, "tried"), "+"))
+				router, found := selector.Choose(now, text(d, "version"), allowed, parseAttempts(t, selector, d))
 				if !found {
 					return "none\n"
 				}
 				selector.Begin(router.Node)
 				return router.Node + "\n"
 			case "end":
-				result := map[string]Result{"served": ResultServed, "unreachable": ResultUnreachable, "failed": ResultFailed, "canceled": ResultCanceled}
-				selector.End(now, text(d, "node"), result[text(d, "result")])
+				selector.End(now, text(d, "node"), results[text(d, "result")])
 				return "ok\n"
+			case "show-unservable":
+				return fmt.Sprintln(selector.IsUnservable(places.Constraint{}, parseAttempts(t, selector, d)))
+			case "check":
+				var nodes []string
+				for _, router := range selector.StartChecks(now) {
+					nodes = append(nodes, router.Node)
+				}
+				return fmt.Sprintln("checking:", strings.Join(nodes, " "))
+			case "checked":
+				status, isKnown := statuses[text(d, "status")]
+				for node := range strings.FieldsSeq(d.Input) {
+					selector.EndCheck(now, node, status, isKnown)
+				}
+				return describeStatuses(selector, now)
+			case "referred":
+				selector.Refer(now, parseRouters(t, d.Input))
+				return describeStatuses(selector, now)
+			case "referrals":
+				var nodes []string
+				for _, router := range selector.Referrals(now) {
+					nodes = append(nodes, router.Node)
+				}
+				return fmt.Sprintln(strings.Join(nodes, " "))
+			case "statuses":
+				return describeStatuses(selector, now)
 			case "unservable":
 				selector.MarkUnservable(now, text(d, "version"))
 				return "ok\n"
@@ -51,6 +77,37 @@
 	})
 }
 
+var (
+	results = map[string]Result{
+		"served": ResultServed, "unreachable": ResultUnreachable, "isolated": ResultIsolated, "failed": ResultFailed, "canceled": ResultCanceled,
+	}
+	statuses = map[string]Status{"unknown": StatusUnknown, "connected": StatusConnected, "isolated": StatusIsolated, "failed": StatusFailed}
+)
+
+// parseAttempts parses "node:result+node:result". The result is unreachable if none is given.
+func parseAttempts(t *testing.T, selector *Selector, d *datadriven.TestData) []Attempt {
+	t.Helper()
+	var attempts []Attempt
+	for entry := range strings.SplitSeq(text(d, "tried"), "+") {
+		node, name, found := strings.Cut(entry, ":")
+		if !found {
+			name = "unreachable"
+		}
+		if state := selector.routers[node]; state != nil {
+			attempts = append(attempts, Attempt{Router: state.Router, Result: results[name]})
+		}
+	}
+	return attempts
+}
+
+func describeStatuses(selector *Selector, now time.Time) string {
+	var text strings.Builder
+	for _, node := range slices.Sorted(maps.Keys(selector.routers)) {
+		fmt.Fprintf(&text, "%s: %s\n", node, selector.routers[node].statusAt(now))
+	}
+	return text.String()
+}
+
 func number(d *datadriven.TestData, key string) (value int) {
 	_, _ = fmt.Sscan(text(d, key), &value)
 	return value
@@ -65,18 +122,22 @@
 	return value
 }
 
-// parseRouters parses lines of node, region and distance.
+// parseRouters parses lines of node, region, distance, and optionally zone and address. The zone is by default that
+// of the distance.
 func parseRouters(t *testing.T, input string) []Router {
 	t.Helper()
 	distances := map[string]places.Proximity{"zone": places.SameZone, "region": places.SameRegion, "far": places.OtherRegion}
 	var routers []Router
 	for line := range strings.Lines(input) {
 		fields := strings.Fields(line)
-		address := fields[0]
+		zone, address := fields[2], fields[0]
 		if len(fields) > 3 {
-			address = fields[3]
+			zone = fields[3]
+		}
+		if len(fields) > 4 {
+			address = fields[4]
 		}
-		routers = append(routers, Router{Node: fields[0], Address: address, Region: fields[1], Proximity: distances[fields[2]]})
+		routers = append(routers, Router{Node: fields[0], Address: address, Zone: zone, Region: fields[1], Proximity: distances[fields[2]]})
 	}
 	return routers
 }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -21,8 +21,9 @@
 	// headerForwardResult the wirepb.ForwardedResult of its response, in base64.
 	headerForward       = "Weldline-Forward"
 	headerForwardResult = "Weldline-Forward-Result"
-	// maxForwards bounds the routers that a request is sent to until one serves it.
-	maxForwards = 3
+	// maxForwards bounds the routers that a request is sent to until one serves it. One without a path answers
+	// within about a millisecond.
+	maxForwards = 8
 	// retryAfterIsolated is the Retry-After if neither this router nor another one has a path. Paths are
 	// probed as often.
 	retryAfterIsolated = 500 * time.Millisecond
@@ -31,7 +32,6 @@
 // forward has other routers serve a request that this one has no path for. served is false if they
 // provably did not run it; it may then still be sent to a machine.
 func (j *job) forward(ctx context.Context) (outcome attemptOutcome, served bool) {
-	unreachable := 0
 	for range maxForwards {
 		router, found := j.ingress.forwarder.begin(j.version, j.allowedRegions(), j.triedRouters)
 		if !found {
@@ -39,9 +39,9 @@
 		}
 		outcome, result := j.forwardTo(ctx, router)
 		j.ingress.forwarder.end(router.Node, result)
-		j.log("forward_attempt", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "sent", j.sent)
+		j.log("forward_attempt", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "isolated", result == forwarding.ResultIsolated, "sent", j.sent)
 		j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
-		j.triedRouters = append(j.triedRouters, router.Node)
+		j.triedRouters = append(j.triedRouters, forwarding.Attempt{Router: router, Result: result})
 		switch {
 		case outcome.isResponse():
 			return outcome, true
@@ -49,13 +49,9 @@
 			j.answerFailure(ctx, outcome)
 			return outcome, true
 		}
-		if result == forwarding.ResultUnreachable {
-			unreachable++
-		}
 	}
-	if unreachable > 0 && unreachable == len(j.triedRouters) {
-		j.log("unservable", "version", j.version, "routers", j.triedRouters)
-		j.ingress.forwarder.markUnservable(j.version)
+	if j.ingress.forwarder.markIfUnservable(j.version, j.allowedRegions(), j.triedRouters) {
+		j.log("unservable", "version", j.version, "routers", len(j.triedRouters))
 	}
 	return outcomeNotConnected, false
 }
@@ -81,7 +77,11 @@
 	switch result.GetOutcome() {
 	case wirepb.ForwardedResult_OUTCOME_NOT_RUN:
 		discard(response)
-		if result.GetUnreachable() {
+		j.ingress.forwarder.refer(result.GetRouters())
+		switch {
+		case result.GetUnreachable() && result.GetIsolated():
+			return outcomeNotConnected, forwarding.ResultIsolated
+		case result.GetUnreachable():
 			return outcomeNotConnected, forwarding.ResultUnreachable
 		}
 		return outcomeNotRun, forwarding.ResultServed
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -228,23 +228,20 @@
 		t.Run(string(test.kind), func(t *testing.T) {
 			machine := newRawMachine(t, respondOK)
 			breaks := newRawMachine(t, func(_ receivedRequest, _ int, connection net.Conn) bool { return reset(connection) })
-			cut, other := newCutRouter(t, "cut"), newDeployment(t)
-			cut.serve(test.kind, 2, long, machine.address)
+			alone, other := newCutRouter(t, "alone"), newDeployment(t)
+			alone.serve(test.kind, 2, long, machine.address)
 			other.serve(test.kind, 2, long, machine.address)
-			// Of two, the one in the same zone is not always first, but the broken one is avoided afterwards.
-			cut.knowRouters("breaks z " + breaks.address)
-			got := cut.send(http.MethodPost, "/a/b", "id-0", "body")
+			alone.knowRouters("breaks z " + breaks.address)
+			got := alone.send(http.MethodPost, "/a/b", "id-0", "body")
 			if got.status != http.StatusBadGateway || got.header.Get("Retry-After") != "" {
 				t.Errorf("with a broken hop alone: %+v", got)
 			}
-			cut.view.ApplyDigest(&wirepb.ClusterDigest{Term: 1, Sequence: 2, Revision: cut.revision, RosterSequence: 2, Roster: &wirepb.Roster{Routers: []*wirepb.RouterEntry{
-				{Node: "breaks", Zone: "z", Address: breaks.address}, {Node: "other", Zone: "far", Address: other.acceptForwards()},
-			}}})
-			for !cut.handler.KnowsRouters(2) {
-				time.Sleep(time.Millisecond)
-			}
-			broken := len(breaks.requests())
+			address, broken := other.acceptForwards(), len(breaks.requests())
+			// A router that has learned which of two works does not try the other one, so each attempt takes a new one.
 			for number := 1; len(breaks.requests()) == broken; number++ {
+				cut := newCutRouter(t, "cut-"+strconv.Itoa(number))
+				cut.serve(test.kind, 2, long, machine.address)
+				cut.knowRouters("breaks z "+breaks.address, "other far "+address)
 				before := len(machine.requests())
 				got = cut.send(http.MethodPost, "/a/b", "id-"+strconv.Itoa(number), "body")
 				if len(breaks.requests()) > broken && (got.status != test.status || len(machine.requests())-before != test.sends) {
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -91,9 +91,13 @@
 	if j.forwarded == nil {
 		return
 	}
-	encoded, err := encodeHeader(&wirepb.ForwardedResult{
+	result := &wirepb.ForwardedResult{
 		Outcome: outcome, Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, Unreachable: j.unreachable, EndUnmarked: endUnmarked, Software: j.sentToSoftware,
-	})
+	}
+	if j.unreachable && j.ingress.paths.isIsolated() {
+		result.Isolated, result.Routers = true, j.ingress.forwarder.referrals()
+	}
+	encoded, err := encodeHeader(result)
 	if err != nil {
 		j.log("forward_result_lost", "error", err.Error())
 		return
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/weldline/weldline/internal/forwarding"
@@ -21,18 +22,24 @@
 
 // forwarder sends requests to other routers. It is safe for concurrent use.
 type forwarder struct {
-	node   string
-	logger *slog.Logger
+	node    string
+	logger  *slog.Logger
+	metrics *Metrics
 	// pool has the connections to all routers, also for messages of the originKeeper.
 	pool *upstream.Pool
+	// isolated is set while this router has no path to any machine, and the statuses of others are checked.
+	isolated atomic.Bool
+	// wake ends the rest between checks.
+	wake chan struct{}
 
 	mutex    sync.Mutex
 	selector *forwarding.Selector
+	location places.Location
 }
 
 func newForwarder(options Options) *forwarder {
 	return &forwarder{
-		node: options.Node, logger: options.Logger, selector: forwarding.NewSelector(rand.IntN),
+		node: options.Node, logger: options.Logger, metrics: options.Metrics, selector: forwarding.NewSelector(rand.IntN), wake: make(chan struct{}, 1),
 		pool: upstream.NewPool(upstream.Config{
 			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: options.DialRouter,
 		}),
@@ -49,11 +56,26 @@
 func (f *forwarder) setRouters(location places.Location, entries []*wirepb.RouterEntry) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.location = location
 	f.selector.SetRouters(time.Now(), forwarding.OtherRouters(entries, f.node, location))
 }
 
+// refer records routers that another one named as connected.
+func (f *forwarder) refer(entries []*wirepb.RouterEntry) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.selector.Refer(time.Now(), forwarding.OtherRouters(entries, f.node, f.location))
+}
+
+// referrals returns some routers that are known to be connected, for another router.
+func (f *forwarder) referrals() []*wirepb.RouterEntry {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return forwarding.Entries(f.selector.Referrals(time.Now()))
+}
+
 // canForward reports whether there is a router for a request.
-func (f *forwarder) canForward(version string, allowed places.Constraint, tried []string) bool {
+func (f *forwarder) canForward(version string, allowed places.Constraint, tried []forwarding.Attempt) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.selector.CanChoose(time.Now(), version, allowed, tried)
@@ -67,7 +89,7 @@
 }
 
 // begin chooses a router. It must be followed by end if it found one.
-func (f *forwarder) begin(version string, allowed places.Constraint, tried []string) (forwarding.Router, bool) {
+func (f *forwarder) begin(version string, allowed places.Constraint, tried []forwarding.Attempt) (forwarding.Router, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	router, found := f.selector.Choose(time.Now(), version, allowed, tried)
@@ -83,10 +105,16 @@
 	f.selector.End(time.Now(), node, result)
 }
 
-func (f *forwarder) markUnservable(version string) {
+// markIfUnservable stops the forwarding of a version for a moment if the attempts of a request show that its
+// machines are down, and reports whether they do.
+func (f *forwarder) markIfUnservable(version string, allowed places.Constraint, tried []forwarding.Attempt) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.selector.MarkUnservable(time.Now(), version)
+	unservable := f.selector.IsUnservable(allowed, tried)
+	if unservable {
+		f.selector.MarkUnservable(time.Now(), version)
+	}
+	return unservable
 }
 
 // nodes returns the names of the known routers.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -119,11 +119,15 @@
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: options.Dial})
 	routing := dispatcher.New(config, options.RequestReport)
 	others := newForwarder(options)
+	publishPaths := func(unreachable map[string]bool, isolated bool) {
+		routing.SetPaths(unreachable, isolated)
+		others.setIsolated(isolated)
+	}
 	return &Ingress{
 		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
 		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
 		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, routing.SetPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options, others.pool), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		upstream: pool, paths: newPathMonitor(options, pool, publishPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options, others.pool), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(), queued: newQueuedJobs(),
 	}
@@ -148,6 +152,7 @@
 	workers.Go(func() { i.retainConnections(ctx) })
 	workers.Go(func() { i.paths.run(ctx) })
 	workers.Go(func() { i.forwarder.followDigests(ctx, i.options.View) })
+	workers.Go(func() { i.forwarder.run(ctx) })
 	workers.Go(func() { i.origins.followDigests(ctx) })
 	workers.Go(func() { i.origins.run(ctx) })
 	for {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/forwarding"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/problem"
 	"github.com/weldline/weldline/internal/quarantine"
@@ -67,7 +68,7 @@
 	// forwarded is set if another router forwarded the request to this one.
 	forwarded *wirepb.ForwardedRequest
 	// triedRouters are the routers that the request was forwarded to.
-	triedRouters []string
+	triedRouters []forwarding.Attempt
 	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
 	// sentToSoftware is the version of the software of the last machine that the request was sent to.
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/drainlog"
+	"github.com/weldline/weldline/internal/forwarding"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/upstream"
@@ -37,6 +38,8 @@
 	// unreachable is the number of machines without a working path; isolated is 1 while there is none to
 	// any machine.
 	unreachable, isolated prometheus.Gauge
+	// routers counts the known other routers by status while this one is isolated.
+	routers *prometheus.GaugeVec
 	// resumes counts the requests that take a stream up, by what is known of its origin.
 	resumes *prometheus.CounterVec
 	// originsEvicted counts the origins of streams that were dropped for want of room, originsNotCopied those
@@ -111,6 +114,9 @@
 		unreachable: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_unreachable_machines", Help: "Machines that this node can't open connections to.",
 		}),
+		routers: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "weldline_ingress_known_routers", Help: "Other routers that requests may be forwarded to, by status, as of this node's last isolation.",
+		}, []string{"status"}),
 		isolated: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "weldline_ingress_isolated", Help: "1 while this node seems to have no path to any machine.",
 		}),
@@ -152,6 +158,13 @@
 	m.connectionWait.Observe(waited.Seconds())
 }
 
+// setRouters sets the numbers of known routers by status.
+func (m *Metrics) setRouters(counts map[forwarding.Status]int) {
+	for _, status := range []forwarding.Status{forwarding.StatusUnknown, forwarding.StatusConnected, forwarding.StatusIsolated, forwarding.StatusFailed} {
+		m.routers.WithLabelValues(status.String()).Set(float64(counts[status]))
+	}
+}
+
 // setPaths sets the number of machines without a working path and whether there is none to any.
 func (m *Metrics) setPaths(unreachable int, isolated bool) {
 	m.unreachable.Set(float64(unreachable))
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,58 +20,115 @@
 	headerPathCheck = "Weldline-Path-Check"
 	// maxCheckedMachines bounds the machines that are probed for another router.
 	maxCheckedMachines = 4
-	// maxAskedRouters bounds the routers that are asked one after the other until one gets responses.
-	maxAskedRouters = 2
+	// askedAtOnce and maxAskRounds bound the routers that are asked whether machines respond to them.
+	askedAtOnce  = 4
+	maxAskRounds = 3
 	// pathCheckTimeout leaves the other router time for its probes.
 	pathCheckTimeout = probeTimeout + 200*time.Millisecond
 )
 
-// checkPaths asks other routers which of some machines respond to them.
+// checkPaths asks other routers which of some machines respond to them. Those that are asked at once are in
+// different zones if possible, as routers of a zone often lose their paths together. An isolated router names others,
+// which are asked next.
 func (f *forwarder) checkPaths(ctx context.Context, machines []string) (responding []string) {
-	var asked []string
-	for range maxAskedRouters {
+	var asked []forwarding.Attempt
+	for range maxAskRounds {
+		routers := f.beginChecks(asked)
+		responding = f.askAll(ctx, routers, machines)
+		if len(responding) > 0 || len(routers) == 0 {
+			return responding
+		}
+		for _, router := range routers {
+			asked = append(asked, silentAttempt(router))
+		}
+	}
+	f.logger.Info("machines_silent_elsewhere", "routers", len(asked), "machines", machines)
+	return nil
+}
+
+// silentAttempt is an attempt at a router to which machines did not respond, which makes others of its zone a
+// worse choice.
+func silentAttempt(router forwarding.Router) forwarding.Attempt {
+	return forwarding.Attempt{Router: router, Result: forwarding.ResultIsolated}
+}
+
+// beginChecks chooses the next routers to ask.
+func (f *forwarder) beginChecks(asked []forwarding.Attempt) []forwarding.Router {
+	var routers []forwarding.Router
+	for range askedAtOnce {
 		router, found := f.begin("", places.Constraint{}, asked)
 		if !found {
-			return nil
-		}
-		asked = append(asked, router.Node)
-		reply, err := f.checkPathsAt(ctx, routerAddress{node: router.Node, address: router.Address}, machines)
-		f.end(router.Node, checkResult(err))
-		if err != nil {
-			f.logger.Info("path_check_failed", "router", router.Node, "error", fault.Message(err))
-			continue
+			break
 		}
+		routers, asked = append(routers, router), append(asked, silentAttempt(router))
+	}
+	return routers
+}
+
+// askAll asks routers at once, and returns the machines that respond to any of them.
+func (f *forwarder) askAll(ctx context.Context, routers []forwarding.Router, machines []string) (responding []string) {
+	replies := make([]*wirepb.PathCheckReply, len(routers))
+	var checks sync.WaitGroup
+	for position, router := range routers {
+		checks.Go(func() {
+			reply, err := f.askRouter(ctx, router, pathCheckTimeout, &wirepb.PathCheckRequest{Machines: machines})
+			f.end(router.Node, checkResult(reply, err))
+			if err != nil {
+				f.logger.Info("path_check_failed", "router", router.Node, "error", fault.Message(err))
+				return
+			}
+			f.refer(reply.GetRouters())
+			replies[position] = reply
+		})
+	}
+	checks.Wait()
+	for position, reply := range replies {
 		if len(reply.GetResponding()) > 0 {
-			f.logger.Info("machines_respond_elsewhere", "router", router.Node, "machines", reply.GetResponding())
-			return reply.GetResponding()
+			f.logger.Info("machines_respond_elsewhere", "router", routers[position].Node, "machines", reply.GetResponding())
+		}
+		for _, machine := range reply.GetResponding() {
+			if !slices.Contains(responding, machine) {
+				responding = append(responding, machine)
+			}
 		}
 	}
-	f.logger.Info("machines_silent_elsewhere", "routers", asked, "machines", machines)
-	return nil
+	return responding
 }
 
 // checkResult is the result of a path check for the selection of routers.
-func checkResult(err error) forwarding.Result {
-	if err != nil {
+func checkResult(reply *wirepb.PathCheckReply, err error) forwarding.Result {
+	switch {
+	case fault.Is(err, fault.Late):
+		return forwarding.ResultCanceled
+	case err != nil:
 		return forwarding.ResultFailed
+	case reply.GetIsolated():
+		return forwarding.ResultIsolated
+	case len(reply.GetResponding()) == 0:
+		return forwarding.ResultUnreachable
 	}
 	return forwarding.ResultServed
 }
 
-func (f *forwarder) checkPathsAt(ctx context.Context, router routerAddress, machines []string) (*wirepb.PathCheckReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+func (f *forwarder) askRouter(ctx context.Context, router forwarding.Router, timeout time.Duration, question *wirepb.PathCheckRequest) (*wirepb.PathCheckReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply := &wirepb.PathCheckReply{}
-	err := callRouter(ctx, f.pool, router, headerPathCheck, &wirepb.PathCheckRequest{Machines: machines}, reply)
+	err := callRouter(ctx, f.pool, routerAddress{node: router.Node, address: router.Address}, headerPathCheck, question, reply)
 	return reply, err
 }
 
-// servePathCheck probes machines for another router.
+// servePathCheck tells another router this one's status, and probes machines for it.
 func (i *Ingress) servePathCheck(writer http.ResponseWriter, request *http.Request) {
 	asked := &wirepb.PathCheckRequest{}
 	answerRouter(writer, request, i.options.Logger, asked, func() proto.Message {
 		machines := asked.GetMachines()
-		return &wirepb.PathCheckReply{Responding: i.paths.responding(request.Context(), machines[:min(len(machines), maxCheckedMachines)])}
+		reply := &wirepb.PathCheckReply{Responding: i.paths.responding(request.Context(), machines[:min(len(machines), maxCheckedMachines)])}
+		reply.Isolated, reply.Connected = i.paths.status()
+		if reply.Isolated {
+			reply.Routers = i.forwarder.referrals()
+		}
+		return reply
 	})
 }
 
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -39,6 +39,13 @@
 	return m.tracker.IsIsolated()
 }
 
+// status reports whether no path seems to work, and whether one is known to.
+func (m *pathMonitor) status() (isolated, connected bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.tracker.IsIsolated(), m.tracker.IsConnected(time.Now())
+}
+
 func (m *pathMonitor) setMachines(listed map[string]bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -57,7 +64,7 @@
 
 // active reports whether the monitor has anything to watch. The mutex must be held.
 func (m *pathMonitor) active() bool {
-	return m.silence.InFlight() > 0 || m.tracker.IsIsolated() || m.tracker.AnyDown()
+	return m.silence.InFlight() > 0 || m.tracker.IsIsolated() || m.tracker.IsInDoubt() || m.tracker.AnyDown()
 }
 
 func (m *pathMonitor) ended() {
@@ -84,7 +91,11 @@
 func (m *pathMonitor) update(machine string, apply func(now time.Time) paths.Change) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	wasInDoubt := m.tracker.IsInDoubt()
 	change := apply(time.Now())
+	if !wasInDoubt && m.tracker.IsInDoubt() {
+		m.wakeUp()
+	}
 	if change == (paths.Change{}) {
 		return
 	}
@@ -174,7 +185,7 @@
 		return nil, nil, nil
 	}
 	due = m.tracker.StartProbes(now)
-	if !m.tracker.IsIsolated() && m.silence.StartCheck(now) {
+	if !m.tracker.IsIsolated() && m.silence.StartCheck(now, m.tracker.IsInDoubt()) {
 		silent = m.tracker.Sample()
 	}
 	return due, silent, time.After(monitorInterval)
--- a/internal/paths/silence.go
+++ b/internal/paths/silence.go
@@ -39,9 +39,11 @@
 // InFlight returns the number of sent requests that have not ended.
 func (s *Silence) InFlight() int { return s.inFlight }
 
-// StartCheck reports whether the paths must be checked now.
-func (s *Silence) StartCheck(now time.Time) bool {
-	if s.inFlight == 0 || now.Sub(s.since) < silenceLimit || now.Sub(s.lastCheck) < silenceCheckInterval {
+// StartCheck reports whether the paths must be checked now. inDoubt is set if machines failed and none has responded
+// since; waiting for further requests to fail would cost their callers.
+func (s *Silence) StartCheck(now time.Time, inDoubt bool) bool {
+	silent := s.inFlight > 0 && now.Sub(s.since) >= silenceLimit
+	if !silent && !inDoubt || now.Sub(s.lastCheck) < silenceCheckInterval {
 		return false
 	}
 	s.lastCheck = now
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -62,6 +62,7 @@
 	failing       map[string]bool
 	isolated      bool
 	isolatedSince time.Time
+	lastContact   time.Time
 }
 
 // NewTracker returns a tracker that assumes all paths to be up.
@@ -121,6 +122,7 @@
 // given time. An older connection may outlive a path that carries no new ones.
 func (t *Tracker) Contact(now time.Time, machine string, opened time.Time) Change {
 	change := Change{}
+	t.lastContact = now
 	if len(t.failing) > 0 {
 		clear(t.failing)
 	}
@@ -139,6 +141,18 @@
 	return current != nil && current.down
 }
 
+// contactValidity is how long after a contact the router counts as connected.
+const contactValidity = time.Second
+
+// IsConnected reports whether a machine has responded recently.
+func (t *Tracker) IsConnected(now time.Time) bool {
+	return !t.isolated && now.Sub(t.lastContact) <= contactValidity
+}
+
+// IsInDoubt reports whether machines have failed since the last contact with any, too few to tell whether it is because
+// of their paths.
+func (t *Tracker) IsInDoubt() bool { return !t.isolated && len(t.failing) > 0 }
+
 // IsIsolated reports whether no path seems to work.
 func (t *Tracker) IsIsolated() bool { return t.isolated }
 
--- a/internal/paths/tracker_test.go
+++ b/internal/paths/tracker_test.go
@@ -77,7 +77,7 @@
 	silence := &Silence{}
 	expect := func(milliseconds int, due bool) {
 		t.Helper()
-		if got := silence.StartCheck(at(milliseconds)); got != due {
+		if got := silence.StartCheck(at(milliseconds), false); got != due {
 			t.Errorf("at %d ms a check is due: %t", milliseconds, got)
 		}
 	}
@@ -98,3 +98,24 @@
 	expect(3399, false)
 	expect(3400, true)
 }
+
+// TestDoubtStartsCheck checks that a failed machine is reason enough to check the paths, without requests in flight and
+// at a limited rate.
+func TestDoubtStartsCheck(t *testing.T) {
+	start := time.Time{}.Add(time.Hour)
+	tracker, silence := NewTracker(), &Silence{}
+	tracker.SetMachines(map[string]bool{"a": true, "b": true, "c": true, "d": true})
+	expect := func(at time.Duration, due bool) {
+		t.Helper()
+		if got := silence.StartCheck(start.Add(at), tracker.IsInDoubt()); got != due {
+			t.Errorf("at %s a check is due: %t", at, got)
+		}
+	}
+	expect(0, false)
+	tracker.Failed(start, "a", FailureBroken)
+	expect(0, true)
+	expect(silenceCheckInterval-1, false)
+	expect(silenceCheckInterval, true)
+	tracker.Contact(start.Add(time.Second), "b", start)
+	expect(2*time.Second, false)
+}
