ingress: a request that could connect to nowhere is forwarded, not refused, after four attempts

While a cut refuses new connections only, streams go on over old ones and show that some path works, so the router does not count as isolated. A request whose version has more than four replicas then failed to connect four times and was refused with 503, although another router could serve it. It is now forwarded.

TestRunningStreamDoesNotKeepRequestsHere: 3 of 3 runs failed before (503, "no machine took the request: not_connected"), 5 of 5 pass.

--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -347,3 +348,62 @@
 		t.Errorf("got %d from a router that has caught up", got.status)
 	}
 }
+
+// TestRunningStreamDoesNotKeepRequestsHere guards against refusing a request after four failed connections because a
+// stream on an old connection shows that some path works.
+func TestRunningStreamDoesNotKeepRequestsHere(t *testing.T) {
+	const streamID, replicas = "stream", 7
+	ended := make(chan struct{})
+	respond := func(request receivedRequest, number int, connection net.Conn) bool {
+		if request.header.Get(headerID) != streamID {
+			return respondOK(request, number, connection)
+		}
+		head := "HTTP/1.1 200 OK\r\n" + headerID + ": " + streamID + "\r\n" + headerSeal + ": s\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for written := write(connection, head); written; written = write(connection, "5\r\nevent\r\n") {
+			select {
+			case <-ended:
+				return write(connection, "0\r\n\r\n")
+			case <-time.After(time.Millisecond):
+			}
+		}
+		return false
+	}
+	var addresses []string
+	var machines []*rawMachine
+	for range replicas {
+		machine := newRawMachine(t, respond)
+		machines, addresses = append(machines, machine), append(addresses, machine.address)
+	}
+	var refuses atomic.Bool
+	cut := newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
+		options.Node = "cut"
+		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if !refuses.Load() {
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			time.Sleep(20 * time.Millisecond)
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+	})
+	other := newDeployment(t)
+	cut.serve(v1.RouteStream, 1, long, addresses...)
+	other.serve(v1.RouteStream, 1, long, addresses...)
+	cut.knowRouters("other z " + other.acceptForwards())
+	streamed := make(chan reply)
+	go func() { streamed <- cut.send(http.MethodPost, "/a/b", streamID, "body") }()
+	for running := 0; running == 0; time.Sleep(time.Millisecond) {
+		for _, machine := range machines {
+			running += len(machine.requests())
+		}
+	}
+	refuses.Store(true)
+	for number := range 3 {
+		if got := cut.send(http.MethodPost, "/a/b", "id-"+strconv.Itoa(number), "body"); got.status != http.StatusOK {
+			t.Errorf("request %d: %+v", number, got)
+		}
+	}
+	close(ended)
+	if got := <-streamed; got.status != http.StatusOK || got.err != nil {
+		t.Errorf("the stream: %+v", got)
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -283,6 +283,10 @@
 			j.ingress.options.RequestReport()
 		}
 		if !j.mayRetry(ctx, outcome, failures) {
+			if j.unreachable && !j.mayHaveRun && j.dispatchRequest.Forwardable && ctx.Err() == nil {
+				outcome, _ := j.refuseUnreachable(ctx)
+				return outcome
+			}
 			j.answerFailure(ctx, outcome)
 			return outcome
 		}
