upstream: notice that a kept connection was closed also where it is not plain TCP

A kept connection is used again only if nothing has arrived on it, neither data nor its end. That looked at *net.TCPConn only. Over TLS, which routers with keys use between each other, a connection that the other router had closed counted as usable: the request written to it was lost, and one that may not be repeated got 502. The socket below the connection is now asked.

TestClosedConnectionIsNotReusedOverTLS failed before (the closed connection stays usable) and passes.

--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -12,8 +12,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	connection, isTCP := c.network.(*net.TCPConn)
-	if !isTCP {
+	connection := socketOf(c.network)
+	if connection == nil {
 		return true
 	}
 	raw, err := connection.SyscallConn()
@@ -29,3 +29,17 @@
 	})
 	return err == nil && empty
 }
+
+// socketOf returns the TCP connection below a connection, such as one with TLS, or nil.
+func socketOf(connection net.Conn) *net.TCPConn {
+	for {
+		switch current := connection.(type) {
+		case *net.TCPConn:
+			return current
+		case interface{ NetConn() net.Conn }:
+			connection = current.NetConn()
+		default:
+			return nil
+		}
+	}
+}
