faultsim: clusters of many routers, whose zones and most routers lose their paths together

The simulator had four routers in four zones, so it could not cut off a zone with several routers, and every router knew all others. A schedule may now have a shape: the numbers of routers, machines and models and the request rate. Routers learn of the same eight others as in the product. Two faults are new: all routers of a zone, or all but every eighth, lose their paths, refusing or hanging; control nodes may fail meanwhile without excusing it. The mutation routers-of-own-zone is caught.

--- a/internal/faultsim/campaign.go
+++ b/internal/faultsim/campaign.go
@@ -101,6 +101,9 @@
 	if schedule.Mutation != MutationNone && !slices.Contains(Mutations, schedule.Mutation) {
 		return Schedule{}, fault.InvalidField("mutation", "unknown mutation %s", schedule.Mutation)
 	}
+	if field, problem := schedule.Shape.validate(); problem != "" {
+		return Schedule{}, fault.InvalidField("shape."+field, "%s", problem)
+	}
 	for position, entry := range schedule.Faults {
 		if field, problem := entry.validate(); problem != "" {
 			return Schedule{}, fault.InvalidField(faultField(position, field), "%s", problem)
--- a/internal/faultsim/checks.go
+++ b/internal/faultsim/checks.go
@@ -127,7 +127,7 @@
 	backoffs                      map[backoffKey][]*backoffPeriod
 	pathCuts                      []pathCut
 	pathRequests                  []pathRequest
-	// disruptions are the spans of all faults but cut paths.
+	// disruptions are the spans of all faults but those of control nodes and of paths.
 	disruptions []interval
 }
 
--- a/internal/faultsim/crashes.go
+++ b/internal/faultsim/crashes.go
@@ -67,7 +67,7 @@
 // startPoisonRequest starts a client that keeps resending a request that crashes engines.
 func (s *simulation) startPoisonRequest(target int) {
 	s.poisonCount++
-	content := s.newRequestContent(numbered("culprit", s.poisonCount), numbered("model", target%modelCount))
+	content := s.newRequestContent(numbered("culprit", s.poisonCount), numbered("model", target%s.shape.Models))
 	content.poison = &quarantine.Suspect{Identity: content.identity}
 	s.checks.poisons = append(s.checks.poisons, *content.poison)
 	s.repeatPoison(func() *requestContent { return content })
@@ -83,7 +83,7 @@
 	sent := 0
 	s.repeatPoison(func() *requestContent {
 		sent++
-		content := s.newRequestContent(numbered(part+"-request", sent), numbered("model", s.random.IntN(modelCount)))
+		content := s.newRequestContent(numbered(part+"-request", sent), numbered("model", s.random.IntN(s.shape.Models)))
 		content.parts = append(content.parts, part)
 		content.poison = &poison
 		return content
@@ -108,7 +108,7 @@
 }
 
 func (s *simulation) sendRequest(content *requestContent) {
-	router := s.routers[s.random.IntN(routerCount)]
+	router := s.routers[s.random.IntN(s.shape.Routers)]
 	if router.up {
 		router.run(router.epoch, func() { router.handleInference(content) })
 	}
@@ -116,7 +116,7 @@
 
 // resetConnections periodically resets the connections of a random engine.
 func (s *simulation) resetConnections(until time.Duration) {
-	s.repeatUntil(resetInterval, until, func() { s.machines[s.random.IntN(machineCount)].resetConnections() })
+	s.repeatUntil(resetInterval, until, func() { s.machines[s.random.IntN(s.shape.Machines)].resetConnections() })
 }
 
 // resetConnections breaks the connections of the engine without stopping it.
--- a/internal/faultsim/faults.go
+++ b/internal/faultsim/faults.go
@@ -48,6 +48,10 @@
 	FaultLimitEngine Kind = "limit-engine"
 	// FaultCutPaths cuts a router off from all engines.
 	FaultCutPaths Kind = "cut-paths"
+	// FaultCutZonePaths cuts all routers of a zone off from all engines, and FaultCutMostPaths all but every
+	// eighth router.
+	FaultCutZonePaths Kind = "cut-zone-paths"
+	FaultCutMostPaths Kind = "cut-most-paths"
 	// FaultCrashingPart starts a client that keeps sending requests that share a harmful part of their prompts,
 	// while connections of healthy engines are reset.
 	FaultCrashingPart Kind = "crashing-part"
@@ -55,7 +59,7 @@
 
 // AdditionalKinds are drawn from independent random streams, so that adding a kind does not change the
 // schedules of existing seeds.
-var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart}
+var AdditionalKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultSuspend, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart, FaultCutZonePaths, FaultCutMostPaths}
 
 // Kinds lists the faults that RandomSchedule draws from.
 var Kinds = []Kind{
@@ -79,7 +83,13 @@
 
 // nonDisruptiveKinds are the faults during which changes must still propagate in time: routers can
 // switch away from a muted control node, and the other kinds isolate no node.
-var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart}
+var nonDisruptiveKinds = []Kind{FaultMuteControl, FaultCrashingRequest, FaultDrainZone, FaultOverloadEngine, FaultLimitEngine, FaultCutPaths, FaultCrashingPart, FaultCutZonePaths, FaultCutMostPaths}
+
+// controlKinds are the faults of control nodes. Routers forward requests without them.
+var controlKinds = []Kind{FaultCrashLeader, FaultCrashControl, FaultFreezeLeader, FaultCutLeader, FaultStopLeader, FaultMuteControl}
+
+// pathKinds are the faults of the paths between routers and engines.
+var pathKinds = []Kind{FaultCutPaths, FaultCutZonePaths, FaultCutMostPaths}
 
 // inject schedules the start and the end of a fault.
 func (s *simulation) inject(fault Fault) {
@@ -93,7 +103,7 @@
 		if disruptive {
 			s.checks.activeFaults++
 		}
-		if fault.Kind != FaultCutPaths {
+		if !slices.Contains(pathKinds, fault.Kind) && !slices.Contains(controlKinds, fault.Kind) {
 			s.checks.disruptions = append(s.checks.disruptions, interval{start: s.Now(), end: s.Now() + fault.For})
 		}
 		s.After(fault.For, func() {
@@ -163,8 +173,8 @@
 
 // startNodeFault starts a fault of a router or a machine.
 func (s *simulation) startNodeFault(fault Fault) func() {
-	router := s.routers[fault.Target%routerCount]
-	target := s.machines[fault.Target%machineCount]
+	router := s.routers[fault.Target%s.shape.Routers]
+	target := s.machines[fault.Target%s.shape.Machines]
 	switch fault.Kind {
 	case FaultCrashRouter:
 		router.crashNow()
@@ -189,7 +199,11 @@
 	case FaultOverloadEngine:
 		return s.overloadEngine(target)
 	case FaultCutPaths:
-		return s.cutPaths(router, fault.For)
+		return s.cutPaths([]*routerNode{router}, fault)
+	case FaultCutZonePaths:
+		return s.cutPaths(s.routersOfZone(zones[fault.Target%len(zones)]), fault)
+	case FaultCutMostPaths:
+		return s.cutPaths(s.mostRouters(fault.Target), fault)
 	case FaultLimitEngine:
 		return s.limitEngine(target, fault.For)
 	case FaultMachineLeaves:
@@ -235,7 +249,7 @@
 
 // suspend suspends the machine of a process.
 func (s *simulation) suspend(fault Fault) func() {
-	suspended := &s.routers[fault.Target%routerCount].process
+	suspended := &s.routers[fault.Target%s.shape.Routers].process
 	switch leader := s.leader(); {
 	case fault.Target%3 == 0 && leader != nil:
 		suspended = &leader.process
--- a/internal/faultsim/operators.go
+++ b/internal/faultsim/operators.go
@@ -56,7 +56,7 @@
 func (o *operator) declareModels() {
 	var writes []*wirepb.ObjectWrite
 	var names []string
-	for model := range modelCount {
+	for model := range o.sim.shape.Models {
 		name := numbered("model", model)
 		names = append(names, name)
 		writes = append(writes,
@@ -71,7 +71,7 @@
 
 // performRandom performs a random operation.
 func (o *operator) performRandom() {
-	model := o.sim.random.IntN(modelCount)
+	model := o.sim.random.IntN(o.sim.shape.Models)
 	name := numbered("model", model)
 	switch o.sim.random.IntN(8) {
 	case 0, 1:
@@ -95,7 +95,7 @@
 		})
 	default:
 		drain := o.sim.random.IntN(3) == 0
-		o.modify(v1.KindMachine, numbered("machine", o.sim.random.IntN(machineCount)), func(spec v1.Spec) any {
+		o.modify(v1.KindMachine, numbered("machine", o.sim.random.IntN(o.sim.shape.Machines)), func(spec v1.Spec) any {
 			changed := *spec.(*v1.MachineSpec)
 			changed.Drain = drain
 			return changed
--- a/internal/faultsim/paths.go
+++ b/internal/faultsim/paths.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/dispatch"
+	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/forwarding"
 	"github.com/weldline/weldline/internal/paths"
 	"github.com/weldline/weldline/internal/places"
@@ -14,6 +15,7 @@
 const (
 	pathProbeInterval  = 100 * time.Millisecond
 	routerCheckTimeout = 400 * time.Millisecond
+	hangingDialTimeout = 400 * time.Millisecond
 	maxForwards        = 8
 	// pathContactTime is how long a router may take to notice that its paths are cut.
 	pathContactTime = 2 * time.Second
@@ -31,20 +33,65 @@
 
 func (i interval) overlaps(other interval) bool { return i.start <= other.end && other.start <= i.end }
 
-// pathCut is a span in which a router has no path to any engine. New connections are refused.
+// pathCutKind is what happens to the new connections of a router to engines.
+type pathCutKind int
+
+const (
+	pathsWork pathCutKind = iota
+	pathsRefuse
+	// pathsHang: connections time out.
+	pathsHang
+)
+
+// pathCut is a span in which some routers have no path to any engine.
 type pathCut struct {
 	interval
-	router *routerNode
+	routers []*routerNode
 }
 
-// cutPaths cuts a router off from all engines. Requests that are running continue.
-func (s *simulation) cutPaths(router *routerNode, span time.Duration) func() {
-	if router.pathsCut {
+func (c pathCut) includes(router *routerNode) bool { return slices.Contains(c.routers, router) }
+
+// cutPaths cuts routers off from all engines. Requests that are running continue. It does not apply to routers that
+// are cut off already.
+func (s *simulation) cutPaths(routers []*routerNode, fault Fault) func() {
+	if len(routers) == 0 || slices.ContainsFunc(routers, func(router *routerNode) bool { return router.pathCut != pathsWork }) {
 		return nil
 	}
-	router.pathsCut = true
-	s.checks.pathCuts = append(s.checks.pathCuts, pathCut{interval: interval{start: s.Now(), end: s.Now() + span}, router: router})
-	return func() { router.pathsCut = false }
+	kind := pathsRefuse
+	if fault.Target/len(zones)%2 == 1 {
+		kind = pathsHang
+	}
+	for _, router := range routers {
+		router.pathCut = kind
+	}
+	s.checks.pathCuts = append(s.checks.pathCuts, pathCut{interval: interval{start: s.Now(), end: s.Now() + fault.For}, routers: routers})
+	return func() {
+		for _, router := range routers {
+			router.pathCut = pathsWork
+		}
+	}
+}
+
+func (s *simulation) routersOfZone(zone string) []*routerNode {
+	var routers []*routerNode
+	for _, router := range s.routers {
+		if router.zone == zone {
+			routers = append(routers, router)
+		}
+	}
+	return routers
+}
+
+// mostRouters returns all routers but every eighth one.
+func (s *simulation) mostRouters(offset int) []*routerNode {
+	const spared = 8
+	var routers []*routerNode
+	for position, router := range s.routers {
+		if (position+offset)%spared != 0 {
+			routers = append(routers, router)
+		}
+	}
+	return routers
 }
 
 // pathState is what a router knows of its paths and of the routers that it may forward to.
@@ -60,13 +107,21 @@
 
 // setRouters applies the routers of a leader's digest.
 func (r *routerNode) setRouters(digest *wirepb.ClusterDigest) {
-	routers := forwarding.OtherRouters(digest.GetRoster().GetRouters(), r.name, places.Location{Zone: r.zone})
+	location := places.Location{Zone: r.zone}
+	routers := forwarding.OtherRouters(feed.SelectRouters(digest.GetRoster().GetRouters(), r.name, location), r.name, location)
+	if r.sim.mutation == MutationOwnZoneOnly {
+		routers = slices.DeleteFunc(routers, func(router forwarding.Router) bool { return router.Zone != r.zone })
+	}
 	r.paths.selector.SetRouters(r.wall(), routers)
 }
 
 // refuseConnection ends an attempt whose connection was refused.
 func (r *routerNode) refuseConnection(entry *inference, grant dispatch.Grant) {
-	r.after(2*baseDelay, func() {
+	took := 2 * baseDelay
+	if r.pathCut == pathsHang {
+		took = max(0, min(hangingDialTimeout, entry.request.Deadline.Sub(r.wall())))
+	}
+	r.after(took, func() {
 		r.applyPathChange(r.paths.tracker.Failed(r.wall(), grant.Target.Machine, paths.FailureConnect))
 		r.startProbing()
 		r.applyOutcome(r.core.Release(r.wall(), grant, dispatch.ResultUnreachable))
@@ -119,7 +174,7 @@
 func (r *routerNode) probePath(name string) {
 	started, target := r.wall(), r.sim.machineNamed(name)
 	r.after(2*baseDelay, func() {
-		connected := !r.pathsCut && target.up && !target.removed && r.sim.canReach(&r.process, &target.process)
+		connected := r.pathCut == pathsWork && target.up && !target.removed && r.sim.canReach(&r.process, &target.process)
 		r.applyPathChange(r.paths.tracker.EndProbe(r.wall(), name, started, connected))
 	})
 }
@@ -264,7 +319,7 @@
 		for _, request := range c.pathRequests {
 			switch {
 			case request.arrived < cut.start+pathContactTime || request.arrived > cut.end:
-			case request.router == cut.router:
+			case cut.includes(request.router):
 				sent++
 				answered += count(request.answered)
 			case !c.wasCut(request):
@@ -274,7 +329,7 @@
 		}
 		failed, allowed := sent-answered, maxPathFailures+maxPathFailureShare*float64(sent+othersSent)
 		if float64(failed) > allowed && float64(answered*othersSent) < minPathShare*float64(othersAnswered*sent) {
-			c.violate(CheckPaths, "%s answered %d of %d requests without a path to engines, the others %d of %d", cut.router.name, answered, sent, othersAnswered, othersSent)
+			c.violate(CheckPaths, "%d routers answered %d of %d requests without a path to engines, the others %d of %d", len(cut.routers), answered, sent, othersAnswered, othersSent)
 		}
 	}
 }
@@ -282,7 +337,7 @@
 // wasCut reports whether a request arrived at a router without paths.
 func (c *checks) wasCut(request pathRequest) bool {
 	return slices.ContainsFunc(c.pathCuts, func(cut pathCut) bool {
-		return cut.router == request.router && cut.start <= request.arrived && request.arrived <= cut.end
+		return cut.includes(request.router) && cut.start <= request.arrived && request.arrived <= cut.end
 	})
 }
 
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -12,12 +12,11 @@
 )
 
 const (
-	inferenceInterval = 60 * time.Millisecond
-	holdInterval      = 150 * time.Millisecond
-	holdDeadline      = 3 * time.Second
-	maxHoldAttempts   = 4
-	claimTimeout      = 1500 * time.Millisecond
-	claimRetry        = 50 * time.Millisecond
+	holdInterval    = 150 * time.Millisecond
+	holdDeadline    = 3 * time.Second
+	maxHoldAttempts = 4
+	claimTimeout    = 1500 * time.Millisecond
+	claimRetry      = 50 * time.Millisecond
 	// responseGrace is added to a request's deadline when checking that the request has ended.
 	responseGrace = 200 * time.Millisecond
 )
@@ -32,7 +31,7 @@
 )
 
 func (s *simulation) startTraffic() {
-	s.repeatUntil(inferenceInterval, trafficEnd, s.sendInference)
+	s.repeatUntil(s.shape.RequestInterval, trafficEnd, s.sendInference)
 	s.repeatUntil(holdInterval, trafficEnd, s.sendHold)
 }
 
@@ -60,12 +59,12 @@
 }
 
 func (s *simulation) sendInference() {
-	router := s.routers[s.random.IntN(routerCount)]
+	router := s.routers[s.random.IntN(s.shape.Routers)]
 	if !router.up {
 		return
 	}
 	s.inferenceCount++
-	content := s.newRequestContent(numbered("inference", s.inferenceCount), numbered("model", s.random.IntN(modelCount)))
+	content := s.newRequestContent(numbered("inference", s.inferenceCount), numbered("model", s.random.IntN(s.shape.Models)))
 	router.run(router.epoch, func() { router.handleInference(content) })
 }
 
@@ -145,7 +144,7 @@
 }
 
 func (r *routerNode) sendToEngine(entry *inference, grant dispatch.Grant) {
-	if r.pathsCut {
+	if r.pathCut != pathsWork {
 		r.refuseConnection(entry, grant)
 		return
 	}
@@ -253,7 +252,7 @@
 	retry := func() {
 		s.After(s.randomDuration(50*time.Millisecond, time.Second), func() { s.tryHold(key, attempt+1) })
 	}
-	router := s.routers[s.random.IntN(routerCount)]
+	router := s.routers[s.random.IntN(s.shape.Routers)]
 	if !router.up {
 		retry()
 		return
--- a/internal/faultsim/router.go
+++ b/internal/faultsim/router.go
@@ -49,8 +49,8 @@
 	// permitsUnavailableUntil suspends permit requests after one failed.
 	permitsUnavailableUntil time.Duration
 	paths                   pathState
-	// pathsCut is set while the router has no path to any engine.
-	pathsCut bool
+	// pathCut is what happens to the router's new connections to engines.
+	pathCut pathCutKind
 }
 
 // machineWatch is the agent's state for one machine.
--- a/internal/faultsim/run.go
+++ b/internal/faultsim/run.go
@@ -10,6 +10,7 @@
 type Schedule struct {
 	Seed     uint64   `yaml:"seed" json:"seed"`
 	Mutation Mutation `yaml:"mutation" json:"mutation,omitempty"`
+	Shape    Shape    `yaml:"shape" json:"shape,omitzero"`
 	Faults   []Fault  `yaml:"faults" json:"faults"`
 }
 
@@ -66,6 +67,7 @@
 	MutationIgnoreBackoff: {FaultOverloadEngine},
 	MutationIgnoreLimits:  {FaultLimitEngine},
 	MutationKeepRequests:  {FaultCutPaths},
+	MutationOwnZoneOnly:   {FaultCutZonePaths},
 }
 
 // RandomSchedule draws one to maxFaults faults, which may overlap or repeat. A mutation with
--- a/internal/faultsim/run_test.go
+++ b/internal/faultsim/run_test.go
@@ -117,6 +117,7 @@
 		MutationIgnoreBackoff: {CheckBackoff},
 		MutationIgnoreLimits:  {CheckLimits},
 		MutationKeepRequests:  {CheckPaths},
+		MutationOwnZoneOnly:   {CheckPaths},
 	}
 	for _, mutation := range Mutations {
 		for _, check := range expected[mutation] {
--- a/internal/faultsim/simulation.go
+++ b/internal/faultsim/simulation.go
@@ -9,13 +9,9 @@
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
-// The cluster is small, so that faults interact often.
 const (
 	controlCount  = 4
 	voterCount    = 3
-	routerCount   = 4
-	machineCount  = 5
-	modelCount    = 5
 	operatorCount = 3
 
 	electionTimeout   = 500 * time.Millisecond
@@ -79,6 +75,8 @@
 	MutationIgnoreLimits Mutation = "limits-ignored"
 	// MutationKeepRequests: routers without paths to engines forward no requests.
 	MutationKeepRequests Mutation = "nothing-forwarded"
+	// MutationOwnZoneOnly: routers learn of other routers in their own zone only.
+	MutationOwnZoneOnly Mutation = "routers-of-own-zone"
 )
 
 // Mutations lists all mutations but MutationNone. None makes a node forget its vote: with pre-votes that
@@ -87,11 +85,12 @@
 	MutationNoSync, MutationNoFence, MutationStaleRead, MutationLongLease,
 	MutationEarlyNotRun, MutationRevert, MutationEarlyFree, MutationTrustDigest,
 	MutationUnsharedCrashes, MutationForgetQuarantine, MutationResetCountsAsCrash, MutationIgnorePromptParts, MutationKeepPartSuspicion, MutationMonotonicLease,
-	MutationLateDrains, MutationIgnoreBackoff, MutationIgnoreLimits, MutationKeepRequests,
+	MutationLateDrains, MutationIgnoreBackoff, MutationIgnoreLimits, MutationKeepRequests, MutationOwnZoneOnly,
 }
 
 // simulation is one simulated cluster.
 type simulation struct {
+	shape Shape
 	virtualtime.Scheduler
 	seed     uint64
 	random   *rand.Rand
@@ -129,7 +128,7 @@
 
 func newSimulation(schedule Schedule) *simulation {
 	s := &simulation{
-		seed: schedule.Seed, mutation: schedule.Mutation, random: rand.New(rand.NewPCG(schedule.Seed, 1)),
+		seed: schedule.Seed, mutation: schedule.Mutation, shape: schedule.Shape.orDefault(), random: rand.New(rand.NewPCG(schedule.Seed, 1)),
 		faults: map[string]int{}, network: network{late: baseLateRate, cutZones: map[[2]string]bool{}},
 	}
 	s.checks = newChecks(s)
@@ -142,10 +141,10 @@
 	for position := range controlCount {
 		s.controls = append(s.controls, s.newControlNode(uint64(position+1), zones[position%len(zones)]))
 	}
-	for position := range machineCount {
+	for position := range s.shape.Machines {
 		s.machines = append(s.machines, s.newMachine(position, zones[position%len(zones)]))
 	}
-	for position := range routerCount {
+	for position := range s.shape.Routers {
 		s.routers = append(s.routers, s.newRouterNode(position, zones[position%len(zones)]))
 	}
 	s.list.begin(s)
--- a/internal/feed/routers.go
+++ b/internal/feed/routers.go
@@ -17,10 +17,10 @@
 	maxZoneRouters = maxRouters / 2
 )
 
-// selectRouters returns the other routers that a router learns of: at most maxRouters, some in its zone and
+// SelectRouters returns the other routers that a router learns of: at most maxRouters, some in its zone and
 // the rest elsewhere, spread over the zones, those of the nearest regions first. Rendezvous hashing by node gives each
 // router others, so that the requests of a zone that lost its machines don't all go to the same few.
-func selectRouters(all []*wirepb.RouterEntry, node string, location places.Location) []*wirepb.RouterEntry {
+func SelectRouters(all []*wirepb.RouterEntry, node string, location places.Location) []*wirepb.RouterEntry {
 	var near, distant []*wirepb.RouterEntry
 	for _, router := range all {
 		switch {
--- a/internal/feed/routers_test.go
+++ b/internal/feed/routers_test.go
@@ -36,7 +36,7 @@
 		{"few elsewhere", map[string]int{"a": 40, "b": 1, "c": 2}, map[string]int{"a": 5, "b": 1, "c": 2}},
 	} {
 		got := map[string]int{}
-		for _, router := range selectRouters(routersIn(test.counts), "a-0", location) {
+		for _, router := range SelectRouters(routersIn(test.counts), "a-0", location) {
 			got[router.GetZone()]++
 			if router.GetNode() == "a-0" {
 				t.Errorf("%s: a router learns of itself", test.name)
@@ -48,7 +48,7 @@
 	}
 	chosen := map[string]int{}
 	for number := range 40 {
-		for _, router := range selectRouters(routersIn(map[string]int{"a": 40, "b": 40}), fmt.Sprintf("a-%d", number), location) {
+		for _, router := range SelectRouters(routersIn(map[string]int{"a": 40, "b": 40}), fmt.Sprintf("a-%d", number), location) {
 			chosen[router.GetNode()]++
 		}
 	}
@@ -71,7 +71,7 @@
 	}
 	for _, router := range all {
 		learned := map[string]bool{}
-		for _, other := range selectRouters(all, router.GetNode(), places.Location{Zones: zones, Zone: router.GetZone()}) {
+		for _, other := range SelectRouters(all, router.GetNode(), places.Location{Zones: zones, Zone: router.GetZone()}) {
 			learned[other.GetZone()] = true
 		}
 		if len(learned) != 4 {
--- a/internal/feed/subsets.go
+++ b/internal/feed/subsets.go
@@ -103,7 +103,7 @@
 func (s *subsetSource) newSession(node, zone string) *subsetSession {
 	location := places.Location{Zones: s.zones, Zone: zone}
 	return &subsetSession{source: s, zone: zone, widened: make(chan struct{}, 1), digestFilter: digestFilter{
-		selectRouters: func(all []*wirepb.RouterEntry) []*wirepb.RouterEntry { return selectRouters(all, node, location) },
+		selectRouters: func(all []*wirepb.RouterEntry) []*wirepb.RouterEntry { return SelectRouters(all, node, location) },
 	}}
 }
 
