soak: zones and most routers that are partitioned at once, at a chosen load

The soak could partition single routers only, at 100 requests a second each. GROUPS_CUT=1 partitions, by turns, all routers of a zone and three quarters of all routers, with four kinds of cut and faults of control nodes meanwhile; the two new kinds accept new connections and carry nothing, or refuse new ones only. CALLERS and CALL_INTERVAL set the load. The clean-up after a run overlooked nodes with a number of two digits.

--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -16,8 +16,51 @@
 	PartitionHangs PartitionKind = iota
 	// PartitionResets resets the host's open connections.
 	PartitionResets
+	// PartitionAccepts makes open and new connections carry nothing.
+	PartitionAccepts
+	// PartitionRefuses lets open connections go on.
+	PartitionRefuses
 )
 
+// cutsOpen reports whether open connections are cut too.
+func (k PartitionKind) cutsOpen() bool { return k != PartitionRefuses }
+
+// groupPartitionKinds are the kinds of partitions of several routers.
+var groupPartitionKinds = []FaultKind{FaultPartitionHangs, FaultPartitionResets, FaultPartitionAccepts, FaultPartitionRefuses}
+
+// NewGroupPartitionPlan draws groups of routers that are partitioned from all machines at once, by turns all routers of a
+// zone and most routers of all zones, and faults of control nodes meanwhile.
+func NewGroupPartitionPlan(seed uint64, layout Layout, span time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 8))
+	faults := faultSeries{random: random, layout: layout, span: span}
+	var plan []Fault
+	for turn, group := range faults.draw(partitionDuration, 2*time.Second, func(drawn *Fault) {
+		drawn.Kind = groupPartitionKinds[random.IntN(len(groupPartitionKinds))]
+	}) {
+		routers := layout.RouterZones[random.IntN(len(layout.RouterZones))]
+		if turn%2 == 1 {
+			routers = mostOf(random, layout.Routers)
+		}
+		for _, router := range routers {
+			group.Node = router
+			plan = append(plan, group)
+		}
+	}
+	return MergePlans(plan, controlFaults(NewPlan(seed, layout, span), layout))
+}
+
+// mostOf returns a random three quarters of some routers.
+func mostOf(random *rand.Rand, routers []string) []string {
+	shuffled := slices.Clone(routers)
+	random.Shuffle(len(shuffled), func(left, right int) { shuffled[left], shuffled[right] = shuffled[right], shuffled[left] })
+	return shuffled[:len(shuffled)*3/4]
+}
+
+// controlFaults returns the faults of a plan that concern single control nodes.
+func controlFaults(plan []Fault, layout Layout) []Fault {
+	return slices.DeleteFunc(slices.Clone(plan), func(fault Fault) bool { return !slices.Contains(layout.Control, fault.Node) })
+}
+
 // NewPartitionPlan draws routers that are partitioned from all machines, machines that fall silent for about a
 // second, and spans in which the machines without engines are brittle. It has a random source of its own, so
 // that the other faults of a seed don't depend on it.
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +148,71 @@
 		t.Errorf("three failures in the span: %v", found)
 	}
 }
+
+// TestPartitionsThatAcceptOrRefuse checks that a partition may hold new connections without carrying anything, or refuse
+// them while open ones go on.
+func TestPartitionsThatAcceptOrRefuse(t *testing.T) {
+	const host = "127.0.0.101"
+	proxy := newProxy(t)
+	open, err := dialFrom(t, proxy, host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send(t, open, "a")
+	expect(t, open, "a")
+	proxy.Partition(host, PartitionRefuses)
+	send(t, open, "b")
+	expect(t, open, "b")
+	if refused, err := dialFrom(t, proxy, host); err == nil {
+		if _, err := refused.Read(make([]byte, 1)); err == nil {
+			t.Error("a new connection works")
+		}
+	}
+	proxy.Partition(host, PartitionAccepts)
+	send(t, open, "c")
+	expectNothing(t, open)
+	held, err := dialFrom(t, proxy, host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send(t, held, "c")
+	expectNothing(t, held)
+	proxy.Heal(host)
+	if _, err := held.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection that was held works after the partition")
+	}
+}
+
+// TestGroupPartitionPlan checks that the routers of a zone, or most of all, are cut off at the same time, and that no
+// other routers are disturbed.
+func TestGroupPartitionPlan(t *testing.T) {
+	layout := Layout{
+		Control: []string{"c1", "c2", "c3"}, Routers: []string{"r1", "r2", "r3", "r4"}, Zones: [][]string{{"c1", "c3"}, {"c2"}},
+		RouterZones: [][]string{{"r1", "r3"}, {"r2", "r4"}}, Machines: 4,
+	}
+	const span = 40 * time.Second
+	kinds := map[FaultKind]bool{}
+	for seed := range uint64(20) {
+		groups := map[time.Duration][]string{}
+		for _, each := range NewGroupPartitionPlan(seed, layout, span) {
+			switch {
+			case slices.Contains(groupPartitionKinds, each.Kind):
+				kinds[each.Kind] = true
+				groups[each.At] = append(groups[each.At], each.Node)
+			case !slices.Contains(layout.Control, each.Node):
+				t.Errorf("seed %d: %s", seed, each)
+			}
+		}
+		if len(groups) < 2 {
+			t.Errorf("seed %d cuts %d groups off", seed, len(groups))
+		}
+		for at, routers := range groups {
+			if count := len(routers); count != 2 && count != 3 {
+				t.Errorf("seed %d: %v are cut off at %s", seed, routers, at)
+			}
+		}
+	}
+	if len(kinds) != len(groupPartitionKinds) {
+		t.Errorf("only %v were drawn", kinds)
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -66,6 +66,10 @@
 	// FaultPartitionHangs and FaultPartitionResets cut a router off from all machines.
 	FaultPartitionHangs  FaultKind = "partition-hangs"
 	FaultPartitionResets FaultKind = "partition-resets"
+	// FaultPartitionAccepts is like FaultPartitionHangs, and new connections are accepted and carry nothing.
+	// FaultPartitionRefuses refuses new connections; open ones go on.
+	FaultPartitionAccepts FaultKind = "partition-accepts"
+	FaultPartitionRefuses FaultKind = "partition-refuses"
 	// FaultPauseMachine holds back all traffic of a machine; no connection breaks.
 	FaultPauseMachine FaultKind = "pause-machine"
 	// FaultBrittleMachines makes the machines without engines fail if they reject too many requests.
@@ -82,9 +86,10 @@
 // Layout lists the processes and machines of a deployment.
 type Layout struct {
 	Control, Routers []string
-	// Zones lists the control nodes by zone.
-	Zones    [][]string
-	Machines int
+	// Zones lists the control nodes by zone, and RouterZones the routers.
+	Zones       [][]string
+	RouterZones [][]string
+	Machines    int
 }
 
 // Fault is a fault of a plan, or one that was executed. Its times are relative to the start of the plan.
@@ -307,7 +312,7 @@
 	case FaultPauseMachine:
 		span.End += restartDuration
 		span.RequestsOnly = true
-	case FaultPartitionHangs, FaultPartitionResets:
+	case FaultPartitionHangs, FaultPartitionResets, FaultPartitionAccepts, FaultPartitionRefuses:
 		// unservedPartitions judges the requests during the partition.
 		after := Disturbance{Start: span.End, End: span.End + restartDuration, Node: f.Node, RequestsOnly: true}
 		span.RequestsOnly, span.Partition = true, true
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -88,7 +88,15 @@
 
 func (p *Proxy) serve(client net.Conn) {
 	host, _, err := net.SplitHostPort(client.RemoteAddr().String())
-	if err != nil || p.isPartitioned(host) {
+	if err != nil {
+		reset(client)
+		return
+	}
+	switch kind, partitioned := p.partitionOf(host); {
+	case partitioned && kind == PartitionAccepts:
+		p.hold(client, host)
+		return
+	case partitioned:
 		reset(client)
 		return
 	}
@@ -161,7 +169,8 @@
 	for {
 		changed := p.changed.Wait()
 		p.mutex.Lock()
-		_, partitioned := p.partitions[current.host]
+		kind, partitioned := p.partitions[current.host]
+		partitioned = partitioned && kind.cutsOpen()
 		blocked := p.blocks[direction] > 0 || current.silent[direction] || partitioned
 		p.mutex.Unlock()
 		if !blocked {
@@ -238,11 +247,23 @@
 	p.changed.Notify()
 }
 
-func (p *Proxy) isPartitioned(host string) bool {
+func (p *Proxy) partitionOf(host string) (kind PartitionKind, partitioned bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	_, partitioned := p.partitions[host]
-	return partitioned
+	kind, partitioned = p.partitions[host]
+	return kind, partitioned
+}
+
+// hold keeps a connection open without carrying anything until the host's partition ends, and resets it then.
+func (p *Proxy) hold(client net.Conn, host string) {
+	for {
+		changed := p.changed.Wait()
+		if _, partitioned := p.partitionOf(host); !partitioned {
+			reset(client)
+			return
+		}
+		<-changed
+	}
 }
 
 // Reset resets all existing connections; new connections work.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -140,6 +140,10 @@
 		return i.Machines.PartitionRouter(each.Node, PartitionHangs)
 	case FaultPartitionResets:
 		return i.Machines.PartitionRouter(each.Node, PartitionResets)
+	case FaultPartitionAccepts:
+		return i.Machines.PartitionRouter(each.Node, PartitionAccepts)
+	case FaultPartitionRefuses:
+		return i.Machines.PartitionRouter(each.Node, PartitionRefuses)
 	case FaultBrittleMachines:
 		return i.Machines.BecomeBrittle()
 	case FaultCutStreams:
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -11,6 +11,9 @@
 # gets, with no other faults than crowds of CROWD_RATE new connections per second. KEEP_RUN=1
 # keeps the run directory with the logs; it is always kept after a failure.
 #
+# GROUPS_CUT=1 partitions whole zones and most routers from all machines, with faults of control nodes and no others.
+# CALLERS and CALL_INTERVAL set the load of each router.
+#
 # FORMER_BIN is a directory with weldnode of a previous release. The nodes start with that build and
 # are upgraded one by one, some of them with a rollback in between.
 #
@@ -33,6 +36,8 @@
 if [ "${STREAMS:-1}" = 0 ]; then streams_flag=--no-streams; fi
 parts_flag=--parts
 if [ "${PARTS:-1}" = 0 ]; then parts_flag=--no-parts; fi
+groups_flag=--no-groups
+if [ "${GROUPS_CUT:-0}" = 1 ]; then groups_flag=--groups; fi
 crowds_flag=--crowds
 if [ "${CROWDS:-1}" = 0 ]; then crowds_flag=--no-crowds; fi
 build_flag=--no-former
@@ -60,8 +65,8 @@
 
 cleanup() {
   rm -f "$run_dir/keep-running"
-  for pid_file in "$run_dir"/control-? "$run_dir"/router-?; do
-    if [ -e "$pid_file" ]; then
+  for pid_file in "$run_dir"/control-* "$run_dir"/router-*; do
+    if [[ $pid_file =~ -[0-9]+$ && -e $pid_file ]]; then
       kill -CONT "$(cat "$pid_file")" 2>/dev/null || true
       kill -KILL "$(cat "$pid_file")" 2>/dev/null || true
     fi
@@ -73,7 +78,7 @@
 
 touch "$run_dir/keep-running"
 env -u GOMAXPROCS "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" \
-  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$crowds_flag" ${THROTTLE:+--throttle "$THROTTLE"} ${CROWD_RATE:+--crowd-rate "$CROWD_RATE"} "$build_flag" 2>"$run_dir/soak.log" &
+  --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$crowds_flag" "$groups_flag" --callers "${CALLERS:-6}" --call-interval "${CALL_INTERVAL:-60ms}" ${THROTTLE:+--throttle "$THROTTLE"} ${CROWD_RATE:+--crowd-rate "$CROWD_RATE"} "$build_flag" 2>"$run_dir/soak.log" &
 soak_pid=$!
 for _ in $(seq 1 200); do
   if [ -e "$run_dir/ready" ]; then break; fi
