ingress: an isolated router's requests wait for restarting machines like those of others

Cause: a router refuses a forwarded request at once if its paths to all machines of the version are down, so that the sender can try others. For its own clients it goes on: it tries the machines, which may be back before the next probe, or waits for another replica. So while a version's machines crashed or restarted, clients of an isolated router got 503 at once, for another 300 ms after that without a try, and the others an answer.

Change: if no router has a path, an isolated router sends the request to one that is not isolated, which serves it as one of its own clients'. While a version is known to be unservable it does so at once.

TestForwardedRequestIsServedLikeOthers failed before (3 of 3: 503, the other router 200) and passes.

--- a/internal/faultsim/paths.go
+++ b/internal/faultsim/paths.go
@@ -139,8 +139,11 @@
 	if entry.reply != nil || r.sim.mutation == MutationKeepRequests {
 		return false
 	}
-	_, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters)
-	return found
+	if _, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters); found {
+		return true
+	}
+	_, found := r.paths.selector.ChooseConnected(r.wall(), places.Constraint{})
+	return found && r.paths.tracker.IsIsolated()
 }
 
 func (r *routerNode) applyPathChange(change paths.Change) {
@@ -191,13 +194,28 @@
 func (r *routerNode) forward(entry *inference) {
 	router, found := r.paths.selector.Choose(r.wall(), entry.request.Version, places.Constraint{}, entry.triedRouters)
 	if !found || len(entry.triedRouters) >= maxForwards {
+		r.forwardAsLastResort(entry)
+		return
+	}
+	r.forwardTo(entry, router, false)
+}
+
+// forwardAsLastResort has a router that is not isolated serve a request as one of its own clients'.
+func (r *routerNode) forwardAsLastResort(entry *inference) {
+	router, found := r.paths.selector.ChooseConnected(r.wall(), places.Constraint{})
+	if !found || entry.isLastResort || !r.paths.tracker.IsIsolated() {
 		entry.end(outcomeNotRun)
 		return
 	}
+	entry.isLastResort = true
+	r.forwardTo(entry, router, true)
+}
+
+func (r *routerNode) forwardTo(entry *inference, router forwarding.Router, isLastResort bool) {
 	r.paths.selector.Begin(router.Node)
 	other, left := r.sim.routerNamed(router.Node), entry.request.Deadline.Sub(r.wall())
 	call(&r.process, &other.process, max(left, 0), func(reply func(forwardReply)) {
-		other.handleForwarded(entry, left, reply)
+		other.handleForwarded(entry, left, isLastResort, reply)
 	}, func(reply forwardReply, answered bool) {
 		result := forwardResult(reply, answered)
 		entry.triedRouters = append(entry.triedRouters, forwarding.Attempt{Router: router, Result: result})
@@ -208,6 +226,8 @@
 			entry.end(outcomeUnknown)
 		case reply.outcome != outcomeNotRun:
 			entry.end(reply.outcome)
+		case isLastResort:
+			entry.end(reply.outcome)
 		case !entry.ended:
 			r.forward(entry)
 		}
@@ -232,7 +252,7 @@
 }
 
 // handleForwarded serves a request of another router's client. It is not forwarded again.
-func (r *routerNode) handleForwarded(origin *inference, left time.Duration, reply func(forwardReply)) {
+func (r *routerNode) handleForwarded(origin *inference, left time.Duration, isLastResort bool, reply func(forwardReply)) {
 	respond := func(outcome callerOutcome) { reply(r.forwardReply(outcome)) }
 	target, known := r.view.Resolve(origin.content.model)
 	if !r.serving() || !known || r.isQuarantined(origin.content) {
@@ -242,7 +262,8 @@
 	r.requests++
 	entry := &inference{router: r, id: origin.id, content: origin.content, reply: respond}
 	entry.request = &dispatch.Request{
-		ID: r.requests, Version: target.Version, Arrived: r.wall(), Deadline: r.wall().Add(left), Priority: origin.request.Priority, Forwarded: true,
+		ID: r.requests, Version: target.Version, Arrived: r.wall(), Deadline: r.wall().Add(left), Priority: origin.request.Priority,
+		Forwarded: !isLastResort || r.paths.tracker.IsIsolated(),
 	}
 	r.waiting[entry.request.ID] = entry
 	r.applyOutcome(r.core.Submit(r.wall(), entry.request))
--- a/internal/faultsim/requests.go
+++ b/internal/faultsim/requests.go
@@ -56,6 +56,8 @@
 	reply func(callerOutcome)
 	// triedRouters are the routers that the request was forwarded to.
 	triedRouters []forwarding.Attempt
+	// isLastResort is set once the request was forwarded although no router has a path to an engine for it.
+	isLastResort bool
 }
 
 func (s *simulation) sendInference() {
--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -197,7 +197,23 @@
 // request found a lack of paths, routers that are known to be connected, and the nearest ones, and takes the less busy
 // of two random ones among the best.
 func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []Attempt) (Router, bool) {
-	usable := s.usable(now, version, allowed, tried)
+	return s.best(now, s.usable(now, version, allowed, tried), tried)
+}
+
+// ChooseConnected returns a router that is known to have paths to some machines, or false if there is none.
+func (s *Selector) ChooseConnected(now time.Time, allowed places.Constraint) (Router, bool) {
+	var connected []*routerState
+	for _, router := range s.routers {
+		isConnected := router.statusAt(now) == StatusConnected || now.Before(router.doubtedUntil)
+		if isConnected && !router.isAvoided(now) && allowed.Allows(router.Region) {
+			connected = append(connected, router)
+		}
+	}
+	return s.best(now, connected, nil)
+}
+
+// best returns one of the best of some routers, or false if there are none.
+func (s *Selector) best(now time.Time, usable []*routerState, tried []Attempt) (Router, bool) {
 	if len(usable) == 0 {
 		return Router{}, false
 	}
--- a/internal/forwarding/selector_test.go
+++ b/internal/forwarding/selector_test.go
@@ -39,6 +39,13 @@
 				}
 				selector.Begin(router.Node)
 				return router.Node + "\n"
+			case "choose-connected":
+				var allowed places.Constraint
+				if region := text(d, "region"); region != "" {
+					allowed = places.RestrictTo(region)
+				}
+				router, found := selector.ChooseConnected(now, allowed)
+				return fmt.Sprintln(router.Node, found)
 			case "end":
 				selector.End(now, text(d, "node"), results[text(d, "result")])
 				return "ok\n"
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -53,7 +53,33 @@
 	if j.ingress.forwarder.markIfUnservable(j.version, j.allowedRegions(), j.triedRouters) {
 		j.log("unservable", "version", j.version, "routers", len(j.triedRouters))
 	}
-	return outcomeNotConnected, false
+	return j.forwardAsLastResort(ctx)
+}
+
+// forwardAsLastResort has a router that is not isolated serve a request for which none has a path, as the request of a
+// client of its own: it tries machines that may be restarting, and waits for one. Without this the clients of an
+// isolated router would be refused while those of others are served.
+func (j *job) forwardAsLastResort(ctx context.Context) (outcome attemptOutcome, served bool) {
+	if !j.ingress.paths.isIsolated() {
+		return outcomeNotConnected, false
+	}
+	router, found := j.ingress.forwarder.beginLastResort(j.allowedRegions())
+	if !found {
+		return outcomeNotConnected, false
+	}
+	j.lastResort = true
+	outcome, result := j.forwardTo(ctx, router)
+	j.ingress.forwarder.end(router.Node, result)
+	j.log("forward_last_resort", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "sent", j.sent)
+	j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
+	switch {
+	case outcome.isResponse():
+		return outcome, true
+	case outcome == outcomeNotConnected && ctx.Err() == nil:
+		return outcome, false
+	}
+	j.answerFailure(ctx, outcome)
+	return outcome, true
 }
 
 // forwardTo sends the request to another router and relays its response.
@@ -127,7 +153,7 @@
 		Prepare: func(header http.Header) error {
 			encoded, err := encodeHeader(&wirepb.ForwardedRequest{
 				Router: j.ingress.options.Node, Configuration: j.configuration, Tenant: j.tenant.name, Pool: j.pool,
-				RemainingMs: uint32(max(0, j.remaining()).Milliseconds()), Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted,
+				RemainingMs: uint32(max(0, j.remaining()).Milliseconds()), Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, LastResort: j.lastResort,
 			})
 			header.Set(headerForward, encoded)
 			return err
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -407,3 +407,41 @@
 		t.Errorf("the stream: %+v", got)
 	}
 }
+
+// TestForwardedRequestIsServedLikeOthers guards against refusing the requests of an isolated router while a machine
+// restarts, although the routers that have paths go on trying it for their own clients.
+func TestForwardedRequestIsServedLikeOthers(t *testing.T) {
+	machine := newRawMachine(t, respondOK)
+	var restarting atomic.Bool
+	restarting.Store(true)
+	other := newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
+		options.Node = "other"
+		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if restarting.Load() {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+	cut := newCutRouter(t, "cut")
+	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	cut.serve(v1.RouteUnrepeatable, 1, long, machine.address, reservePort(t))
+	cut.knowRouters("other z " + other.acceptForwards())
+	// The failures make the other router probe the machine rarely.
+	for number := range 6 {
+		if got := other.send(http.MethodPost, "/a/b", "before-"+strconv.Itoa(number), "body"); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("while the machine restarts: %+v", got)
+		}
+	}
+	for number := 0; !cut.handler.IsIsolated(); number++ {
+		if got := cut.send(http.MethodPost, "/a/b", "cut-"+strconv.Itoa(number), "body"); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("while the machine restarts: %+v", got)
+		}
+	}
+	restarting.Store(false)
+	for position, router := range []*deployment{cut, other} {
+		if got := router.send(http.MethodPost, "/a/b", "after-"+strconv.Itoa(position), "body"); got.status != http.StatusOK {
+			t.Errorf("router %d: %+v", position, got)
+		}
+	}
+}
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -74,11 +74,27 @@
 	return forwarding.Entries(f.selector.Referrals(time.Now()))
 }
 
-// canForward reports whether there is a router for a request.
-func (f *forwarder) canForward(version string, allowed places.Constraint, tried []forwarding.Attempt) bool {
+// canForward reports whether there is a router for a request. isolated is set if this one has no path to any machine.
+func (f *forwarder) canForward(version string, allowed places.Constraint, tried []forwarding.Attempt, isolated bool) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.selector.CanChoose(time.Now(), version, allowed, tried)
+	if f.selector.CanChoose(time.Now(), version, allowed, tried) {
+		return true
+	}
+	_, found := f.selector.ChooseConnected(time.Now(), allowed)
+	return isolated && found
+}
+
+// beginLastResort chooses a router that is not isolated, whatever it has a path for. It must be followed by end if it
+// found one.
+func (f *forwarder) beginLastResort(allowed places.Constraint) (forwarding.Router, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	router, found := f.selector.ChooseConnected(time.Now(), allowed)
+	if found {
+		f.selector.Begin(router.Node)
+	}
+	return router, found
 }
 
 // hasRouters reports whether any other routers are known.
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -69,6 +69,8 @@
 	forwarded *wirepb.ForwardedRequest
 	// triedRouters are the routers that the request was forwarded to.
 	triedRouters []forwarding.Attempt
+	// lastResort is set once the request is forwarded although no router has a path to a machine for it.
+	lastResort bool
 	// unreachable is set if the last attempt at a machine could not connect.
 	unreachable bool
 	// sentToSoftware is the version of the software of the last machine that the request was sent to.
@@ -235,7 +237,7 @@
 		CrossRegionPenalty: j.remoteCost(),
 		TTFTTarget:         time.Duration(j.route.Spec.TargetLatency),
 		QueueDeadline:      j.arrived.Add(j.maxQueueTime()), Allowed: j.allowedRegions(),
-		Software: j.software, Forwardable: j.mayForward(), Forwarded: j.forwarded != nil,
+		Software: j.software, Forwardable: j.mayForward(), Forwarded: j.refusesWithoutPath(),
 	}
 	for failures := 0; ; {
 		if j.isCutOff() {
@@ -296,7 +298,12 @@
 // mayForward reports whether other routers may serve the request. A forwarded request is not forwarded
 // again.
 func (j *job) mayForward() bool {
-	return j.forwarded == nil && j.ingress.forwarder.canForward(j.version, j.allowedRegions(), j.triedRouters)
+	return j.forwarded == nil && j.ingress.forwarder.canForward(j.version, j.allowedRegions(), j.triedRouters, j.ingress.paths.isIsolated())
+}
+
+// refusesWithoutPath reports whether the router that forwarded the request may try others if this one has no path.
+func (j *job) refusesWithoutPath() bool {
+	return j.forwarded != nil && (!j.forwarded.GetLastResort() || j.ingress.paths.isIsolated())
 }
 
 // isCutOff reports whether no path seems to work and none of the known routers can serve the request.
