--- a/Makefile
+++ b/Makefile
@@ -29,11 +29,12 @@
 	$(GO) build -o $(BIN)/ ./platform/weldnode ./platform/weldsoak
 	@BIN=$(CURDIR)/$(BIN) scripts/soak.sh
 
-# Runs two soaks with a fixed seed that are short enough for CI. The second one is long enough for harmful prompt parts
-# and crowds; partitions beside these are in KNOWN-RED.txt.
+# Runs three soaks with a fixed seed that are short enough for CI. The second one is long enough for harmful prompt parts
+# and crowds; the third one partitions zones and most routers, with few requests.
 soak-short:
 	@SEED=21 DURATION=20s CONTROL=3 ROUTERS=3 MACHINES=12 $(MAKE) --no-print-directory soak
 	@SEED=21 DURATION=30s CONTROL=3 ROUTERS=3 MACHINES=12 PARTITIONS=0 $(MAKE) --no-print-directory soak
+	@SEED=67 DURATION=25s CONTROL=4 ROUTERS=12 MACHINES=12 GROUPS_CUT=1 CALLERS=1 CALL_INTERVAL=450ms $(MAKE) --no-print-directory soak
 
 format:
 	$(TOOL) gofumpt -w $(HANDWRITTEN)
