--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -207,18 +207,23 @@
 func (s *subject) cause(lines []Line) string {
 	last := s.ownLines[len(s.ownLines)-1]
 	for _, line := range s.ownLines {
-		if line.Event != "request_attempt" && line.Event != "request_forward_attempt" {
+		if line.Event != "request_attempt" && !isForward(line) {
 			last = line
 		}
 	}
 	return s.describeEnd(last, lines) + s.describeForwards()
 }
 
+// isForward reports whether a line ends an attempt to have another router serve the request.
+func isForward(line Line) bool {
+	return line.Event == "request_forward_attempt" || line.Event == "request_forward_last_resort"
+}
+
 // describeForwards names the routers that the request was forwarded to.
 func (s *subject) describeForwards() string {
 	var forwards []string
 	for _, line := range s.ownLines {
-		if line.Event == "request_forward_attempt" {
+		if isForward(line) {
 			forwards = append(forwards, fmt.Sprintf("%s (%v)", stringField(line.Fields, "router"), line.Fields["end"]))
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -129,16 +129,17 @@
 func TestTimelineOverTwoRouters(t *testing.T) {
 	timeline := buildTimeline(t, `
 {"time":"2026-06-21T05:00:01Z","msg":"router_isolated","node":"router-a","unreachable":2}
+{"time":"2026-06-21T05:00:01.5Z","msg":"request_forward_attempt","node":"router-a","id":"x","router":"router-c","end":"not_connected","age_ms":0}
 {"time":"2026-06-21T05:00:02Z","msg":"request_forwarded","node":"router-a","id":"x","router":"router-b","age_ms":1}
 {"time":"2026-06-21T05:00:02.01Z","msg":"request_sent","node":"router-b","id":"x","machine":"m","age_ms":0}
 {"time":"2026-06-21T05:00:02.1Z","msg":"request_answered","node":"router-b","id":"x","status":200,"age_ms":90}
 {"time":"2026-06-21T05:00:02.11Z","msg":"request_answered","node":"router-a","id":"x","status":200,"age_ms":110}
-{"time":"2026-06-21T05:00:02.12Z","msg":"request_forward_attempt","node":"router-a","id":"x","router":"router-b","end":"answered","age_ms":110}
+{"time":"2026-06-21T05:00:02.12Z","msg":"request_forward_last_resort","node":"router-a","id":"x","router":"router-b","end":"answered","age_ms":110}
 `)
-	if want := "answered with 200 after 110 ms; forwarded for want of a path to: router-b (answered)"; timeline.Cause != want {
+	if want := "answered with 200 after 110 ms; forwarded for want of a path to: router-c (not_connected), router-b (answered)"; timeline.Cause != want {
 		t.Errorf("cause %q", timeline.Cause)
 	}
-	if len(timeline.Lines) != 6 || timeline.Lines[0].Event != "router_isolated" {
+	if len(timeline.Lines) != 7 || timeline.Lines[0].Event != "router_isolated" {
 		t.Errorf("%d lines, the first %s", len(timeline.Lines), timeline.Lines[0].Event)
 	}
 }
