--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -124,12 +124,21 @@
 		others.setIsolated(isolated)
 	}
 	return &Ingress{
-		requestsCtx: requestsCtx, cancelRequests: cancelRequests, quotas: newQuotas(options.Quota, options.Sharing),
-		options: options, started: time.Now(), budgets: map[string]*retrybudget.Budget{},
-		dispatcher: routing, servingChange: signal.New(), rebuilt: signal.New(),
-		upstream: pool, paths: newPathMonitor(options, pool, publishPaths, others.checkPaths), forwarder: others, origins: newOriginKeeper(options, others.pool), brittle: newBrittleMachines(options, routing.SetBrittle), crashes: newCrashWatcher(options, pool), permits: newPermitClient(options, routing.SetLimited),
+		options: options, started: time.Now(), servingChange: signal.New(), rebuilt: signal.New(),
+		requestsCtx: requestsCtx, cancelRequests: cancelRequests,
+		dispatcher:  routing,
+		upstream:    pool,
+		forwarder:   others,
+		origins:     newOriginKeeper(options, others.pool),
+		paths:       newPathMonitor(options, pool, publishPaths, others.checkPaths),
+		brittle:     newBrittleMachines(options, routing.SetBrittle),
+		crashes:     newCrashWatcher(options, pool),
+		permits:     newPermitClient(options, routing.SetLimited),
+		quotas:      newQuotas(options.Quota, options.Sharing),
+		budgets:     map[string]*retrybudget.Budget{},
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
-		constraints: newConstraintCache(), queued: newQueuedJobs(),
+		constraints: newConstraintCache(),
+		queued:      newQueuedJobs(),
 	}
 }
 
--- a/internal/ingress/routercheck.go
+++ b/internal/ingress/routercheck.go
@@ -16,6 +16,9 @@
 	routerCheckTimeout = 400 * time.Millisecond
 	// routerCheckTick is the interval at which due checks are started.
 	routerCheckTick = 100 * time.Millisecond
+	// maxCheckLateness is how late the end of a check may be noticed without this process counting as short of
+	// processor time.
+	maxCheckLateness = 25 * time.Millisecond
 )
 
 // setIsolated starts or ends the checks of other routers.
@@ -82,10 +85,6 @@
 	}
 }
 
-// maxCheckLateness is how late the end of a check may be noticed without this process counting as short of
-// processor time.
-const maxCheckLateness = 25 * time.Millisecond
-
 func statusOf(reply *wirepb.PathCheckReply) forwarding.Status {
 	switch {
 	case reply.GetIsolated():
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -20,6 +20,8 @@
 	maxConcurrentProbes = 3
 	// flapWindow is how soon after a recovery a new failure continues the former intervals.
 	flapWindow = 5 * time.Second
+	// contactValidity is how long after a contact the router counts as connected.
+	contactValidity = time.Second
 )
 
 // Failure is the kind of a failed exchange with a machine.
@@ -141,9 +143,6 @@
 	return current != nil && current.down
 }
 
-// contactValidity is how long after a contact the router counts as connected.
-const contactValidity = time.Second
-
 // IsConnected reports whether a machine has responded recently.
 func (t *Tracker) IsConnected(now time.Time) bool {
 	return !t.isolated && now.Sub(t.lastContact) <= contactValidity
