forwarding: several exchanges at once that find a router isolated count once

Cause, from the logs: router-1 and router-2 counted as isolated for 5 and 12 ms, as three machines had crashed at once. Eleven forwarded requests met this, and each doubled the time for which the two were avoided, to 2.5 s. The remaining router was just being restarted, so 63 requests were refused.

Change: an observation that repeats the last one before the next check is due changes nothing, and the first check follows after 100 ms instead of 250.

--- a/internal/forwarding/status.go
+++ b/internal/forwarding/status.go
@@ -30,8 +30,9 @@
 const (
 	// checkInterval is the interval of checks of a router that works.
 	checkInterval = 500 * time.Millisecond
-	// The checks of a router that does not work are spaced by intervals that double.
-	minRecheckInterval = 250 * time.Millisecond
+	// The checks of a router that does not work are spaced by intervals that double. The first one comes soon, since
+	// routers that lose several machines at once count as isolated for a moment.
+	minRecheckInterval = 100 * time.Millisecond
 	maxRecheckInterval = 2 * time.Second
 	// statusGrace is how long a status holds after its next check is due, so that it does not expire during the
 	// check.
@@ -57,8 +58,11 @@
 	return r.status
 }
 
-// observe records a status that was seen now.
+// observe records a status that was seen now. Several exchanges at once that find the same count once.
 func (r *routerState) observe(now time.Time, status Status) {
+	if r.isAvoided(now) && r.status == status && now.Before(r.checkAt) {
+		return
+	}
 	interval := checkInterval
 	if status == StatusIsolated || status == StatusFailed {
 		interval = retrydelay.Exponential(minRecheckInterval, maxRecheckInterval, r.failures)
