--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -157,42 +157,6 @@
 	return slices.ContainsFunc(tried, func(attempt Attempt) bool { return attempt.Router.Node == node })
 }
 
-// preference orders routers for one request; less is better.
-type preference struct {
-	// evidence is what speaks against the router.
-	evidence int
-	// zoneFailures counts the attempts in its zone that found no path. Routers of a zone often lose their paths
-	// together.
-	zoneFailures int
-	proximity    places.Proximity
-}
-
-const (
-	evidenceConnected = iota
-	evidenceNone
-	evidenceDoubted
-)
-
-func (r *routerState) preference(now time.Time, tried []Attempt) preference {
-	result := preference{evidence: evidenceNone, proximity: r.Proximity}
-	for _, attempt := range tried {
-		if attempt.Router.Zone == r.Zone && (attempt.Result == ResultUnreachable || attempt.Result == ResultIsolated) {
-			result.zoneFailures++
-		}
-	}
-	switch {
-	case now.Before(r.doubtedUntil):
-		result.evidence = evidenceDoubted
-	case r.statusAt(now) == StatusConnected:
-		result.evidence = evidenceConnected
-	}
-	return result
-}
-
-func (p preference) compare(other preference) int {
-	return cmp.Or(cmp.Compare(p.zoneFailures, other.zoneFailures), cmp.Compare(p.evidence, other.evidence), cmp.Compare(p.proximity, other.proximity))
-}
-
 // Choose returns a router for a request, or false if there is none. It prefers zones in which no attempt of the
 // request found a lack of paths, routers that are known to be connected, and the nearest ones, and takes the less busy
 // of two random ones among the best.
@@ -232,22 +196,6 @@
 	return first.Router, true
 }
 
-// bestCount returns how many of the routers, sorted by preference, to choose from: those as good as the best one,
-// or as the second one if it differs in its distance only, so that not all requests go to one.
-func bestCount(sorted []*routerState, preferences map[string]preference) int {
-	const enough = 2
-	best, count := preferences[sorted[0].Node], 0
-	for count < len(sorted) {
-		current := preferences[sorted[count].Node]
-		differs := current.zoneFailures != best.zoneFailures || current.evidence != best.evidence
-		if differs || count >= enough && current.proximity != preferences[sorted[count-1].Node].proximity {
-			break
-		}
-		count++
-	}
-	return count
-}
-
 // IsUnservable reports whether the attempts of a request show that its machines are down: connected routers of all
 // known zones have no path to one. Isolated routers and those that failed say nothing about machines.
 func (s *Selector) IsUnservable(allowed places.Constraint, tried []Attempt) bool {
