ingress: paused machines are not probed by all routers

Found by reading. A router that hears other machines shows that these are paused, so nobody else is asked; in a zone that is cut off no router hears any.

TestPausedMachinesAreNotProbedByAllRouters: without the change 8 routers are asked, with it 4; 8 if none hears machines.

--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -28,19 +28,26 @@
 )
 
 // checkPaths asks other routers which of some machines respond to them. Those that are asked at once are in
-// different zones if possible, as routers of a zone often lose their paths together. An isolated router names others,
-// which are asked next.
+// different zones if possible, as routers of a zone often lose their paths together. If none of them hears any machine,
+// others are asked next, among them those that isolated ones name. A router that hears other machines shows that these
+// are paused; asking on would load them with probes.
 func (f *forwarder) checkPaths(ctx context.Context, machines []string) (responding []string) {
 	var asked []forwarding.Attempt
 	for range maxAskRounds {
 		routers := f.beginChecks(asked)
-		responding = f.askAll(ctx, routers, machines)
-		if len(responding) > 0 || len(routers) == 0 {
+		if len(routers) == 0 {
+			break
+		}
+		responding, anyConnected := f.askAll(ctx, routers, machines)
+		if len(responding) > 0 {
 			return responding
 		}
 		for _, router := range routers {
 			asked = append(asked, silentAttempt(router))
 		}
+		if anyConnected {
+			break
+		}
 	}
 	f.logger.Info("machines_silent_elsewhere", "routers", len(asked), "machines", machines)
 	return nil
@@ -65,8 +72,9 @@
 	return routers
 }
 
-// askAll asks routers at once, and returns the machines that respond to any of them.
-func (f *forwarder) askAll(ctx context.Context, routers []forwarding.Router, machines []string) (responding []string) {
+// askAll asks routers at once, and returns the machines that respond to any of them, and whether any of them hears
+// machines at all.
+func (f *forwarder) askAll(ctx context.Context, routers []forwarding.Router, machines []string) (responding []string, anyConnected bool) {
 	replies := make([]*wirepb.PathCheckReply, len(routers))
 	var checks sync.WaitGroup
 	for position, router := range routers {
@@ -83,6 +91,7 @@
 	}
 	checks.Wait()
 	for position, reply := range replies {
+		anyConnected = anyConnected || reply.GetConnected()
 		if len(reply.GetResponding()) > 0 {
 			f.logger.Info("machines_respond_elsewhere", "router", routers[position].Node, "machines", reply.GetResponding())
 		}
@@ -92,7 +101,7 @@
 			}
 		}
 	}
-	return responding
+	return responding, anyConnected
 }
 
 // checkResult is the result of a path check for the selection of routers.
--- a/internal/ingress/silence_test.go
+++ b/internal/ingress/silence_test.go
@@ -126,3 +126,49 @@
 	defer b.mutex.Unlock()
 	return b.buffer.String()
 }
+
+// TestPausedMachinesAreNotProbedByAllRouters guards against routers that have all others probe machines that are only
+// paused: those of the first round hear other machines. If they hear none, the rest is asked as well.
+func TestPausedMachinesAreNotProbedByAllRouters(t *testing.T) {
+	const routers, firstRound = 8, 4
+	for _, test := range []struct {
+		connected bool
+		asked     int
+	}{{true, firstRound}, {false, routers}} {
+		t.Run("connected="+strconv.FormatBool(test.connected), func(t *testing.T) {
+			encoded, err := proto.Marshal(&wirepb.PathCheckReply{Connected: test.connected})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var known []string
+			for number := range routers {
+				other := newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
+					return write(connection, ok(request, string(encoded)))
+				})
+				known = append(known, "other-"+strconv.Itoa(number)+" z "+other.address)
+			}
+			resume := make(chan struct{})
+			pauses := func(request receivedRequest, _ int, connection net.Conn) bool {
+				<-resume
+				return write(connection, ok(request, "late"))
+			}
+			logged := &lockedBuffer{}
+			d := newDeploymentWith(t, slog.New(slog.NewTextHandler(logged, nil)))
+			d.serve(v1.RouteUnrepeatable, 1, long, pausedMachines(t, 3, pauses)...)
+			d.knowRouters(known...)
+			replied := make(chan reply)
+			go func() { replied <- d.send(http.MethodPost, "/a/b", "id-1", "body") }()
+			for !strings.Contains(logged.String(), "machines_silent_elsewhere") {
+				time.Sleep(time.Millisecond)
+			}
+			close(resume)
+			if got := <-replied; got.status != http.StatusOK {
+				t.Errorf("got %+v", got)
+			}
+			first, _, _ := strings.Cut(logged.String()[strings.Index(logged.String(), "machines_silent_elsewhere"):], "\n")
+			if want := " routers=" + strconv.Itoa(test.asked) + " "; !strings.Contains(first, want) {
+				t.Errorf("want%sin %q", want, first)
+			}
+		})
+	}
+}
