ingress: a router that is stopping is neither asked again nor a last resort

A refused hop also took a retry from the budget.

Change: a router that serves nothing, as it is stopping or has no configuration, says so in its refusals and in replies to checks. It is then avoided like one that can't be connected to.

--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -64,7 +64,7 @@
 	ResultUnreachable
 	// ResultIsolated: the router has no path to any machine.
 	ResultIsolated
-	// ResultFailed: the router could not be connected to, or the connection broke.
+	// ResultFailed: the router could not be connected to, the connection broke, or the router serves nothing.
 	ResultFailed
 	// ResultCanceled: the client or this router ended the exchange.
 	ResultCanceled
--- a/internal/forwarding/status.go
+++ b/internal/forwarding/status.go
@@ -18,7 +18,7 @@
 	StatusConnected
 	// StatusIsolated: the router has no path to any machine.
 	StatusIsolated
-	// StatusFailed: the router could not be connected to, or the connection broke.
+	// StatusFailed: the router could not be connected to, the connection broke, or the router serves nothing.
 	StatusFailed
 )
 
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -105,6 +105,8 @@
 		discard(response)
 		j.ingress.forwarder.refer(result.GetRouters())
 		switch {
+		case result.GetNotServing():
+			return outcomeNotConnected, forwarding.ResultFailed
 		case result.GetUnreachable() && result.GetIsolated():
 			return outcomeNotConnected, forwarding.ResultIsolated
 		case result.GetUnreachable():
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -445,3 +445,41 @@
 		}
 	}
 }
+
+// TestStoppingRouterIsNoLastResort guards against handing a request to a router that is stopping, since it responded, while
+// another one that has no path at the moment would try the machine.
+func TestStoppingRouterIsNoLastResort(t *testing.T) {
+	machine := newRawMachine(t, respondOK)
+	var restarting atomic.Bool
+	restarting.Store(true)
+	other := newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
+		options.Node = "other"
+		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if restarting.Load() {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+	cut, stopping := newCutRouter(t, "cut"), newDeployment(t)
+	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	stopping.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	cut.serve(v1.RouteUnrepeatable, 1, long, machine.address, reservePort(t))
+	stopping.handler.Drain()
+	cut.knowRouters("other z "+other.acceptForwards(), "stopping z "+stopping.acceptForwards())
+	for number := range 6 {
+		if got := other.send(http.MethodPost, "/a/b", "before-"+strconv.Itoa(number), "body"); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("while the machine restarts: %+v", got)
+		}
+	}
+	for number := 0; !cut.handler.IsIsolated(); number++ {
+		cut.send(http.MethodPost, "/a/b", "cut-"+strconv.Itoa(number), "body")
+	}
+	restarting.Store(false)
+	const requests = 10
+	for number := range requests {
+		if got := cut.send(http.MethodPost, "/a/b", "after-"+strconv.Itoa(number), "body"); got.status != http.StatusOK {
+			t.Errorf("request %d: %+v", number, got)
+		}
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -65,6 +65,8 @@
 	cachedIdentity *quarantine.Identity
 	// configuration is the version of the configuration that the route was found in, or an earlier one.
 	configuration uint64
+	// notServing is set if this node refuses all forwarded requests.
+	notServing bool
 	// forwarded is set if another router forwarded the request to this one.
 	forwarded *wirepb.ForwardedRequest
 	// triedRouters are the routers that the request was forwarded to.
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -134,6 +134,7 @@
 		machines := asked.GetMachines()
 		reply := &wirepb.PathCheckReply{Responding: i.paths.responding(request.Context(), machines[:min(len(machines), maxCheckedMachines)])}
 		reply.Isolated, reply.Connected = i.paths.status()
+		reply.NotServing = !i.Ready()
 		if reply.Isolated {
 			reply.Routers = i.forwarder.referrals()
 		}
--- a/internal/ingress/routercheck.go
+++ b/internal/ingress/routercheck.go
@@ -87,6 +87,8 @@
 
 func statusOf(reply *wirepb.PathCheckReply) forwarding.Status {
 	switch {
+	case reply.GetNotServing():
+		return forwarding.StatusFailed
 	case reply.GetIsolated():
 		return forwarding.StatusIsolated
 	case reply.GetConnected():
