--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -41,14 +41,14 @@
 // prepareForwarded finds the route and reads the body of a forwarded request. It returns the problem to
 // answer with, if any. The first router has authenticated the request and charged its tenant.
 func (j *job) prepareForwarded() (*problem.Document, time.Duration) {
-	j.notServing = true
 	if j.ingress.stopping.Load() {
+		j.notServing = true
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node is stopping"), retryAfterStart
 	}
-	if !j.awaitConfiguration() || !j.awaitVersion(j.forwarded.GetConfiguration()) {
+	j.notServing = !j.awaitConfiguration()
+	if j.notServing || !j.awaitVersion(j.forwarded.GetConfiguration()) {
 		return problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "this node has not got the present configuration yet"), retryAfterStart
 	}
-	j.notServing = false
 	j.route = j.ingress.table.Load().Find(j.request.Host, j.request.URL.EscapedPath())
 	if j.route == nil {
 		return problem.New(problem.TypeNotFound, http.StatusNotFound, "no route matches host and path"), 0
