forwarding: no allocations to see whether a request may be forwarded

Each request asks at its start whether another router could serve it.

Change: usable routers are an iterator that CanChoose leaves at the first one; IsUnservable returns at once without evidence, and at the first zone without; the last resort is looked at only by isolated routers. Choices are the same: the tables of the package are unchanged. Not measured.

--- a/internal/forwarding/selector.go
+++ b/internal/forwarding/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -136,21 +137,24 @@
 
 // CanChoose reports whether there is a router for a request.
 func (s *Selector) CanChoose(now time.Time, version string, allowed places.Constraint, tried []Attempt) bool {
-	return len(s.usable(now, version, allowed, tried)) > 0
+	for range s.usable(now, version, allowed, tried) {
+		return true
+	}
+	return false
 }
 
-// usable returns the routers that may get a request.
-func (s *Selector) usable(now time.Time, version string, allowed places.Constraint, tried []Attempt) []*routerState {
-	if now.Before(s.unservable[version]) || s.IsUnservable(allowed, tried) {
-		return nil
-	}
-	var usable []*routerState
-	for node, router := range s.routers {
-		if !router.isAvoided(now) && allowed.Allows(router.Region) && !wasTried(tried, node) {
-			usable = append(usable, router)
+// usable yields the routers that may get a request.
+func (s *Selector) usable(now time.Time, version string, allowed places.Constraint, tried []Attempt) iter.Seq[*routerState] {
+	return func(yield func(*routerState) bool) {
+		if now.Before(s.unservable[version]) || s.IsUnservable(allowed, tried) {
+			return
+		}
+		for node, router := range s.routers {
+			if !router.isAvoided(now) && allowed.Allows(router.Region) && !wasTried(tried, node) && !yield(router) {
+				return
+			}
 		}
 	}
-	return usable
 }
 
 func wasTried(tried []Attempt, node string) bool {
@@ -161,7 +165,7 @@
 // request found a lack of paths, routers that are known to be connected, and the nearest ones, and takes the less busy
 // of two random ones among the best.
 func (s *Selector) Choose(now time.Time, version string, allowed places.Constraint, tried []Attempt) (Router, bool) {
-	return s.best(now, s.usable(now, version, allowed, tried), tried)
+	return s.best(now, slices.Collect(s.usable(now, version, allowed, tried)), tried)
 }
 
 // ChooseConnected returns a router that is known to have paths to some machines, or false if there is none.
@@ -199,21 +203,26 @@
 // IsUnservable reports whether the attempts of a request show that its machines are down: connected routers of all
 // known zones have no path to one. Isolated routers and those that failed say nothing about machines.
 func (s *Selector) IsUnservable(allowed places.Constraint, tried []Attempt) bool {
-	zones := map[string]bool{}
-	routers := 0
-	for _, router := range s.routers {
-		if allowed.Allows(router.Region) {
-			zones[router.Zone], routers = true, routers+1
-		}
-	}
-	evidence := 0
+	evidence, covered := 0, map[string]bool{}
 	for _, attempt := range tried {
 		if attempt.Result == ResultUnreachable {
 			evidence++
-			delete(zones, attempt.Router.Zone)
+			covered[attempt.Router.Zone] = true
+		}
+	}
+	if evidence == 0 {
+		return false
+	}
+	routers := 0
+	for _, router := range s.routers {
+		if allowed.Allows(router.Region) {
+			if !covered[router.Zone] {
+				return false
+			}
+			routers++
 		}
 	}
-	return evidence > 0 && evidence >= min(minUnservableEvidence, routers) && len(zones) == 0
+	return evidence >= min(minUnservableEvidence, routers)
 }
 
 // Begin records that a request is forwarded to a router. It must be followed by End.
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -81,8 +81,11 @@
 	if f.selector.CanChoose(time.Now(), version, allowed, tried) {
 		return true
 	}
+	if !isolated {
+		return false
+	}
 	_, found := f.selector.ChooseConnected(time.Now(), allowed)
-	return isolated && found
+	return found
 }
 
 // beginLastResort chooses a router that is not isolated, whatever it has a path for. It must be followed by end if it
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -148,8 +148,8 @@
 	return !t.isolated && now.Sub(t.lastContact) <= contactValidity
 }
 
-// IsInDoubt reports whether machines have failed since the last contact with any, too few to tell whether it is because
-// of their paths.
+// IsInDoubt reports whether machines have failed since the last contact with any, too few to count as
+// isolated.
 func (t *Tracker) IsInDoubt() bool { return !t.isolated && len(t.failing) > 0 }
 
 // IsIsolated reports whether no path seems to work.
