ingress: one function tries another router, records and logs the result

The search for a router and the last resort each had the same four steps: send, record, log, count. They now share tryRouter. The log line request_forward_last_resort has the field isolated as a consequence; nothing else changes. A comment uses the usual verb.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -37,10 +37,7 @@
 		if !found {
 			break
 		}
-		outcome, result := j.forwardTo(ctx, router)
-		j.ingress.forwarder.end(router.Node, result)
-		j.log("forward_attempt", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "isolated", result == forwarding.ResultIsolated, "sent", j.sent)
-		j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
+		outcome, result := j.tryRouter(ctx, router, "forward_attempt")
 		j.triedRouters = append(j.triedRouters, forwarding.Attempt{Router: router, Result: result})
 		switch {
 		case outcome.isResponse():
@@ -68,10 +65,7 @@
 		return outcomeNotConnected, false
 	}
 	j.lastResort = true
-	outcome, result := j.forwardTo(ctx, router)
-	j.ingress.forwarder.end(router.Node, result)
-	j.log("forward_last_resort", "router", router.Node, "zone", router.Zone, "end", outcome.String(), "sent", j.sent)
-	j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
+	outcome, _ = j.tryRouter(ctx, router, "forward_last_resort")
 	switch {
 	case outcome.isResponse():
 		return outcome, true
@@ -82,6 +76,15 @@
 	return outcome, true
 }
 
+// tryRouter has a chosen router serve the request, and records and logs the result as an event.
+func (j *job) tryRouter(ctx context.Context, router forwarding.Router, event string) (attemptOutcome, forwarding.Result) {
+	outcome, result := j.forwardTo(ctx, router)
+	j.ingress.forwarder.end(router.Node, result)
+	j.log(event, "router", router.Node, "zone", router.Zone, "end", outcome.String(), "isolated", result == forwarding.ResultIsolated, "sent", j.sent)
+	j.ingress.options.Metrics.forwards.WithLabelValues(outcome.String()).Inc()
+	return outcome, result
+}
+
 // forwardTo sends the request to another router and relays its response.
 func (j *job) forwardTo(ctx context.Context, router forwarding.Router) (attemptOutcome, forwarding.Result) {
 	attemptCtx, cancel := j.attemptContext(ctx)
--- a/internal/ingress/pathcheck.go
+++ b/internal/ingress/pathcheck.go
@@ -127,7 +127,7 @@
 	return reply, err
 }
 
-// servePathCheck tells another router this one's status, and probes machines for it.
+// servePathCheck reports this router's status to another one, and probes machines for it.
 func (i *Ingress) servePathCheck(writer http.ResponseWriter, request *http.Request) {
 	asked := &wirepb.PathCheckRequest{}
 	answerRouter(writer, request, i.options.Logger, asked, func() proto.Message {
