ingress: two tests share their router of a restarting machine

TestForwardedRequestIsServedLikeOthers and TestStoppingRouterIsNoLastResort built the same router with a dial function that refuses. Their assertions are unchanged.

--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -408,13 +408,12 @@
 	}
 }
 
-// TestForwardedRequestIsServedLikeOthers guards against refusing the requests of an isolated router while a machine
-// restarts, although the routers that have paths go on trying it for their own clients.
-func TestForwardedRequestIsServedLikeOthers(t *testing.T) {
-	machine := newRawMachine(t, respondOK)
-	var restarting atomic.Bool
+// newRouterOfRestartingMachine returns a router that can't connect to machines as long as restarting is set.
+func newRouterOfRestartingMachine(t *testing.T) (router *deployment, restarting *atomic.Bool) {
+	t.Helper()
+	restarting = &atomic.Bool{}
 	restarting.Store(true)
-	other := newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
+	return newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
 		options.Node = "other"
 		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			if restarting.Load() {
@@ -422,7 +421,14 @@
 			}
 			return (&net.Dialer{}).DialContext(ctx, network, address)
 		}
-	})
+	}), restarting
+}
+
+// TestForwardedRequestIsServedLikeOthers guards against refusing the requests of an isolated router while a machine
+// restarts, although the routers that have paths go on trying it for their own clients.
+func TestForwardedRequestIsServedLikeOthers(t *testing.T) {
+	machine := newRawMachine(t, respondOK)
+	other, restarting := newRouterOfRestartingMachine(t)
 	cut := newCutRouter(t, "cut")
 	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
 	cut.serve(v1.RouteUnrepeatable, 1, long, machine.address, reservePort(t))
@@ -450,17 +456,7 @@
 // another one that has no path at the moment would try the machine.
 func TestStoppingRouterIsNoLastResort(t *testing.T) {
 	machine := newRawMachine(t, respondOK)
-	var restarting atomic.Bool
-	restarting.Store(true)
-	other := newDeploymentAt(t, places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}, func(options *ingress.Options) {
-		options.Node = "other"
-		options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			if restarting.Load() {
-				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-			}
-			return (&net.Dialer{}).DialContext(ctx, network, address)
-		}
-	})
+	other, restarting := newRouterOfRestartingMachine(t)
 	cut, stopping := newCutRouter(t, "cut"), newDeployment(t)
 	other.serve(v1.RouteUnrepeatable, 1, long, machine.address)
 	stopping.serve(v1.RouteUnrepeatable, 1, long, machine.address)
