review: a front machine ends when it runs out of descriptors

Tried: 3,200 users at 400 a second who keep their connections, at a front with 3,075 descriptors, beside twelve clients with requests on kept connections.

--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -20,13 +20,17 @@
 
 	mutex sync.Mutex
 	// events and pause describe the streams, work is the time that a plain request takes.
-	events   int
-	pause    time.Duration
-	work     time.Duration
+	events int
+	pause  time.Duration
+	work   time.Duration
+	// longWork is the time of requests whose ID has keptPrefix.
+	longWork time.Duration
 	begun    map[string]int
 	finished map[string]bool
 }
 
+const keptPrefix = "kept-"
+
 // eventText is the text of an event of a stream.
 var eventText = strings.Repeat("token ", 46)
 
@@ -83,6 +87,9 @@
 	w.mutex.Lock()
 	w.begun[id]++
 	events, pause, work := w.events, w.pause, w.work
+	if strings.HasPrefix(id, keptPrefix) {
+		work = w.longWork
+	}
 	w.mutex.Unlock()
 	writer.Header().Set("X-Attempt-Id", id)
 	writer.Header().Set("X-Response-Seal", "seal."+id)
@@ -115,6 +122,12 @@
 	return true
 }
 
+func (w *worker) hasBegun(id string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.begun[id] > 0
+}
+
 // counts returns the requests that began, began more than once, and were finished.
 func (w *worker) counts() (begun, repeated, finished int) {
 	w.mutex.Lock()
