review: a popular request is refused for good after its workers crashed once

Tried: users read the same table from three workers that all crash once and are back after 0.6 s. Two crashes under one request quarantine it, and nothing but an operator of the product's own interface lifts that.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 }
 
 func run() int {
-	cases := map[string]func(*bench) bool{"disk-loss": diskLoss, "slow-reader": slowReader, "crowd": crowd}
+	cases := map[string]func(*bench) bool{"disk-loss": diskLoss, "slow-reader": slowReader, "worker-crash": workerCrash}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, in the repository's root")
 		return exitNotRun
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -12,7 +12,9 @@
 	host          = "replay.example"
 	streamPath    = "/stream/"
 	unsafePath    = "/card/"
+	tablePath     = "/standings/"
 	serviceName   = "replay-api"
+	poolName      = "llm-pool"
 	routeTimeout  = 10 * time.Second
 	recoveryTime  = 12 * time.Second
 	callTimeout   = time.Second
@@ -29,16 +31,24 @@
 			"gap_aim_ms": 400,
 		}
 	}
+	routes := []any{route("r-stream", streamPath, "streaming"), route("r-card", unsafePath, "unsafe")}
+	if version >= secondVersion {
+		routes = append(routes, route("r-standings", tablePath, "safe"))
+	}
 	document := map[string]any{
 		"version":  version,
-		"routes":   []any{route("r-stream", streamPath, "streaming"), route("r-card", unsafePath, "unsafe")},
-		"services": []any{map[string]any{"name": serviceName, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false}},
+		"routes":   routes,
+		"services": []any{service(serviceName), service(poolName)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 	encoded, _ := json.Marshal(document)
 	return string(encoded)
 }
 
+func service(name string) map[string]any {
+	return map[string]any{"name": name, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false}
+}
+
 var operatorClient = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // call makes one call of the operator; the status is 0 without an answer.
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -36,8 +36,6 @@
 	bench    *bench
 	name, ip string
 	role     string
-	// maxFiles is the limit of descriptors; 0 leaves it alone.
-	maxFiles int
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -218,9 +216,6 @@
 	log, err := os.OpenFile(filepath.Join(n.bench.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	need(err == nil, "no log: %v", err)
 	command := exec.Command("target/weldnode")
-	if n.maxFiles > 0 {
-		command = exec.Command("/bin/sh", "-c", "ulimit -n "+strconv.Itoa(n.maxFiles)+" && exec target/weldnode")
-	}
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "WELDLINE_BOOT=" + path}
 	command.Stdout, command.Stderr = log, log
 	need(command.Start() == nil, "%s did not start", n.name)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,42 +14,50 @@
 type worker struct {
 	bench   *bench
 	id      string
+	service string
 	address string
 	server  *http.Server
 	stop    context.CancelFunc
 
 	mutex sync.Mutex
 	// events and pause describe the streams, work is the time that a plain request takes.
-	events int
-	pause  time.Duration
-	work   time.Duration
-	// longWork is the time of requests whose ID has keptPrefix.
-	longWork time.Duration
+	events   int
+	pause    time.Duration
+	work     time.Duration
 	begun    map[string]int
 	finished map[string]bool
 }
 
-const keptPrefix = "kept-"
-
 // eventText is the text of an event of a stream.
 var eventText = strings.Repeat("token ", 46)
 
 func workerIP(number int) string { return fmt.Sprintf("127.83.3.%d", number) }
 
 func (b *bench) startWorker(number int, control []*node) *worker {
-	listener, err := net.Listen("tcp", net.JoinHostPort(workerIP(number), "0"))
+	return b.startWorkerAt(fmt.Sprintf("i-%08x", number), serviceName, net.JoinHostPort(workerIP(number), "0"), control)
+}
+
+func (b *bench) startWorkerAt(id, service, address string, control []*node) *worker {
+	listener, err := net.Listen("tcp", address)
 	need(err == nil, "no worker: %v", err)
 	ctx, cancel := context.WithCancel(context.Background())
 	created := &worker{
-		bench: b, id: fmt.Sprintf("i-%08x", number), address: listener.Addr().String(), stop: cancel,
+		bench: b, id: id, service: service, address: listener.Addr().String(), stop: cancel,
 		begun: map[string]int{}, finished: map[string]bool{},
 	}
-	created.server = &http.Server{Handler: created, ReadHeaderTimeout: time.Minute}
+	created.server = &http.Server{Handler: created, ReadHeaderTimeout: time.Minute, ConnState: resetOnClose}
 	go func() { _ = created.server.Serve(listener) }()
 	go created.sendHeartbeats(ctx, control)
 	return created
 }
 
+// resetOnClose has the end of a worker reset its connections, as that of a process with unread data does.
+func resetOnClose(connection net.Conn, state http.ConnState) {
+	if accepted, isTCP := connection.(*net.TCPConn); isTCP && state == http.StateNew {
+		_ = accepted.SetLinger(0)
+	}
+}
+
 func (w *worker) close() {
 	w.stop()
 	_ = w.server.Close()
@@ -58,7 +66,7 @@
 func (w *worker) sendHeartbeats(ctx context.Context, control []*node) {
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":%d}`,
-			serviceName, w.address, zones[0], sequence)
+			w.service, w.address, zones[0], sequence)
 		for attempt := range control {
 			target := control[(sequence+attempt)%len(control)]
 			if status, _ := call(http.MethodPost, target.controlAddress(), "/v1/Instances.Heartbeat/"+w.id, body); status == http.StatusOK {
@@ -87,9 +95,6 @@
 	w.mutex.Lock()
 	w.begun[id]++
 	events, pause, work := w.events, w.pause, w.work
-	if strings.HasPrefix(id, keptPrefix) {
-		work = w.longWork
-	}
 	w.mutex.Unlock()
 	writer.Header().Set("X-Attempt-Id", id)
 	writer.Header().Set("X-Response-Seal", "seal."+id)
@@ -122,12 +127,6 @@
 	return true
 }
 
-func (w *worker) hasBegun(id string) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.begun[id] > 0
-}
-
 // counts returns the requests that began, began more than once, and were finished.
 func (w *worker) counts() (begun, repeated, finished int) {
 	w.mutex.Lock()
