--- a/review/standin/diskloss.go
+++ b/review/standin/diskloss.go
@@ -20,7 +20,8 @@
 	readyTime   = 5 * time.Second
 )
 
-// diskLoss has one of four core machines lose power and another one its disk. Both come back; the other two run on.
+// diskLoss has one of four core machines lose power and another one its disk. Both come back; the other two run on. With
+// LOSS=power the other one keeps its disk and stays away.
 func diskLoss(b *bench) bool {
 	control, fronts := b.build(4, 1)
 	for _, held := range control {
@@ -50,14 +51,18 @@
 		b.record("%s loses power; its disk stays", first.name)
 		time.Sleep(time.Until(lostAt.Add(diskLossDelay())))
 		wiped.kill()
-		need(os.RemoveAll(wiped.dataDir()) == nil, "the disk could not be emptied")
-		b.record("%s loses its disk", wiped.name)
-		time.Sleep(diskReturn)
-		wiped.start(false)
+		if os.Getenv("LOSS") == "power" {
+			b.record("%s loses power and stays away; its disk stays", wiped.name)
+		} else {
+			need(os.RemoveAll(wiped.dataDir()) == nil, "the disk could not be emptied")
+			b.record("%s loses its disk", wiped.name)
+			time.Sleep(diskReturn)
+			wiped.start(false)
+		}
 		time.Sleep(time.Until(lostAt.Add(powerReturn)))
 		first.start(false)
 	}
-	b.record("all machines are back; the rule grants %s from here", recoveryTime)
+	b.record("the losses have ended; the rule grants %s from here", recoveryTime)
 	time.Sleep(recoveryTime)
 	version := b.read(control, readTime)
 	changed := b.replace(control, secondVersion, replaceTime)
