--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -70,6 +70,7 @@
 	for _, held := range b.nodes {
 		held.kill()
 	}
+	// KEEP=1 keeps the settings, logs and disks of the nodes.
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(b.folder)
 	}
