ingress: metrics of the link and of connection times

The logs could not tell a full link from lost paths or a busy processor: bytes, how long connections take to open, and what was read beside what was closed unread were missing. The meter models the link as a queue for each direction; nothing acts on it yet.

--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/overload"
 )
 
@@ -19,26 +20,27 @@
 type admission struct {
 	logger  *slog.Logger
 	metrics *Metrics
+	link    *link.Meter
 	mutex   sync.Mutex
 	gate    overload.Gate
-	// loggedAt is when an overload was last logged.
-	loggedAt time.Time
+	// loggedAt is when an overload was last logged, admitted and closed count the connections since then.
+	loggedAt         time.Time
+	admitted, closed int
 }
 
 // overloadLogInterval bounds the log lines about connections that are closed unread.
 const overloadLogInterval = time.Second
 
-// wrap returns a connection that is judged when it is read for the first time, once the scheduler has found time for
-// it.
+// wrap returns a connection whose traffic is counted, and that is judged when it is read for the first time, once the
+// scheduler has found time for it.
 func (a *admission) wrap(connection net.Conn) net.Conn {
-	accepted, isTCP := connection.(*net.TCPConn)
-	if !isTCP {
+	if _, isTCP := connection.(*net.TCPConn); !isTCP {
 		return connection
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.gate.Accepted()
-	return &admittedConn{TCPConn: accepted, admission: a, acceptedAt: time.Now()}
+	return &admittedConn{Conn: a.link.Conn(connection), admission: a, acceptedAt: time.Now()}
 }
 
 func (a *admission) admit(acceptedAt time.Time) bool {
@@ -46,18 +48,29 @@
 	waited := now.Sub(acceptedAt)
 	a.mutex.Lock()
 	admitted := a.gate.Admit(now, waited)
-	logged := !admitted && now.Sub(a.loggedAt) >= overloadLogInterval
-	if logged {
-		a.loggedAt = now
+	if admitted {
+		a.admitted++
+	} else {
+		a.closed++
+		a.logClosed(now, waited)
 	}
 	a.mutex.Unlock()
-	if logged {
-		a.logger.Warn("connections_closed_unread", "waited_ms", waited.Milliseconds())
-	}
 	a.metrics.observeAdmission(waited, admitted)
 	return admitted
 }
 
+// logClosed logs that connections are closed unread. The mutex must be held.
+func (a *admission) logClosed(now time.Time, waited time.Duration) {
+	if now.Sub(a.loggedAt) < overloadLogInterval {
+		return
+	}
+	load := a.link.Load(now)
+	a.logger.Warn("connections_closed_unread", "closed", a.closed, "read", a.admitted, "waited_ms", waited.Milliseconds(),
+		"link_send_wait_ms", load.SendWait.Milliseconds(), "link_receive_wait_ms", load.ReceiveWait.Milliseconds(),
+		"sent_bytes", load.SentBytes, "received_bytes", load.ReceivedBytes)
+	a.loggedAt, a.admitted, a.closed = now, 0, 0
+}
+
 func (a *admission) abandon() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -66,7 +79,7 @@
 
 // admittedConn is a connection that fails its first read if the server is overloaded.
 type admittedConn struct {
-	*net.TCPConn
+	net.Conn
 	admission  *admission
 	acceptedAt time.Time
 	judged     atomic.Bool
@@ -77,11 +90,11 @@
 	if !c.judged.Load() && c.judged.CompareAndSwap(false, true) {
 		runtime.Gosched() // Lets the requests in progress run first, so that the wait shows how many there are.
 		if !c.admission.admit(c.acceptedAt) {
-			_ = c.TCPConn.Close() // The client's request is unread, so this resets the connection.
+			_ = c.Conn.Close() // The client's request is unread, so this resets the connection.
 			return 0, errNotAdmitted
 		}
 	}
-	return c.TCPConn.Read(buffer)
+	return c.Conn.Read(buffer)
 }
 
 // Close implements net.Conn.
@@ -89,5 +102,10 @@
 	if c.judged.CompareAndSwap(false, true) {
 		c.admission.abandon()
 	}
-	return c.TCPConn.Close()
+	return c.Conn.Close()
+}
+
+// SetLinger sets whether a close resets the connection, as that of net.TCPConn does.
+func (c *admittedConn) SetLinger(seconds int) error {
+	return link.SetLinger(c.Conn, seconds)
 }
--- a/internal/ingress/admission_test.go
+++ b/internal/ingress/admission_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
 )
 
@@ -23,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := ingress.NewServer(handler, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()))
+	server := ingress.NewServer(handler, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), link.NewMeter(0))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, listener) }()
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -41,7 +41,8 @@
 	return &forwarder{
 		node: options.Node, logger: options.Logger, metrics: options.Metrics, selector: forwarding.NewSelector(rand.IntN), wake: make(chan struct{}, 1),
 		pool: upstream.NewPool(upstream.Config{
-			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: options.DialRouter,
+			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: meteredDial(options.Link, options.DialRouter),
+			OnDial: func(elapsed time.Duration, err error) { options.Metrics.observeDial(toRouter, elapsed, err) },
 		}),
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
@@ -63,6 +65,8 @@
 	Dial upstream.DialFunc
 	// DialRouter opens connections to other routers. It defaults like Dial.
 	DialRouter upstream.DialFunc
+	// Link measures the traffic of this node. It defaults to a meter for a link of unknown rate.
+	Link *link.Meter
 	// Now is a monotonic clock that includes time suspended. It defaults to clock.Now.
 	Now func() time.Duration
 	// Suspended returns the total time that this host has been suspended. It defaults to
@@ -116,7 +120,13 @@
 	if options.Now == nil {
 		options.Now = clock.Now
 	}
-	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: options.Dial})
+	if options.Link == nil {
+		options.Link = link.NewMeter(0)
+	}
+	pool := upstream.NewPool(upstream.Config{
+		DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: meteredDial(options.Link, options.Dial),
+		OnDial: func(elapsed time.Duration, err error) { options.Metrics.observeDial(toMachine, elapsed, err) },
+	})
 	routing := dispatcher.New(config, options.RequestReport)
 	others := newForwarder(options)
 	publishPaths := func(unreachable map[string]bool, isolated bool) {
@@ -142,6 +152,20 @@
 	}
 }
 
+// meteredDial counts the traffic of the connections that another function opens.
+func meteredDial(meter *link.Meter, dial upstream.DialFunc) upstream.DialFunc {
+	if dial == nil {
+		dial = upstream.DialMachine
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return meter.Conn(connection), nil
+	}
+}
+
 func newCrashWatcher(options Options, pool *upstream.Pool) *crashwatch.Watcher {
 	return crashwatch.New(crashwatch.Options{
 		View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeWithDial(pool.Dial),
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -10,6 +10,7 @@
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/drainlog"
 	"github.com/weldline/weldline/internal/forwarding"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/quarantine"
 	"github.com/weldline/weldline/internal/upstream"
@@ -51,6 +52,8 @@
 	// waited until then.
 	connections    *prometheus.CounterVec
 	connectionWait prometheus.Histogram
+	// connects measures how long connections to machines and other routers take to open.
+	connects *prometheus.HistogramVec
 	// invalidStatements counts response headers that could not be parsed.
 	invalidStatements prometheus.Counter
 
@@ -141,6 +144,10 @@
 			Name: "weldline_ingress_connection_wait_seconds", Help: "Time from the acceptance of a connection until this node had time to read it.",
 			Buckets: []float64{0.001, 0.005, 0.025, 0.05, 0.1, 0.25, 0.5, 1},
 		}),
+		connects: factory.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "weldline_ingress_connect_seconds", Help: "Time to open a connection, or until the attempt failed.",
+			Buckets: []float64{0.001, 0.005, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2},
+		}, []string{"peer", "outcome"}),
 		invalidStatements: factory.NewCounter(prometheus.CounterOpts{
 			Name: "weldline_ingress_invalid_statements_total", Help: "Headers of answers in which machines state something that can't be used.",
 		}),
@@ -158,6 +165,41 @@
 	m.connectionWait.Observe(waited.Seconds())
 }
 
+// peerKind is the kind of peer that a connection is opened to.
+type peerKind string
+
+const (
+	toMachine peerKind = "machine"
+	toRouter  peerKind = "router"
+)
+
+// observeDial records how long an attempt to open a connection took.
+func (m *Metrics) observeDial(peer peerKind, elapsed time.Duration, err error) {
+	outcome := "connected"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.connects.WithLabelValues(string(peer), outcome).Observe(elapsed.Seconds())
+}
+
+// RegisterLink registers the metrics of a node's link.
+func RegisterLink(registry prometheus.Registerer, meter *link.Meter) {
+	factory := promauto.With(registry)
+	load := func() link.Load { return meter.Load(time.Now()) }
+	for direction, read := range map[string]func() (bytes uint64, wait time.Duration){
+		"sent":     func() (uint64, time.Duration) { return load().SentBytes, load().SendWait },
+		"received": func() (uint64, time.Duration) { return load().ReceivedBytes, load().ReceiveWait },
+	} {
+		labels := prometheus.Labels{"direction": direction}
+		factory.NewCounterFunc(prometheus.CounterOpts{
+			Name: "weldline_ingress_link_bytes_total", Help: "Payload of requests and responses that passed this node's link.", ConstLabels: labels,
+		}, func() float64 { bytes, _ := read(); return float64(bytes) })
+		factory.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "weldline_ingress_link_wait_seconds", Help: "Estimated time that packets wait for this node's link; 0 if its rate is unknown.", ConstLabels: labels,
+		}, func() float64 { _, wait := read(); return wait.Seconds() })
+	}
+}
+
 // setRouters sets the numbers of known routers by status.
 func (m *Metrics) setRouters(counts map[forwarding.Status]int) {
 	for _, status := range []forwarding.Status{forwarding.StatusUnknown, forwarding.StatusConnected, forwarding.StatusIsolated, forwarding.StatusFailed} {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,6 +10,7 @@
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/tcpopt"
 )
@@ -48,9 +49,9 @@
 	connections *connListener
 }
 
-// NewServer returns a server that is not yet listening.
-func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics) *Server {
-	return &Server{handler: handler, view: view, logger: logger, admission: &admission{logger: logger, metrics: metrics}}
+// NewServer returns a server that is not yet listening. The meter counts the traffic of its clients.
+func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics, meter *link.Meter) *Server {
+	return &Server{handler: handler, view: view, logger: logger, admission: &admission{logger: logger, metrics: metrics, link: meter}}
 }
 
 // Serve accepts connections until ctx is done or StopAccepting is called. It returns when ctx
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -8,6 +8,7 @@
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/level"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
@@ -24,6 +25,7 @@
 // ingressRole is the ingress role: the proxy for callers, and its reports.
 type ingressRole struct {
 	node    *Node
+	link    *link.Meter
 	view    *nodeview.View
 	client  *feed.Client
 	ingress *ingress.Ingress
@@ -47,6 +49,9 @@
 	created.client.SetLocation(settings.Location())
 	created.reports.client = created.client
 	metrics := ingress.NewMetrics(node.registry)
+	meter := link.NewMeter(settings.Ingress.LinkMbps)
+	ingress.RegisterLink(node.registry, meter)
+	created.link = meter
 	created.ingress = ingress.New(ingress.Options{
 		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: metrics,
 		Translator: node.extensions.Translator, MaxWaiting: settings.Ingress.MaxWaiting,
@@ -55,9 +60,9 @@
 		},
 		Quota: settings.Quota.Bound(), Sharing: quota.Sharing(settings.Quota.Sharing),
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
-		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer,
+		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer, Link: meter,
 	})
-	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics)
+	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics, meter)
 	return created
 }
 
@@ -84,7 +89,7 @@
 		}
 	}
 	if address := r.node.settings.Ingress.Forward; address != "" {
-		if err := r.node.servePeers(ctx, address, r.ingress.ForwardHandler()); err != nil {
+		if err := r.node.servePeers(ctx, address, r.link, r.ingress.ForwardHandler()); err != nil {
 			return err
 		}
 	} else {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/level"
+	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/membership"
 	"github.com/weldline/weldline/internal/resourceapi"
 	"github.com/weldline/weldline/internal/settings"
@@ -323,13 +324,13 @@
 	return nil
 }
 
-// servePeers serves HTTP for other processes of the cluster.
-func (n *Node) servePeers(ctx context.Context, address string, handler http.Handler) error {
+// servePeers serves HTTP for other processes of the cluster. Their traffic is counted by a meter.
+func (n *Node) servePeers(ctx context.Context, address string, meter *link.Meter, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fault.Unavailable.Wrap(err, "listening on %s", address)
 	}
-	listener = tcpopt.Listener{Listener: listener}
+	listener = link.Listener{Listener: tcpopt.Listener{Listener: listener}, Meter: meter}
 	if n.keys != nil {
 		listener = tls.NewListener(listener, n.keys.PeerServer())
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -149,6 +149,9 @@
 			return fault.InvalidField("ingress.source", "%q is not an IP address", s.Ingress.Source)
 		}
 	}
+	if s.Ingress.LinkMbps < 0 {
+		return fault.InvalidField("ingress.linkMbps", "must not be negative")
+	}
 	if s.Ingress.RetryRatio < 0 || s.Ingress.RetrySlack < 0 {
 		return fault.InvalidField("ingress.retryRatio", "the bounds on retries must not be negative")
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,11 +28,19 @@
 	IdleTimeout time.Duration
 	// Dial opens a connection. It defaults to a net.Dialer with the options of package tcpopt.
 	Dial DialFunc
+	// OnDial, if set, is called with the time that an attempt to open a connection took.
+	OnDial func(elapsed time.Duration, err error)
 }
 
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// DialMachine is the default of Config.Dial.
+func DialMachine(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // FixedMaxIdle allows the same number of idle connections to every machine.
 func FixedMaxIdle(limit int) func(machine string) int {
 	return func(string) int { return limit }
@@ -67,7 +75,7 @@
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
 	if config.Dial == nil {
-		config.Dial = (&net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}).DialContext
+		config.Dial = DialMachine
 	}
 	return &Pool{config: config, idle: map[string][]*conn{}, dialTimeouts: newDialTimeouts(config.DialTimeout)}
 }
@@ -143,6 +151,9 @@
 	started := time.Now()
 	network, err := p.config.Dial(ctx, "tcp", address)
 	elapsed := time.Since(started)
+	if p.config.OnDial != nil {
+		p.config.OnDial(elapsed, err)
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	switch {
