ingress: refuse connections while the link is full, and don't take its delay for lost paths

What callers saw: while the balancer sent most new connections to few routers, requests that a router had read ended by deadline, or with 503 "neither this router nor another one has a path".

Cause: the link of the router was full. Nothing noticed that: a connection was judged by its wait for the processor alone. Connections to machines then timed out after 150 to 500 ms; the router took the machines for unreachable and itself for isolated, refused requests and forwarded them over the same link.

Change: a meter models the link's queue and compares how long connections to several peers take. A dial timeout on a slow link says nothing about the machine, and the timeout grows with the delay. Closing connections unread does not help the link, which has carried their requests by then.

--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -34,25 +34,23 @@
 // wrap returns a connection whose traffic is counted, and that is judged when it is read for the first time, once the
 // scheduler has found time for it.
 func (a *admission) wrap(connection net.Conn) net.Conn {
-	if _, isTCP := connection.(*net.TCPConn); !isTCP {
-		return connection
-	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.gate.Accepted()
-	return &admittedConn{Conn: a.link.Conn(connection), admission: a, acceptedAt: time.Now()}
+	return &admittedConn{Conn: a.link.Conn(connection), admission: a, acceptedAt: time.Now(), expected: a.link.Expect()}
 }
 
 func (a *admission) admit(acceptedAt time.Time) bool {
 	now := time.Now()
 	waited := now.Sub(acceptedAt)
+	load := a.link.Load(now)
 	a.mutex.Lock()
 	admitted := a.gate.Admit(now, waited)
 	if admitted {
 		a.admitted++
 	} else {
 		a.closed++
-		a.logClosed(now, waited)
+		a.logClosed(now, waited, load)
 	}
 	a.mutex.Unlock()
 	a.metrics.observeAdmission(waited, admitted)
@@ -60,13 +58,12 @@
 }
 
 // logClosed logs that connections are closed unread. The mutex must be held.
-func (a *admission) logClosed(now time.Time, waited time.Duration) {
+func (a *admission) logClosed(now time.Time, waited time.Duration, load link.Load) {
 	if now.Sub(a.loggedAt) < overloadLogInterval {
 		return
 	}
-	load := a.link.Load(now)
 	a.logger.Warn("connections_closed_unread", "closed", a.closed, "read", a.admitted, "waited_ms", waited.Milliseconds(),
-		"link_send_wait_ms", load.SendWait.Milliseconds(), "link_receive_wait_ms", load.ReceiveWait.Milliseconds(),
+		"link_send_wait_ms", load.SendWait.Milliseconds(), "link_receive_wait_ms", load.ReceiveWait.Milliseconds(), "connect_ms", load.ConnectTime.Milliseconds(),
 		"sent_bytes", load.SentBytes, "received_bytes", load.ReceivedBytes)
 	a.loggedAt, a.admitted, a.closed = now, 0, 0
 }
@@ -83,6 +80,8 @@
 	admission  *admission
 	acceptedAt time.Time
 	judged     atomic.Bool
+	// expected is the first request, until a response to it begins.
+	expected *link.Expected
 }
 
 // Read implements net.Conn.
@@ -94,7 +93,15 @@
 			return 0, errNotAdmitted
 		}
 	}
-	return c.Conn.Read(buffer)
+	count, err := c.Conn.Read(buffer)
+	c.expected.Received(count)
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *admittedConn) Write(content []byte) (int, error) {
+	c.expected.Done()
+	return c.Conn.Write(content)
 }
 
 // Close implements net.Conn.
@@ -102,6 +109,7 @@
 	if c.judged.CompareAndSwap(false, true) {
 		c.admission.abandon()
 	}
+	c.expected.Done()
 	return c.Conn.Close()
 }
 
--- a/internal/ingress/admission_test.go
+++ b/internal/ingress/admission_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := ingress.NewServer(handler, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), link.NewMeter(0))
+	server := ingress.NewServer(handler, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), link.NewMeter(0), func(context.Context) time.Duration { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, listener) }()
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -90,7 +90,7 @@
 		Suspended: func() time.Duration { return 0 }, Now: func() time.Duration { return time.Since(started) },
 	})
 	workers.Go(func() { handler.Run(ctx) })
-	server := ingress.NewServer(handler, view, logger, metrics, meter)
+	server := ingress.NewServer(handler, view, logger, metrics, meter, handler.MeasureLink)
 	workers.Go(func() {
 		if err := server.Serve(ctx, host.listen()); err != nil {
 			t.Error(err)
--- a/internal/ingress/forwarder.go
+++ b/internal/ingress/forwarder.go
@@ -42,7 +42,7 @@
 		node: options.Node, logger: options.Logger, metrics: options.Metrics, selector: forwarding.NewSelector(rand.IntN), wake: make(chan struct{}, 1),
 		pool: upstream.NewPool(upstream.Config{
 			DialTimeout: forwardDialTimeout, MaxIdle: upstream.FixedMaxIdle(maxIdlePerRouter), IdleTimeout: idleTimeout, Dial: meteredDial(options.Link, options.DialRouter),
-			OnDial: func(elapsed time.Duration, err error) { options.Metrics.observeDial(toRouter, elapsed, err) },
+			OnDial: observeDials(options, toRouter), LinkDelay: linkDelay(options.Link),
 		}),
 	}
 }
@@ -101,6 +101,13 @@
 	return router, found
 }
 
+// any returns a router that requests may be forwarded to.
+func (f *forwarder) any() (forwarding.Router, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.selector.Choose(time.Now(), "", places.Constraint{}, nil)
+}
+
 // hasRouters reports whether any other routers are known.
 func (f *forwarder) hasRouters() bool {
 	f.mutex.Lock()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -125,7 +125,7 @@
 	}
 	pool := upstream.NewPool(upstream.Config{
 		DialTimeout: dialTimeout, MaxIdle: maxIdle(options.View), IdleTimeout: idleTimeout, Dial: meteredDial(options.Link, options.Dial),
-		OnDial: func(elapsed time.Duration, err error) { options.Metrics.observeDial(toMachine, elapsed, err) },
+		OnDial: observeDials(options, toMachine), LinkDelay: linkDelay(options.Link),
 	})
 	routing := dispatcher.New(config, options.RequestReport)
 	others := newForwarder(options)
@@ -152,6 +152,20 @@
 	}
 }
 
+// observeDials returns a function that records the times that connections to peers of a kind take.
+func observeDials(options Options, kind peerKind) func(peer string, elapsed time.Duration, err error) {
+	return func(peer string, elapsed time.Duration, err error) {
+		options.Metrics.observeDial(kind, elapsed, err)
+		if err == nil {
+			options.Link.Connected(time.Now(), peer, elapsed)
+		}
+	}
+}
+
+func linkDelay(meter *link.Meter) func() time.Duration {
+	return func() time.Duration { return meter.Load(time.Now()).Delay() }
+}
+
 // meteredDial counts the traffic of the connections that another function opens.
 func meteredDial(meter *link.Meter, dial upstream.DialFunc) upstream.DialFunc {
 	if dial == nil {
--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -46,6 +46,13 @@
 	return m.tracker.IsIsolated(), m.tracker.IsConnected(time.Now())
 }
 
+// listed returns up to count random machines.
+func (m *pathMonitor) listed(count int) []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.tracker.Listed(count)
+}
+
 func (m *pathMonitor) setMachines(listed map[string]bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -31,6 +31,7 @@
 	handler http.Handler
 	view    *nodeview.View
 	logger  *slog.Logger
+	measure MeasureFunc
 	// admission judges new connections.
 	admission *admission
 
@@ -49,21 +50,24 @@
 	connections *connListener
 }
 
-// NewServer returns a server that is not yet listening. The meter counts the traffic of its clients.
-func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics, meter *link.Meter) *Server {
-	return &Server{handler: handler, view: view, logger: logger, admission: &admission{logger: logger, metrics: metrics, link: meter}}
+// MeasureFunc measures how long packets wait for this node's link.
+type MeasureFunc func(ctx context.Context) time.Duration
+
+// NewServer returns a server that is not yet listening. The meter counts the traffic of its clients; measure is used while
+// the link is overloaded.
+func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics, meter *link.Meter, measure MeasureFunc) *Server {
+	return &Server{handler: handler, view: view, logger: logger, measure: measure, admission: &admission{logger: logger, metrics: metrics, link: meter}}
 }
 
 // Serve accepts connections until ctx is done or StopAccepting is called. It returns when ctx
 // is done.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	s.mutex.Lock()
-	s.listener = listener
-	s.mutex.Unlock()
+	s.setListener(listener)
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
+	door := &door{listener: listener, server: s}
 	for {
-		connection, err := listener.Accept()
+		connection, err := door.Accept(ctx)
 		if s.isStopped() || ctx.Err() != nil {
 			if err == nil {
 				_ = connection.Close()
@@ -79,6 +83,16 @@
 	}
 }
 
+// setListener replaces the listener that StopAccepting closes.
+func (s *Server) setListener(listener net.Listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listener = listener
+	if s.stopped {
+		_ = listener.Close()
+	}
+}
+
 func (s *Server) isStopped() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/link/meter.go
+++ b/internal/link/meter.go
@@ -32,11 +32,16 @@
 
 	mutex          sync.Mutex
 	sent, received queue
+	connects       connectTimes
+	expected       expectation
+	// measured is the result of the last measurement, at measuredAt.
+	measured   time.Duration
+	measuredAt time.Time
 }
 
 // NewMeter returns a meter for a link of a rate in Mbit/s in each direction. With a rate of 0 it only counts.
 func NewMeter(megabitsPerSecond float64) *Meter {
-	return &Meter{rate: megabitsPerSecond * bitsPerMegabit / bitsPerByte}
+	return &Meter{rate: megabitsPerSecond * bitsPerMegabit / bitsPerByte, connects: connectTimes{}}
 }
 
 // queue models one direction of a link.
@@ -87,21 +92,62 @@
 	m.received.add(now, bytes, m.rate)
 }
 
+// Connected records the time that a connection to a peer took to open, and returns by how much that is longer than the
+// fastest one.
+func (m *Meter) Connected(now time.Time, peer string, taken time.Duration) (excess time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.connects.record(now, peer, taken)
+}
+
+// measurementLifetime is how long a measurement tells the present delay.
+const measurementLifetime = 500 * time.Millisecond
+
+// Measured records a measurement of the link's delay.
+func (m *Meter) Measured(now time.Time, delay time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.measured, m.measuredAt = delay, now
+}
+
 // Load is the state of a link.
 type Load struct {
 	// SentBytes and ReceivedBytes are the payload since the start.
 	SentBytes, ReceivedBytes uint64
 	// SendWait and ReceiveWait estimate how long a packet waits for the link; 0 if its rate is unknown.
 	SendWait, ReceiveWait time.Duration
+	// ConnectTime is the least time by which recent connections to several peers took longer than usual; 0 if there were
+	// too few.
+	ConnectTime time.Duration
+	// Measured is a recent measurement of the delay; 0 if there is none.
+	Measured time.Duration
+	// ExpectedWait is the time that the link needs for requests that are on their way.
+	ExpectedWait time.Duration
+}
+
+// Backlog estimates how long the link needs for what it has to carry now, including requests that are on their way.
+func (l Load) Backlog() time.Duration {
+	return max(l.SendWait, l.ReceiveWait) + l.ExpectedWait
+}
+
+// Delay estimates how long packets wait for the link.
+func (l Load) Delay() time.Duration {
+	return max(l.SendWait, l.ReceiveWait, l.ConnectTime, l.Measured)
 }
 
 // Load returns the present state.
 func (m *Meter) Load(now time.Time) Load {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	measured := m.measured
+	if now.Sub(m.measuredAt) > measurementLifetime {
+		measured = 0
+	}
 	return Load{
+		Measured:  measured,
 		SentBytes: m.sent.total, ReceivedBytes: m.received.total,
 		SendWait: m.sent.wait(now, m.rate), ReceiveWait: m.received.wait(now, m.rate),
+		ConnectTime: m.connects.delay(now), ExpectedWait: m.expected.wait(m.rate),
 	}
 }
 
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -62,7 +62,7 @@
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
 		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer, Link: meter,
 	})
-	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics, meter)
+	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics, meter, created.ingress.MeasureLink)
 	return created
 }
 
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -179,6 +179,18 @@
 	return names
 }
 
+// Listed returns up to count random machines, whether their paths are up or not.
+func (t *Tracker) Listed(count int) []string {
+	var names []string
+	for machine := range t.listed {
+		if len(names) == count {
+			break
+		}
+		names = append(names, machine)
+	}
+	return names
+}
+
 // Down returns the machines whose paths are down.
 func (t *Tracker) Down() map[string]bool {
 	down := map[string]bool{}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,8 +122,8 @@
 	Forward string `yaml:"forward"`
 	// Source is the local IP address of connections to machines. Default: chosen by the system.
 	Source string `yaml:"source"`
-	// LinkMbps is the rate of the node's network link in Mbit/s in each direction. If it is set, the node reads no more
-	// new connections than the link can carry requests of. Default: unknown.
+	// LinkMbps is the rate of the node's network link in Mbit/s in each direction. With it, an overload of the link is noticed
+	// before connections take long. Default: unknown.
 	LinkMbps float64 `yaml:"linkMbps"`
 	// MaxWaiting bounds the requests that wait for a machine. Default 2048.
 	MaxWaiting int `yaml:"maxWaiting"`
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -1,8 +1,13 @@
 package upstream
 
 import (
+	"context"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/weldline/weldline/internal/fault"
 )
 
 const maxDialTimeout = 500 * time.Millisecond
@@ -66,3 +71,29 @@
 		t.Error("an unlisted machine is not forgotten")
 	}
 }
+
+// TestTimeoutOnSlowLinkIsNoEvidence guards against taking a machine for unreachable because this node's link is full.
+func TestTimeoutOnSlowLinkIsNoEvidence(t *testing.T) {
+	for _, test := range []struct {
+		delay time.Duration
+		late  bool
+	}{{0, false}, {2 * maxLinkDelay, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := NewPool(Config{
+				DialTimeout: maxDialTimeout, MaxIdle: FixedMaxIdle(1), LinkDelay: func() time.Duration { return test.delay },
+				Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				},
+			})
+			started := time.Now()
+			_, err := pool.Dial(t.Context(), "m", "10.0.0.1:80")
+			if fault.Is(err, fault.Late) != test.late {
+				t.Errorf("a delay of %s: %v", test.delay, err)
+			}
+			if waited := time.Since(started); waited < maxDialTimeout+dialDelays*test.delay {
+				t.Errorf("a delay of %s: gave up after %s", test.delay, waited)
+			}
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,9 @@
 	// Dial opens a connection. It defaults to a net.Dialer with the options of package tcpopt.
 	Dial DialFunc
 	// OnDial, if set, is called with the time that an attempt to open a connection took.
-	OnDial func(elapsed time.Duration, err error)
+	OnDial func(machine string, elapsed time.Duration, err error)
+	// LinkDelay, if set, returns how long packets wait for this node's own link.
+	LinkDelay func() time.Duration
 }
 
 // DialFunc opens a connection to an address.
@@ -141,18 +143,33 @@
 // maxLateness is how late a timeout may be noticed without the process counting as short of processor time.
 const maxLateness = 25 * time.Millisecond
 
+const (
+	// maxLinkDelay is the delay of this node's link from which a timeout says nothing about the machine.
+	maxLinkDelay = 25 * time.Millisecond
+	// dialDelays is how often the handshake of a connection may wait for the link.
+	dialDelays = 3
+)
+
+func (p *Pool) linkDelay() time.Duration {
+	if p.config.LinkDelay == nil {
+		return 0
+	}
+	return p.config.LinkDelay()
+}
+
 // Dial connects to a machine within the adaptive timeout. An error of type fault.Late says nothing about the machine.
 func (p *Pool) Dial(ctx context.Context, machine, address string) (net.Conn, error) {
 	p.mutex.Lock()
 	limit := p.dialTimeouts.timeout(machine)
 	p.mutex.Unlock()
+	limit += dialDelays * p.linkDelay()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	started := time.Now()
 	network, err := p.config.Dial(ctx, "tcp", address)
 	elapsed := time.Since(started)
 	if p.config.OnDial != nil {
-		p.config.OnDial(elapsed, err)
+		p.config.OnDial(machine, elapsed, err)
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -161,12 +178,26 @@
 		p.dialTimeouts.recordConnected(machine, elapsed)
 	case elapsed >= limit+maxLateness:
 		return nil, fault.Late.Wrap(err, "this process was %s late to open a connection to machine %s", elapsed-limit, machine)
+	case elapsed >= limit && p.linkDelay() > maxLinkDelay:
+		return nil, fault.Late.Wrap(err, "this node's link was too slow to open a connection to machine %s", machine)
 	case elapsed >= limit:
 		p.dialTimeouts.recordTimeout(machine)
 	}
 	return network, err
 }
 
+// ProbeLink opens a connection to a machine and closes it. Only ctx bounds its time, which it returns.
+func (p *Pool) ProbeLink(ctx context.Context, machine, address string) (elapsed time.Duration, err error) {
+	started := time.Now()
+	network, err := p.config.Dial(ctx, "tcp", address)
+	elapsed = time.Since(started)
+	if err != nil {
+		return elapsed, fault.Unavailable.Wrap(err, "connecting to machine %s", machine)
+	}
+	_ = network.Close()
+	return elapsed, nil
+}
+
 // takeIdle returns the most recently used connection, so that the others may expire.
 func (p *Pool) takeIdle(machine string) *conn {
 	p.mutex.Lock()
