accept: a process survives a shortage of descriptors

What callers saw: with as many kept connections as descriptors, a router ended with status 1, and requests of other clients got no answer.

Cause: an error of accept that passes was taken for the end of the listener, in the ingress and in the feed of the control nodes alike. The same class: a connection to a machine that fails for want of a descriptor counted as a failure of the machine.

Change: such errors are retried; an attempt at a machine counts as late.

--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/state"
@@ -135,7 +136,7 @@
 	defer sessions.Wait()
 	sessions.Go(func() { s.closeSessionsWhenNotReady(ctx) })
 	for {
-		netConn, err := listener.Accept()
+		netConn, err := accept.Next(ctx, listener, s.logger)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/overload"
 )
@@ -47,16 +48,16 @@
 		switch {
 		case isDue || isDelayed:
 			// Clients have already sent their requests on the connections that wait.
-			if connection, err := d.acceptWithin(pendingGrace); err == nil {
+			if connection, err := d.acceptWithin(ctx, pendingGrace); err == nil {
 				return connection, nil
 			}
 			if err := d.pause(ctx); err != nil {
 				return nil, err
 			}
 		case d.duty.AcceptsAll():
-			return d.listener.Accept()
+			return accept.Next(ctx, d.listener, d.server.logger)
 		default:
-			connection, err := d.acceptWithin(d.closesAt.Sub(now))
+			connection, err := d.acceptWithin(ctx, d.closesAt.Sub(now))
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return connection, err
 			}
@@ -71,12 +72,12 @@
 }
 
 // acceptWithin is Accept with a timeout, if the listener has timeouts.
-func (d *door) acceptWithin(timeout time.Duration) (net.Conn, error) {
+func (d *door) acceptWithin(ctx context.Context, timeout time.Duration) (net.Conn, error) {
 	limited, hasDeadline := d.listener.(interface{ SetDeadline(time.Time) error })
 	if !hasDeadline || limited.SetDeadline(time.Now().Add(timeout)) != nil {
-		return d.listener.Accept()
+		return accept.Next(ctx, d.listener, d.server.logger)
 	}
-	connection, err := d.listener.Accept()
+	connection, err := accept.Next(ctx, d.listener, d.server.logger)
 	_ = limited.SetDeadline(time.Time{})
 	return connection, err
 }
@@ -100,13 +101,13 @@
 			attempts++
 		}
 	}
-	accept := d.duty.Adapt(delay)
-	d.server.logger.Warn("connections_refused", "delay_ms", delay.Milliseconds(), "refused_ms", time.Since(started).Milliseconds(), "accepted_ms", accept.Milliseconds())
+	open := d.duty.Adapt(delay)
+	d.server.logger.Warn("connections_refused", "delay_ms", delay.Milliseconds(), "refused_ms", time.Since(started).Milliseconds(), "accepted_ms", open.Milliseconds())
 	for ctx.Err() == nil && !d.server.isStopped() {
 		listener, err := reopen(closed)
 		if err == nil {
 			d.listener, d.opened = listener, time.Now()
-			d.closesAt = d.opened.Add(accept)
+			d.closesAt = d.opened.Add(open)
 			d.server.setListener(listener)
 			return nil
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/tcpopt"
 )
@@ -176,6 +177,8 @@
 	switch {
 	case err == nil:
 		p.dialTimeouts.recordConnected(machine, elapsed)
+	case accept.IsShortage(err):
+		return nil, fault.Late.Wrap(err, "this process has no descriptor for a connection to machine %s", machine)
 	case elapsed >= limit+maxLateness:
 		return nil, fault.Late.Wrap(err, "this process was %s late to open a connection to machine %s", elapsed-limit, machine)
 	case elapsed >= limit && p.linkDelay() > maxLinkDelay:
