--- a/internal/ingress/door.go
+++ b/internal/ingress/acceptor.go
@@ -29,35 +29,35 @@
 	measureTimeout = time.Second
 )
 
-// door accepts connections, and stops listening for a part of the time while the link is overloaded. Clients are then
+// acceptor accepts connections, and stops listening for a part of the time while the link is overloaded. Clients are then
 // refused at once and send nothing. If a connection was accepted and closed unread, the link would carry its request.
-type door struct {
+type acceptor struct {
 	server   *Server
 	listener net.Listener
-	duty     overload.Duty
+	cycle    overload.DutyCycle
 	// opened is when the present span of accepting connections began, closesAt when it ends unless all are accepted.
 	opened, closesAt time.Time
 }
 
 // Accept returns the next connection.
-func (d *door) Accept(ctx context.Context) (net.Conn, error) {
+func (a *acceptor) Accept(ctx context.Context) (net.Conn, error) {
 	for {
 		now := time.Now()
-		isDue := !d.duty.AcceptsAll() && !now.Before(d.closesAt)
-		isDelayed := d.duty.AcceptsAll() && now.Sub(d.opened) >= minOpen && d.duty.IsDelayed(d.delay(now))
+		isDue := !a.cycle.AcceptsAll() && !now.Before(a.closesAt)
+		isDelayed := a.cycle.AcceptsAll() && now.Sub(a.opened) >= minOpen && a.cycle.IsDelayed(a.delay(now))
 		switch {
 		case isDue || isDelayed:
 			// Clients have already sent their requests on the connections that wait.
-			if connection, err := d.acceptWithin(ctx, pendingGrace); err == nil {
+			if connection, err := a.acceptWithin(ctx, pendingGrace); err == nil {
 				return connection, nil
 			}
-			if err := d.pause(ctx); err != nil {
+			if err := a.pause(ctx); err != nil {
 				return nil, err
 			}
-		case d.duty.AcceptsAll():
-			return accept.Next(ctx, d.listener, d.server.logger)
+		case a.cycle.AcceptsAll():
+			return accept.Next(ctx, a.listener, a.server.logger)
 		default:
-			connection, err := d.acceptWithin(ctx, d.closesAt.Sub(now))
+			connection, err := a.acceptWithin(ctx, a.closesAt.Sub(now))
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return connection, err
 			}
@@ -66,62 +66,62 @@
 }
 
 // delay estimates how long the link needs for what it has to carry.
-func (d *door) delay(now time.Time) time.Duration {
-	load := d.server.admission.link.Load(now)
+func (a *acceptor) delay(now time.Time) time.Duration {
+	load := a.server.admission.link.Load(now)
 	return max(load.Backlog(), load.ConnectTime)
 }
 
 // acceptWithin is Accept with a timeout, if the listener has timeouts.
-func (d *door) acceptWithin(ctx context.Context, timeout time.Duration) (net.Conn, error) {
-	limited, hasDeadline := d.listener.(interface{ SetDeadline(time.Time) error })
+func (a *acceptor) acceptWithin(ctx context.Context, timeout time.Duration) (net.Conn, error) {
+	limited, hasDeadline := a.listener.(interface{ SetDeadline(time.Time) error })
 	if !hasDeadline || limited.SetDeadline(time.Now().Add(timeout)) != nil {
-		return accept.Next(ctx, d.listener, d.server.logger)
+		return accept.Next(ctx, a.listener, a.server.logger)
 	}
-	connection, err := accept.Next(ctx, d.listener, d.server.logger)
+	connection, err := accept.Next(ctx, a.listener, a.server.logger)
 	_ = limited.SetDeadline(time.Time{})
 	return connection, err
 }
 
 // pause stops listening for a part of the duty cycle. The link is measured meanwhile: little is sent that would show its
 // delay.
-func (d *door) pause(ctx context.Context) error {
-	closed := d.listener
+func (a *acceptor) pause(ctx context.Context) error {
+	closed := a.listener
 	_ = closed.Close()
 	started := time.Now()
 	select {
 	case <-ctx.Done():
-	case <-time.After(d.duty.Refused()):
+	case <-time.After(a.cycle.Refused()):
 	}
-	delay := d.measure(ctx)
+	delay := a.measure(ctx)
 	// Clients that began to connect meanwhile come all at once when the link is free, and must not be accepted together.
 	last := delay
 	for attempts := 0; last > freeDelay && attempts < maxFreeAttempts && time.Since(started) < maxPause; {
-		last = d.measure(ctx)
-		if !d.duty.IsDelayed(last) {
+		last = a.measure(ctx)
+		if !a.cycle.IsDelayed(last) {
 			attempts++
 		}
 	}
-	open := d.duty.Adapt(delay)
-	d.server.logger.Warn("connections_refused", "delay_ms", delay.Milliseconds(), "refused_ms", time.Since(started).Milliseconds(), "accepted_ms", open.Milliseconds())
-	for ctx.Err() == nil && !d.server.isStopped() {
+	open := a.cycle.Adapt(delay)
+	a.server.logger.Warn("connections_refused", "delay_ms", delay.Milliseconds(), "refused_ms", time.Since(started).Milliseconds(), "accepted_ms", open.Milliseconds())
+	for ctx.Err() == nil && !a.server.isStopped() {
 		listener, err := reopen(closed)
 		if err == nil {
-			d.listener, d.opened = listener, time.Now()
-			d.closesAt = d.opened.Add(open)
-			d.server.setListener(listener)
+			a.listener, a.opened = listener, time.Now()
+			a.closesAt = a.opened.Add(open)
+			a.server.setListener(listener)
 			return nil
 		}
-		d.server.logger.Warn("listen_failed", "address", closed.Addr().String(), "error", fault.Message(err))
+		a.server.logger.Warn("listen_failed", "address", closed.Addr().String(), "error", fault.Message(err))
 		time.Sleep(listenRetry)
 	}
 	return net.ErrClosed
 }
 
 // measure measures the delay of the link.
-func (d *door) measure(ctx context.Context) time.Duration {
+func (a *acceptor) measure(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, measureTimeout)
 	defer cancel()
-	return d.server.measure(ctx)
+	return a.server.measure(ctx)
 }
 
 // reopener is a listener that can take the place of a closed one of the same kind.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,9 +65,9 @@
 	s.setListener(listener)
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	door := &door{listener: listener, server: s}
+	connections := &acceptor{listener: listener, server: s}
 	for {
-		connection, err := door.Accept(ctx)
+		connection, err := connections.Accept(ctx)
 		if s.isStopped() || ctx.Err() != nil {
 			if err == nil {
 				_ = connection.Close()
--- a/internal/overload/duty.go
+++ b/internal/overload/dutycycle.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// dutyCycle is the period in which an overloaded server accepts connections for a share of the time. Clients that
+	// cyclePeriod is the period in which an overloaded server accepts connections for a share of the time. Clients that
 	// are just connecting when that ends are cut off, so it must be much longer than a handshake takes.
-	dutyCycle = 300 * time.Millisecond
+	cyclePeriod = 300 * time.Millisecond
 	// targetDelay is the longest delay of the link that is normal.
 	targetDelay = 80 * time.Millisecond
 	// minShare is the least share of the time in which connections are accepted.
@@ -16,25 +16,25 @@
 	minFactor      = 0.3
 )
 
-// Duty decides in which share of the time a server accepts connections, from the delay of its link. It is not safe
+// DutyCycle decides in which share of the time a server accepts connections, from the delay of its link. It is not safe
 // for concurrent use.
-type Duty struct {
+type DutyCycle struct {
 	// refused is one less the share, so that the zero value accepts all.
 	refused float64
 }
 
 // AcceptsAll reports whether no connections are refused.
-func (d *Duty) AcceptsAll() bool { return d.refused == 0 }
+func (d *DutyCycle) AcceptsAll() bool { return d.refused == 0 }
 
 // IsDelayed reports whether a delay is more than normal.
-func (d *Duty) IsDelayed(delay time.Duration) bool { return delay > targetDelay }
+func (d *DutyCycle) IsDelayed(delay time.Duration) bool { return delay > targetDelay }
 
 // Refused returns for how long connections are refused in a cycle.
-func (d *Duty) Refused() time.Duration { return time.Duration(d.refused * float64(dutyCycle)) }
+func (d *DutyCycle) Refused() time.Duration { return time.Duration(d.refused * float64(cyclePeriod)) }
 
 // Adapt sets the share by the delay of the link after connections have been refused: what was accepted in a cycle must have
 // been carried by its end. It returns for how long connections are accepted next.
-func (d *Duty) Adapt(delay time.Duration) (accept time.Duration) {
+func (d *DutyCycle) Adapt(delay time.Duration) (accept time.Duration) {
 	share := 1 - d.refused
 	if delay > targetDelay {
 		share *= max(minFactor, float64(targetDelay)/float64(delay))
@@ -43,5 +43,5 @@
 	}
 	share = min(1, max(minShare, share))
 	d.refused = 1 - share
-	return time.Duration(share * float64(dutyCycle))
+	return time.Duration(share * float64(cyclePeriod))
 }
--- a/internal/overload/duty_test.go
+++ b/internal/overload/dutycycle_test.go
@@ -6,25 +6,25 @@
 )
 
 func TestDutyFollowsDelay(t *testing.T) {
-	duty := Duty{}
-	if !duty.AcceptsAll() {
+	cycle := DutyCycle{}
+	if !cycle.AcceptsAll() {
 		t.Error("refuses connections before any delay")
 	}
-	if accept := duty.Adapt(2 * targetDelay); accept != dutyCycle/2 || duty.Refused() != dutyCycle/2 {
-		t.Errorf("accepts for %s and refuses for %s after twice the normal delay", accept, duty.Refused())
+	if accept := cycle.Adapt(2 * targetDelay); accept != cyclePeriod/2 || cycle.Refused() != cyclePeriod/2 {
+		t.Errorf("accepts for %s and refuses for %s after twice the normal delay", accept, cycle.Refused())
 	}
-	if accept := duty.Adapt(time.Minute); accept < dutyCycle*14/100 {
+	if accept := cycle.Adapt(time.Minute); accept < cyclePeriod*14/100 {
 		t.Errorf("accepts for %s only after one long delay", accept)
 	}
 	for range 20 {
-		duty.Adapt(time.Minute)
+		cycle.Adapt(time.Minute)
 	}
-	if accept := duty.Adapt(time.Minute); accept <= 0 {
+	if accept := cycle.Adapt(time.Minute); accept <= 0 {
 		t.Error("accepts nothing any more")
 	}
 	cycles := 0
-	for ; !duty.AcceptsAll() && cycles < 100; cycles++ {
-		duty.Adapt(targetDelay)
+	for ; !cycle.AcceptsAll() && cycles < 100; cycles++ {
+		cycle.Adapt(targetDelay)
 	}
 	if cycles == 100 {
 		t.Error("does not accept all again after the overload")
