tcpopt, link, ingress: one dialer, one way to the socket, less work per connection

Written twice: the dialer with the options stood in three places (upstream, node, wire), the way from a connection to its TCP socket in two (upstream, and by hand in link for SetLinger), and the choice of random machines in two (paths.Tracker.Sample, Listed). tcpopt.Dialer, tcpopt.Socket and Tracker.pick serve all of them. tcpopt.IsShortage stands beside the other classes of socket errors; upstream no longer depends on the package that accepts connections.

Work on a hot path: the state of the link was computed for each admitted connection and used for at most one log line a second; reads and writes of a client's connection took the meter's lock a second time for a request that had been received. Each scrape of the link's metrics read the state eight times instead of four.

Simpler: a measurement of the link has one channel of results and records its result in one place. ConnectTime, which is by how much connections are late, is ConnectDelay. Three comments are in usual terms.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/tcpopt"
 )
 
 // retryInterval is the pause after an error that passes. Meanwhile connections wait in the kernel's queue.
@@ -38,16 +39,5 @@
 }
 
 func passes(err error) bool {
-	return IsShortage(err) || errors.Is(err, syscall.ECONNABORTED)
-}
-
-// IsShortage reports whether an error means that this process or its host is short of descriptors or memory, which says
-// nothing about a peer.
-func IsShortage(err error) bool {
-	for _, shortage := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, shortage) {
-			return true
-		}
-	}
-	return false
+	return tcpopt.IsShortage(err) || errors.Is(err, syscall.ECONNABORTED)
 }
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+
+	"github.com/weldline/weldline/internal/tcpopt"
 )
 
 // failingListener fails with some errors before it accepts a connection.
@@ -52,7 +54,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	exhausted := &failingListener{errors: []error{errorOf(syscall.EMFILE)}}
-	if _, err := Next(ctx, exhausted, slog.New(slog.DiscardHandler)); !IsShortage(err) {
+	if _, err := Next(ctx, exhausted, slog.New(slog.DiscardHandler)); !tcpopt.IsShortage(err) {
 		t.Errorf("got %v after the context was cancelled", err)
 	}
 }
--- a/internal/ingress/acceptor.go
+++ b/internal/ingress/acceptor.go
@@ -68,7 +68,7 @@
 // delay estimates how long the link needs for what it has to carry.
 func (a *acceptor) delay(now time.Time) time.Duration {
 	load := a.server.admission.link.Load(now)
-	return max(load.Backlog(), load.ConnectTime)
+	return max(load.Backlog(), load.ConnectDelay)
 }
 
 // acceptWithin is Accept with a timeout, if the listener has timeouts.
--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -43,14 +43,13 @@
 func (a *admission) admit(acceptedAt time.Time) bool {
 	now := time.Now()
 	waited := now.Sub(acceptedAt)
-	load := a.link.Load(now)
 	a.mutex.Lock()
 	admitted := a.gate.Admit(now, waited)
 	if admitted {
 		a.admitted++
 	} else {
 		a.closed++
-		a.logClosed(now, waited, load)
+		a.logClosed(now, waited)
 	}
 	a.mutex.Unlock()
 	a.metrics.observeAdmission(waited, admitted)
@@ -58,12 +57,13 @@
 }
 
 // logClosed logs that connections are closed unread. The mutex must be held.
-func (a *admission) logClosed(now time.Time, waited time.Duration, load link.Load) {
+func (a *admission) logClosed(now time.Time, waited time.Duration) {
 	if now.Sub(a.loggedAt) < overloadLogInterval {
 		return
 	}
+	load := a.link.Load(now)
 	a.logger.Warn("connections_closed_unread", "closed", a.closed, "read", a.admitted, "waited_ms", waited.Milliseconds(),
-		"link_send_wait_ms", load.SendWait.Milliseconds(), "link_receive_wait_ms", load.ReceiveWait.Milliseconds(), "connect_ms", load.ConnectTime.Milliseconds(),
+		"link_send_wait_ms", load.SendWait.Milliseconds(), "link_receive_wait_ms", load.ReceiveWait.Milliseconds(), "connect_ms", load.ConnectDelay.Milliseconds(),
 		"sent_bytes", load.SentBytes, "received_bytes", load.ReceivedBytes)
 	a.loggedAt, a.admitted, a.closed = now, 0, 0
 }
@@ -113,7 +113,5 @@
 	return c.Conn.Close()
 }
 
-// SetLinger sets whether a close resets the connection, as that of net.TCPConn does.
-func (c *admittedConn) SetLinger(seconds int) error {
-	return link.SetLinger(c.Conn, seconds)
-}
+// NetConn returns the connection below.
+func (c *admittedConn) NetConn() net.Conn { return c.Conn }
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -8,6 +8,7 @@
 
 	"github.com/weldline/weldline/internal/eventstream"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
 )
 
@@ -67,8 +68,9 @@
 }
 
 func (j *job) setResetOnClose(reset bool) {
-	connection, isTCP := j.request.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
-	if !isTCP {
+	connection, _ := j.request.Context().Value(connectionKey{}).(net.Conn)
+	socket := tcpopt.Socket(connection)
+	if socket == nil {
 		j.log("reset_unavailable")
 		return
 	}
@@ -76,7 +78,7 @@
 	if reset {
 		seconds = 0
 	}
-	if err := connection.SetLinger(seconds); err != nil {
+	if err := socket.SetLinger(seconds); err != nil {
 		j.log("reset_unavailable", "error", err.Error())
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"github.com/weldline/weldline/internal/quota"
 	"github.com/weldline/weldline/internal/retrybudget"
 	"github.com/weldline/weldline/internal/signal"
+	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
@@ -169,7 +170,7 @@
 // meteredDial counts the traffic of the connections that another function opens.
 func meteredDial(meter *link.Meter, dial upstream.DialFunc) upstream.DialFunc {
 	if dial == nil {
-		dial = upstream.DialMachine
+		dial = tcpopt.Dialer().DialContext
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dial(ctx, network, address)
--- a/internal/ingress/linkprobe.go
+++ b/internal/ingress/linkprobe.go
@@ -20,36 +20,41 @@
 // another router, less the time that connections to the same peer take at best. Unless one of them opens before ctx ends,
 // the link is as slow as that. It is 0 if there are none to try.
 func (i *Ingress) MeasureLink(ctx context.Context) time.Duration {
-	started := time.Now()
+	delay := i.fastestProbe(ctx)
+	i.options.Link.Measured(time.Now(), delay)
+	return delay
+}
+
+func (i *Ingress) fastestProbe(ctx context.Context) (delay time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probes := i.linkProbes()
-	connected := make(chan time.Duration, len(probes))
-	failed := make(chan struct{}, len(probes))
+	results := make(chan probeTime, len(probes))
 	for _, probe := range probes {
 		go func() {
 			elapsed, err := probe.pool.ProbeLink(ctx, probe.peer, probe.address)
-			if err != nil {
-				failed <- struct{}{}
-				return
+			if err == nil {
+				elapsed = i.options.Link.Connected(time.Now(), probe.peer, elapsed)
 			}
-			connected <- i.options.Link.Connected(time.Now(), probe.peer, elapsed)
+			results <- probeTime{delay: elapsed, connected: err == nil}
 		}()
 	}
-	delay := time.Duration(0)
 	for range probes {
-		select {
-		case delay = <-connected:
-			i.options.Link.Measured(time.Now(), delay)
-			return delay
-		case <-failed:
-			delay = time.Since(started)
+		result := <-results
+		if result.connected {
+			return result.delay
 		}
+		delay = result.delay
 	}
-	i.options.Link.Measured(time.Now(), delay)
 	return delay
 }
 
+// probeTime is by how much a connection took longer than usual, or how long a failed attempt took.
+type probeTime struct {
+	delay     time.Duration
+	connected bool
+}
+
 func (i *Ingress) linkProbes() []linkProbe {
 	var probes []linkProbe
 	for _, name := range i.paths.listed(linkProbes) {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -185,19 +185,17 @@
 // RegisterLink registers the metrics of a node's link.
 func RegisterLink(registry prometheus.Registerer, meter *link.Meter) {
 	factory := promauto.With(registry)
-	load := func() link.Load { return meter.Load(time.Now()) }
-	for direction, read := range map[string]func() (bytes uint64, wait time.Duration){
-		"sent":     func() (uint64, time.Duration) { return load().SentBytes, load().SendWait },
-		"received": func() (uint64, time.Duration) { return load().ReceivedBytes, load().ReceiveWait },
-	} {
+	register := func(direction string, bytes func(load link.Load) uint64, wait func(load link.Load) time.Duration) {
 		labels := prometheus.Labels{"direction": direction}
 		factory.NewCounterFunc(prometheus.CounterOpts{
 			Name: "weldline_ingress_link_bytes_total", Help: "Payload of requests and responses that passed this node's link.", ConstLabels: labels,
-		}, func() float64 { bytes, _ := read(); return float64(bytes) })
+		}, func() float64 { return float64(bytes(meter.Load(time.Now()))) })
 		factory.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "weldline_ingress_link_wait_seconds", Help: "Estimated time that packets wait for this node's link; 0 if its rate is unknown.", ConstLabels: labels,
-		}, func() float64 { _, wait := read(); return wait.Seconds() })
+		}, func() float64 { return wait(meter.Load(time.Now())).Seconds() })
 	}
+	register("sent", func(load link.Load) uint64 { return load.SentBytes }, func(load link.Load) time.Duration { return load.SendWait })
+	register("received", func(load link.Load) uint64 { return load.ReceivedBytes }, func(load link.Load) time.Duration { return load.ReceiveWait })
 }
 
 // setRouters sets the numbers of known routers by status.
--- a/internal/link/delay.go
+++ b/internal/link/delay.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// sampleLifetime is how long the time that a connection took tells the present delay.
+	// sampleLifetime is how long the duration of a connect counts as recent.
 	sampleLifetime = 250 * time.Millisecond
 	// peerLifetime is how long the fastest connection to a peer is remembered after the last one.
 	peerLifetime = 10 * time.Minute
@@ -17,7 +17,7 @@
 
 type connectTime struct {
 	at time.Time
-	// taken is the time of the newest connection, fastest the least so far, which tells how far away the peer is.
+	// taken is the duration of the newest connect, fastest the shortest so far, which reflects the distance of the peer.
 	taken, fastest time.Duration
 }
 
--- a/internal/link/expected.go
+++ b/internal/link/expected.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// sizeGain is the weight of the newest request in the average size.
@@ -31,7 +34,7 @@
 	// outstanding is the part of the expected size that has not been received.
 	outstanding float64
 	received    int
-	done        bool
+	done        atomic.Bool
 }
 
 // Expect records that a connection was accepted, on which a request of average size is expected.
@@ -47,11 +50,11 @@
 
 // Received records bytes of the request.
 func (e *Expected) Received(bytes int) {
-	e.meter.mutex.Lock()
-	defer e.meter.mutex.Unlock()
-	if e.done {
+	if e.done.Load() {
 		return
 	}
+	e.meter.mutex.Lock()
+	defer e.meter.mutex.Unlock()
 	e.received += bytes
 	arrived := min(e.outstanding, float64(bytes))
 	e.outstanding -= arrived
@@ -60,13 +63,13 @@
 
 // Done records that the request has been received, or never will be. Further calls do nothing.
 func (e *Expected) Done() {
-	e.meter.mutex.Lock()
-	defer e.meter.mutex.Unlock()
-	if e.done {
+	if e.done.Load() || !e.done.CompareAndSwap(false, true) {
 		return
 	}
-	e.done = true
+	e.meter.mutex.Lock()
+	defer e.meter.mutex.Unlock()
 	e.meter.expected.outstanding -= e.outstanding
+	e.outstanding = 0
 	if e.received > 0 {
 		e.meter.expected.size += sizeGain * (float64(e.received) - e.meter.expected.size)
 	}
--- a/internal/link/meter.go
+++ b/internal/link/meter.go
@@ -8,8 +8,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/weldline/weldline/internal/fault"
 )
 
 const (
@@ -100,7 +98,7 @@
 	return m.connects.record(now, peer, taken)
 }
 
-// measurementLifetime is how long a measurement tells the present delay.
+// measurementLifetime is how long a measurement remains valid.
 const measurementLifetime = 500 * time.Millisecond
 
 // Measured records a measurement of the link's delay.
@@ -116,9 +114,9 @@
 	SentBytes, ReceivedBytes uint64
 	// SendWait and ReceiveWait estimate how long a packet waits for the link; 0 if its rate is unknown.
 	SendWait, ReceiveWait time.Duration
-	// ConnectTime is the least time by which recent connections to several peers took longer than usual; 0 if there were
+	// ConnectDelay is the least time by which recent connections to several peers took longer than usual; 0 if there were
 	// too few.
-	ConnectTime time.Duration
+	ConnectDelay time.Duration
 	// Measured is a recent measurement of the delay; 0 if there is none.
 	Measured time.Duration
 	// ExpectedWait is the time that the link needs for requests that are on their way.
@@ -132,7 +130,7 @@
 
 // Delay estimates how long packets wait for the link.
 func (l Load) Delay() time.Duration {
-	return max(l.SendWait, l.ReceiveWait, l.ConnectTime, l.Measured)
+	return max(l.SendWait, l.ReceiveWait, l.ConnectDelay, l.Measured)
 }
 
 // Load returns the present state.
@@ -147,7 +145,7 @@
 		Measured:  measured,
 		SentBytes: m.sent.total, ReceivedBytes: m.received.total,
 		SendWait: m.sent.wait(now, m.rate), ReceiveWait: m.received.wait(now, m.rate),
-		ConnectTime: m.connects.delay(now), ExpectedWait: m.expected.wait(m.rate),
+		ConnectDelay: m.connects.delay(now), ExpectedWait: m.expected.wait(m.rate),
 	}
 }
 
@@ -196,15 +194,3 @@
 	}
 	return l.Meter.Conn(connection), nil
 }
-
-// SetLinger calls SetLinger of the TCP connection below a counted connection.
-func SetLinger(connection net.Conn, seconds int) error {
-	if counted, isCounted := connection.(*countedConn); isCounted {
-		connection = counted.Conn
-	}
-	lingering, isTCP := connection.(interface{ SetLinger(seconds int) error })
-	if !isTCP {
-		return fault.Internal.New("%T has no linger option", connection)
-	}
-	return lingering.SetLinger(seconds)
-}
--- a/internal/link/meter_test.go
+++ b/internal/link/meter_test.go
@@ -71,18 +71,18 @@
 	}
 	meter.Connected(at(0), "a", 301*time.Millisecond)
 	meter.Connected(at(0), "b", 401*time.Millisecond)
-	if taken := meter.Load(at(1)).ConnectTime; taken != 0 {
+	if taken := meter.Load(at(1)).ConnectDelay; taken != 0 {
 		t.Errorf("%s from two peers", taken)
 	}
 	meter.Connected(at(1), "c", 251*time.Millisecond)
-	if taken := meter.Load(at(1)).ConnectTime; taken != 250*time.Millisecond {
+	if taken := meter.Load(at(1)).ConnectDelay; taken != 250*time.Millisecond {
 		t.Errorf("%s from three slow peers", taken)
 	}
 	meter.Connected(at(2), "d", 2*time.Millisecond)
-	if taken := meter.Load(at(2)).ConnectTime; taken != time.Millisecond {
+	if taken := meter.Load(at(2)).ConnectDelay; taken != time.Millisecond {
 		t.Errorf("%s although one peer is fast", taken)
 	}
-	if taken := meter.Load(at(1000)).ConnectTime; taken != 0 {
+	if taken := meter.Load(at(1000)).ConnectDelay; taken != 0 {
 		t.Errorf("%s a second later", taken)
 	}
 }
@@ -94,7 +94,7 @@
 		meter.Connected(at(0), peer, 150*time.Millisecond)
 		meter.Connected(at(1), peer, 152*time.Millisecond)
 	}
-	if taken := meter.Load(at(2)).ConnectTime; taken != 2*time.Millisecond {
+	if taken := meter.Load(at(2)).ConnectDelay; taken != 2*time.Millisecond {
 		t.Errorf("connections take %s longer than usual", taken)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -348,8 +348,7 @@
 
 // dialPeer opens a connection to another process of the cluster.
 func (n *Node) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
-	connection, err := dialer.DialContext(ctx, network, address)
+	connection, err := tcpopt.Dialer().DialContext(ctx, network, address)
 	if err != nil || n.keys == nil {
 		return connection, err
 	}
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -167,26 +167,24 @@
 
 // Sample returns some random machines, as many as must fail for the router to count as isolated.
 func (t *Tracker) Sample() []string {
-	var names []string
-	for machine := range t.listed {
-		if len(names) == isolationThreshold {
-			break
-		}
-		if !t.IsDown(machine) {
-			names = append(names, machine)
-		}
-	}
-	return names
+	return t.pick(isolationThreshold, func(machine string) bool { return !t.IsDown(machine) })
 }
 
 // Listed returns up to count random machines, whether their paths are up or not.
 func (t *Tracker) Listed(count int) []string {
+	return t.pick(count, func(string) bool { return true })
+}
+
+// pick returns up to count random machines that are suitable.
+func (t *Tracker) pick(count int, suitable func(machine string) bool) []string {
 	var names []string
 	for machine := range t.listed {
 		if len(names) == count {
 			break
 		}
-		names = append(names, machine)
+		if suitable(machine) {
+			names = append(names, machine)
+		}
 	}
 	return names
 }
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -46,6 +46,31 @@
 	return errors.Is(err, syscall.ETIMEDOUT)
 }
 
+// IsShortage reports whether an error means that this process or its host is short of descriptors or memory, which says
+// nothing about a peer.
+func IsShortage(err error) bool {
+	for _, shortage := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
+// Socket returns the TCP connection below a connection, such as one with TLS, or nil.
+func Socket(connection net.Conn) *net.TCPConn {
+	for {
+		switch current := connection.(type) {
+		case *net.TCPConn:
+			return current
+		case interface{ NetConn() net.Conn }:
+			connection = current.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // Apply sets the options on an accepted connection. It ignores connections other than TCP.
 func Apply(connection net.Conn) {
 	accepted, isTCP := connection.(*net.TCPConn)
@@ -70,6 +95,11 @@
 	return connection, err
 }
 
+// Dialer returns a dialer with the options.
+func Dialer() *net.Dialer {
+	return &net.Dialer{Control: Control, KeepAliveConfig: KeepAlive}
+}
+
 // DialerFrom returns a dialer with the options whose connections have a local IP address.
 func DialerFrom(source net.IP) *net.Dialer {
 	return &net.Dialer{
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/tcpopt"
 )
@@ -38,12 +37,6 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// DialMachine is the default of Config.Dial.
-func DialMachine(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
-	return dialer.DialContext(ctx, network, address)
-}
-
 // FixedMaxIdle allows the same number of idle connections to every machine.
 func FixedMaxIdle(limit int) func(machine string) int {
 	return func(string) int { return limit }
@@ -78,7 +71,7 @@
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
 	if config.Dial == nil {
-		config.Dial = DialMachine
+		config.Dial = tcpopt.Dialer().DialContext
 	}
 	return &Pool{config: config, idle: map[string][]*conn{}, dialTimeouts: newDialTimeouts(config.DialTimeout)}
 }
@@ -177,7 +170,7 @@
 	switch {
 	case err == nil:
 		p.dialTimeouts.recordConnected(machine, elapsed)
-	case accept.IsShortage(err):
+	case tcpopt.IsShortage(err):
 		return nil, fault.Late.Wrap(err, "this process has no descriptor for a connection to machine %s", machine)
 	case elapsed >= limit+maxLateness:
 		return nil, fault.Late.Wrap(err, "this process was %s late to open a connection to machine %s", elapsed-limit, machine)
--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -1,9 +1,9 @@
 package upstream
 
 import (
-	"net"
-
 	"golang.org/x/sys/unix"
+
+	"github.com/weldline/weldline/internal/tcpopt"
 )
 
 // hasNoInput reports whether nothing was received on an idle connection: neither data, which would
@@ -12,7 +12,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	connection := socketOf(c.network)
+	connection := tcpopt.Socket(c.network)
 	if connection == nil {
 		return true
 	}
@@ -29,17 +29,3 @@
 	})
 	return err == nil && empty
 }
-
-// socketOf returns the TCP connection below a connection, such as one with TLS, or nil.
-func socketOf(connection net.Conn) *net.TCPConn {
-	for {
-		switch current := connection.(type) {
-		case *net.TCPConn:
-			return current
-		case interface{ NetConn() net.Conn }:
-			connection = current.NetConn()
-		default:
-			return nil
-		}
-	}
-}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -67,7 +67,8 @@
 
 // Dial connects to a server, performs the client's side of the handshake and starts the writer.
 func Dial(ctx context.Context, address string, config Config) (*Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, Control: tcpopt.Control, KeepAliveConfig: tcpopt.KeepAlive}
+	dialer := tcpopt.Dialer()
+	dialer.Timeout = connectTimeout
 	network, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Unavailable.Wrap(err, "connecting to %s", address)
