--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 
 var plays = map[string]play{
 	"body-remainder": playBodyRemainder,
+	"surplus-answer": playSurplusAnswer,
 }
 
 func main() {
--- a/review/standin2/remainder.go
+++ b/review/standin2/remainder.go
@@ -34,7 +34,7 @@
 // playBodyRemainder has clients upload records of earlier calls on a route that has just been removed. The front refuses the
 // uploads with a 404 while they still arrive, and then freezes for some seconds. The records are bodies, and no requests.
 func playBodyRemainder(ctx context.Context, stage *stage, troubled bool) (broken bool, err error) {
-	workers, err := stage.startWorkers(ctx, "ledger", 2, 6, 15*time.Millisecond)
+	workers, err := stage.startWorkers(ctx, "ledger", 2, 6, 15*time.Millisecond, nil)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -40,6 +40,7 @@
 type workerRequest struct {
 	*http.Request
 	onConnection int
+	log          *recorder
 }
 
 func (s *stage) newWorker(number int, serviceName string, slots int, work time.Duration) (*worker, error) {
@@ -78,7 +79,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := connection.Write(w.answer(connection, &workerRequest{Request: request, onConnection: number}, body)); err != nil {
+		if _, err := connection.Write(w.answer(connection, &workerRequest{Request: request, onConnection: number, log: w.stage.log}, body)); err != nil {
 			return
 		}
 	}
@@ -153,14 +154,17 @@
 	return runs
 }
 
-// startWorkers starts workers of a service.
-func (s *stage) startWorkers(ctx context.Context, serviceName string, count, slots int, work time.Duration) ([]*worker, error) {
+// startWorkers starts workers of a service. configure is called with each of them first.
+func (s *stage) startWorkers(ctx context.Context, serviceName string, count, slots int, work time.Duration, configure func(number int, added *worker)) ([]*worker, error) {
 	workers := make([]*worker, 0, count)
 	for number := range count {
 		started, err := s.newWorker(number, serviceName, slots, work)
 		if err != nil {
 			return nil, err
 		}
+		if configure != nil {
+			configure(number, started)
+		}
 		workers = append(workers, started)
 		go started.serve(ctx)
 	}
