review: case 6, a burst of uploads takes a front over its memory limit

A front holds every body whole and nothing bounds them together. 50 uploads of the allowed size at once, 2.5 times the usual 20, take it over 284 MB; the platform kills it, and calls of other clients that workers run are lost.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,6 +29,7 @@
 var plays = map[string]play{
 	"body-remainder": playBodyRemainder,
 	"surplus-answer": playSurplusAnswer,
+	"body-memory":    playMemory,
 }
 
 func main() {
