review: case 6 is now the stream that a slow reader loses in a planned stop

A client that doesn't read for 4 s is reset by the front's TCP_USER_TIMEOUT of 2 s, although it acknowledges all packets. In a planned stop that loses the answer.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,8 +28,8 @@
 
 var plays = map[string]play{
 	"body-remainder": playBodyRemainder,
+	"slow-readers":   playSlowReaders,
 	"surplus-answer": playSurplusAnswer,
-	"body-memory":    playMemory,
 }
 
 func main() {
