review: cases 5 and 6 with the site's kinds of request; measured causes

Case 5 has a second route with one attempt, as the site's unsafe class: refused although run. Case 6 has streams of the site's sizes.

--- a/review/standin2/slowreader.go
+++ b/review/standin2/slowreader.go
@@ -16,10 +16,10 @@
 
 const (
 	readerHost = "ficu95.example"
-	// Each answer has answerEvents events.
-	answerEvents = 97
+	// Each answer has answerEvents events of about 50 bytes.
+	answerEvents = 120
 	// receiveBuffer is the receive buffer of a client's socket.
-	receiveBuffer = 4096
+	receiveBuffer = 2048
 	// readers send a stream request each; with the disruption they read nothing for readPause after the first event.
 	readers   = 8
 	readPause = 4 * time.Second
--- a/review/standin2/surplus.go
+++ b/review/standin2/surplus.go
@@ -33,7 +33,9 @@
 	}
 	services := []service{{Name: "ledger", HealthPath: "/health", MaxConns: 100, Protocol: "h1"}}
 	hold := route{Name: "r-hold", Host: surplusHost, PathPrefix: "/lohu930/", Kind: "unsafe", TimeoutMs: 1500, TargetMs: 150, Priority: 1, Service: "ledger", MaxAttempts: 2}
-	if err := stage.replace(ctx, newConfiguration(1, services, hold)); err != nil {
+	card := hold
+	card.Name, card.PathPrefix, card.MaxAttempts = "r-card", "/pufi791/", 1
+	if err := stage.replace(ctx, newConfiguration(1, services, hold, card)); err != nil {
 		return false, err
 	}
 	if err := stage.awaitReady(ctx); err != nil {
@@ -74,8 +76,13 @@
 	t.statuses[id] = status
 }
 
-// callOften sends requests on a kept connection, each with an id of its own, until ctx ends.
+// callOften sends requests on a kept connection, each with an id of its own, until ctx ends. Half of the callers use the route with
+// one attempt.
 func callOften(ctx context.Context, stage *stage, number int, answers *answerTable) {
+	target := "/lohu930/2f"
+	if number >= surplusCallers/2 {
+		target = "/pufi791/2f"
+	}
 	var connected *client
 	for count := 0; ctx.Err() == nil; count++ {
 		if connected == nil {
@@ -87,7 +94,7 @@
 			connected = opened
 		}
 		id := fmt.Sprintf("call-%d-%d", number, count)
-		_, err := connected.connection.Write([]byte(head("POST", "/lohu930/2f", surplusHost, id, 1500*time.Millisecond, 0)))
+		_, err := connected.connection.Write([]byte(head("POST", target, surplusHost, id, 1500*time.Millisecond, 0)))
 		got := answer{}
 		if err == nil {
 			got, err = connected.read("POST", 3*time.Second)
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -124,7 +124,7 @@
 	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
 	sent := []byte(header)
 	for number := range w.events {
-		event := fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"index\":%d,\"delta\":{\"content\":\"three tokens more\"},\"finish_reason\":null}\n\n", number, id, number)
+		event := fmt.Sprintf("id: %d\ndata: piece %d of the answer, five tokens\n\n", number, number)
 		sent = fmt.Appendf(sent, "%x\r\n%s\r\n", len(event), event)
 		if _, err := connection.Write(sent); err != nil {
 			w.stage.log.write("worker %s: event %d of %s not sent: %v", w.id, number, id, err)
