review: case 6 is now the worker that a late heartbeat takes out for good

The stream of a slow reader is case 3 of the earlier review, so it goes. An entry takes its place: one heartbeat of a predecessor that nobody had heard makes the leader take the successor at the same address for gone.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,7 +28,7 @@
 
 var plays = map[string]play{
 	"body-remainder": playBodyRemainder,
-	"slow-readers":   playSlowReaders,
+	"late-heartbeat": playLateHeartbeat,
 	"surplus-answer": playSurplusAnswer,
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -24,8 +24,6 @@
 	work        time.Duration
 	// beforeAnswer, if set, returns bytes that a faulty worker sends before its answer to the request.
 	beforeAnswer func(request *workerRequest) []byte
-	// events is how many events an answer has, one each eventInterval; 0 for answers with a length.
-	events int
 
 	mutex sync.Mutex
 	runs  []ranRequest
@@ -109,34 +107,10 @@
 		}
 	}
 	time.Sleep(w.work)
-	if w.events > 0 {
-		return w.stream(connection, id)
-	}
 	text := "answer to " + id
 	return response(http.StatusOK, "X-Attempt-Id: "+id+"\r\nX-Response-Seal: seal."+id+"\r\n", text)
 }
 
-// eventInterval is the time between two events of a stream.
-const eventInterval = 10 * time.Millisecond
-
-// stream sends all events of an answer, and returns the mark of its end.
-func (w *worker) stream(connection net.Conn, id string) []byte {
-	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
-	sent := []byte(header)
-	for number := range w.events {
-		event := fmt.Sprintf("id: %d\ndata: piece %d of the answer, five tokens\n\n", number, number)
-		sent = fmt.Appendf(sent, "%x\r\n%s\r\n", len(event), event)
-		if _, err := connection.Write(sent); err != nil {
-			w.stage.log.write("worker %s: event %d of %s not sent: %v", w.id, number, id, err)
-			return nil
-		}
-		sent = sent[:0]
-		time.Sleep(eventInterval)
-	}
-	w.stage.log.write("worker %s: all %d events of %s are sent", w.id, w.events, id)
-	return []byte("0\r\n\r\n")
-}
-
 // response returns an answer with a length.
 func response(status int, header, body string) []byte {
 	return []byte(fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), header, len(body), body))
