--- a/review/standin2/remainder.go
+++ b/review/standin2/remainder.go
@@ -13,7 +13,7 @@
 	remainderHost = "ficu95.example"
 	// uploads are sent at once, each of uploadRecords records, one each uploadInterval.
 	uploads        = 4
-	uploadRecords  = 40
+	uploadRecords  = 24
 	uploadInterval = 20 * time.Millisecond
 	recordBytes    = 4096
 	uploadDeadline = 10 * time.Second
@@ -23,7 +23,7 @@
 	// callTime is more than a call takes.
 	callTime = 200 * time.Millisecond
 	// freezeAfter is when the front freezes, during the uploads, and freezeTime for how long.
-	freezeAfter = 300 * time.Millisecond
+	freezeAfter = 200 * time.Millisecond
 	freezeTime  = 3500 * time.Millisecond
 	// keptFor is how long a client keeps its connection for further requests.
 	keptFor = 6 * time.Second
