review: case 6 plays the cut that delays the heartbeat

The predecessor sends its first heartbeat into a cut of 4.5 s and crashes, and the cut delivers it 1.7 s after it has healed; before, the script sent the late heartbeat by itself.

--- a/review/standin2/latebeat.go
+++ b/review/standin2/latebeat.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,8 +16,12 @@
 	beatHost = "ficu95.example"
 	// The service tokens has one worker, of five in all.
 	ledgerWorkers = 4
-	// beatDelay is how late the heartbeat of the predecessor comes, after its successor has registered.
-	beatDelay = 2 * time.Second
+	// predecessor is the id of the worker that crashes.
+	predecessor = "i-00000001"
+	// cutTime is how long the cut lasts. TCP sends what it held up again at growing intervals (0.2 s, doubled each time), so that
+	// it arrives later than a new connection: beatDelay after the successor is served.
+	cutTime   = 4500 * time.Millisecond
+	beatDelay = 1700 * time.Millisecond
 	// calmAfter is contact_ms and more; after it requests count, for judgedTime.
 	calmAfter     = 4 * time.Second
 	judgedTime    = 30 * time.Second
@@ -49,8 +54,15 @@
 	if err := stage.replace(ctx, newConfiguration(2, services, first, later)); err != nil {
 		return false, err
 	}
-	stage.log.write("worker i-00000001 of service tokens starts at %s behind a cut, sends its first heartbeat, and crashes", successor.listener.Addr())
+	held, err := stage.crashBehindCut(successor.listener.Addr())
+	if err != nil {
+		return false, err
+	}
 	stage.log.write("worker %s of service tokens starts at %s", successor.id, successor.listener.Addr())
+	if err := pause(ctx, cutTime); err != nil {
+		return false, err
+	}
+	stage.log.write("the cut heals")
 	go successor.serve(ctx)
 	for _, target := range []string{"/lohu930/2f", "/pufi791/2f"} {
 		if err := awaitServed(ctx, stage, target); err != nil {
@@ -61,7 +73,7 @@
 		return false, err
 	}
 	if troubled {
-		if err := sendLateHeartbeat(stage, successor.listener.Addr()); err != nil {
+		if err := stage.deliver(held); err != nil {
 			return false, err
 		}
 	}
@@ -71,27 +83,65 @@
 	return judgeRoutes(ctx, stage), nil
 }
 
-// sendLateHeartbeat delivers the heartbeat that the predecessor sent before it crashed.
-func sendLateHeartbeat(stage *stage, address net.Addr) error {
+// heldHeartbeat is what a cut holds up of a connection to a control node.
+type heldHeartbeat struct {
+	sent []byte
+}
+
+// crashBehindCut has a worker start, send its first heartbeat into a cut, and crash. The cut holds the bytes up.
+func (s *stage) crashBehindCut(address net.Addr) (*heldHeartbeat, error) {
 	beat, err := json.Marshal(map[string]any{
 		"service": "tokens", "address": address.String(), "zone": "hall-eb", "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
 	})
+	if err != nil {
+		return nil, err
+	}
+	proxy, err := net.Listen("tcp", net.JoinHostPort(s.host(201), "0"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = proxy.Close() }()
+	s.log.write("worker %s of service tokens starts at %s, sends its first heartbeat into a cut, and crashes", predecessor, address)
+	worker, err := net.Dial("tcp", proxy.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Fprintf(worker, "POST /v1/Instances.Heartbeat/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		predecessor, s.controlAddress(0), len(beat), beat); err != nil {
+		return nil, err
+	}
+	_ = worker.Close()
+	connection, err := proxy.Accept()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = connection.Close() }()
+	sent, err := io.ReadAll(connection)
+	return &heldHeartbeat{sent: sent}, err
+}
+
+// deliver passes on what the cut has held up: the bytes, and the end of the connection.
+func (s *stage) deliver(held *heldHeartbeat) error {
+	connection, err := net.Dial("tcp", s.controlAddress(0))
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: time.Second}
-	for number := range 2 * controlCount {
-		response, err := client.Post("http://"+stage.controlAddress(number)+"/v1/Instances.Heartbeat/i-00000001", "application/json", bytes.NewReader(beat))
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		stage.log.write("worker i-00000001: its heartbeat arrives late at control-%d, answered %d", number%controlCount, response.StatusCode)
-		if response.StatusCode == http.StatusOK {
-			return nil
-		}
+	defer func() { _ = connection.Close() }()
+	if _, err := connection.Write(held.sent); err != nil {
+		return err
+	}
+	if closer, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = closer.CloseWrite()
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		s.log.write("worker %s: its heartbeat arrives at control-0; no answer: %v", predecessor, err)
+		return nil
 	}
-	return fmt.Errorf("the late heartbeat reaches no node")
+	_ = response.Body.Close()
+	s.log.write("worker %s: its heartbeat arrives at control-0, answered %d", predecessor, response.StatusCode)
+	return nil
 }
 
 // shares counts what was asked and served on a route.
