review: case 6 is now the deregistration that isn't kept, which loses accepted work

A worker whose first heartbeat a cut delays leaves when it has healed: its deregistration is acknowledged, the heartbeat then creates a record, and the fronts send it requests until it ends. It takes the place of the late heartbeat of a predecessor, which loses nothing accepted.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -27,9 +27,9 @@
 type play func(ctx context.Context, stage *stage, troubled bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"body-remainder": playBodyRemainder,
-	"late-heartbeat": playLateHeartbeat,
-	"surplus-answer": playSurplusAnswer,
+	"body-remainder":    playBodyRemainder,
+	"late-registration": playLateRegistration,
+	"surplus-answer":    playSurplusAnswer,
 }
 
 func main() {
--- a/review/standin2/surplus.go
+++ b/review/standin2/surplus.go
@@ -49,7 +49,11 @@
 	answers := &answerTable{statuses: map[string]int{}}
 	var callers sync.WaitGroup
 	for number := range surplusCallers {
-		callers.Go(func() { callOften(calls, stage, number, answers) })
+		target := "/lohu930/2f"
+		if number >= surplusCallers/2 {
+			target = "/pufi791/2f"
+		}
+		callers.Go(func() { callOften(calls, stage, number, target, answers) })
 	}
 	callers.Wait()
 	return judgeRuns(stage, workers, answers), nil
@@ -76,13 +80,8 @@
 	t.statuses[id] = status
 }
 
-// callOften sends requests on a kept connection, each with an id of its own, until ctx ends. Half of the callers use the route with
-// one attempt.
-func callOften(ctx context.Context, stage *stage, number int, answers *answerTable) {
-	target := "/lohu930/2f"
-	if number >= surplusCallers/2 {
-		target = "/pufi791/2f"
-	}
+// callOften sends requests on a kept connection, each with an id of its own, until ctx ends.
+func callOften(ctx context.Context, stage *stage, number int, target string, answers *answerTable) {
 	var connected *client
 	for count := 0; ctx.Err() == nil; count++ {
 		if connected == nil {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -33,6 +33,7 @@
 
 // ranRequest is a request that a worker has begun to work on.
 type ranRequest struct {
+	at                               time.Time
 	worker, id, method, target, body string
 }
 
@@ -56,13 +57,19 @@
 
 // serve accepts connections and sends heartbeats until ctx ends.
 func (w *worker) serve(ctx context.Context) {
-	context.AfterFunc(ctx, func() { _ = w.listener.Close() })
 	go w.beat(ctx)
+	w.accept(ctx)
+}
+
+// accept serves requests until ctx ends, and then closes all connections.
+func (w *worker) accept(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = w.listener.Close() })
 	for {
 		connection, err := w.listener.Accept()
 		if err != nil {
 			return
 		}
+		context.AfterFunc(ctx, func() { _ = connection.Close() })
 		go w.serveConnection(connection)
 	}
 }
@@ -98,7 +105,7 @@
 		return response(http.StatusBadRequest, "X-Not-Executed: 1\r\n", "")
 	}
 	w.mutex.Lock()
-	w.runs = append(w.runs, ranRequest{worker: w.id, id: id, method: request.Method, target: request.RequestURI, body: string(body)})
+	w.runs = append(w.runs, ranRequest{at: time.Now(), worker: w.id, id: id, method: request.Method, target: request.RequestURI, body: string(body)})
 	w.mutex.Unlock()
 	w.stage.log.write("worker %s: runs %s %s, id %s, %d bytes of body", w.id, request.Method, request.RequestURI, id, len(body))
 	if w.beforeAnswer != nil {
@@ -116,15 +123,20 @@
 	return []byte(fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), header, len(body), body))
 }
 
+// nextHeartbeat returns the content of the next heartbeat.
+func (w *worker) nextHeartbeat() map[string]any {
+	w.sequence++
+	return map[string]any{
+		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": w.sequence,
+	}
+}
+
 // beat sends heartbeats to one control node after the other.
 func (w *worker) beat(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second}
 	for number := 0; ; {
-		w.sequence++
-		beat, err := json.Marshal(map[string]any{
-			"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": w.sequence,
-		})
+		beat, err := json.Marshal(w.nextHeartbeat())
 		if err != nil {
 			panic(err) // The fields are plain values.
 		}
