review: doses inside their limits, and records with what clients sent and were answered

Case 4 freezes one machine of ten and has the site's four workers, case 6 cuts one worker of seven; before, one of five and one of three.

--- a/review/standin2/leaving.go
+++ b/review/standin2/leaving.go
@@ -15,7 +15,9 @@
 const (
 	leavingHost    = "ficu95.example"
 	leavingWork    = 300 * time.Millisecond
-	leavingCallers = 16
+	leavingCallers = 32
+	// stayingWorkers serve on, beside the one that leaves.
+	stayingWorkers = 6
 	// cutTime is how long a new worker is cut from the core. It leaves as soon as the cut has healed. TCP sends what the cut held up
 	// again at growing intervals, so that it arrives beatDelay after the deregistration.
 	cutTime   = 4500 * time.Millisecond
@@ -28,7 +30,7 @@
 // playLateRegistration has a new worker leave. With the disruption a cut delays the heartbeat that it sent before, so that this
 // one arrives after its deregistration was acknowledged.
 func playLateRegistration(ctx context.Context, stage *stage, troubled bool) (broken bool, err error) {
-	workers, err := stage.startWorkers(ctx, "ledger", 2, 6, leavingWork, nil)
+	workers, err := stage.startWorkers(ctx, "ledger", stayingWorkers, 6, leavingWork, nil)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,13 +23,17 @@
 	caseTimeout = 110 * time.Second
 )
 
-// play is a case. It reports whether the rule was broken; an error means that the case could not run.
-type play func(ctx context.Context, stage *stage, troubled bool) (broken bool, err error)
+// play is a case on a stage with a number of fronts. run reports whether the rule was broken; an error means that the case could
+// not run.
+type play struct {
+	fronts int
+	run    func(ctx context.Context, stage *stage, troubled bool) (broken bool, err error)
+}
 
 var plays = map[string]play{
-	"body-remainder":    playBodyRemainder,
-	"late-registration": playLateRegistration,
-	"surplus-answer":    playSurplusAnswer,
+	"body-remainder":    {fronts: 7, run: playBodyRemainder},
+	"late-registration": {fronts: 2, run: playLateRegistration},
+	"surplus-answer":    {fronts: 2, run: playSurplusAnswer},
 }
 
 func main() {
@@ -75,13 +79,13 @@
 	if err != nil {
 		return false, err
 	}
-	created, err := newStage(root, log)
+	created, err := newStage(root, log, chosen.fronts)
 	if err != nil {
 		return false, err
 	}
 	defer created.close()
 	log.write("disruption: %t", troubled)
-	return chosen(ctx, created, troubled)
+	return chosen.run(ctx, created, troubled)
 }
 
 // findRoot returns the root of the repository: the closest folder above the working directory with a deploy file.
--- a/review/standin2/remainder.go
+++ b/review/standin2/remainder.go
@@ -34,7 +34,7 @@
 // playBodyRemainder has clients upload records of earlier calls on a route that has just been removed. The front refuses the
 // uploads with a 404 while they still arrive, and then freezes for some seconds. The records are bodies, and no requests.
 func playBodyRemainder(ctx context.Context, stage *stage, troubled bool) (broken bool, err error) {
-	workers, err := stage.startWorkers(ctx, "ledger", 2, 6, 15*time.Millisecond, nil)
+	workers, err := stage.startWorkers(ctx, "ledger", 4, 6, 15*time.Millisecond, nil)
 	if err != nil {
 		return false, err
 	}
@@ -92,6 +92,7 @@
 	for number := range stage.fronts {
 		for try := 0; ; try++ {
 			id := fmt.Sprintf("warm-up-%d-%d", number, try)
+			stage.log.write("client: %s sends POST %s", id, target)
 			if got, err := ask(stage.frontAddress(number), "POST", target, remainderHost, id); err == nil && got.status == 200 {
 				stage.log.write("client: %s at %s answered %d", id, stage.fronts[number].name, got.status)
 				break
@@ -163,13 +164,13 @@
 		for err == nil && ctx.Err() == nil {
 			count++
 			id := fmt.Sprintf("call-%d-%d", number, count)
+			stage.log.write("client: %s sends POST /lohu930/2f", id)
 			if _, err = connected.connection.Write([]byte(head("POST", "/lohu930/2f", remainderHost, id, 2*time.Second, 0))); err != nil {
 				break
 			}
 			got := answer{}
-			if got, err = connected.read("POST", 6*time.Second); err == nil && got.status != 200 {
-				stage.log.write("client: %s answered %d", id, got.status)
-			}
+			got, err = connected.read("POST", 6*time.Second)
+			stage.log.write("client: %s answered %d, X-Response-Seal %q, %v", id, got.status, got.header.Get("X-Response-Seal"), err)
 			_ = pause(ctx, callInterval)
 		}
 		if connected != nil {
--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -17,7 +17,6 @@
 
 const (
 	controlCount = 3
-	frontCount   = 2
 	// restartDelay is how long the platform waits before it starts a process again.
 	restartDelay = 300 * time.Millisecond
 	// heartbeatMs is the interval of workers' heartbeats in the settings.
@@ -54,7 +53,7 @@
 }
 
 // newStage starts the processes. They are ended by close.
-func newStage(root string, log *recorder) (*stage, error) {
+func newStage(root string, log *recorder, fronts int) (*stage, error) {
 	folder, err := os.MkdirTemp("", "weldline-case-")
 	if err != nil {
 		return nil, err
@@ -68,7 +67,7 @@
 	for number := range controlCount {
 		created.controls = append(created.controls, created.newProcess("control", number, created.host(11+number)))
 	}
-	for number := range frontCount {
+	for number := range fronts {
 		created.fronts = append(created.fronts, created.newProcess("front", number, created.host(31+number)))
 	}
 	for _, started := range append(append([]*process{}, created.controls...), created.fronts...) {
--- a/review/standin2/surplus.go
+++ b/review/standin2/surplus.go
@@ -85,7 +85,7 @@
 	var connected *client
 	for count := 0; ctx.Err() == nil; count++ {
 		if connected == nil {
-			opened, err := dial(stage.frontAddress(number % frontCount))
+			opened, err := dial(stage.frontAddress(number % len(stage.fronts)))
 			if err != nil {
 				_ = pause(ctx, surplusPause)
 				continue
@@ -93,11 +93,13 @@
 			connected = opened
 		}
 		id := fmt.Sprintf("call-%d-%d", number, count)
+		stage.log.write("client: %s sends POST %s", id, target)
 		_, err := connected.connection.Write([]byte(head("POST", target, surplusHost, id, 1500*time.Millisecond, 0)))
 		got := answer{}
 		if err == nil {
 			got, err = connected.read("POST", 3*time.Second)
 		}
+		stage.log.write("client: %s answered %d, X-Response-Seal %q, %v", id, got.status, got.header.Get("X-Response-Seal"), err)
 		if err != nil {
 			connected.close()
 			connected = nil
