--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -103,5 +104,11 @@
 	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
 		return // The connection is broken.
 	}
+	discarded, err := io.Copy(io.Discard, j.request.Body)
+	fields := []any{"bytes", discarded, "stated", j.request.ContentLength}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	j.log("body_discarded", fields...)
 	_ = j.request.Body.Close()
 }
