earlyresponse: never take the rest of a refused body for requests

Cause: the router answered before it had read the body, which turns off the check of net/http for that, discarded the rest for one second at most and ignored how that ended. net/http then parsed the next request in the middle of the body. A suspended process isn't needed: uploads of 3 s get one answer for each piece, and a body with a chunk that can't be decoded had all 24 requests in it run. Forwarded requests had the same fault between routers.

Change: package earlyresponse wraps the handlers of clients and of other routers.

--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -65,6 +65,7 @@
 // on connections that clients keep.
 type crowdedRouter struct {
 	host      *linkedHost
+	handler   *ingress.Ingress
 	keptShare float64
 	kept      *http.Client
 	random    *rand.Rand
@@ -90,6 +91,7 @@
 		RequestReport: func() {}, Dial: host.dialFrom, DialRouter: host.dialFrom, Link: meter,
 		Suspended: func() time.Duration { return 0 }, Now: func() time.Duration { return time.Since(started) },
 	})
+	created.handler = handler
 	workers.Go(func() { handler.Run(ctx) })
 	server := ingress.NewServer(handler, view, logger, metrics, meter, handler.MeasureLink)
 	workers.Go(func() {
--- a/internal/ingress/forwarded.go
+++ b/internal/ingress/forwarded.go
@@ -16,7 +16,7 @@
 // ForwardHandler serves requests that other routers forward, and exchanges the origins of streams with them. It
 // must be reachable for processes of the cluster only: it trusts their authentication of the client.
 func (i *Ingress) ForwardHandler() http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	return i.answerEarly(func(writer http.ResponseWriter, request *http.Request) {
 		if request.Header.Get(headerStreamOrigins) != "" {
 			i.origins.serve(writer, request)
 			return
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/drainlog"
+	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -400,6 +401,15 @@
 // ServeHTTP implements http.Handler. Unlike http.ServeMux it does not clean the
 // path, which machines must get unchanged.
 func (i *Ingress) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	i.answerEarly(i.serveClient).ServeHTTP(writer, request)
+}
+
+// answerEarly lets a handler answer requests before it has read their bodies.
+func (i *Ingress) answerEarly(handle http.HandlerFunc) http.Handler {
+	return earlyresponse.Handler{Next: handle, Logger: i.options.Logger}
+}
+
+func (i *Ingress) serveClient(writer http.ResponseWriter, request *http.Request) {
 	// Only other routers may set these, on their own listener.
 	request.Header.Del(headerForward)
 	request.Header.Del(headerStreamOrigins)
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,9 +10,6 @@
 	"github.com/weldline/weldline/internal/problem"
 )
 
-// maxDrainTime bounds the wait for the rest of a body that is not used. Later the connection is closed.
-const maxDrainTime = time.Second
-
 // refuse answers a request that the dispatcher refused.
 func (j *job) refuse(ctx context.Context, refusal *dispatch.Refusal) {
 	if j.request.Context().Err() != nil {
@@ -74,41 +70,9 @@
 		j.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	j.setForwardResult(forwardOutcome(j.mayHaveRun), false)
-	j.allowResponseBeforeBody()
 	j.headerSent = true
 	j.log("refused", "status", document.Status, "kind", document.Kind(), "detail", document.Detail, "sent", j.sent,
 		"no_retry", j.noRetry, "retry_after_ms", retryAfter.Milliseconds())
 	j.ingress.options.Metrics.observe(j.route, "refused_"+document.Kind(), time.Since(j.arrived))
 	document.Write(j.writer)
-	j.drainBody()
-}
-
-// allowResponseBeforeBody lets the server send the response before it has read the request's
-// body.
-func (j *job) allowResponseBeforeBody() {
-	if j.body != nil {
-		return
-	}
-	if err := http.NewResponseController(j.writer).EnableFullDuplex(); err != nil {
-		j.ingress.options.Logger.Debug("answer_waits_for_body", "id", j.attributes.ID, "error", err.Error())
-	}
-}
-
-// drainBody sends the response and reads what is left of a body that the response did not wait for. If the server did
-// that after the handler has returned, it could not read the next request of the connection.
-func (j *job) drainBody() {
-	if j.body != nil || j.request.ContentLength == 0 {
-		return
-	}
-	controller := http.NewResponseController(j.writer)
-	if controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
-		return // The connection is broken.
-	}
-	discarded, err := io.Copy(io.Discard, j.request.Body)
-	fields := []any{"bytes", discarded, "stated", j.request.ContentLength}
-	if err != nil {
-		fields = append(fields, "error", err.Error())
-	}
-	j.log("body_discarded", fields...)
-	_ = j.request.Body.Close()
 }
