earlyresponse: close the connection of a request without a response

Cause: a handler that writes nothing sends 200 in net/http.

Change: the handler of package earlyresponse closes the connection if no response was sent, and logs response_missing.

TestNoResponseIsNoSuccess fails before ("the client got status 200") and passes now.

--- a/internal/earlyresponse/handler.go
+++ b/internal/earlyresponse/handler.go
@@ -2,6 +2,7 @@
 //
 // The response is sent at once, also while the client is still sending. The connection serves another request only after
 // the body was read to its marked end; otherwise it is closed, after a time in which the client can read the response.
+// A handler that sends no response closes the connection, instead of sending an empty success.
 package earlyresponse
 
 import (
@@ -27,6 +28,10 @@
 		request.Body = body
 	}
 	h.Next.ServeHTTP(response, request)
+	if !response.headerWritten {
+		h.Logger.Info("response_missing", "remote", request.RemoteAddr, "method", request.Method, "client_left", request.Context().Err() != nil)
+		response.abort()
+	}
 	if !response.early || body.ended {
 		return
 	}
@@ -42,5 +47,5 @@
 		fields = append(fields, "error", fault.Message(err))
 	}
 	h.Logger.Info("request_body_unread", fields...)
-	panic(http.ErrAbortHandler)
+	response.abort()
 }
--- a/internal/earlyresponse/handler_test.go
+++ b/internal/earlyresponse/handler_test.go
@@ -151,3 +151,14 @@
 		}
 	})
 }
+
+// TestMissingResponseClosesConnection guards against completing a request without a response as an empty success.
+func TestMissingResponseClosesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		connection := connect(t, func(http.ResponseWriter, *http.Request) {})
+		send(t, connection, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		if response, err := http.ReadResponse(bufio.NewReader(connection), nil); err == nil {
+			t.Errorf("the client got status %d", response.StatusCode)
+		}
+	})
+}
--- a/internal/earlyresponse/response.go
+++ b/internal/earlyresponse/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/weldline/weldline/internal/fault"
 )
@@ -111,3 +112,9 @@
 	closeWrite(connection)
 	return discard(buffered, connection.SetReadDeadline)
 }
+
+// abort has the server close the connection. It does not return.
+func (w *responseWriter) abort() {
+	_ = w.controller().SetReadDeadline(time.Now()) // The server would first read some of the body.
+	panic(http.ErrAbortHandler)
+}
--- a/internal/ingress/refusal_test.go
+++ b/internal/ingress/refusal_test.go
@@ -60,3 +60,35 @@
 		}
 	}
 }
+
+// TestNoResponseIsNoSuccess guards against completing a request that was given up without a response as an empty success.
+func TestNoResponseIsNoSuccess(t *testing.T) {
+	left := make(chan struct{})
+	machine := newRawMachine(t, func(receivedRequest, int, net.Conn) bool {
+		<-left
+		return false
+	})
+	router := newDeployment(t)
+	router.serve(v1.RouteUnrepeatable, 1, long, machine.address)
+	connection, err := net.Dial("tcp", router.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(long))
+	write(connection, "POST /a/x HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": id\r\nContent-Length: 4\r\n\r\nbody")
+	for len(machine.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The server takes the end of the client's side for a client that has left.
+	if err := connection.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	for router.handler.InFlight() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(left)
+	if response, err := http.ReadResponse(bufio.NewReader(connection), nil); err == nil {
+		t.Errorf("the client got status %d", response.StatusCode)
+	}
+}
