gateway, node: refuse requests at once whose bodies are still being sent

What callers saw: the product's gateway sent a refusal only after it had read up to 256 KiB of the body, so a client that uploads slowly waited for it as long as the upload took, and one that stops sending waited forever; the connection of a longer body was closed half a second after the refusal, while the client was sending. A body whose chunks can't be decoded was refused as too large (413).

Cause: net/http reads the rest of a body before it sends a response, unless told otherwise; the gateway never took the rest for requests, as the routers did.

Change: the handlers of the gateway and of the control nodes' API are wrapped by package earlyresponse. A body that is not valid is refused with 400.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/dispatcher"
 	"github.com/weldline/weldline/internal/drainlog"
+	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/limits"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -108,7 +109,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	g.router.ServeHTTP(writer, request)
+	earlyresponse.Handler{Next: g.router, Logger: g.options.Logger}.ServeHTTP(writer, request)
 }
 
 // track counts a request as in flight. It refuses the request before the
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -97,8 +98,12 @@
 	writer.Header().Set(HeaderRequestID, j.id)
 	writer.Header().Set(HeaderTraceParent, j.traceParent)
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, g.options.MaxBodyBytes))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return j, problem.New(problem.TypeTooLarge, http.StatusRequestEntityTooLarge, "the body could not be read whole: "+err.Error())
+	case err != nil:
+		return j, invalid("body", "the body could not be read whole: %s", err.Error())
 	}
 	j.body = body
 	return j, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/control"
 	"github.com/weldline/weldline/internal/datadir"
+	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/keys"
@@ -280,7 +281,7 @@
 	if n.extensions.ControlHandler != nil {
 		api = n.extensions.ControlHandler(n.control, n.logger)
 	}
-	if err := n.serveHTTP(ctx, n.settings.Control.API, api); err != nil {
+	if err := n.serveHTTP(ctx, n.settings.Control.API, earlyresponse.Handler{Next: api, Logger: n.logger}); err != nil {
 		return err
 	}
 	n.run(func() error { return n.control.Run(ctx) })
