upstream: bound what is read of a machine before it is relayed

Cause: the head of a response was read without a limit on its size, interim responses without one on their number, and bodies that are dropped without one on time: a rejection whose body did not come kept its request from other machines.

Change: one bound of 64 KiB on all that is read of a machine in an exchange until its response is relayed: heads, skipped responses, probes, saved errors and reports (before: up to 1 MB). Beyond it the connection is closed at once. Bodies that are dropped get 100 ms. The clients of the gateway and of the agents, which use net/http, have the same bound on heads (before: its default, 10 MB).

Weighed: separate bounds for heads, interim responses and bodies (more to get wrong; a machine could use each in turn); a bound by time (memory fills within milliseconds on a fast link).

Not bounded further: whole responses that the gateway buffers (32 MB, as before).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/weldline/weldline/api/engine"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -53,12 +54,11 @@
 // New returns an agent. It calls requestReport when a change should reach the
 // control plane before the next periodic report.
 func New(node, zone string, view *nodeview.View, logger *slog.Logger, interval time.Duration, requestReport func()) *Agent {
+	transport := upstream.NewTransport(nil)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConns, time.Minute
 	return &Agent{
 		node: node, zone: zone, view: view, logger: logger, interval: interval, requestReport: requestReport,
-		client: &http.Client{
-			Timeout:   requestTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute},
-		},
+		client:   &http.Client{Timeout: requestTimeout, Transport: transport},
 		watchers: map[string]*watcher{},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/weldline/weldline/internal/limits"
 	"github.com/weldline/weldline/internal/nodeview"
 	"github.com/weldline/weldline/internal/problem"
+	"github.com/weldline/weldline/internal/upstream"
 )
 
 const (
@@ -70,6 +71,9 @@
 // New returns a Gateway. It serves requests only while Run is running.
 func New(options Options) *Gateway {
 	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	engines, singleUse := upstream.NewTransport(dialer.DialContext), upstream.NewTransport(dialer.DialContext)
+	engines.MaxIdleConnsPerHost, engines.IdleConnTimeout = maxIdlePerEngine, idleConnTimeout
+	singleUse.DisableKeepAlives = true
 	gateway := &Gateway{
 		options: options, router: mux.NewRouter(), limits: limits.New(),
 		drains: drainlog.New(options.Logger, options.Metrics.drained),
@@ -80,13 +84,7 @@
 					return dialer.DialContext(ctx, "tcp", address)
 				}),
 		}),
-		engines: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerEngine,
-			IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-		}},
-		singleUse: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
-		}},
+		engines: &http.Client{Transport: engines}, singleUse: &http.Client{Transport: singleUse},
 	}
 	gateway.dispatcher = dispatcher.New(dispatch.Config{MaxWaiting: options.MaxWaiting}, options.RequestReport)
 	gateway.services = dispatcher.New(dispatch.Config{MaxWaiting: options.MaxWaiting}, func() {})
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -105,7 +105,7 @@
 	j.sent, j.firstSendCounted = int(result.GetSent()), j.firstSendCounted || result.GetFirstSendCounted()
 	switch result.GetOutcome() {
 	case wirepb.ForwardedResult_OUTCOME_NOT_RUN:
-		discard(response)
+		response.Discard()
 		j.ingress.forwarder.refer(result.GetRouters())
 		switch {
 		case result.GetNotServing():
@@ -127,7 +127,7 @@
 		}
 		return j.relay(ctx, response, framing, routerConnection{}), forwarding.ResultServed
 	}
-	discard(response)
+	response.Discard()
 	j.mayHaveRun = true
 	return outcomeFailed, forwarding.ResultServed
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -15,9 +15,8 @@
 
 const (
 	copyBufferBytes = 4 << 10
-	// maxDiscardBytes bounds the bytes read of a response that is not relayed. Reading
-	// it to the end allows its connection to be reused.
-	maxDiscardBytes = 16 << 10
+	// maxSavedBytes bounds the body of an error response that is saved.
+	maxSavedBytes = 16 << 10
 )
 
 // handleResponse relays a machine's response to the client, unless the response allows a
@@ -26,7 +25,7 @@
 	verdict := j.ingress.options.Translator.Interpret(response.Status, response.Header, j.attributes.ID)
 	j.recordStatement(grant, verdict)
 	if verdict.NotRun {
-		discard(response)
+		response.Discard()
 		if verdict.WrongMachine {
 			return outcomeWrongMachine
 		}
@@ -74,8 +73,8 @@
 // saveError saves a machine's error response for the case that the retry fails. A
 // response that is too long or breaks off is not saved, as it would be truncated.
 func (j *job) saveError(response *upstream.Response) {
-	body, err := io.ReadAll(io.LimitReader(response, maxDiscardBytes+1))
-	if err != nil || len(body) > maxDiscardBytes {
+	body, err := io.ReadAll(io.LimitReader(response, maxSavedBytes+1))
+	if err != nil || len(body) > maxSavedBytes {
 		j.log("error_not_kept", "status", response.Status, "bytes", len(body), "broke_off", err != nil)
 		return
 	}
@@ -96,10 +95,6 @@
 	j.ingress.options.Metrics.observe(j.route, "answered", time.Since(j.arrived))
 }
 
-func discard(response *upstream.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardBytes))
-}
-
 // relay copies the header and the body of a response to the client. The client sees the response
 // as complete only if its machine marked the end, and as broken off if it was cut off.
 func (j *job) relay(ctx context.Context, response *upstream.Response, framing bodyFraming, observer connectionObserver) attemptOutcome {
@@ -109,6 +104,7 @@
 		_ = controller.Flush()
 	}
 	first := time.Since(j.arrived)
+	response.Relay()
 	copied, err := j.copyBody(controller, response, observer.received)
 	copied.status = response.Status
 	j.relayed = copied
--- a/internal/ingress/routercall.go
+++ b/internal/ingress/routercall.go
@@ -30,7 +30,7 @@
 	}
 	outgoing := &upstream.Request{
 		Machine: router.node, Address: router.address, Method: http.MethodPost, Target: "/", Host: router.address, Body: body,
-		Header: http.Header{header: {"1"}},
+		Header: http.Header{header: {"1"}}, MaxUnrelayedBytes: maxRouterMessageBytes + upstream.MaxUnrelayedBytes,
 	}
 	response, failure, err := pool.Do(ctx, outgoing)
 	if failure == upstream.FailureStale && ctx.Err() == nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,6 +34,8 @@
 	Prepare func(header http.Header) error
 	// Matches, if set, reports whether a response belongs to this request.
 	Matches func(header http.Header) bool
+	// MaxUnrelayedBytes replaces the default of the same name if it is not 0.
+	MaxUnrelayedBytes int
 }
 
 // Failure is how far a failed exchange got.
@@ -84,7 +86,8 @@
 	return FramingClose
 }
 
-// Response is the head of a response and its unread body. Close must be called.
+// Response is the head of a response and its unread body. Close must be called. At most MaxUnrelayedBytes are read of the
+// machine until Relay is called.
 type Response struct {
 	Status int
 	Header http.Header
@@ -103,6 +106,7 @@
 	stopWatching func() bool
 	complete     bool
 	readFailed   bool
+	released     bool
 }
 
 // maxSkippedResponses bounds the responses to earlier requests that are skipped.
@@ -147,6 +151,7 @@
 // exchange writes a long request concurrently with reading the response, since a machine may
 // respond before it has read the body.
 func (c *conn) exchange(request *Request) (*Response, error) {
+	c.bound.begin(request)
 	sent := &atomic.Bool{}
 	if len(request.Body) <= maxInlineBodyBytes {
 		err := c.write(request)
@@ -222,12 +227,38 @@
 	return count, err
 }
 
+// Relay removes the bound on what is read of the machine, as the body is now passed on as fast as it is read.
+func (r *Response) Relay() { r.conn.bound.unbounded = true }
+
 // ReadFailed reports whether the body broke off.
 func (r *Response) ReadFailed() bool { return r.readFailed }
 
+const (
+	// maxDiscardBytes and discardTimeout bound what is read of a body that nobody takes, to keep its connection.
+	maxDiscardBytes = 16 << 10
+	discardTimeout  = 100 * time.Millisecond
+)
+
+// Discard reads the rest of a short body to keep its connection, and ends the exchange. It does not wait for a body that
+// does not come.
+func (r *Response) Discard() {
+	_ = r.conn.network.SetReadDeadline(time.Now().Add(discardTimeout))
+	count, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes+1))
+	r.complete = err == nil && count <= maxDiscardBytes
+	_ = r.conn.network.SetReadDeadline(time.Time{}) // A connection that can't be used any more is closed anyway.
+	r.release()
+}
+
 // Close ends the exchange. The connection is kept only if the request and the response are
 // complete and the connection may be reused.
-func (r *Response) Close() {
+func (r *Response) Close() { r.release() }
+
+// release gives the connection back.
+func (r *Response) release() {
+	if r.released {
+		return
+	}
+	r.released = true
 	intact := r.stopWatching()
 	lifetime, reusable := keepAlive(r.Header)
 	if !intact || !r.complete || !r.requestSent.Load() || r.httpResponse.Close || r.Framing == FramingClose || !reusable || r.conn.reader.Buffered() > 0 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -57,6 +56,7 @@
 	// address is the machine's address at the time of connecting.
 	address string
 	network net.Conn
+	bound   *boundedReader
 	reader  *bufio.Reader
 	// openedAt is when connecting began.
 	openedAt time.Time
@@ -97,8 +97,9 @@
 	if err != nil {
 		return nil, err
 	}
+	bound := &boundedReader{network: network, machine: machine}
 	return &conn{
-		machine: machine, address: address, network: network, reader: bufio.NewReaderSize(network, readBufferBytes), openedAt: openedAt,
+		machine: machine, address: address, network: network, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), openedAt: openedAt,
 	}, nil
 }
 
@@ -121,14 +122,10 @@
 	if failure != FailureNone {
 		return failure != FailureConnect, err
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxProbeBytes))
-	response.Close()
+	response.Discard()
 	return true, nil
 }
 
-// maxProbeBytes bounds what is read of a response to a probe, to reuse its connection.
-const maxProbeBytes = 4 << 10
-
 // DropIdle closes all idle connections.
 func (p *Pool) DropIdle() {
 	p.Retain(func(string) bool { return false })
