upstream: close a connection at once that receives bytes behind a response

What would happen: a machine that goes on sending behind a whole response filled the receive buffer of the connection while it was idle, up to 8 s, or while a slow client took the response.

Cause: idle connections were looked at when they were used again, and connections given back when the handler ended.

Change: idle connections are watched and closed when anything arrives, or they end or fail. A connection is given back when the body has been read to its end.

Figures: TestBytesBehindResponseCloseConnection fails without the watch (the machine's bytes are taken for 5 s and the connection is kept). TestIdleConnectionIsReusedOften: 2,000 exchanges on one connection.

--- a/internal/upstream/bound_test.go
+++ b/internal/upstream/bound_test.go
@@ -127,3 +127,66 @@
 		t.Errorf("a head of %d bytes was accepted", 2*MaxUnrelayedBytes)
 	}
 }
+
+// TestBytesBehindResponseCloseConnection guards against a connection that fills the receive buffer while it is idle.
+func TestBytesBehindResponseCloseConnection(t *testing.T) {
+	taken := make(chan int, 1)
+	proceed := make(chan struct{})
+	address := acceptConnections(t, func(network net.Conn) {
+		go func() {
+			defer func() { _ = network.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(network)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(network, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			<-proceed
+			_ = network.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			taken <- sendUntilClosed(network, strings.Repeat("x", 1000))
+		}()
+	})
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: FixedMaxIdle(1), IdleTimeout: time.Hour})
+	request := probeRequest()
+	request.Address = address
+	response, failure, err := pool.Do(t.Context(), request)
+	if failure != FailureNone {
+		t.Fatal(failure, err)
+	}
+	_, _ = io.Copy(io.Discard, response)
+	response.Close()
+	if idle := len(pool.idle["m"]); idle != 1 {
+		t.Fatalf("%d idle connections", idle)
+	}
+	close(proceed)
+	<-taken
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if idle := len(pool.idle["m"]); idle != 0 {
+		t.Errorf("%d idle connections with unsolicited bytes are kept", idle)
+	}
+}
+
+// TestIdleConnectionIsReusedOften checks that watching idle connections does not disturb their next requests.
+func TestIdleConnectionIsReusedOften(t *testing.T) {
+	address := respondWith(t, "")
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: FixedMaxIdle(1), IdleTimeout: time.Hour})
+	request := probeRequest()
+	request.Address = address
+	const exchanges = 2000
+	var connected time.Time
+	for range exchanges {
+		response, failure, err := pool.Do(t.Context(), request)
+		if failure != FailureNone {
+			t.Fatal(failure, err)
+		}
+		if _, err := io.Copy(io.Discard, response); err != nil {
+			t.Fatal(err)
+		}
+		if connected.IsZero() {
+			connected = response.ConnectedAt
+		}
+		if response.ConnectedAt != connected {
+			t.Fatal("another connection was opened")
+		}
+		response.Close()
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -224,6 +224,9 @@
 		r.complete = true
 	}
 	r.readFailed = err != nil && !r.complete
+	if r.complete {
+		r.release()
+	}
 	return count, err
 }
 
@@ -253,7 +256,7 @@
 // complete and the connection may be reused.
 func (r *Response) Close() { r.release() }
 
-// release gives the connection back.
+// release gives the connection back. It does so once the body has been read to its end, however long a client takes for it.
 func (r *Response) release() {
 	if r.released {
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,8 @@
 	expiresAt time.Time
 	// reused is set if the connection was in the pool.
 	reused bool
+	// watch closes the connection if anything is received while it is idle.
+	watch *idleWatch
 }
 
 const readBufferBytes = 4 << 10
@@ -84,6 +87,7 @@
 		if idle == nil {
 			break
 		}
+		idle.watch.stop()
 		if idle.address == address && time.Now().Before(idle.expiresAt) && idle.hasNoInput() {
 			return idle, nil
 		}
@@ -220,6 +224,23 @@
 		return
 	}
 	p.idle[returned.machine] = append(p.idle[returned.machine], returned)
+	returned.watch = watchIdle(returned.network, func() { p.dropIdle(returned) })
+}
+
+// dropIdle closes a connection if it is idle.
+func (p *Pool) dropIdle(dropped *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[dropped.machine]
+	position := slices.Index(idle, dropped)
+	if position < 0 {
+		return // It has been taken, and whoever took it finds the input.
+	}
+	_ = dropped.network.Close()
+	p.idle[dropped.machine] = slices.Delete(idle, position, position+1)
+	if len(p.idle[dropped.machine]) == 0 {
+		delete(p.idle, dropped.machine)
+	}
 }
 
 // Retain closes idle connections that have expired or whose machine is not listed.
