platform, gateway: believe a response only with the id of its request

The gateway believes "not-run" of a generic back end only with the request's id, which the engine protocol demands of responses.

--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -5,9 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/weldline/weldline/api/engine"
+	v1 "github.com/weldline/weldline/api/v1"
 )
 
 const (
@@ -61,3 +66,32 @@
 		})
 	}
 }
+
+// TestNotRunIsBelievedForItsRequestOnly guards against sending a request again because of a response without the request's ID,
+// which a back end may have sent behind an earlier one.
+func TestNotRunIsBelievedForItsRequestOnly(t *testing.T) {
+	for _, repeatsID := range []bool{false, true} {
+		var sends atomic.Int32
+		backend := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if repeatsID {
+				writer.Header().Set(engine.HeaderRequestID, request.Header.Get(engine.HeaderRequestID))
+			}
+			if sends.Add(1) == 1 {
+				writer.Header().Set(engine.HeaderOutcome, engine.OutcomeNotRun)
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		t.Cleanup(backend.Close)
+		d := deploy(t, "")
+		d.write(put(v1.KindService, "orders", v1.ServiceSpec{Backend: &v1.BackendSpec{Endpoints: []string{backend.URL}}}))
+		response, err := http.Post(d.server.URL+"/v1/services/orders/x", "text/plain", strings.NewReader("order"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		want := map[bool]int32{false: 1, true: 2}[repeatsID]
+		if sends.Load() != want {
+			t.Errorf("repeats the ID: %t, sent %d times, want %d; status %d", repeatsID, sends.Load(), want, response.StatusCode)
+		}
+	}
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -355,6 +355,10 @@
 		return nil, outcomeFailed
 	}
 	if response.Header.Get(engine.HeaderOutcome) == engine.OutcomeNotRun {
+		if response.Header.Get(engine.HeaderRequestID) == "" {
+			g.options.Metrics.discarded.Inc() // It may be left over from an earlier request.
+			return nil, outcomeFailed
+		}
 		return nil, outcomeNotRun
 	}
 	body, err := readBody(response)
