control: keep the deregistration of a machine that is not known yet

Cause: a deregistration names no address, so for a machine without a record nothing was written; the call was acknowledged all the same, and the late heartbeat created a record that is Live.

Change: such a deregistration creates a record that is Gone, at an address that no machine can have, which lives as long as those of other gone machines. It counts as a start at the time of the call, so that later starts of the same ID register; reports without a start time belong to it. 256 of them are kept at most; beyond that the call is answered with 503.

Weighed: not acknowledging the call (a machine without an acknowledgement ends all the same, and its late heartbeat still brings it in, so accepted requests are lost).

Known limit: a late heartbeat that states an earlier start time than the deregistration still registers its machine.

--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -95,7 +95,7 @@
 // that requires start times, records do not have one.
 func checkWriter(name string, record *v1.MachineSpec, report *wirepb.InstanceReport) error {
 	switch {
-	case record == nil || record.Pool == "":
+	case record == nil || record.Pool == "" || instances.IsUnknown(record):
 		return nil
 	case record.Pool != report.GetPool():
 		return fault.InvalidField("pool", "machine %s is of pool %s, not of %q", name, record.Pool, report.GetPool())
--- a/internal/control/operatorcalls.go
+++ b/internal/control/operatorcalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
@@ -51,7 +52,35 @@
 	if err := n.awaitRecords(ctx); err != nil {
 		return err
 	}
-	return n.recordPhase(ctx, n.newestInstance(id), &wirepb.InstanceReport{Machine: id}, v1.MachineGone)
+	name := n.newestInstance(id)
+	recorded, unknown := n.countUnknown(name)
+	switch {
+	case recorded:
+		return n.recordPhase(ctx, name, &wirepb.InstanceReport{Machine: id}, v1.MachineGone)
+	case !instances.IsValidID(id):
+		return fault.InvalidField("machine", "%q can't be the id of a machine", id)
+	case unknown >= maxUnknownGone:
+		return fault.Unavailable.New("%d machines without a record have deregistered already", unknown)
+	}
+	return n.proposeRegistration(ctx, instances.Deregistration(name, time.Now(), n.Level()))
+}
+
+// maxUnknownGone bounds the records of machines that deregistered before they had registered.
+const maxUnknownGone = 256
+
+// countUnknown reports whether there is a record with a name, and the number of records of machines that deregistered before
+// they had registered.
+func (n *Node) countUnknown(name string) (recorded bool, unknown int) {
+	n.Read(func(machine *state.Machine) {
+		recorded = machine.Get(v1.KindMachine, name) != nil
+		lookup := recordsOf(machine)
+		machine.EachMachine(func(name string) {
+			if spec := lookup(name); spec != nil && instances.IsUnknown(spec) {
+				unknown++
+			}
+		})
+	})
+	return recorded, unknown
 }
 
 // leave records that a machine is leaving.
@@ -75,11 +104,19 @@
 			command.Spec = registration.GetSpec()
 		}
 	}
+	return n.proposeRegistration(ctx, command)
+}
+
+func (n *Node) proposeRegistration(ctx context.Context, command *wirepb.RegisterCommand) error {
 	result, err := n.Propose(ctx, &wirepb.Command{Body: &wirepb.Command_Register{Register: command}})
 	if err != nil {
 		return err
 	}
-	n.logger.Info("machine_"+string(phase), "machine", name, "reason", instances.ReasonAnnounced, "revision", result.GetWrite().GetRevision())
+	n.logger.Info("machine_"+command.GetPhase(), "machine", command.GetMachine(), "reason", command.GetReason(), "revision", result.GetWrite().GetRevision(),
+		"code", result.GetCode().String())
+	if result.GetCode() != wirepb.ResultCode_RESULT_CODE_OK {
+		return fault.Unavailable.New("the phase of machine %s is not recorded: %s", command.GetMachine(), result.GetMessage())
+	}
 	return nil
 }
 
--- a/internal/control/starts_test.go
+++ b/internal/control/starts_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/fault"
@@ -96,6 +98,50 @@
 	}
 }
 
+// TestDeregistrationWithoutRecordIsKept guards against a machine that leaves before any of its heartbeats arrives, and is
+// brought into use by one that arrives late.
+func TestDeregistrationWithoutRecordIsKept(t *testing.T) {
+	cluster, node := startSingleNode(t)
+	if err := node.Deregister(t.Context(), "m"); err != nil {
+		t.Fatal(err)
+	}
+	other := reportOfStart(0, 1)
+	other.Machine, other.Endpoint = "other", "http://10.0.0.2:80"
+	for _, report := range []*wirepb.InstanceReport{reportOfStart(0, 1), other} {
+		if err := node.Heartbeat(t.Context(), report); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cluster.eventually("another machine is in use", func() bool { return phaseOf(node, "other") == v1.MachineLive })
+	if phase := phaseOf(node, "m"); phase != v1.MachineGone {
+		t.Errorf("got phase %q, want gone", phase)
+	}
+	later := time.Now().Add(time.Hour).UnixMilli()
+	if err := node.Heartbeat(t.Context(), reportOfStart(later, 1)); err != nil {
+		t.Fatal(err)
+	}
+	cluster.eventually("a later start is in use", func() bool { return phaseOf(node, fmt.Sprintf("m.start-%d", later)) == v1.MachineLive })
+}
+
+// TestUnknownDeregistrationsAreBounded guards against a log that grows with deregistrations of machines that never existed.
+func TestUnknownDeregistrationsAreBounded(t *testing.T) {
+	_, node := startSingleNode(t)
+	if err := node.Deregister(t.Context(), "m.start-7"); !fault.Is(err, fault.Invalid) {
+		t.Errorf("the name of a record: %v", err)
+	}
+	for number := range maxUnknownGone {
+		if err := node.Deregister(t.Context(), fmt.Sprintf("m%d", number)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := node.Deregister(t.Context(), "m"); !fault.Is(err, fault.Unavailable) {
+		t.Errorf("one too many: %v", err)
+	}
+	if err := node.Deregister(t.Context(), "m0"); err != nil {
+		t.Errorf("a repeated one: %v", err)
+	}
+}
+
 // TestReportsOfOtherMachinesAreRejected checks reports that can't come from the machine whose ID
 // they carry.
 func TestReportsOfOtherMachinesAreRejected(t *testing.T) {
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -190,6 +190,26 @@
 	return &wirepb.RegisterCommand{Machine: name, Spec: encoded, Phase: string(phase), Reason: "registered"}
 }
 
+// unknownEndpoint is the endpoint in records of machines that deregistered before they had registered. No machine can have it.
+const unknownEndpoint = "http://0.0.0.0:1"
+
+// Deregistration returns the command that records that a machine without a record is gone, so that a late heartbeat does not
+// register it. The record counts as that of a start at the given time, which lets later starts register.
+func Deregistration(name string, now time.Time, active level.Level) *wirepb.RegisterCommand {
+	spec := &v1.MachineSpec{Endpoint: unknownEndpoint, Zone: "unknown", Pool: "unknown"}
+	if active >= level.MachineStarts {
+		spec.StartedMs = now.UnixMilli()
+	}
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return nil // Unreachable: a MachineSpec always encodes.
+	}
+	return &wirepb.RegisterCommand{Machine: name, Spec: encoded, Phase: string(v1.MachineGone), Reason: ReasonAnnounced}
+}
+
+// IsUnknown reports whether a record stands for a machine that deregistered before it had registered.
+func IsUnknown(spec *v1.MachineSpec) bool { return spec.Endpoint == unknownEndpoint }
+
 // newestRecords has the name of the newest record at each endpoint and of each ID. Older records are
 // obsolete, since endpoints and IDs belong to one machine at a time.
 type newestRecords struct {
