instances: a machine that reports keeps its address

Cause: the record created last counted as the machine at its address, whichever had been heard since.

Change: a machine keeps its address until it has been silent for 1.25 heartbeats, and of machines without a record only the one heard last at an address registers. After a change of leader the silence is counted anew. A machine that replaces one at its address so quickly waits for as long.

Weighed: taking the replaced machine back when it is heard again (phases never move back from Gone, which other promises rest on); asking the machine at the address for its identity (a probe for each registration, and it can't be asked while it is cut off).

Known limit: a late heartbeat of such a predecessor that says it is leaving still takes the address, as leaving is recorded before it is acknowledged.

Test changed: TestMachineGrantedToAnotherIsNotPrepared had two machines at one address, which has nothing to do with what it checks; they have addresses of their own now.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -34,6 +34,8 @@
 	// deadAfterHeartbeats replaces lostAfterHeartbeats if at least two routers, and more than half of
 	// all, can't connect to the machine.
 	deadAfterHeartbeats = 0.25
+	// addressFreeAfterHeartbeats is the silence after which another machine may take over an address.
+	addressFreeAfterHeartbeats = 1.25
 	// forgetAfterHeartbeats is how long the record of a gone machine is kept, so that a late
 	// heartbeat does not register it again.
 	forgetAfterHeartbeats = 100
@@ -201,11 +203,12 @@
 		Now:     d.node.now(), Since: d.startedAt, Declared: registered.Machines, Pools: registered.Pools,
 		Level: d.node.Level(),
 		Policy: instances.Policy{
-			LostAfter:    lostAfterHeartbeats * interval,
-			SuspectAfter: time.Duration(suspectAfterHeartbeats * float64(interval)),
-			DeadAfter:    time.Duration(deadAfterHeartbeats * float64(interval)),
-			GoneAfter:    goneAfterHeartbeats * interval,
-			ForgetAfter:  forgetAfterHeartbeats * interval,
+			LostAfter:        lostAfterHeartbeats * interval,
+			SuspectAfter:     time.Duration(suspectAfterHeartbeats * float64(interval)),
+			DeadAfter:        time.Duration(deadAfterHeartbeats * float64(interval)),
+			GoneAfter:        goneAfterHeartbeats * interval,
+			AddressFreeAfter: time.Duration(addressFreeAfterHeartbeats * float64(interval)),
+			ForgetAfter:      forgetAfterHeartbeats * interval,
 		},
 	}
 }
--- a/internal/control/grant_test.go
+++ b/internal/control/grant_test.go
@@ -106,8 +106,9 @@
 		t.Fatal(err)
 	}
 	holders := map[string]string{"another": "another leader", "own": node.holder}
+	addresses := map[string]string{"another": "10.0.0.1:1", "own": "10.0.0.2:1"}
 	for name, holder := range holders {
-		node.receiveInstanceReport(&wirepb.InstanceReport{Machine: name, Pool: "p", Endpoint: "http://10.0.0.1:1", Zone: "z", Slots: 1, Sequence: 1})
+		node.receiveInstanceReport(&wirepb.InstanceReport{Machine: name, Pool: "p", Endpoint: "http://" + addresses[name], Zone: "z", Slots: 1, Sequence: 1})
 		cluster.eventually("the machine is recorded", func() bool {
 			listed := false
 			node.Read(func(machine *state.Machine) {
--- a/internal/instances/table.go
+++ b/internal/instances/table.go
@@ -91,6 +91,9 @@
 	// all, can't connect to the machine. This rules out a network fault at a single router.
 	DeadAfter time.Duration
 	GoneAfter time.Duration
+	// AddressFreeAfter is the silence after which another machine may take over a machine's address. Before that a report
+	// of the other one may be a late one of an earlier machine.
+	AddressFreeAfter time.Duration
 	// ForgetAfter is how long the record of a gone machine is kept, so that late heartbeats can't
 	// register it again.
 	ForgetAfter time.Duration
@@ -124,7 +127,7 @@
 // Reconcile returns the commands that reconcile the records with the heartbeats, sorted by name.
 func (t *Table) Reconcile(input Input) []*wirepb.RegisterCommand {
 	entries := t.Entries()
-	newest := newNewestRecords(input.Declared)
+	newest, heard := newNewestRecords(input.Declared), lastHeard(input, entries)
 	var commands []*wirepb.RegisterCommand
 	for name, entry := range entries {
 		if _, exists := input.Declared[name]; exists {
@@ -134,7 +137,7 @@
 			t.forget(name)
 			continue
 		}
-		if isSuperseded(input, newest, entry) {
+		if isSuperseded(input, newest, entry) || heard[entry.Report.GetEndpoint()] != name || isAddressInUse(input, entries, newest, entry.Report) {
 			continue
 		}
 		if command := Registration(name, entry.Report, input.Pools, input.Level); command != nil {
@@ -244,6 +247,35 @@
 	return PrecedesActiveStart(started, record.Spec, record.Status.Phase) || input.Now-entry.Received > input.Policy.LostAfter
 }
 
+// lastHeard returns, by address, the name of the machine with the newest report, except for gone machines.
+func lastHeard(input Input, entries map[string]Entry) map[string]string {
+	heard := make(map[string]string, len(entries))
+	for name, entry := range entries {
+		if input.Declared[name].Status.Phase == v1.MachineGone {
+			continue
+		}
+		other, found := heard[entry.Report.GetEndpoint()]
+		if !found || entries[other].Received < entry.Received || entries[other].Received == entry.Received && other < name {
+			heard[entry.Report.GetEndpoint()] = name
+		}
+	}
+	return heard
+}
+
+// isAddressInUse reports whether a report without a record comes from the address of another machine that may be running.
+func isAddressInUse(input Input, entries map[string]Entry, newest newestRecords, report *wirepb.InstanceReport) bool {
+	holder, held := newest.byEndpoint[report.GetEndpoint()]
+	return held && IDOf(holder) != report.GetMachine() && input.mayRun(holder, entries)
+}
+
+// mayRun reports whether a machine has been silent for so short a time that it may be running.
+func (i *Input) mayRun(name string, entries map[string]Entry) bool {
+	if i.Declared[name].Status.Phase == v1.MachineGone {
+		return false
+	}
+	return i.Now-max(i.Since, entries[name].Received) <= i.Policy.AddressFreeAfter
+}
+
 func (t *Table) reconcileRecord(input Input, name string, declared Declared, entry Entry, reported bool, newest newestRecords) *wirepb.RegisterCommand {
 	phase := declared.Status.Phase
 	if phase == v1.MachineGone {
--- a/internal/instances/table_test.go
+++ b/internal/instances/table_test.go
@@ -33,7 +33,7 @@
 		revision := uint64(0)
 		input := Input{
 			Declared: declared, Pools: map[string]*v1.PoolSpec{"pool": {}},
-			Policy: Policy{LostAfter: 4 * time.Second, SuspectAfter: 1500 * time.Millisecond, DeadAfter: 300 * time.Millisecond, GoneAfter: 20 * time.Second, ForgetAfter: 60 * time.Second},
+			Policy: Policy{LostAfter: 4 * time.Second, SuspectAfter: 1500 * time.Millisecond, DeadAfter: 300 * time.Millisecond, GoneAfter: 20 * time.Second, AddressFreeAfter: 1250 * time.Millisecond, ForgetAfter: 60 * time.Second},
 		}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
