ingress: do not reset clients that are slow to read

Cause: TCP_USER_TIMEOUT of 2 s on the connections of clients. Linux ends a connection whose peer keeps its receive window closed for that long, although the peer acknowledges each probe, and drops what the router has handed to the kernel.

Change: for connections of clients the timeout is as long as the declared idle timeout of the limits under which they were accepted; all others keep 2 s.

Weighed: no user timeout (an unacknowledged response would hold its connection for the kernel's 15 minutes); a fixed longer value (a bound of one deployment).

Not changed: 2 s between routers and towards workers, where a peer that is slow to read a long body may be cut; not tried.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -115,6 +115,10 @@
 		s.logger.Info("limits_in_force", "header_bytes", limits.MaxHeaderBytes, "body_bytes", limits.MaxBodyBytes,
 			"header_timeout_ms", time.Duration(limits.HeaderTimeout).Milliseconds(), "idle_timeout_ms", time.Duration(limits.IdleTimeout).Milliseconds())
 	}
+	// A client that reads nothing for a while is idle, not gone.
+	if err := tcpopt.AllowPauses(connection, s.current.server.IdleTimeout); err != nil {
+		s.logger.Debug("socket_option_not_set", "error", err.Error()) // The connection is closed, which its server notices.
+	}
 	s.current.connections.deliver(connection)
 }
 
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -24,9 +24,13 @@
 // Control sets the options on a socket before it connects. It is for use as
 // net.Dialer.Control.
 func Control(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, UserTimeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -34,6 +38,20 @@
 	return optionErr
 }
 
+// AllowPauses replaces UserTimeout for a connection whose peer may be slow to read: the kernel ends a connection whose peer
+// takes nothing for that long, although it acknowledges that. Other connections than TCP are ignored.
+func AllowPauses(connection net.Conn, longest time.Duration) error {
+	socket := Socket(connection)
+	if socket == nil {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, longest)
+}
+
 // IsConnectionRefused reports whether a connection was refused: the host is reachable, but no process
 // listens on the port. An unreachable host causes a timeout instead.
 func IsConnectionRefused(err error) bool {
