ingress: bound the memory of all bodies together

Cause: each body was read whole with a buffer that grows by copying, and nothing bounded the bodies that are held at the same time; the router did not know its memory.

A body with a length is reserved before it is read and read into a buffer of that length; without room the request is refused at once, as not run, with Retry-After. A body whose stated length is over the limit is refused unread.

Relaying bodies as they arrive would bound them by their windows, but a request could not be sent again.

Not bounded: what the kernel holds of bodies that are not read.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -69,6 +69,8 @@
 	DialRouter upstream.DialFunc
 	// Link measures the traffic of this node. It defaults to a meter for a link of unknown rate.
 	Link *link.Meter
+	// MemoryBytes is the memory of this node, part of which may hold bodies; no bound if it is 0.
+	MemoryBytes int64
 	// Now is a monotonic clock that includes time suspended. It defaults to clock.Now.
 	Now func() time.Duration
 	// Suspended returns the total time that this host has been suspended. It defaults to
@@ -98,6 +100,7 @@
 	drains      *drainlog.Log
 	constraints *constraintCache
 	queued      *queuedJobs
+	bodies      *bodyMemory
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -151,6 +154,7 @@
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(),
 		queued:      newQueuedJobs(),
+		bodies:      newBodyMemory(options.MemoryBytes),
 	}
 }
 
@@ -420,6 +424,7 @@
 func (i *Ingress) handle(j *job) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
+	defer func() { i.bodies.release(j.bodyBytes) }()
 	if i.stopping.Load() {
 		j.writer.Header().Set("Connection", "close")
 	}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -42,7 +41,9 @@
 	pool        string
 	version     string
 	body        []byte
-	deadline    time.Time
+	// bodyBytes is the memory reserved for the body.
+	bodyBytes int64
+	deadline  time.Time
 	// suspendedAtArrival is the host's total suspended time when the request arrived.
 	suspendedAtArrival time.Duration
 	// sent is the number of attempts that were written to a machine.
@@ -199,22 +200,6 @@
 	return true
 }
 
-func (j *job) readBody() *problem.Document {
-	limit := int64(defaultMaxBodyBytes)
-	if declared := j.ingress.options.View.Declaration(); declared != nil && declared.MaxBodyBytes > 0 {
-		limit = declared.MaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
-	if err == nil {
-		j.body = body
-		return nil
-	}
-	if int64(len(body)) >= limit {
-		return problem.New(problem.TypeTooLarge, http.StatusRequestEntityTooLarge, "the body has more bytes than are allowed")
-	}
-	return problem.New(problem.TypeInvalid, http.StatusBadRequest, "the body could not be read whole")
-}
-
 // findVersion resolves the model version that the request needs in its pool.
 func (j *job) findVersion() *problem.Document {
 	pool := j.ingress.options.View.Pool(j.pool)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,6 +125,9 @@
 	// LinkMbps is the rate of the node's network link in Mbit/s in each direction. With it, an overload of the link is noticed
 	// before connections take long. Default: unknown.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// MemoryMB is the memory that the node may use, in MB. Three eighths of it may hold the bodies of requests, and
+	// requests beyond are refused. Default 256.
+	MemoryMB float64 `yaml:"memoryMB"`
 	// MaxWaiting bounds the requests that wait for a machine. Default 2048.
 	MaxWaiting int `yaml:"maxWaiting"`
 	// ReportInterval is the interval between reports of demand and load. Default 500ms.
@@ -335,6 +338,7 @@
 	setDefault(&s.Platform.StoreConcurrentLoads, 6)
 	setDefault(&s.Formation.Tolerate, 1)
 	setDefault(&s.Ingress.MaxWaiting, 2048)
+	setDefault(&s.Ingress.MemoryMB, 256)
 	setDefault(&s.Ingress.ReportInterval, 500*time.Millisecond)
 	setDefault(&s.Ingress.LeaveDelay, 2500*time.Millisecond)
 	setDefault(&s.Ingress.StopTimeout, 8*time.Second)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -152,6 +152,9 @@
 	if s.Ingress.LinkMbps < 0 {
 		return fault.InvalidField("ingress.linkMbps", "must not be negative")
 	}
+	if s.Ingress.MemoryMB < 0 {
+		return fault.InvalidField("ingress.memoryMB", "must not be negative")
+	}
 	if s.Ingress.RetryRatio < 0 || s.Ingress.RetrySlack < 0 {
 		return fault.InvalidField("ingress.retryRatio", "the bounds on retries must not be negative")
 	}
