soak: uploads whose bodies hold the text of requests

Callers send slow uploads on a route that is not declared to each router. The check 'uploads' finds requests of their bodies that machines ran, more than one response on a connection, and successes.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -55,6 +55,7 @@
 	{"harmful-parts", harmfulArrivals},
 	{"harmful-part-companions", unservedCompanions},
 	{"crowds", unservedCrowds},
+	{"uploads", misreadUploads},
 	{"regions", arrivalsInForbiddenRegions},
 	{"stream-versions", mixedStreams},
 	{"memory", func(history *History, _ Bounds, _ []Disturbance) []string { return history.Overcommits }},
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -108,6 +108,7 @@
 				h.CrowdCalls = append(h.CrowdCalls, CrowdCall{Router: "r1", Sent: at, Served: true}, CrowdCall{Router: "r1", Sent: at, Gathered: true})
 			}
 		},
+		"uploads":  func(h *History) { h.Uploads = append(h.Uploads, Upload{Statuses: []int{404, 200}}) },
 		"regions":  func(h *History) { h.Arrivals[0].Place.Region = "south" },
 		"memory":   func(h *History) { h.Overcommits = append(h.Overcommits, "m1") },
 		"recovery": func(h *History) { h.Unserved = append(h.Unserved, "r1") },
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -124,6 +124,7 @@
 	// PartCrashes are the machines that crashed because of a prompt part.
 	PartCrashes []PartCrash
 	CrowdCalls  []CrowdCall
+	Uploads     []Upload
 	// CutStreams is the number of streams that machines ended within an event.
 	CutStreams int
 	// Streams are the resumable streams that began.
