upstream: leave a connection alone whose exchange has ended

Response.Discard after the end of the body would have set a read deadline on a connection that may be in use again; no caller does so today. The tests of idle connections read the pool under its lock, since a watched connection may leave it at any time (found by the race detector); what they check is the same.

--- a/internal/upstream/bound_test.go
+++ b/internal/upstream/bound_test.go
@@ -128,6 +128,12 @@
 	}
 }
 
+func idleCount(pool *Pool, machine string) int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return len(pool.idle[machine])
+}
+
 // TestBytesBehindResponseCloseConnection guards against a connection that fills the receive buffer while it is idle.
 func TestBytesBehindResponseCloseConnection(t *testing.T) {
 	taken := make(chan int, 1)
@@ -153,14 +159,12 @@
 	}
 	_, _ = io.Copy(io.Discard, response)
 	response.Close()
-	if idle := len(pool.idle["m"]); idle != 1 {
+	if idle := idleCount(pool, "m"); idle != 1 {
 		t.Fatalf("%d idle connections", idle)
 	}
 	close(proceed)
 	<-taken
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	if idle := len(pool.idle["m"]); idle != 0 {
+	if idle := idleCount(pool, "m"); idle != 0 {
 		t.Errorf("%d idle connections with unsolicited bytes are kept", idle)
 	}
 }
@@ -190,3 +194,24 @@
 		response.Close()
 	}
 }
+
+// TestEndedExchangeLeavesConnectionAlone guards against a read deadline on a connection that is in use for another exchange.
+func TestEndedExchangeLeavesConnectionAlone(t *testing.T) {
+	address := respondWith(t, "")
+	pool := NewPool(Config{DialTimeout: 5 * time.Second, MaxIdle: FixedMaxIdle(1), IdleTimeout: time.Hour})
+	request := probeRequest()
+	request.Address = address
+	ended, failure, err := pool.Do(t.Context(), request)
+	if failure != FailureNone {
+		t.Fatal(failure, err)
+	}
+	_, _ = io.Copy(io.Discard, ended)
+	if idle := idleCount(pool, "m"); idle != 1 {
+		t.Fatalf("%d idle connections after a whole response, want 1", idle)
+	}
+	ended.Discard()
+	ended.Close()
+	if idle := idleCount(pool, "m"); idle != 1 {
+		t.Errorf("%d idle connections after the exchange was ended twice, want 1", idle)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -245,6 +245,9 @@
 // Discard reads the rest of a short body to keep its connection, and ends the exchange. It does not wait for a body that
 // does not come.
 func (r *Response) Discard() {
+	if r.released {
+		return // The connection may be in use for another exchange.
+	}
 	_ = r.conn.network.SetReadDeadline(time.Now().Add(discardTimeout))
 	count, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes+1))
 	r.complete = err == nil && count <= maxDiscardBytes
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -83,7 +83,7 @@
 			}
 		}
 	}
-	if one, two := len(pool.idle["one"]), len(pool.idle["two"]); one != 1 || two != 2 {
+	if one, two := idleCount(pool, "one"), idleCount(pool, "two"); one != 1 || two != 2 {
 		t.Errorf("got %d and %d idle connections, want 1 and 2", one, two)
 	}
 }
--- a/internal/upstream/quiet_test.go
+++ b/internal/upstream/quiet_test.go
@@ -42,8 +42,10 @@
 	if count := dialed.Load(); count != 1 {
 		t.Fatalf("%d connections were opened for two requests", count)
 	}
-	server.CloseClientConnections()
+	pool.mutex.Lock()
 	kept := pool.idle["m"][0]
+	pool.mutex.Unlock()
+	server.CloseClientConnections()
 	const attempts = 500
 	for attempt := 0; kept.hasNoInput(); attempt++ {
 		if attempt == attempts {
