upstream: one way to end an exchange; comments in plain terms

Response.Close only called release, which was already safe to call twice; Close is that function now. Two comments say what is meant: a connection that is in use again is checked by acquire, and why errors of closeWrite are ignored. No change of behaviour and none of tests.

--- a/internal/earlyresponse/discard.go
+++ b/internal/earlyresponse/discard.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// closeWrite tells the client that no other response follows.
+// closeWrite ends the sending side, so that the client sees the end of the responses. Errors mean that the connection is
+// broken, which the next read shows.
 func closeWrite(connection net.Conn) {
 	if half, supported := connection.(interface{ CloseWrite() error }); supported {
 		_ = half.CloseWrite()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -225,7 +225,7 @@
 	}
 	r.readFailed = err != nil && !r.complete
 	if r.complete {
-		r.release()
+		r.Close() // A slow client must not hold the connection.
 	}
 	return count, err
 }
@@ -252,15 +252,12 @@
 	count, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes+1))
 	r.complete = err == nil && count <= maxDiscardBytes
 	_ = r.conn.network.SetReadDeadline(time.Time{}) // A connection that can't be used any more is closed anyway.
-	r.release()
+	r.Close()
 }
 
-// Close ends the exchange. The connection is kept only if the request and the response are
+// Close ends the exchange, unless it has ended. The connection is kept only if the request and the response are
 // complete and the connection may be reused.
-func (r *Response) Close() { r.release() }
-
-// release gives the connection back. It does so once the body has been read to its end, however long a client takes for it.
-func (r *Response) release() {
+func (r *Response) Close() {
 	if r.released {
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -234,7 +234,7 @@
 	idle := p.idle[dropped.machine]
 	position := slices.Index(idle, dropped)
 	if position < 0 {
-		return // It has been taken, and whoever took it finds the input.
+		return // It is in use again; acquire checks it for input.
 	}
 	_ = dropped.network.Close()
 	p.idle[dropped.machine] = slices.Delete(idle, position, position+1)
