upstream: report a reset that a concurrent write received to the reader

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the router was still writing the upload. The client got the part as a complete answer.

Cause: a long request is written while its response is read. The kernel reports the failure of a connection to one call only. If the write gets it, later reads return 0, which Go makes io.EOF: the orderly end that completes a body without a length.

Change: connections to machines and routers remember the error of a failed write. A read that finds the end of the connection ends the write in progress first and returns that error in place of the end. A write that was still waiting when the peer ended its side in order says nothing either.

With net/http, a response whose machine ends its side in order and then resets the connection may still look broken, as net/http closes the connection when a write fails.

--- /dev/null
+++ b/internal/ingress/broken_test.go
@@ -0,0 +1,73 @@
+package ingress_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/ingress"
+	"github.com/weldline/weldline/internal/places"
+	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/upstream/upstreamtest"
+)
+
+// longUpload does not fit into the buffers of the connections of upstreamtest.
+const longUpload = 4 << 20
+
+// serveUploads is like serve, with a limit on bodies that longUpload keeps.
+func (d *deployment) serveUploads(kind v1.RouteKind, address string) {
+	d.apply(
+		d.object(v1.KindDeclaration, state.DeclarationName, &v1.DeclarationSpec{Version: 1, MaxBodyBytes: longUpload}, nil),
+		d.object(v1.KindPool, "pool", &v1.PoolSpec{}, nil), d.route(kind, 1, long), d.machine("m0", address),
+	)
+	d.view.Confirm(d.revision)
+}
+
+// Guards against a response without a length that a machine reset while the router was still sending it the request, and that
+// clients got as a complete one.
+func TestResetDuringUploadIsBroken(t *testing.T) {
+	const part = "data: one\n\n"
+	for _, kind := range []v1.RouteKind{v1.RouteUnrepeatable, v1.RouteStream} {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, isForwarded := range []bool{false, true} {
+				t.Run(string(kind)+" "+protocol+" forwarded "+strconv.FormatBool(isForwarded), func(t *testing.T) {
+					received := make(chan struct{})
+					address := upstreamtest.EarlyServer{Ending: upstreamtest.EndReset, Proceed: func() { <-received }, Respond: func(header http.Header) string {
+						return "HTTP/1.1 200 OK\r\n" + headerID + ": " + header.Get(headerID) + "\r\n" + headerSeal + ": s\r\nContent-Type: " + eventStream + "\r\n\r\n" + part
+					}}.Serve(t)
+					location := places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}
+					router := newDeploymentAt(t, location, func(options *ingress.Options) { options.Dial = upstreamtest.DialWriteFirst })
+					router.serveUploads(kind, address)
+					client := router
+					if isForwarded {
+						client = newCutRouter(t, "cut")
+						client.serveUploads(kind, address)
+						client.knowRouters("other z " + router.acceptForwards())
+					}
+					connection, err := net.Dial("tcp", client.server.Listener.Addr().String())
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer func() { _ = connection.Close() }()
+					_ = connection.SetDeadline(time.Now().Add(long))
+					write(connection, "POST /a/b "+protocol+"\r\nHost: shop.example\r\n"+headerID+": id\r\nContent-Length: "+strconv.Itoa(longUpload)+"\r\n\r\n")
+					write(connection, strings.Repeat("x", longUpload))
+					reader := bufio.NewReader(connection)
+					if _, err := reader.Peek(1); err != nil {
+						t.Fatal(err)
+					}
+					close(received)
+					status, body, end := readRawFrom(reader)
+					if status != http.StatusOK || end != endBroken {
+						t.Errorf("got %d %q, and the response looks %s", status, body, end)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -40,7 +40,11 @@
 }
 
 func readRaw(connection net.Conn) (status int, body string, end ending) {
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	return readRawFrom(bufio.NewReader(connection))
+}
+
+func readRawFrom(reader *bufio.Reader) (status int, body string, end ending) {
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return 0, "", endBroken
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	network = &failingConn{Conn: network}
 	bound := &boundedReader{network: network, machine: machine}
 	return &conn{
 		machine: machine, address: address, network: network, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), openedAt: openedAt,
