upstream: reject responses with an invalid status

What callers saw: a worker answered with status 000. It was skipped like an interim response, and its body was taken for the response: a client got a 200 that a part of that body spelt out, where the status line of the worker said 000. Without such a body the request waited for another head until its deadline.

Cause: net/http reads any three characters that make a number as a status. The pool skipped all below 200, net/http's transport returns those below 100 and 101 as final.

Handled already, tests kept: a router that answers another one so (502 in all cases), the agents (any status but 200 is an error).

Change: one check of a head for the pool and for the transport that the gateway and the agents use. 600 to 999 are relayed as before: RFC 9110 has recipients treat them as 5xx, and the worker's status goes back unchanged.

--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -13,7 +13,6 @@
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/gateway"
-	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
 // cuttingBackend answers the first request on each connection, and ends its response to each further one after some bytes of the
@@ -131,15 +130,7 @@
 	for _, stream := range []bool{false, true} {
 		backend := newCuttingBackend(t, true)
 		d := deploy(t, "")
-		d.write(
-			put(v1.KindMachine, "worker-002", v1.MachineSpec{Endpoint: backend.endpoint, Zone: "z", Accelerators: 1, AcceleratorBytes: 80 * gibibyte}),
-			&wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT_STATUS, Object: &wirepb.Object{
-				Kind: string(v1.KindMachine), Name: "worker-002", Status: []byte(`{"phase":"Live","incarnation":7}`),
-			}},
-			put(v1.KindReplica, "cutting", v1.ReplicaSpec{
-				Model: "cold", Version: "cold.v1", Machine: "worker-002", Incarnation: 7, Accelerators: []int{0}, BytesPerAccelerator: gibibyte, MaxConcurrent: 4, Phase: v1.ReplicaReady,
-			}),
-		)
+		d.addEngine(backend.endpoint)
 		body := `{"model":"cold","prompt":"x","max_tokens":2,"stream":` + strconv.FormatBool(stream) + `}`
 		for length := range len(cutHead) + 60 {
 			backend.setLength(length)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,6 +70,19 @@
 	return d
 }
 
+// addEngine declares a machine whose engine serves the model cold, which no other one does.
+func (d *deployment) addEngine(endpoint string) {
+	d.write(
+		put(v1.KindMachine, "worker-002", v1.MachineSpec{Endpoint: endpoint, Zone: "z", Accelerators: 1, AcceleratorBytes: 80 * gibibyte}),
+		&wirepb.ObjectWrite{Operation: wirepb.ObjectWrite_OPERATION_PUT_STATUS, Object: &wirepb.Object{
+			Kind: string(v1.KindMachine), Name: "worker-002", Status: []byte(`{"phase":"Live","incarnation":7}`),
+		}},
+		put(v1.KindReplica, "cold-1", v1.ReplicaSpec{
+			Model: "cold", Version: "cold.v1", Machine: "worker-002", Incarnation: 7, Accelerators: []int{0}, BytesPerAccelerator: gibibyte, MaxConcurrent: 4, Phase: v1.ReplicaReady,
+		}),
+	)
+}
+
 // propose applies a command and sends the changes to the view.
 func (d *deployment) propose(_ context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 	d.mutex.Lock()
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -71,3 +72,62 @@
 		}
 	}
 }
+
+// Guards against a response with an invalid head that clients get, or that is skipped like an interim one, so that its body is taken
+// for the response.
+func TestInvalidResponseIsBroken(t *testing.T) {
+	for _, invalid := range upstreamtest.InvalidResponses() {
+		for _, kind := range []v1.RouteKind{v1.RouteUnrepeatable, v1.RouteStream} {
+			t.Run(invalid.Name+" "+string(kind), func(t *testing.T) {
+				machine := newRawMachine(t, func(request receivedRequest, number int, connection net.Conn) bool {
+					body := "body"
+					if number%2 == 0 {
+						body = ok(request, "body")
+					}
+					write(connection, invalid.Text(headerID+": "+request.header.Get(headerID)+"\r\n"+headerSeal+": s\r\n", body))
+					return false
+				})
+				router, far := newDeployment(t), newCutRouter(t, "cut")
+				router.serve(kind, 1, long, machine.address)
+				far.serve(kind, 1, long, machine.address)
+				far.knowRouters("other z " + router.acceptForwards())
+				for number, client := range []*deployment{router, router, far, far} {
+					got := client.send(http.MethodPost, "/a/x", "id-"+strconv.Itoa(number), "body")
+					if got.status != http.StatusBadGateway || got.header.Get(headerSeal) != "" {
+						t.Errorf("request %d got %d %q (%v)", number, got.status, got.body, got.err)
+					}
+				}
+				if count := len(machine.requests()); count != 4 {
+					t.Errorf("the machine got %d requests", count)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a response of another router with an invalid head that clients get.
+func TestInvalidResponseOfRouterIsBroken(t *testing.T) {
+	for _, invalid := range upstreamtest.InvalidResponses() {
+		t.Run(invalid.Name, func(t *testing.T) {
+			machine := newRawMachine(t, respondOK)
+			whole, far := newDeployment(t), newCutRouter(t, "cut")
+			whole.serve(v1.RouteStream, 1, long, machine.address)
+			far.serve(v1.RouteStream, 1, long, machine.address)
+			other := upstreamtest.Serve(t, func(request *http.Request) string {
+				recorded := httptest.NewRecorder()
+				whole.handler.ForwardHandler().ServeHTTP(recorded, request)
+				recorded.Header().Del("Content-Length")
+				var fields strings.Builder
+				if err := recorded.Header().Write(&fields); err != nil {
+					t.Error(err)
+				}
+				return invalid.Text(fields.String(), recorded.Body.String())
+			})
+			far.knowRouters("other z " + strings.TrimPrefix(other, "http://"))
+			got := far.send(http.MethodPost, "/a/x", "id", "body")
+			if got.status != http.StatusBadGateway || got.header.Get(headerSeal) != "" || len(machine.requests()) != 1 {
+				t.Errorf("got %d %q (%v), the machine %d requests", got.status, got.body, got.err, len(machine.requests()))
+			}
+		})
+	}
+}
--- a/internal/upstream/bound.go
+++ b/internal/upstream/bound.go
@@ -1,9 +1,7 @@
 package upstream
 
 import (
-	"context"
 	"net"
-	"net/http"
 
 	"github.com/weldline/weldline/internal/fault"
 )
@@ -40,19 +38,3 @@
 	r.remaining -= count
 	return count, err
 }
-
-// NewTransport returns a transport for http.Clients of machines, whose heads are bounded like those of a Pool. dial may be
-// nil for the default.
-func NewTransport(dial DialFunc) *http.Transport {
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	dialFailing := func(ctx context.Context, network, address string) (net.Conn, error) {
-		opened, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &failingConn{Conn: opened}, nil
-	}
-	return &http.Transport{DialContext: dialFailing, DisableCompression: true, MaxResponseHeaderBytes: MaxUnrelayedBytes}
-}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -188,12 +188,16 @@
 // to read.
 const maxInlineBodyBytes = 8 << 10
 
+// readHead reads heads until one that is not of an interim response.
 func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
