upstream: reject responses whose field names have a blank

What callers saw: a worker answered with a head in which the name of a field held a blank. The router did not pass the line on, but took the response for whole; where the name was "Content-Length " or "Transfer-Encoding ", the body lost its length or its chunks, and the client got bytes that were no body as one that ends with its connection.

Cause: net/http accepts blanks in field names and keeps the name as it is written. So it finds neither a length nor chunks under such a name. Other invalid bytes, in names and values, are errors of net/http.

Evidence: TestInvalidResponseIsBroken (ingress) fails on the parent commit in 22 of the 72 cases with invalid fields, 4 requests each, directly and forwarded; a router that answers another one so in 10 of 36; the gateway in 11 of 36 for back ends and 22 of 72 for engines. Agents take such a report and such a result of an order for empty ones, and the control role such an answer to an order for a confirmation. Handled already, tests kept: tabs, NUL, BEL, CR, ESC and DEL in a name, bytes beyond ASCII, an empty name, a line without a colon, NUL and CR in a value.

Change: checkHead, which the pool and the transport share, refuses blanks in names.

After it the tests pass.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -2,15 +2,22 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/weldline/weldline/internal/fault"
 )
 
-// checkHead returns an error of type fault.Protocol if net/http accepts a head that belongs to no response. Interim responses are
-// valid, except for one that switches protocols: no request asks for it.
+// checkHead returns an error of type fault.Protocol if a head belongs to no response although net/http accepts it. Interim
+// responses are valid, except for one that switches protocols: no request asks for it.
 func checkHead(response *http.Response) error {
 	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
 		return fault.Protocol.New("the status %q is invalid", response.Status)
 	}
+	for name := range response.Header {
+		// Blanks are the only invalid bytes in a name that net/http accepts. It ignores what such a field says of the body.
+		if strings.Contains(name, " ") {
+			return fault.Protocol.New("the field name %q has a blank", name)
+		}
+	}
 	return nil
 }
--- a/internal/upstream/upstreamtest/invalid.go
+++ b/internal/upstream/upstreamtest/invalid.go
@@ -34,6 +34,33 @@
 	for _, status := range []string{"000", "001", "099", "+20", "-20", "101", "20", "2000", "2xx"} {
 		invalid = append(invalid, InvalidResponse{Name: "status " + status, head: "HTTP/1.1 " + status + " Trouble\r\n" + fieldsPlace + "Content-Length: " + lengthPlace + "\r\n"})
 	}
+	framing := "Content-Length: " + lengthPlace + "\r\n"
+	for name, lines := range map[string]string{
+		"blank in a name":              "Field Name: value\r\n" + framing,
+		"blank after a name":           "Field : value\r\n" + framing,
+		"blank after the length":       "Content-Length : " + lengthPlace + "\r\n",
+		"blank after the length, zero": "Content-Length : 0\r\n" + framing,
+		"blank after the encoding":     "Transfer-Encoding : chunked\r\n" + framing,
+		"blank name":                   " : value\r\n" + framing,
+		"no name":                      ": value\r\n" + framing,
+		"no colon":                     "Field\r\n" + framing,
+		"tab after a name":             "Field\t: value\r\n" + framing,
+		"NUL in a name":                "Field\x00Name: value\r\n" + framing,
+		"BEL in a name":                "Field\aName: value\r\n" + framing,
+		"CR in a name":                 "Field\rName: value\r\n" + framing,
+		"ESC before a name":            "\x1bField: value\r\n" + framing,
+		"DEL after a name":             "Field\x7f: value\r\n" + framing,
+		"NUL after the length":         "Content-Length\x00: " + lengthPlace + "\r\n",
+		"non-ASCII name":               "F\xe9ld: value\r\n" + framing,
+		"NUL in a value":               "Field: val\x00ue\r\n" + framing,
+		"CR in a value":                "Field: val\rue\r\n" + framing,
+	} {
+		// Fields may come before or after the others.
+		invalid = append(
+			invalid, InvalidResponse{Name: name, head: "HTTP/1.1 200 OK\r\n" + fieldsPlace + lines},
+			InvalidResponse{Name: name + ", first", head: "HTTP/1.1 200 OK\r\n" + lines + fieldsPlace},
+		)
+	}
 	return invalid
 }
 
