upstream: reject heads with lines that begin with a blank

What callers saw: as with blanks elsewhere in a name, where a blank or a tab stands before the name of a field: "\r\n Content-Length: 4". The response lost its length, so that what came after its body on the connection belonged to it, and the line went on as a part of the value of the field before, such as the worker's signature.

Cause: net/http takes such a line for the continuation of the one before (obs-fold), whatever stands in it, and keeps no trace of it.

Evidence: without the check, four cases of TestInvalidResponseIsBroken fail in ingress for both kinds of route, directly and forwarded, and in the gateway for back ends, engines and streams; agents and the control role believe such responses.

Change: connections to machines and routers look for such lines while a head is due. RFC 9112, section 5.2, has a proxy discard such a response or replace each fold by blanks; the value of a signed field can't be guessed, so it is discarded. A detector that follows the bytes as they arrive, for the reason that net/http's transport shows no head as it was written; reading the lines of a head in the pool, the alternative, would not cover the gateway and the agents.

After it the tests of upstream, ingress, gateway and agent pass.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -163,7 +163,7 @@
 		go func() { sent.Store(c.write(request) == nil) }()
 	}
 	for range maxSkippedResponses {
-		response, err := readHead(c.reader, request.Method)
+		response, err := c.readHead(request.Method)
 		if err != nil {
 			return nil, fault.Unavailable.Wrap(err, "reading a response from machine %s", c.machine)
 		}
@@ -189,9 +189,17 @@
 const maxInlineBodyBytes = 8 << 10
 
 // readHead reads heads until one that is not of an interim response.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func (c *conn) readHead(method string) (*http.Response, error) {
+	// A response to an earlier request may have been read together with the beginning of this one.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.network.expectHead(buffered); err != nil {
+		return nil, err
+	}
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -56,7 +56,7 @@
 	machine string
 	// address is the machine's address at the time of connecting.
 	address string
-	network net.Conn
+	network *machineConn
 	bound   *boundedReader
 	reader  *bufio.Reader
 	// openedAt is when connecting began.
@@ -101,10 +101,10 @@
 	if err != nil {
 		return nil, err
 	}
-	network = &failingConn{Conn: network}
-	bound := &boundedReader{network: network, machine: machine}
+	checked := &machineConn{Conn: network}
+	bound := &boundedReader{network: checked, machine: machine}
 	return &conn{
-		machine: machine, address: address, network: network, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), openedAt: openedAt,
+		machine: machine, address: address, network: checked, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), openedAt: openedAt,
 	}, nil
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.RoundTripper for machines that rejects the same responses as a Pool.
@@ -17,19 +18,20 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	dialFailing := func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialChecked := func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &failingConn{Conn: opened}, nil
+		return &machineConn{Conn: opened}, nil
 	}
-	return &Transport{&http.Transport{DialContext: dialFailing, DisableCompression: true, MaxResponseHeaderBytes: MaxUnrelayedBytes}}
+	return &Transport{&http.Transport{DialContext: dialChecked, DisableCompression: true, MaxResponseHeaderBytes: MaxUnrelayedBytes}}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: expectHead})
+	response, err := t.Transport.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
 	}
@@ -39,3 +41,10 @@
 	}
 	return response, nil
 }
+
+// expectHead has a connection check the head of its next response. No byte of it can have been read.
+func expectHead(info httptrace.GotConnInfo) {
+	if checked, isMachine := info.Conn.(*machineConn); isMachine {
+		_ = checked.expectHead(nil)
+	}
+}
