bodymemory: the bound on bodies as a package

Cause: the gateway needs a bound on the bodies of responses that it holds, as the ingress has one for those of requests. Change: the type, its test and the reading of a body of unknown length move from ingress into a package of their own. Conclusion: no change of behaviour.

--- a/internal/ingress/bodies_test.go
+++ b/internal/ingress/bodies_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/bodymemory"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/places"
 )
@@ -36,7 +37,7 @@
 			})
 			location := places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}
 			router := newDeploymentAt(t, location, func(options *ingress.Options) {
-				options.MemoryBytes = int64(float64(test.held+1) / ingress.BodyMemoryShare)
+				options.MemoryBytes = int64(float64(test.held+1) / bodymemory.Share)
 			})
 			router.serve(v1.RouteUnrepeatable, 1, long, machine.address)
 			var connections []net.Conn
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -40,8 +40,5 @@
 // IsIsolated reports whether no path to a machine seems to work.
 func (i *Ingress) IsIsolated() bool { return i.paths.isIsolated() }
 
-// BodyMemoryShare is the share of a node's memory that bodies may take together.
-const BodyMemoryShare = bodyMemoryShare
-
 // HeldBodyBytes returns the memory that is reserved for bodies.
-func (i *Ingress) HeldBodyBytes() int64 { return i.bodies.held.Load() }
+func (i *Ingress) HeldBodyBytes() int64 { return i.bodies.Held() }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/weldline/weldline/internal/bodymemory"
 	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
@@ -99,7 +100,7 @@
 	drains      *drainlog.Log
 	constraints *constraintCache
 	queued      *queuedJobs
-	bodies      *bodyMemory
+	bodies      *bodymemory.Budget
 
 	budgetMutex sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -158,7 +159,7 @@
 		drains:      drainlog.New(options.Logger, options.Metrics.drained),
 		constraints: newConstraintCache(),
 		queued:      newQueuedJobs(),
-		bodies:      newBodyMemory(options.MemoryBytes),
+		bodies:      bodymemory.New(options.MemoryBytes),
 	}
 }
 
@@ -463,7 +464,7 @@
 func (i *Ingress) handle(j *job) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
-	defer func() { i.bodies.release(j.bodyBytes) }()
+	defer func() { i.bodies.Release(j.bodyBytes) }()
 	if i.stopping.Load() {
 		j.writer.Header().Set("Connection", "close")
 	}
