gateway: bound the memory of the responses that are held together

What callers saw: a faulty back end or engine sent bytes without end where the body of an answer was due. The gateway kept up to 32 MB of each answer, of as many requests as there were, and the process ran out of memory, with the requests of all other clients.

Cause: each response was bounded, their sum was not.

Change: responses share a budget, three eighths of router.memoryMB (default 1024), of which short ones have a part of their own. Memory is reserved as a body arrives, so that a stated length takes none. A response without room fails; that says nothing about its engine's crashes. Streaming longer responses instead of holding them, the alternative, would give up the retry of those that break off.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/weldline/weldline/api/engine"
+	"github.com/weldline/weldline/internal/bodymemory"
 	"github.com/weldline/weldline/internal/dispatch"
 	"github.com/weldline/weldline/internal/fault"
 )
@@ -85,18 +86,19 @@
 // relayPlain reads the complete response before it sends any of it to the client,
 // so that a truncated one can be retried.
 func (g *Gateway) relayPlain(ctx, deadlineCtx context.Context, writer http.ResponseWriter, j *job, grant *dispatch.Grant, response *http.Response) attemptOutcome {
-	body, err := readBody(response)
+	body, err := g.readBody(response)
 	if err != nil {
 		g.options.Logger.Info("response_not_relayed", "id", j.id, "error", fault.Message(err))
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && err != bodymemory.ErrExhausted {
 			g.reportBroken(j, grant)
 		}
 		return failureOutcome(deadlineCtx)
 	}
+	defer body.release()
 	g.options.Metrics.firstByte.Observe(time.Since(j.arrived).Seconds())
 	copyResponseHeaders(writer.Header(), response.Header)
 	writer.WriteHeader(response.StatusCode)
-	_, _ = writer.Write(body)
+	_, _ = writer.Write(body.content)
 	return outcomeAnswered
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/weldline/weldline/internal/bodymemory"
 	"github.com/weldline/weldline/internal/claims"
 	"github.com/weldline/weldline/internal/crashwatch"
 	"github.com/weldline/weldline/internal/dispatch"
@@ -42,6 +43,8 @@
 	Propose      feed.ProposeFunc
 	MaxWaiting   int
 	MaxBodyBytes int64
+	// MemoryBytes is the memory of this node, part of which may hold the bodies of responses; no bound if it is 0.
+	MemoryBytes int64
 	// RequestReport requests an early demand report to the control plane.
 	RequestReport func()
 }
@@ -57,7 +60,9 @@
 	budget     *retryBudget
 	crashes    *crashwatch.Watcher
 	drains     *drainlog.Log
-	engines    *http.Client
+	// bodies bounds the bodies of responses that are held at the same time.
+	bodies  *bodymemory.Budget
+	engines *http.Client
 	// singleUse sends unrepeatable requests, each on a new connection, so that a
 	// failed dial proves that nothing was sent.
 	singleUse *http.Client
@@ -77,7 +82,7 @@
 	gateway := &Gateway{
 		options: options, router: mux.NewRouter(), limits: limits.New(),
 		drains: drainlog.New(options.Logger, options.Metrics.drained),
-		claims: claims.NewClient(options.Propose), budget: newRetryBudget(),
+		bodies: bodymemory.New(options.MemoryBytes), claims: claims.NewClient(options.Propose), budget: newRetryBudget(),
 		crashes: crashwatch.New(crashwatch.Options{
 			View: options.View, Logger: options.Logger, Propose: options.Propose, Probe: crashwatch.ProbeWithDial(
 				func(ctx context.Context, _, address string) (net.Conn, error) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,12 @@
 // deploy starts one machine with replica r of model m, and a back end with two
 // workers whose path /holds is unrepeatable.
 func deploy(t testing.TB, configuration string) *deployment {
+	t.Helper()
+	return deployWith(t, configuration, func(*gateway.Options) {})
+}
+
+// deployWith is like deploy, with options that the test changes.
+func deployWith(t testing.TB, configuration string, change func(options *gateway.Options)) *deployment {
 	t.Helper()
 	config, err := emulator.ParseConfig([]byte("machines: {count: 1}\nengine: {tokenInterval: 1ms}\nbackends: [{name: ledger, workers: 2}]\n" + configuration))
 	if err != nil {
@@ -57,10 +63,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.world.Close)
-	d.gateway = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Node: "node", View: d.view, Logger: slog.New(slog.DiscardHandler), Metrics: gateway.NewMetrics(prometheus.NewRegistry()),
 		Propose: d.propose, MaxWaiting: 100, MaxBodyBytes: 1 << 20, RequestReport: func() {},
-	})
+	}
+	change(&options)
+	d.gateway = gateway.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go d.gateway.Run(ctx)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -232,14 +232,13 @@
 // recordResponse records the response for resends, in the background. Until then a
 // resend waits for the open claim.
 func (g *Gateway) recordResponse(c *call, response *backendResponse) {
-	if len(response.body) > maxRecordedBodyBytes {
+	if len(response.body.content) > maxRecordedBodyBytes {
 		g.recordUnknown(c)
 		return
 	}
+	answer := &wirepb.RecordedAnswer{Status: uint32(response.status), ContentType: response.contentType, Body: response.body.content}
 	g.record(func(ctx context.Context) error {
-		return g.claims.Complete(ctx, c.claimKey(), c.owner, &wirepb.RecordedAnswer{
-			Status: uint32(response.status), ContentType: response.contentType, Body: response.body,
-		})
+		return g.claims.Complete(ctx, c.claimKey(), c.owner, answer)
 	})
 }
 
@@ -308,13 +307,15 @@
 type backendResponse struct {
 	status      int
 	contentType string
-	body        []byte
+	body        *heldBody
 }
 
+// write sends the response to the client and releases its body.
 func (r *backendResponse) write(writer http.ResponseWriter) {
+	defer r.body.release()
 	writer.Header().Set("Content-Type", r.contentType)
 	writer.WriteHeader(r.status)
-	_, _ = writer.Write(r.body)
+	_, _ = writer.Write(r.body.content)
 }
 
 // callBackend sends one attempt and reads the complete response. An attempt did
@@ -362,7 +363,7 @@
 		}
 		return nil, outcomeNotRun
 	}
-	body, err := readBody(response)
+	body, err := g.readBody(response)
 	if err != nil {
 		g.options.Logger.Info("response_not_relayed", "id", attemptID, "error", fault.Message(err))
 		return nil, failureOutcome(ctx)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -35,7 +35,7 @@
 	created.gateway = gateway.New(gateway.Options{
 		Node: settings.Node, View: created.view, Logger: node.logger, Metrics: gateway.NewMetrics(node.registry),
 		Propose: created.client.Propose, MaxWaiting: settings.Router.MaxWaiting,
-		MaxBodyBytes: settings.Router.MaxBodyBytes, RequestReport: created.reports.trigger,
+		MaxBodyBytes: settings.Router.MaxBodyBytes, MemoryBytes: int64(settings.Router.MemoryMB * (1 << 20)), RequestReport: created.reports.trigger,
 	})
 	created.agent = agent.New(settings.Node, settings.Zone, created.view, node.logger, settings.Router.PollInterval, created.reports.trigger)
 	return created
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -228,6 +228,9 @@
 	MaxWaiting int `yaml:"maxWaiting"`
 	// MaxBodyBytes bounds a request body. Default 4 MiB.
 	MaxBodyBytes int64 `yaml:"maxBodyBytes"`
+	// MemoryMB is the memory that the node may use, in MB. Three eighths of it may hold the bodies of responses, and responses
+	// beyond fail. Default 1024.
+	MemoryMB float64 `yaml:"memoryMB"`
 	// ReportInterval is the interval between reports of demand. Default 250ms.
 	ReportInterval time.Duration `yaml:"reportInterval"`
 	// PollInterval is the interval at which the agent polls an engine. Default 250ms.
@@ -330,6 +333,7 @@
 	setDefault(&s.Control.ReplaceAfter, 30*time.Second)
 	setDefault(&s.Router.MaxWaiting, 4096)
 	setDefault(&s.Router.MaxBodyBytes, 4<<20)
+	setDefault(&s.Router.MemoryMB, 1024)
 	setDefault(&s.Router.ReportInterval, 250*time.Millisecond)
 	setDefault(&s.Router.PollInterval, 250*time.Millisecond)
 	setDefault(&s.Router.DrainTimeout, time.Minute)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -205,6 +205,9 @@
 	if len(s.Router.Upstreams) == 0 {
 		return fault.InvalidField("router.upstreams", "at least one upstream is required")
 	}
+	if s.Router.MemoryMB < 0 {
+		return fault.InvalidField("router.memoryMB", "must not be negative")
+	}
 	return nil
 }
 
