control: bound the machine list that is read

What callers saw: nothing yet. A machine list without end would have been kept until the control role ran out of memory.

Cause: the list was decoded from a response without a bound, by a client without the checks of the other ones.

Change: at most 32 MB are decoded, of a response that passes the checks of upstream.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/weldline/weldline/internal/keepalive"
 	"github.com/weldline/weldline/internal/placement"
 	"github.com/weldline/weldline/internal/state"
+	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
 )
 
@@ -30,6 +32,8 @@
 	maxPause        = 500 * time.Millisecond
 	commitTimeout   = 3 * time.Second
 	listReadTimeout = 2 * time.Second
+	// maxMachineListBytes is some hundred bytes for each of 100,000 machines.
+	maxMachineListBytes = 32 << 20
 	// registeredSettleTime is how long a new leader that polls machines itself waits for reports.
 	registeredSettleTime = 600 * time.Millisecond
 )
@@ -330,7 +334,7 @@
 	if n.settings.Platform.MachineList == "" {
 		return
 	}
-	client := &http.Client{Timeout: listReadTimeout}
+	client := newMachineListClient(listReadTimeout)
 	ticker := time.NewTicker(n.settings.Platform.MachineListInterval)
 	defer ticker.Stop()
 	for {
@@ -347,6 +351,10 @@
 	}
 }
 
+func newMachineListClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: upstream.NewTransport(nil)}
+}
+
 func fetchMachineList(ctx context.Context, client *http.Client, url string) (*platform.MachineList, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -361,7 +369,7 @@
 		return nil, fault.Unavailable.New("the machine list URL returned status %d", response.StatusCode)
 	}
 	read := &platform.MachineList{}
-	if err := json.NewDecoder(response.Body).Decode(read); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxMachineListBytes)).Decode(read); err != nil {
 		return nil, fault.Protocol.Wrap(err, "decoding the machine list")
 	}
 	return read, nil
