--- a/internal/control/machinelist_test.go
+++ b/internal/control/machinelist_test.go
@@ -46,7 +46,9 @@
 // Guards against a machine list in a response with an invalid head.
 func TestInvalidMachineListIsRefused(t *testing.T) {
 	for _, invalid := range upstreamtest.InvalidResponses() {
-		endpoint := upstreamtest.Serve(t, func(*http.Request) string { return invalid.Text("Content-Type: application/json\r\n", `{"machines":[]}`) })
+		endpoint := upstreamtest.Serve(t, func(*http.Request) string {
+			return invalid.Text("Content-Type: application/json\r\n", `{"machines":[]}`)
+		})
 		if list, err := fetchMachineList(t.Context(), newMachineListClient(time.Minute), endpoint); err == nil {
 			t.Errorf("%s: the list is %+v", invalid.Name, list)
 		}
--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
 )
@@ -61,3 +62,50 @@
 		t.Errorf("%d of %d bytes, %v", len(got.body), len(content), got.err)
 	}
 }
+
+// Guards against keeping what a machine sends without end for a client that does not read it.
+func TestEndlessBodyIsNotKept(t *testing.T) {
+	const (
+		// maxBufferedBytes exceeds what the buffers of the connections on the way may hold.
+		maxBufferedBytes = 512 << 20
+		stall            = 2 * time.Second
+	)
+	content := strings.Repeat("x", 1<<16)
+	for name, test := range map[string]struct{ framing, repeated string }{
+		"without a length": {"", content},
+		"chunks":           {"Transfer-Encoding: chunked\r\n", "10000\r\n" + content + "\r\n"},
+		"stated length":    {"Content-Length: 100000000000\r\n", content},
+	} {
+		for _, kind := range []v1.RouteKind{v1.RouteUnrepeatable, v1.RouteStream} {
+			t.Run(name+" "+string(kind), func(t *testing.T) {
+				t.Parallel()
+				taken := make(chan int, 1)
+				machine := newRawMachine(t, func(request receivedRequest, _ int, connection net.Conn) bool {
+					write(connection, "HTTP/1.1 200 OK\r\n"+headerID+": "+request.header.Get(headerID)+"\r\n"+headerSeal+": s\r\n"+test.framing+"\r\n")
+					total := 0
+					for total < maxBufferedBytes {
+						_ = connection.SetWriteDeadline(time.Now().Add(stall))
+						count, err := io.WriteString(connection, test.repeated)
+						total += count
+						if err != nil {
+							break
+						}
+					}
+					taken <- total
+					return false
+				})
+				router, far := newDeployment(t), newCutRouter(t, "cut")
+				router.serve(kind, 1, long, machine.address)
+				far.serve(kind, 1, long, machine.address)
+				far.knowRouters("other z " + router.acceptForwards())
+				for _, client := range []*deployment{router, far} {
+					disconnect := client.sendAndDisconnect("/a/x", "id")
+					if total := <-taken; total >= maxBufferedBytes {
+						t.Errorf("%d bytes were taken of the machine", total)
+					}
+					disconnect()
+				}
+			})
+		}
+	}
+}
