ingress: refuse requests that a stopping node may not see answered

What callers saw: in a planned stop of a router, requests that came late in the stop timeout were taken and sent to a worker. At the end of the timeout they were cut, with an answer that leaves open whether they ran, so that requests that may not be repeated were lost.

Cause: from the leave delay on, a stopping node accepts no connection, but it sends whatever it has read by then or reads later: an upload that ends late, a request from the queue, a retry. Whether the answer can come before the node ends was not asked.

Change: from the leave delay on, a request that has not been sent gets 503 "stopping", not run, with a Retry-After that has it return at once to another node, unless its deadline comes before the node ends. Queued requests get it at once, retries are not begun, and a request of another router moves on to the next one. Refusing only what arrives late, the alternative, leaves the queue; refusing all that is unsent would refuse what is certain to be answered.

--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -99,6 +99,8 @@
 	RefusedBackoff RefusalReason = "resting"
 	// RefusedSoftware: no machine of the pool runs the version of the software that the request needs.
 	RefusedSoftware RefusalReason = "software"
+	// RefusedStopping: this node stops before the request is certainly answered.
+	RefusedStopping RefusalReason = "stopping"
 	// RefusedUnreachable: this router has no path to a machine that could serve the request.
 	RefusedUnreachable RefusalReason = "unreachable"
 	// RefusedRegion: no machine in the allowed regions may serve the request any more.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -33,6 +33,9 @@
 // provably did not run it; it may then still be sent to a machine.
 func (j *job) forward(ctx context.Context) (outcome attemptOutcome, served bool) {
 	for range maxForwards {
+		if j.refuseIfStopping(ctx) {
+			return outcomeNotRun, true
+		}
 		router, found := j.ingress.forwarder.begin(j.version, j.allowedRegions(), j.triedRouters)
 		if !found {
 			break
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -111,6 +111,8 @@
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// sendingEnd is set by EndSending.
+	sendingEnd atomic.Pointer[time.Time]
 	// requestsCtx is canceled by End.
 	requestsCtx    context.Context
 	cancelRequests context.CancelFunc
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -230,6 +230,9 @@
 		Software: j.software, Forwardable: j.mayForward(), Forwarded: j.refusesWithoutPath(),
 	}
 	for failures := 0; ; {
+		if j.refuseIfStopping(ctx) {
+			return outcomeNotRun
+		}
 		if j.isCutOff() {
 			outcome, _ := j.refuseUnreachable(ctx)
 			return outcome
@@ -302,9 +305,12 @@
 	return j.forwarded == nil && !j.dispatchRequest.Forwardable && j.ingress.paths.isIsolated() && j.ingress.forwarder.hasRouters()
 }
 
-// rejectBeforeSend answers a request that was quarantined or whose deadline passed while it waited
+// rejectBeforeSend answers a request that was quarantined, whose deadline passed or whose node began to stop while it waited
 // for its grant or permit. It reports whether it did.
 func (j *job) rejectBeforeSend(ctx context.Context) bool {
+	if j.refuseIfStopping(ctx) {
+		return true
+	}
 	document := j.quarantineProblem()
 	switch {
 	case document != nil && !j.mayHaveRun:
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -24,6 +24,9 @@
 		j.fail(document, document.RetryAfter)
 		return
 	}
+	if refusal.Reason == dispatch.RefusedStopping && j.refuseIfStopping(ctx) {
+		return
+	}
 	if refusal.Reason == dispatch.RefusedSoftware {
 		j.fail(j.softwareGoneProblem(j.software), 0)
 		return
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -99,8 +99,8 @@
 	return r.node.serveFeed(ctx, r.node.settings.Ingress.Listen, r.server.Serve)
 }
 
-// drain stops the role. It first lets callers move to other nodes, then waits for the requests in
-// flight and ends those left at the timeout.
+// drain stops the role. It first lets callers move to other nodes, then sends no request to a machine that may be left at the
+// timeout, waits for those in flight and ends those left.
 func (r *ingressRole) drain() {
 	started := time.Now()
 	limit := r.node.settings.Ingress.StopTimeout - forcedStopTime
@@ -108,6 +108,7 @@
 	r.node.logger.Info("ingress_draining", "in_flight", r.ingress.InFlight())
 	r.ingress.Drain()
 	time.Sleep(leave)
+	r.ingress.EndSending(started.Add(limit))
 	r.server.StopAccepting()
 	isBusy := func() bool { return r.inFlight() > 0 }
 	waitWhile(started.Add(limit), isBusy)
