ingress: let the leader confirm that there is one version of the software

What callers saw: during a release a router was out of step for a few seconds, cut off from the others or suspended, while workers of a new version joined. Streams that had begun on these through other routers broke, were taken up at that router and went on at a worker of another version.

Cause: where the origin of a stream is not known, a router took a digest that calls a pool uniform for a proof for 2 s after it received it. A router that is cut off can hold such a digest when the first worker of a new version registers; one that was suspended reads digests from before when it goes on, and counts their age from then.

Change: the router asks the leader for its revision, which includes every machine that a stream may have begun at by then, and believes a digest of that revision or a later one, for which it waits up to 1 s. Without one the stream is refused with 503, not run, and a Retry-After. No clock is part of it. A shorter age, the alternative, only makes it rarer.

Resumed streams whose origin is known are not affected; others take a round trip to the leader and up to a digest's interval longer.

--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -16,6 +16,9 @@
 	leaderPollInterval = 5 * time.Millisecond
 )
 
+// ConfirmFunc returns a revision that includes everything committed before the call. An error means that no leader confirmed one.
+type ConfirmFunc func(ctx context.Context) (revision uint64, err error)
+
 // ConfirmableSink is a Sink that must not be used before it has applied a revision that the leader
 // reported after the start of the process.
 type ConfirmableSink interface {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -123,6 +123,8 @@
 	beforeSend atomic.Pointer[func()]
 	// permit replies to permit requests; nil means that there is no leader.
 	permit atomic.Pointer[feed.PermitFunc]
+	// confirm replies to requests for the leader's revision; nil means that there was no change since the newest digest.
+	confirm atomic.Pointer[feed.ConfirmFunc]
 	// log receives commands; nil means that there is no control plane.
 	log *replicatedLog
 }
@@ -197,6 +199,12 @@
 			}
 			return nil, fault.Unavailable.New("there is no leader")
 		},
+		Confirm: func(ctx context.Context) (uint64, error) {
+			if confirm := created.confirm.Load(); confirm != nil {
+				return (*confirm)(ctx)
+			}
+			return created.view.Digest().GetRevision(), nil
+		},
 		Propose: func(_ context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
 			if created.log == nil {
 				return nil, fault.Unavailable.New("there is no control plane")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -64,6 +64,8 @@
 	// Permit asks the leader for permission to send one request to a machine that is warming
 	// up or has a rate limit.
 	Permit feed.PermitFunc
+	// Confirm returns a revision that includes everything committed before the call, as reported by the leader.
+	Confirm feed.ConfirmFunc
 	// Dial opens connections to machines. It defaults to a net.Dialer with the options of package tcpopt.
 	Dial upstream.DialFunc
 	// DialRouter opens connections to other routers. It defaults like Dial.
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -13,6 +13,7 @@
 
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/signal"
 	"github.com/weldline/weldline/internal/streamorigin"
 	"github.com/weldline/weldline/internal/upstream"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -29,9 +30,6 @@
 	// keeperRetention is how long a keeper stays known that is not listed any more. A new leader lists
 	// routers only once they have reported to it.
 	keeperRetention = 10 * time.Second
-	// maxUniformAge is the age of a digest up to which it proves that a pool runs one version only. It
-	// exceeds the time without a leader after a planned change.
-	maxUniformAge = 2 * time.Second
 )
 
 // originKeeper remembers where streams began, and exchanges this with other routers. It is safe for
@@ -39,8 +37,9 @@
 type originKeeper struct {
 	options Options
 	routers *upstream.Pool
-	// software is what the newest digest says of the pools.
-	software atomic.Pointer[poolSoftware]
+	// software is what the newest digest says of the pools; softwareChange is notified of each.
+	software       atomic.Pointer[poolSoftware]
+	softwareChange *signal.Broadcast
 	// wake signals run that records are pending.
 	wake chan struct{}
 
@@ -59,7 +58,8 @@
 
 // poolSoftware is what a digest says of the software in each pool.
 type poolSoftware struct {
-	received time.Duration
+	// revision is the leader's revision that it describes.
+	revision uint64
 	// isKnown is set if the cluster records the versions of software.
 	isKnown bool
 	pools   map[string]*wirepb.PoolSoftware
@@ -68,7 +68,7 @@
 func newOriginKeeper(options Options, routers *upstream.Pool) *originKeeper {
 	keeper := &originKeeper{
 		options: options, routers: routers, wake: make(chan struct{}, 1), store: streamorigin.NewStore(),
-		keepers: map[string]listedKeeper{}, pending: map[string][]*wirepb.StreamOrigin{}, sending: map[string]bool{},
+		softwareChange: signal.New(), keepers: map[string]listedKeeper{}, pending: map[string][]*wirepb.StreamOrigin{}, sending: map[string]bool{},
 	}
 	keeper.software.Store(&poolSoftware{})
 	return keeper
@@ -77,11 +77,12 @@
 // followDigests applies the keepers and the software in leaders' digests until ctx is done.
 func (k *originKeeper) followDigests(ctx context.Context) {
 	k.options.View.FollowDigests(ctx, func(digest *wirepb.ClusterDigest) {
-		described := &poolSoftware{received: k.options.Now(), isKnown: digest.GetSoftwareKnown(), pools: map[string]*wirepb.PoolSoftware{}}
+		described := &poolSoftware{revision: digest.GetRevision(), isKnown: digest.GetSoftwareKnown(), pools: map[string]*wirepb.PoolSoftware{}}
 		for _, pool := range digest.GetSoftware() {
 			described.pools[pool.GetPool()] = pool
 		}
 		k.software.Store(described)
+		k.softwareChange.Notify()
 		k.setKeepers(time.Now(), digest.GetRoster().GetKeepers())
 	})
 }
@@ -100,19 +101,60 @@
 	maps.DeleteFunc(k.keepers, func(_ string, keeper listedKeeper) bool { return now.Sub(keeper.listedAt) > keeperRetention })
 }
 
-// onlyVersion returns the version that all machines of a pool have run for longer than streams live; empty
-// if they state none. proven is false if there may have been others. A digest may be older than the machines
-// that this router knows.
-func (k *originKeeper) onlyVersion(pool string) (software string, proven bool) {
-	described := k.software.Load()
-	if k.options.Now()-described.received > maxUniformAge || !described.pools[pool].GetUniform() {
-		return "", false
+// uniformity is whether all machines of a pool have run one version for longer than streams live.
+type uniformity int
+
+const (
+	// uniformityUnconfirmed: the leader could not be asked, or its digest did not come in time.
+	uniformityUnconfirmed uniformity = iota
+	uniformityMixed
+	uniformityProven
+)
+
+// confirmOnlyVersion returns the only version in a pool if that is proven; empty if the machines state none.
+//
+// The newest digest proves nothing by itself: this router may have been out of touch or suspended since the leader sent it. So the
+// leader is asked for a revision, which includes every machine that a stream may have begun at before the call, and only a digest
+// of that revision or a later one counts.
+func (k *originKeeper) confirmOnlyVersion(ctx context.Context, pool string) (software string, result uniformity) {
+	if described := k.software.Load(); described.isKnown && !described.pools[pool].GetUniform() {
+		return "", uniformityMixed // Versions that have gone count too, so that nothing newer is needed.
+	}
+	revision, err := k.options.Confirm(ctx)
+	if err != nil {
+		k.options.Logger.Info("software_not_confirmed", "pool", pool, "error", fault.Message(err))
+		return "", uniformityUnconfirmed
 	}
-	software, proven = described.pools[pool].GetOnly(), true
+	described, isCurrent := k.awaitSoftware(ctx, revision)
+	switch {
+	case !isCurrent || !described.isKnown:
+		k.options.Logger.Info("software_not_confirmed", "pool", pool, "revision", revision, "digest_revision", described.revision)
+		return "", uniformityUnconfirmed
+	case !described.pools[pool].GetUniform():
+		return "", uniformityMixed
+	}
+	software, result = described.pools[pool].GetOnly(), uniformityProven
 	k.options.View.EachMachine(func(_ string, machine nodeview.Machine) {
-		proven = proven && (machine.Spec.Pool != pool || machine.Spec.Software == software)
+		if machine.Spec.Pool == pool && machine.Spec.Software != software {
+			result = uniformityMixed
+		}
 	})
-	return software, proven
+	return software, result
+}
+
+// awaitSoftware waits for a digest of a revision or a later one. isCurrent is false if ctx ended first.
+func (k *originKeeper) awaitSoftware(ctx context.Context, revision uint64) (described *poolSoftware, isCurrent bool) {
+	for {
+		changed := k.softwareChange.Wait()
+		if described = k.software.Load(); described.revision >= revision {
+			return described, true
+		}
+		select {
+		case <-ctx.Done():
+			return described, false
+		case <-changed:
+		}
+	}
 }
 
 // isGone reports whether no machine of a pool runs a version any more.
--- a/internal/ingress/resume.go
+++ b/internal/ingress/resume.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// originLookupTimeout bounds the time in which other routers reply, and originLookupShare its share of
-	// the request's timeout.
+	// originLookupTimeout bounds the time in which other routers reply, and originLookupShare the share of the request's remaining
+	// time that this and the confirmation of versions may each take.
 	originLookupTimeout = 250 * time.Millisecond
 	originLookupShare   = 0.25
+	// uniformityTimeout bounds the time in which the leader confirms which versions there are. It exceeds the interval of digests.
+	uniformityTimeout = time.Second
 	// originMargin is added to the time that a client may wait for its stream.
 	originMargin = 5 * time.Second
 	// originLifetimes is how many timeouts long a stream may be resumed: a client may take it up more
@@ -73,12 +75,22 @@
 	if j.attributes.Resumes == "" {
 		return streamorigin.Origin{}, originAbsent
 	}
-	wait := min(originLookupTimeout, time.Duration(originLookupShare*float64(j.remaining())))
-	ctx, cancel := context.WithTimeout(j.request.Context(), wait)
+	ctx, cancel := j.lookupContext(originLookupTimeout)
 	defer cancel()
 	return j.ingress.origins.lookup(ctx, streamorigin.KeyOf(j.tenant.name, j.attributes.Resumes))
 }
 
+func (j *job) confirmOnlyVersion() (software string, result uniformity) {
+	ctx, cancel := j.lookupContext(uniformityTimeout)
+	defer cancel()
+	return j.ingress.origins.confirmOnlyVersion(ctx, j.pool)
+}
+
+// lookupContext ends after a timeout, or after a share of the request's remaining time.
+func (j *job) lookupContext(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(j.request.Context(), min(timeout, time.Duration(originLookupShare*float64(j.remaining()))))
+}
+
 // bindToOrigin applies the result of a lookup.
 func (j *job) bindToOrigin(origin streamorigin.Origin, source originSource) (outcome string, document *problem.Document) {
 	targets := j.route.Spec.Targets
@@ -90,15 +102,18 @@
 		j.pool, j.software = origin.Pool, origin.Software
 		return "bound", nil
 	}
-	if only, proven := j.ingress.origins.onlyVersion(j.pool); proven && len(targets) == 1 {
-		j.software = only
+	found := uniformityMixed
+	if len(targets) == 1 {
+		j.software, found = j.confirmOnlyVersion()
+	}
+	if found == uniformityProven {
 		return "uniform", nil
 	}
 	document = problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "it is not known which version of the workers' software began the stream")
 	switch {
 	case !j.ingress.origins.software.Load().isKnown: // A leader may not have been heard yet.
 		document.RetryAfter = retryAfterStart
-	case source == originUnanswered:
+	case source == originUnanswered || found == uniformityUnconfirmed:
 		document.RetryAfter = retryAfterBusy
 	}
 	return "unknown", document
--- a/internal/ingress/resume_test.go
+++ b/internal/ingress/resume_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/feed"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/places"
 	"github.com/weldline/weldline/internal/wire/wirepb"
@@ -121,3 +124,92 @@
 		})
 	}
 }
+
+// oneVersion returns a digest that says that all machines of the pool run v1.
+func oneVersion(sequence, revision uint64) *wirepb.ClusterDigest {
+	return &wirepb.ClusterDigest{
+		Term: 1, Sequence: sequence, Revision: revision, SoftwareKnown: true,
+		Software: []*wirepb.PoolSoftware{{Pool: "pool", InUse: []string{"v1"}, Uniform: true, Only: "v1"}},
+	}
+}
+
+// Guards against streams that go on at another version through a router that is out of step: it has a recent digest that says that
+// there is one version only, and has not heard of a machine of a new version, where another router began the stream.
+func TestRouterOutOfStepDoesNotResume(t *testing.T) {
+	const registered = 7 // the revision at which the new machine registered
+	for _, test := range []struct {
+		name    string
+		confirm feed.ConfirmFunc
+		// later is the digest that arrives while the router waits for one.
+		later  *wirepb.ClusterDigest
+		status int
+	}{
+		{
+			name: "cut off from the leader and other routers",
+			confirm: func(context.Context) (uint64, error) {
+				return 0, fault.Unavailable.New("the leader could not be reached")
+			},
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name: "silent leader",
+			confirm: func(ctx context.Context) (uint64, error) {
+				<-ctx.Done()
+				return 0, fault.Unavailable.New("the leader did not reply")
+			},
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:    "suspended while the machine registered, then reads digests from before",
+			confirm: func(context.Context) (uint64, error) { return registered, nil },
+			later:   oneVersion(2, registered-1),
+			status:  http.StatusServiceUnavailable,
+		},
+		{
+			name:    "a digest of both versions comes late",
+			confirm: func(context.Context) (uint64, error) { return registered, nil },
+			later: &wirepb.ClusterDigest{
+				Term: 1, Sequence: 2, Revision: registered, SoftwareKnown: true,
+				Software: []*wirepb.PoolSoftware{{Pool: "pool", InUse: []string{"v1", "v2"}}},
+			},
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:    "a digest of one version comes late",
+			confirm: func(context.Context) (uint64, error) { return registered, nil },
+			later:   oneVersion(2, registered),
+			status:  http.StatusOK,
+		},
+		{
+			name:    "the leader had changes that no digest has",
+			confirm: func(context.Context) (uint64, error) { return registered, nil },
+			status:  http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			machine := newRawMachine(t, respondOK)
+			d := newDeployment(t)
+			d.serveVersions(machine.address, "v1")
+			first := oneVersion(1, 1)
+			first.Roster = &wirepb.Roster{Keepers: []*wirepb.RouterEntry{{Node: "keeper", Zone: "z", Address: reservePort(t)}}}
+			d.view.ApplyDigest(first)
+			for !d.handler.KnowsSoftware() {
+				time.Sleep(time.Millisecond)
+			}
+			confirm := feed.ConfirmFunc(func(ctx context.Context) (uint64, error) {
+				if test.later != nil {
+					go d.view.ApplyDigest(test.later)
+				}
+				return test.confirm(ctx)
+			})
+			d.confirm.Store(&confirm)
+			got := d.send(http.MethodPost, "/a/b", "id-1", "body", headerResumes, "began-elsewhere", headerLastEvent, "3")
+			if got.status != test.status {
+				t.Errorf("got %d %s", got.status, got.body)
+			}
+			if test.status != http.StatusOK && (len(machine.requests()) > 0 || got.header.Get("Retry-After") == "" || !strings.Contains(got.body, "not-run")) {
+				t.Errorf("the machine got %d requests; Retry-After %q, %s", len(machine.requests()), got.header.Get("Retry-After"), got.body)
+			}
+		})
+	}
+}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -60,7 +60,7 @@
 		},
 		Quota: settings.Quota.Bound(), Sharing: quota.Sharing(settings.Quota.Sharing),
 		RequestReport: created.reports.trigger, Propose: created.client.Propose,
-		Permit: created.client.Permit, Dial: node.dialMachines(), DialRouter: node.dialPeer, Link: meter,
+		Permit: created.client.Permit, Confirm: created.client.Confirm, Dial: node.dialMachines(), DialRouter: node.dialPeer, Link: meter,
 		MemoryBytes: int64(settings.Ingress.MemoryMB * (1 << 20)),
 	})
 	created.server = ingress.NewServer(created.ingress, created.view, node.logger, metrics, meter, created.ingress.MeasureLink)
