upstream: reject statuses above 599 too

What callers saw: a worker answered with status 600 or 999, and the client got it as an answer, at a router, over the hop and at the gateway.

Cause: three digits are not enough.

Evidence: the new cases of TestInvalidResponseIsBroken (ingress, gateway) and TestInvalidResponseOfRouterIsBroken fail on the parent commit.

After it they pass.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,10 +7,13 @@
 	"github.com/weldline/weldline/internal/fault"
 )
 
+// maxStatus is the highest valid status (RFC 9110, section 15).
+const maxStatus = 599
+
 // checkHead returns an error of type fault.Protocol if a head belongs to no response although net/http accepts it. Interim
 // responses are valid, except for one that switches protocols: no request asks for it.
 func checkHead(response *http.Response) error {
-	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus || response.StatusCode == http.StatusSwitchingProtocols {
 		return fault.Protocol.New("the status %q is invalid", response.Status)
 	}
 	for name := range response.Header {
--- a/internal/upstream/upstreamtest/invalid.go
+++ b/internal/upstream/upstreamtest/invalid.go
@@ -31,7 +31,7 @@
 func InvalidResponses() []InvalidResponse {
 	var invalid []InvalidResponse
 	// No request asks to switch protocols, so that 101 answers none.
-	for _, status := range []string{"000", "001", "099", "+20", "-20", "101", "20", "2000", "2xx"} {
+	for _, status := range []string{"000", "001", "099", "+20", "-20", "101", "600", "999", "20", "2000", "2xx"} {
 		invalid = append(invalid, InvalidResponse{Name: "status " + status, head: "HTTP/1.1 " + status + " Trouble\r\n" + fieldsPlace + "Content-Length: " + lengthPlace + "\r\n"})
 	}
 	framing := "Content-Length: " + lengthPlace + "\r\n"
