upstream: reject interim responses that state a body

What callers saw: a worker sent an interim response (103) with a length or chunks and a body that reads like a whole response. The client got what the body spelt out.

Cause: net/http reads no body of an interim response and takes the bytes that follow for the next head. RFC 9110 (8.6, 15.2) gives such responses neither a length nor a body.

Evidence: the new cases of TestInvalidResponseIsBroken fail on the parent commit, for both kinds of route, directly and forwarded. In the gateway and the agents one that has a blank in a name was accepted.

Change: the pool checks interim heads for a stated body; the transport does so as far as net/http shows them, which is not whether they state chunks.

After it the tests pass.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
 // Transport is an http.RoundTripper for machines that rejects the same responses as a Pool.
@@ -30,7 +31,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: expectHead})
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: expectHead, Got1xxResponse: checkTracedInterim})
 	response, err := t.Transport.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
@@ -48,3 +49,8 @@
 		_ = checked.expectHead(nil)
 	}
 }
+
+// checkTracedInterim checks the header of an interim response; net/http does not tell whether that states an encoding.
+func checkTracedInterim(_ int, header textproto.MIMEHeader) error {
+	return checkInterim(http.Header(header), false)
+}
--- a/internal/upstream/upstreamtest/invalid.go
+++ b/internal/upstream/upstreamtest/invalid.go
@@ -34,6 +34,13 @@
 	for _, status := range []string{"000", "001", "099", "+20", "-20", "101", "600", "999", "20", "2000", "2xx"} {
 		invalid = append(invalid, InvalidResponse{Name: "status " + status, head: "HTTP/1.1 " + status + " Trouble\r\n" + fieldsPlace + "Content-Length: " + lengthPlace + "\r\n"})
 	}
+	for name, line := range map[string]string{"length": "Content-Length: " + lengthPlace, "chunks": "Transfer-Encoding: chunked"} {
+		invalid = append(invalid, InvalidResponse{Name: "interim response with " + name, head: "HTTP/1.1 103 Early Hints\r\n" + fieldsPlace + line + "\r\n"})
+	}
+	invalid = append(invalid, InvalidResponse{
+		Name: "interim response with a blank in a name",
+		head: "HTTP/1.1 103 Early Hints\r\nField : value\r\n\r\nHTTP/1.1 200 OK\r\n" + fieldsPlace + "Content-Length: " + lengthPlace + "\r\n",
+	})
 	framing := "Content-Length: " + lengthPlace + "\r\n"
 	for name, lines := range map[string]string{
 		"blank in a name":              "Field Name: value\r\n" + framing,
