upstream: the end of a response counts once its request is written

Cause: the change for resets looked only for a failure that a write had got by then, and took EPIPE for an orderly end. Whether a connection is reset because the rest of the request finds no reader shows only once that was sent.

Change: inside a body, a read that finds the end of the connection waits until the request was written, and fails with its error. This replaces the deadline on the write. A worker that answers early, ends its side and reads on is whole, as is one that reads all and closes.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -153,14 +153,17 @@
 func (c *conn) exchange(request *Request) (*Response, error) {
 	c.bound.begin(request)
 	sent := &atomic.Bool{}
-	if len(request.Body) <= maxInlineBodyBytes {
+	endRequest := c.network.beginRequest()
+	write := func() error {
 		err := c.write(request)
 		sent.Store(err == nil)
-		if err != nil {
-			return nil, err
-		}
-	} else {
-		go func() { sent.Store(c.write(request) == nil) }()
+		endRequest(err)
+		return err
+	}
+	if len(request.Body) > maxInlineBodyBytes {
+		go func() { _ = write() }() // The reader of the response gets the error.
+	} else if err := write(); err != nil {
+		return nil, err
 	}
 	for range maxSkippedResponses {
 		response, err := c.readHead(request.Method)
--- a/internal/upstream/machineconn.go
+++ b/internal/upstream/machineconn.go
@@ -1,84 +1,94 @@
 package upstream
 
 import (
-	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
-	"syscall"
-	"time"
 )
 
 // machineConn is a connection to a machine that fails where net/http would take a broken response for a whole one.
 //
 // The kernel reports a failure of a connection, such as a reset, to one call only, and then lets reads return EOF like after an
-// orderly end. Invariant: Read returns io.EOF only if the peer ended the connection in order. A peer that does so first and then
-// resets the connection makes writes fail with EPIPE, other failures come without an orderly end.
+// orderly end. Invariant: inside a body, Read returns io.EOF only after the whole request was written without an error, so that no
+// write can have got the failure. Until then it waits, also if the machine has ended its side in order: the connection may still be
+// reset because the rest of the request finds no reader.
 type machineConn struct {
 	net.Conn
 
-	// headMutex guards folding.
-	headMutex sync.Mutex
-	folding   foldingDetector
+	// mutex guards folding and request.
+	mutex   sync.Mutex
+	folding foldingDetector
+	// request is nil before the first exchange.
+	request *requestWrite
 
-	// writing is held during writes.
-	writing sync.Mutex
-	// writeFailure is the error of the first write that failed.
-	writeFailure error
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// requestWrite is the writing of one request.
+type requestWrite struct {
+	ended chan struct{}
+	// err is valid once ended is closed.
+	err error
+}
+
+func newMachineConn(network net.Conn) *machineConn {
+	return &machineConn{Conn: network, closed: make(chan struct{})}
 }
 
 // NetConn returns the connection below.
 func (c *machineConn) NetConn() net.Conn { return c.Conn }
 
-// Write implements net.Conn.
-func (c *machineConn) Write(content []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	count, err := c.Conn.Write(content)
-	if c.writeFailure == nil {
-		c.writeFailure = err
+// Close implements net.Conn.
+func (c *machineConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// beginRequest must be called before a request is written. It returns a function to be called once with the result of that.
+func (c *machineConn) beginRequest() (end func(err error)) {
+	begun := &requestWrite{ended: make(chan struct{})}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.request = begun
+	return func(err error) {
+		begun.err = err
+		close(begun.ended)
 	}
-	return count, err
 }
 
 // expectHead has the following bytes checked as those of the head of a response. Some of them may have been read already.
 func (c *machineConn) expectHead(read []byte) error {
-	c.headMutex.Lock()
-	defer c.headMutex.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.folding = foldingDetector{}
 	return c.folding.observe(read)
 }
 
-func (c *machineConn) checkHead(received []byte) error {
-	c.headMutex.Lock()
-	defer c.headMutex.Unlock()
-	return c.folding.observe(received)
-}
-
 // Read implements net.Conn.
 func (c *machineConn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
-	if err := c.checkHead(buffer[:count]); err != nil {
-		return 0, err
-	}
-	if err != io.EOF {
-		return count, err
+	c.mutex.Lock()
+	folded, request, inBody := c.folding.observe(buffer[:count]), c.request, c.folding.isEnded
+	c.mutex.Unlock()
+	switch {
+	case folded != nil:
+		return 0, folded
+	case err == io.EOF && request != nil && inBody:
+		return count, c.endOf(request)
 	}
-	if failure := c.endWrite(); failure != nil {
-		return count, failure
-	}
-	return count, io.EOF
+	return count, err
 }
 
-// endWrite ends a write in progress, as nothing more is received, and returns the error of a write that shows that the connection
-// failed.
-func (c *machineConn) endWrite() error {
-	_ = c.SetWriteDeadline(time.Now()) // An error means that the connection is closed, which ends writes too.
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	if errors.Is(c.writeFailure, os.ErrDeadlineExceeded) || errors.Is(c.writeFailure, syscall.EPIPE) {
-		return nil
+// endOf returns io.EOF once a request has been written, or the error that ended that.
+func (c *machineConn) endOf(request *requestWrite) error {
+	select {
+	case <-request.ended:
+	case <-c.closed:
+		return net.ErrClosed
+	}
+	if request.err != nil {
+		return request.err
 	}
-	return c.writeFailure
+	return io.EOF
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	checked := &machineConn{Conn: network}
+	checked := newMachineConn(network)
 	bound := &boundedReader{network: checked, machine: machine}
 	return &conn{
 		machine: machine, address: address, network: checked, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes), openedAt: openedAt,
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -24,14 +24,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return &machineConn{Conn: opened}, nil
+		return newMachineConn(opened), nil
 	}
 	return &Transport{&http.Transport{DialContext: dialChecked, DisableCompression: true, MaxResponseHeaderBytes: MaxUnrelayedBytes}}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: expectHead, Got1xxResponse: checkTracedInterim})
+	traced := httptrace.WithClientTrace(request.Context(), traceExchange())
 	response, err := t.Transport.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
@@ -43,10 +43,23 @@
 	return response, nil
 }
 
-// expectHead has a connection check the head of its next response. No byte of it can have been read.
-func expectHead(info httptrace.GotConnInfo) {
-	if checked, isMachine := info.Conn.(*machineConn); isMachine {
-		_ = checked.expectHead(nil)
+// traceExchange tells the connection of a request what net/http does with it. After a retry on another connection, that one is told.
+func traceExchange() *httptrace.ClientTrace {
+	var endRequest func(err error)
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if checked, isMachine := info.Conn.(*machineConn); isMachine {
+				_ = checked.expectHead(nil) // No byte of the head can have been read.
+				endRequest = checked.beginRequest()
+			}
+		},
+		// net/http waits for the end of the writing before it retries a request.
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if endRequest != nil {
+				endRequest(info.Err)
+			}
+		},
+		Got1xxResponse: checkTracedInterim,
 	}
 }
 
--- a/internal/upstream/upstreamtest/early.go
+++ b/internal/upstream/upstreamtest/early.go
@@ -11,7 +11,7 @@
 )
 
 // smallBufferBytes is a size of socket buffers that an upload of many times as many bytes does not fit into.
-const smallBufferBytes = 4 << 10
+const smallBufferBytes = 64 << 10
 
 // Ending is how a server ends a connection.
 type Ending string
@@ -19,7 +19,7 @@
 const (
 	// EndReset resets the connection.
 	EndReset Ending = "reset"
-	// EndOrderly ends the sending side, and leaves the receiving side open until the test ends.
+	// EndOrderly ends the sending side and then reads the rest of the request.
 	EndOrderly Ending = "orderly end"
 	// EndOrderlyThenReset ends the sending side first and then resets the connection.
 	EndOrderlyThenReset Ending = "orderly end, then reset"
@@ -42,26 +42,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan struct{})
-	t.Cleanup(func() {
-		close(ended)
-		_ = listener.Close()
-	})
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
 			accepted, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go s.answer(accepted.(*net.TCPConn), ended)
+			go s.answer(accepted.(*net.TCPConn))
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func (s EarlyServer) answer(connection *net.TCPConn, ended <-chan struct{}) {
+func (s EarlyServer) answer(connection *net.TCPConn) {
 	defer func() { _ = connection.Close() }()
-	_ = connection.SetReadBuffer(smallBufferBytes)
+	if s.Ending != EndOrderly {
+		_ = connection.SetReadBuffer(smallBufferBytes)
+	}
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
 		return
@@ -74,7 +72,8 @@
 		_ = connection.CloseWrite()
 	}
 	if s.Ending == EndOrderly {
-		<-ended
+		_, _ = io.Copy(io.Discard, request.Body)
+		return
 	}
 	_ = connection.SetLinger(0)
 }
