gateway: a test reads a counter under its lock

Cause: the race detector found that TestEndlessResponsesAreBoundedTogether reads its server's counter without the lock, after the clients have ended but maybe not the server's connections. Change: an accessor. Figures: the race detector is clean on the tests of invalid, endless and cut responses of the gateway.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -31,6 +31,12 @@
 	s.most = max(s.most, s.taken)
 }
 
+func (s *endlessServer) mostTaken() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.most
+}
+
 func serveEndless(t *testing.T, framing, repeated string) *endlessServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -105,8 +111,8 @@
 			if held := d.gateway.HeldBodyBytes(); held != 0 {
 				t.Errorf("%d bytes are held in the end", held)
 			}
-			if allowed := memory + requests*bufferedBytes; server.most > allowed {
-				t.Errorf("%d MB were taken at the same time, at most %d MB may be", server.most>>20, allowed>>20)
+			if most, allowed := server.mostTaken(), memory+requests*bufferedBytes; most > allowed {
+				t.Errorf("%d MB were taken at the same time, at most %d MB may be", most>>20, allowed>>20)
 			}
 		})
 	}
