upstream: a rejection does not wait for the rest of an upload

Since the end of a response waits for the request to be written, a rejection without a length whose machine had ended its side and read no more kept the request until its deadline, instead of moving on to another machine.

Cause: the rest of a response that nobody takes is read under a read deadline, which ends the wait for bytes but not that for the write.

Evidence: TestRejectionDoesNotWaitForUpload fails on the parent commit, 503 after 30 s.

Change: such a rest is not read if its connection can't be kept anyway; otherwise a timer closes the connection. The result of a write may be reported twice, and a pool with a machine of another version names none.

After it the test passes, 5 runs, with those of upstream and ingress.

--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Guards against waiting for the rest of an upload to be written after a machine has rejected the request, ended its side and stopped
+// reading: it kept the request from other machines.
+func TestRejectionDoesNotWaitForUpload(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 10\r\n"} {
+		rejected := make(chan struct{}, 1)
+		full := upstreamtest.EarlyServer{Ending: upstreamtest.EndHalf, Proceed: func() { rejected <- struct{}{} }, Respond: func(header http.Header) string {
+			return "HTTP/1.1 503 Full\r\n" + headerID + ": " + header.Get(headerID) + "\r\n" + headerNotRun + ": 1\r\n" + framing + "\r\nfull"
+		}}.Serve(t)
+		machine := newRawMachine(t, respondOK)
+		location := places.Location{Zone: "z", Zones: places.NewZoneMap(map[string]string{"z": "north"})}
+		router := newDeploymentAt(t, location, func(options *ingress.Options) { options.Dial = upstreamtest.DialSmallBuffers })
+		router.serveUploads(v1.RouteUnrepeatable, full)
+		router.apply(router.machine("m1", machine.address), router.route(v1.RouteUnrepeatable, 3, long))
+		for number := 0; len(rejected) == 0; number++ {
+			if got := router.send(http.MethodPost, "/a/x", "id-"+strconv.Itoa(number), strings.Repeat("x", longUpload)); got.status != http.StatusOK {
+				t.Fatalf("%q: got %d %q (%v)", framing, got.status, got.body, got.err)
+			}
+		}
+	}
+}
+
 // Guards against a response with an invalid head that clients get, or that is skipped like an interim one, so that its body is taken
 // for the response.
 func TestInvalidResponseIsBroken(t *testing.T) {
--- a/internal/ingress/origins.go
+++ b/internal/ingress/origins.go
@@ -133,13 +133,14 @@
 	case !described.pools[pool].GetUniform():
 		return "", uniformityMixed
 	}
-	software, result = described.pools[pool].GetOnly(), uniformityProven
+	only, isMixed := described.pools[pool].GetOnly(), false
 	k.options.View.EachMachine(func(_ string, machine nodeview.Machine) {
-		if machine.Spec.Pool == pool && machine.Spec.Software != software {
-			result = uniformityMixed
-		}
+		isMixed = isMixed || machine.Spec.Pool == pool && machine.Spec.Software != only
 	})
-	return software, result
+	if isMixed {
+		return "", uniformityMixed
+	}
+	return only, uniformityProven
 }
 
 // awaitSoftware waits for a digest of a revision or a later one. isCurrent is false if ctx ended first.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -263,10 +263,13 @@
 	if r.released {
 		return // The connection may be in use for another exchange.
 	}
-	_ = r.conn.network.SetReadDeadline(time.Now().Add(discardTimeout))
+	if r.Framing == FramingClose {
+		r.Close() // Its connection can't be kept.
+		return
+	}
+	timer := time.AfterFunc(discardTimeout, func() { _ = r.conn.network.Close() })
 	count, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes+1))
-	r.complete = err == nil && count <= maxDiscardBytes
-	_ = r.conn.network.SetReadDeadline(time.Time{}) // A connection that can't be used any more is closed anyway.
+	r.complete = timer.Stop() && err == nil && count <= maxDiscardBytes
 	r.Close()
 }
 
--- a/internal/upstream/machineconn.go
+++ b/internal/upstream/machineconn.go
@@ -45,15 +45,18 @@
 	return c.Conn.Close()
 }
 
-// beginRequest must be called before a request is written. It returns a function to be called once with the result of that.
+// beginRequest must be called before a request is written. It returns a function to be called with the result of that.
 func (c *machineConn) beginRequest() (end func(err error)) {
 	begun := &requestWrite{ended: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.request = begun
+	var once sync.Once
 	return func(err error) {
-		begun.err = err
-		close(begun.ended)
+		once.Do(func() {
+			begun.err = err
+			close(begun.ended)
+		})
 	}
 }
 
--- a/internal/upstream/upstreamtest/early.go
+++ b/internal/upstream/upstreamtest/early.go
@@ -21,6 +21,8 @@
 	EndReset Ending = "reset"
 	// EndOrderly ends the sending side and then reads the rest of the request.
 	EndOrderly Ending = "orderly end"
+	// EndHalf ends the sending side and reads nothing until the test ends.
+	EndHalf Ending = "half an end"
 	// EndOrderlyThenReset ends the sending side first and then resets the connection.
 	EndOrderlyThenReset Ending = "orderly end, then reset"
 )
@@ -42,20 +44,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		close(ended)
+		_ = listener.Close()
+	})
 	go func() {
 		for {
 			accepted, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go s.answer(accepted.(*net.TCPConn))
+			go s.answer(accepted.(*net.TCPConn), ended)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func (s EarlyServer) answer(connection *net.TCPConn) {
+func (s EarlyServer) answer(connection *net.TCPConn, ended <-chan struct{}) {
 	defer func() { _ = connection.Close() }()
 	if s.Ending != EndOrderly {
 		_ = connection.SetReadBuffer(smallBufferBytes)
@@ -71,9 +77,12 @@
 	if s.Ending != EndReset {
 		_ = connection.CloseWrite()
 	}
-	if s.Ending == EndOrderly {
+	switch s.Ending {
+	case EndOrderly:
 		_, _ = io.Copy(io.Discard, request.Body)
 		return
+	case EndHalf:
+		<-ended
 	}
 	_ = connection.SetLinger(0)
 }
