--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,7 +135,7 @@
 	// LeaveDelay is how long a stopping node still accepts requests after its readiness check
 	// fails. Default 2500ms.
 	LeaveDelay time.Duration `yaml:"leaveDelay"`
-	// StopTimeout bounds a graceful shutdown. Default 8s.
+	// StopTimeout bounds a graceful shutdown. After LeaveDelay, requests are refused that may not be answered by then. Default 8s.
 	StopTimeout time.Duration `yaml:"stopTimeout"`
 	// RetryRatio and RetrySlack bound the retries that all nodes together send in any window:
 	// the ratio times the number of requests, plus the slack. Default 0.2.
