tests: one server loop for tests of clients of engines and workers

Change: upstreamtest.Listen, used by the four servers of the package and by three of the gateway's tests; the assertions stay.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -9,38 +9,24 @@
 
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/upstream/upstreamtest"
 )
 
 // serveUnframed starts a back end whose responses have neither a length nor chunks and end with their connection.
 func serveUnframed(t *testing.T, body string) (endpoint string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = connection.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(connection))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				head := "HTTP/1.1 200 OK\r\n" + engine.HeaderRequestID + ": " + request.Header.Get(engine.HeaderRequestID) + "\r\nContent-Type: application/json\r\n\r\n"
-				if request.Method == http.MethodHead {
-					body = ""
-				}
-				_, _ = io.WriteString(connection, head+body)
-			}()
+	return "http://" + upstreamtest.Listen(t, func(connection *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		head := "HTTP/1.1 200 OK\r\n" + engine.HeaderRequestID + ": " + request.Header.Get(engine.HeaderRequestID) + "\r\nContent-Type: application/json\r\n\r\n"
+		if request.Method == http.MethodHead {
+			body = ""
 		}
-	}()
-	return "http://" + listener.Addr().String()
+		_, _ = io.WriteString(connection, head+body)
+	})
 }
 
 // TestResponseThatMayBeCutOffIsNotRelayed guards against stating the length of a response that ended with its connection.
--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/gateway"
+	"github.com/weldline/weldline/internal/upstream/upstreamtest"
 )
 
 // cuttingBackend answers the first request on each connection, and ends its response to each further one after some bytes of the
@@ -33,26 +34,12 @@
 
 func newCuttingBackend(t *testing.T, cutFirst bool) *cuttingBackend {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	b := &cuttingBackend{endpoint: "http://" + listener.Addr().String(), cutFirst: cutFirst, seen: map[string]bool{}}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(connection)
-		}
-	}()
+	b := &cuttingBackend{cutFirst: cutFirst, seen: map[string]bool{}}
+	b.endpoint = "http://" + upstreamtest.Listen(t, b.serve)
 	return b
 }
 
-func (b *cuttingBackend) serve(connection net.Conn) {
-	defer func() { _ = connection.Close() }()
+func (b *cuttingBackend) serve(connection *net.TCPConn) {
 	reader := bufio.NewReader(connection)
 	for number := 0; ; number++ {
 		request, err := http.ReadRequest(reader)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -13,6 +13,7 @@
 	"github.com/weldline/weldline/api/engine"
 	v1 "github.com/weldline/weldline/api/v1"
 	"github.com/weldline/weldline/internal/gateway"
+	"github.com/weldline/weldline/internal/upstream/upstreamtest"
 )
 
 // endlessServer responds with a body that never ends.
@@ -39,26 +40,12 @@
 
 func serveEndless(t *testing.T, framing, repeated string) *endlessServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	server := &endlessServer{endpoint: "http://" + listener.Addr().String()}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go server.serve(connection, framing, repeated)
-		}
-	}()
+	server := &endlessServer{}
+	server.endpoint = "http://" + upstreamtest.Listen(t, func(connection *net.TCPConn) { server.serve(connection, framing, repeated) })
 	return server
 }
 
 func (s *endlessServer) serve(connection net.Conn, framing, repeated string) {
-	defer func() { _ = connection.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
 		return
--- a/internal/upstream/upstreamtest/cuthead.go
+++ b/internal/upstream/upstreamtest/cuthead.go
@@ -1,4 +1,3 @@
-// Package upstreamtest provides servers for tests of clients of engines and workers.
 package upstreamtest
 
 import (
@@ -22,26 +21,12 @@
 // ServeCutHead starts a server whose responses would begin with a head. It ends with the test.
 func ServeCutHead(t testing.TB, head string) *CutHead {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	server := &CutHead{Endpoint: "http://" + listener.Addr().String(), head: head}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			server.serve(connection)
-		}
-	}()
+	server := &CutHead{head: head}
+	server.Endpoint = "http://" + Listen(t, server.serve)
 	return server
 }
 
-func (c *CutHead) serve(connection net.Conn) {
-	defer func() { _ = connection.Close() }()
+func (c *CutHead) serve(connection *net.TCPConn) {
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
 		return
--- a/internal/upstream/upstreamtest/early.go
+++ b/internal/upstream/upstreamtest/early.go
@@ -40,29 +40,12 @@
 // Serve starts the server, which ends with the test.
 func (s EarlyServer) Serve(t testing.TB) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ended := make(chan struct{})
-	t.Cleanup(func() {
-		close(ended)
-		_ = listener.Close()
-	})
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.answer(accepted.(*net.TCPConn), ended)
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(func() { close(ended) })
+	return Listen(t, func(connection *net.TCPConn) { s.answer(connection, ended) })
 }
 
 func (s EarlyServer) answer(connection *net.TCPConn, ended <-chan struct{}) {
-	defer func() { _ = connection.Close() }()
 	if s.Ending != EndOrderly {
 		_ = connection.SetReadBuffer(smallBufferBytes)
 	}
--- a/internal/upstream/upstreamtest/endless.go
+++ b/internal/upstream/upstreamtest/endless.go
@@ -22,20 +22,10 @@
 // ServeEndless starts a server that responds with a head and then repeats a text.
 func ServeEndless(t testing.TB, head, repeated string) *Endless {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	server := &Endless{Endpoint: "http://" + listener.Addr().String(), taken: make(chan int, 1)}
-	go func() {
-		connection, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = connection.Close() }()
+	server := &Endless{taken: make(chan int, 1)}
+	server.Endpoint = "http://" + Listen(t, func(connection *net.TCPConn) {
 		server.taken <- respondEndlessly(connection, head, strings.Repeat(repeated, 1000))
-	}()
+	})
 	return server
 }
 
--- a/internal/upstream/upstreamtest/invalid.go
+++ b/internal/upstream/upstreamtest/invalid.go
@@ -78,33 +78,16 @@
 // the test.
 func Serve(t testing.TB, respond func(request *http.Request) string) (endpoint string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answer(connection, respond)
+	return "http://" + Listen(t, func(connection *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
 		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
-func answer(connection net.Conn, respond func(request *http.Request) string) {
-	defer func() { _ = connection.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		return
-	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return
-	}
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	_, _ = io.WriteString(connection, respond(request))
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		_, _ = io.WriteString(connection, respond(request))
+	})
 }
