--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -99,7 +99,7 @@
 	RefusedBackoff RefusalReason = "resting"
 	// RefusedSoftware: no machine of the pool runs the version of the software that the request needs.
 	RefusedSoftware RefusalReason = "software"
-	// RefusedStopping: this node stops before the request is certainly answered.
+	// RefusedStopping: this node may stop before the request is answered.
 	RefusedStopping RefusalReason = "stopping"
 	// RefusedUnreachable: this router has no path to a machine that could serve the request.
 	RefusedUnreachable RefusalReason = "unreachable"
--- a/internal/ingress/broken_test.go
+++ b/internal/ingress/broken_test.go
@@ -78,7 +78,7 @@
 func TestRejectionDoesNotWaitForUpload(t *testing.T) {
 	for _, framing := range []string{"", "Content-Length: 10\r\n"} {
 		rejected := make(chan struct{}, 1)
-		full := upstreamtest.EarlyServer{Ending: upstreamtest.EndHalf, Proceed: func() { rejected <- struct{}{} }, Respond: func(header http.Header) string {
+		full := upstreamtest.EarlyServer{Ending: upstreamtest.EndHalfClosed, Proceed: func() { rejected <- struct{}{} }, Respond: func(header http.Header) string {
 			return "HTTP/1.1 503 Full\r\n" + headerID + ": " + header.Get(headerID) + "\r\n" + headerNotRun + ": 1\r\n" + framing + "\r\nfull"
 		}}.Serve(t)
 		machine := newRawMachine(t, respondOK)
--- a/internal/ingress/stopping.go
+++ b/internal/ingress/stopping.go
@@ -9,11 +9,11 @@
 	"github.com/weldline/weldline/internal/problem"
 )
 
-// retryAfterStopping has clients come back at once: another node serves them.
+// retryAfterStopping lets clients retry at once, at another node.
 const retryAfterStopping = time.Millisecond
 
-// EndSending has requests refused from now on that were not sent to a machine and that may be unanswered at a time, at which this
-// node ends what is in flight. A request that is sent and then cut off may have run, so that its client can't always repeat it.
+// EndSending stops sending requests to machines that may be unanswered at the given time, when this node cancels what is in flight.
+// They are refused as not run, whereas a request that was sent and is then canceled may have run and can't always be repeated.
 func (i *Ingress) EndSending(end time.Time) {
 	i.sendingEnd.Store(&end)
 	i.queued.each(func(queued *job) {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -43,7 +43,7 @@
 	return response, nil
 }
 
-// traceExchange tells the connection of a request what net/http does with it. After a retry on another connection, that one is told.
+// traceExchange returns hooks that report the progress of a request to its connection, after a retry to the new one.
 func traceExchange() *httptrace.ClientTrace {
 	var endRequest func(err error)
 	return &httptrace.ClientTrace{
@@ -63,7 +63,7 @@
 	}
 }
 
-// checkTracedInterim checks the header of an interim response; net/http does not tell whether that states an encoding.
+// checkTracedInterim checks the header of an interim response; net/http does not expose whether it states an encoding.
 func checkTracedInterim(_ int, header textproto.MIMEHeader) error {
 	return checkInterim(http.Header(header), false)
 }
--- a/internal/upstream/upstreamtest/early.go
+++ b/internal/upstream/upstreamtest/early.go
@@ -21,8 +21,8 @@
 	EndReset Ending = "reset"
 	// EndOrderly ends the sending side and then reads the rest of the request.
 	EndOrderly Ending = "orderly end"
-	// EndHalf ends the sending side and reads nothing until the test ends.
-	EndHalf Ending = "half an end"
+	// EndHalfClosed ends the sending side and reads nothing until the test ends.
+	EndHalfClosed Ending = "half-closed"
 	// EndOrderlyThenReset ends the sending side first and then resets the connection.
 	EndOrderlyThenReset Ending = "orderly end, then reset"
 )
@@ -64,7 +64,7 @@
 	case EndOrderly:
 		_, _ = io.Copy(io.Discard, request.Body)
 		return
-	case EndHalf:
+	case EndHalfClosed:
 		<-ended
 	}
 	_ = connection.SetLinger(0)
