--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/weldline/weldline/internal/fault"
@@ -100,6 +101,8 @@
 	pool         *Pool
 	conn         *conn
 	httpResponse *http.Response
+	// requestSent is set once the whole request has been written.
+	requestSent  *atomic.Bool
 	stopWatching func() bool
 	complete     bool
 	readFailed   bool
@@ -149,15 +152,18 @@
 // respond before it has read the body.
 func (c *conn) exchange(request *Request) (*Response, error) {
 	c.bound.begin(request)
+	sent := &atomic.Bool{}
 	endRequest := c.network.beginRequest()
-	if len(request.Body) > maxInlineBodyBytes {
-		go func() { endRequest(c.write(request)) }()
-	} else {
+	write := func() error {
 		err := c.write(request)
+		sent.Store(err == nil)
 		endRequest(err)
-		if err != nil {
-			return nil, err
-		}
+		return err
+	}
+	if len(request.Body) > maxInlineBodyBytes {
+		go func() { _ = write() }() // The reader of the response gets the error.
+	} else if err := write(); err != nil {
+		return nil, err
 	}
 	for range maxSkippedResponses {
 		response, err := c.readHead(request.Method)
@@ -167,7 +173,7 @@
 		if request.Matches == nil || request.Matches(response.Header) {
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: FramingOf(response),
-				Body: response.Body, ConnectedAt: c.openedAt, conn: c, httpResponse: response,
+				Body: response.Body, ConnectedAt: c.openedAt, conn: c, httpResponse: response, requestSent: sent,
 			}, nil
 		}
 		// A late response to an earlier request.
@@ -276,7 +282,7 @@
 	r.released = true
 	intact := r.stopWatching()
 	lifetime, reusable := keepAlive(r.Header)
-	if !intact || !r.complete || !r.conn.network.hasSentRequest() || r.httpResponse.Close || r.Framing == FramingClose || !reusable || r.conn.reader.Buffered() > 0 {
+	if !intact || !r.complete || !r.requestSent.Load() || r.httpResponse.Close || r.Framing == FramingClose || !reusable || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.network.Close()
 		return
 	}
--- a/internal/upstream/machineconn.go
+++ b/internal/upstream/machineconn.go
@@ -60,19 +60,6 @@
 	}
 }
 
-// hasSentRequest reports whether the whole request of the current exchange has been written.
-func (c *machineConn) hasSentRequest() bool {
-	c.mutex.Lock()
-	request := c.request
-	c.mutex.Unlock()
-	select {
-	case <-request.ended:
-		return request.err == nil
-	default:
-		return false
-	}
-}
-
 // expectHead has the following bytes checked as those of the head of a response. Some of them may have been read already.
 func (c *machineConn) expectHead(read []byte) error {
 	c.mutex.Lock()
