httpconn: log how callers' connections end in a planned stop

The hypotheses on a response that was lost around a planned stop could not be distinguished by the logs: a connection that was closed under its request, one that was open when the process ended, and a response that the caller had not acknowledged by then. The line ingress_drained counts all three. The first one also shows as request_broken_off with the error of a closed connection.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -160,7 +160,7 @@
 // clusterEvents are events that can affect any request.
 var clusterEvents = map[string]bool{
 	"raft_role": true, "membership_changed": true, "declared": true, "serving": true, "upstream_lost": true,
-	"upstream_connected": true, "node_started": true, "node_stopped": true, "storage_failed": true, "ingress_draining": true,
+	"upstream_connected": true, "node_started": true, "node_stopped": true, "storage_failed": true, "ingress_draining": true, "ingress_drained": true,
 	"drain_in_force": true, "router_isolated": true, "router_reconnected": true,
 }
 
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/weldline/weldline/internal/tcpopt"
 )
 
@@ -19,11 +21,41 @@
 	closing atomic.Bool
 	mutex   sync.Mutex
 	conns   map[*Conn]struct{}
+	closed  Closed
+}
+
+// Closed describes the connections that were closed since CloseIdle was called.
+type Closed struct {
+	// Idle connections had no request; Busy ones ended with a response, with an error or with their server.
+	Idle, Busy int
+	// UnacknowledgedBytes were sent on these connections, and not yet acknowledged by the peer when they were closed.
+	UnacknowledgedBytes int64
+}
+
+// Closed returns what has been closed so far.
+func (t *Tracker) Closed() Closed {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.closed
+}
+
+func (t *Tracker) countClosed(wasBusy bool, unacknowledgedBytes int) {
+	if !t.closing.Load() {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if wasBusy {
+		t.closed.Busy++
+	} else {
+		t.closed.Idle++
+	}
+	t.closed.UnacknowledgedBytes += int64(unacknowledgedBytes)
 }
 
 // Wrap returns a connection that is tracked until Observe is called with http.StateClosed.
 func (t *Tracker) Wrap(network net.Conn) *Conn {
-	wrapped := &Conn{Conn: network}
+	wrapped := &Conn{Conn: network, tracker: t}
 	if socket, isTCP := network.(*net.TCPConn); isTCP {
 		raw, err := socket.SyscallConn()
 		if err == nil { // Otherwise the connection is closed, which its first read reports.
@@ -105,17 +137,42 @@
 // Conn is a tracked connection.
 type Conn struct {
 	net.Conn
+	tracker *Tracker
 	// raw is nil if the connection is not a TCP connection. Its reads are then not atomic with what they change.
 	raw syscall.RawConn
 
 	mutex sync.Mutex
 	// busy is set once something was read since the last response, and closed once the connection was closed as idle.
 	busy, closed bool
+	counted      sync.Once
 }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.counted.Do(func() { c.tracker.countClosed(c.isBusy(), c.unacknowledgedBytes()) })
+	return c.Conn.Close()
+}
+
+// unacknowledgedBytes returns the number of bytes that the peer has not acknowledged, 0 if it is unknown.
+func (c *Conn) unacknowledgedBytes() int {
+	if c.raw == nil {
+		return 0
+	}
+	bytes := 0
+	err := c.raw.Control(func(descriptor uintptr) {
+		if queued, failure := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); failure == nil {
+			bytes = queued
+		}
+	})
+	if err != nil {
+		return 0 // The connection has been closed.
+	}
+	return bytes
+}
+
 func (c *Conn) setIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -134,6 +191,6 @@
 	c.closed = c.closed || isIdle
 	c.mutex.Unlock()
 	if isIdle {
-		_ = c.Conn.Close() // The client has no request on it, or sees that it was not read.
+		_ = c.Close() // The client has no request on it, or sees that it was not read.
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -165,6 +165,9 @@
 // Busy returns the number of connections that a request is being read from, or whose response has not been written.
 func (s *Server) Busy() int { return s.connections.Busy() }
 
+// Closed describes the connections that were closed since StopAccepting was called.
+func (s *Server) Closed() httpconn.Closed { return s.connections.Closed() }
+
 func (s *Server) close() {
 	s.StopAccepting()
 	s.mutex.Lock()
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -110,6 +110,7 @@
 	time.Sleep(leave)
 	r.ingress.EndSending(started.Add(limit))
 	r.server.StopAccepting()
+	defer func() { r.logDrained(time.Since(started)) }()
 	isBusy := func() bool { return r.inFlight() > 0 }
 	waitWhile(started.Add(limit), isBusy)
 	left := r.inFlight()
@@ -121,6 +122,13 @@
 	waitWhile(started.Add(limit+forcedStopTime/2), isBusy)
 }
 
+// logDrained logs how the connections of callers ended. Those that are still open end with the process.
+func (r *ingressRole) logDrained(elapsed time.Duration) {
+	closed := r.server.Closed()
+	r.node.logger.Info("ingress_drained", "elapsed_ms", elapsed.Milliseconds(), "in_flight", r.ingress.InFlight(), "open_busy", r.server.Busy(),
+		"closed_idle", closed.Idle, "closed_busy", closed.Busy, "unacknowledged_bytes", closed.UnacknowledgedBytes)
+}
+
 // waitWhile waits until a condition ends, or until a deadline.
 func waitWhile(deadline time.Time, condition func() bool) {
 	for condition() && time.Now().Before(deadline) {
