--- /dev/null
+++ b/internal/httpconn/server_test.go
@@ -0,0 +1,79 @@
+package httpconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// watchedConn reports the reads of net/http that returned something.
+type watchedConn struct {
+	net.Conn
+	reads chan<- int
+}
+
+// NetConn returns the connection below.
+func (c watchedConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c watchedConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	if count > 0 {
+		c.reads <- count
+	}
+	return count, err
+}
+
+type watchedListener struct {
+	net.Listener
+	reads chan<- int
+}
+
+func (l watchedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	return watchedConn{Conn: accepted, reads: l.reads}, err
+}
+
+// Guards against closing a connection under a request of which net/http has read one byte ahead, as it does to notice clients
+// that leave.
+func TestConnectionIsKeptOnceItsNextRequestBegan(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracker, reads, proceed := &Tracker{}, make(chan int, 100), make(chan struct{})
+	server := &http.Server{ConnState: tracker.Observe, Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", "6")
+		_, _ = io.WriteString(writer, "answer")
+		_ = http.NewResponseController(writer).Flush()
+		<-proceed
+	})}
+	go func() { _ = server.Serve(watchedListener{Listener: Listener{Listener: listener, Tracker: tracker}, reads: reads}) }()
+	defer func() { _ = server.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	reader := bufio.NewReader(client)
+	for number := range 2 {
+		if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if number == 1 { // The first handler has sent its response, and has not returned.
+			<-reads
+			<-reads
+			tracker.CloseIdle()
+			close(proceed)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", number, err)
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || string(body) != "answer" {
+			t.Fatalf("request %d: %q, %v", number, body, err)
+		}
+	}
+}
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -8,15 +8,18 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
+	"github.com/weldline/weldline/internal/problem"
 )
 
 // stoppingServer is a server whose clients keep their connections while it stops.
@@ -38,7 +41,8 @@
 	}
 	created := &stoppingServer{address: listener.Addr().String(), started: map[string]bool{}, answered: map[string]bool{}}
 	meter := link.NewMeter(0)
-	created.server = ingress.NewServer(created, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), meter,
+	handler := earlyresponse.Handler{Next: created, Logger: slog.New(slog.DiscardHandler)}
+	created.server = ingress.NewServer(handler, nodeview.New(), slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), meter,
 		func(context.Context) time.Duration { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -56,6 +60,10 @@
 }
 
 func (s *stoppingServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method == http.MethodPost {
+		problem.New(problem.TypeUnavailable, http.StatusServiceUnavailable, "refused unread").Write(writer)
+		return
+	}
 	s.mutex.Lock()
 	s.started[request.Header.Get(headerID)] = true
 	s.mutex.Unlock()
@@ -77,43 +85,91 @@
 	}
 }
 
+// exchange sends requests on a connection and reads the responses. It reports whether all of them arrived.
+type exchange func(s *stoppingServer, connection net.Conn, reader *bufio.Reader, id string) bool
+
+// sendOne sends one request.
+func sendOne(s *stoppingServer, connection net.Conn, reader *bufio.Reader, id string) bool {
+	return write(connection, getRequest(id)) && s.readAnswer(reader, id)
+}
+
+// sendPipelined sends several requests at once.
+func sendPipelined(s *stoppingServer, connection net.Conn, reader *bufio.Reader, id string) bool {
+	ids := []string{id + "-a", id + "-b", id + "-c"}
+	text := ""
+	for _, each := range ids {
+		text += getRequest(each)
+	}
+	if !write(connection, text) {
+		return false
+	}
+	for _, each := range ids {
+		if !s.readAnswer(reader, each) {
+			return false
+		}
+	}
+	return true
+}
+
+// sendAfterRefusal sends most of an upload, which is refused at once, and then its rest together with a request.
+func sendAfterRefusal(s *stoppingServer, connection net.Conn, reader *bufio.Reader, id string) bool {
+	upload := strings.Repeat("x", 20000)
+	const atOnce = 15000
+	head := fmt.Sprintf("POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: %d\r\n\r\n", len(upload))
+	if !write(connection, head+upload[:atOnce]) {
+		return false
+	}
+	refusal, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, refusal.Body); err != nil || refusal.Close {
+		return false
+	}
+	return write(connection, upload[atOnce:]+getRequest(id)) && s.readAnswer(reader, id)
+}
+
+func getRequest(id string) string {
+	return "GET /a HTTP/1.1\r\nHost: shop.example\r\n" + headerID + ": " + id + "\r\n\r\n"
+}
+
+func (s *stoppingServer) readAnswer(reader *bufio.Reader, id string) bool {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "answer" {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.answered[id] = true
+	return true
+}
+
 // runClient sends requests on one connection until it ends.
-func (s *stoppingServer) runClient(name string) {
+func (s *stoppingServer) runClient(name string, send exchange) {
 	connection, err := net.Dial("tcp", s.address)
 	if err != nil {
 		return
 	}
 	defer func() { _ = connection.Close() }()
 	reader := bufio.NewReader(connection)
-	for number := 0; ; number++ {
-		id := fmt.Sprintf("%s-%d", name, number)
-		if !write(connection, "GET /a HTTP/1.1\r\nHost: shop.example\r\n"+headerID+": "+id+"\r\n\r\n") {
-			return
-		}
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(response.Body)
-		if err != nil || string(body) != "answer" {
-			return
-		}
-		s.mutex.Lock()
-		s.answered[id] = true
-		s.mutex.Unlock()
+	for number := 0; send(s, connection, reader, fmt.Sprintf("%s-%d", name, number)); number++ {
 	}
 }
 
-// Guards against requests that reached a machine and lost their response, as an idle connection was closed while the next
-// request was being read, or as the process ended before the end of the response was written.
-func TestStoppingServerAnswersWhatItHasRead(t *testing.T) {
+// stopUnderLoad stops servers again and again while clients send requests, and returns how many requests got a handler and
+// how many of those have no complete response.
+func stopUnderLoad(t *testing.T, send exchange) (handled, lost int) {
+	t.Helper()
 	const rounds, clients, requestsPerClient = 100, 16, 20
-	lost, requests := 0, 0
 	for round := range rounds {
 		s := newStoppingServer(t)
 		var running sync.WaitGroup
 		for number := range clients {
-			running.Go(func() { s.runClient(fmt.Sprintf("%d-%d", round, number)) })
+			running.Go(func() { s.runClient(fmt.Sprintf("%d-%d", round, number), send) })
 		}
 		s.awaitRequests(requestsPerClient * clients) // The clients are then anywhere in their requests.
 		s.server.StopAccepting()
@@ -123,12 +179,33 @@
 		s.end()
 		running.Wait()
 		for id := range s.started {
-			if requests++; !s.answered[id] {
+			if handled++; !s.answered[id] {
 				lost++
 			}
 		}
 	}
-	if lost > 0 {
-		t.Errorf("%d of %d requests that were handled lost their response", lost, requests)
+	return handled, lost
+}
+
+// Guards against requests that reached a machine and lost their response, as an idle connection was closed while the next
+// request was being read, or as the process ended before the end of the response was written.
+func TestStoppingServerAnswersWhatItHasRead(t *testing.T) {
+	if handled, lost := stopUnderLoad(t, sendOne); lost > 0 {
+		t.Errorf("%d of %d requests that were handled lost their response", lost, handled)
+	}
+}
+
+// Guards against pipelined requests that reach a machine and lose their response, as their connection counted as idle between two
+// of them.
+func TestStoppingServerAnswersPipelinedRequests(t *testing.T) {
+	if handled, lost := stopUnderLoad(t, sendPipelined); lost > 0 {
+		t.Errorf("%d of %d requests that were handled lost their response", lost, handled)
+	}
+}
+
+// Guards against requests that lose their response because they were read together with the end of a refused upload.
+func TestStoppingServerAnswersAfterRefusal(t *testing.T) {
+	if handled, lost := stopUnderLoad(t, sendAfterRefusal); lost > 0 {
+		t.Errorf("%d of %d requests that were handled lost their response", lost, handled)
 	}
 }
