httpconn: let the reader of a connection decide that it is idle

What callers saw: around a planned stop, a request that had reached a worker ended in a closed connection; or one that had been received in part was reset.

Cause: a connection counted as idle as soon as net/http reported it, and was closed by the thread that stops the server. net/http reads ahead, though: one byte, to notice clients that leave while a handler runs, and up to 4 kB behind the end of the request before. A whole request in that buffer was parsed and handled after its connection had been closed, and nothing marked it busy, as nothing more was read. Clients get there by pipelining, or by sending their next request while the rest of a refused upload is still being read.

Change: Conn.Read follows the framing of requests and returns no bytes of more than one; what was received of the next one is kept and counts. The stop only interrupts the read that waits for a request. The reader then serves what has arrived, or closes the connection. Until it has, the connection counts as busy. A response announces the close unless a request that was received before the stop follows it, so that a client that never stops sending does not delay the end. Responses whose header is written after the stop has begun announce it too.

Two tests of httpconn closed connections that nobody read; they read now, as a server does, and expect the same end. Alternatives: count the bytes that net/http has buffered (it does not tell); close after each early response (costs the callers a connection); wait for idle connections until the stop's timeout (each stop would take that long).

--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,145 @@
+package httpconn
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a tracked connection. Its Read never returns bytes of more than one request.
+type Conn struct {
+	net.Conn
+	tracker *Tracker
+	// raw is nil if the connection is not a TCP connection.
+	raw syscall.RawConn
+
+	mutex   sync.Mutex
+	framing framing
+	// responding is set from the end of a request's head until net/http reports the connection idle.
+	responding bool
+	// ahead was received together with the end of a request, and belongs to the next ones.
+	ahead []byte
+	// ending is set once the connection is to be closed when it is idle. Of what is ahead, aheadAtEnd bytes were received before.
+	ending     bool
+	aheadAtEnd int
+	// interrupted is set while reads are ended by a deadline in place of readDeadline, which is the one of the server.
+	interrupted  bool
+	readDeadline time.Time
+	closed       bool
+}
+
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// isBusyLocked reports whether a byte of a request was received whose response has not been written.
+func (c *Conn) isBusyLocked() bool {
+	return c.responding || c.framing.state != betweenRequests || len(c.ahead) > 0
+}
+
+// mayAnswer reports whether a response may still be written, or a request read.
+func (c *Conn) mayAnswer() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.ending || c.isBusyLocked()
+}
+
+// expectBody tells that a handler has begun, and the length of the request's body: -1 if it comes in chunks.
+func (c *Conn) expectBody(length int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.responding = true
+	c.framing.expectBody(length)
+}
+
+// isLastResponse reports whether the connection is to be closed after the response to the current request. Requests that
+// were received before CloseIdle are answered first, others are not, as clients may send them without end.
+func (c *Conn) isLastResponse() bool {
+	if !c.tracker.announcing.Load() {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ending {
+		return c.aheadAtEnd == 0
+	}
+	return len(c.ahead) == 0
+}
+
+// setIdle is called when the response to a request has been written and net/http waits for the next one.
+func (c *Conn) setIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.responding = false
+	c.interruptIfIdleLocked()
+}
+
+// end has the connection closed as soon as it is idle.
+func (c *Conn) end() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.ending {
+		c.ending, c.aheadAtEnd = true, len(c.ahead)
+	}
+	c.interruptIfIdleLocked()
+}
+
+// interruptIfIdleLocked ends the wait of a read, which then fails unless a request has arrived.
+func (c *Conn) interruptIfIdleLocked() {
+	if !c.ending || c.isBusyLocked() || c.interrupted {
+		return
+	}
+	c.interrupted = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // It fails if the connection is closed, which ends reads as well.
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline = deadline
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mutex.Lock()
+	wasClosed := c.closed
+	c.closed = true
+	wasBusy := c.isBusyLocked()
+	c.mutex.Unlock()
+	if !wasClosed {
+		c.tracker.remove(c, wasBusy, c.unacknowledgedBytes())
+	}
+	return c.Conn.Close()
+}
+
+// unacknowledgedBytes returns the number of bytes that the peer has not acknowledged, 0 if it is unknown.
+func (c *Conn) unacknowledgedBytes() int {
+	if c.raw == nil {
+		return 0
+	}
+	bytes := 0
+	err := c.raw.Control(func(descriptor uintptr) {
+		if queued, failure := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); failure == nil {
+			bytes = queued
+		}
+	})
+	if err != nil {
+		return 0 // The connection has been closed.
+	}
+	return bytes
+}
--- a/internal/httpconn/read.go
+++ b/internal/httpconn/read.go
@@ -9,36 +9,106 @@
 	"golang.org/x/sys/unix"
 )
 
-// Read implements net.Conn. The system call and the change of state are one step for closeIfIdle.
+// Read implements net.Conn. If the connection is to be closed, and no byte of a request has arrived, it fails with net.ErrClosed:
+// the connection is closed by its only reader, so that no request is read and then cut off.
 func (c *Conn) Read(buffer []byte) (count int, err error) {
-	if c.raw == nil || len(buffer) == 0 {
-		return c.readAndMark(buffer)
+	if len(buffer) == 0 {
+		return c.Conn.Read(buffer)
 	}
+	if count := c.takeAhead(buffer); count > 0 {
+		return count, nil
+	}
+	if c.raw == nil {
+		count, err = c.Conn.Read(buffer)
+		count = c.pass(buffer[:count])
+	} else {
+		count, err = c.waitAndRead(buffer)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isInterrupted() {
+		return c.readArrived(buffer)
+	}
+	return count, err
+}
+
+// takeAhead returns what was received earlier and belongs to the current request.
+func (c *Conn) takeAhead(buffer []byte) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.ahead) == 0 {
+		return 0
+	}
+	count := c.passLocked(buffer[:copy(buffer, c.ahead)])
+	c.aheadAtEnd = max(0, c.aheadAtEnd-count)
+	c.ahead = c.ahead[count:]
+	if len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return count
+}
+
+// pass returns how many of the received bytes belong to the current request, and keeps the others.
+func (c *Conn) pass(received []byte) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.keepRestLocked(received)
+}
+
+func (c *Conn) keepRestLocked(received []byte) int {
+	count := c.passLocked(received)
+	c.ahead = append(c.ahead, received[count:]...)
+	if c.interrupted && c.isBusyLocked() {
+		c.interrupted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // It fails if the connection is closed, which the next read reports.
+	}
+	return count
+}
+
+func (c *Conn) passLocked(received []byte) int {
+	found := c.framing.pass(received)
+	c.responding = c.responding || found.headEnded
+	return found.count
+}
+
+func (c *Conn) isInterrupted() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.interrupted
+}
+
+// waitAndRead reads from the socket.
+func (c *Conn) waitAndRead(buffer []byte) (count int, err error) {
 	var failure error
 	waitErr := c.raw.Read(func(descriptor uintptr) (done bool) {
-		count, failure = c.tryRead(int(descriptor), buffer)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		count, failure = c.tryReadLocked(int(descriptor), buffer)
 		return !errors.Is(failure, unix.EAGAIN)
 	})
-	switch {
-	case waitErr != nil:
+	if waitErr != nil {
 		return 0, c.readError(waitErr)
-	case errors.Is(failure, net.ErrClosed):
-		return 0, c.readError(failure)
-	case failure != nil:
-		return 0, c.readError(os.NewSyscallError("read", failure))
-	case count == 0:
-		return 0, io.EOF
 	}
-	return count, nil
+	return c.readResult(count, failure)
 }
 
-// tryRead reads what has arrived, without waiting.
-func (c *Conn) tryRead(descriptor int, buffer []byte) (int, error) {
+// readArrived reads what has arrived before the connection is closed.
+func (c *Conn) readArrived(buffer []byte) (count int, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed // What the client has sent must stay unread.
+	if c.raw == nil {
+		return 0, c.readError(net.ErrClosed)
+	}
+	var failure error
+	if err := c.raw.Control(func(descriptor uintptr) { count, failure = c.tryReadLocked(int(descriptor), buffer) }); err != nil {
+		return 0, c.readError(err)
 	}
+	if errors.Is(failure, unix.EAGAIN) {
+		return 0, c.readError(net.ErrClosed)
+	}
+	return c.readResult(count, failure)
+}
+
+// tryReadLocked reads what has arrived, without waiting.
+func (c *Conn) tryReadLocked(descriptor int, buffer []byte) (int, error) {
 	for {
 		count, err := unix.Read(descriptor, buffer)
 		if errors.Is(err, unix.EINTR) {
@@ -47,17 +117,18 @@
 		if err != nil {
 			return 0, err
 		}
-		c.busy = c.busy || count > 0
-		return count, nil
+		return c.keepRestLocked(buffer[:count]), nil
 	}
 }
 
-func (c *Conn) readAndMark(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.busy = c.busy || count > 0
-	return count, err
+func (c *Conn) readResult(count int, failure error) (int, error) {
+	if failure != nil {
+		return 0, c.readError(os.NewSyscallError("read", failure))
+	}
+	if count == 0 {
+		return 0, io.EOF
+	}
+	return count, nil
 }
 
 // readError returns an error like those of net.TCPConn, by which net/http distinguishes broken connections from invalid requests.
--- a/internal/httpconn/server_test.go
+++ b/internal/httpconn/server_test.go
@@ -44,13 +44,15 @@
 		t.Fatal(err)
 	}
 	tracker, reads, proceed := &Tracker{}, make(chan int, 100), make(chan struct{})
-	server := &http.Server{ConnState: tracker.Observe, Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{ConnState: tracker.Observe, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Length", "6")
 		_, _ = io.WriteString(writer, "answer")
 		_ = http.NewResponseController(writer).Flush()
 		<-proceed
-	})}
-	go func() { _ = server.Serve(watchedListener{Listener: Listener{Listener: listener, Tracker: tracker}, reads: reads}) }()
+	}))}
+	go func() {
+		_ = server.Serve(watchedListener{Listener: Listener{Listener: listener, Tracker: tracker}, reads: reads})
+	}()
 	defer func() { _ = server.Close() }()
 	client, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
@@ -59,7 +61,7 @@
 	defer func() { _ = client.Close() }()
 	reader := bufio.NewReader(client)
 	for number := range 2 {
-		if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(client, getRequest); err != nil {
 			t.Fatal(err)
 		}
 		if number == 1 { // The first handler has sent its response, and has not returned.
--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -11,6 +11,8 @@
 	"time"
 )
 
+const getRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
 // newPair returns a tracked connection of a server and that of its client.
 func newPair(t *testing.T, tracker *Tracker) (*Conn, *net.TCPConn) {
 	t.Helper()
@@ -85,7 +87,7 @@
 	if tracker.Busy() != 0 {
 		t.Error("a connection without a request is busy")
 	}
-	_, _ = client.Write([]byte("request"))
+	_, _ = io.WriteString(client, getRequest)
 	if _, err := server.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
 	}
@@ -94,15 +96,27 @@
 		t.Error("the connection is not busy")
 	}
 	tracker.Observe(server, http.StateIdle)
+	expectClosed(t, server)
 	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the client reads %v, not the end", err)
 	}
-	tracker.Observe(server, http.StateClosed)
 	if tracker.Busy() != 0 || len(tracker.list()) != 0 {
 		t.Error("a closed connection is tracked")
 	}
 }
 
+// expectClosed checks that a read ends with net.ErrClosed, as a server's does that waits for a request, and closes the connection.
+func expectClosed(t *testing.T, server *Conn) {
+	t.Helper()
+	if err := server.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Error(err)
+	}
+	if count, err := server.Read(make([]byte, 100)); count > 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the server reads %d bytes, %v", count, err)
+	}
+	_ = server.Close()
+}
+
 // net/http ends a pending read by a deadline, and distinguishes clients that leave from invalid requests by the type of the error.
 func TestReadFailsLikeTCP(t *testing.T) {
 	server, client := newPair(t, &Tracker{})
@@ -135,12 +149,16 @@
 	tracker := &Tracker{}
 	near, far := net.Pipe()
 	server := tracker.Wrap(near)
-	go func() { _, _ = far.Write([]byte("x")) }()
-	if count, err := server.Read(make([]byte, 1)); count != 1 || err != nil || tracker.Busy() != 1 {
+	go func() { _, _ = io.WriteString(far, getRequest) }()
+	if count, err := server.Read(make([]byte, 100)); count != len(getRequest) || err != nil || tracker.Busy() != 1 {
 		t.Errorf("read %d, %v, with %d busy", count, err, tracker.Busy())
 	}
 	tracker.Observe(server, http.StateIdle)
+	if tracker.Busy() != 0 {
+		t.Error("a connection without a request is busy")
+	}
 	tracker.CloseIdle()
+	expectClosed(t, server)
 	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the client reads %v, not the end", err)
 	}
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -1,13 +1,12 @@
 package ingress
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/weldline/weldline/internal/eventstream"
 	"github.com/weldline/weldline/internal/fault"
+	"github.com/weldline/weldline/internal/httpconn"
 	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
 )
@@ -68,8 +67,7 @@
 }
 
 func (j *job) setResetOnClose(reset bool) {
-	connection, _ := j.request.Context().Value(connectionKey{}).(net.Conn)
-	socket := tcpopt.Socket(connection)
+	socket := tcpopt.Socket(httpconn.FromContext(j.request.Context()))
 	if socket == nil {
 		j.log("reset_unavailable")
 		return
@@ -82,11 +80,3 @@
 		j.log("reset_unavailable", "error", err.Error())
 	}
 }
-
-type connectionKey struct{}
-
-// ConnContext is the http.Server.ConnContext of servers that clients connect to. It lets a handler reset the
-// connection of a response that breaks off.
-func ConnContext(ctx context.Context, connection net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, connection)
-}
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/weldline/weldline/internal/clock"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/feed"
+	"github.com/weldline/weldline/internal/httpconn"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/level"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -219,7 +220,7 @@
 	workers.Go(func() { handler.Run(ctx) })
 	created.handler = handler
 	created.server = httptest.NewUnstartedServer(handler)
-	created.server.Config.ConnContext = ingress.ConnContext
+	created.server.Config.ConnContext = httpconn.ConnContext
 	created.server.Start()
 	t.Cleanup(func() {
 		created.server.CloseClientConnections()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -326,8 +326,7 @@
 	return i.serving.Load()
 }
 
-// Drain adds "Connection: close" to all further responses, and hands the origins of streams over to other
-// routers.
+// Drain ends the node's readiness, has other routers use other connections, and hands the origins of streams over to them.
 func (i *Ingress) Drain() {
 	i.stopping.Store(true)
 	i.origins.handOver()
@@ -469,7 +468,7 @@
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
 	defer func() { i.bodies.Release(j.bodyBytes) }()
-	if i.stopping.Load() {
+	if j.forwarded != nil && i.stopping.Load() {
 		j.writer.Header().Set("Connection", "close")
 	}
 	j.serve()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -128,7 +128,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	server := &http.Server{
-		Handler: s.handler, Protocols: protocols, ConnContext: ConnContext, ConnState: s.connections.Observe,
+		Handler: httpconn.Handler(s.handler), Protocols: protocols, ConnContext: httpconn.ConnContext, ConnState: s.connections.Observe,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 	}
@@ -146,6 +146,9 @@
 	return started
 }
 
+// AnnounceClose has clients use other connections from now on.
+func (s *Server) AnnounceClose() { s.connections.AnnounceClose() }
+
 // StopAccepting closes the listener and idle connections, and the others once they are idle. Requests that were read
 // continue.
 func (s *Server) StopAccepting() {
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -107,6 +107,7 @@
 	leave := min(r.node.settings.Ingress.LeaveDelay, limit/leaveDelayDivisor)
 	r.node.logger.Info("ingress_draining", "in_flight", r.ingress.InFlight())
 	r.ingress.Drain()
+	r.server.AnnounceClose()
 	time.Sleep(leave)
 	r.ingress.EndSending(started.Add(limit))
 	r.server.StopAccepting()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -378,7 +378,8 @@
 func (n *Node) serve(ctx context.Context, address string, listener net.Listener, handler http.Handler) {
 	connections := &httpconn.Tracker{}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug), ConnState: connections.Observe,
+		Handler: httpconn.Handler(handler), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
+		ConnContext: httpconn.ConnContext, ConnState: connections.Observe,
 	}
 	n.workers.Go(func() {
 		<-ctx.Done()
