httpconn: close only the sending side while the client may still send

What callers saw: a client that pipelines lost responses that had been written, at the end of a stop. Cause: a close of a socket with unread bytes resets the connection, and the client's system then drops what the client has not read. Such a connection now closes its sending side, reads on for up to a second, and counts as busy meanwhile. Connections whose close is meant to reset them, and those that were refused unread, still reset.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -5,8 +5,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Conn is a tracked connection. Its Read never returns bytes of more than one request.
@@ -28,7 +26,13 @@
 	// interrupted is set while reads are ended by a deadline in place of readDeadline, which is the one of the server.
 	interrupted  bool
 	readDeadline time.Time
-	closed       bool
+	// pipelined is set once a request was received before the response to the one before had been written.
+	pipelined bool
+	// wrote is set once a response was begun.
+	wrote bool
+	// resets is set while a close resets the connection, so that its peer does not take what it got for complete.
+	resets bool
+	closed bool
 }
 
 // NetConn returns the connection below.
@@ -113,33 +117,3 @@
 	}
 	return c.SetWriteDeadline(deadline)
 }
-
-// Close implements net.Conn.
-func (c *Conn) Close() error {
-	c.mutex.Lock()
-	wasClosed := c.closed
-	c.closed = true
-	wasBusy := c.isBusyLocked()
-	c.mutex.Unlock()
-	if !wasClosed {
-		c.tracker.remove(c, wasBusy, c.unacknowledgedBytes())
-	}
-	return c.Conn.Close()
-}
-
-// unacknowledgedBytes returns the number of bytes that the peer has not acknowledged, 0 if it is unknown.
-func (c *Conn) unacknowledgedBytes() int {
-	if c.raw == nil {
-		return 0
-	}
-	bytes := 0
-	err := c.raw.Control(func(descriptor uintptr) {
-		if queued, failure := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); failure == nil {
-			bytes = queued
-		}
-	})
-	if err != nil {
-		return 0 // The connection has been closed.
-	}
-	return bytes
-}
--- a/internal/httpconn/read.go
+++ b/internal/httpconn/read.go
@@ -54,6 +54,7 @@
 }
 
 func (c *Conn) keepRestLocked(received []byte) int {
+	c.pipelined = c.pipelined || c.responding && c.framing.state == betweenRequests && len(received) > 0
 	count := c.passLocked(received)
 	c.ahead = append(c.ahead, received[count:]...)
 	if c.interrupted && c.isBusyLocked() {
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -7,7 +7,6 @@
 	"github.com/weldline/weldline/internal/eventstream"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/httpconn"
-	"github.com/weldline/weldline/internal/tcpopt"
 	"github.com/weldline/weldline/internal/upstream"
 )
 
@@ -66,17 +65,8 @@
 	}
 }
 
-func (j *job) setResetOnClose(reset bool) {
-	socket := tcpopt.Socket(httpconn.FromContext(j.request.Context()))
-	if socket == nil {
-		j.log("reset_unavailable")
-		return
-	}
-	seconds := -1 // the default: the kernel sends what is left, and then closes the connection
-	if reset {
-		seconds = 0
-	}
-	if err := socket.SetLinger(seconds); err != nil {
-		j.log("reset_unavailable", "error", err.Error())
+func (j *job) setResetOnClose(resets bool) {
+	if err := httpconn.SetResetOnClose(httpconn.FromContext(j.request.Context()), resets); err != nil {
+		j.log("reset_unavailable", "error", fault.Message(err))
 	}
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -209,3 +209,60 @@
 		t.Errorf("%d of %d requests that were handled lost their response", lost, handled)
 	}
 }
+
+// sendEndlessly pipelines requests without end, and returns how many complete responses arrived, whether the last one announced the
+// end, and the error after it.
+func sendEndlessly(address string) (answers int, announced bool, err error) {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, false, err
+	}
+	defer func() { _ = connection.Close() }()
+	go func() {
+		for number := 0; write(connection, strings.Repeat(getRequest(fmt.Sprintf("endless-%d", number)), 50)); number++ {
+		}
+	}()
+	reader := bufio.NewReader(connection)
+	for {
+		if _, err := reader.Peek(1); err != nil {
+			return answers, announced, err
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return answers, announced, fmt.Errorf("reading a head: %w", err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || string(body) != "answer" {
+			return answers, announced, fmt.Errorf("answer %d is %q: %w", answers, body, err)
+		}
+		answers, announced = answers+1, response.Close
+	}
+}
+
+// Guards against a client that sends without end and delays a stop, or loses responses because its connection is closed with unread
+// requests on it.
+func TestStoppingServerEndsEndlessClient(t *testing.T) {
+	for range 20 {
+		s := newStoppingServer(t)
+		type result struct {
+			answers   int
+			announced bool
+			err       error
+		}
+		ended := make(chan result, 4)
+		for range cap(ended) {
+			go func() {
+				answers, announced, err := sendEndlessly(s.address)
+				ended <- result{answers, announced, err}
+			}()
+		}
+		s.awaitRequests(10)
+		s.server.StopAccepting()
+		for range cap(ended) {
+			if got := <-ended; got.answers > 0 && (!got.announced || got.err != io.EOF) {
+				t.Errorf("after %d answers, the last of which announces the end: %t, the client got %v", got.answers, got.announced, got.err)
+			}
+		}
+		s.end()
+	}
+}
