ingress: a server that has stopped starts none for changed limits

A connection that was accepted as the server stopped, after the declared limits had changed, got an HTTP server that the stop did not know of: it was neither closed nor waited for, and a request on it was cut off when the process ended. Found by reading, while looking for connections that are not counted. TestStoppingServerClosesConnectionForChangedLimits failed before (the request was read).

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net"
 	"time"
 
 	"github.com/weldline/weldline/internal/streamorigin"
@@ -42,3 +43,6 @@
 
 // HeldBodyBytes returns the memory that is reserved for bodies.
 func (i *Ingress) HeldBodyBytes() int64 { return i.bodies.Held() }
+
+// Assign has a server serve a connection that it has accepted.
+func (s *Server) Assign(connection net.Conn) { s.assign(connection) }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -105,6 +105,10 @@
 func (s *Server) assign(connection net.Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.stopped {
+		_ = connection.Close() // StopAccepting would not know of a server that is started now.
+		return
+	}
 	limits := s.limits
 	if declared := s.view.Declaration(); declared != nil {
 		limits = *declared
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -266,3 +266,20 @@
 		s.end()
 	}
 }
+
+// Guards against a connection that is accepted just as the server stops, gets a server of its own for limits that have changed,
+// and is neither closed nor waited for.
+func TestStoppingServerClosesConnectionForChangedLimits(t *testing.T) {
+	view := nodeview.New()
+	server := ingress.NewServer(http.NotFoundHandler(), view, slog.New(slog.DiscardHandler), ingress.NewMetrics(prometheus.NewRegistry()), link.NewMeter(0), nil)
+	server.StopAccepting()
+	client, accepted := net.Pipe()
+	defer func() { _ = client.Close() }()
+	go server.Assign(accepted)
+	if write(client, getRequest("late")) {
+		t.Error("the request is read")
+	}
+	if server.Busy() != 0 {
+		t.Error("the server is busy")
+	}
+}
