node: servers finish their requests before the roles end

What callers saw: calls to a control node that stops were answered 503 after up to 3 s, "there is no leader to confirm a revision" or "not committed in time; it may be later", although the cluster had a leader all the time; an accepted change could lose its acknowledgment that way. Cause: the API waited for its calls only after the control role had been told to end, so that they waited for a state that nobody changed any more. The same order held for requests of other routers on the hop, whose dispatcher had ended.

All servers are now closed first, and finish what they have received while the roles still run: within 5 s, or within the rest of the ingress's stop timeout.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,6 @@
 	"github.com/weldline/weldline/internal/datadir"
 	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/fault"
-	"github.com/weldline/weldline/internal/httpconn"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/keys"
 	"github.com/weldline/weldline/internal/level"
@@ -58,6 +57,9 @@
 	ingress     *ingressRole
 	extensions  Extensions
 
+	// servers are the HTTP servers besides that of the ingress role's callers.
+	servers []*httpServer
+
 	// seeds are the formation settings last read.
 	seeds atomic.Pointer[settings.FormationSettings]
 
@@ -203,6 +205,7 @@
 		n.drain()
 	case failure = <-n.failed:
 		n.logger.Error("role_failed", "error", fault.Message(failure))
+		n.drainServers(time.Now().Add(shutdownTimeout))
 	}
 	n.stopped.Store(true)
 	cancel()
@@ -232,15 +235,21 @@
 	}
 }
 
-// drain lets the ingress and the router finish requests. The control role and the feed still run
-// meanwhile, since the results of requests are recorded through them.
+// drain lets all servers finish requests. The control role and the feed still run meanwhile, since requests wait for them.
 func (n *Node) drain() {
+	deadline := time.Now().Add(shutdownTimeout)
 	if n.ingress != nil {
+		deadline = time.Now().Add(n.settings.Ingress.StopTimeout - forcedStopTime/4)
 		n.ingress.drain()
 	}
-	if n.router == nil {
-		return
+	if n.router != nil {
+		n.drainRouter()
+		deadline = time.Now().Add(shutdownTimeout)
 	}
+	n.drainServers(deadline)
+}
+
+func (n *Node) drainRouter() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Router.DrainTimeout)
 	defer cancel()
 	n.logger.Info("router_draining")
@@ -376,22 +385,24 @@
 
 // serve serves HTTP on a listener until ctx ends.
 func (n *Node) serve(ctx context.Context, address string, listener net.Listener, handler http.Handler) {
-	connections := &httpconn.Tracker{}
-	server := &http.Server{
-		Handler: httpconn.Handler(handler), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
-		ConnContext: httpconn.ConnContext, ConnState: connections.Observe,
-	}
+	started := newHTTPServer(address, listener, handler, n.logger)
+	n.servers = append(n.servers, started)
 	n.workers.Go(func() {
 		<-ctx.Done()
-		_ = listener.Close()
-		connections.CloseIdle()
-		waitWhile(time.Now().Add(shutdownTimeout), func() bool { return connections.Busy() > 0 })
-		_ = server.Close()
+		started.close()
 	})
-	n.run(func() error {
-		if err := server.Serve(httpconn.Listener{Listener: listener, Tracker: connections}); ctx.Err() == nil {
-			return fault.Unavailable.Wrap(err, "serving %s", address)
+	n.run(started.run)
+}
+
+// drainServers lets the servers finish requests until a deadline.
+func (n *Node) drainServers(deadline time.Time) {
+	for _, each := range n.servers {
+		each.stopAccepting()
+	}
+	waitWhile(deadline, func() bool { return slices.ContainsFunc(n.servers, (*httpServer).isBusy) })
+	for _, each := range n.servers {
+		if each.isBusy() {
+			n.logger.Warn("drain_timed_out", "address", each.address)
 		}
-		return nil
-	})
+	}
 }
