nodeview: whatever makes a view current wakes those who wait for it

What callers saw: a router that was restarted in a quiet cluster answered 503, "this node has not got the present configuration yet", until the next change of any object, and was not ready either. Cause: a digest may be what makes the view current. It woke only those who wait for digests, whereas the router begins to serve when it is told of changes; and the requests for a confirmation, which would have told it, end once the view is current. Class: a state that several writers change, one of which does not wake those who wait for it.

updateCurrent is now the one place that changes the state, and it notifies.

--- a/internal/nodeview/view.go
+++ b/internal/nodeview/view.go
@@ -300,16 +300,23 @@
 	v.digestChanged.Notify()
 }
 
-// updateCurrent marks the view as current once it holds a revision that the leader held after the node
-// started. The first digest may have been cached by a server and doesn't count.
+// updateCurrent marks the view as current once it holds a revision that the leader held after the node started, and notifies
+// those who wait for changes. All that the state is derived from must be changed before a call.
 func (v *View) updateCurrent() {
-	if v.isConfirmed && v.revision >= v.confirmed {
-		v.current = true
-	}
-	if v.current || v.digest == nil || !feed.IsNewerDigest(v.digest, v.firstDigest) {
+	if v.current || !v.isUpToDate() {
 		return
 	}
-	v.current = v.revision >= v.digest.GetRevision()
+	v.current = true
+	v.changed.Notify()
+}
+
+// isUpToDate reports whether the view is at a revision that is known to be recent. The first digest may have been cached by a
+// server and doesn't count.
+func (v *View) isUpToDate() bool {
+	if v.isConfirmed && v.revision >= v.confirmed {
+		return true
+	}
+	return v.digest != nil && feed.IsNewerDigest(v.digest, v.firstDigest) && v.revision >= v.digest.GetRevision()
 }
 
 // Confirm sets a revision that the leader held after the node started.
@@ -318,7 +325,6 @@
 	defer v.mutex.Unlock()
 	v.confirmed, v.isConfirmed = revision, true
 	v.updateCurrent()
-	v.changed.Notify()
 }
 
 // Current reports whether the view is recent enough to serve requests.
