httpconn: a stopping server waits until its last responses are delivered

A stop waited until a response had been passed to the kernel. If the network of the host ends with the process, as that of a container does, the client never gets what it had not acknowledged by then; if a new process has the address first, the client sees a reset. Closed connections of a stopping server now keep their receiving side until the client has acknowledged all, or closed its side, for a second at most, and count as busy meanwhile.

TestStoppingServerWaitsForDelivery failed before (nothing was waited for).

--- a/internal/httpconn/close.go
+++ b/internal/httpconn/close.go
@@ -1,8 +1,10 @@
 package httpconn
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -11,8 +13,12 @@
 	"github.com/weldline/weldline/internal/tcpopt"
 )
 
-// lingerTime bounds the time in which the client of a closed connection can read its last responses while it still sends.
-const lingerTime = time.Second
+const (
+	// lingerTime bounds the time in which the client of a closed connection can get its last responses.
+	lingerTime = time.Second
+	// lingerPoll is the interval of looking whether it has.
+	lingerPoll = 5 * time.Millisecond
+)
 
 // SetResetOnClose sets whether a close of a connection resets it, without sending what is left. The connection may be one that
 // wraps a Conn, or is not tracked.
@@ -42,7 +48,8 @@
 }
 
 // Close implements net.Conn. A close with unread bytes would reset the connection, and its client could lose responses that it
-// has not read. If there may be such bytes, only the sending side is closed at first.
+// has not read. What it has not acknowledged can be lost if this host's network ends with the process, as that of a container does. In
+// both cases only the sending side is closed at first.
 func (c *Conn) Close() error {
 	c.mutex.Lock()
 	wasClosed, wasBusy, lingers := c.closed, c.isBusyLocked(), c.lingersLocked()
@@ -52,7 +59,7 @@
 		return c.Conn.Close()
 	}
 	if socket, isTCP := c.Conn.(*net.TCPConn); isTCP && lingers && socket.CloseWrite() == nil {
-		go c.closeOnceRead(socket, wasBusy)
+		go c.closeOnceDelivered(socket, wasBusy)
 		return nil
 	}
 	return c.closeNow(wasBusy)
@@ -63,20 +70,29 @@
 	return c.Conn.Close()
 }
 
-// closeOnceRead closes the connection after its client has, or after lingerTime.
-func (c *Conn) closeOnceRead(socket *net.TCPConn, wasBusy bool) {
-	if socket.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
-		_, _ = io.Copy(io.Discard, socket) // It ends with the client, or at the deadline.
+// closeOnceDelivered closes the connection after its client has, or once the client has acknowledged all responses and sends
+// nothing, or after lingerTime.
+func (c *Conn) closeOnceDelivered(socket *net.TCPConn, wasBusy bool) {
+	end := time.Now().Add(lingerTime)
+	for time.Now().Before(end) && socket.SetReadDeadline(time.Now().Add(lingerPoll)) == nil {
+		discarded, err := io.Copy(io.Discard, socket)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break // The client has closed its side as well, or the connection is broken.
+		}
+		if discarded == 0 && !c.pipelined && c.queued(unix.SIOCOUTQ) == 0 {
+			break
+		}
 	}
 	_ = c.closeNow(wasBusy)
 }
 
-// lingersLocked reports whether the client may have sent more than was read, and have responses to read.
+// lingersLocked reports whether the client may have sent more than was read, or may not have got all responses before the process
+// ends.
 func (c *Conn) lingersLocked() bool {
 	if c.raw == nil || !c.wrote || c.resets {
 		return false
 	}
-	return c.pipelined || len(c.ahead) > 0 || c.queued(unix.SIOCINQ) > 0
+	return c.pipelined || len(c.ahead) > 0 || c.queued(unix.SIOCINQ) > 0 || c.ending && c.queued(unix.SIOCOUTQ) > 0
 }
 
 // queued returns the number of bytes in a queue of the socket: unix.SIOCINQ for those that were not read, unix.SIOCOUTQ for
--- a/internal/httpconn/server_test.go
+++ b/internal/httpconn/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // watchedConn reports the reads of net/http that returned something.
@@ -79,3 +80,33 @@
 		}
 	}
 }
+
+// Guards against a process that ends before the client has got the last response, which its host may not send any more then.
+func TestStoppingServerWaitsForDelivery(t *testing.T) {
+	tracker := &Tracker{}
+	server, client := newPair(t, tracker)
+	// The response fits into the server's buffer, and not into what the client can receive before it reads.
+	response := make([]byte, 160<<10)
+	if err := server.Conn.(*net.TCPConn).SetWriteBuffer(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(client, getRequest)
+	if _, err := server.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	tracker.CloseIdle()
+	if _, err := server.Write(response); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.Close()
+	if tracker.Busy() != 1 {
+		t.Error("the server does not wait until the response is delivered")
+	}
+	if received, err := io.Copy(io.Discard, client); err != nil || int(received) != len(response) {
+		t.Errorf("the client got %d of %d bytes, %v", received, len(response), err)
+	}
+	_ = client.Close()
+	for tracker.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
