httpconn: answer all requests that have arrived when a connection ends

A stop reads what has arrived at an idle connection, and answered only the first request of it. TestRequestsThatHaveArrivedAreAnswered failed before: the first response was the last one.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -20,7 +20,8 @@
 	responding bool
 	// ahead was received together with the end of a request, and belongs to the next ones.
 	ahead []byte
-	// ending is set once the connection is to be closed when it is idle. Of what is ahead, aheadAtEnd bytes were received before.
+	// ending is set once the connection is to be closed when it is idle. Of what is ahead, aheadAtEnd bytes were received before, or
+	// with the last read of an idle connection.
 	ending     bool
 	aheadAtEnd int
 	// interrupted is set while reads are ended by a deadline in place of readDeadline, which is the one of the server.
@@ -58,8 +59,8 @@
 	c.framing.expectBody(length)
 }
 
-// isLastResponse reports whether the connection is to be closed after the response to the current request. Requests that
-// were received before CloseIdle are answered first, others are not, as clients may send them without end.
+// isLastResponse reports whether the connection is to be closed after the response to the current request. Requests that were
+// received before the end are answered first, others are not, as clients may send them without end.
 func (c *Conn) isLastResponse() bool {
 	if !c.tracker.announcing.Load() {
 		return false
--- a/internal/httpconn/read.go
+++ b/internal/httpconn/read.go
@@ -58,7 +58,7 @@
 	count := c.passLocked(received)
 	c.ahead = append(c.ahead, received[count:]...)
 	if c.interrupted && c.isBusyLocked() {
-		c.interrupted = false
+		c.interrupted, c.aheadAtEnd = false, len(c.ahead)
 		_ = c.Conn.SetReadDeadline(c.readDeadline) // It fails if the connection is closed, which the next read reports.
 	}
 	return count
--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const getRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -117,6 +119,27 @@
 	_ = server.Close()
 }
 
+// Guards against closing a connection under requests that have arrived, of which only the first was passed to the server.
+func TestRequestsThatHaveArrivedAreAnswered(t *testing.T) {
+	tracker := &Tracker{}
+	server, client := newPair(t, tracker)
+	_, _ = io.WriteString(client, getRequest+getRequest)
+	for server.queued(unix.SIOCINQ) < 2*len(getRequest) {
+		time.Sleep(time.Millisecond)
+	}
+	tracker.CloseIdle()
+	for number := range 2 {
+		if count, err := server.Read(make([]byte, 1000)); err != nil || count != len(getRequest) {
+			t.Fatalf("request %d: read %d bytes, %v", number, count, err)
+		}
+		if isLast := server.isLastResponse(); isLast != (number == 1) {
+			t.Errorf("request %d: the response is the last one: %t", number, isLast)
+		}
+		tracker.Observe(server, http.StateIdle)
+	}
+	expectClosed(t, server)
+}
+
 // net/http ends a pending read by a deadline, and distinguishes clients that leave from invalid requests by the type of the error.
 func TestReadFailsLikeTCP(t *testing.T) {
 	server, client := newPair(t, &Tracker{})
