soak: callers that pipeline requests

The check planned-stops saw only requests that had reached a machine, of callers that send one request at a time.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -54,8 +54,9 @@
 	Begun bool
 	// Right is set if the response is complete and belongs to the request.
 	Right bool
-	// Lost is set if the connection ended without a complete response.
-	Lost bool
+	// Lost is set if the connection ended without a complete response. Received is set as well if the router had certainly received the
+	// request, since it was sent together with one that was answered.
+	Lost, Received bool
 	// Unmarked is set if nothing but the end of the connection marks the end of the response.
 	Unmarked bool
 	// Kind groups answers in reports: the status and the reason, or the error.
--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -232,8 +232,8 @@
 	unplannedMargin = 3 * time.Second
 )
 
-// responsesLostInStops finds requests that a router had sent to a machine and that then got no complete response, while the
-// router was stopped as planned and nothing else was wrong.
+// responsesLostInStops finds requests that a router had received, or sent to a machine, and that then got no complete response, while
+// the router was stopped as planned and nothing else was wrong.
 func responsesLostInStops(history *History, _ Bounds, disturbances []Disturbance) []string {
 	sends := history.sendsByRequest()
 	ends := map[string]time.Duration{}
@@ -243,14 +243,14 @@
 	var found []string
 	for _, answer := range history.Answers {
 		request := history.Requests[answer.Request]
-		if !answer.Lost || len(sends[answer.Request]) == 0 || !isStopping(disturbances, request.Router, request.Sent, answer.At) {
+		if !answer.Lost || len(sends[answer.Request]) == 0 && !answer.Received || !isStopping(disturbances, request.Router, request.Sent, answer.At) {
 			continue
 		}
 		if history.brokeOff(sends[answer.Request], ends, answer) || isUnplanned(disturbances, request.Router, request.Sent, answer.At) {
 			continue
 		}
-		found = append(found, fmt.Sprintf("%s, sent to %s at %s while it stopped, reached %s and got no complete response by %s: %s",
-			request.ID, request.Router, request.Sent, sends[answer.Request][0].Machine, answer.At, answer.Kind))
+		found = append(found, fmt.Sprintf("%s, sent to %s at %s while it stopped, reached %d machines and got no complete response by %s: %s",
+			request.ID, request.Router, request.Sent, len(sends[answer.Request]), answer.At, answer.Kind))
 	}
 	return found
 }
--- a/internal/soak/retries_test.go
+++ b/internal/soak/retries_test.go
@@ -121,6 +121,7 @@
 		{"during a kill too", func(*History) {}, []Disturbance{stop, {Node: "router-0", End: time.Second}}, false},
 		{"another router stops", func(*History) {}, []Disturbance{{Node: "router-1", End: time.Second, Planned: true}}, false},
 		{"not sent to a machine", func(history *History) { history.Sends = nil }, []Disturbance{stop}, false},
+		{"received with an answered one", func(history *History) { history.Sends, history.Answers[0].Received = nil, true }, []Disturbance{stop}, true},
 		{"the machine ended", func(history *History) { history.MachineEnds = []MachineEnd{{Machine: "m1", At: 40 * time.Millisecond}} }, []Disturbance{stop}, false},
 		{"the machine cut it off", func(history *History) { history.CutResponses["q0"] = true }, []Disturbance{stop}, false},
 	} {
