--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -15,7 +15,8 @@
 # RETRIES=1 lets machines reject the first attempts of requests while control nodes restart, and stops routers, with no
 # other faults.
 #
-# CALLERS and CALL_INTERVAL set the load of each router.
+# CALLERS and CALL_INTERVAL set the load of each router. HOSTS, from 0 to 255, sets which loopback addresses are used: soaks that
+# run at the same time need different ones.
 #
 # FORMER_BIN is a directory with weldnode of a previous release. The nodes start with that build and
 # are upgraded one by one, some of them with a rollback in between.
@@ -82,7 +83,7 @@
 trap cleanup EXIT
 
 touch "$run_dir/keep-running"
-env -u GOMAXPROCS "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" \
+env -u GOMAXPROCS "$bin/weldsoak" --seed "${SEED:-1}" --duration "${DURATION:-30s}" --control "$control_count" --routers "$router_count" --hosts "${HOSTS:-0}" \
   --machines "${MACHINES:-12}" --models "${MODELS:-0}" --run "$run_dir" "$limits_flag" "$statements_flag" "$partitions_flag" "$streams_flag" "$parts_flag" "$crowds_flag" "$groups_flag" "$retries_flag" --callers "${CALLERS:-6}" --call-interval "${CALL_INTERVAL:-60ms}" ${THROTTLE:+--throttle "$THROTTLE"} ${CROWD_RATE:+--crowd-rate "$CROWD_RATE"} "$build_flag" 2>"$run_dir/soak.log" &
 soak_pid=$!
 for _ in $(seq 1 200); do
