httpconn: a new connection may send its first request after a stop has begun

A connection that was opened just before the stop counted as idle and was closed, although its client's first request was on its way; the client could not tell whether it ran. It now has half a second from its acceptance, and counts as busy for that time. TestNewConnectionMaySendItsFirstRequest failed before (the stop did not wait, the read ended). The race test of httpconn closed new connections; it uses ones with a first response now, and is as strict.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// firstRequestTime is the time that a new connection has until its first request arrives, before it counts as idle: its client
+// sends one at once, and can't tell whether it ran if the connection ends.
+const firstRequestTime = 500 * time.Millisecond
+
 // Conn is a tracked connection. Its Read never returns bytes of more than one request.
 type Conn struct {
 	net.Conn
@@ -16,6 +20,9 @@
 
 	mutex   sync.Mutex
 	framing framing
+	// opened is when the connection was accepted, and isNew is set until something is received.
+	opened time.Time
+	isNew  bool
 	// responding is set from the end of a request's head until net/http reports the connection idle.
 	responding bool
 	// ahead was received together with the end of a request, and belongs to the next ones.
@@ -96,6 +103,10 @@
 	if !c.ending || c.isBusyLocked() || c.interrupted {
 		return
 	}
+	if left := firstRequestTime - time.Since(c.opened); c.isNew && left > 0 {
+		time.AfterFunc(left, c.end)
+		return
+	}
 	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // It fails if the connection is closed, which ends reads as well.
 }
--- a/internal/httpconn/read.go
+++ b/internal/httpconn/read.go
@@ -54,16 +54,27 @@
 }
 
 func (c *Conn) keepRestLocked(received []byte) int {
+	wasIdle := !c.isBusyLocked()
+	c.isNew = c.isNew && len(received) == 0
 	c.pipelined = c.pipelined || c.responding && c.framing.state == betweenRequests && len(received) > 0
 	count := c.passLocked(received)
 	c.ahead = append(c.ahead, received[count:]...)
-	if c.interrupted && c.isBusyLocked() {
-		c.interrupted, c.aheadAtEnd = false, len(c.ahead)
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // It fails if the connection is closed, which the next read reports.
+	if c.ending && wasIdle && c.isBusyLocked() {
+		c.aheadAtEnd = len(c.ahead)
+		c.resumeLocked()
 	}
 	return count
 }
 
+// resumeLocked lets reads wait again after an interruption.
+func (c *Conn) resumeLocked() {
+	if !c.interrupted {
+		return
+	}
+	c.interrupted = false
+	_ = c.Conn.SetReadDeadline(c.readDeadline) // It fails if the connection is closed, which the next read reports.
+}
+
 func (c *Conn) passLocked(received []byte) int {
 	found := c.framing.pass(received)
 	c.responding = c.responding || found.headEnded
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/weldline/weldline/internal/tcpopt"
 )
@@ -42,7 +43,7 @@
 
 // Wrap returns a connection that is tracked until it is closed.
 func (t *Tracker) Wrap(network net.Conn) *Conn {
-	wrapped := &Conn{Conn: network, tracker: t}
+	wrapped := &Conn{Conn: network, tracker: t, opened: time.Now(), isNew: true}
 	if socket, isTCP := network.(*net.TCPConn); isTCP {
 		raw, err := socket.SyscallConn()
 		if err == nil { // Otherwise the connection is closed, which its first read reports.
--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -38,13 +38,25 @@
 	return accepted.(*Conn), client.(*net.TCPConn)
 }
 
+// newUsedPair is like newPair, after a first request and its response.
+func newUsedPair(t *testing.T, tracker *Tracker) (*Conn, *net.TCPConn) {
+	t.Helper()
+	server, client := newPair(t, tracker)
+	_, _ = io.WriteString(client, getRequest)
+	if _, err := server.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	tracker.Observe(server, http.StateIdle)
+	return server, client
+}
+
 // Guards against connections that are closed as idle after their request was read. The first one is closed before, the second one
 // is not, and the others race.
 func TestConnectionIsKeptOnceItsRequestIsRead(t *testing.T) {
 	kept, closed := 0, 0
 	for round := range 400 {
 		tracker := &Tracker{}
-		server, client := newPair(t, tracker)
+		server, client := newUsedPair(t, tracker)
 		var running sync.WaitGroup
 		closeIdle := func() {
 			time.Sleep(time.Duration(round%20) * 5 * time.Microsecond)
@@ -140,6 +152,27 @@
 	expectClosed(t, server)
 }
 
+// Guards against closing a connection that was opened just before the stop, and whose first request is still on its way.
+func TestNewConnectionMaySendItsFirstRequest(t *testing.T) {
+	tracker := &Tracker{}
+	server, client := newPair(t, tracker)
+	tracker.CloseIdle()
+	if tracker.Busy() != 1 {
+		t.Error("the stop does not wait for the first request")
+	}
+	read := make(chan error)
+	go func() {
+		_, err := server.Read(make([]byte, 100))
+		read <- err
+	}()
+	_, _ = io.WriteString(client, getRequest)
+	if err := <-read; err != nil {
+		t.Errorf("the first request is not read: %v", err)
+	}
+	silent, _ := newPair(t, tracker)
+	expectClosed(t, silent)
+}
+
 // net/http ends a pending read by a deadline, and distinguishes clients that leave from invalid requests by the type of the error.
 func TestReadFailsLikeTCP(t *testing.T) {
 	server, client := newPair(t, &Tracker{})
