--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -11,7 +11,8 @@
 // sends one at once, and can't tell whether it ran if the connection ends.
 const firstRequestTime = 500 * time.Millisecond
 
-// Conn is a tracked connection. Its Read never returns bytes of more than one request.
+// Conn is a tracked connection. Its Read never returns bytes of more than one request. Methods whose names end in Locked require
+// the mutex.
 type Conn struct {
 	net.Conn
 	tracker *Tracker
@@ -27,9 +28,9 @@
 	responding bool
 	// ahead was received together with the end of a request, and belongs to the next ones.
 	ahead []byte
-	// ending is set once the connection is to be closed when it is idle. Of what is ahead, aheadAtEnd bytes were received before, or
-	// with the last read of an idle connection.
-	ending     bool
+	// ending is set once the connection is to be closed when it is idle.
+	ending bool
+	// aheadAtEnd is how many bytes of ahead were received before ending was set, or with the last read of an idle connection.
 	aheadAtEnd int
 	// interrupted is set while reads are ended by a deadline in place of readDeadline, which is the one of the server.
 	interrupted  bool
@@ -46,7 +47,7 @@
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// isBusyLocked reports whether a byte of a request was received whose response has not been written.
+// isBusyLocked reports whether any byte was received of a request whose response has not been written.
 func (c *Conn) isBusyLocked() bool {
 	return c.responding || c.framing.state != betweenRequests || len(c.ahead) > 0
 }
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -19,6 +19,7 @@
 
 // Tracker tracks the connections of HTTP servers. It is safe for concurrent use; its zero value has no connections.
 type Tracker struct {
+	// announcing is set by AnnounceClose, closing by CloseIdle.
 	announcing, closing atomic.Bool
 
 	mutex  sync.Mutex
@@ -72,7 +73,7 @@
 // AnnounceClose adds "Connection: close" to further responses, except those that are followed by requests that have been received.
 func (t *Tracker) AnnounceClose() { t.announcing.Store(true) }
 
-// CloseIdle closes the connections without a request now, and the others as soon as they are idle. It announces that as well.
+// CloseIdle has the connections without a request closed now, and the others as soon as they are idle. It announces that as well.
 func (t *Tracker) CloseIdle() {
 	t.AnnounceClose()
 	t.closing.Store(true)
