httpconn: nothing is read from a closed connection

What callers could see: a request that is handled on a connection whose server had closed it. Cause: where the client may still send, Close closes only the sending side and discards what arrives; reads by the server went on beside that, and returned requests. The goroutine that discards also read a field without its lock. Found by reading the change again; not seen in a run.

Reads fail with net.ErrClosed once Close has been called, as those of any net.Conn. TestNothingIsReadAfterClose failed before: both reads after the close returned a request of 27 bytes. The package passes under the race detector, and the stop tests of ingress pass.

--- a/internal/httpconn/close.go
+++ b/internal/httpconn/close.go
@@ -52,14 +52,14 @@
 // both cases only the sending side is closed at first.
 func (c *Conn) Close() error {
 	c.mutex.Lock()
-	wasClosed, wasBusy, lingers := c.closed, c.isBusyLocked(), c.lingersLocked()
+	wasClosed, wasBusy, lingers, pipelined := c.closed, c.isBusyLocked(), c.lingersLocked(), c.pipelined
 	c.closed = true
 	c.mutex.Unlock()
 	if wasClosed {
 		return c.Conn.Close()
 	}
 	if socket, isTCP := c.Conn.(*net.TCPConn); isTCP && lingers && socket.CloseWrite() == nil {
-		go c.closeOnceDelivered(socket, wasBusy)
+		go c.closeOnceDelivered(socket, wasBusy, pipelined)
 		return nil
 	}
 	return c.closeNow(wasBusy)
@@ -70,16 +70,16 @@
 	return c.Conn.Close()
 }
 
-// closeOnceDelivered closes the connection after its client has, or once the client has acknowledged all responses and sends
-// nothing, or after lingerTime.
-func (c *Conn) closeOnceDelivered(socket *net.TCPConn, wasBusy bool) {
+// closeOnceDelivered closes the connection after its client has, or once the client has acknowledged all responses and is not
+// expected to send, or after lingerTime.
+func (c *Conn) closeOnceDelivered(socket *net.TCPConn, wasBusy, maySend bool) {
 	end := time.Now().Add(lingerTime)
 	for time.Now().Before(end) && socket.SetReadDeadline(time.Now().Add(lingerPoll)) == nil {
 		discarded, err := io.Copy(io.Discard, socket)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			break // The client has closed its side as well, or the connection is broken.
 		}
-		if discarded == 0 && !c.pipelined && c.queued(unix.SIOCOUTQ) == 0 {
+		if discarded == 0 && !maySend && c.queued(unix.SIOCOUTQ) == 0 {
 			break
 		}
 	}
--- a/internal/httpconn/read.go
+++ b/internal/httpconn/read.go
@@ -15,8 +15,8 @@
 	if len(buffer) == 0 {
 		return c.Conn.Read(buffer)
 	}
-	if count := c.takeAhead(buffer); count > 0 {
-		return count, nil
+	if count, err := c.takeAhead(buffer); count > 0 || err != nil {
+		return count, err
 	}
 	if c.raw == nil {
 		count, err = c.Conn.Read(buffer)
@@ -31,11 +31,14 @@
 }
 
 // takeAhead returns what was received earlier and belongs to the current request.
-func (c *Conn) takeAhead(buffer []byte) int {
+func (c *Conn) takeAhead(buffer []byte) (int, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closed {
+		return 0, c.readError(net.ErrClosed)
+	}
 	if len(c.ahead) == 0 {
-		return 0
+		return 0, nil
 	}
 	count := c.passLocked(buffer[:copy(buffer, c.ahead)])
 	c.aheadAtEnd = max(0, c.aheadAtEnd-count)
@@ -43,7 +46,7 @@
 	if len(c.ahead) == 0 {
 		c.ahead = nil
 	}
-	return count
+	return count, nil
 }
 
 // pass returns how many of the received bytes belong to the current request, and keeps the others.
@@ -121,6 +124,9 @@
 
 // tryReadLocked reads what has arrived, without waiting.
 func (c *Conn) tryReadLocked(descriptor int, buffer []byte) (int, error) {
+	if c.closed {
+		return 0, net.ErrClosed // The socket may still be open, to receive what the client sends.
+	}
 	for {
 		count, err := unix.Read(descriptor, buffer)
 		if errors.Is(err, unix.EINTR) {
@@ -134,6 +140,9 @@
 }
 
 func (c *Conn) readResult(count int, failure error) (int, error) {
+	if errors.Is(failure, net.ErrClosed) {
+		return 0, c.readError(failure)
+	}
 	if failure != nil {
 		return 0, c.readError(os.NewSyscallError("read", failure))
 	}
--- a/internal/httpconn/server_test.go
+++ b/internal/httpconn/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -110,3 +111,23 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a request that is read, and handled, on a connection that its server has closed and whose client still sends.
+func TestNothingIsReadAfterClose(t *testing.T) {
+	tracker := &Tracker{}
+	server, client := newUsedPair(t, tracker)
+	if _, err := server.Write([]byte("response")); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(client, getRequest+getRequest)
+	if _, err := server.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.Close() // The second request is received, and a third one follows.
+	for range 2 {
+		if count, err := server.Read(make([]byte, 100)); count > 0 || !errors.Is(err, net.ErrClosed) {
+			t.Errorf("after the close, %d bytes are read, %v", count, err)
+		}
+		_, _ = io.WriteString(client, getRequest)
+	}
+}
