httpconn: one call prepares a server, shorter framing

No change of behaviour. Three fields of http.Server had to be set together for tracked connections, at each server: Tracker.Attach sets them, and the handler and the hook behind them are no longer exported. Heads and trailers, and the two ends of framing.pass, had the same code twice; the reset of a chunk's size could not have an effect. The stop tests of httpconn and ingress pass.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -8,7 +8,7 @@
 )
 
 // firstRequestTime is the time that a new connection has until its first request arrives, before it counts as idle: its client
-// sends one at once, and can't tell whether it ran if the connection ends.
+// sends one at once, and does not know whether it ran if the connection ends.
 const firstRequestTime = 500 * time.Millisecond
 
 // Conn is a tracked connection. Its Read never returns bytes of more than one request. Methods whose names end in Locked require
@@ -59,7 +59,7 @@
 	return c.ending || c.isBusyLocked()
 }
 
-// expectBody tells that a handler has begun, and the length of the request's body: -1 if it comes in chunks.
+// expectBody records that a handler has begun, and the length of the request's body: -1 if it comes in chunks.
 func (c *Conn) expectBody(length int64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/httpconn/framing.go
+++ b/internal/httpconn/framing.go
@@ -42,17 +42,14 @@
 	for count < len(content) {
 		before := f.state
 		count += f.step(content[count:])
-		if before == insideHead && f.state == betweenRequests {
-			return passed{count: count, headEnded: true}
-		}
 		if before != betweenRequests && f.state == betweenRequests {
-			break
+			return passed{count: count, headEnded: before == insideHead}
 		}
 	}
 	return passed{count: count}
 }
 
-// expectBody tells that the head of a request has been passed, and the length of its body: -1 if it comes in chunks.
+// expectBody sets the length of the body of the request whose head has been passed: -1 if it comes in chunks.
 func (f *framing) expectBody(length int64) {
 	switch {
 	case length > 0:
@@ -62,7 +59,7 @@
 	}
 }
 
-// step passes the bytes up to the next change of state, and at least one.
+// step passes the bytes up to the next change of state. It passes none only if it changes the state.
 func (f *framing) step(content []byte) int {
 	switch f.state {
 	case betweenRequests:
@@ -72,7 +69,7 @@
 			f.state, f.lineHasText = insideHead, false
 		}
 		return blank
-	case insideHead:
+	case insideHead, insideTrailer:
 		count, ended := f.passLines(content)
 		if ended {
 			f.state = betweenRequests
@@ -91,12 +88,6 @@
 		return f.passLine(content, insideChunk)
 	case insideChunkEnd:
 		return f.passLine(content, insideChunkSize)
-	case insideTrailer:
-		count, ended := f.passLines(content)
-		if ended {
-			f.state = betweenRequests
-		}
-		return count
 	}
 	return len(content)
 }
@@ -129,9 +120,6 @@
 		return len(content)
 	}
 	f.state, f.lineHasText = next, false
-	if next == insideChunkSize {
-		f.left = 0
-	}
 	return end + 1
 }
 
--- a/internal/httpconn/handler.go
+++ b/internal/httpconn/handler.go
@@ -21,9 +21,9 @@
 	return connection
 }
 
-// Handler serves the requests of tracked connections with another handler. Once a tracker announces that its connections are
-// closed, so do the responses. Servers of tracked connections must use it, with ConnContext.
-func Handler(next http.Handler) http.Handler {
+// newHandler returns a handler for the requests of tracked connections, which another one serves. Once a tracker announces that its
+// connections are closed, so do the responses.
+func newHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		connection, isTracked := tcpopt.Below[*Conn](FromContext(request.Context()))
 		if !isTracked {
@@ -32,7 +32,7 @@
 		}
 		connection.expectBody(request.ContentLength)
 		response := &responseWriter{ResponseWriter: writer, connection: connection}
-		response.announceClose()
+		response.announceClose() // The next handler may read the header to decide whether to keep the connection.
 		next.ServeHTTP(response, request)
 	})
 }
--- a/internal/httpconn/server_test.go
+++ b/internal/httpconn/server_test.go
@@ -46,12 +46,13 @@
 		t.Fatal(err)
 	}
 	tracker, reads, proceed := &Tracker{}, make(chan int, 100), make(chan struct{})
-	server := &http.Server{ConnState: tracker.Observe, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Length", "6")
 		_, _ = io.WriteString(writer, "answer")
 		_ = http.NewResponseController(writer).Flush()
 		<-proceed
-	}))}
+	})}
+	tracker.Attach(server)
 	go func() {
 		_ = server.Serve(watchedListener{Listener: Listener{Listener: listener, Tracker: tracker}, reads: reads})
 	}()
--- a/internal/httpconn/stop_test.go
+++ b/internal/httpconn/stop_test.go
@@ -23,7 +23,8 @@
 		t.Fatal(err)
 	}
 	tracker := &Tracker{}
-	server := &http.Server{ConnState: tracker.Observe, ConnContext: ConnContext, Handler: Handler(handler)}
+	server := &http.Server{Handler: handler}
+	tracker.Attach(server)
 	secured := tls.NewListener(listener, &tls.Config{Certificates: certificates})
 	go func() { _ = server.Serve(Listener{Listener: secured, Tracker: tracker}) }()
 	return listener.Addr().String(), func() {
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -63,8 +63,13 @@
 	return wrapped
 }
 
-// Observe is the ConnState hook of the servers. The connection may be one that wraps a Conn, such as one with TLS.
-func (t *Tracker) Observe(connection net.Conn, state http.ConnState) {
+// Attach prepares a server, whose handler must be set, to serve tracked connections. They may be wrapped, such as by TLS.
+func (t *Tracker) Attach(server *http.Server) {
+	server.Handler, server.ConnContext, server.ConnState = newHandler(server.Handler), ConnContext, observe
+}
+
+// observe is the ConnState hook of the servers.
+func observe(connection net.Conn, state http.ConnState) {
 	if tracked, isTracked := tcpopt.Below[*Conn](connection); isTracked && state == http.StateIdle {
 		tracked.setIdle()
 	}
--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -46,7 +46,7 @@
 	if _, err := server.Read(make([]byte, 100)); err != nil {
 		t.Fatal(err)
 	}
-	tracker.Observe(server, http.StateIdle)
+	observe(server, http.StateIdle)
 	return server, client
 }
 
@@ -109,7 +109,7 @@
 	if tracker.Busy() != 1 {
 		t.Error("the connection is not busy")
 	}
-	tracker.Observe(server, http.StateIdle)
+	observe(server, http.StateIdle)
 	expectClosed(t, server)
 	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the client reads %v, not the end", err)
@@ -147,7 +147,7 @@
 		if isLast := server.isLastResponse(); isLast != (number == 1) {
 			t.Errorf("request %d: the response is the last one: %t", number, isLast)
 		}
-		tracker.Observe(server, http.StateIdle)
+		observe(server, http.StateIdle)
 	}
 	expectClosed(t, server)
 }
@@ -209,7 +209,7 @@
 	if count, err := server.Read(make([]byte, 100)); count != len(getRequest) || err != nil || tracker.Busy() != 1 {
 		t.Errorf("read %d, %v, with %d busy", count, err, tracker.Busy())
 	}
-	tracker.Observe(server, http.StateIdle)
+	observe(server, http.StateIdle)
 	if tracker.Busy() != 0 {
 		t.Error("a connection without a request is busy")
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -132,10 +132,11 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	server := &http.Server{
-		Handler: httpconn.Handler(s.handler), Protocols: protocols, ConnContext: httpconn.ConnContext, ConnState: s.connections.Observe,
+		Handler: s.handler, Protocols: protocols,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 	}
+	s.connections.Attach(server)
 	if limits.HeaderTimeout > 0 {
 		server.ReadHeaderTimeout = time.Duration(limits.HeaderTimeout)
 	}
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -22,9 +22,9 @@
 func newHTTPServer(address string, listener net.Listener, handler http.Handler, logger *slog.Logger) *httpServer {
 	created := &httpServer{address: address, listener: listener}
 	created.server = &http.Server{
-		Handler: httpconn.Handler(handler), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
-		ConnContext: httpconn.ConnContext, ConnState: created.connections.Observe,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
+	created.connections.Attach(created.server)
 	return created
 }
 
