--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/weldline/weldline/internal/earlyresponse"
+	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/ingress"
 	"github.com/weldline/weldline/internal/link"
 	"github.com/weldline/weldline/internal/nodeview"
@@ -229,11 +230,14 @@
 		}
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
-			return answers, announced, fmt.Errorf("reading a head: %w", err)
+			return answers, announced, fault.Protocol.Wrap(err, "reading a head")
 		}
 		body, err := io.ReadAll(response.Body)
-		if err != nil || string(body) != "answer" {
-			return answers, announced, fmt.Errorf("answer %d is %q: %w", answers, body, err)
+		if err != nil {
+			return answers, announced, fault.Protocol.Wrap(err, "reading answer %d", answers)
+		}
+		if string(body) != "answer" {
+			return answers, announced, fault.Protocol.New("answer %d is %q", answers, body)
 		}
 		answers, announced = answers+1, response.Close
 	}
