dispatch: requests whose time is over get no slot

Callers saw a late answer: after a pause, a router answered requests whose deadline had passed up to the lifetime of a permit (250 ms) later than it could, and requests that still had time waited behind them.

Cause: Scheduler.dispatch looked at capacity only. That a request's time is over was noticed by Tick alone, 20 ms apart, and a reply that is handled before the next Tick (after a pause, or under load) granted the freed slot to expired requests, first of all, since earlier deadlines are served first. Such a request took a slot, and a permit where its machine is limited or warming up, before the router rejected it unsent.

A trace of the request: granted 3.2 s after its deadline in the instant in which the router thaws, asks for a permit, ends 250 ms later. Ruled out: a fault of the check (the request did not have its outcome when the grace was over).

Change: a request is refused instead of granted if its deadline has passed, or its time in the queue, unless it has just been submitted; one whose deadline has passed is refused as it arrives.

TestScheduler/expired failed before: "2 goes to r1" where request 3 has time left.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -46,7 +46,9 @@
 		var seconds float64
 		data.ScanArgs(t, "s", &seconds)
 		s.now = epoch.Add(time.Duration(seconds * float64(time.Second)))
-		s.report(&out, s.scheduler.Tick(s.now))
+		if !data.HasArg("before-tick") {
+			s.report(&out, s.scheduler.Tick(s.now))
+		}
 	case "demand":
 		for _, demand := range s.scheduler.Demand(s.now) {
 			fmt.Fprintf(&out, "%s waiting=%d running=%d arrivals=%d oldest=%s priority=%d\n",
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -80,6 +80,9 @@
 	return requests
 }
 
+// isExpired reports whether the request's deadline has passed.
+func (r *Request) isExpired(now time.Time) bool { return !now.Before(r.Deadline) }
+
 // isQueueExpired reports whether the request's time in the queue is over.
 func (r *Request) isQueueExpired(now time.Time) bool {
 	return !r.QueueDeadline.IsZero() && !now.Before(r.QueueDeadline)
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -8,9 +8,6 @@
 // refuseEarly refuses a request that can't be served before its deadline, so that the caller
 // learns it at once.
 func (s *Scheduler) refuseEarly(now time.Time, version *versionState, request *Request) (Refusal, bool) {
-	if !now.Before(request.Deadline) {
-		return Refusal{Request: request, Reason: RefusedDeadline, Detail: "the deadline has passed"}, true
-	}
 	if version.isDrainedOnly(request) {
 		return s.refuseDrained(now, version, request)
 	}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -32,6 +32,10 @@
 
 func (s *Scheduler) enqueue(now time.Time, version *versionState, request *Request) Outcome {
 	var outcome Outcome
+	if request.isExpired(now) {
+		outcome.Refusals = append(outcome.Refusals, Refusal{Request: request, Reason: RefusedDeadline, Detail: "the deadline has passed"})
+		return outcome
+	}
 	s.waiters[request.ID] = version.queue.push(request)
 	s.dispatch(now, version, &outcome, request)
 	if s.waiters[request.ID] == nil {
@@ -52,7 +56,8 @@
 }
 
 // dispatch grants waiting requests of a version in serving order while there is capacity. fresh is
-// the request just submitted, or nil.
+// the request just submitted, or nil. Requests whose time is over are refused instead: Tick may be late, for
+// example after a pause of the process.
 func (s *Scheduler) dispatch(now time.Time, version *versionState, outcome *Outcome, fresh *Request) {
 	for {
 		request, chosen := s.nextGrant(now, version)
@@ -60,6 +65,10 @@
 			return
 		}
 		s.dequeue(request)
+		if request.isExpired(now) || request != fresh && request.isQueueExpired(now) {
+			outcome.Refusals = append(outcome.Refusals, s.expiryRefusal(now, request))
+			continue
+		}
 		chosen.inFlight++
 		s.recordGrant(now, chosen.Machine, request)
 		s.exposeBrittle(now, chosen.Machine, request)
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -56,7 +56,7 @@
 }
 
 func (s *Scheduler) refuseUnreachable(now time.Time, version *versionState, request *Request) (Refusal, bool) {
-	if !now.Before(request.Deadline) || !s.isUnreachable(version, request) {
+	if request.isExpired(now) || !s.isUnreachable(version, request) {
 		return Refusal{}, false
 	}
 	return Refusal{Request: request, Reason: RefusedUnreachable, Detail: "this router has no path to the machines that could take it"}, true
