ingress: a forwarded request states how many attempts it may use

Callers of a route with max_attempts 3 could have their request sent to more machines than that: a router without a path forwards it to another one, which retries by itself; if that router's reply is lost, the first one counted a single send, whatever the other had done, and went on.

Change: a forwarded request has max_sent, the number of attempts that may have been made in all when the reply comes. The receiver stops there, and if the reply is lost all of them count. One attempt is kept back for a further router while there is one to try; otherwise, and as the last resort, the other router may use all. Receivers of earlier releases ignore the field and behave as before; senders of earlier releases leave it at zero.

Weighed and not taken: one send per forward. It counts exactly too, but each retry then needs a hop and a router that was not tried, so that a cluster with one connected router would lose its retries. By reasoning, not played.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -151,7 +151,7 @@
 // attempt may follow.
 func (j *job) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	spec := j.route.Spec
-	if spec.Kind != v1.RouteRepeatable || j.sent+1 >= spec.MaxAttempts {
+	if spec.Kind != v1.RouteRepeatable || j.sent+1 >= j.maxAttempts() {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, time.Duration(float64(j.remaining())*retriableAttemptShare))
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"net/http"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -92,15 +93,16 @@
 func (j *job) forwardTo(ctx context.Context, router forwarding.Router) (attemptOutcome, forwarding.Result) {
 	attemptCtx, cancel := j.attemptContext(ctx)
 	defer cancel()
-	j.log("forwarded", "router", router.Node, "nearness", router.Proximity.String(), "remains_ms", j.remaining().Milliseconds())
-	response, failure, err := j.ingress.forwarder.pool.Do(attemptCtx, j.forwardRequest(router))
+	maxSent := j.maxSentAt(router)
+	j.log("forwarded", "router", router.Node, "nearness", router.Proximity.String(), "remains_ms", j.remaining().Milliseconds(), "max_sent", maxSent)
+	response, failure, err := j.ingress.forwarder.pool.Do(attemptCtx, j.forwardRequest(router, maxSent))
 	if failure != upstream.FailureNone {
-		return j.forwardFailure(attemptCtx, router, failure, err)
+		return j.forwardFailure(attemptCtx, router, maxSent, failure, err)
 	}
 	defer response.Close()
 	result, err := decodeHeader(response.Header.Get(headerForwardResult), &wirepb.ForwardedResult{})
 	if err != nil {
-		j.countUnknownSend()
+		j.countUnknownSends(maxSent)
 		j.log("forward_no_answer", "router", router.Node, "failure", "invalid", "error", fault.Message(err))
 		return outcomeFailed, forwarding.ResultFailed
 	}
@@ -136,7 +138,7 @@
 }
 
 // forwardFailure returns the outcome of an exchange with another router that got no response.
-func (j *job) forwardFailure(ctx context.Context, router forwarding.Router, failure upstream.Failure, err error) (attemptOutcome, forwarding.Result) {
+func (j *job) forwardFailure(ctx context.Context, router forwarding.Router, maxSent int, failure upstream.Failure, err error) (attemptOutcome, forwarding.Result) {
 	result := forwarding.ResultFailed
 	if ctx.Err() != nil || fault.Is(err, fault.Late) {
 		result = forwarding.ResultCanceled // It says nothing about the other router.
@@ -145,21 +147,32 @@
 	if failure == upstream.FailureConnect {
 		return outcomeNotConnected, result
 	}
-	j.countUnknownSend()
+	j.countUnknownSends(maxSent)
 	if ctx.Err() != nil {
 		return outcomeTimedOut, result
 	}
 	return outcomeFailed, result
 }
 
-// countUnknownSend counts a request to another router that did not say what it did. It has probably sent the request once, and
-// cancels what it has begun.
-func (j *job) countUnknownSend() {
+// maxSentAt returns how many attempts may have been made in all when another router responds. One is kept for a further router,
+// if there is one, in case the response is lost: all that the other router may have made count then.
+func (j *job) maxSentAt(router forwarding.Router) int {
+	maxAttempts := j.route.Spec.MaxAttempts
+	tried := append(slices.Clone(j.triedRouters), forwarding.Attempt{Router: router, Result: forwarding.ResultFailed})
+	if !j.lastResort && j.ingress.forwarder.canForward(j.version, j.allowedRegions(), tried, false) {
+		maxAttempts--
+	}
+	return max(j.sent+1, maxAttempts)
+}
+
+// countUnknownSends counts all attempts that another router may have made, as it did not say what it did. It cancels what it
+// has begun.
+func (j *job) countUnknownSends(maxSent int) {
 	j.mayHaveRun, j.firstSendCounted = true, true
-	j.sent++
+	j.sent = maxSent
 }
 
-func (j *job) forwardRequest(router forwarding.Router) *upstream.Request {
+func (j *job) forwardRequest(router forwarding.Router, maxSent int) *upstream.Request {
 	return &upstream.Request{
 		Machine: router.Node, Address: router.Address, Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
 		Header: upstream.EndToEndHeaders(j.request.Header), Body: j.body,
@@ -167,6 +180,7 @@
 			encoded, err := encodeHeader(&wirepb.ForwardedRequest{
 				Router: j.ingress.options.Node, Configuration: j.configuration, Tenant: j.tenant.name, Pool: j.pool,
 				RemainingMs: uint32(max(0, j.remaining()).Milliseconds()), Sent: uint32(j.sent), FirstSendCounted: j.firstSendCounted, LastResort: j.lastResort,
+				MaxSent: uint32(maxSent),
 			})
 			header.Set(headerForward, encoded)
 			j.endReservation(true) // The other router sends it without a reservation of its own.
--- a/internal/ingress/forward_test.go
+++ b/internal/ingress/forward_test.go
@@ -261,12 +261,8 @@
 
 // TestAttemptsCountOverBothRouters guards against a request that gets its attempts anew at each router.
 func TestAttemptsCountOverBothRouters(t *testing.T) {
-	resets := func(_ receivedRequest, _ int, connection net.Conn) bool { return reset(connection) }
-	machines := []*rawMachine{newRawMachine(t, resets), newRawMachine(t, resets), newRawMachine(t, resets)}
-	var addresses []string
-	for _, machine := range machines {
-		addresses = append(addresses, machine.address)
-	}
+	machines := newResettingMachines(t, 3)
+	addresses := addressesOf(machines)
 	cut, other := newCutRouter(t, "cut"), newDeployment(t)
 	cut.serve(v1.RouteRepeatable, 2, long, addresses...)
 	other.serve(v1.RouteRepeatable, 2, long, addresses...)
@@ -276,11 +272,7 @@
 	if got := cut.send(http.MethodPost, "/a/b", "id-1", "body"); got.status != http.StatusBadGateway {
 		t.Errorf("got %d", got.status)
 	}
-	sends := 0
-	for _, machine := range machines {
-		sends += len(machine.requests())
-	}
-	if sends != 2 {
+	if sends := countRequests(machines); sends != 2 {
 		t.Errorf("%d machines got the request, 2 may", sends)
 	}
 }
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -402,10 +402,18 @@
 	return j.reserveRetry()
 }
 
+// maxAttempts returns how many attempts may be made in all. A router that forwards a request may allow fewer than the route.
+func (j *job) maxAttempts() int {
+	if limit := int(j.forwarded.GetMaxSent()); limit > 0 {
+		return min(limit, j.route.Spec.MaxAttempts)
+	}
+	return j.route.Spec.MaxAttempts
+}
+
 // reserveRetry reports whether the attempt limit and the retry budget allow one
 // more attempt. Repeated calls between two sends take one retry from the budget.
 func (j *job) reserveRetry() bool {
-	if j.sent >= j.route.Spec.MaxAttempts {
+	if j.sent >= j.maxAttempts() {
 		j.noRetry = "max attempts"
 		return false
 	}
