accept: a stopping server accepts the connections that have been made

Callers that connected to a node as it stopped got a reset, although the kernel had completed their connection and received their request.

Cause: the kernel accepts connections before the process does. A stop closed the listener, which resets all that wait; the ingress also closed what Accept had just returned, and what was on its way to the server of the current limits. Every HTTP server here did it: callers' ingress, hop, control API, readiness.

Change: accept.Listener. Its Stop lets Accept return the connections that wait, and closes the listener once there is none for a millisecond, after 250 ms at the latest. The servers close idle connections only after that. What remains is the time between the last Accept and the close, some microseconds; the kernel offers nothing against it.

--- a/internal/ingress/acceptor.go
+++ b/internal/ingress/acceptor.go
@@ -33,7 +33,7 @@
 // refused at once and send nothing. If a connection was accepted and closed unread, the link would carry its request.
 type acceptor struct {
 	server   *Server
-	listener net.Listener
+	listener *accept.Listener
 	cycle    overload.DutyCycle
 	// opened is when the present span of accepting connections began, closesAt when it ends unless all are accepted.
 	opened, closesAt time.Time
@@ -48,8 +48,8 @@
 		switch {
 		case isDue || isDelayed:
 			// Clients have already sent their requests on the connections that wait.
-			if connection, err := a.acceptWithin(ctx, pendingGrace); err == nil {
-				return connection, nil
+			if connection, err := a.acceptWithin(ctx, pendingGrace); !errors.Is(err, os.ErrDeadlineExceeded) {
+				return connection, err
 			}
 			if err := a.pause(ctx); err != nil {
 				return nil, err
@@ -73,12 +73,11 @@
 
 // acceptWithin is Accept with a timeout, if the listener has timeouts.
 func (a *acceptor) acceptWithin(ctx context.Context, timeout time.Duration) (net.Conn, error) {
-	limited, hasDeadline := a.listener.(interface{ SetDeadline(time.Time) error })
-	if !hasDeadline || limited.SetDeadline(time.Now().Add(timeout)) != nil {
+	if err := a.listener.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return accept.Next(ctx, a.listener, a.server.logger)
 	}
 	connection, err := accept.Next(ctx, a.listener, a.server.logger)
-	_ = limited.SetDeadline(time.Time{})
+	_ = a.listener.SetDeadline(time.Time{})
 	return connection, err
 }
 
@@ -104,11 +103,11 @@
 	open := a.cycle.Adapt(delay)
 	a.server.logger.Warn("connections_refused", "delay_ms", delay.Milliseconds(), "refused_ms", time.Since(started).Milliseconds(), "accepted_ms", open.Milliseconds())
 	for ctx.Err() == nil && !a.server.isStopped() {
-		listener, err := reopen(closed)
+		listener, err := reopen(closed.Listener)
 		if err == nil {
-			a.listener, a.opened = listener, time.Now()
+			a.listener, a.opened = accept.NewListener(listener), time.Now()
 			a.closesAt = a.opened.Add(open)
-			a.server.setListener(listener)
+			a.server.setListener(a.listener)
 			return nil
 		}
 		a.server.logger.Warn("listen_failed", "address", closed.Addr().String(), "error", fault.Message(err))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "github.com/weldline/weldline/api/v1"
+	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/httpconn"
 	"github.com/weldline/weldline/internal/link"
@@ -41,9 +42,11 @@
 	limits  v1.DeclarationSpec
 	current *limitedServer
 	servers []*limitedServer
-	stopped bool
-	// listener is set by Serve.
-	listener net.Listener
+	// stopped is set when a stop begins, closed once no further connection is served.
+	stopped, closed bool
+	// listener is set by Serve; accepted is closed once it accepts no further connections.
+	listener *accept.Listener
+	accepted chan struct{}
 }
 
 // limitedServer is an HTTP server for the connections under one set of limits.
@@ -58,35 +61,39 @@
 // NewServer returns a server that is not yet listening. The meter counts the traffic of its clients; measure is used while
 // the link is overloaded.
 func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics, meter *link.Meter, measure MeasureFunc) *Server {
-	return &Server{handler: handler, view: view, logger: logger, measure: measure, admission: &admission{logger: logger, metrics: metrics, link: meter}}
+	return &Server{handler: handler, view: view, logger: logger, measure: measure, accepted: make(chan struct{}), admission: &admission{logger: logger, metrics: metrics, link: meter}}
 }
 
 // Serve accepts connections until ctx is done or StopAccepting is called. It returns when ctx
 // is done.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	s.setListener(listener)
+	stoppable := accept.NewListener(listener)
+	s.setListener(stoppable)
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	connections := &acceptor{listener: listener, server: s}
+	err := s.acceptAll(ctx, &acceptor{listener: stoppable, server: s})
+	if s.isStopped() || ctx.Err() != nil {
+		<-ctx.Done()
+		return nil
+	}
+	return fault.Unavailable.Wrap(err, "accepting a connection")
+}
+
+// acceptAll serves connections until accepting one fails.
+func (s *Server) acceptAll(ctx context.Context, connections *acceptor) error {
+	defer close(s.accepted)
 	for {
 		connection, err := connections.Accept(ctx)
-		if s.isStopped() || ctx.Err() != nil {
-			if err == nil {
-				_ = connection.Close()
-			}
-			<-ctx.Done()
-			return nil
-		}
 		if err != nil {
-			return fault.Unavailable.Wrap(err, "accepting a connection")
+			return err
 		}
 		tcpopt.Apply(connection)
 		s.assign(s.admission.wrap(s.connections.Wrap(connection)))
 	}
 }
 
-// setListener replaces the listener that StopAccepting closes.
-func (s *Server) setListener(listener net.Listener) {
+// setListener replaces the listener that StopAccepting stops.
+func (s *Server) setListener(listener *accept.Listener) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.listener = listener
@@ -105,7 +112,7 @@
 func (s *Server) assign(connection net.Conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.stopped {
+	if s.closed {
 		_ = connection.Close() // StopAccepting would not know of a server that is started now.
 		return
 	}
@@ -154,22 +161,32 @@
 // AnnounceClose has clients use other connections from now on.
 func (s *Server) AnnounceClose() { s.connections.AnnounceClose() }
 
-// StopAccepting closes the listener and idle connections, and the others once they are idle. Requests that were read
-// continue.
+// StopAccepting accepts the connections that clients have opened, and closes the listener. Then it closes idle connections, and
+// the others once they are idle. Requests that have arrived continue.
 func (s *Server) StopAccepting() {
-	s.mutex.Lock()
-	s.stopped = true
-	listener, all := s.listener, s.servers
-	s.mutex.Unlock()
-	if listener != nil {
+	if listener := s.beginStop(); listener != nil {
+		listener.Stop()
+		accept.Await(s.accepted)
 		_ = listener.Close()
 	}
+	s.mutex.Lock()
+	s.closed = true
+	all := s.servers
+	s.mutex.Unlock()
 	for _, limited := range all {
 		_ = limited.connections.Close()
 	}
 	s.connections.CloseIdle()
 }
 
+// beginStop returns the listener, if there is one.
+func (s *Server) beginStop() *accept.Listener {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stopped = true
+	return s.listener
+}
+
 // Busy returns the number of connections that a request is being read from, or whose response has not been written.
 func (s *Server) Busy() int { return s.connections.Busy() }
 
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/weldline/weldline/internal/accept/accepttest"
 	"github.com/weldline/weldline/internal/earlyresponse"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/ingress"
@@ -40,6 +41,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newStoppingServerOn(t, listener)
+}
+
+func newStoppingServerOn(t *testing.T, listener net.Listener) *stoppingServer {
+	t.Helper()
 	created := &stoppingServer{address: listener.Addr().String(), started: map[string]bool{}, answered: map[string]bool{}}
 	meter := link.NewMeter(0)
 	handler := earlyresponse.Handler{Next: created, Logger: slog.New(slog.DiscardHandler)}
@@ -287,3 +293,21 @@
 		t.Error("the server is busy")
 	}
 }
+
+// Guards against clients whose connection is reset because the server stopped before it had accepted the connection, although their
+// request had arrived.
+func TestStoppingServerAcceptsWhatHasArrived(t *testing.T) {
+	const clients = 40
+	listener := accepttest.Listen(t)
+	s := newStoppingServerOn(t, listener)
+	countResponses := listener.Send(t, clients, getRequest("waiting"))
+	s.server.StopAccepting()
+	if answered := countResponses("HTTP/1.1 200"); answered != clients {
+		t.Errorf("%d of %d requests that had arrived got a response", answered, clients)
+	}
+	s.end()
+	if connection, err := net.Dial("tcp", s.address); err == nil {
+		_ = connection.Close()
+		t.Error("the server still listens")
+	}
+}
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -6,21 +6,27 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/weldline/weldline/internal/accept"
 	"github.com/weldline/weldline/internal/fault"
 	"github.com/weldline/weldline/internal/httpconn"
 )
 
 // httpServer is an HTTP server that can finish the requests that it has received.
 type httpServer struct {
-	address     string
+	address string
+	// accepting is the listener below the wrapped one, which may be of TLS.
+	accepting   *accept.Listener
 	listener    net.Listener
+	accepted    chan struct{}
 	connections httpconn.Tracker
 	server      *http.Server
 	stopping    atomic.Bool
 }
 
-func newHTTPServer(address string, listener net.Listener, handler http.Handler, logger *slog.Logger) *httpServer {
-	created := &httpServer{address: address, listener: listener}
+// newHTTPServer returns a server for the connections of a listener, as wrapped by a function.
+func newHTTPServer(address string, listener net.Listener, wrap func(net.Listener) net.Listener, handler http.Handler, logger *slog.Logger) *httpServer {
+	created := &httpServer{address: address, accepting: accept.NewListener(listener), accepted: make(chan struct{})}
+	created.listener = wrap(created.accepting)
 	created.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
@@ -30,6 +36,7 @@
 
 // run serves until the server is stopped. An earlier end is a failure.
 func (s *httpServer) run() error {
+	defer close(s.accepted)
 	err := s.server.Serve(httpconn.Listener{Listener: s.listener, Tracker: &s.connections})
 	if s.stopping.Load() {
 		return nil
@@ -37,9 +44,12 @@
 	return fault.Unavailable.Wrap(err, "serving %s", s.address)
 }
 
-// stopAccepting closes the listener and idle connections, and the others once they are idle.
+// stopAccepting accepts the connections that clients have opened, and closes the listener. Then it closes idle connections, and
+// the others once they are idle.
 func (s *httpServer) stopAccepting() {
 	s.stopping.Store(true)
+	s.accepting.Stop()
+	accept.Await(s.accepted)
 	_ = s.listener.Close()
 	s.connections.CloseIdle()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -341,11 +341,14 @@
 	if err != nil {
 		return fault.Unavailable.Wrap(err, "listening on %s", address)
 	}
-	listener = link.Listener{Listener: tcpopt.Listener{Listener: listener}, Meter: meter}
-	if n.keys != nil {
-		listener = tls.NewListener(listener, n.keys.PeerServer())
+	wrap := func(accepting net.Listener) net.Listener {
+		metered := link.Listener{Listener: tcpopt.Listener{Listener: accepting}, Meter: meter}
+		if n.keys == nil {
+			return metered
+		}
+		return tls.NewListener(metered, n.keys.PeerServer())
 	}
-	n.serve(ctx, address, listener, handler)
+	n.serve(ctx, newHTTPServer(address, listener, wrap, handler, n.logger))
 	return nil
 }
 
@@ -376,16 +379,18 @@
 	if err != nil {
 		return fault.Unavailable.Wrap(err, "listening on %s", address)
 	}
-	if n.keys != nil && n.settings.TLS.Public {
-		listener = tls.NewListener(listener, n.keys.PublicServer())
+	wrap := func(accepting net.Listener) net.Listener {
+		if n.keys == nil || !n.settings.TLS.Public {
+			return accepting
+		}
+		return tls.NewListener(accepting, n.keys.PublicServer())
 	}
-	n.serve(ctx, address, listener, handler)
+	n.serve(ctx, newHTTPServer(address, listener, wrap, handler, n.logger))
 	return nil
 }
 
-// serve serves HTTP on a listener until ctx ends.
-func (n *Node) serve(ctx context.Context, address string, listener net.Listener, handler http.Handler) {
-	started := newHTTPServer(address, listener, handler, n.logger)
+// serve runs an HTTP server until ctx ends.
+func (n *Node) serve(ctx context.Context, started *httpServer) {
 	n.servers = append(n.servers, started)
 	n.workers.Go(func() {
 		<-ctx.Done()
