paths: machines that end together are no lost path

Callers of routers without a path got 503 "neither this router nor another one has a path" while a router with paths was there; callers of that one lost its idle connections.

Cause: a router counted as isolated once three machines had failed without a response in between. Where a harmful request or an operator ends several machines at once, three failures follow each other within milliseconds, also at a router that receives a response every few milliseconds. It was isolated for 1 to 5 ms, again and again, turned forwarded requests away meanwhile, and told so: others then avoided it for longer.

In the log of the router that was not cut off, request_not_connected at three machines that had ended, router_isolated, and router_reconnected 1 ms later, three times in 0.3 s, and the refusals at the router that forwarded to it.

Change: three such failures make a router suspect that it is isolated. It then probes three machines at once that have not failed and are not known to be down, and counts as isolated when none of them responds; where fewer are left, when all machines have failed.

Weighed and not taken: a minimum time without contact. It delays the detection of each real loss by that time, and is a tuned bound.

--- a/internal/ingress/paths.go
+++ b/internal/ingress/paths.go
@@ -100,7 +100,7 @@
 	defer m.mutex.Unlock()
 	wasInDoubt := m.tracker.IsInDoubt()
 	change := apply(time.Now())
-	if !wasInDoubt && m.tracker.IsInDoubt() {
+	if !wasInDoubt && m.tracker.IsInDoubt() || m.tracker.IsSuspected() {
 		m.wakeUp()
 	}
 	if change == (paths.Change{}) {
@@ -241,7 +241,7 @@
 	}
 	for _, machine := range elsewhere {
 		if !slices.Contains(here, machine) {
-			m.notConnected(machine)
+			m.recordProbe(ctx, machine, started, probeUnconnected)
 		}
 	}
 }
--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -9,8 +9,11 @@
 
 const (
 	// isolationThreshold is the number of machines that must fail, without contact to any, before a
-	// router counts as isolated. Fewer suffice if fewer are known.
+	// router may be isolated. Fewer suffice if fewer are known.
 	isolationThreshold = 3
+	// confirmations is the number of further machines that must not answer a probe before it counts as isolated: the ones that
+	// failed first may have ended together.
+	confirmations = 3
 	// minIsolation is the least number of machines: one that fails alone may well be down.
 	minIsolation = 2
 	// A path that is down is probed at intervals that double with each failure.
@@ -61,7 +64,9 @@
 	// listed are the machines that the router may send requests to.
 	listed map[string]bool
 	// failing are the machines with failures since the last contact with any machine.
-	failing       map[string]bool
+	failing map[string]bool
+	// unanswered counts the probes since then of machines that had not failed, and whose paths were up.
+	unanswered    int
 	isolated      bool
 	isolatedSince time.Time
 	lastContact   time.Time
@@ -95,12 +100,28 @@
 	if failure == FailureConnect {
 		change.WentDown = t.setDown(now, machine)
 	}
-	if !t.isolated && len(t.failing) >= min(isolationThreshold, max(minIsolation, len(t.listed))) {
+	if t.IsSuspected() && (t.unanswered >= confirmations || t.allFail()) {
 		t.isolated, t.isolatedSince, change.BecameIsolated = true, now, true
 	}
 	return change
 }
 
+// IsSuspected reports whether so many machines failed that the router may be isolated. StartProbes then has machines that can
+// show it.
+func (t *Tracker) IsSuspected() bool {
+	return !t.isolated && len(t.failing) >= min(isolationThreshold, max(minIsolation, len(t.listed)))
+}
+
+// allFail reports whether no machine is left that could show that the router is not isolated.
+func (t *Tracker) allFail() bool {
+	for machine := range t.listed {
+		if !t.failing[machine] {
+			return false
+		}
+	}
+	return true
+}
+
 // setDown marks a path as down and returns whether it was up.
 func (t *Tracker) setDown(now time.Time, machine string) bool {
 	current := t.paths[machine]
@@ -128,6 +149,7 @@
 	if len(t.failing) > 0 {
 		clear(t.failing)
 	}
+	t.unanswered = 0
 	if t.isolated {
 		t.isolated, change.Reconnected, change.Duration = false, true, now.Sub(t.isolatedSince)
 	}
@@ -179,7 +201,7 @@
 func (t *Tracker) pick(count int, suitable func(machine string) bool) []string {
 	var names []string
 	for machine := range t.listed {
-		if len(names) == count {
+		if len(names) >= count {
 			break
 		}
 		if suitable(machine) {
@@ -200,9 +222,43 @@
 	return down
 }
 
-// StartProbes returns the machines to probe now: those whose paths are down, and any while the router is
-// isolated. Each must be followed by EndProbe.
+// StartProbes returns the machines to probe now: those whose paths are down, some that have not failed while the router may be
+// isolated, and any while it is. Each must be followed by EndProbe.
 func (t *Tracker) StartProbes(now time.Time) []string {
+	due := t.dueProbes(now)
+	if t.IsSuspected() {
+		due = append(due, t.startConfirmations()...)
+	}
+	return due
+}
+
+// startConfirmations returns machines that have not failed: enough of those whose paths are up, or else some that are down.
+func (t *Tracker) startConfirmations() []string {
+	probing, probingUp := 0, 0
+	for machine, current := range t.paths {
+		if current.probing && !t.failing[machine] {
+			probing++
+			if !current.down {
+				probingUp++
+			}
+		}
+	}
+	isUntried := func(machine string) bool {
+		return !t.failing[machine] && (t.paths[machine] == nil || !t.paths[machine].probing)
+	}
+	chosen := t.pick(confirmations-t.unanswered-probingUp, func(machine string) bool { return isUntried(machine) && !t.IsDown(machine) })
+	if len(chosen) == 0 && probingUp == 0 {
+		chosen = t.pick(confirmations-probing, isUntried)
+	}
+	sort.Strings(chosen)
+	for _, machine := range chosen {
+		t.startProbe(machine)
+	}
+	return chosen
+}
+
+// dueProbes starts the probes that are due, up to maxConcurrentProbes at a time.
+func (t *Tracker) dueProbes(now time.Time) []string {
 	running := 0
 	var due []string
 	for machine, current := range t.paths {
@@ -229,14 +285,18 @@
 	})
 	due = due[:min(len(due), max(0, maxConcurrentProbes-running))]
 	for _, machine := range due {
-		if t.paths[machine] == nil {
-			t.paths[machine] = &path{}
-		}
-		t.paths[machine].probing = true
+		t.startProbe(machine)
 	}
 	return due
 }
 
+func (t *Tracker) startProbe(machine string) {
+	if t.paths[machine] == nil {
+		t.paths[machine] = &path{}
+	}
+	t.paths[machine].probing = true
+}
+
 func (t *Tracker) probeTime(machine string) time.Time {
 	if current := t.paths[machine]; current != nil {
 		return current.probeAt
@@ -250,6 +310,9 @@
 		current.probing = false
 	}
 	if !connected {
+		if !t.failing[machine] && !t.IsDown(machine) {
+			t.unanswered++
+		}
 		return t.Failed(now, machine, FailureConnect)
 	}
 	return t.Contact(now, machine, started)
