node: signals are caught before the settings are read

Operators who reload the settings of a node that has just been started kill it, and a stop at that moment ends it without a line: SIGHUP and SIGTERM had their default action until the settings had been read.

Change: the handlers are installed first.

--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -66,6 +66,12 @@
 
 // RunUntilStopped runs a node until it receives SIGINT or SIGTERM.
 func RunUntilStopped(load func() (*settings.Settings, error), extensions Extensions) error {
+	// Until they are caught, signals end the process at once.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	configuration, err := load()
 	if err != nil {
 		return err
@@ -73,10 +79,6 @@
 	log := NewLog(configuration)
 	defer log.Close(logCloseTimeout)
 	logger := log.With("node", configuration.Node)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	process, err := New(configuration, logger, extensions)
 	if err != nil {
 		return err
