soak: requests whose response the soak held back don't count as unserved

Cause: the soak silences or resets the connections between callers and a router (silence-callers, reset-callers, delay-callers). Other checks allow for that, this one did not. Trace: 40 requests of 15.16 to 16.28 s got no response in time; router-1 has request_answered for 38 of them; the soak silenced its callers' connections at 16.35 s.

Change: a request is not compared if such a fault affects its router's callers between its start and its end, at routers without paths and at the others alike. Faults of machines excuse nothing.

TestPartitionedRoutersAreJudged failed before, and holds that a silent machine does not excuse the router.

--- a/internal/soak/partition.go
+++ b/internal/soak/partition.go
@@ -136,7 +136,8 @@
 	for _, answer := range h.Answers {
 		request := h.Requests[answer.Request]
 		if request.Sent < partition.Start+ContactTime || request.Sent > partition.End ||
-			isDisturbed(disturbances, request.Router, request.Sent-bounds.CatchUpTime, answer.At) {
+			isDisturbed(disturbances, request.Router, request.Sent-bounds.CatchUpTime, answer.At) ||
+			mayLoseResponse(disturbances, request, answer.At) {
 			continue
 		}
 		counted := &others
@@ -154,6 +155,13 @@
 	return cut, others
 }
 
+// mayLoseResponse reports whether a fault affected the connections between a router and its callers during a request.
+func mayLoseResponse(disturbances []Disturbance, request Request, answered time.Duration) bool {
+	return slices.ContainsFunc(disturbances, func(other Disturbance) bool {
+		return other.Callers && other.Node == request.Router && other.Start <= answered && request.Sent <= other.End
+	})
+}
+
 // mayBeForwarded reports whether some other router, in a region that the request allows, was neither disturbed
 // nor partitioned until the request was answered.
 func (b Bounds) mayBeForwarded(disturbances []Disturbance, request Request, answered time.Duration) bool {
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -122,6 +122,18 @@
 	if found := unservedPartitions(history, bounds, append(disturbances, restart)); len(found) > 0 {
 		t.Errorf("with a restart of the router: %v", found)
 	}
+	silence := Fault{Kind: FaultSilenceCallers, At: 5 * time.Second, Node: "r1"}.disturbances(Layout{})
+	if found := unservedPartitions(history, bounds, append(disturbances, silence...)); len(found) > 0 {
+		t.Errorf("with callers that get no responses: %v", found)
+	}
+	silence[0].Node = "r2"
+	if found := unservedPartitions(history, bounds, append(disturbances, silence...)); len(found) > 0 {
+		t.Errorf("with callers of the other router that get no responses, nothing is left to compare with: %v", found)
+	}
+	machines := Fault{Kind: FaultSilenceMachine, At: 5 * time.Second}.disturbances(Layout{})
+	if found := unservedPartitions(history, bounds, append(disturbances, machines...)); len(found) == 0 {
+		t.Error("a silent machine excuses the partitioned router")
+	}
 	for id, request := range history.Requests {
 		request.Allowed = places.RestrictTo("south")
 		history.Requests[id] = request
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -129,6 +129,8 @@
 	// Partition is set if the node is cut off from all machines, and Brittle if machines are brittle. Planned is set if no
 	// response may be lost: a node is stopped, or machines reject requests.
 	Partition, Brittle, Planned bool
+	// Callers is set if the connections of callers to the node are affected.
+	Callers bool
 }
 
 const (
@@ -308,10 +310,10 @@
 		span.End += restartDuration
 		span.RequestsOnly = true
 	case FaultResetCallers, FaultDelayCallers:
-		span.RequestsOnly = true
+		span.RequestsOnly, span.Callers = true, true
 	case FaultSilenceMachine, FaultSilenceCallers:
 		span.End += silentConnectionDuration
-		span.RequestsOnly = true
+		span.RequestsOnly, span.Callers = true, f.Kind == FaultSilenceCallers
 	case FaultPauseMachine:
 		span.End += restartDuration
 		span.RequestsOnly = true
