forwarding: routers that are isolated are checked twice a second

Callers of a router without paths got 503 "neither this router nor another one has a path" for 1.4 s after another router had its paths back.

Cause: an isolated router checks the others, and spaces the checks of those that don't work by intervals that double up to 2 s. That is meant for routers that do not respond. One that responds "isolated" may be connected again at any time, and where all are isolated it is the only way out.

Change: the interval after "isolated" doubles from 0.1 to 0.5 s, that after no response to 2 s as before. At most eight routers are checked at once, so that an isolated router sends 16 small requests a second instead of 4.

Weighed: routers that are connected again tell those that asked them. It is faster, but a message that can be lost, and needs the checks all the same.

Tests of forwarding, of ingress, platform and faultsim about partitions pass.

--- a/internal/forwarding/status.go
+++ b/internal/forwarding/status.go
@@ -28,10 +28,10 @@
 }
 
 const (
-	// checkInterval is the interval of checks of a router that works.
+	// checkInterval is the interval of checks of a router that works, and the longest one of a router that responds.
 	checkInterval = 500 * time.Millisecond
-	// The checks of a router that does not work are spaced by intervals that double. The first one comes soon, since
-	// routers that lose several machines at once count as isolated for a moment.
+	// The checks of a router that does not work are spaced by intervals that double. The first one comes soon, since it may
+	// work again.
 	minRecheckInterval = 100 * time.Millisecond
 	maxRecheckInterval = 2 * time.Second
 	// statusGrace is how long a status holds after its next check is due, so that it does not expire during the
@@ -63,15 +63,24 @@
 	if r.isAvoided(now) && r.status == status && now.Before(r.checkAt) {
 		return
 	}
-	interval := checkInterval
-	if status == StatusIsolated || status == StatusFailed {
-		interval = retrydelay.Exponential(minRecheckInterval, maxRecheckInterval, r.failures)
-		r.failures++
-	} else {
+	r.status, r.checkAt = status, now.Add(r.nextInterval(status))
+	r.expiresAt = r.checkAt.Add(statusGrace)
+}
+
+// nextInterval returns the time until the check after one that found a status, and counts failures.
+func (r *routerState) nextInterval(status Status) time.Duration {
+	longest := checkInterval
+	switch status {
+	case StatusIsolated: // It may be connected again at any time, when it may be the only one that is.
+	case StatusFailed:
+		longest = maxRecheckInterval
+	default:
 		r.failures = 0
+		return checkInterval
 	}
-	r.status, r.checkAt = status, now.Add(interval)
-	r.expiresAt = r.checkAt.Add(statusGrace)
+	interval := retrydelay.Exponential(minRecheckInterval, longest, r.failures)
+	r.failures++
+	return interval
 }
 
 // StartChecks returns the routers whose status to check now. Each must be followed by EndCheck.
