--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -52,17 +52,10 @@
 	if l.stopBy.IsZero() {
 		return false
 	}
-	l.setDeadline(earlier(time.Now().Add(emptyAfter), l.stopBy))
+	l.setDeadline(time.Now().Add(min(emptyAfter, time.Until(l.stopBy))))
 	return true
 }
 
-func earlier(left, right time.Time) time.Time {
-	if left.Before(right) {
-		return left
-	}
-	return right
-}
-
 func (l *Listener) isStopping() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -103,10 +96,10 @@
 	}
 }
 
-// Await waits until the loop around Accept has ended, for as long as a stop may take.
-func Await(ended <-chan struct{}) {
+// AwaitStop waits until the loop around Accept has ended, for a bounded time.
+func AwaitStop(ended <-chan struct{}) {
 	select {
 	case <-ended:
-	case <-time.After(2 * maxStopTime):
+	case <-time.After(2 * maxStopTime): // The loop does something else at the moment.
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -166,7 +166,7 @@
 func (s *Server) StopAccepting() {
 	if listener := s.beginStop(); listener != nil {
 		listener.Stop()
-		accept.Await(s.accepted)
+		accept.AwaitStop(s.accepted)
 		_ = listener.Close()
 	}
 	s.mutex.Lock()
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -49,7 +49,7 @@
 func (s *httpServer) stopAccepting() {
 	s.stopping.Store(true)
 	s.accepting.Stop()
-	accept.Await(s.accepted)
+	accept.AwaitStop(s.accepted)
 	_ = s.listener.Close()
 	s.connections.CloseIdle()
 }
