--- a/internal/ingress/confirm_test.go
+++ b/internal/ingress/confirm_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,10 +22,14 @@
 	for number := range 3 {
 		events = append(events, d.machine("ended-"+strconv.Itoa(number), closedAddress(t)))
 	}
-	var others []*rawMachine
+	var probes atomic.Int32
+	respondToProbe := responseScript(func(request receivedRequest, number int, connection net.Conn) bool {
+		probes.Add(1)
+		return respondOK(request, number, connection)
+	})
 	for number := range 3 {
 		other := newRawMachine(t, respondOK)
-		others = append(others, other)
+		other.probe.Store(&respondToProbe)
 		spec := &v1.MachineSpec{Endpoint: "http://" + other.address, Zone: "z", Pool: "others", Slots: 4}
 		events = append(events, d.object(v1.KindMachine, "other-"+strconv.Itoa(number), spec, &v1.MachineStatus{Phase: v1.MachineLive}))
 	}
@@ -33,6 +38,9 @@
 	if got := d.send(http.MethodPost, "/a/b", "id-1", "body"); got.status != http.StatusServiceUnavailable {
 		t.Errorf("got %d", got.status)
 	}
+	for probes.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	// The machines that ended are probed again and again.
 	for strings.Count(logged.String(), "request_sent") < 12 {
 		d.send(http.MethodPost, "/a/b", "id-2", "body")
