ingress: the test of machines that end together reserves its ports

closedAddress of that test returned a port that was free again, which another test process may get: its listener then accepts the connections that the test expects to fail. The harness has reservePort for this very reason; the test calls it, and the copy is gone. Found by reading, no failure was seen.

--- a/internal/ingress/confirm_test.go
+++ b/internal/ingress/confirm_test.go
@@ -20,7 +20,7 @@
 	d := newDeploymentWith(t, slog.New(slog.NewTextHandler(logged, nil)))
 	events := append(d.declaration(), d.route(v1.RouteUnrepeatable, 1, 500*time.Millisecond), d.object(v1.KindPool, "others", &v1.PoolSpec{}, nil))
 	for number := range 3 {
-		events = append(events, d.machine("ended-"+strconv.Itoa(number), closedAddress(t)))
+		events = append(events, d.machine("ended-"+strconv.Itoa(number), reservePort(t)))
 	}
 	var probes atomic.Int32
 	respondToProbe := responseScript(func(request receivedRequest, number int, connection net.Conn) bool {
@@ -49,14 +49,3 @@
 		t.Errorf("the router takes itself to be isolated: %s", text)
 	}
 }
-
-// closedAddress returns an address of the loopback interface on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = listener.Close()
-	return listener.Addr().String()
-}
