dispatch: one predicate for requests whose time in the queue is over

Tick and dispatch each combined the deadline with the end of the time in the queue, which queuedUntil already does for refusals. isQueueExpired asks it, and is all that both need: a fresh request has passed the check of its deadline in enqueue, at the same time. No change of behaviour: the tables of dispatch and the schedules of faultsim pass unchanged.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -123,7 +123,7 @@
 func (s *Scheduler) Tick(now time.Time) Outcome {
 	var outcome Outcome
 	for _, entry := range s.waiters {
-		if entry.request.isExpired(now) || entry.request.isQueueExpired(now) {
+		if entry.request.isQueueExpired(now) {
 			outcome.Refusals = append(outcome.Refusals, s.expiryRefusal(now, entry.request))
 		}
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -84,9 +84,7 @@
 func (r *Request) isExpired(now time.Time) bool { return !now.Before(r.Deadline) }
 
 // isQueueExpired reports whether the request's time in the queue is over.
-func (r *Request) isQueueExpired(now time.Time) bool {
-	return !r.QueueDeadline.IsZero() && !now.Before(r.QueueDeadline)
-}
+func (r *Request) isQueueExpired(now time.Time) bool { return !now.Before(r.queuedUntil()) }
 
 func (q *queue) remove(entry *waiter) {
 	if entry.position >= 0 {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -57,7 +57,7 @@
 
 // dispatch grants waiting requests of a version in serving order while there is capacity. fresh is
 // the request just submitted, or nil. Requests whose time is over are refused instead: Tick may be late, for
-// example after a pause of the process.
+// example after a pause of the process. The fresh one does not wait, and enqueue has checked its deadline.
 func (s *Scheduler) dispatch(now time.Time, version *versionState, outcome *Outcome, fresh *Request) {
 	for {
 		request, chosen := s.nextGrant(now, version)
@@ -65,7 +65,7 @@
 			return
 		}
 		s.dequeue(request)
-		if request.isExpired(now) || request != fresh && request.isQueueExpired(now) {
+		if request != fresh && request.isQueueExpired(now) {
 			outcome.Refusals = append(outcome.Refusals, s.expiryRefusal(now, request))
 			continue
 		}
