--- a/internal/paths/tracker.go
+++ b/internal/paths/tracker.go
@@ -114,12 +114,7 @@
 
 // allFail reports whether no machine is left that could show that the router is not isolated.
 func (t *Tracker) allFail() bool {
-	for machine := range t.listed {
-		if !t.failing[machine] {
-			return false
-		}
-	}
-	return true
+	return len(t.pick(1, func(machine string) bool { return !t.failing[machine] })) == 0
 }
 
 // setDown marks a path as down and returns whether it was up.
