accept: a listener waits for the end of its own stop

The ingress and the other HTTP servers each had a channel for the end of the loop around Accept, and the same three calls to stop, wait and close. Listener.Drain does all three: Accept closes the listener only when nothing waits, and a loop that handles each connection before it accepts the next has handled them all by then. Both channels and AwaitStop are gone. A stop while the ingress refuses connections no longer waits up to half a second, as the listener is closed already; otherwise behaviour is unchanged.

The tests are unchanged: those of accept, node and the stops of ingress pass with the race detector, twice.

--- a/internal/accept/accepttest/listener.go
+++ b/internal/accept/accepttest/listener.go
@@ -44,7 +44,7 @@
 	return l.Listener.Close()
 }
 
-// Send opens connections and writes a request on each of them. The returned function reads what comes back, and returns how many
+// Send opens connections and writes a request on each of them. The returned function reads the responses and returns how many
 // connections got a response that begins with a prefix.
 func (l *Listener) Send(t *testing.T, connections int, request string) (countResponses func(prefix string) int) {
 	t.Helper()
--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -23,10 +23,15 @@
 	mutex sync.Mutex
 	// stopBy is when a stopping listener is closed at the latest; zero before Stop.
 	stopBy time.Time
+	// closed is closed with the listener.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // NewListener returns a listener that can be stopped.
-func NewListener(listener net.Listener) *Listener { return &Listener{Listener: listener} }
+func NewListener(listener net.Listener) *Listener {
+	return &Listener{Listener: listener, closed: make(chan struct{})}
+}
 
 // Accept implements net.Listener. After Stop it returns the connections that wait, and then closes the listener.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -96,10 +101,19 @@
 	}
 }
 
-// AwaitStop waits until the loop around Accept has ended, for a bounded time.
-func AwaitStop(ended <-chan struct{}) {
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Drain stops the listener and waits until it is closed: a loop that handles each connection before it accepts the next one has then
+// handled all that waited. A listener on which nobody calls Accept is closed after a bounded time.
+func (l *Listener) Drain() {
+	l.Stop()
 	select {
-	case <-ended:
-	case <-time.After(2 * maxStopTime): // The loop does something else at the moment.
+	case <-l.closed:
+	case <-time.After(2 * maxStopTime):
+		_ = l.Close()
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -44,9 +44,8 @@
 	servers []*limitedServer
 	// stopped is set when a stop begins, closed once no further connection is served.
 	stopped, closed bool
-	// listener is set by Serve; accepted is closed once it accepts no further connections.
+	// listener is set by Serve.
 	listener *accept.Listener
-	accepted chan struct{}
 }
 
 // limitedServer is an HTTP server for the connections under one set of limits.
@@ -61,7 +60,7 @@
 // NewServer returns a server that is not yet listening. The meter counts the traffic of its clients; measure is used while
 // the link is overloaded.
 func NewServer(handler http.Handler, view *nodeview.View, logger *slog.Logger, metrics *Metrics, meter *link.Meter, measure MeasureFunc) *Server {
-	return &Server{handler: handler, view: view, logger: logger, measure: measure, accepted: make(chan struct{}), admission: &admission{logger: logger, metrics: metrics, link: meter}}
+	return &Server{handler: handler, view: view, logger: logger, measure: measure, admission: &admission{logger: logger, metrics: metrics, link: meter}}
 }
 
 // Serve accepts connections until ctx is done or StopAccepting is called. It returns when ctx
@@ -81,7 +80,6 @@
 
 // acceptAll serves connections until accepting one fails.
 func (s *Server) acceptAll(ctx context.Context, connections *acceptor) error {
-	defer close(s.accepted)
 	for {
 		connection, err := connections.Accept(ctx)
 		if err != nil {
@@ -165,9 +163,7 @@
 // the others once they are idle. Requests that have arrived continue.
 func (s *Server) StopAccepting() {
 	if listener := s.beginStop(); listener != nil {
-		listener.Stop()
-		accept.AwaitStop(s.accepted)
-		_ = listener.Close()
+		listener.Drain()
 	}
 	s.mutex.Lock()
 	s.closed = true
--- a/internal/node/httpserver.go
+++ b/internal/node/httpserver.go
@@ -17,7 +17,6 @@
 	// accepting is the listener below the wrapped one, which may be of TLS.
 	accepting   *accept.Listener
 	listener    net.Listener
-	accepted    chan struct{}
 	connections httpconn.Tracker
 	server      *http.Server
 	stopping    atomic.Bool
@@ -25,7 +24,7 @@
 
 // newHTTPServer returns a server for the connections of a listener, as wrapped by a function.
 func newHTTPServer(address string, listener net.Listener, wrap func(net.Listener) net.Listener, handler http.Handler, logger *slog.Logger) *httpServer {
-	created := &httpServer{address: address, accepting: accept.NewListener(listener), accepted: make(chan struct{})}
+	created := &httpServer{address: address, accepting: accept.NewListener(listener)}
 	created.listener = wrap(created.accepting)
 	created.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
@@ -36,7 +35,6 @@
 
 // run serves until the server is stopped. An earlier end is a failure.
 func (s *httpServer) run() error {
-	defer close(s.accepted)
 	err := s.server.Serve(httpconn.Listener{Listener: s.listener, Tracker: &s.connections})
 	if s.stopping.Load() {
 		return nil
@@ -48,9 +46,7 @@
 // the others once they are idle.
 func (s *httpServer) stopAccepting() {
 	s.stopping.Store(true)
-	s.accepting.Stop()
-	accept.AwaitStop(s.accepted)
-	_ = s.listener.Close()
+	s.accepting.Drain()
 	s.connections.CloseIdle()
 }
 
